Serve a request end to end through separate processes

Cause: there was no code. Ruled out: tiny_http for callers. It cannot bound connections, give a slow head a deadline, close a kept-alive connection at a planned stop or tell that a caller has left; callers get a listener over httparse, operators tiny_http. Change: workspace of decision crates without I/O, the node as their shell, the platform, engine and service stand-ins, a demo and the first tests with real processes.

--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/node/src/caller.rs
@@ -0,0 +1,101 @@
+//! Callers' requests: who asks, for what, and the answer.
+
+use jacinthpoint_records::{Organisation, key_digest};
+use jacinthpoint_types::{Outcome, ResultCode};
+use serde_json::json;
+
+use crate::{
+    caller::{answer::Refusal, context::Context},
+    http::{HttpRequest, RequestError, Responder},
+    shared::Shared,
+};
+
+mod answer;
+mod completion;
+mod context;
+mod service;
+
+/// Path prefix of plain services.
+const SERVICES_PREFIX: &str = "/services/";
+
+/// Answers one request.
+pub(crate) fn handle(
+    shared: &Shared,
+    request: Result<&HttpRequest, RequestError>,
+    responder: &mut Responder<'_>,
+) {
+    let refusal = match request {
+        Ok(request) => route(shared, request, responder).err(),
+        Err(RequestError::Refused(code, message)) => Some(Refusal::not_run(code, message)),
+        Err(RequestError::Closed | RequestError::Broken) => None,
+    };
+    if let Some(refusal) = refusal {
+        answer::refuse(responder, &refusal);
+    }
+}
+
+fn route(
+    shared: &Shared,
+    request: &HttpRequest,
+    responder: &mut Responder<'_>,
+) -> Result<(), Refusal> {
+    let Some(in_force) = shared.config() else {
+        return Err(Refusal::not_run(
+            ResultCode::NoCapacity,
+            "no configuration is known yet",
+        ));
+    };
+    let organisation = authenticate(&in_force.config, request)?;
+    match (request.method.as_str(), request.path()) {
+        ("GET", "/v1/models") => {
+            list_models(&in_force.config, organisation, responder);
+            Ok(())
+        }
+        ("POST", "/v1/completions" | "/v1/chat/completions") => {
+            let context = Context::read(shared, organisation, request)?;
+            completion::run(shared, &in_force.config, &context, request, responder)
+        }
+        (_, path) if path.starts_with(SERVICES_PREFIX) => {
+            let context = Context::read(shared, organisation, request)?;
+            service::run(shared, &in_force.config, &context, request, responder)
+        }
+        (_, "/v1/models" | "/v1/completions" | "/v1/chat/completions") => Err(Refusal::not_run(
+            ResultCode::MethodNotAllowed,
+            "this path takes another method",
+        )),
+        _ => Err(Refusal::not_run(ResultCode::NotFound, "no such path")),
+    }
+}
+
+/// The organisation whose key the request carries. No other header names an organisation.
+fn authenticate<'a>(
+    config: &'a jacinthpoint_records::Config,
+    request: &HttpRequest,
+) -> Result<&'a Organisation, Refusal> {
+    let key = request
+        .header("authorization")
+        .and_then(|value| value.strip_prefix("Bearer "));
+    let organisation = key.and_then(|key| config.organisation_of_key(&key_digest(key.trim())));
+    organisation.ok_or_else(|| {
+        Refusal::not_run(ResultCode::Unauthenticated, "the key is missing or unknown")
+    })
+}
+
+fn list_models(
+    config: &jacinthpoint_records::Config,
+    organisation: &Organisation,
+    responder: &mut Responder<'_>,
+) {
+    let allowed = config
+        .deployments
+        .values()
+        .filter(|d| d.allows(&organisation.name));
+    let data: Vec<_> = allowed
+        .map(|deployment| {
+            let id = deployment.model_ref().to_string();
+            json!({ "id": id, "object": "model", "owned_by": "jacinthpoint" })
+        })
+        .collect();
+    let body = json!({ "object": "list", "data": data }).to_string();
+    answer::whole_json(responder, Outcome::Answered, body.as_bytes());
+}
--- /dev/null
+++ b/crates/node/src/caller/answer.rs
@@ -0,0 +1,92 @@
+//! Final answers: every one names its outcome, and refusals say when to come back.
+
+use jacinthpoint_routing::Ending;
+use jacinthpoint_types::{Outcome, ResultCode};
+use serde_json::json;
+
+use crate::http::Responder;
+
+/// Header that names the outcome.
+pub(crate) const OUTCOME_HEADER: &str = "x-outcome";
+/// When to come back, where nothing better is known.
+const DEFAULT_RETRY_AFTER_S: u32 = 1;
+
+/// An end without an answer.
+#[derive(Debug)]
+pub(crate) struct Refusal {
+    pub(crate) outcome: Outcome,
+    pub(crate) code: ResultCode,
+    pub(crate) message: String,
+    pub(crate) retry_after_s: Option<u32>,
+}
+
+impl Refusal {
+    /// A refusal before anything was sent to an upstream.
+    pub(crate) fn not_run(code: ResultCode, message: impl Into<String>) -> Refusal {
+        Refusal::new(Outcome::NotRun, code, message.into())
+    }
+
+    /// The end of a request that was not answered.
+    pub(crate) fn from_ending(ending: &Ending, message: impl Into<String>) -> Refusal {
+        let code = ending.code().unwrap_or(ResultCode::Internal);
+        Refusal::new(ending.outcome(), code, message.into())
+    }
+
+    fn new(outcome: Outcome, code: ResultCode, message: String) -> Refusal {
+        let retry_after_s = code.is_retryable().then_some(DEFAULT_RETRY_AFTER_S);
+        Refusal {
+            outcome,
+            code,
+            message,
+            retry_after_s,
+        }
+    }
+
+    /// The error as JSON.
+    pub(crate) fn body(&self) -> String {
+        let error = json!({
+            "code": self.code.number(),
+            "type": self.code.to_string(),
+            "message": self.message,
+            "outcome": self.outcome,
+        });
+        json!({ "error": error }).to_string()
+    }
+}
+
+/// Writes a refusal: as the whole answer, or as the last event of a stream that has begun.
+///
+/// A caller that has gone cannot be told, so failures to write are dropped.
+pub(crate) fn refuse(responder: &mut Responder<'_>, refusal: &Refusal) {
+    if responder.head_sent() {
+        let event = format!("data: {}\n\n", refusal.body());
+        let _ = responder
+            .chunk(event.as_bytes())
+            .and_then(|()| responder.end_stream());
+        return;
+    }
+    let outcome = refusal.outcome.to_string();
+    let retry_after = refusal.retry_after_s.map(|seconds| seconds.to_string());
+    let mut headers = vec![
+        ("content-type", "application/json"),
+        (OUTCOME_HEADER, &outcome),
+    ];
+    if let Some(retry_after) = &retry_after {
+        headers.push(("retry-after", retry_after));
+    }
+    let _ = responder.whole(
+        refusal.code.http_status(),
+        &headers,
+        refusal.body().as_bytes(),
+    );
+}
+
+/// Writes a whole answer in JSON.
+pub(crate) fn whole_json(responder: &mut Responder<'_>, outcome: Outcome, body: &[u8]) {
+    let outcome = outcome.to_string();
+    let headers = [
+        ("content-type", "application/json"),
+        (OUTCOME_HEADER, outcome.as_str()),
+    ];
+    let _ = responder.whole(200, &headers, body);
+}
--- /dev/null
+++ b/crates/node/src/caller/service.rs
@@ -0,0 +1,150 @@
+//! Calls to plain services.
+
+use std::collections::BTreeSet;
+
+use jacinthpoint_platform::{MemberRole, MemberState};
+use jacinthpoint_records::Config;
+use jacinthpoint_routing::{Accepted, Candidate, Ending, Unstarted, choose};
+use jacinthpoint_types::{AttemptId, GroupId, Outcome, ResultCode, ServiceId, VmId};
+use jacinthpoint_upstream::{ServiceAnswer, ServiceCall};
+
+use crate::{
+    caller::{
+        SERVICES_PREFIX,
+        answer::{OUTCOME_HEADER, Refusal},
+        context::Context,
+    },
+    events::log_event,
+    http::{HttpRequest, Responder},
+    shared::Shared,
+};
+
+/// Time to make a connection to a server.
+const CONNECT_TIMEOUT_MS: u64 = 300;
+
+/// Runs a call to its final answer.
+pub(crate) fn run(
+    shared: &Shared,
+    config: &Config,
+    context: &Context,
+    request: &HttpRequest,
+    responder: &mut Responder<'_>,
+) -> Result<(), Refusal> {
+    let rest = request
+        .target
+        .strip_prefix(SERVICES_PREFIX)
+        .unwrap_or_default();
+    let (name, path) = rest.split_at(rest.find(['/', '?']).unwrap_or(rest.len()));
+    let path = if path.starts_with('/') {
+        path.to_owned()
+    } else {
+        format!("/{path}")
+    };
+    let service = name
+        .parse::<ServiceId>()
+        .ok()
+        .and_then(|name| config.services.get(&name));
+    let allowed = service.filter(|service| {
+        service.organisations.is_empty() || service.organisations.contains(&context.organisation)
+    });
+    let service = allowed.ok_or_else(|| {
+        Refusal::not_run(
+            ResultCode::NotFound,
+            format!("no service {name:?} for this key"),
+        )
+    })?;
+    let repeatable = context.repeatable.unwrap_or(service.repeatable);
+    let call = ServiceCall {
+        request: context.request,
+        attempt: AttemptId::new(),
+        method: &request.method,
+        path: &path,
+        content_type: request
+            .header("content-type")
+            .unwrap_or("application/octet-stream"),
+        body: &request.body,
+    };
+    let (ending, answer) = drive(shared, context, &service.name, call, repeatable);
+    let whole_us = shared.now().since_ms(context.accepted_at) * 1_000;
+    let outcome = ending.outcome();
+    shared.metrics.record_end(
+        &context.organisation,
+        context.priority,
+        outcome,
+        None,
+        whole_us,
+    );
+    let Some(answer) = answer else {
+        return Err(Refusal::from_ending(&ending, "the call was not answered"));
+    };
+    let outcome = Outcome::Answered.to_string();
+    let headers = [
+        ("content-type", answer.content_type.as_str()),
+        (OUTCOME_HEADER, &outcome),
+    ];
+    let _ = responder.whole(answer.status, &headers, &answer.body);
+    Ok(())
+}
+
+fn drive(
+    shared: &Shared,
+    context: &Context,
+    service: &ServiceId,
+    mut call: ServiceCall<'_>,
+    repeatable: bool,
+) -> (Ending, Option<ServiceAnswer>) {
+    let mut state = Unstarted::Accepted(Accepted::new());
+    let mut failed = BTreeSet::new();
+    loop {
+        let left_ms = context.deadline.remaining_ms(shared.now());
+        if left_ms == 0 {
+            return (state.give_up(ResultCode::DeadlinePassed), None);
+        }
+        let Some((vm, address)) = choose_server(shared, service, &failed) else {
+            return (state.give_up(ResultCode::NoCapacity), None);
+        };
+        call.attempt = AttemptId::new();
+        let dispatched = state.dispatch();
+        let _in_flight = in_flight_key(&vm).map(|key| shared.enter_group(&key));
+        let called =
+            jacinthpoint_upstream::call_service(address, &call, CONNECT_TIMEOUT_MS, left_ms);
+        let error = match called {
+            Ok(answer) => return (dispatched.answered(), Some(answer)),
+            Err(error) => error,
+        };
+        log_event!(info, AttemptFailed, request = %context.request, %vm, %error, "service call");
+        state = if error.is_not_run() {
+            dispatched.unstarted()
+        } else if repeatable {
+            Unstarted::Lost(dispatched.lost())
+        } else {
+            return (dispatched.lost().give_up(ResultCode::UpstreamFailed), None);
+        };
+        failed.insert(vm);
+    }
+}
+
+/// Servers are counted like groups, under their VM's name.
+fn in_flight_key(vm: &VmId) -> Option<GroupId> {
+    vm.as_str().parse().ok()
+}
+
+fn choose_server(
+    shared: &Shared,
+    service: &ServiceId,
+    failed: &BTreeSet<VmId>,
+) -> Option<(VmId, std::net::SocketAddr)> {
+    let role = MemberRole::Service(service.clone());
+    let members = shared.members();
+    let usable = members.iter().filter(|member| {
+        member.role == role && member.state == MemberState::Live && !failed.contains(&member.vm)
+    });
+    let candidates: Vec<_> = usable
+        .map(|member| Candidate {
+            key: (member.vm.clone(), member.address),
+            in_flight: in_flight_key(&member.vm).map_or(0, |key| shared.in_flight_on(&key)),
+            reported: 0,
+        })
+        .collect();
+    choose(&candidates, &mut rand::rng()).cloned()
+}
--- /dev/null
+++ b/crates/node/src/control/probing.rs
@@ -0,0 +1,116 @@
+//! Probes the VMs of the fabric domains that this node is dealt. Never waits for the platform.
+
+use std::net::SocketAddr;
+
+use crossbeam::channel;
+use jacinthpoint_readiness::ProbeReport;
+use jacinthpoint_types::{FabricDomainId, TimeMs, VmId};
+
+use crate::{
+    control::{
+        domains::{Domain, VmSight},
+        members::engines_by_domain,
+    },
+    shared::Shared,
+};
+
+/// Nodes that probe each fabric domain.
+pub(crate) const PROBERS: usize = 2;
+/// How often each VM is probed.
+const PROBE_MS: u64 = 300;
+/// Time for an engine to answer a probe.
+const PROBE_TIMEOUT_MS: u64 = 300;
+/// Probes on the way at once.
+const PROBE_THREADS: usize = 16;
+
+#[derive(Debug, Clone)]
+struct Target {
+    domain: FabricDomainId,
+    vm: VmId,
+    address: SocketAddr,
+}
+
+/// Probes until the node stops.
+pub(crate) fn run(shared: &Shared) {
+    let (targets, work) = channel::bounded::<Target>(PROBE_THREADS);
+    crossbeam::scope(|scope| {
+        for _ in 0..PROBE_THREADS {
+            let work = work.clone();
+            scope.spawn(move |_| work.iter().for_each(|target| probe(shared, &target)));
+        }
+        while !shared.is_stopped() {
+            for target in round_targets(shared) {
+                if targets.send(target).is_err() {
+                    return;
+                }
+            }
+            shared.sleep_ms(PROBE_MS);
+        }
+        drop(targets);
+    })
+    .expect("probe threads do not panic");
+}
+
+/// VMs to probe in one round, and forgets the domains that are no longer this node's.
+fn round_targets(shared: &Shared) -> Vec<Target> {
+    let members = shared.members();
+    let mut own = engines_by_domain(&members);
+    own.retain(|domain, _| {
+        shared
+            .own_rank(domain.as_str())
+            .is_some_and(|rank| rank < PROBERS)
+    });
+    let mut domains = shared.domains.lock();
+    domains.retain(|name, _| own.contains_key(name));
+    let mut targets = Vec::new();
+    for (name, (data_centre, engines)) in own {
+        domains
+            .entry(name.clone())
+            .or_insert_with(|| Domain::new(data_centre));
+        targets.extend(engines.into_iter().map(|engine| Target {
+            domain: name.clone(),
+            vm: engine.vm.clone(),
+            address: engine.address,
+        }));
+    }
+    targets
+}
+
+fn probe(shared: &Shared, target: &Target) {
+    let sent_at = shared.now();
+    let state = jacinthpoint_upstream::state(target.address, PROBE_TIMEOUT_MS).ok();
+    let report = state.map(|state| ProbeReport {
+        vm: state.vm,
+        assignment: state.assignment,
+        ready: state.ready,
+        slowness: state.slowness,
+        load: state.running + state.queued,
+        load_age_ms: state.report_age_ms,
+    });
+    if let Some(domain) = shared.domains.lock().get_mut(&target.domain) {
+        take_report(domain, &target.vm, sent_at, report);
+    }
+}
+
+fn take_report(domain: &mut Domain, vm: &VmId, sent_at: TimeMs, report: Option<ProbeReport>) {
+    let groups: Vec<_> = domain
+        .prober
+        .assignments()
+        .filter(|assignment| assignment.has_member(vm))
+        .map(|assignment| assignment.group.clone())
+        .collect();
+    for group in groups {
+        domain
+            .prober
+            .on_report(&group, vm, sent_at, report.as_ref());
+    }
+    if let Some(report) = report.filter(|report| &report.vm == vm) {
+        domain.sights.insert(
+            vm.clone(),
+            VmSight {
+                answered_at: sent_at,
+                report,
+            },
+        );
+    }
+}
--- /dev/null
+++ b/crates/node/src/events.rs
@@ -0,0 +1,54 @@
+//! Numbered log events. `docs/EVENTS.md` is their catalogue; a test compares the two.
+
+/// What a log line is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+#[repr(u16)]
+pub enum EventCode {
+    /// The node started.
+    NodeStarted = 100,
+    /// The node began its planned stop.
+    DrainBegan = 101,
+    /// The node stopped; says how many requests were cut.
+    NodeStopped = 102,
+    /// A newer configuration is in force.
+    ConfigInForce = 200,
+    /// A configuration cannot be read; the one in force stays.
+    ConfigRefused = 201,
+    /// The platform does not answer as it should.
+    PlatformFailed = 202,
+    /// A plan was written.
+    PlanWritten = 300,
+    /// Another controller wrote the plan first.
+    PlanConflict = 301,
+    /// An engine refused an order by its fencing number.
+    OrderFenced = 302,
+    /// An order did not reach its engine.
+    OrderFailed = 303,
+    /// A message of a node could not be read.
+    MessageDropped = 400,
+    /// An attempt failed; the request goes on elsewhere.
+    AttemptFailed = 500,
+    /// A request ended without an answer.
+    RequestFailed = 501,
+}
+
+impl EventCode {
+    /// The number in the log line.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+/// Logs a numbered event: level, code, then fields and message as in `tracing`.
+macro_rules! log_event {
+    ($level:ident, $code:ident, $($rest:tt)+) => {
+        tracing::$level!(
+            event = $crate::events::EventCode::$code.number(),
+            name = %$crate::events::EventCode::$code,
+            $($rest)+
+        )
+    };
+}
+
+pub(crate) use log_event;
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,23 @@
+//! The node: threads, sockets and HTTP around the decision crates.
+//!
+//! A node takes callers' requests, routes them to upstreams, and takes its share of the control
+//! work. Every node runs this same program. Nothing here decides on groups, permits, routes or
+//! limits; it carries events to the crates that do and carries out what they say.
+
+pub use crate::{
+    events::EventCode,
+    node::Node,
+    settings::{NodeSettings, SettingsError, parse_settings},
+};
+
+mod caller;
+mod clock;
+mod control;
+mod drain;
+mod events;
+mod http;
+mod metrics;
+mod node;
+mod operator;
+mod settings;
+mod shared;
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,177 @@
+//! The client.
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    error::PlatformError,
+    member::PlatformMember,
+    object::{Object, Version},
+};
+
+/// Time to make a connection.
+const CONNECT_TIMEOUT_MS: u64 = 500;
+/// Time to wait for an answer, beyond what a watch asks for.
+const ANSWER_TIMEOUT_MS: u64 = 2_000;
+
+/// Calls made by one client, by kind. The platform counts and charges each of them.
+#[derive(Debug, Default)]
+pub struct Calls {
+    /// Reads, lists and watches.
+    pub reads: AtomicU64,
+    /// Conditional updates.
+    pub writes: AtomicU64,
+}
+
+/// Client of the Object API. Cheap to share between threads behind an `Arc`.
+#[derive(Debug)]
+pub struct Platform {
+    base_url: String,
+    calls: Calls,
+}
+
+impl Platform {
+    /// A client of the platform at `address`.
+    pub fn new(address: SocketAddr) -> Platform {
+        Platform {
+            base_url: format!("http://{address}"),
+            calls: Calls::default(),
+        }
+    }
+
+    /// Calls made so far.
+    pub fn calls(&self) -> &Calls {
+        &self.calls
+    }
+
+    /// Reads an object; `None` if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform refuses or does not answer in time.
+    pub fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, PlatformError> {
+        let url = format!("{}/objects/{kind}/{name}", self.base_url);
+        self.read_optional(&url, ANSWER_TIMEOUT_MS)
+    }
+
+    /// Lists the objects of a kind.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Platform::get`].
+    pub fn list(&self, kind: &str) -> Result<Vec<Object>, PlatformError> {
+        let url = format!("{}/objects/{kind}", self.base_url);
+        Ok(self
+            .read_optional(&url, ANSWER_TIMEOUT_MS)?
+            .unwrap_or_default())
+    }
+
+    /// Waits until an object's version is above `seen`, at most `wait_ms`; `None` if it stays.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Platform::get`].
+    pub fn watch(
+        &self,
+        kind: &str,
+        name: &str,
+        seen: Version,
+        wait_ms: u64,
+    ) -> Result<Option<Object>, PlatformError> {
+        let url = format!(
+            "{}/objects/{kind}/{name}?above={seen}&wait_ms={wait_ms}",
+            self.base_url
+        );
+        self.read_optional(&url, wait_ms + ANSWER_TIMEOUT_MS)
+    }
+
+    /// Writes an object if its version is still `expected` (0: it does not exist yet), and returns
+    /// its new version.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::Conflict`] if the version is another one. After a failure that
+    /// [is ambiguous](PlatformError::is_ambiguous) the write may have taken effect.
+    pub fn update(
+        &self,
+        kind: &str,
+        name: &str,
+        expected: Version,
+        value: &impl Serialize,
+    ) -> Result<Version, PlatformError> {
+        self.calls.writes.fetch_add(1, Ordering::Relaxed);
+        let body = serde_json::to_vec(value).map_err(no_answer)?;
+        let answer = attohttpc::put(format!("{}/objects/{kind}/{name}", self.base_url))
+            .connect_timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
+            .read_timeout(Duration::from_millis(ANSWER_TIMEOUT_MS))
+            .header("If-Match", expected.to_string())
+            .bytes(body)
+            .send()
+            .map_err(transport_error)?;
+        if answer.status().as_u16() == 409 {
+            let current = Box::new(answer.json().map_err(no_answer)?);
+            return Err(PlatformError::Conflict { current });
+        }
+        let object: Object = parse_answer(answer)?;
+        Ok(object.version)
+    }
+
+    /// The lagging list of VMs.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Platform::get`].
+    pub fn members(&self) -> Result<Vec<PlatformMember>, PlatformError> {
+        let url = format!("{}/membership", self.base_url);
+        Ok(self
+            .read_optional(&url, ANSWER_TIMEOUT_MS)?
+            .unwrap_or_default())
+    }
+
+    fn read_optional<T: DeserializeOwned>(
+        &self,
+        url: &str,
+        timeout_ms: u64,
+    ) -> Result<Option<T>, PlatformError> {
+        self.calls.reads.fetch_add(1, Ordering::Relaxed);
+        let answer = attohttpc::get(url)
+            .connect_timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
+            .read_timeout(Duration::from_millis(timeout_ms))
+            .send()
+            .map_err(transport_error)?;
+        match answer.status().as_u16() {
+            404 | 304 => Ok(None),
+            _ => parse_answer(answer).map(Some),
+        }
+    }
+}
+
+fn parse_answer<T: DeserializeOwned>(answer: attohttpc::Response) -> Result<T, PlatformError> {
+    let status = answer.status().as_u16();
+    if !answer.is_success() {
+        let message = answer.text().unwrap_or_default();
+        return Err(PlatformError::Refused { status, message });
+    }
+    answer.json().map_err(no_answer)
+}
+
+fn no_answer(error: impl ToString) -> PlatformError {
+    PlatformError::NoAnswer {
+        message: error.to_string(),
+    }
+}
+
+fn transport_error(error: attohttpc::Error) -> PlatformError {
+    let message = error.to_string();
+    match error.kind() {
+        attohttpc::ErrorKind::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
+            PlatformError::Unreachable { message }
+        }
+        _ => PlatformError::NoAnswer { message },
+    }
+}
--- /dev/null
+++ b/crates/readiness/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decisions on which replica groups may be sent work.
+//!
+//! A node sends work to a group only under a permit whose deadline has not passed. Probers grant
+//! permits from what every member of the group confirmed; the deadline counts from before the
+//! confirmation was asked for, so a delayed message can shorten a permit and never lengthen it.
+//! This crate does no I/O and reads no clock.
+
+pub use crate::{
+    permits::{Permit, PermitTable},
+    prober::{GroupSight, PERMIT_MS, ProbeReport, Prober, STRAGGLER_SLOWNESS},
+};
+
+mod permits;
+mod prober;
--- /dev/null
+++ b/crates/records/src/lib.rs
@@ -0,0 +1,20 @@
+//! Declared records: what should serve, for whom, and at what priority.
+//!
+//! Operators keep records as TOML files under version control; the platform holds them as JSON in
+//! one object, so that a set of records is accepted whole or not at all. Each record names its
+//! schema version. A record of the previous version is converted when it is read, and stays as it
+//! was written where it is kept, so that a node of the previous release can still read it.
+
+pub use crate::{
+    auth::{KeyDigest, key_digest},
+    config::{CONFIG_KIND, CONFIG_NAME, Config, ConfigError, RecordsObject},
+    error::RecordError,
+    record::{Deployment, Fencing, Organisation, Record, Service},
+    schema::{CURRENT_SCHEMA, PREVIOUS_SCHEMA, record_from_json},
+};
+
+mod auth;
+mod config;
+mod error;
+mod record;
+mod schema;
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,20 @@
+//! Stand-ins for what surrounds the system: the platform, model engines and plain services.
+//!
+//! Each speaks a small stated protocol over HTTP and has faults that can be switched on while it
+//! runs, through paths below `/control/`. They exist for tests, measurements and the demo, and are
+//! not part of a release.
+
+pub use crate::{
+    engine::{Engine, EngineFault, EngineOptions},
+    platform::{PlatformFault, PlatformOptions, PlatformServer, Registration},
+    run_log::{RunLog, RunRecord, wall_ms},
+    service::{ServiceOptions, ServiceServer},
+};
+
+pub mod text;
+
+mod engine;
+mod http;
+mod platform;
+mod run_log;
+mod service;
--- /dev/null
+++ b/crates/types/src/outcome.rs
@@ -0,0 +1,111 @@
+//! How a request ended, as told to the caller.
+
+use serde::{Deserialize, Serialize};
+
+/// The end of a request. Every final answer names one.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Outcome {
+    /// The whole answer was delivered.
+    Answered,
+    /// No upstream ran the request.
+    NotRun,
+    /// An upstream may have run the request, and its answer was not delivered whole.
+    Unknown,
+}
+
+/// Numbered result codes of refusals and failures. `docs/RESULT-CODES.md` says what to do about
+/// each; a test compares the page with this list.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display, strum::EnumIter,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+#[repr(u16)]
+pub enum ResultCode {
+    /// The request's head, body or a header's value is malformed.
+    BadRequest = 1001,
+    /// The key is missing or unknown.
+    Unauthenticated = 1002,
+    /// The organisation may not use this model or priority.
+    Forbidden = 1003,
+    /// No such path, model or service.
+    NotFound = 1004,
+    /// The head or body is larger than the limit.
+    TooLarge = 1005,
+    /// The idempotency key was used before with another body.
+    KeyReused = 1006,
+    /// The idempotency key is older than the window in which keys are kept.
+    KeyExpired = 1007,
+    /// The method is not allowed on this path.
+    MethodNotAllowed = 1008,
+    /// The organisation's rate or concurrency limit is reached.
+    Paced = 2001,
+    /// Shed: capacity is kept for more important work.
+    Shed = 2002,
+    /// The request cannot finish before its deadline.
+    DeadlineUnreachable = 2003,
+    /// No replica group or server of the target may be used now.
+    NoCapacity = 2004,
+    /// The node is leaving.
+    Draining = 2005,
+    /// The record that keeps the request from running twice cannot be written now.
+    LedgerUnavailable = 2006,
+    /// An upstream refused the request before running it.
+    UpstreamRefused = 3001,
+    /// An upstream failed after it may have started the request.
+    UpstreamFailed = 3002,
+    /// The deadline passed after an upstream may have started the request.
+    DeadlinePassed = 3003,
+    /// The request ran before, and its answer was not kept.
+    AnswerNotKept = 3004,
+    /// A fault of this system.
+    Internal = 9001,
+}
+
+impl ResultCode {
+    /// The number shown to callers.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// The HTTP status that goes with the code.
+    pub fn http_status(self) -> u16 {
+        match self {
+            ResultCode::BadRequest => 400,
+            ResultCode::Unauthenticated => 401,
+            ResultCode::Forbidden => 403,
+            ResultCode::NotFound => 404,
+            ResultCode::MethodNotAllowed => 405,
+            ResultCode::TooLarge => 413,
+            ResultCode::KeyReused | ResultCode::KeyExpired => 422,
+            ResultCode::Paced => 429,
+            ResultCode::Shed
+            | ResultCode::DeadlineUnreachable
+            | ResultCode::NoCapacity
+            | ResultCode::Draining
+            | ResultCode::LedgerUnavailable
+            | ResultCode::UpstreamRefused => 503,
+            ResultCode::UpstreamFailed | ResultCode::AnswerNotKept => 502,
+            ResultCode::DeadlinePassed => 504,
+            ResultCode::Internal => 500,
+        }
+    }
+
+    /// Whether asking again later may succeed, so that the answer carries `Retry-After`.
+    pub fn is_retryable(self) -> bool {
+        (2000..3000).contains(&self.number()) || self == ResultCode::UpstreamRefused
+    }
+}
--- /dev/null
+++ b/crates/types/src/rendezvous.rs
@@ -0,0 +1,24 @@
+//! Rendezvous hashing: deals control work over the live nodes without electing any.
+//!
+//! Every node ranks the nodes it believes live for a piece of work. Nodes that agree on who is
+//! live agree on the ranking, and when one node goes only its own work moves.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Weight of `node` for `work`; the highest weight owns the work.
+pub fn rank(work: &str, node: &str) -> u64 {
+    xxh3_64_with_seed(node.as_bytes(), xxh3_64_with_seed(work.as_bytes(), 0))
+}
+
+/// The nodes ordered by weight for `work`, the owner first.
+pub fn ranked<'a, N: AsRef<str> + 'a>(
+    work: &str,
+    nodes: impl IntoIterator<Item = &'a N>,
+) -> Vec<&'a N> {
+    let mut order: Vec<&N> = nodes.into_iter().collect();
+    order.sort_by(|a, b| {
+        let by_weight = rank(work, b.as_ref()).cmp(&rank(work, a.as_ref()));
+        by_weight.then_with(|| a.as_ref().cmp(b.as_ref()))
+    });
+    order
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,16 @@
+//! Messages between nodes.
+//!
+//! Datagrams carry what is periodic and may be lost; a short TCP exchange carries what is larger
+//! or needs an answer. Both start with a version byte and hold one `postcard` value. A message of
+//! another version is dropped and counted by the receiver, so that two releases can run side by
+//! side during an upgrade.
+
+pub use crate::{
+    codec::{
+        DecodeError, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, decode, encode, read_frame, write_frame,
+    },
+    message::{Datagram, Heartbeat, PeerReply, PeerRequest, PeerState, PermitGrant},
+};
+
+mod codec;
+mod message;
--- /dev/null
+++ b/tests/tests.rs
@@ -0,0 +1,8 @@
+//! Integration tests: real processes on loopback addresses.
+
+#[macro_use]
+mod macros;
+mod util;
+
+mod groups;
+mod serving;
--- /dev/null
+++ b/tests/util.rs
@@ -0,0 +1,11 @@
+//! A site of real processes, and callers of it.
+
+pub use crate::util::{
+    caller::{Call, KEYS},
+    process::Process,
+    site::{Site, SiteOptions, permitted_groups, wait_until},
+};
+
+mod caller;
+mod process;
+mod site;
--- /dev/null
+++ b/tests/util/process.rs
@@ -0,0 +1,82 @@
+//! A child process that is ended, by its id, when dropped.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, Command, ExitStatus, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+/// A running program.
+pub struct Process {
+    child: Child,
+    /// First line it printed.
+    first_line: String,
+}
+
+impl Process {
+    /// Starts a stand-in, which prints its address.
+    pub fn standin(args: &[&str]) -> (Process, SocketAddr) {
+        let process = Process::start(env!("CARGO_BIN_EXE_jacinthpoint-standins"), args);
+        let address = process
+            .first_line
+            .parse()
+            .expect("a stand-in prints its address");
+        (process, address)
+    }
+
+    /// Starts the program under test.
+    pub fn jacinthpoint(args: &[&str]) -> Process {
+        Process::start(env!("CARGO_BIN_EXE_jacinthpoint"), args)
+    }
+
+    fn start(program: &str, args: &[&str]) -> Process {
+        let mut child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let mut output = BufReader::new(child.stdout.take().expect("the output is piped"));
+        let mut first_line = String::new();
+        output
+            .read_line(&mut first_line)
+            .expect("the program prints a line");
+        // Keeps reading, so that the program never waits for room in the pipe.
+        thread::spawn(move || std::io::copy(&mut output, &mut std::io::sink()));
+        Process {
+            child,
+            first_line: first_line.trim().to_owned(),
+        }
+    }
+
+    /// Sends a signal, such as `TERM`, `STOP`, `CONT` or `KILL`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(
+            status.is_ok_and(|status| status.success()),
+            "kill -s {name} {id}"
+        );
+    }
+
+    /// Waits for the end, at most `timeout_ms`.
+    pub fn wait(&mut self, timeout_ms: u64) -> Option<ExitStatus> {
+        let deadline = Instant::now() + Duration::from_millis(timeout_ms);
+        while Instant::now() < deadline {
+            if let Some(status) = self.child.try_wait().expect("the child can be waited for") {
+                return Some(status);
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
