Keep a group closed when an older agreeing answer arrives late

Cause: a disagreeing answer removed the member's confirmation, so an agreeing answer that was asked for earlier and came later counted as a new one. Ruled out: the permit's deadline; it counted from the right time. Change: the prober keeps each member's newest answer by when it was asked for. A member that is leaving closes its group after a grace of 3 s.

--- a/crates/readiness/src/lib.rs
+++ b/crates/readiness/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub use crate::{
     permits::{Permit, PermitTable},
-    prober::{GroupSight, PERMIT_MS, ProbeReport, Prober, STRAGGLER_SLOWNESS},
+    prober::{GroupSight, LEAVING_MS, PERMIT_MS, ProbeReport, Prober, STRAGGLER_SLOWNESS},
 };
 
 mod permits;
--- a/crates/readiness/src/prober.rs
+++ b/crates/readiness/src/prober.rs
@@ -8,6 +8,10 @@
 /// of a member no permit outlives this.
 pub const PERMIT_MS: u64 = 1_500;
 
+/// How long a group may still be sent work after one of its members was seen to be leaving. Within
+/// it a planned replacement can be ready, so that the leave costs no downtime.
+pub const LEAVING_MS: u64 = 3_000;
+
 /// Slowness from which a member counts as missing: the whole group is as slow as it is.
 pub const STRAGGLER_SLOWNESS: f64 = 3.0;
 
@@ -18,6 +22,8 @@
     pub vm: VmId,
     /// The assignment it believes in.
     pub assignment: Option<Assignment>,
+    /// Whether its VM is leaving.
+    pub leaving: bool,
     /// Whether it has loaded its weights and makes steps.
     pub ready: bool,
     /// Its slowness, 1.0 being usual.
@@ -41,10 +47,17 @@
     pub load_at: TimeMs,
 }
 
+/// Newest answer of a member. Answers may come in another order than they were asked for in.
+#[derive(Debug, Clone, Copy)]
+struct Answer {
+    asked_at: TimeMs,
+    agrees: bool,
+}
+
 #[derive(Debug)]
 struct GroupEvidence {
     assignment: Assignment,
-    confirmed_at: BTreeMap<VmId, TimeMs>,
+    answers: BTreeMap<VmId, Answer>,
     load: u32,
     load_at: TimeMs,
 }
@@ -53,6 +66,7 @@
 #[derive(Debug, Default)]
 pub struct Prober {
     groups: BTreeMap<GroupId, GroupEvidence>,
+    leaving_since: BTreeMap<VmId, TimeMs>,
 }
 
 impl Prober {
@@ -71,7 +85,7 @@
                 .filter(|evidence| evidence.assignment == assignment);
             let evidence = kept.unwrap_or_else(|| GroupEvidence {
                 assignment,
-                confirmed_at: BTreeMap::new(),
+                answers: BTreeMap::new(),
                 load: 0,
                 load_at: TimeMs(0),
             });
@@ -84,6 +98,15 @@
         self.groups.values().map(|evidence| &evidence.assignment)
     }
 
+    /// Takes in the VMs that are leaving as far as is known at `now`, in place of those before.
+    pub fn set_leaving(&mut self, vms: impl IntoIterator<Item = VmId>, now: TimeMs) {
+        let mut old = std::mem::take(&mut self.leaving_since);
+        for vm in vms {
+            let since = old.remove(&vm).unwrap_or(now);
+            self.leaving_since.insert(vm, since);
+        }
+    }
+
     /// Takes in the result of probing `vm` as a member of `group`, asked for at `sent_at`; `None`
     /// if it did not answer.
     ///
@@ -104,12 +127,15 @@
             && report.ready
             && report.slowness < STRAGGLER_SLOWNESS
             && report.assignment.as_ref() == Some(&evidence.assignment);
-        if !agrees {
-            evidence.confirmed_at.remove(vm);
+        let answer = Answer {
+            asked_at: sent_at,
+            agrees,
+        };
+        let newest = evidence.answers.entry(vm.clone()).or_insert(answer);
+        if sent_at < newest.asked_at {
             return;
         }
-        let confirmed_at = evidence.confirmed_at.entry(vm.clone()).or_insert(sent_at);
-        *confirmed_at = sent_at.max(*confirmed_at);
+        *newest = answer;
         if evidence
             .assignment
             .leader()
@@ -122,18 +148,31 @@
 
     /// Groups that are whole at `now`, each until the first of its confirmations runs out.
     pub fn whole_groups(&self, now: TimeMs) -> Vec<GroupSight> {
-        self.groups
+        let staying = self
+            .groups
             .values()
-            .filter_map(|evidence| evidence.sight(now))
-            .collect()
+            .filter(|evidence| !self.has_left(evidence, now));
+        staying.filter_map(|evidence| evidence.sight(now)).collect()
+    }
+
+    fn has_left(&self, evidence: &GroupEvidence, now: TimeMs) -> bool {
+        evidence.assignment.members.iter().any(|member| {
+            let since = self.leaving_since.get(&member.vm);
+            since.is_some_and(|since| now.since_ms(*since) >= LEAVING_MS)
+        })
     }
 }
 
 impl GroupEvidence {
+    fn confirmed_at(&self, vm: &VmId) -> Option<TimeMs> {
+        let answer = self.answers.get(vm).filter(|answer| answer.agrees);
+        answer.map(|answer| answer.asked_at)
+    }
+
     fn sight(&self, now: TimeMs) -> Option<GroupSight> {
         let members = self.assignment.members.iter();
         let confirmations: Option<Vec<TimeMs>> = members
-            .map(|member| self.confirmed_at.get(&member.vm).copied())
+            .map(|member| self.confirmed_at(&member.vm))
             .collect();
         let oldest = confirmations?.into_iter().min()?;
         let deadline = Deadline::after_ms(oldest, PERMIT_MS);
