Replace all-to-all heartbeats by a SWIM failure detector

Cause: each node sent a heartbeat to every other three times a second, which grows with the square of the fleet. Ruled out: gossip of whole heartbeat tables, whose messages grow with the fleet; a list kept only by the platform, which lags and has outages. Change: one ping a node and period, suspicion that can be refuted, news on the same messages, a full exchange at start and once a minute. A new revision of the configuration is told to four nodes at once, and peers send what changed instead of all records.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,8 +1,16 @@
-//! Decisions on which nodes are live, from heartbeats and from what other nodes say.
+//! Decisions on which nodes are live.
 //!
-//! No node is asked about by all others. Each sends its heartbeat to a few peers at a time, with
-//! news of a few more. This crate does no I/O and reads no clock.
+//! With hundreds of nodes, heartbeats from each to all would cost more than all other control
+//! traffic. Each node instead pings one other a period; a node that does not answer, directly or
+//! through a few others, becomes suspect, and gone unless it refutes that in time. News of such
+//! changes rides on the same messages. The method is that of SWIM (Das, Gupta, Motivala 2002).
+//! This crate does no I/O and reads no clock.
 
-pub use crate::peers::{PeerTable, SUSPECT_MS};
+pub use crate::{
+    detector::{DIRECT_TIMEOUT_MS, Membership, PERIOD_MS, PROBE_TIMEOUT_MS, SUSPICION_MS, Send},
+    news::MAX_NEWS,
+};
 
-mod peers;
+mod detector;
+mod news;
+mod table;
--- /dev/null
+++ b/crates/membership/tests/detector.rs
@@ -0,0 +1,244 @@
+//! The failure detector over a network that loses and delays messages.
+
+use std::net::SocketAddr;
+
+use jacinthpoint_membership::{Membership, PERIOD_MS, SUSPICION_MS, Send};
+use jacinthpoint_types::{Revision, TimeMs};
+use jacinthpoint_wire::PeerState;
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+/// Time steps of the driver.
+const STEP_MS: u64 = 10;
+
+struct Node {
+    membership: Membership,
+    paused: bool,
+}
+
+/// Nodes joined by a network of one-step delay.
+struct Net {
+    now: TimeMs,
+    nodes: Vec<Node>,
+    on_the_way: Vec<(usize, Send)>,
+    split_at: Option<usize>,
+    loss_share: f64,
+    rng: SmallRng,
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16))
+}
+
+fn own_state(index: usize, incarnation: u64) -> PeerState {
+    PeerState {
+        node: format!("node-{index}").parse().expect("a valid name"),
+        incarnation,
+        address: address(index),
+        data_centre: "dc".parse().expect("a valid name"),
+        leaving: false,
+        revision: Revision(0),
+    }
+}
+
+impl Net {
+    fn new(count: usize, seed: u64) -> Net {
+        let node = |index| Node {
+            membership: Membership::new(
+                own_state(index, 1),
+                SmallRng::seed_from_u64(seed + index as u64),
+            ),
+            paused: false,
+        };
+        Net {
+            now: TimeMs(1_000),
+            nodes: (0..count).map(node).collect(),
+            on_the_way: Vec::new(),
+            split_at: None,
+            loss_share: 0.0,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn run_ms(&mut self, ms: u64) {
+        let candidates: Vec<SocketAddr> = (0..self.nodes.len()).map(address).collect();
+        for _ in 0..ms / STEP_MS {
+            self.now = self.now.plus_ms(STEP_MS);
+            let arriving = std::mem::take(&mut self.on_the_way);
+            for (from, send) in arriving {
+                self.deliver(from, send);
+            }
+            for index in 0..self.nodes.len() {
+                if !self.nodes[index].paused {
+                    let sends = self.nodes[index].membership.tick(self.now, &candidates);
+                    self.on_the_way
+                        .extend(sends.into_iter().map(|send| (index, send)));
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, send: Send) {
+        let to = usize::from(send.to.port()) - 1_000;
+        let is_cut = self.split_at.is_some_and(|at| (from < at) != (to < at));
+        let is_lost = self.rng.random_bool(self.loss_share);
+        if is_cut || is_lost || self.nodes[to].paused {
+            return;
+        }
+        let replies = self.nodes[to].membership.on_message(self.now, send.message);
+        self.on_the_way
+            .extend(replies.into_iter().map(|reply| (to, reply)));
+    }
+
+    /// Nodes that `index` believes live, itself included.
+    fn live_of(&self, index: usize) -> Vec<usize> {
+        let live = self.nodes[index].membership.live();
+        let mut live: Vec<usize> = live
+            .map(|state| usize::from(state.address.port()) - 1_000)
+            .collect();
+        live.push(index);
+        live.sort();
+        live
+    }
+
+    fn all_agree_on(&self, expected: &[usize]) -> bool {
+        expected
+            .iter()
+            .all(|&index| self.live_of(index) == expected)
+    }
+}
+
+/// Time for a node's death to be known to all of a few nodes: each is pinged once a round, then
+/// suspected, then gone, then told of.
+fn detection_bound_ms(count: usize) -> u64 {
+    (count as u64 + 8) * PERIOD_MS + SUSPICION_MS
+}
+
+macro_rules! net_test {
+    ($name:ident, $count:expr, |$net:ident| $body:block) => {
+        #[test]
+        fn $name() {
+            for seed in 0..20 {
+                #[allow(unused_mut, reason = "not every case changes its network")]
+                let mut $net = Net::new($count, seed * 1_000);
+                $net.run_ms(detection_bound_ms($count));
+                $body
+            }
+        }
+    };
+}
+
+net_test!(all_find_each_other, 8, |net| {
+    assert!(net.all_agree_on(&[0, 1, 2, 3, 4, 5, 6, 7]));
+});
+
+net_test!(dead_node_is_gone_everywhere, 8, |net| {
+    net.nodes[3].paused = true;
+    net.run_ms(detection_bound_ms(8));
+    assert!(net.all_agree_on(&[0, 1, 2, 4, 5, 6, 7]));
+});
+
+net_test!(paused_node_comes_back, 8, |net| {
+    net.nodes[3].paused = true;
+    net.run_ms(detection_bound_ms(8));
+    net.nodes[3].paused = false;
+    net.run_ms(2 * detection_bound_ms(8));
+    assert!(net.all_agree_on(&[0, 1, 2, 3, 4, 5, 6, 7]));
+});
+
+net_test!(split_heals, 8, |net| {
+    net.split_at = Some(3);
+    net.run_ms(2 * detection_bound_ms(8));
+    assert_eq!(net.live_of(0), [0, 1, 2]);
+    assert_eq!(net.live_of(7), [3, 4, 5, 6, 7]);
+    net.split_at = None;
+    net.run_ms(3 * detection_bound_ms(8));
+    assert!(net.all_agree_on(&[0, 1, 2, 3, 4, 5, 6, 7]));
+});
+
+net_test!(lost_messages_alone_remove_nobody_for_good, 8, |net| {
+    net.loss_share = 0.1;
+    net.run_ms(30_000);
+    net.loss_share = 0.0;
+    net.run_ms(2 * detection_bound_ms(8));
+    assert!(net.all_agree_on(&[0, 1, 2, 3, 4, 5, 6, 7]));
+});
+
+net_test!(leaving_node_loses_its_share_at_once, 8, |net| {
+    net.nodes[2].membership.set_leaving();
+    net.run_ms(detection_bound_ms(8));
+    for index in [0, 1, 3, 4, 5, 6, 7] {
+        assert!(!net.live_of(index).contains(&2));
+    }
+});
+
+net_test!(restarted_node_replaces_its_former_run, 4, |net| {
+    let rng = SmallRng::seed_from_u64(9);
+    net.nodes[1].membership = Membership::new(own_state(1, 2), rng);
+    net.run_ms(detection_bound_ms(4));
+    assert!(net.all_agree_on(&[0, 1, 2, 3]));
+});
+
+net_test!(clock_set_back_before_a_restart_does_no_harm, 4, |net| {
+    let rng = SmallRng::seed_from_u64(9);
+    net.nodes[1].membership = Membership::new(own_state(1, 0), rng);
+    net.run_ms(3 * detection_bound_ms(4));
+    assert!(net.all_agree_on(&[0, 1, 2, 3]));
+});
+
+/// What happens to the network in one stretch of time.
+#[derive(Debug, Clone)]
+enum Fault {
+    Pause(usize),
+    Resume(usize),
+    Split(usize),
+    Heal,
+    Lose(f64),
+    Restart(usize),
+}
+
+impl Arbitrary for Fault {
+    fn arbitrary(g: &mut Gen) -> Fault {
+        let index = usize::arbitrary(g) % 6;
+        match u8::arbitrary(g) % 6 {
+            0 => Fault::Pause(index),
+            1 => Fault::Resume(index),
+            2 => Fault::Split(1 + index % 5),
+            3 => Fault::Heal,
+            4 => Fault::Lose(f64::from(u8::arbitrary(g) % 50) / 100.0),
+            _ => Fault::Restart(index),
+        }
+    }
+}
+
+fn apply(net: &mut Net, fault: &Fault, incarnation: u64) {
+    match *fault {
+        Fault::Pause(index) => net.nodes[index].paused = true,
+        Fault::Resume(index) => net.nodes[index].paused = false,
+        Fault::Split(at) => net.split_at = Some(at),
+        Fault::Heal => net.split_at = None,
+        Fault::Lose(share) => net.loss_share = share,
+        Fault::Restart(index) => {
+            let rng = SmallRng::seed_from_u64(incarnation);
+            net.nodes[index].membership = Membership::new(own_state(index, incarnation), rng);
+        }
+    }
+}
+
+quickcheck! {
+    fn all_agree_after_any_faults_end(seed: u32, faults: Vec<Fault>) -> bool {
+        let mut net = Net::new(6, u64::from(seed));
+        net.run_ms(5_000);
+        for (step, fault) in faults.iter().take(20).enumerate() {
+            apply(&mut net, fault, 1_000_000 * (2 + step as u64));
+            net.run_ms(1_500);
+        }
+        for node in &mut net.nodes {
+            node.paused = false;
+        }
+        net.split_at = None;
+        net.loss_share = 0.0;
+        net.run_ms(4 * detection_bound_ms(6));
+        net.all_agree_on(&[0, 1, 2, 3, 4, 5])
+    }
+}
--- a/crates/node/src/control/config.rs
+++ b/crates/node/src/control/config.rs
@@ -1,12 +1,21 @@
-//! Keeps the newest configuration in force: watched by a few nodes, fetched from peers by the
-//! rest.
+//! Keeps the newest configuration in force: watched by a few nodes, passed on among the rest.
+//!
+//! A node that puts a new revision in force tells a few others at once. Whoever was not told sees
+//! the revision in the messages that nodes exchange all the time, and fetches what changed.
 
-use std::{net::TcpStream, time::Duration};
+use std::{
+    io,
+    net::{SocketAddr, TcpStream, UdpSocket},
+    time::Duration,
+};
 
+use crossbeam::channel::Receiver;
 use jacinthpoint_platform::{Object, Version};
-use jacinthpoint_records::{CONFIG_KIND, CONFIG_NAME, Config, RecordsObject};
+use jacinthpoint_records::{
+    CONFIG_KIND, CONFIG_NAME, Config, Delta, RecordsObject, apply_delta, delta,
+};
 use jacinthpoint_types::Revision;
-use jacinthpoint_wire::{PeerReply, PeerRequest, read_frame, write_frame};
+use jacinthpoint_wire::{Datagram, PeerReply, PeerRequest, encode, read_frame, write_frame};
 
 use crate::{
     events::log_event,
@@ -17,30 +26,81 @@
 const WATCHERS: usize = 3;
 /// How long one watch waits.
 const WATCH_MS: u64 = 10_000;
-/// How often a node that does not watch looks at its peers' revisions.
+/// How often a node that does not watch looks whether it shall.
+const ROLE_CHECK_MS: u64 = 500;
+/// How often a node looks at its peers' revisions when it is not told of a new one.
 const PEER_CHECK_MS: u64 = 200;
 /// Time for a peer's answer.
 const PEER_TIMEOUT_MS: u64 = 1_000;
 /// Pause after the platform failed.
 const RETRY_MS: u64 = 500;
+/// Nodes that are told at once of a new revision; with each telling as many, a few hops reach
+/// nearly all.
+const TOLD_AT_ONCE: usize = 4;
 
-/// Follows the configuration until the node stops.
-pub(crate) fn run(shared: &Shared) {
+/// Watches the platform's object while this node is dealt that work or has no configuration.
+pub(crate) fn run_watch(shared: &Shared, socket: &UdpSocket) {
+    // A configuration that was refused is not asked for again; a later one is.
+    let mut seen = Revision(0);
     while !shared.is_stopped() {
-        fetch_from_newest_peer(shared);
+        seen = seen.max(shared.revision());
         let is_watcher = shared
             .own_rank("config-watch")
             .is_some_and(|rank| rank < WATCHERS);
         if is_watcher || shared.config().is_none() {
-            watch(shared);
+            seen = watch(shared, socket, seen);
         } else {
-            shared.sleep_ms(PEER_CHECK_MS);
+            shared.sleep_ms(ROLE_CHECK_MS);
+        }
+    }
+}
+
+/// Fetches newer configurations from peers. `told` brings the addresses of nodes that told of one.
+pub(crate) fn run_peers(shared: &Shared, socket: &UdpSocket, told: &Receiver<SocketAddr>) {
+    while !shared.is_stopped() {
+        let teller = told.recv_timeout(Duration::from_millis(PEER_CHECK_MS)).ok();
+        let Some(address) = teller.or_else(|| newest_peer(shared)) else {
+            continue;
+        };
+        // A peer that fails is asked again, or another one is, in the next round.
+        if let Ok(reply) = fetch(shared, address) {
+            accept_reply(shared, socket, reply);
+        }
+    }
+}
+
+/// The answer to a peer that has the configuration of revision `above`.
+pub(crate) fn reply_above(shared: &Shared, above: Revision) -> PeerReply {
+    let Some(newest) = shared
+        .config()
+        .filter(|newest| newest.config.revision > above)
+    else {
+        return PeerReply::Nothing;
+    };
+    let revision = newest.config.revision;
+    match shared.past_config(above) {
+        Some(old) => {
+            let Delta { dropped, added } = delta(&old.records, &newest.records);
+            let records = newest.records.len() as u32;
+            PeerReply::ConfigChange {
+                revision,
+                records,
+                dropped,
+                added,
+            }
+        }
+        None => {
+            let records_json = format!("{{\"records\":[{}]}}", newest.records.join(","));
+            PeerReply::Config {
+                revision,
+                records_json,
+            }
         }
     }
 }
 
-fn watch(shared: &Shared) {
-    let seen = Version(shared.revision().0);
+/// Waits for a configuration above `seen`, and returns the revision seen then.
+fn watch(shared: &Shared, socket: &UdpSocket, seen: Revision) -> Revision {
     // The first read must not wait for a change.
     let wait_ms = if shared.config().is_none() {
         0
@@ -49,9 +109,13 @@
     };
     match shared
         .platform
-        .watch(CONFIG_KIND, CONFIG_NAME, seen, wait_ms)
+        .watch(CONFIG_KIND, CONFIG_NAME, Version(seen.0), wait_ms)
     {
-        Ok(Some(object)) => accept_object(shared, object),
+        Ok(Some(object)) => {
+            let revision = Revision(object.version.0);
+            accept_object(shared, socket, object);
+            return revision;
+        }
         Ok(None) if wait_ms == 0 => shared.sleep_ms(PEER_CHECK_MS),
         Ok(None) => {}
         Err(error) => {
@@ -59,55 +123,95 @@
             shared.sleep_ms(RETRY_MS);
         }
     }
+    seen
 }
 
-fn accept_object(shared: &Shared, object: Object) {
-    let records_json = object.value.to_string();
-    accept(shared, Revision(object.version.0), records_json);
+fn accept_object(shared: &Shared, socket: &UdpSocket, object: Object) {
+    let revision = Revision(object.version.0);
+    match serde_json::from_value::<RecordsObject>(object.value) {
+        Ok(object) => accept(shared, socket, revision, &object),
+        Err(error) => refuse(shared, revision, &error.to_string()),
+    }
 }
 
-fn accept(shared: &Shared, revision: Revision, records_json: String) {
-    let parsed = serde_json::from_str::<RecordsObject>(&records_json)
-        .map_err(|error| error.to_string())
-        .and_then(|object| {
-            Config::from_object(revision, &object).map_err(|error| error.to_string())
-        });
-    match parsed {
-        Ok(config) => {
-            if shared.put_in_force(ConfigInForce {
-                config,
-                records_json,
-            }) {
-                log_event!(info, ConfigInForce, %revision, "configuration in force");
+fn accept_reply(shared: &Shared, socket: &UdpSocket, reply: PeerReply) {
+    match reply {
+        PeerReply::Config {
+            revision,
+            records_json,
+        } => match serde_json::from_str(&records_json) {
+            Ok(object) => accept(shared, socket, revision, &object),
+            Err(error) => refuse(shared, revision, &error.to_string()),
+        },
+        PeerReply::ConfigChange {
+            revision,
+            records,
+            dropped,
+            added,
+        } => {
+            let Some(own) = shared.config() else { return };
+            let delta = Delta { dropped, added };
+            let changed = apply_delta(&own.records, &delta);
+            let Some(list) = changed.filter(|list| list.len() == records as usize) else {
+                return;
+            };
+            let values = list
+                .iter()
+                .map(|record| serde_json::from_str(record))
+                .collect();
+            match values {
+                Ok(records) => accept(shared, socket, revision, &RecordsObject { records }),
+                Err(error) => refuse(shared, revision, &error.to_string()),
             }
         }
-        Err(error) => {
-            log_event!(error, ConfigRefused, %revision, %error, "the one in force stays");
-            shared.sleep_ms(RETRY_MS);
-        }
+        PeerReply::Nothing | PeerReply::Peers(_) => {}
     }
 }
 
-fn fetch_from_newest_peer(shared: &Shared) {
+fn accept(shared: &Shared, socket: &UdpSocket, revision: Revision, object: &RecordsObject) {
+    let config = match Config::from_object(revision, object) {
+        Ok(config) => config,
+        Err(error) => return refuse(shared, revision, &error.to_string()),
+    };
+    let records = object.records.iter().map(ToString::to_string).collect();
+    if shared.put_in_force(ConfigInForce { config, records }) {
+        shared.peers().set_revision(revision);
+        log_event!(info, ConfigInForce, %revision, "configuration in force");
+        tell_others(shared, socket, revision);
+    }
+}
+
+fn refuse(shared: &Shared, revision: Revision, error: &str) {
+    log_event!(error, ConfigRefused, %revision, %error, "the one in force stays");
+    shared.sleep_ms(RETRY_MS);
+}
+
+fn tell_others(shared: &Shared, socket: &UdpSocket, revision: Revision) {
+    let address = shared.settings.listen_peers;
+    let bytes = encode(&Datagram::ConfigNews { revision, address });
+    let told = shared.peers().random_live(TOLD_AT_ONCE);
+    for peer in told {
+        // Who misses it sees the revision in the next exchange.
+        let _ = socket.send_to(&bytes, peer.address);
+    }
+}
+
+fn newest_peer(shared: &Shared) -> Option<SocketAddr> {
     let own = shared.revision();
-    let newest = shared
-        .peers()
-        .newest_revision(shared.now())
-        .filter(|(revision, _)| *revision > own)
-        .map(|(_, peer)| peer.address);
-    let Some(address) = newest else { return };
+    let peers = shared.peers();
+    let (revision, peer) = peers.newest_revision()?;
+    (revision > own).then_some(peer.address)
+}
+
+fn fetch(shared: &Shared, address: SocketAddr) -> io::Result<PeerReply> {
     let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
-    let reply = TcpStream::connect_timeout(&address, timeout).and_then(|mut stream| {
-        stream.set_read_timeout(Some(timeout))?;
-        write_frame(&mut stream, &PeerRequest::Config { above: own })?;
-        read_frame::<PeerReply>(&mut stream)
-    });
-    // A peer that fails is asked again, or another one is, in the next round.
-    if let Ok(PeerReply::Config {
-        revision,
-        records_json,
-    }) = reply
-    {
-        accept(shared, revision, records_json);
-    }
+    let mut stream = TcpStream::connect_timeout(&address, timeout)?;
+    stream.set_read_timeout(Some(timeout))?;
+    write_frame(
+        &mut stream,
+        &PeerRequest::Config {
+            above: shared.revision(),
+        },
+    )?;
+    read_frame(&mut stream)
 }
--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -1,4 +1,4 @@
-//! Messages between nodes: heartbeats and permits over UDP, larger answers over TCP.
+//! Messages between nodes: failure detection and permits over UDP, larger answers over TCP.
 
 use std::{
     io,
@@ -8,64 +8,100 @@
     time::Duration,
 };
 
+use crossbeam::channel::Sender;
+use jacinthpoint_membership::Send;
 use jacinthpoint_platform::MemberRole;
 use jacinthpoint_types::Deadline;
 use jacinthpoint_wire::{
-    Datagram, Heartbeat, MAX_DATAGRAM_BYTES, PeerReply, PeerRequest, PermitGrant, decode, encode,
-    read_frame, write_frame,
+    Datagram, MAX_DATAGRAM_BYTES, PeerNews, PeerReply, PeerRequest, PeerStatus, PermitGrant,
+    decode, encode, read_frame, write_frame,
 };
 
-use crate::{control::permits, events::log_event, shared::Shared};
+use crate::{
+    control::{config, permits},
+    events::log_event,
+    shared::Shared,
+};
 
-/// How often heartbeats are sent.
-const HEARTBEAT_MS: u64 = 300;
-/// Nodes named in one heartbeat.
-const MAX_HEARSAY: usize = 8;
+/// How often the failure detector is given the time.
+const TICK_MS: u64 = 50;
+/// How often all that one other node knows is asked for, beside the news that messages carry.
+const SYNC_MS: u64 = 60_000;
+/// How often it is asked for until the first answer.
+const FIRST_SYNC_MS: u64 = 1_000;
 /// How often a receiving thread looks whether the node stops.
 const RECEIVE_POLL_MS: u64 = 100;
 /// Time for a peer to send its request or take its answer.
 const PEER_TIMEOUT_MS: u64 = 1_000;
 
-/// Sends heartbeats to the nodes known, on the platform's list and in the settings.
-pub(crate) fn run_heartbeats(shared: &Shared, socket: &UdpSocket) {
+/// Drives the failure detector.
+pub(crate) fn run_detector(shared: &Shared, socket: &UdpSocket) {
     while !shared.is_stopped() {
+        let candidates = candidates(shared);
         let now = shared.now();
-        let others = shared
-            .peers()
-            .live(now)
-            .take(MAX_HEARSAY)
-            .cloned()
-            .collect();
-        let heartbeat = Heartbeat {
-            from: shared.own_state(),
-            others,
+        let sends = {
+            let mut peers = shared.peers();
+            if shared.drain.is_draining() {
+                peers.set_leaving();
+            }
+            peers.tick(now, &candidates)
         };
-        let bytes = encode(&Datagram::Heartbeat(heartbeat));
-        for address in heartbeat_targets(shared) {
-            // A lost datagram is made good by the next one.
-            let _ = socket.send_to(&bytes, address);
-        }
-        shared.peers().forget(now);
-        shared.sleep_ms(HEARTBEAT_MS);
+        send_all(socket, sends);
+        shared.sleep_ms(TICK_MS);
     }
 }
 
-fn heartbeat_targets(shared: &Shared) -> Vec<SocketAddr> {
-    let mut targets: Vec<SocketAddr> = shared.settings.seeds.clone();
-    targets.extend(shared.peers().known().map(|peer| peer.address));
+fn send_all(socket: &UdpSocket, sends: Vec<Send>) {
+    for send in sends {
+        // The detector is made for lost datagrams.
+        let _ = socket.send_to(&encode(&Datagram::Peer(send.message)), send.to);
+    }
+}
+
+fn candidates(shared: &Shared) -> Vec<SocketAddr> {
     let members = shared.members();
     let entries = members
         .iter()
         .filter(|member| member.role == MemberRole::Entry);
-    targets.extend(entries.map(|member| member.address));
-    targets.sort();
-    targets.dedup();
-    targets.retain(|address| *address != shared.settings.listen_peers);
-    targets
+    let listed = entries.map(|member| member.address);
+    shared
+        .settings
+        .seeds
+        .iter()
+        .copied()
+        .chain(listed)
+        .collect()
+}
+
+/// Asks other nodes for all that they know, soon after the start and then rarely.
+pub(crate) fn run_sync(shared: &Shared) {
+    let mut next_at = shared.now();
+    while !shared.is_stopped() {
+        let peer = shared.peers().random_live(1).pop();
+        if let Some(peer) = peer.filter(|_| shared.now() >= next_at) {
+            let synced = sync(shared, peer.address).is_ok();
+            next_at = shared
+                .now()
+                .plus_ms(if synced { SYNC_MS } else { FIRST_SYNC_MS });
+        }
+        shared.sleep_ms(TICK_MS);
+    }
+}
+
+fn sync(shared: &Shared, address: SocketAddr) -> io::Result<()> {
+    let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
+    let mut stream = TcpStream::connect_timeout(&address, timeout)?;
+    stream.set_read_timeout(Some(timeout))?;
+    write_frame(&mut stream, &PeerRequest::Peers)?;
+    if let PeerReply::Peers(news) = read_frame(&mut stream)? {
+        let now = shared.now();
+        shared.peers().on_news(news, now);
+    }
+    Ok(())
 }
 
 /// Receives datagrams until the node stops.
-pub(crate) fn run_receiver(shared: &Shared, socket: &UdpSocket) {
+pub(crate) fn run_receiver(shared: &Shared, socket: &UdpSocket, told: &Sender<SocketAddr>) {
     let mut buffer = [0; 2 * MAX_DATAGRAM_BYTES];
     let _ = socket.set_read_timeout(Some(Duration::from_millis(RECEIVE_POLL_MS)));
     while !shared.is_stopped() {
@@ -73,7 +109,7 @@
             continue;
         };
         match decode::<Datagram>(&buffer[..length]) {
-            Ok(datagram) => on_datagram(shared, socket, datagram),
+            Ok(datagram) => on_datagram(shared, socket, told, datagram),
             Err(error) => {
                 shared.metrics.count("messages_dropped");
                 log_event!(debug, MessageDropped, %error, "datagram dropped");
@@ -82,17 +118,18 @@
     }
 }
 
-fn on_datagram(shared: &Shared, socket: &UdpSocket, datagram: Datagram) {
+fn on_datagram(shared: &Shared, socket: &UdpSocket, told: &Sender<SocketAddr>, datagram: Datagram) {
     match datagram {
-        Datagram::Heartbeat(heartbeat) => {
+        Datagram::Peer(message) => {
             let now = shared.now();
-            let mut peers = shared.peers();
-            for other in heartbeat.others {
-                if other.node != shared.settings.name {
-                    peers.on_hearsay(other, now);
-                }
+            let sends = shared.peers().on_message(now, message);
+            send_all(socket, sends);
+        }
+        Datagram::ConfigNews { revision, address } => {
+            if revision > shared.revision() {
+                // A full channel means that a fetch is due anyway.
+                let _ = told.try_send(address);
             }
-            peers.on_heartbeat(heartbeat.from, now);
         }
         Datagram::PermitRequest { sent_at, reply_to } => {
             for grants in split_grants(permits::own_grants(shared)) {
@@ -156,13 +193,15 @@
     stream.set_read_timeout(Some(Duration::from_millis(PEER_TIMEOUT_MS)))?;
     stream.set_write_timeout(Some(Duration::from_millis(PEER_TIMEOUT_MS)))?;
     let reply = match read_frame(&mut stream)? {
-        PeerRequest::Config { above } => match shared.config() {
-            Some(in_force) if in_force.config.revision > above => PeerReply::Config {
-                revision: in_force.config.revision,
-                records_json: in_force.records_json.clone(),
-            },
-            _ => PeerReply::Nothing,
-        },
+        PeerRequest::Config { above } => config::reply_above(shared, above),
+        PeerRequest::Peers => {
+            let peers = shared.peers();
+            let own = PeerNews {
+                peer: peers.own().clone(),
+                status: PeerStatus::Live,
+            };
+            PeerReply::Peers(peers.known().chain([own]).collect())
+        }
     };
     write_frame(&mut stream, &reply)
 }
--- a/crates/node/src/control/permits.rs
+++ b/crates/node/src/control/permits.rs
@@ -48,7 +48,7 @@
     probers.dedup();
     let peers = shared.peers();
     let addresses = peers
-        .known()
+        .live()
         .filter(|peer| probers.binary_search(&peer.node).is_ok());
     addresses.map(|peer| peer.address).collect()
 }
--- a/crates/node/src/control/probing.rs
+++ b/crates/node/src/control/probing.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crossbeam::channel;
+use jacinthpoint_platform::{MemberState, PlatformMember};
 use jacinthpoint_readiness::ProbeReport;
 use jacinthpoint_types::{FabricDomainId, TimeMs, VmId};
 
@@ -62,11 +63,15 @@
     });
     let mut domains = shared.domains.lock();
     domains.retain(|name, _| own.contains_key(name));
+    let now = shared.now();
     let mut targets = Vec::new();
     for (name, (data_centre, engines)) in own {
-        domains
+        let domain = domains
             .entry(name.clone())
             .or_insert_with(|| Domain::new(data_centre));
+        domain
+            .prober
+            .set_leaving(leaving_vms(domain, &engines), now);
         targets.extend(engines.into_iter().map(|engine| Target {
             domain: name.clone(),
             vm: engine.vm.clone(),
@@ -76,12 +81,27 @@
     targets
 }
 
+/// VMs that leave by the platform's list or by their own word, which also comes when the list
+/// lags or the platform is down.
+fn leaving_vms(domain: &Domain, engines: &[&PlatformMember]) -> Vec<VmId> {
+    let listed = engines
+        .iter()
+        .filter(|engine| engine.state == MemberState::Leaving);
+    let reported = domain
+        .sights
+        .iter()
+        .filter(|(_, sight)| sight.report.leaving);
+    let listed = listed.map(|engine| engine.vm.clone());
+    listed.chain(reported.map(|(vm, _)| vm.clone())).collect()
+}
+
 fn probe(shared: &Shared, target: &Target) {
     let sent_at = shared.now();
     let state = jacinthpoint_upstream::state(target.address, PROBE_TIMEOUT_MS).ok();
     let report = state.map(|state| ProbeReport {
         vm: state.vm,
         assignment: state.assignment,
+        leaving: state.leaving,
         ready: state.ready,
         slowness: state.slowness,
         load: state.running + state.queued,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,6 +8,8 @@
     time::Duration,
 };
 
+use crossbeam::channel;
+
 use crate::{
     caller,
     control::{config, members, messages, permits, planning, probing},
@@ -19,6 +21,9 @@
     shared::Shared,
 };
 
+/// Nodes that told of a newer configuration and are still to be asked.
+const TOLD_ROOM: usize = 8;
+
 /// A running node. It stops when dropped, without a planned stop.
 pub struct Node {
     shared: Arc<Shared>,
@@ -51,16 +56,25 @@
         };
         let shared = &node.shared;
         spawn("members", shared, |shared| members::run(shared))?;
-        spawn("config", shared, |shared| config::run(shared))?;
+        let on_socket = socket.clone();
+        spawn("config-watch", shared, move |shared| {
+            config::run_watch(shared, &on_socket)
+        })?;
+        let (teller, told) = channel::bounded(TOLD_ROOM);
+        let on_socket = socket.clone();
+        spawn("config-peers", shared, move |shared| {
+            config::run_peers(shared, &on_socket, &told)
+        })?;
         spawn("probing", shared, |shared| probing::run(shared))?;
         spawn("planning", shared, |shared| planning::run(shared))?;
         let on_socket = socket.clone();
-        spawn("heartbeats", shared, move |shared| {
-            messages::run_heartbeats(shared, &on_socket)
+        spawn("detector", shared, move |shared| {
+            messages::run_detector(shared, &on_socket)
         })?;
+        spawn("sync", shared, |shared| messages::run_sync(shared))?;
         let on_socket = socket.clone();
         spawn("datagrams", shared, move |shared| {
-            messages::run_receiver(shared, &on_socket)
+            messages::run_receiver(shared, &on_socket, &teller)
         })?;
         spawn("permits", shared, move |shared| {
             permits::run(shared, &socket)
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -79,7 +79,7 @@
         .collect();
     let peers: Vec<Value> = shared
         .peers()
-        .live(now)
+        .live()
         .take(MAX_SHOWN_PEERS)
         .map(|peer| json!({ "node": peer.node, "revision": peer.revision }))
         .collect();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,7 +1,7 @@
 //! State that the node's threads share, each part under its own lock.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
         atomic::{AtomicBool, Ordering},
@@ -10,12 +10,13 @@
     time::Duration,
 };
 
-use jacinthpoint_membership::PeerTable;
+use jacinthpoint_membership::Membership;
 use jacinthpoint_platform::{Platform, PlatformMember};
 use jacinthpoint_readiness::PermitTable;
 use jacinthpoint_records::Config;
 use jacinthpoint_types::{GroupId, NodeId, Revision, TimeMs};
 use jacinthpoint_wire::PeerState;
+use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
     clock::{Clock, unix_now_ms},
@@ -30,11 +31,14 @@
 /// How often a sleeping thread looks whether the node stops.
 const SLEEP_STEP_MS: u64 = 20;
 
-/// A configuration with the text that other nodes ask for.
+/// Configurations kept, so that a node a few changes behind gets only the changes.
+const CONFIG_HISTORY: usize = 16;
+
+/// A configuration with its records as the platform holds them, each in JSON.
 #[derive(Debug)]
 pub(crate) struct ConfigInForce {
     pub(crate) config: Config,
-    pub(crate) records_json: String,
+    pub(crate) records: Vec<String>,
 }
 
 /// State of one node.
@@ -44,29 +48,39 @@
     pub(crate) drain: Arc<Drain>,
     pub(crate) metrics: Metrics,
     pub(crate) platform: Platform,
-    pub(crate) incarnation: u64,
+
     pub(crate) domains: Domains,
     stopped: AtomicBool,
-    config: RwLock<Option<Arc<ConfigInForce>>>,
+    /// The newest last.
+    configs: RwLock<VecDeque<Arc<ConfigInForce>>>,
     members: RwLock<Arc<Vec<PlatformMember>>>,
-    peers: Mutex<PeerTable>,
+    peers: Mutex<Membership>,
     permits: Mutex<PermitTable>,
     in_flight: [Mutex<BTreeMap<GroupId, u32>>; IN_FLIGHT_SHARDS],
 }
 
 impl Shared {
     pub(crate) fn new(settings: NodeSettings, metrics: Metrics) -> Shared {
+        let own = PeerState {
+            node: settings.name.clone(),
+            incarnation: unix_now_ms(),
+            address: settings.listen_peers,
+            data_centre: settings.data_centre.clone(),
+            leaving: false,
+            revision: Revision(0),
+        };
+        let rng = SmallRng::from_os_rng();
         Shared {
             clock: Clock::new(),
             drain: Arc::new(Drain::default()),
             metrics,
             platform: Platform::new(settings.platform),
-            incarnation: unix_now_ms(),
+
             domains: Domains::default(),
             stopped: AtomicBool::new(false),
-            config: RwLock::default(),
+            configs: RwLock::default(),
             members: RwLock::default(),
-            peers: Mutex::default(),
+            peers: Mutex::new(Membership::new(own, rng)),
             permits: Mutex::default(),
             in_flight: Default::default(),
             settings,
@@ -98,10 +112,20 @@
     }
 
     pub(crate) fn config(&self) -> Option<Arc<ConfigInForce>> {
-        self.config
+        self.configs
             .read()
             .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+            .back()
+            .cloned()
+    }
+
+    /// The configuration of a revision that was in force here, if it is still kept.
+    pub(crate) fn past_config(&self, revision: Revision) -> Option<Arc<ConfigInForce>> {
+        let configs = self.configs.read().unwrap_or_else(PoisonError::into_inner);
+        configs
+            .iter()
+            .find(|kept| kept.config.revision == revision)
+            .cloned()
     }
 
     pub(crate) fn revision(&self) -> Revision {
@@ -111,12 +135,15 @@
 
     /// Puts a configuration in force unless a newer one is; tells whether it did.
     pub(crate) fn put_in_force(&self, new: ConfigInForce) -> bool {
-        let mut config = self.config.write().unwrap_or_else(PoisonError::into_inner);
-        let current = config.as_ref().map(|in_force| in_force.config.revision);
+        let mut configs = self.configs.write().unwrap_or_else(PoisonError::into_inner);
+        let current = configs.back().map(|in_force| in_force.config.revision);
         if current.is_some_and(|current| current >= new.config.revision) {
             return false;
         }
-        *config = Some(Arc::new(new));
+        configs.push_back(Arc::new(new));
+        if configs.len() > CONFIG_HISTORY {
+            configs.pop_front();
+        }
         true
     }
 
@@ -131,7 +158,7 @@
         *self.members.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(members);
     }
 
-    pub(crate) fn peers(&self) -> MutexGuard<'_, PeerTable> {
+    pub(crate) fn peers(&self) -> MutexGuard<'_, Membership> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -139,27 +166,13 @@
         self.permits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// This node's word on itself.
-    pub(crate) fn own_state(&self) -> PeerState {
-        PeerState {
-            node: self.settings.name.clone(),
-            incarnation: self.incarnation,
-            address: self.settings.listen_peers,
-            data_centre: self.settings.data_centre.clone(),
-            leaving: self.drain.is_draining(),
-            revision: self.revision(),
-        }
-    }
-
     /// Live nodes ranked for a piece of work, this one among them unless it is leaving.
     pub(crate) fn ranked_nodes(&self, work: &str) -> Vec<NodeId> {
-        let now = self.now();
         let mut live: Vec<NodeId> = self
             .peers()
-            .live(now)
+            .live()
             .map(|state| state.node.clone())
             .collect();
-        live.retain(|node| node != &self.settings.name);
         if !self.drain.is_draining() {
             live.push(self.settings.name.clone());
         }
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -8,6 +8,7 @@
 pub use crate::{
     auth::{KeyDigest, key_digest},
     config::{CONFIG_KIND, CONFIG_NAME, Config, ConfigError, RecordsObject},
+    delta::{Delta, apply_delta, delta},
     error::RecordError,
     record::{Deployment, Fencing, Organisation, Record, Service},
     schema::{CURRENT_SCHEMA, PREVIOUS_SCHEMA, record_from_json},
@@ -15,6 +16,7 @@
 
 mod auth;
 mod config;
+mod delta;
 mod error;
 mod record;
 mod schema;
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -90,6 +90,8 @@
         /// Factor on the time between tokens.
         factor: f64,
     },
+    /// It serves as before and reports that its VM is leaving.
+    Leaving,
     /// Every request fails at once with status 500, and the load report says zero.
     ErrorFast,
 }
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -116,6 +116,7 @@
         EngineState {
             vm: self.options.vm.clone(),
             incarnation: self.incarnation,
+            leaving: state.fault == EngineFault::Leaving,
             ready: state.is_loaded() && (state.members_present || !self.is_leader(&state)),
             assignment: state.assignment.clone(),
             slowness,
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -16,6 +16,9 @@
     pub incarnation: u64,
     /// The group it belongs to.
     pub assignment: Option<Assignment>,
+    /// Whether its VM is about to go.
+    #[serde(default)]
+    pub leaving: bool,
     /// Whether the weights are loaded and every step completes.
     pub ready: bool,
     /// Time of its last step, measured against the usual time; 1.0 is usual, more is slower.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,7 +9,10 @@
     codec::{
         DecodeError, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, decode, encode, read_frame, write_frame,
     },
-    message::{Datagram, Heartbeat, PeerReply, PeerRequest, PeerState, PermitGrant},
+    message::{
+        Datagram, PeerMessage, PeerMessageKind, PeerNews, PeerReply, PeerRequest, PeerState,
+        PeerStatus, PermitGrant,
+    },
 };
 
 mod codec;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -10,7 +10,8 @@
 pub struct PeerState {
     /// The node.
     pub node: NodeId,
-    /// Raised each time the node starts, and by the node itself when it refutes a suspicion.
+    /// Raised each time the node starts, and by the node itself to refute a suspicion or to say
+    /// that it is leaving.
     pub incarnation: u64,
     /// Where it listens for messages of other nodes, UDP and TCP.
     pub address: SocketAddr,
@@ -22,13 +23,54 @@
     pub revision: Revision,
 }
 
-/// Sign of life, with news of a few other nodes.
+/// What is believed of a node.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, strum::Display,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum PeerStatus {
+    /// It answers.
+    Live,
+    /// It did not answer, directly or through others, and may refute that.
+    Suspect,
+    /// It did not refute the suspicion in time.
+    Gone,
+}
+
+/// What one node says of another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
+pub struct PeerNews {
+    /// The node.
+    pub peer: PeerState,
+    /// What is believed of it.
+    pub status: PeerStatus,
+}
+
+/// Purpose of a [`PeerMessage`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessageKind {
+    /// Asks for an `Ack` with the same number.
+    Ping,
+    /// Answers a `Ping`.
+    Ack,
+    /// Asks the receiver to ping `target` and to pass its `Ack` on.
+    PingFor {
+        /// The node that did not answer the sender.
+        target: SocketAddr,
+    },
+}
+
+/// Failure detection between nodes, with news of a few of them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerMessage {
     /// The sender.
     pub from: PeerState,
-    /// Other nodes that the sender believes live.
-    pub others: Vec<PeerState>,
+    /// Ties an answer to its question; chosen by the asker.
+    pub number: u32,
+    /// What the message is for.
+    pub kind: PeerMessageKind,
+    /// News of other nodes, and of the receiver if it must refute something.
+    pub news: Vec<PeerNews>,
 }
 
 /// Right to send work to a group, as granted by one of its probers.
@@ -50,8 +92,8 @@
 /// A message in one UDP datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
-    /// Sign of life.
-    Heartbeat(Heartbeat),
+    /// Failure detection.
+    Peer(PeerMessage),
     /// Asks a prober for grants on the groups it probes.
     PermitRequest {
         /// The sender's own time, echoed in the reply and read by nobody else.
@@ -66,6 +108,13 @@
         /// Grants for groups that may be used.
         grants: Vec<PermitGrant>,
     },
+    /// Tells that the sender has a newer configuration in force.
+    ConfigNews {
+        /// Its revision.
+        revision: Revision,
+        /// Where to fetch it.
+        address: SocketAddr,
+    },
 }
 
 /// A request over a short TCP connection.
@@ -73,21 +122,36 @@
 pub enum PeerRequest {
     /// Asks for the configuration if it is newer than what the sender has.
     Config {
-        /// The sender's revision.
+        /// The sender's revision; 0 if it has none.
         above: Revision,
     },
+    /// Asks for all nodes that the receiver knows.
+    Peers,
 }
 
 /// Answer to a [`PeerRequest`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerReply {
-    /// The configuration.
+    /// The configuration, whole.
     Config {
         /// Its revision.
         revision: Revision,
         /// The records as the platform holds them, in JSON.
         records_json: String,
     },
+    /// The configuration, as what changed since the asker's revision.
+    ConfigChange {
+        /// Its revision.
+        revision: Revision,
+        /// Number of records it has; a result of another size is thrown away.
+        records: u32,
+        /// Places, in the asker's list, of records to drop, in rising order.
+        dropped: Vec<u32>,
+        /// Records to put in, each with its place in the new list, in JSON, in rising order.
+        added: Vec<(u32, String)>,
+    },
     /// There is nothing newer.
     Nothing,
+    /// All nodes known.
+    Peers(Vec<PeerNews>),
 }
--- /dev/null
+++ b/crates/wire/tests/codec.rs
@@ -0,0 +1,142 @@
+//! Messages survive encoding, and nothing else is taken for one.
+
+use std::net::SocketAddr;
+
+use jacinthpoint_types::{Assignment, Epoch, MemberAddress, Revision, TimeMs};
+use jacinthpoint_wire::{
+    Datagram, DecodeError, MAX_DATAGRAM_BYTES, PeerMessage, PeerMessageKind, PeerNews, PeerReply,
+    PeerRequest, PeerState, PeerStatus, PermitGrant, decode, encode, read_frame, write_frame,
+};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+#[derive(Debug, Clone)]
+struct AnyDatagram(Datagram);
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(g: &mut Gen) -> T {
+    format!("name-{}", u16::arbitrary(g))
+        .parse()
+        .expect("a valid name")
+}
+
+fn address(g: &mut Gen) -> SocketAddr {
+    SocketAddr::from((u32::arbitrary(g).to_be_bytes(), u16::arbitrary(g)))
+}
+
+fn peer_state(g: &mut Gen) -> PeerState {
+    PeerState {
+        node: name(g),
+        incarnation: u64::arbitrary(g),
+        address: address(g),
+        data_centre: name(g),
+        leaving: bool::arbitrary(g),
+        revision: Revision(u64::arbitrary(g)),
+    }
+}
+
+fn news(g: &mut Gen) -> PeerNews {
+    let statuses = [PeerStatus::Live, PeerStatus::Suspect, PeerStatus::Gone];
+    let status = *g.choose(&statuses).expect("not empty");
+    PeerNews {
+        peer: peer_state(g),
+        status,
+    }
+}
+
+fn grant(g: &mut Gen) -> PermitGrant {
+    let member = |g: &mut Gen| MemberAddress {
+        vm: name(g),
+        address: address(g),
+    };
+    PermitGrant {
+        assignment: Assignment {
+            group: name(g),
+            epoch: Epoch(u64::arbitrary(g)),
+            model: "model+adapter@v1".parse().expect("a valid model"),
+            members: (0..8).map(|_| member(g)).collect(),
+        },
+        data_centre: name(g),
+        valid_ms: u32::arbitrary(g),
+        load: u32::arbitrary(g),
+        load_age_ms: u32::arbitrary(g),
+    }
+}
+
+impl Arbitrary for AnyDatagram {
+    fn arbitrary(g: &mut Gen) -> AnyDatagram {
+        let kinds = [
+            PeerMessageKind::Ping,
+            PeerMessageKind::Ack,
+            PeerMessageKind::PingFor { target: address(g) },
+        ];
+        AnyDatagram(match u8::arbitrary(g) % 4 {
+            0 => Datagram::Peer(PeerMessage {
+                from: peer_state(g),
+                number: u32::arbitrary(g),
+                kind: *g.choose(&kinds).expect("not empty"),
+                news: (0..usize::arbitrary(g) % 7).map(|_| news(g)).collect(),
+            }),
+            1 => Datagram::PermitRequest {
+                sent_at: TimeMs(u64::arbitrary(g)),
+                reply_to: address(g),
+            },
+            2 => Datagram::PermitReply {
+                echo: TimeMs(u64::arbitrary(g)),
+                grants: (0..2).map(|_| grant(g)).collect(),
+            },
+            _ => Datagram::ConfigNews {
+                revision: Revision(u64::arbitrary(g)),
+                address: address(g),
+            },
+        })
+    }
+}
+
+quickcheck! {
+    fn datagram_survives_and_fits(datagram: AnyDatagram) -> bool {
+        let bytes = encode(&datagram.0);
+        bytes.len() <= MAX_DATAGRAM_BYTES && decode(&bytes) == Ok(datagram.0)
+    }
+
+    fn cut_datagram_is_refused(datagram: AnyDatagram, at: usize) -> bool {
+        let bytes = encode(&datagram.0);
+        decode::<Datagram>(&bytes[..at % bytes.len()]).is_err()
+    }
+
+    fn longer_datagram_is_refused(datagram: AnyDatagram, more: u8) -> bool {
+        let mut bytes = encode(&datagram.0);
+        bytes.push(more);
+        decode::<Datagram>(&bytes) == Err(DecodeError::Malformed)
+    }
+
+    fn any_bytes_decode_without_panic(bytes: Vec<u8>) -> bool {
+        let _ = decode::<Datagram>(&bytes);
+        let _ = decode::<PeerRequest>(&bytes);
+        let _ = decode::<PeerReply>(&bytes);
+        let _ = read_frame::<PeerReply>(&mut bytes.as_slice());
+        true
+    }
+
+    fn frame_survives(above: u64) -> bool {
+        let request = PeerRequest::Config { above: Revision(above) };
+        let mut bytes = Vec::new();
+        write_frame(&mut bytes, &request).expect("a vector takes all");
+        read_frame::<PeerRequest>(&mut bytes.as_slice()).expect("a whole frame") == request
+    }
+}
+
+#[test]
+fn other_version_is_named() {
+    let mut bytes = encode(&PeerRequest::Peers);
+    bytes[0] = 9;
+    assert_eq!(
+        decode::<PeerRequest>(&bytes),
+        Err(DecodeError::Version { version: 9 })
+    );
+}
+
+#[test]
+fn lying_length_claims_no_memory() {
+    let bytes = [0x00, 0x1f, 0xff, 0xff, 1, 2, 3];
+    let error = read_frame::<PeerReply>(&mut bytes.as_slice()).expect_err("it is cut");
+    assert_eq!(error.kind(), std::io::ErrorKind::UnexpectedEof);
+}
