Measure the slopes of a node's roles; keep a full exchange out of the news

A node that had just learned of all others in one exchange passed each of them on as news for minutes. Ruled out: the pings, whose number does not depend on the fleet. Change: what comes in a full exchange is not passed on. A measurement program, examples/capacity, gives bytes, time and memory of each kind of work.

--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -173,8 +173,19 @@
         }
     }
 
-    /// Takes in all that another node knows.
-    pub fn on_news(&mut self, news: Vec<PeerNews>, now: TimeMs) {
+    /// Takes in all that another node knows. It is not passed on: whoever told that node has told
+    /// others too, and hundreds of pieces would fill every message for minutes.
+    pub fn on_sync(&mut self, news: Vec<PeerNews>, now: TimeMs) {
+        for item in news {
+            if item.peer.node == self.own.node {
+                self.refute(&item);
+            } else {
+                self.table.on_news(&item, now);
+            }
+        }
+    }
+
+    fn on_news(&mut self, news: Vec<PeerNews>, now: TimeMs) {
         for item in news {
             if item.peer.node == self.own.node {
                 self.refute(&item);
--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -95,7 +95,7 @@
     write_frame(&mut stream, &PeerRequest::Peers)?;
     if let PeerReply::Peers(news) = read_frame(&mut stream)? {
         let now = shared.now();
-        shared.peers().on_news(news, now);
+        shared.peers().on_sync(news, now);
     }
     Ok(())
 }
--- /dev/null
+++ b/examples/capacity/config.rs
@@ -0,0 +1,82 @@
+//! Configuration: bytes and time of a change, at several numbers of records.
+
+use jacinthpoint_records::{Config, RecordsObject, delta};
+use jacinthpoint_types::Revision;
+use jacinthpoint_wire::{PeerReply, encode};
+use serde_json::{Value, json};
+
+use crate::cost::{TCP_CONTROL_SEGMENTS, TCP_HEADER_BYTES, time_ns};
+
+/// Numbers of records: today's, ten times as many, a hundred times as many.
+const SIZES: [usize; 3] = [20, 200, 2_000];
+/// Changes a day at the target size.
+const CHANGES_A_DAY: f64 = 5_800.0;
+/// Seconds of a day.
+const DAY_S: f64 = 86_400.0;
+
+fn record(number: usize) -> Value {
+    if number.is_multiple_of(4) {
+        return json!({
+            "schema": 2, "kind": "deployment", "name": format!("desk-{number}"),
+            "model": "jp-model-72b", "adapter": format!("quoting-{number}"),
+            "version": "2026-11-03", "replicas": 2, "group_size": 8, "standbys": 1,
+            "priority": "high", "organisations": [format!("broker-{number}")],
+            "fencing": "refuses",
+        });
+    }
+    json!({
+        "schema": 2, "kind": "organisation", "name": format!("broker-{number}"),
+        "key_sha256": ["0".repeat(64), "1".repeat(64)], "max_priority": "high",
+        "requests_per_s": 120.0, "tokens_per_s": 60000.0, "concurrency": 400,
+    })
+}
+
+/// Prints the table.
+pub fn measure() {
+    println!("configuration:\n");
+    println!(
+        "| records | bytes whole | bytes/s, whole each time | bytes of one change | bytes/s, changes | ms to put in force |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for size in SIZES {
+        let object = RecordsObject {
+            records: (0..size).map(record).collect(),
+        };
+        let texts: Vec<String> = object.records.iter().map(ToString::to_string).collect();
+        let mut changed = texts.clone();
+        changed[size / 2] = record(size + 2).to_string();
+        let difference = delta(&texts, &changed);
+        let reply = PeerReply::ConfigChange {
+            revision: Revision(100_000),
+            records: size as u32,
+            dropped: difference.dropped,
+            added: difference.added,
+        };
+        let exchange = (TCP_CONTROL_SEGMENTS + 2) * TCP_HEADER_BYTES + 16;
+        let change_bytes = encode(&reply).len() + exchange;
+        let whole_bytes = texts.iter().map(|text| text.len() + 1).sum::<usize>() + exchange;
+        let accept_ns = time_ns(5, || {
+            let values = changed.iter().map(|text| serde_json::from_str(text));
+            let records = values
+                .collect::<Result<Vec<Value>, _>>()
+                .expect("records are JSON");
+            Config::from_object(Revision(1), &RecordsObject { records }).expect("records are valid")
+        });
+        let a_second = CHANGES_A_DAY / DAY_S;
+        println!(
+            "| {size} | {whole_bytes} | {:.0} | {change_bytes} | {:.0} | {:.2} |",
+            whole_bytes as f64 * a_second,
+            change_bytes as f64 * a_second,
+            accept_ns / 1e6,
+        );
+    }
+    println!();
+}
+
+/// A configuration of `size` records.
+pub fn config_of(size: usize) -> Config {
+    let object = RecordsObject {
+        records: (0..size).map(record).collect(),
+    };
+    Config::from_object(Revision(1), &object).expect("records are valid")
+}
--- /dev/null
+++ b/examples/capacity/cost.rs
@@ -0,0 +1,49 @@
+//! Time and memory of a piece of work.
+
+use std::{fs, hint::black_box, time::Instant};
+
+/// Bytes of the IPv4 and UDP headers before a datagram's payload.
+pub const UDP_HEADER_BYTES: usize = 28;
+/// Bytes of the IPv4 and TCP headers, with the timestamp option, of one segment.
+pub const TCP_HEADER_BYTES: usize = 52;
+/// Segments of a short TCP exchange beside those with data: three to open, four to close and an
+/// acknowledgement of each of the two messages.
+pub const TCP_CONTROL_SEGMENTS: usize = 9;
+/// Size of a memory page in bytes.
+const PAGE_BYTES: u64 = 4_096;
+
+/// Median time of one call in nanoseconds, over runs of `calls` calls each.
+pub fn time_ns<T>(calls: usize, mut work: impl FnMut() -> T) -> f64 {
+    const RUNS: usize = 9;
+    let mut runs: Vec<f64> = (0..RUNS)
+        .map(|_| {
+            let start = Instant::now();
+            for _ in 0..calls {
+                black_box(work());
+            }
+            start.elapsed().as_nanos() as f64 / calls as f64
+        })
+        .collect();
+    runs.sort_by(f64::total_cmp);
+    runs[RUNS / 2]
+}
+
+/// Resident memory of a process in bytes; `self` or an id. 0 if it cannot be read.
+pub fn resident_bytes(process: &str) -> u64 {
+    let statm = fs::read_to_string(format!("/proc/{process}/statm")).unwrap_or_default();
+    let pages = statm
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+/// Resident memory that `build` adds, by each of `count` things that it builds.
+pub fn bytes_each<T>(count: usize, build: impl FnOnce() -> T) -> f64 {
+    let before = resident_bytes("self");
+    let built = build();
+    let after = resident_bytes("self");
+    // Never freed, so that the next measurement cannot live in its memory.
+    std::mem::forget(black_box(built));
+    after.saturating_sub(before) as f64 / count as f64
+}
--- /dev/null
+++ b/examples/capacity/entry.rs
@@ -0,0 +1,208 @@
+//! The way of a request through a node: processor time a request and a token, memory a stream.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use jacinthpoint_platform::{MemberRole, MemberState, Platform, PlatformMember, Version};
+use jacinthpoint_records::{CONFIG_KIND, CONFIG_NAME, RecordsObject, key_digest};
+use jacinthpoint_standins::{Engine, EngineOptions, PlatformOptions, PlatformServer, Registration};
+use serde_json::{Value, json};
+
+use crate::cost::resident_bytes;
+
+type Error = Box<dyn std::error::Error>;
+
+/// Streams at once, in two runs, for the slopes.
+const STREAMS: [usize; 2] = [50, 250];
+/// Tokens of the answers, in two runs.
+const TOKENS: [u64; 2] = [10, 100];
+/// Time between tokens of the engine.
+const TOKEN_MS: u64 = 20;
+/// Clock ticks a second in `/proc/PID/stat`.
+const TICKS_PER_S: f64 = 100.0;
+/// Times that each caller asks.
+const ROUNDS: usize = 4;
+
+/// A node process, ended when dropped.
+struct NodeProcess {
+    child: Child,
+    callers: SocketAddr,
+    operators: SocketAddr,
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Prints the table.
+pub fn measure() -> Result<(), Error> {
+    let platform = PlatformServer::start(PlatformOptions::new())?;
+    let client = Platform::new(platform.address());
+    client.update(CONFIG_KIND, CONFIG_NAME, Version(0), &records())?;
+    let mut options = EngineOptions::new("vm-1".parse()?);
+    options.token_ms = TOKEN_MS;
+    options.slots = 1_000;
+    options.max_queued = 1_000;
+    let registration = Registration {
+        member: member()?,
+        lease_ms: Some(2_000),
+    };
+    options.registration = Some((platform.address(), registration));
+    let _engine = Engine::start(options)?;
+    let node = start_node(platform.address())?;
+    wait_for_group(&node)?;
+    let idle = idle_share(&node);
+    println!(
+        "a node with one engine of one VM, idle: {:.3}% of a core",
+        idle * 100.0
+    );
+    println!("\n| streams at once | tokens each | requests/s | tokens/s | core share | resident |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for streams in STREAMS {
+        for tokens in TOKENS {
+            run(&node, streams, tokens, idle);
+        }
+    }
+    Ok(())
+}
+
+fn run(node: &NodeProcess, streams: usize, tokens: u64, idle: f64) {
+    let before = cpu_s(node);
+    let start = Instant::now();
+    let mut resident = 0;
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..streams)
+            .map(|_| scope.spawn(|| (0..ROUNDS).for_each(|_| ask(node.callers, tokens))))
+            .collect();
+        thread::sleep(Duration::from_millis(150));
+        resident = resident_bytes(&node.child.id().to_string());
+        drop(callers);
+    });
+    let took_s = start.elapsed().as_secs_f64();
+    let share = (cpu_s(node) - before) / took_s - idle;
+    let requests = (streams * ROUNDS) as f64 / took_s;
+    println!(
+        "| {streams} | {tokens} | {requests:.0} | {:.0} | {:.1}% | {:.1} MB |",
+        requests * tokens as f64,
+        share * 100.0,
+        resident as f64 / 1e6,
+    );
+}
+
+fn ask(node: SocketAddr, tokens: u64) {
+    let body = json!({ "model": "jp-model", "prompt": "x", "max_tokens": tokens, "stream": true });
+    let body = body.to_string();
+    let Ok(mut stream) = TcpStream::connect(node) else {
+        return;
+    };
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: node\r\nauthorization: Bearer key\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut answer = String::new();
+    let asked = stream
+        .write_all(head.as_bytes())
+        .and_then(|()| stream.read_to_string(&mut answer));
+    assert!(
+        asked.is_ok() && answer.contains("[DONE]"),
+        "the answer is not whole: {answer}"
+    );
+}
+
+fn idle_share(node: &NodeProcess) -> f64 {
+    const IDLE_S: f64 = 5.0;
+    let before = cpu_s(node);
+    thread::sleep(Duration::from_secs_f64(IDLE_S));
+    (cpu_s(node) - before) / IDLE_S
+}
+
+/// Processor time used by a process so far.
+fn cpu_s(node: &NodeProcess) -> f64 {
+    let stat = fs::read_to_string(format!("/proc/{}/stat", node.child.id())).unwrap_or_default();
+    // The name in parentheses may hold spaces; user and system time are the 12th and 13th after.
+    let after_name = stat.rsplit(") ").next().unwrap_or_default();
+    let fields: Vec<f64> = after_name
+        .split(' ')
+        .skip(11)
+        .take(2)
+        .filter_map(|field| field.parse().ok())
+        .collect();
+    fields.iter().sum::<f64>() / TICKS_PER_S
+}
+
+fn start_node(platform: SocketAddr) -> Result<NodeProcess, Error> {
+    let [callers, operators, peers] = [free()?, free()?, free()?];
+    let settings = format!(
+        "[node]\nname = node-1\ndata_centre = dc-1\n[listen]\ncallers = {callers}\n\
+         operators = {operators}\npeers = {peers}\n[platform]\naddress = {platform}\n"
+    );
+    let path = std::env::temp_dir().join(format!("capacity-{}.ini", callers.port()));
+    fs::write(&path, settings)?;
+    // This example lies in a folder below the program's.
+    let program = std::env::current_exe()?.with_file_name("../jacinthpoint");
+    let mut child = Command::new(program)
+        .arg("node")
+        .arg(&path)
+        .stdout(Stdio::piped())
+        .spawn()?;
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().ok_or("no output")?).read_line(&mut line)?;
+    fs::remove_file(&path)?;
+    Ok(NodeProcess {
+        child,
+        callers,
+        operators,
+    })
+}
+
+fn free() -> std::io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+fn wait_for_group(node: &NodeProcess) -> Result<(), Error> {
+    let deadline = Instant::now() + Duration::from_secs(20);
+    while Instant::now() < deadline {
+        let url = format!("http://{}/status", node.operators);
+        let status: Option<Value> = attohttpc::get(url).send().ok().and_then(|a| a.json().ok());
+        if status.is_some_and(|status| status["permits"].as_array().is_some_and(|p| !p.is_empty()))
+        {
+            return Ok(());
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    Err("the group did not form in time".into())
+}
+
+fn records() -> RecordsObject {
+    let digest = key_digest("key").to_string();
+    let records = vec![
+        json!({ "schema": 2, "kind": "organisation", "name": "one", "key_sha256": [digest] }),
+        json!({
+            "schema": 2, "kind": "deployment", "name": "desk", "model": "jp-model",
+            "version": "v1", "replicas": 1, "group_size": 1,
+        }),
+    ];
+    RecordsObject { records }
+}
+
+fn member() -> Result<PlatformMember, Error> {
+    Ok(PlatformMember {
+        vm: "vm-1".parse()?,
+        incarnation: 1,
+        address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        data_centre: "dc-1".parse()?,
+        fabric_domain: "rack-1".parse()?,
+        role: MemberRole::Engine,
+        state: MemberState::Live,
+    })
+}
--- /dev/null
+++ b/examples/capacity/main.rs
@@ -0,0 +1,42 @@
+//! Measures the slopes behind `docs/CAPACITY.md`: what each role costs for each unit of its work.
+//!
+//! `cargo run --release --example capacity -- control` drives the decision crates;
+//! `cargo run --release --example capacity -- memory` builds their state;
+//! `cargo run --release --example capacity -- entry` loads one node process over loopback.
+
+use std::process::ExitCode;
+
+mod config;
+mod cost;
+mod entry;
+mod membership;
+mod memory;
+mod permits;
+mod probes;
+
+fn main() -> ExitCode {
+    match std::env::args().nth(1).as_deref() {
+        Some("control") => {
+            membership::measure();
+            probes::measure();
+            permits::measure();
+            config::measure();
+            ExitCode::SUCCESS
+        }
+        Some("memory") => {
+            memory::measure();
+            ExitCode::SUCCESS
+        }
+        Some("entry") => match entry::measure() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("capacity: {error}");
+                ExitCode::FAILURE
+            }
+        },
+        _ => {
+            eprintln!("usage: capacity control|memory|entry");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/examples/capacity/permits.rs
@@ -0,0 +1,79 @@
+//! Permits: bytes of requests and grants, time to take them.
+
+use jacinthpoint_readiness::{Permit, PermitTable};
+use jacinthpoint_types::{Deadline, TimeMs};
+use jacinthpoint_wire::{Datagram, PermitGrant, decode, encode};
+
+use crate::{
+    cost::{UDP_HEADER_BYTES, time_ns},
+    probes::assignment,
+};
+
+/// Groups that one node holds permits for.
+const GROUPS: [usize; 3] = [6, 50, 500];
+
+fn grant(number: usize) -> PermitGrant {
+    PermitGrant {
+        assignment: assignment(number),
+        data_centre: "bne-north".parse().expect("a valid name"),
+        valid_ms: 1_234,
+        load: 30,
+        load_age_ms: 700,
+    }
+}
+
+fn permit(number: usize) -> Permit {
+    Permit {
+        assignment: assignment(number),
+        data_centre: "bne-north".parse().expect("a valid name"),
+        deadline: Deadline(TimeMs(10_000)),
+        load: 30,
+        load_at: TimeMs(9_000),
+    }
+}
+
+/// Prints the figures.
+pub fn measure() {
+    let request = Datagram::PermitRequest {
+        sent_at: TimeMs(86_400_000),
+        reply_to: assignment(1).members[0].address,
+    };
+    let reply = |count: usize| Datagram::PermitReply {
+        echo: TimeMs(86_400_000),
+        grants: (0..count).map(grant).collect(),
+    };
+    let (one, two) = (encode(&reply(1)).len(), encode(&reply(2)).len());
+    let request_bytes = encode(&request).len() + UDP_HEADER_BYTES;
+    println!("permits:\n");
+    println!("- bytes a request: {request_bytes}, a grant: {}", two - one);
+    println!(
+        "- bytes a reply beside its grants: {}",
+        one + UDP_HEADER_BYTES - (two - one)
+    );
+    let bytes = encode(&reply(4));
+    let decode_ns = time_ns(5_000, || decode::<Datagram>(&bytes));
+    println!("- {:.0} ns to read a grant", decode_ns / 4.0);
+    println!("\n| groups | ns to take a grant | ns to look for a model |");
+    println!("| --- | --- | --- |");
+    for groups in GROUPS {
+        let mut table = PermitTable::new();
+        let mut at = 0;
+        let insert_ns = time_ns(10_000, || {
+            at += 1;
+            let mut permit = permit(at % groups);
+            permit.deadline = Deadline(TimeMs(10_000 + at as u64));
+            table.insert(permit);
+        });
+        let model = assignment(1).model;
+        let look_ns = time_ns(1_000, || table.usable(&model, TimeMs(0)).count());
+        println!("| {groups} | {insert_ns:.0} | {look_ns:.0} |");
+    }
+    println!();
+}
+
+/// A table of permits for `groups` groups.
+pub fn table_of(groups: usize) -> PermitTable {
+    let mut table = PermitTable::new();
+    (0..groups).for_each(|number| table.insert(permit(number)));
+    table
+}
