Let the node's threads sleep until their time or the stop

Cause: an idle node took 2.0% of a core; ten threads woke fifty times a second to look whether the node stops, and the listener for other nodes polled. Ruled out: the probes of the one VM, three a second. Change: sleepers wait on a condition variable that the stop signals; the listener for other nodes blocks and is woken by a connection. The callers' listener still polls.

--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -31,6 +31,8 @@
 const FIRST_SYNC_MS: u64 = 1_000;
 /// How often a receiving thread looks whether the node stops.
 const RECEIVE_POLL_MS: u64 = 100;
+/// Pause after a connection could not be accepted.
+const ACCEPT_RETRY_MS: u64 = 50;
 /// Time for a peer to send its request or take its answer.
 const PEER_TIMEOUT_MS: u64 = 1_000;
 
@@ -172,9 +174,9 @@
     parts
 }
 
-/// Answers other nodes' requests over TCP until the node stops.
-pub(crate) fn run_peer_listener(shared: &Arc<Shared>, listener: &TcpListener) -> io::Result<()> {
-    listener.set_nonblocking(true)?;
+/// Answers other nodes' requests over TCP until the node stops, which [`wake_peer_listener`] lets
+/// it see.
+pub(crate) fn run_peer_listener(shared: &Arc<Shared>, listener: &TcpListener) {
     while !shared.is_stopped() {
         match listener.accept() {
             Ok((stream, _)) => {
@@ -182,14 +184,20 @@
                 // A node that fails in the exchange asks again.
                 thread::spawn(move || answer_peer(&shared, stream).ok());
             }
-            Err(_) => thread::sleep(Duration::from_millis(5)),
+            // Such as a connection reset before it was accepted, or no free descriptor.
+            Err(_) => shared.sleep_ms(ACCEPT_RETRY_MS),
         }
     }
-    Ok(())
+}
+
+/// Makes the listener for other nodes look whether the node stops.
+pub(crate) fn wake_peer_listener(address: SocketAddr) {
+    let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
+    // Without a listener there is nothing to wake.
+    drop(TcpStream::connect_timeout(&address, timeout));
 }
 
 fn answer_peer(shared: &Shared, mut stream: TcpStream) -> io::Result<()> {
-    stream.set_nonblocking(false)?;
     stream.set_read_timeout(Some(Duration::from_millis(PEER_TIMEOUT_MS)))?;
     stream.set_write_timeout(Some(Duration::from_millis(PEER_TIMEOUT_MS)))?;
     let reply = match read_frame(&mut stream)? {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -80,7 +80,7 @@
             permits::run(shared, &socket)
         })?;
         spawn("peers", shared, move |shared| {
-            report(messages::run_peer_listener(shared, &peers));
+            messages::run_peer_listener(shared, &peers);
         })?;
         operator::start(shared, operators)?;
         spawn("callers", shared, move |shared| {
@@ -150,6 +150,7 @@
     fn drop(&mut self) {
         self.shared.drain.begin();
         self.shared.stop();
+        messages::wake_peer_listener(self.peers_address());
         log_event!(
             info,
             NodeStopped,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -2,11 +2,7 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError, RwLock,
-        atomic::{AtomicBool, Ordering},
-    },
-    thread,
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock},
     time::Duration,
 };
 
@@ -28,9 +24,6 @@
 
 /// Shards of the in-flight counts.
 const IN_FLIGHT_SHARDS: usize = 16;
-/// How often a sleeping thread looks whether the node stops.
-const SLEEP_STEP_MS: u64 = 20;
-
 /// Configurations kept, so that a node a few changes behind gets only the changes.
 const CONFIG_HISTORY: usize = 16;
 
@@ -50,7 +43,8 @@
     pub(crate) platform: Platform,
 
     pub(crate) domains: Domains,
-    stopped: AtomicBool,
+    stopped: Mutex<bool>,
+    stop_signal: Condvar,
     /// The newest last.
     configs: RwLock<VecDeque<Arc<ConfigInForce>>>,
     members: RwLock<Arc<Vec<PlatformMember>>>,
@@ -77,7 +71,8 @@
             platform: Platform::new(settings.platform),
 
             domains: Domains::default(),
-            stopped: AtomicBool::new(false),
+            stopped: Mutex::new(false),
+            stop_signal: Condvar::new(),
             configs: RwLock::default(),
             members: RwLock::default(),
             peers: Mutex::new(Membership::new(own, rng)),
@@ -91,24 +86,24 @@
         self.clock.now()
     }
 
+    /// Stops the node's threads, sleeping ones at once.
     pub(crate) fn stop(&self) {
-        self.stopped.store(true, Ordering::SeqCst);
+        *self.stopped.lock().unwrap_or_else(PoisonError::into_inner) = true;
+        self.stop_signal.notify_all();
     }
 
     pub(crate) fn is_stopped(&self) -> bool {
-        self.stopped.load(Ordering::SeqCst)
+        *self.stopped.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sleeps, but not beyond the node's stop.
     pub(crate) fn sleep_ms(&self, ms: u64) {
-        let until = self.now().plus_ms(ms);
-        while !self.is_stopped() {
-            let left = until.since_ms(self.now());
-            if left == 0 {
-                return;
-            }
-            thread::sleep(Duration::from_millis(left.min(SLEEP_STEP_MS)));
-        }
+        let stopped = self.stopped.lock().unwrap_or_else(PoisonError::into_inner);
+        let timeout = Duration::from_millis(ms);
+        let slept = self
+            .stop_signal
+            .wait_timeout_while(stopped, timeout, |stopped| !*stopped);
+        drop(slept);
     }
 
     pub(crate) fn config(&self) -> Option<Arc<ConfigInForce>> {
