Let a node that starts in an outage learn the membership list from peers

Cause: a node learned the configuration from its peers when the platform was down, but not which VMs there are, so it was ready and could serve nothing. Ruled out: the configuration; its revision was in force within the bound. Change: a node without a list asks another node for the one it last read. Figures: configuration::node_started_in_an_outage_serves_from_what_peers_know fails without the change ("not in time: the new node answers") and passes with it. Conclusion: new nodes serve in an outage while one older node runs.

--- a/crates/node/src/control/config.rs
+++ b/crates/node/src/control/config.rs
@@ -4,8 +4,7 @@
 //! the revision in the messages that nodes exchange all the time, and fetches what changed.
 
 use std::{
-    io,
-    net::{SocketAddr, TcpStream, UdpSocket},
+    net::{SocketAddr, UdpSocket},
     time::Duration,
 };
 
@@ -15,9 +14,10 @@
     CONFIG_KIND, CONFIG_NAME, Config, Delta, RecordsObject, apply_delta, delta,
 };
 use jacinthpoint_types::Revision;
-use jacinthpoint_wire::{Datagram, PeerReply, PeerRequest, encode, read_frame, write_frame};
+use jacinthpoint_wire::{Datagram, PeerReply, PeerRequest, encode};
 
 use crate::{
+    control::messages::ask_peer,
     events::log_event,
     shared::{ConfigInForce, Shared},
 };
@@ -30,8 +30,6 @@
 const ROLE_CHECK_MS: u64 = 500;
 /// How often a node looks at its peers' revisions when it is not told of a new one.
 const PEER_CHECK_MS: u64 = 200;
-/// Time for a peer's answer.
-const PEER_TIMEOUT_MS: u64 = 1_000;
 /// Pause after the platform failed.
 const RETRY_MS: u64 = 500;
 /// Nodes that are told at once of a new revision; with each telling as many, a few hops reach
@@ -63,7 +61,10 @@
             continue;
         };
         // A peer that fails is asked again, or another one is, in the next round.
-        if let Ok(reply) = fetch(shared, address) {
+        let request = PeerRequest::Config {
+            above: shared.revision(),
+        };
+        if let Ok(reply) = ask_peer(address, &request) {
             accept_reply(shared, socket, reply);
         }
     }
@@ -164,7 +165,7 @@
                 Err(error) => refuse(shared, revision, &error.to_string()),
             }
         }
-        PeerReply::Nothing | PeerReply::Peers(_) => {}
+        PeerReply::Nothing | PeerReply::Peers(_) | PeerReply::Members { .. } => {}
     }
 }
 
@@ -202,16 +203,3 @@
     let (revision, peer) = peers.newest_revision()?;
     (revision > own).then_some(peer.address)
 }
-
-fn fetch(shared: &Shared, address: SocketAddr) -> io::Result<PeerReply> {
-    let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
-    let mut stream = TcpStream::connect_timeout(&address, timeout)?;
-    stream.set_read_timeout(Some(timeout))?;
-    write_frame(
-        &mut stream,
-        &PeerRequest::Config {
-            above: shared.revision(),
-        },
-    )?;
-    read_frame(&mut stream)
-}
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -4,23 +4,53 @@
 
 use jacinthpoint_platform::{MemberRole, MemberState, PlatformMember};
 use jacinthpoint_types::{DataCentreId, FabricDomainId};
+use jacinthpoint_wire::{PeerReply, PeerRequest};
 
-use crate::{events::log_event, shared::Shared};
+use crate::{control::messages::ask_peer, events::log_event, shared::Shared};
 
 /// How often the list is read.
 const READ_MS: u64 = 1_000;
 
-/// Reads the list until the node stops. In an outage the last list stays.
+/// Reads the list until the node stops. In an outage the last list stays, and a node that has none
+/// asks another node for its own.
 pub(crate) fn run(shared: &Shared) {
     while !shared.is_stopped() {
         match shared.platform.members() {
             Ok(members) => shared.set_members(members),
-            Err(error) => log_event!(warn, PlatformFailed, %error, "membership list not read"),
+            Err(error) => {
+                log_event!(warn, PlatformFailed, %error, "membership list not read");
+                if shared.members().is_empty() {
+                    ask_a_peer(shared);
+                }
+            }
         }
         shared.sleep_ms(READ_MS);
     }
 }
 
+fn ask_a_peer(shared: &Shared) {
+    let Some(peer) = shared.peers().random_live(1).pop() else {
+        return;
+    };
+    let Ok(PeerReply::Members { members_json }) = ask_peer(peer.address, &PeerRequest::Members)
+    else {
+        return;
+    };
+    // A list that cannot be read is asked for again, of another node.
+    if let Ok(members) = serde_json::from_str(&members_json) {
+        shared.set_members(members);
+    }
+}
+
+/// The answer to a node that asks for the list.
+pub(crate) fn reply(shared: &Shared) -> PeerReply {
+    let members = shared.members();
+    match serde_json::to_string(members.as_slice()) {
+        Ok(members_json) if !members.is_empty() => PeerReply::Members { members_json },
+        _ => PeerReply::Nothing,
+    }
+}
+
 /// Engine VMs of the list by fabric domain.
 pub(crate) fn engines_by_domain(
     members: &[PlatformMember],
--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::{
-    control::{config, permits},
+    control::{config, members, permits},
     events::log_event,
     shared::Shared,
 };
@@ -91,17 +91,23 @@
 }
 
 fn sync(shared: &Shared, address: SocketAddr) -> io::Result<()> {
-    let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
-    let mut stream = TcpStream::connect_timeout(&address, timeout)?;
-    stream.set_read_timeout(Some(timeout))?;
-    write_frame(&mut stream, &PeerRequest::Peers)?;
-    if let PeerReply::Peers(news) = read_frame(&mut stream)? {
+    if let PeerReply::Peers(news) = ask_peer(address, &PeerRequest::Peers)? {
         let now = shared.now();
         shared.peers().on_sync(news, now);
     }
     Ok(())
 }
 
+/// Asks another node over TCP.
+pub(crate) fn ask_peer(address: SocketAddr, request: &PeerRequest) -> io::Result<PeerReply> {
+    let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
+    let mut stream = TcpStream::connect_timeout(&address, timeout)?;
+    stream.set_read_timeout(Some(timeout))?;
+    stream.set_write_timeout(Some(timeout))?;
+    write_frame(&mut stream, request)?;
+    read_frame(&mut stream)
+}
+
 /// Receives datagrams until the node stops.
 pub(crate) fn run_receiver(shared: &Shared, socket: &UdpSocket, told: &Sender<SocketAddr>) {
     let mut buffer = [0; 2 * MAX_DATAGRAM_BYTES];
@@ -201,6 +207,7 @@
     stream.set_read_timeout(Some(Duration::from_millis(PEER_TIMEOUT_MS)))?;
     stream.set_write_timeout(Some(Duration::from_millis(PEER_TIMEOUT_MS)))?;
     let reply = match read_frame(&mut stream)? {
+        PeerRequest::Members => members::reply(shared),
         PeerRequest::Config { above } => config::reply_above(shared, above),
         PeerRequest::Peers => {
             let peers = shared.peers();
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -127,6 +127,8 @@
     },
     /// Asks for all nodes that the receiver knows.
     Peers,
+    /// Asks for the platform's membership list as the receiver last read it.
+    Members,
 }
 
 /// Answer to a [`PeerRequest`].
@@ -154,4 +156,9 @@
     Nothing,
     /// All nodes known.
     Peers(Vec<PeerNews>),
+    /// The platform's membership list.
+    Members {
+        /// The list as the platform gave it, in JSON.
+        members_json: String,
+    },
 }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,5 +4,6 @@
 mod macros;
 mod util;
 
+mod configuration;
 mod groups;
 mod serving;
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -3,7 +3,7 @@
 pub use crate::util::{
     caller::{Call, KEYS},
     process::Process,
-    site::{Site, SiteOptions, permitted_groups, wait_until},
+    site::{Site, SiteOptions, permitted_groups, status, wait_until},
 };
 
 mod caller;
--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -57,6 +57,7 @@
     pub process: Process,
     pub callers: SocketAddr,
     pub operators: SocketAddr,
+    pub peers: SocketAddr,
 }
 
 /// Everything that a test needs.
@@ -160,10 +161,17 @@
 
     pub fn start_node(&mut self, number: usize) -> SiteNode {
         let [callers, operators, peers] = free_addresses();
+        let seeds: Vec<String> = self
+            .nodes
+            .iter()
+            .map(|node| node.peers.to_string())
+            .collect();
         let settings = format!(
             "[node]\nname = node-{number}\ndata_centre = dc-1\n\n[listen]\ncallers = {callers}\n\
-             operators = {operators}\npeers = {peers}\n\n[platform]\naddress = {}\n",
-            self.platform_address
+             operators = {operators}\npeers = {peers}\n\n[platform]\naddress = {}\n\n\
+             [peers]\nseeds = {}\n",
+            self.platform_address,
+            seeds.join(", "),
         );
         let path = self.folder.join(format!("node-{number}.ini"));
         fs::write(&path, settings).expect("settings are written");
@@ -174,6 +182,7 @@
             process,
             callers,
             operators,
+            peers,
         }
     }
 
@@ -259,7 +268,7 @@
 }
 
 /// Waits until `condition` holds, and fails the test if it does not in time.
-pub fn wait_until(what: &str, timeout_ms: u64, condition: impl Fn() -> bool) {
+pub fn wait_until(what: &str, timeout_ms: u64, mut condition: impl FnMut() -> bool) {
     let deadline = Instant::now() + Duration::from_millis(timeout_ms);
     while !condition() {
         assert!(Instant::now() < deadline, "not in time: {what}");
