Keep records as files and put them in force by commands

Cause: records could only be written to the platform by hand, and nothing told an operator which line of which file is at fault. Ruled out: one record a file without a table name, since a set then needs many tiny files and two schema versions of one file cannot be told from a key; a parser of our own for field positions, since toml gives spans; stopping at the first fault of a record, since each field can be tried alone in a record that is known to be right. Change: files with [[record]] tables, every fault with file and line, checks across records; the commands check, apply, get, diff, status and drain; exit codes in the help text and in docs/operators/commands.md; apply writes against the version that was read or named by --if-version, prints both versions on a lost race, and reads back after a lost answer. An empty folder and a set of a newer schema are refused, since both would silently remove records.

--- a/crates/core/args.rs
+++ b/crates/core/args.rs
@@ -1,11 +1,10 @@
 //! The command line, as typed.
 
-use std::process::ExitCode;
+use std::net::SocketAddr;
 
 use gumdrop::Options;
 
-/// The command line was not understood.
-pub const EXIT_USAGE: u8 = 2;
+use crate::exit::{EXIT_CODES, Exit};
 
 /// Options before the command.
 #[derive(Debug, Options)]
@@ -27,6 +26,24 @@
     /// Run a node.
     #[options(help = "run a node until it is told to stop")]
     Node(NodeArgs),
+    /// Check files.
+    #[options(help = "check settings and records and name every fault")]
+    Check(CheckArgs),
+    /// Put records in force.
+    #[options(help = "put a folder of records in force")]
+    Apply(ApplyArgs),
+    /// Print the records in force.
+    #[options(help = "print the records in force as TOML")]
+    Get(GetArgs),
+    /// Compare records with those in force.
+    #[options(help = "show what applying a folder of records would change")]
+    Diff(DiffArgs),
+    /// Ask nodes how they are.
+    #[options(help = "show each node's revision and load")]
+    Status(StatusArgs),
+    /// Stop nodes as planned.
+    #[options(help = "begin the planned stop of nodes")]
+    Drain(DrainArgs),
     /// Run the demo.
     #[cfg(feature = "demo")]
     #[options(help = "serve sample requests on stand-ins within this process")]
@@ -47,6 +64,92 @@
     pub json_logs: bool,
 }
 
+/// Options of `check`.
+#[derive(Debug, Options)]
+pub struct CheckArgs {
+    /// Print a help text.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Files and folders.
+    #[options(
+        free,
+        required,
+        help = "settings (.ini), records (.toml) and folders of them"
+    )]
+    pub paths: Vec<String>,
+}
+
+/// Options of `apply`.
+#[derive(Debug, Options)]
+pub struct ApplyArgs {
+    /// Print a help text.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Folder of records.
+    #[options(free, required, help = "folder of records, or one file")]
+    pub folder: String,
+    /// The platform.
+    #[options(help = "address of the platform, such as 10.0.0.1:7000", required)]
+    pub platform: Option<SocketAddr>,
+    /// Version that the change was made against.
+    #[options(
+        help = "write only if this is the version in force, as `get` and `diff` show it",
+        no_short,
+        meta = "VERSION"
+    )]
+    pub if_version: Option<u64>,
+}
+
+/// Options of `get`.
+#[derive(Debug, Options)]
+pub struct GetArgs {
+    /// Print a help text.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The platform.
+    #[options(help = "address of the platform, such as 10.0.0.1:7000", required)]
+    pub platform: Option<SocketAddr>,
+}
+
+/// Options of `diff`.
+#[derive(Debug, Options)]
+pub struct DiffArgs {
+    /// Print a help text.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Folder of records.
+    #[options(free, required, help = "folder of records, or one file")]
+    pub folder: String,
+    /// The platform.
+    #[options(help = "address of the platform, such as 10.0.0.1:7000", required)]
+    pub platform: Option<SocketAddr>,
+}
+
+/// Options of `status`.
+#[derive(Debug, Options)]
+pub struct StatusArgs {
+    /// Print a help text.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Nodes.
+    #[options(free, required, help = "operators' addresses of nodes")]
+    pub nodes: Vec<SocketAddr>,
+    /// Revision that every node must have.
+    #[options(help = "fail unless every node has at least this revision", no_short)]
+    pub revision: Option<u64>,
+}
+
+/// Options of `drain`.
+#[derive(Debug, Options)]
+pub struct DrainArgs {
+    /// Print a help text.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Nodes.
+    #[options(free, required, help = "operators' addresses of nodes")]
+    pub nodes: Vec<SocketAddr>,
+}
+
 /// Options of `demo`.
 #[cfg(feature = "demo")]
 #[derive(Debug, Options)]
@@ -56,24 +159,24 @@
     pub help: bool,
 }
 
-/// Parses the command line; the error is the exit code after a help text, version or complaint.
-pub fn parse() -> Result<Command, ExitCode> {
+/// Parses the command line; the error is the exit after a help text, version or complaint.
+pub fn parse() -> Result<Command, Exit> {
     let words: Vec<String> = std::env::args().skip(1).collect();
     let args = Args::parse_args_default(&words).map_err(|error| {
         eprintln!("jacinthpoint: {error}; see `jacinthpoint --help`");
-        ExitCode::from(EXIT_USAGE)
+        Exit::Usage
     })?;
     if args.version {
         println!("jacinthpoint {}", env!("CARGO_PKG_VERSION"));
-        return Err(ExitCode::SUCCESS);
+        return Err(Exit::Success);
     }
     if args.help_requested() {
         print_help(&args);
-        return Err(ExitCode::SUCCESS);
+        return Err(Exit::Success);
     }
     args.command.ok_or_else(|| {
         eprintln!("jacinthpoint: no command; see `jacinthpoint --help`");
-        ExitCode::from(EXIT_USAGE)
+        Exit::Usage
     })
 }
 
@@ -91,4 +194,8 @@
             println!("\ncommands:\n{}", Args::command_list().unwrap_or_default());
         }
     }
+    println!("\nexit codes:");
+    for (exit, meaning) in EXIT_CODES {
+        println!("  {}  {meaning}", exit as u8);
+    }
 }
--- a/crates/core/commands.rs
+++ b/crates/core/commands.rs
@@ -1,17 +1,27 @@
 //! The commands, a module each.
 
-use std::process::ExitCode;
-
-use crate::args::Command;
+use crate::{args::Command, exit::Exit};
 
+mod apply;
+mod check;
 #[cfg(feature = "demo")]
 mod demo;
+mod diff;
+mod drain;
+mod get;
 mod node;
+mod status;
 
 /// Runs a command.
-pub fn run(command: Command) -> ExitCode {
+pub fn run(command: Command) -> Exit {
     match command {
         Command::Node(args) => node::run(&args),
+        Command::Check(args) => check::run(&args),
+        Command::Apply(args) => apply::run(&args),
+        Command::Get(args) => get::run(&args),
+        Command::Diff(args) => diff::run(&args),
+        Command::Status(args) => status::run(&args),
+        Command::Drain(args) => drain::run(&args),
         #[cfg(feature = "demo")]
         Command::Demo(_) => demo::run(),
     }
--- a/crates/core/commands/demo.rs
+++ b/crates/core/commands/demo.rs
@@ -6,7 +6,6 @@
     error::Error,
     io,
     net::SocketAddr,
-    process::ExitCode,
     sync::{
         Mutex, PoisonError,
         atomic::{AtomicUsize, Ordering},
@@ -25,7 +24,7 @@
 use jacinthpoint_types::RequestId;
 use serde_json::{Value, json};
 
-use crate::logs;
+use crate::{exit::Exit, logs};
 
 /// Requests sent.
 const REQUESTS: usize = 300;
@@ -53,14 +52,14 @@
 ];
 
 /// Runs the command.
-pub fn run() -> ExitCode {
+pub fn run() -> Exit {
     logs::init(false, "error");
     match demo() {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
+        Ok(true) => Exit::Success,
+        Ok(false) => Exit::Negative,
         Err(error) => {
             eprintln!("demo: {error}");
-            ExitCode::FAILURE
+            Exit::Negative
         }
     }
 }
--- a/crates/core/commands/node.rs
+++ b/crates/core/commands/node.rs
@@ -1,7 +1,6 @@
 //! `jacinthpoint node`: runs a node until SIGTERM, then stops as planned.
 
 use std::{
-    process::ExitCode,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -13,33 +12,29 @@
 use jacinthpoint_node::{Node, NodeSettings, parse_settings};
 use signal_hook::consts::{SIGINT, SIGTERM};
 
-use crate::{args::NodeArgs, logs};
+use crate::{args::NodeArgs, exit::Exit, logs};
 
-/// The settings are faulty or an address cannot be bound.
-const EXIT_SETTINGS: u8 = 3;
-/// The planned stop cut requests.
-const EXIT_CUT: u8 = 4;
 /// How often signals and drains are looked for.
 const POLL_MS: u64 = 20;
 
 /// Runs the command.
-pub fn run(args: &NodeArgs) -> ExitCode {
+pub fn run(args: &NodeArgs) -> Exit {
     logs::init(args.json_logs, "info");
     let Some(settings) = read_settings(&args.settings) else {
-        return ExitCode::from(EXIT_SETTINGS);
+        return Exit::Faulty;
     };
     let signals = match count_signals() {
         Ok(signals) => signals,
         Err(error) => {
             eprintln!("jacinthpoint: signals cannot be caught: {error}");
-            return ExitCode::from(EXIT_SETTINGS);
+            return Exit::Faulty;
         }
     };
     match Node::start(settings) {
         Ok(node) => run_until_stopped(&node, &signals),
         Err(error) => {
             eprintln!("jacinthpoint: {}: {error}", args.settings);
-            ExitCode::from(EXIT_SETTINGS)
+            Exit::Faulty
         }
     }
 }
@@ -71,7 +66,7 @@
     Ok(count)
 }
 
-fn run_until_stopped(node: &Node, signals: &AtomicUsize) -> ExitCode {
+fn run_until_stopped(node: &Node, signals: &AtomicUsize) -> Exit {
     println!(
         "callers on {}, operators on {}",
         node.callers_address(),
@@ -88,8 +83,8 @@
         if second_signal || Instant::now() >= deadline {
             let cut = node.in_flight();
             eprintln!("jacinthpoint: stopped with {cut} requests cut");
-            return ExitCode::from(EXIT_CUT);
+            return Exit::Cut;
         }
     }
-    ExitCode::SUCCESS
+    Exit::Success
 }
--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -4,11 +4,13 @@
 
 mod args;
 mod commands;
+mod exit;
+mod files;
 mod logs;
 
 fn main() -> ExitCode {
     match args::parse() {
-        Ok(args) => commands::run(args),
-        Err(exit) => exit,
+        Ok(args) => commands::run(args).into(),
+        Err(exit) => exit.into(),
     }
 }
--- /dev/null
+++ b/crates/records/src/fault.rs
@@ -0,0 +1,159 @@
+//! Every fault of one record, not only the first.
+//!
+//! A parser stops at the first fault. So each field is put, alone, into a record of its kind that
+//! is known to be right: what the parser says then is about this field.
+
+use serde_json::{Map, Value, json};
+
+use crate::{
+    error::RecordError,
+    record::{KINDS, Record},
+    schema::{CURRENT_SCHEMA, PREVIOUS_SCHEMA, record_from_json},
+};
+
+/// Similarity above which a known word is offered in place of an unknown one.
+const SUGGESTION_SIMILARITY: f64 = 0.8;
+
+/// Where in a record a fault is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Field {
+    Named(String),
+    WholeRecord,
+}
+
+/// One fault of a record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct FieldFault {
+    pub(crate) field: Field,
+    pub(crate) message: String,
+}
+
+impl FieldFault {
+    pub(crate) fn of(field: &str, message: impl Into<String>) -> FieldFault {
+        FieldFault {
+            field: Field::Named(field.to_owned()),
+            message: message.into(),
+        }
+    }
+
+    fn of_record(message: impl Into<String>) -> FieldFault {
+        FieldFault {
+            field: Field::WholeRecord,
+            message: message.into(),
+        }
+    }
+}
+
+/// Every fault of one record, without looking at other records.
+pub(crate) fn record_faults(fields: &Map<String, Value>) -> Vec<FieldFault> {
+    let whole = match record_from_json(&Value::Object(fields.clone())) {
+        Ok(_) => return Vec::new(),
+        Err(error) => error,
+    };
+    if let RecordError::NoSchema | RecordError::UnknownSchema { .. } = whole {
+        return vec![FieldFault::of("schema", whole.to_string())];
+    }
+    let Some(kind) = fields.get("kind").and_then(Value::as_str) else {
+        return vec![FieldFault::of("kind", "a record needs `kind`")];
+    };
+    let schema = fields.get("schema").and_then(Value::as_u64);
+    let Some(valid) = valid_record(kind, schema == Some(PREVIOUS_SCHEMA)) else {
+        let hint = suggestion(kind, KINDS);
+        return vec![FieldFault::of(
+            "kind",
+            format!("unknown kind `{kind}`{hint}"),
+        )];
+    };
+    let mut faults = missing_fields(fields, &valid);
+    faults.extend(fields.iter().filter_map(|(name, value)| {
+        let mut tried = valid.clone();
+        tried.insert(name.clone(), value.clone());
+        let error = record_from_json(&Value::Object(tried)).err()?;
+        Some(FieldFault::of(name, describe(name, &error.to_string())))
+    }));
+    if faults.is_empty() {
+        faults.push(FieldFault::of_record(whole.to_string()));
+    }
+    faults
+}
+
+fn missing_fields(fields: &Map<String, Value>, valid: &Map<String, Value>) -> Vec<FieldFault> {
+    let missing = valid.keys().filter(|name| !fields.contains_key(*name));
+    missing
+        .map(|name| FieldFault::of_record(format!("`{name}` is missing")))
+        .collect()
+}
+
+/// The parser's words on one field, naming the field, with a suggestion for an unknown one.
+fn describe(name: &str, message: &str) -> String {
+    if !message.starts_with("unknown field") {
+        return if message.contains(&format!("`{name}`")) {
+            message.to_owned()
+        } else {
+            format!("`{name}`: {message}")
+        };
+    }
+    let known = message.split('`').skip(3).step_by(2);
+    format!("unknown field `{name}`{}", suggestion(name, known))
+}
+
+fn suggestion<'a>(word: &str, known: impl IntoIterator<Item = &'a str>) -> String {
+    let scored = known
+        .into_iter()
+        .map(|known| (strsim::jaro_winkler(word, known), known));
+    match scored.max_by(|a, b| a.0.total_cmp(&b.0)) {
+        Some((score, known)) if score > SUGGESTION_SIMILARITY => {
+            format!("; did you mean `{known}`?")
+        }
+        _ => String::new(),
+    }
+}
+
+/// A record of a kind that has just the required fields, in their place for the schema version.
+fn valid_record(kind: &str, previous: bool) -> Option<Map<String, Value>> {
+    let value = match (kind, previous) {
+        ("organisation", _) => json!({ "name": "n", "key_sha256": [] }),
+        ("deployment", true) => json!({ "name": "n", "serves": "m@v", "copies": 1 }),
+        ("deployment", false) => {
+            json!({ "name": "n", "model": "m", "version": "v", "replicas": 1 })
+        }
+        ("service", _) => json!({ "name": "n" }),
+        _ => return None,
+    };
+    let mut fields = value.as_object().cloned()?;
+    let schema = if previous {
+        PREVIOUS_SCHEMA
+    } else {
+        CURRENT_SCHEMA
+    };
+    fields.insert("schema".to_owned(), Value::from(schema));
+    fields.insert("kind".to_owned(), Value::from(kind));
+    Some(fields)
+}
+
+/// Faults that types cannot express: numbers out of their range.
+pub(crate) fn range_error(record: &Record) -> Option<RecordError> {
+    let message = match record {
+        Record::Organisation(organisation) => {
+            let rates = [
+                ("requests_per_s", organisation.requests_per_s),
+                ("tokens_per_s", organisation.tokens_per_s),
+            ];
+            let faulty = rates
+                .into_iter()
+                .find(|(_, rate)| rate.is_some_and(|rate| !rate.is_finite() || rate <= 0.0));
+            match faulty {
+                Some((name, _)) => format!("`{name}` must be a number above 0"),
+                None if organisation.concurrency == Some(0) => {
+                    "`concurrency` must be at least 1".to_owned()
+                }
+                None => return None,
+            }
+        }
+        Record::Deployment(deployment) if deployment.group_size == 0 => {
+            "`group_size` must be at least 1".to_owned()
+        }
+        Record::Deployment(_) | Record::Service(_) => return None,
+    };
+    Some(RecordError::Invalid { message })
+}
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -7,14 +7,22 @@
 
 pub use crate::{
     auth::{KeyDigest, key_digest},
+    change::{Change, changes},
     config::{CONFIG_KIND, CONFIG_NAME, Config, ConfigError, RecordsObject},
     error::RecordError,
     record::{Deployment, Fencing, Organisation, Record, Service},
     schema::{CURRENT_SCHEMA, PREVIOUS_SCHEMA, record_from_json},
+    source::{SourceFault, SourceFile, records_from_files},
+    toml_text::to_toml,
 };
 
 mod auth;
+mod change;
 mod config;
 mod error;
+mod fault;
 mod record;
+mod reference;
 mod schema;
+mod source;
+mod toml_text;
--- a/crates/records/src/record.rs
+++ b/crates/records/src/record.rs
@@ -8,6 +8,9 @@
 /// Members of a replica group when a deployment does not say.
 const DEFAULT_GROUP_SIZE: u16 = 8;
 
+/// Kinds of records, by the names that their files give them.
+pub(crate) const KINDS: [&str; 3] = ["organisation", "deployment", "service"];
+
 /// One declared record.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
--- a/crates/records/src/schema.rs
+++ b/crates/records/src/schema.rs
@@ -6,7 +6,7 @@
 use jacinthpoint_types::ModelRef;
 use serde_json::{Map, Value};
 
-use crate::{error::RecordError, record::Record};
+use crate::{error::RecordError, fault::range_error, record::Record};
 
 /// Schema version that this release writes.
 pub const CURRENT_SCHEMA: u64 = 2;
@@ -27,7 +27,11 @@
         Some(PREVIOUS_SCHEMA) => convert_previous(&mut fields)?,
         Some(schema) => return Err(RecordError::UnknownSchema { schema }),
     }
-    serde_json::from_value(Value::Object(fields)).map_err(invalid)
+    let record = serde_json::from_value(Value::Object(fields)).map_err(invalid)?;
+    match range_error(&record) {
+        Some(error) => Err(error),
+        None => Ok(record),
+    }
 }
 
 fn invalid(error: impl ToString) -> RecordError {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,5 +4,6 @@
 mod macros;
 mod util;
 
+mod cli;
 mod groups;
 mod serving;
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -2,10 +2,12 @@
 
 pub use crate::util::{
     caller::{Call, KEYS},
+    command::{Folder, jacinthpoint},
     process::Process,
     site::{Site, SiteOptions, permitted_groups, wait_until},
 };
 
 mod caller;
+mod command;
 mod process;
 mod site;
