--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -9,6 +9,7 @@
     auth::{KeyDigest, key_digest},
     change::{Change, changes},
     config::{CONFIG_KIND, CONFIG_NAME, Config, ConfigError, RecordsObject},
+    delta::{Delta, apply_delta, delta},
     error::RecordError,
     record::{Deployment, Fencing, Organisation, Record, Service},
     schema::{CURRENT_SCHEMA, PREVIOUS_SCHEMA, record_from_json},
@@ -19,6 +20,7 @@
 mod auth;
 mod change;
 mod config;
+mod delta;
 mod error;
 mod fault;
 mod record;
