Announce a planned stop before the listener closes, and tell what is cut

Cause: the listener closed in the moment in which readiness failed, so a balancer still sent connections to it; a request counted as in flight only once it was read whole, so the process could exit on a half-sent one; a kept-alive connection was closed without a last look; closing with unread bytes reset the connection, which can overtake the answer. Ruled out: refusing new requests during the announcement, since the balancer would pass the refusals on; waiting for idle connections to close by themselves, since they may stay for a minute.

--- a/crates/core/commands/node.rs
+++ b/crates/core/commands/node.rs
@@ -78,13 +78,33 @@
     signals.store(0, Ordering::SeqCst);
     node.begin_drain();
     let deadline = Instant::now() + Duration::from_millis(node.drain_deadline_ms());
-    while node.wait_idle(POLL_MS) > 0 {
+    while !node.wait_drained(POLL_MS) {
         let second_signal = signals.load(Ordering::SeqCst) > 0;
         if second_signal || Instant::now() >= deadline {
-            let cut = node.in_flight();
-            eprintln!("jacinthpoint: stopped with {cut} requests cut");
-            return Exit::Cut;
+            return report_cut(node, second_signal);
         }
     }
     Exit::Success
 }
+
+/// Says what the end of the process cuts. Connections without a request lose nothing.
+fn report_cut(node: &Node, second_signal: bool) -> Exit {
+    let cut = node.open_requests();
+    let why = if second_signal {
+        "a second signal"
+    } else {
+        "the deadline of the planned stop"
+    };
+    eprintln!(
+        "jacinthpoint: stopped by {why} with {} requests cut",
+        cut.len()
+    );
+    for request in &cut {
+        eprintln!("jacinthpoint: cut {request}");
+    }
+    if cut.is_empty() {
+        Exit::Success
+    } else {
+        Exit::Cut
+    }
+}
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -27,7 +27,7 @@
     let refusal = match request {
         Ok(request) => route(shared, request, responder).err(),
         Err(RequestError::Refused(code, message)) => Some(Refusal::not_run(code, message)),
-        Err(RequestError::Closed | RequestError::Broken) => None,
+        Err(RequestError::Broken) => None,
     };
     if let Some(refusal) = refusal {
         answer::refuse(responder, &refusal);
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -11,6 +11,12 @@
     DrainBegan = 101,
     /// The node stopped; says how many requests were cut.
     NodeStopped = 102,
+    /// The planned stop closed the callers' listener.
+    ListenerClosed = 103,
+    /// A listener failed; the node can no longer do its work.
+    ListenerFailed = 104,
+    /// A request was cut by the end of a planned stop.
+    RequestCut = 105,
     /// A newer configuration is in force.
     ConfigInForce = 200,
     /// A configuration cannot be read; the one in force stays.
--- a/crates/node/src/http/request.rs
+++ b/crates/node/src/http/request.rs
@@ -14,8 +14,6 @@
 const MAX_HEADERS: usize = 64;
 /// Largest body.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
-/// Time to send a whole head once its first byte has come, and then the whole body.
-const READ_DEADLINE_MS: u64 = 10_000;
 /// Bytes read at once.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -48,9 +46,7 @@
 /// Why no request was read.
 #[derive(Debug)]
 pub(crate) enum RequestError {
-    /// The connection ended, or stayed idle too long, between requests.
-    Closed,
-    /// The connection failed or was too slow within a request.
+    /// The connection failed within a request.
     Broken,
     /// The request is refused; the connection is closed after the answer, since what follows on
     /// it cannot be told apart from the refused request.
@@ -64,6 +60,7 @@
 /// Reads requests off one connection.
 pub(crate) struct RequestReader<'a> {
     stream: &'a TcpStream,
+    read_deadline_ms: u64,
     buffer: Vec<u8>,
 }
 
@@ -75,38 +72,40 @@
 }
 
 impl<'a> RequestReader<'a> {
-    pub(crate) fn new(stream: &'a TcpStream) -> RequestReader<'a> {
+    pub(crate) fn new(stream: &'a TcpStream, read_deadline_ms: u64) -> RequestReader<'a> {
         RequestReader {
             stream,
+            read_deadline_ms,
             buffer: Vec::new(),
         }
     }
 
-    /// Reads the next request. `keep_waiting` is asked from time to time while none has begun.
-    pub(crate) fn next(
-        &mut self,
-        keep_waiting: impl Fn() -> bool,
-    ) -> Result<HttpRequest, RequestError> {
-        self.wait_for_first_byte(keep_waiting)?;
-        let deadline = Instant::now() + Duration::from_millis(READ_DEADLINE_MS);
-        let head = loop {
-            if let Some(head) = parse_head(&self.buffer)? {
-                break head;
-            }
-            if self.buffer.len() >= MAX_HEAD_BYTES {
-                return Err(RequestError::Refused(
-                    ResultCode::TooLarge,
-                    "the head is too large",
-                ));
+    /// Waits until a request has begun; `false` if the caller has closed, or `keep_waiting`, which
+    /// is asked from time to time, says so.
+    pub(crate) fn wait_for_first_byte(&mut self, keep_waiting: impl Fn() -> bool) -> bool {
+        const POLL: Duration = Duration::from_millis(100);
+        while self.buffer.is_empty() {
+            match self.read_some(POLL) {
+                Ok(0) => return false,
+                Ok(_) => {}
+                // Asked only after a look at the connection: a request that is there is served.
+                Err(error) if is_timeout(&error) && keep_waiting() => {}
+                Err(_) => return false,
             }
-            self.fill(deadline)?;
-        };
+        }
+        true
+    }
+
+    /// Reads the request that has begun.
+    pub(crate) fn next(&mut self) -> Result<HttpRequest, RequestError> {
+        let head = self.read_head()?;
         if head.expects_continue && head.body_bytes > 0 {
             let mut stream = self.stream;
             stream
                 .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
                 .map_err(|_| RequestError::Broken)?;
         }
+        let deadline = self.deadline();
         while self.buffer.len() < head.length + head.body_bytes {
             self.fill(deadline)?;
         }
@@ -116,20 +115,22 @@
         Ok(request)
     }
 
-    fn wait_for_first_byte(&mut self, keep_waiting: impl Fn() -> bool) -> Result<(), RequestError> {
-        const POLL: Duration = Duration::from_millis(100);
-        while self.buffer.is_empty() {
-            if !keep_waiting() {
-                return Err(RequestError::Closed);
+    fn read_head(&mut self) -> Result<Head, RequestError> {
+        let deadline = self.deadline();
+        loop {
+            if let Some(head) = parse_head(&self.buffer)? {
+                return Ok(head);
             }
-            match self.read_some(POLL) {
-                Ok(0) => return Err(RequestError::Closed),
-                Ok(_) => {}
-                Err(error) if is_timeout(&error) => {}
-                Err(_) => return Err(RequestError::Closed),
+            if self.buffer.len() >= MAX_HEAD_BYTES {
+                let message = "the head is too large";
+                return Err(RequestError::Refused(ResultCode::TooLarge, message));
             }
+            self.fill(deadline)?;
         }
-        Ok(())
+    }
+
+    fn deadline(&self) -> Instant {
+        Instant::now() + Duration::from_millis(self.read_deadline_ms)
     }
 
     fn fill(&mut self, deadline: Instant) -> Result<(), RequestError> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! limits; it carries events to the crates that do and carries out what they say.
 
 pub use crate::{
+    drain::OpenRequest,
     events::EventCode,
     node::Node,
     settings::{NodeSettings, SettingsError, parse_settings},
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener, UdpSocket},
     sync::Arc,
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crossbeam::channel;
@@ -13,6 +13,7 @@
 use crate::{
     caller,
     control::{config, members, messages, permits, planning, probing},
+    drain::OpenRequest,
     events::log_event,
     http::{HttpRequest, ListenerLimits, RequestError, Responder, serve},
     metrics::Metrics,
@@ -48,6 +49,7 @@
         let metrics = Metrics::new(settings.statsd)?;
         let limits = ListenerLimits {
             max_connections: settings.max_connections,
+            read_deadline_ms: settings.read_deadline_ms,
         };
         let node = Node {
             callers: settings.listen_callers,
@@ -83,6 +85,7 @@
             report(messages::run_peer_listener(shared, &peers));
         })?;
         operator::start(shared, operators)?;
+        shared.drain.set_listens(true);
         spawn("callers", shared, move |shared| {
             let handler = shared.clone();
             let handle = Arc::new(
@@ -91,7 +94,9 @@
                     caller::handle(&handler, request, responder);
                 },
             );
-            report(serve(&callers, limits, &shared.drain, handle));
+            report(serve(callers, limits, &shared.drain, handle));
+            shared.drain.set_listens(false);
+            log_event!(info, ListenerClosed, "no new connections");
         })?;
         log_event!(info, NodeStarted, node = %shared.settings.name, "started");
         Ok(node)
@@ -117,27 +122,21 @@
         self.shared.drain.is_draining()
     }
 
-    /// Begins a planned stop: no longer ready, no new connections.
+    /// Begins a planned stop: no longer ready, and after the stated time no new connections.
     pub fn begin_drain(&self) {
-        log_event!(
-            info,
-            DrainBegan,
-            in_flight = self.shared.drain.in_flight(),
-            "leaving"
-        );
-        self.shared.drain.begin();
+        self.shared.begin_drain();
     }
 
     /// Requests in flight.
-    pub fn in_flight(&self) -> u32 {
-        self.shared.drain.in_flight()
+    pub fn open_requests(&self) -> Vec<OpenRequest> {
+        self.shared.drain.open_requests()
     }
 
-    /// Waits at most `timeout_ms` for the requests in flight and returns how many are left.
-    pub fn wait_idle(&self, timeout_ms: u64) -> u32 {
-        self.shared
-            .drain
-            .wait_idle(Duration::from_millis(timeout_ms))
+    /// Waits at most `timeout_ms` for the end of a planned stop, and tells whether it is reached:
+    /// the listener is closed and no connection is open.
+    pub fn wait_drained(&self, timeout_ms: u64) -> bool {
+        let timeout = Duration::from_millis(timeout_ms);
+        self.shared.drain.wait_ended(timeout)
     }
 
     /// The longest planned stop, from the settings.
@@ -148,14 +147,13 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        self.shared.drain.begin();
+        let cut = self.shared.drain.open_requests();
+        self.shared.drain.begin(Instant::now());
         self.shared.stop();
-        log_event!(
-            info,
-            NodeStopped,
-            cut = self.shared.drain.in_flight(),
-            "stopped"
-        );
+        for request in &cut {
+            log_event!(warn, RequestCut, %request, "cut");
+        }
+        log_event!(info, NodeStopped, cut = cut.len(), "stopped");
     }
 }
 
@@ -174,6 +172,6 @@
 /// A listener that failed leaves the node useless; the log says why.
 fn report(result: io::Result<()>) {
     if let Err(error) = result {
-        log_event!(error, NodeStopped, %error, "listener failed");
+        log_event!(error, ListenerFailed, %error, "listener failed");
     }
 }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -42,7 +42,7 @@
         (Method::Get, "/status") => (200, format!("{:#}\n", status(shared))),
         (Method::Get, "/metrics") => (200, shared.metrics.page()),
         (Method::Post, "/drain") => {
-            shared.drain.begin();
+            shared.begin_drain();
             (202, "draining\n".to_owned())
         }
         _ => (404, "no such path\n".to_owned()),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -12,6 +12,11 @@
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 /// Open callers' connections beyond which new ones are refused.
 const DEFAULT_MAX_CONNECTIONS: usize = 2_000;
+/// Time for a caller to send a whole head, and then the whole body.
+const DEFAULT_READ_DEADLINE_MS: u64 = 10_000;
+/// Time between the loss of readiness and the close of the listener; a balancer that checks every
+/// second and takes a node out after three failures sees it in time.
+const DEFAULT_DRAIN_ANNOUNCE_MS: u64 = 5_000;
 /// Longest planned stop.
 const DEFAULT_DRAIN_DEADLINE_MS: u64 = 120_000;
 
@@ -36,7 +41,11 @@
     pub default_deadline_ms: u64,
     /// Open callers' connections allowed.
     pub max_connections: usize,
-    /// Longest planned stop.
+    /// Time for a caller to send a whole head, and then the whole body.
+    pub read_deadline_ms: u64,
+    /// Time between the loss of readiness and the close of the listener in a planned stop.
+    pub drain_announce_ms: u64,
+    /// Longest planned stop, the announcement included.
     pub drain_deadline_ms: u64,
     /// Where metrics are sent.
     pub statsd: Option<SocketAddr>,
@@ -63,6 +72,8 @@
         &[
             "default_deadline_ms",
             "max_connections",
+            "read_deadline_ms",
+            "drain_announce_ms",
             "drain_deadline_ms",
         ],
     ),
@@ -114,6 +125,8 @@
         let seeds = self.list("peers", "seeds");
         let deadline_ms = self.optional("limits", "default_deadline_ms");
         let max_connections = self.optional("limits", "max_connections");
+        let read_deadline_ms = self.optional("limits", "read_deadline_ms");
+        let drain_announce_ms = self.optional("limits", "drain_announce_ms");
         let drain_deadline_ms = self.optional("limits", "drain_deadline_ms");
         let statsd = self.optional("metrics", "statsd");
         let settings = NodeSettings {
@@ -126,6 +139,8 @@
             seeds,
             default_deadline_ms: deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS),
             max_connections: max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
+            read_deadline_ms: read_deadline_ms.unwrap_or(DEFAULT_READ_DEADLINE_MS),
+            drain_announce_ms: drain_announce_ms.unwrap_or(DEFAULT_DRAIN_ANNOUNCE_MS),
             drain_deadline_ms: drain_deadline_ms.unwrap_or(DEFAULT_DRAIN_DEADLINE_MS),
             statsd,
         };
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -7,7 +7,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use jacinthpoint_membership::Membership;
@@ -22,6 +22,7 @@
     clock::{Clock, unix_now_ms},
     control::Domains,
     drain::Drain,
+    events::log_event,
     metrics::Metrics,
     settings::NodeSettings,
 };
@@ -95,6 +96,15 @@
         self.stopped.store(true, Ordering::SeqCst);
     }
 
+    /// Begins the planned stop, unless it has begun already.
+    pub(crate) fn begin_drain(&self) {
+        let announce = Duration::from_millis(self.settings.drain_announce_ms);
+        if self.drain.begin(Instant::now() + announce) {
+            let in_flight = self.drain.in_flight();
+            log_event!(info, DrainBegan, in_flight, "no longer ready");
+        }
+    }
+
     pub(crate) fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::SeqCst)
     }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -6,4 +6,5 @@
 
 mod cli;
 mod groups;
+mod planned_stop;
 mod serving;
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -3,11 +3,13 @@
 pub use crate::util::{
     caller::{Call, KEYS},
     command::{Folder, jacinthpoint},
+    lone_node::LoneNode,
     process::Process,
-    site::{Site, SiteOptions, permitted_groups, wait_until},
+    site::{Site, SiteOptions, permitted_groups, status, wait_until},
 };
 
 mod caller;
 mod command;
+mod lone_node;
 mod process;
 mod site;
--- a/tests/util/process.rs
+++ b/tests/util/process.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// First line that it printed.
+    pub fn first_line(&self) -> &str {
+        &self.first_line
+    }
+
     /// Sends a signal, such as `TERM`, `STOP`, `CONT` or `KILL`.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
