--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use jacinthpoint_membership::Membership;
@@ -18,6 +18,7 @@
     clock::{Clock, unix_now_ms},
     control::Domains,
     drain::Drain,
+    events::log_event,
     metrics::Metrics,
     settings::NodeSettings,
 };
@@ -92,6 +93,15 @@
         self.stop_signal.notify_all();
     }
 
+    /// Begins the planned stop, unless it has begun already.
+    pub(crate) fn begin_drain(&self) {
+        let announce = Duration::from_millis(self.settings.drain_announce_ms);
+        if self.drain.begin(Instant::now() + announce) {
+            let in_flight = self.drain.in_flight();
+            log_event!(info, DrainBegan, in_flight, "no longer ready");
+        }
+    }
+
     pub(crate) fn is_stopped(&self) -> bool {
         *self.stopped.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,6 +4,8 @@
 mod macros;
 mod util;
 
+mod cli;
 mod configuration;
 mod groups;
+mod planned_stop;
 mod serving;
