Make placement a decision crate with a controller for each fabric domain

Cause: the planner was a pure function, but the state around it (plan known, health of VMs over time, lost answers, orders, pacing) lived in the node's planning thread, where no test could drive it. A VM counted as live or not with no time between, a replacement on the same address counted as the old member, and group ids started again when the plan was lost.

Ruled out: a lease for the controller, since safety must not rest on one; a trait for the platform and engines, since events and actions carry the same information and can be reordered by a test.

Change: `Controller::handle(now, event)` returns actions; the node carries them out and decides nothing. Included: repair by weighted costs, standby swaps without the platform that keep more than half of the planned members, authority for engines that ignore fencing numbers, paced loads, plan reads on evidence in place of four a second, shares of domains with hysteresis, settings in `[repair]`.

Conclusion: the decisions can now be driven without a process.

--- a/crates/core/commands/demo.rs
+++ b/crates/core/commands/demo.rs
@@ -15,7 +15,7 @@
     time::{Duration, Instant},
 };
 
-use jacinthpoint_node::{Node, NodeSettings};
+use jacinthpoint_node::{Node, NodeSettings, RepairSettings};
 use jacinthpoint_platform::{MemberRole, MemberState, Platform, PlatformMember, Version};
 use jacinthpoint_records::{CONFIG_KIND, CONFIG_NAME, RecordsObject, key_digest};
 use jacinthpoint_standins::{
@@ -154,6 +154,7 @@
             max_connections: 200,
             drain_deadline_ms: 10_000,
             statsd: None,
+            repair: RepairSettings::new(),
         })
     }
 
--- a/crates/node/src/control/domains.rs
+++ b/crates/node/src/control/domains.rs
@@ -5,56 +5,59 @@
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
-use jacinthpoint_placement::Plan;
-use jacinthpoint_platform::Version;
-use jacinthpoint_readiness::{ProbeReport, Prober};
-use jacinthpoint_types::{DataCentreId, FabricDomainId, TimeMs, VmId};
+use jacinthpoint_placement::{Action, Controller, DomainShares, Event, RepairSettings};
+use jacinthpoint_readiness::Prober;
+use jacinthpoint_types::{Assignment, DataCentreId, FabricDomainId, TimeMs};
 
-/// The plan of a domain as last read or written.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct KnownPlan {
-    pub(crate) version: Version,
-    pub(crate) plan: Plan,
-}
-
-/// Last probe of a VM that was answered.
-#[derive(Debug, Clone)]
-pub(crate) struct VmSight {
-    pub(crate) answered_at: TimeMs,
-    pub(crate) report: ProbeReport,
-}
+use crate::events::log_event;
 
 /// One fabric domain.
 #[derive(Debug)]
 pub(crate) struct Domain {
     pub(crate) data_centre: DataCentreId,
-    pub(crate) known: Option<KnownPlan>,
     pub(crate) prober: Prober,
-    pub(crate) sights: BTreeMap<VmId, VmSight>,
+    pub(crate) controller: Controller,
+    pub(crate) shares: DomainShares,
+    /// The groups as the prober was last told of them.
+    probed: Vec<Assignment>,
 }
 
 impl Domain {
-    pub(crate) fn new(data_centre: DataCentreId) -> Domain {
+    pub(crate) fn new(
+        name: FabricDomainId,
+        data_centre: DataCentreId,
+        settings: RepairSettings,
+    ) -> Domain {
         Domain {
             data_centre,
-            known: None,
             prober: Prober::new(),
-            sights: BTreeMap::new(),
+            // Controllers of different nodes and of different starts must not share a seed.
+            controller: Controller::new(name, settings, rand::random()),
+            shares: DomainShares::default(),
+            probed: Vec::new(),
+        }
+    }
+
+    /// Tells the controller an event, and the prober which groups there are then.
+    pub(crate) fn handle(&mut self, now: TimeMs, event: Event) -> Vec<Action> {
+        let actions = self.controller.handle(now, event);
+        let assignments = self.controller.assignments();
+        if assignments != self.probed {
+            self.log_swaps(&assignments);
+            self.prober.set_groups(assignments.iter().cloned());
+            self.probed = assignments;
         }
+        actions
     }
 
-    /// Takes a plan unless a newer one is known.
-    pub(crate) fn learn(&mut self, known: KnownPlan) {
-        if self
-            .known
-            .as_ref()
-            .is_some_and(|old| old.version > known.version)
-        {
-            return;
+    fn log_swaps(&self, assignments: &[Assignment]) {
+        let swapped = assignments
+            .iter()
+            .filter(|assignment| assignment.epoch.is_swap() && !self.probed.contains(assignment));
+        for assignment in swapped {
+            let (group, epoch) = (&assignment.group, assignment.epoch);
+            log_event!(warn, StandbySwapped, %group, %epoch, "without the platform");
         }
-        self.prober
-            .set_groups(known.plan.groups.iter().map(|group| group.assignment()));
-        self.known = Some(known);
     }
 }
 
--- /dev/null
+++ b/crates/node/src/control/planning/actions.rs
@@ -0,0 +1,153 @@
+//! Carries out the actions of a controller and tells it how they ended.
+
+use std::collections::VecDeque;
+
+use jacinthpoint_placement::{Action, Event, Order, OrderResult, Plan, PlanVersion};
+use jacinthpoint_platform::{Object, PlatformError, Version};
+use jacinthpoint_types::{Deadline, FabricDomainId, MemberAddress};
+use jacinthpoint_upstream::{self as upstream, OrderReply};
+
+use crate::{events::log_event, shared::Shared};
+
+/// Kind of the platform's objects that hold the plans, one a fabric domain.
+const PLAN_KIND: &str = "plans";
+/// Time for an engine to take an order.
+const ORDER_TIMEOUT_MS: u64 = 500;
+
+/// Tells the controller of a domain an event, and carries out all that follows from it.
+pub(crate) fn carry_out(shared: &Shared, domain: &FabricDomainId, event: Event) {
+    let mut actions = VecDeque::from(tell(shared, domain, event));
+    while let Some(action) = actions.pop_front() {
+        if let Some(event) = perform(shared, domain, action) {
+            actions.extend(tell(shared, domain, event));
+        }
+    }
+}
+
+fn tell(shared: &Shared, domain: &FabricDomainId, event: Event) -> Vec<Action> {
+    let now = shared.now();
+    let mut domains = shared.domains.lock();
+    match domains.get_mut(domain) {
+        Some(domain) => domain.handle(now, event),
+        None => Vec::new(),
+    }
+}
+
+fn perform(shared: &Shared, domain: &FabricDomainId, action: Action) -> Option<Event> {
+    match action {
+        Action::ReadPlan => Some(read_plan(shared, domain)),
+        Action::WritePlan { expected, plan } => Some(write_plan(shared, domain, expected, &plan)),
+        Action::Order {
+            member,
+            order,
+            deadline,
+        } => Some(Event::OrderEnded {
+            result: give_order(shared, &member, order, deadline),
+            vm: member.vm,
+        }),
+    }
+}
+
+fn read_plan(shared: &Shared, domain: &FabricDomainId) -> Event {
+    let asked_at = shared.now();
+    match shared.platform.get(PLAN_KIND, domain.as_str()) {
+        Ok(Some(object)) => match parse(domain, object) {
+            Some((version, plan)) => Event::PlanRead {
+                asked_at,
+                version,
+                plan,
+            },
+            None => Event::PlatformFailed,
+        },
+        Ok(None) => Event::PlanRead {
+            asked_at,
+            version: PlanVersion::default(),
+            plan: Plan::default(),
+        },
+        Err(error) => {
+            log_event!(warn, PlatformFailed, %domain, %error, "plan not read");
+            Event::PlatformFailed
+        }
+    }
+}
+
+fn parse(domain: &FabricDomainId, object: Object) -> Option<(PlanVersion, Plan)> {
+    match serde_json::from_value::<Plan>(object.value) {
+        Ok(plan) => Some((PlanVersion(object.version.0), plan)),
+        Err(error) => {
+            log_event!(error, PlatformFailed, %domain, %error, "plan is malformed");
+            None
+        }
+    }
+}
+
+fn write_plan(
+    shared: &Shared,
+    domain: &FabricDomainId,
+    expected: PlanVersion,
+    plan: &Plan,
+) -> Event {
+    let asked_at = shared.now();
+    let expected = Version(expected.0);
+    match shared
+        .platform
+        .update(PLAN_KIND, domain.as_str(), expected, plan)
+    {
+        Ok(version) => {
+            let (groups, fence) = (plan.groups.len(), plan.fence);
+            log_event!(info, PlanWritten, %domain, %version, groups, fence, "planned");
+            Event::PlanWritten {
+                asked_at,
+                version: PlanVersion(version.0),
+            }
+        }
+        Err(PlatformError::Conflict { current }) => {
+            log_event!(info, PlanConflict, %domain, version = %current.version, "lost a race");
+            match parse(domain, *current) {
+                Some((version, plan)) => Event::PlanConflict {
+                    asked_at,
+                    version,
+                    plan,
+                },
+                None => Event::PlatformFailed,
+            }
+        }
+        Err(error) if error.is_ambiguous() => {
+            log_event!(warn, PlatformFailed, %domain, %error, "plan may be written, reading back");
+            Event::PlanAmbiguous
+        }
+        Err(error) => {
+            log_event!(warn, PlatformFailed, %domain, %error, "plan not written");
+            Event::PlatformFailed
+        }
+    }
+}
+
+fn give_order(
+    shared: &Shared,
+    member: &MemberAddress,
+    order: Order,
+    deadline: Deadline,
+) -> OrderResult {
+    let order = match order {
+        Order::Serve { assignment } => upstream::Order::Serve { assignment },
+        Order::Leave { group, epoch } => upstream::Order::Leave { group, epoch },
+    };
+    let vm = &member.vm;
+    // The last step before sending: this process may have been paused since the order was decided.
+    if deadline.has_passed(shared.now()) {
+        log_event!(warn, OrderExpired, %vm, "not sent");
+        return OrderResult::Expired;
+    }
+    match upstream::order(member.address, &order, ORDER_TIMEOUT_MS) {
+        Ok(OrderReply::Accepted) => OrderResult::Accepted,
+        Ok(OrderReply::Fenced { highest }) => {
+            log_event!(warn, OrderFenced, %vm, %highest, "plan is outdated");
+            OrderResult::Fenced { highest }
+        }
+        Err(error) => {
+            log_event!(warn, OrderFailed, %vm, %error, "order failed");
+            OrderResult::NoAnswer
+        }
+    }
+}
--- a/crates/node/src/control/probing.rs
+++ b/crates/node/src/control/probing.rs
@@ -3,14 +3,13 @@
 use std::net::SocketAddr;
 
 use crossbeam::channel;
-use jacinthpoint_readiness::ProbeReport;
+use jacinthpoint_placement::{Event, ProbeEvidence};
+use jacinthpoint_readiness::{ProbeReport, STRAGGLER_SLOWNESS};
 use jacinthpoint_types::{FabricDomainId, TimeMs, VmId};
+use jacinthpoint_upstream::EngineState;
 
 use crate::{
-    control::{
-        domains::{Domain, VmSight},
-        members::engines_by_domain,
-    },
+    control::{domains::Domain, members::engines_by_domain},
     shared::Shared,
 };
 
@@ -64,9 +63,9 @@
     domains.retain(|name, _| own.contains_key(name));
     let mut targets = Vec::new();
     for (name, (data_centre, engines)) in own {
-        domains
-            .entry(name.clone())
-            .or_insert_with(|| Domain::new(data_centre));
+        domains.entry(name.clone()).or_insert_with(|| {
+            Domain::new(name.clone(), data_centre, shared.settings.repair.clone())
+        });
         targets.extend(engines.into_iter().map(|engine| Target {
             domain: name.clone(),
             vm: engine.vm.clone(),
@@ -79,6 +78,41 @@
 fn probe(shared: &Shared, target: &Target) {
     let sent_at = shared.now();
     let state = jacinthpoint_upstream::state(target.address, PROBE_TIMEOUT_MS).ok();
+    let now = shared.now();
+    if let Some(domain) = shared.domains.lock().get_mut(&target.domain) {
+        take_state(domain, target, sent_at, now, state);
+    }
+}
+
+fn take_state(
+    domain: &mut Domain,
+    target: &Target,
+    sent_at: TimeMs,
+    now: TimeMs,
+    state: Option<EngineState>,
+) {
+    let evidence = state
+        .as_ref()
+        .filter(|state| state.vm == target.vm)
+        .map(|state| ProbeEvidence {
+            address: target.address,
+            incarnation: state.incarnation,
+            believed: state.assignment.clone(),
+            ready: state.ready,
+            straggles: state.slowness >= STRAGGLER_SLOWNESS,
+        });
+    // The controller first: the answer may tell of a standby swap that the prober has to know.
+    if let Some(evidence) = evidence {
+        let vm = target.vm.clone();
+        domain.handle(
+            now,
+            Event::Probe {
+                vm,
+                sent_at,
+                evidence,
+            },
+        );
+    }
     let report = state.map(|state| ProbeReport {
         vm: state.vm,
         assignment: state.assignment,
@@ -87,9 +121,7 @@
         load: state.running + state.queued,
         load_age_ms: state.report_age_ms,
     });
-    if let Some(domain) = shared.domains.lock().get_mut(&target.domain) {
-        take_report(domain, &target.vm, sent_at, report);
-    }
+    take_report(domain, &target.vm, sent_at, report);
 }
 
 fn take_report(domain: &mut Domain, vm: &VmId, sent_at: TimeMs, report: Option<ProbeReport>) {
@@ -104,13 +136,4 @@
             .prober
             .on_report(&group, vm, sent_at, report.as_ref());
     }
-    if let Some(report) = report.filter(|report| &report.vm == vm) {
-        domain.sights.insert(
-            vm.clone(),
-            VmSight {
-                answered_at: sent_at,
-                report,
-            },
-        );
-    }
 }
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -25,6 +25,10 @@
     OrderFenced = 302,
     /// An order did not reach its engine.
     OrderFailed = 303,
+    /// A standby replaced a member while the platform could not be asked.
+    StandbySwapped = 304,
+    /// An order was not sent, because its authority had run out.
+    OrderExpired = 305,
     /// A message of a node could not be read.
     MessageDropped = 400,
     /// An attempt failed; the request goes on elsewhere.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
     node::Node,
     settings::{NodeSettings, SettingsError, parse_settings},
 };
+pub use jacinthpoint_placement::RepairSettings;
 
 mod caller;
 mod clock;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use ini::Ini;
+use jacinthpoint_placement::RepairSettings;
 use jacinthpoint_types::{DataCentreId, NodeId};
 
 /// Requests without a deadline of their own get this one.
@@ -40,6 +41,8 @@
     pub drain_deadline_ms: u64,
     /// Where metrics are sent.
     pub statsd: Option<SocketAddr>,
+    /// Weights, estimates and limits of repairs.
+    pub repair: RepairSettings,
 }
 
 /// One fault of a settings file.
@@ -67,6 +70,18 @@
         ],
     ),
     ("metrics", &["statsd"]),
+    (
+        "repair",
+        &[
+            "group_downtime_weight",
+            "stranded_weight",
+            "load_ms",
+            "replace_ms",
+            "wait_ms",
+            "max_loads",
+            "damping_ms",
+        ],
+    ),
 ];
 
 /// Reads and checks a settings file.
@@ -116,6 +131,7 @@
         let max_connections = self.optional("limits", "max_connections");
         let drain_deadline_ms = self.optional("limits", "drain_deadline_ms");
         let statsd = self.optional("metrics", "statsd");
+        let repair = self.repair();
         let settings = NodeSettings {
             name: name?,
             data_centre: data_centre?,
@@ -128,11 +144,38 @@
             max_connections: max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
             drain_deadline_ms: drain_deadline_ms.unwrap_or(DEFAULT_DRAIN_DEADLINE_MS),
             statsd,
+            repair,
         };
         self.check_clashes(&settings);
         Some(settings)
     }
 
+    fn repair(&mut self) -> RepairSettings {
+        const SECTION: &str = "repair";
+        let defaults = RepairSettings::new();
+        let downtime_weight = self.optional(SECTION, "group_downtime_weight");
+        let stranded_weight = self.optional(SECTION, "stranded_weight");
+        let load_ms = self.optional(SECTION, "load_ms");
+        let replace_ms = self.optional(SECTION, "replace_ms");
+        let wait_ms = self.optional(SECTION, "wait_ms");
+        let max_loads = self.optional(SECTION, "max_loads");
+        let damping_ms = self.optional(SECTION, "damping_ms");
+        if max_loads == Some(0) {
+            let message = "`max_loads` must be at least 1".to_owned();
+            self.fail(SECTION, Some("max_loads"), message);
+        }
+        RepairSettings {
+            group_downtime_weight: downtime_weight.unwrap_or(defaults.group_downtime_weight),
+            stranded_weight: stranded_weight.unwrap_or(defaults.stranded_weight),
+            load_ms: load_ms.unwrap_or(defaults.load_ms),
+            replace_ms: replace_ms.unwrap_or(defaults.replace_ms),
+            wait_ms: wait_ms.unwrap_or(defaults.wait_ms),
+            max_loads: max_loads.unwrap_or(defaults.max_loads),
+            damping_ms: damping_ms.unwrap_or(defaults.damping_ms),
+            repairs: defaults.repairs,
+        }
+    }
+
     fn check_keys(&mut self) {
         for (section, properties) in self.ini.iter() {
             let section = section.unwrap_or_default();
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,14 +2,26 @@
 //!
 //! A group never leaves its fabric domain, so the plan of a domain is one object, and a
 //! conditional update of it is atomic: no VM can be in two groups, whatever the timing. This crate
-//! does no I/O; it is given what is known and returns the next plan, if another one is wanted.
+//! does no I/O: a [`Controller`] is told events and the time, and returns actions.
 
 pub use crate::{
-    plan::{GroupPlan, Plan},
-    planner::{Demand, VmHealth, VmView, next_plan},
-    share::domain_share,
+    controller::Controller,
+    event::{Action, Demand, Event, ListedVm, Order, OrderResult, ProbeEvidence},
+    health::{VM_SUSPECT_MS, VmHealth, VmView},
+    plan::{GroupPlan, Plan, PlanVersion},
+    planner::{PlanInput, next_plan},
+    settings::{RepairSettings, Repairs},
+    share::{DomainShares, Spread, domain_share},
+    store::AUTHORITY_MS,
 };
 
+mod controller;
+mod event;
+mod health;
+mod orders;
 mod plan;
 mod planner;
+mod settings;
 mod share;
+mod store;
+mod swap;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -1,10 +1,26 @@
 //! The plan of one fabric domain, as the platform holds it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use jacinthpoint_types::{Assignment, DeploymentId, Epoch, GroupId, MemberAddress, ModelRef};
+use jacinthpoint_types::{Assignment, DeploymentId, Epoch, GroupId, MemberAddress, ModelRef, VmId};
 use serde::{Deserialize, Serialize};
 
+/// Version of the object that holds a plan; 0 before the first one is written.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    derive_more::Display,
+    derive_more::FromStr,
+)]
+pub struct PlanVersion(pub u64);
+
 /// One replica group of a plan.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupPlan {
@@ -37,6 +53,40 @@
     pub fn all_vms(&self) -> impl Iterator<Item = &MemberAddress> {
         self.members.iter().chain(&self.standbys)
     }
+
+    /// Whether `swapped` may have grown from this group by standby swaps without the platform.
+    ///
+    /// It must keep more than half of the planned members. Any two such assignments then share a
+    /// VM, and a VM believes in one assignment at a time, so two controllers that both swap never
+    /// yield two whole configurations.
+    pub fn allows_swap(&self, swapped: &Assignment) -> bool {
+        let own: BTreeSet<&MemberAddress> = self.all_vms().collect();
+        let distinct: BTreeSet<&MemberAddress> = swapped.members.iter().collect();
+        swapped.group == self.id
+            && swapped.model == self.model
+            && swapped.epoch > self.epoch
+            && swapped.epoch.fence() == self.epoch.fence()
+            && distinct.len() == self.members.len()
+            && swapped.members.len() == self.members.len()
+            && distinct.is_subset(&own)
+            && self.has_quorum(&swapped.members)
+    }
+
+    fn has_quorum(&self, members: &[MemberAddress]) -> bool {
+        let kept = self
+            .members
+            .iter()
+            .filter(|member| members.contains(member));
+        kept.count() * 2 > self.members.len()
+    }
+
+    /// Takes a swap over into the group. Members that were swapped out belong to it no longer.
+    pub fn apply_swap(&mut self, swapped: &Assignment, epoch: Epoch) {
+        self.members = swapped.members.clone();
+        self.standbys
+            .retain(|standby| !swapped.members.contains(standby));
+        self.epoch = epoch;
+    }
 }
 
 /// All groups of one fabric domain.
@@ -46,9 +96,21 @@
     pub fence: u64,
     /// The groups.
     pub groups: Vec<GroupPlan>,
+    /// Tag of the controller that wrote this plan.
+    #[serde(default)]
+    pub writer: u64,
+    /// Incarnation of each VM's engine when it was planned. An engine that started again has lost
+    /// its weights and the fencing numbers it had seen, so it is not the member that was planned.
+    #[serde(default)]
+    pub incarnations: BTreeMap<VmId, u64>,
 }
 
 impl Plan {
+    /// The group with this id.
+    pub fn group(&self, id: &GroupId) -> Option<&GroupPlan> {
+        self.groups.iter().find(|group| &group.id == id)
+    }
+
     /// Whether no VM stands in two places. Every plan that is written holds this.
     pub fn is_disjoint(&self) -> bool {
         let mut seen = BTreeSet::new();
--- a/crates/placement/src/share.rs
+++ b/crates/placement/src/share.rs
@@ -1,34 +1,163 @@
 //! Deals a deployment's groups over fabric domains.
 
-use jacinthpoint_types::FabricDomainId;
+use std::collections::BTreeMap;
 
-/// Groups of a deployment that `domain` shall run, out of `replicas` over all `domains` with their
-/// numbers of VMs.
+use jacinthpoint_types::{DeploymentId, FabricDomainId, TimeMs, rank};
+
+/// A domain's number of VMs counts as changed after it has been different for this long: longer
+/// than controllers that read a lagging list can differ.
+const SIZE_HOLD_MS: u64 = 5_000;
+/// A share falls after it should have been smaller for this long, so that a domain that comes back
+/// has its groups serving before others give theirs up.
+const SHRINK_HOLD_MS: u64 = 120_000;
+
+/// Groups of a deployment over all domains.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Spread {
+    /// The deployment.
+    pub deployment: DeploymentId,
+    /// Groups wanted over all domains.
+    pub replicas: u16,
+    /// Members of each.
+    pub group_size: u16,
+    /// Standbys of each.
+    pub standbys: u16,
+}
+
+/// Deals the groups of one deployment to the domains and takes their VMs off `free`.
 ///
-/// Each group goes to the domain with the most VMs left, so that every controller that sees the
-/// same list gets the same split without asking the others. Groups that fit nowhere are dealt to
-/// nobody.
+/// Each group goes to the domain that has fewest of them among those with room, so that every
+/// controller that sees the same sizes gets the same split without asking the others, and the loss
+/// of a VM moves no group as long as its domain still has room. Groups that fit nowhere are dealt
+/// to nobody.
 pub fn domain_share(
-    domain: &FabricDomainId,
-    domains: &[(FabricDomainId, usize)],
+    free: &mut BTreeMap<FabricDomainId, usize>,
+    spread: &Spread,
+) -> BTreeMap<FabricDomainId, u16> {
+    let size = usize::from(spread.group_size);
+    let with_standbys = size + usize::from(spread.standbys);
+    let mut shares: BTreeMap<FabricDomainId, u16> = BTreeMap::new();
+    for _ in 0..spread.replicas {
+        let best = emptiest(free, &shares, spread, with_standbys)
+            .or_else(|| emptiest(free, &shares, spread, size));
+        let Some(best) = best else { break };
+        if let Some(vms) = free.get_mut(&best) {
+            *vms = vms.saturating_sub(with_standbys);
+        }
+        *shares.entry(best).or_default() += 1;
+    }
+    shares
+}
+
+fn emptiest(
+    free: &BTreeMap<FabricDomainId, usize>,
+    shares: &BTreeMap<FabricDomainId, u16>,
+    spread: &Spread,
+    needed: usize,
+) -> Option<FabricDomainId> {
+    let with_room = free.iter().filter(|(_, vms)| **vms >= needed);
+    let best = with_room.map(|(domain, _)| domain).min_by_key(|domain| {
+        let share = shares.get(*domain).copied().unwrap_or(0);
+        let weight = rank(spread.deployment.as_str(), domain.as_str());
+        (share, u64::MAX - weight)
+    });
+    best.cloned()
+}
+
+#[derive(Debug)]
+struct DomainSize {
+    held: usize,
+    /// Since when it has been different, and the value nearest to the held one since then.
+    differs: Option<(TimeMs, usize)>,
+}
+
+#[derive(Debug)]
+struct HeldShare {
     replicas: u16,
-    group_size: u16,
-) -> u16 {
-    let group_size = usize::from(group_size);
-    let mut free: Vec<(&FabricDomainId, usize)> =
-        domains.iter().map(|(name, vms)| (name, *vms)).collect();
-    let mut share = 0;
-    for _ in 0..replicas {
-        let best = free
-            .iter_mut()
-            .max_by(|a, b| a.1.cmp(&b.1).then_with(|| b.0.cmp(a.0)));
-        let Some(best) = best.filter(|best| best.1 >= group_size) else {
-            break;
-        };
-        best.1 -= group_size;
-        if best.0 == domain {
-            share += 1;
+    share: u16,
+    smaller_since: Option<TimeMs>,
+}
+
+/// Sizes of all domains and the shares of one, both with hysteresis.
+#[derive(Debug, Default)]
+pub struct DomainShares {
+    sizes: BTreeMap<FabricDomainId, DomainSize>,
+    shares: BTreeMap<DeploymentId, HeldShare>,
+}
+
+impl DomainShares {
+    /// Takes in the numbers of VMs that the platform's list has now.
+    pub fn observe(&mut self, now: TimeMs, listed: &BTreeMap<FabricDomainId, usize>) {
+        for (domain, vms) in listed {
+            self.sizes.entry(domain.clone()).or_insert(DomainSize {
+                held: *vms,
+                differs: None,
+            });
+        }
+        for (domain, size) in &mut self.sizes {
+            size.observe(now, listed.get(domain).copied().unwrap_or(0));
+        }
+        self.sizes
+            .retain(|domain, size| size.held > 0 || listed.contains_key(domain));
+    }
+
+    /// The sizes to deal by.
+    pub fn sizes(&self) -> BTreeMap<FabricDomainId, usize> {
+        let sizes = self.sizes.iter();
+        sizes
+            .map(|(domain, size)| (domain.clone(), size.held))
+            .collect()
+    }
+
+    /// The share to keep of a deployment, given the share just dealt and the groups there are.
+    pub fn hold(&mut self, now: TimeMs, spread: &Spread, dealt: u16, planned: usize) -> u16 {
+        let planned = u16::try_from(planned).unwrap_or(u16::MAX);
+        let held = self
+            .shares
+            .entry(spread.deployment.clone())
+            .or_insert(HeldShare {
+                replicas: spread.replicas,
+                share: dealt.max(planned.min(spread.replicas)),
+                smaller_since: None,
+            });
+        if held.replicas != spread.replicas || dealt >= held.share {
+            held.replicas = spread.replicas;
+            held.share = dealt;
+            held.smaller_since = None;
+            return dealt;
+        }
+        let since = *held.smaller_since.get_or_insert(now);
+        if now.since_ms(since) >= SHRINK_HOLD_MS {
+            held.share = dealt;
+            held.smaller_since = None;
+        }
+        held.share
+    }
+}
+
+impl DomainSize {
+    fn observe(&mut self, now: TimeMs, seen: usize) {
+        let was_above = self.differs.map(|(_, nearest)| nearest > self.held);
+        if seen == self.held {
+            self.differs = None;
+            return;
+        }
+        let is_above = seen > self.held;
+        match &mut self.differs {
+            Some((_, nearest)) if was_above == Some(is_above) => {
+                *nearest = if is_above {
+                    seen.min(*nearest)
+                } else {
+                    seen.max(*nearest)
+                };
+            }
+            differs => *differs = Some((now, seen)),
+        }
+        if let Some((since, nearest)) = self.differs
+            && now.since_ms(since) >= SIZE_HOLD_MS
+        {
+            self.held = nearest;
+            self.differs = None;
         }
     }
-    share
 }
--- a/crates/types/src/epoch.rs
+++ b/crates/types/src/epoch.rs
@@ -38,6 +38,11 @@
         self.0 >> SWAP_BITS
     }
 
+    /// Whether it counts a swap made without the platform.
+    pub fn is_swap(self) -> bool {
+        self != Epoch::from_fence(self.fence())
+    }
+
     /// The epoch after one more swap without the platform, or `None` when the swaps since the
     /// last plan are used up.
     pub fn after_swap(self) -> Option<Epoch> {
