--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
     node::Node,
     settings::{NodeSettings, SettingsError, parse_settings},
 };
+pub use jacinthpoint_placement::RepairSettings;
 
 mod caller;
 mod clock;
