Renew permits by their terms alone while the groups stay the same

Cause: each renewal carried every member's name and address, 298 bytes a group, though groups change rarely and only the validity and the load change. Ruled out: longer permits, which would keep a broken group open longer. Change: a node names the digest of the groups that it knows from a prober and gets 5 bytes of terms a group while that is right. Asked for every 400 ms instead of 250, still three times within the life of a permit.

--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -11,10 +11,9 @@
 use crossbeam::channel::Sender;
 use jacinthpoint_membership::Send;
 use jacinthpoint_platform::MemberRole;
-use jacinthpoint_types::Deadline;
 use jacinthpoint_wire::{
-    Datagram, MAX_DATAGRAM_BYTES, PeerNews, PeerReply, PeerRequest, PeerStatus, PermitGrant,
-    decode, encode, read_frame, write_frame,
+    Datagram, MAX_DATAGRAM_BYTES, PeerNews, PeerReply, PeerRequest, PeerStatus, decode, encode,
+    read_frame, write_frame,
 };
 
 use crate::{
@@ -139,45 +138,36 @@
                 let _ = told.try_send(address);
             }
         }
-        Datagram::PermitRequest { sent_at, reply_to } => {
-            for grants in split_grants(permits::own_grants(shared)) {
-                let reply = Datagram::PermitReply {
-                    echo: sent_at,
-                    grants,
-                };
-                let _ = socket.send_to(&encode(&reply), reply_to);
-            }
-        }
-        Datagram::PermitReply { echo, grants } => {
-            // An echo from the future was not sent by this node, or before its last start.
-            if echo > shared.now() {
-                return;
-            }
-            for grant in grants {
-                let deadline = Deadline::after_ms(echo, u64::from(grant.valid_ms));
-                permits::take_grant(shared, grant, deadline);
-            }
+        Datagram::PermitRequest {
+            sent_at,
+            reply_to,
+            known_digest,
+        } => {
+            permits::reply(shared, socket, sent_at, reply_to, known_digest);
         }
-    }
-}
-
-/// Groups grants so that each reply fits into one datagram.
-fn split_grants(grants: Vec<PermitGrant>) -> Vec<Vec<PermitGrant>> {
-    const ROOM_BYTES: usize = MAX_DATAGRAM_BYTES - 32;
-    let mut parts: Vec<Vec<PermitGrant>> = Vec::new();
-    let mut used = ROOM_BYTES;
-    for grant in grants {
-        let bytes = encode(&grant).len();
-        if used + bytes > ROOM_BYTES || parts.is_empty() {
-            parts.push(Vec::new());
-            used = 0;
+        Datagram::PermitReply {
+            echo,
+            prober,
+            digest,
+            part,
+            parts,
+            grants,
+        } => {
+            shared
+                .grant_book()
+                .on_part(&prober, digest, part, parts, &grants);
+            permits::take_grants(shared, grants, echo);
         }
-        used += bytes;
-        if let Some(part) = parts.last_mut() {
-            part.push(grant);
+        Datagram::PermitTerms {
+            echo,
+            prober,
+            digest,
+            terms,
+        } => {
+            let grants = shared.grant_book().on_terms(&prober, digest, &terms);
+            permits::take_grants(shared, grants, echo);
         }
     }
-    parts
 }
 
 /// Answers other nodes' requests over TCP until the node stops, which [`wake_peer_listener`] lets
--- a/crates/node/src/control/permits.rs
+++ b/crates/node/src/control/permits.rs
@@ -1,10 +1,10 @@
 //! Asks the probers of each fabric domain for permits, and grants them.
 
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 
-use jacinthpoint_readiness::Permit;
-use jacinthpoint_types::{Deadline, NodeId};
-use jacinthpoint_wire::{Datagram, PermitGrant, encode};
+use jacinthpoint_readiness::{Permit, grants_digest};
+use jacinthpoint_types::{Deadline, NodeId, TimeMs};
+use jacinthpoint_wire::{Datagram, GrantTerms, MAX_DATAGRAM_BYTES, PermitGrant, encode};
 
 use crate::{
     control::{members::engines_by_domain, probing::PROBERS},
@@ -12,27 +12,37 @@
 };
 
 /// How often permits are asked for; several times within the life of one.
-const ASK_MS: u64 = 250;
+const ASK_MS: u64 = 400;
+/// Room for grants in one datagram, beside the other fields.
+const GRANTS_ROOM_BYTES: usize = MAX_DATAGRAM_BYTES - 128;
 
 /// Keeps the node's permits fresh until it stops.
 pub(crate) fn run(shared: &Shared, socket: &UdpSocket) {
     while !shared.is_stopped() {
         take_own_grants(shared);
+        ask(shared, socket);
+        let now = shared.now();
+        shared.permits().expire(now);
+        shared.sleep_ms(ASK_MS);
+    }
+}
+
+fn ask(shared: &Shared, socket: &UdpSocket) {
+    let probers = probers(shared);
+    let names: Vec<NodeId> = probers.iter().map(|(name, _)| name.clone()).collect();
+    shared.grant_book().retain(&names);
+    for (prober, address) in probers {
         let request = Datagram::PermitRequest {
             sent_at: shared.now(),
             reply_to: shared.settings.listen_peers,
+            known_digest: shared.grant_book().known_digest(&prober),
         };
-        let bytes = encode(&request);
-        for address in prober_addresses(shared) {
-            let _ = socket.send_to(&bytes, address);
-        }
-        let now = shared.now();
-        shared.permits().expire(now);
-        shared.sleep_ms(ASK_MS);
+        // A lost request is made good by the next one, before the permit runs out.
+        let _ = socket.send_to(&encode(&request), address);
     }
 }
 
-fn prober_addresses(shared: &Shared) -> Vec<std::net::SocketAddr> {
+fn probers(shared: &Shared) -> Vec<(NodeId, SocketAddr)> {
     let members = shared.members();
     let domains = engines_by_domain(&members);
     let mut probers: Vec<NodeId> = domains
@@ -47,53 +57,115 @@
     probers.sort();
     probers.dedup();
     let peers = shared.peers();
-    let addresses = peers
+    let live = peers
         .live()
         .filter(|peer| probers.binary_search(&peer.node).is_ok());
-    addresses.map(|peer| peer.address).collect()
+    live.map(|peer| (peer.node.clone(), peer.address)).collect()
 }
 
 fn take_own_grants(shared: &Shared) {
     // Taken before the grants are made, as a remote node would.
     let asked_at = shared.now();
-    for grant in own_grants(shared) {
-        let deadline = Deadline::after_ms(asked_at, u64::from(grant.valid_ms));
-        take_grant(shared, grant, deadline);
+    take_grants(shared, own_grants(shared), asked_at);
+}
+
+/// Answers a node that asks for permits.
+pub(crate) fn reply(
+    shared: &Shared,
+    socket: &UdpSocket,
+    echo: TimeMs,
+    reply_to: SocketAddr,
+    known_digest: u64,
+) {
+    let grants = own_grants(shared);
+    let digest = grants_digest(&grants);
+    let prober = shared.settings.name.clone();
+    if digest == known_digest {
+        let terms = grants.iter().map(|grant| grant.terms).collect();
+        let reply = Datagram::PermitTerms {
+            echo,
+            prober,
+            digest,
+            terms,
+        };
+        let _ = socket.send_to(&encode(&reply), reply_to);
+        return;
+    }
+    let lists = split_grants(grants);
+    let parts = lists.len() as u8;
+    for (part, grants) in (0..parts).zip(lists) {
+        let prober = prober.clone();
+        let reply = Datagram::PermitReply {
+            echo,
+            prober,
+            digest,
+            part,
+            parts,
+            grants,
+        };
+        let _ = socket.send_to(&encode(&reply), reply_to);
     }
 }
 
+/// Groups grants so that each reply fits into one datagram.
+fn split_grants(grants: Vec<PermitGrant>) -> Vec<Vec<PermitGrant>> {
+    let mut parts: Vec<Vec<PermitGrant>> = vec![Vec::new()];
+    let mut used = 0;
+    for grant in grants {
+        let bytes = encode(&grant).len();
+        if used + bytes > GRANTS_ROOM_BYTES && used > 0 {
+            parts.push(Vec::new());
+            used = 0;
+        }
+        used += bytes;
+        if let Some(part) = parts.last_mut() {
+            part.push(grant);
+        }
+    }
+    parts
+}
+
 /// Grants for the whole groups that this node probes.
-pub(crate) fn own_grants(shared: &Shared) -> Vec<PermitGrant> {
+fn own_grants(shared: &Shared) -> Vec<PermitGrant> {
     let now = shared.now();
     let domains = shared.domains.lock();
     let sights = domains.values().flat_map(|domain| {
-        domain
-            .prober
-            .whole_groups(now)
+        let whole = domain.prober.whole_groups(now);
+        whole
             .into_iter()
             .map(|sight| (domain.data_centre.clone(), sight))
     });
     let grants = sights.map(|(data_centre, sight)| PermitGrant {
-        valid_ms: sight.deadline.remaining_ms(now) as u32,
-        load: sight.load,
-        load_age_ms: now.since_ms(sight.load_at) as u32,
+        terms: GrantTerms {
+            valid_ms: sight.deadline.remaining_ms(now) as u32,
+            load: sight.load,
+            load_age_ms: now.since_ms(sight.load_at) as u32,
+        },
         assignment: sight.assignment,
         data_centre,
     });
     grants.collect()
 }
 
-/// Takes a grant into the node's permits.
-pub(crate) fn take_grant(shared: &Shared, grant: PermitGrant, deadline: Deadline) {
+/// Takes grants that answer a request sent at `asked_at`.
+pub(crate) fn take_grants(shared: &Shared, grants: Vec<PermitGrant>, asked_at: TimeMs) {
     let now = shared.now();
-    let permit = Permit {
-        assignment: grant.assignment,
-        data_centre: grant.data_centre,
-        deadline,
-        load: grant.load,
-        load_at: jacinthpoint_types::TimeMs(now.0.saturating_sub(u64::from(grant.load_age_ms))),
-    };
-    if !deadline.has_passed(now) {
-        shared.permits().insert(permit);
+    // A time from the future was not sent by this node, or before its last start.
+    if asked_at > now {
+        return;
+    }
+    let mut permits = shared.permits();
+    for grant in grants {
+        let deadline = Deadline::after_ms(asked_at, u64::from(grant.terms.valid_ms));
+        if deadline.has_passed(now) {
+            continue;
+        }
+        permits.insert(Permit {
+            assignment: grant.assignment,
+            data_centre: grant.data_centre,
+            deadline,
+            load: grant.terms.load,
+            load_at: TimeMs(now.0.saturating_sub(u64::from(grant.terms.load_age_ms))),
+        });
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,7 +8,7 @@
 
 use jacinthpoint_membership::Membership;
 use jacinthpoint_platform::{Platform, PlatformMember};
-use jacinthpoint_readiness::PermitTable;
+use jacinthpoint_readiness::{GrantBook, PermitTable};
 use jacinthpoint_records::Config;
 use jacinthpoint_types::{GroupId, NodeId, Revision, TimeMs};
 use jacinthpoint_wire::PeerState;
@@ -51,6 +51,7 @@
     members: RwLock<Arc<Vec<PlatformMember>>>,
     peers: Mutex<Membership>,
     permits: Mutex<PermitTable>,
+    grant_book: Mutex<GrantBook>,
     in_flight: [Mutex<BTreeMap<GroupId, u32>>; IN_FLIGHT_SHARDS],
 }
 
@@ -78,6 +79,7 @@
             members: RwLock::default(),
             peers: Mutex::new(Membership::new(own, rng)),
             permits: Mutex::default(),
+            grant_book: Mutex::default(),
             in_flight: Default::default(),
             settings,
         }
@@ -171,6 +173,12 @@
         self.permits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn grant_book(&self) -> MutexGuard<'_, GrantBook> {
+        self.grant_book
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Live nodes ranked for a piece of work, this one among them unless it is leaving.
     pub(crate) fn ranked_nodes(&self, work: &str) -> Vec<NodeId> {
         let mut live: Vec<NodeId> = self
--- a/crates/readiness/src/lib.rs
+++ b/crates/readiness/src/lib.rs
@@ -6,9 +6,11 @@
 //! This crate does no I/O and reads no clock.
 
 pub use crate::{
+    handover::{GrantBook, grants_digest},
     permits::{Permit, PermitTable},
     prober::{GroupSight, LEAVING_MS, PERMIT_MS, ProbeReport, Prober, STRAGGLER_SLOWNESS},
 };
 
+mod handover;
 mod permits;
 mod prober;
--- /dev/null
+++ b/crates/readiness/tests/handover.rs
@@ -0,0 +1,93 @@
+//! Permits are handed on whole, or not at all.
+
+use jacinthpoint_readiness::{GrantBook, grants_digest};
+use jacinthpoint_types::{Assignment, Epoch, MemberAddress, NodeId};
+use jacinthpoint_wire::{GrantTerms, PermitGrant};
+use quickcheck::quickcheck;
+
+fn prober() -> NodeId {
+    "node-1".parse().expect("a valid name")
+}
+
+fn terms(valid_ms: u32) -> GrantTerms {
+    GrantTerms {
+        valid_ms,
+        load: 0,
+        load_age_ms: 0,
+    }
+}
+
+fn grant(number: u8) -> PermitGrant {
+    let member = MemberAddress {
+        vm: format!("vm-{number}").parse().expect("a valid name"),
+        address: ([127, 0, 0, 1], 9_000).into(),
+    };
+    PermitGrant {
+        assignment: Assignment {
+            group: format!("rack.1.{number}").parse().expect("a valid name"),
+            epoch: Epoch(u64::from(number)),
+            model: "jp-model@v1".parse().expect("a valid model"),
+            members: vec![member],
+        },
+        data_centre: "dc".parse().expect("a valid name"),
+        terms: terms(100),
+    }
+}
+
+#[test]
+fn new_terms_are_for_the_groups_known() {
+    let grants = vec![grant(1), grant(2)];
+    let digest = grants_digest(&grants);
+    let mut book = GrantBook::new();
+    assert_eq!(book.known_digest(&prober()), 0);
+    book.on_part(&prober(), digest, 1, 2, &grants[1..]);
+    assert_eq!(book.known_digest(&prober()), 0);
+    book.on_part(&prober(), digest, 0, 2, &grants[..1]);
+    assert_eq!(book.known_digest(&prober()), digest);
+    let renewed = book.on_terms(&prober(), digest, &[terms(7), terms(8)]);
+    let expected: Vec<PermitGrant> = [(1, 7), (2, 8)]
+        .map(|(number, valid_ms)| PermitGrant {
+            terms: terms(valid_ms),
+            ..grant(number)
+        })
+        .into();
+    assert_eq!(renewed, expected);
+}
+
+#[test]
+fn terms_for_other_groups_grant_nothing() {
+    let mut book = GrantBook::new();
+    book.on_part(&prober(), grants_digest(&[grant(1)]), 0, 1, &[grant(1)]);
+    let other = grants_digest(&[grant(2)]);
+    assert_eq!(book.on_terms(&prober(), other, &[terms(9)]), []);
+    let own = grants_digest(&[grant(1)]);
+    assert_eq!(book.on_terms(&prober(), own, &[terms(9), terms(9)]), []);
+}
+
+#[test]
+fn list_that_does_not_match_its_digest_is_not_kept() {
+    let mut book = GrantBook::new();
+    book.on_part(&prober(), grants_digest(&[grant(1)]), 0, 1, &[grant(2)]);
+    assert_eq!(book.known_digest(&prober()), 0);
+}
+
+quickcheck! {
+    /// Parts of several lists, in any order and number, never make a list that no prober sent.
+    fn parts_of_different_lists_are_not_mixed(parts: Vec<(bool, bool)>) -> bool {
+        let lists = [vec![grant(1), grant(2)], vec![grant(3), grant(4)]];
+        let digests = lists.each_ref().map(|list| grants_digest(list));
+        let mut book = GrantBook::new();
+        parts.into_iter().all(|(list, part)| {
+            let (list, part) = (usize::from(list), usize::from(part));
+            let grants = &lists[list][part..=part];
+            book.on_part(&prober(), digests[list], part as u8, 2, grants);
+            let known = book.known_digest(&prober());
+            known == 0 || digests.contains(&known)
+        })
+    }
+
+    fn digest_tells_lists_apart(a: Vec<u8>, b: Vec<u8>) -> bool {
+        let list = |numbers: &[u8]| numbers.iter().map(|number| grant(*number)).collect::<Vec<_>>();
+        (grants_digest(&list(&a)) == grants_digest(&list(&b))) == (a == b)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,8 +10,8 @@
         DecodeError, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, decode, encode, read_frame, write_frame,
     },
     message::{
-        Datagram, PeerMessage, PeerMessageKind, PeerNews, PeerReply, PeerRequest, PeerState,
-        PeerStatus, PermitGrant,
+        Datagram, GrantTerms, PeerMessage, PeerMessageKind, PeerNews, PeerReply, PeerRequest,
+        PeerState, PeerStatus, PermitGrant,
     },
 };
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -73,13 +73,9 @@
     pub news: Vec<PeerNews>,
 }
 
-/// Right to send work to a group, as granted by one of its probers.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PermitGrant {
-    /// The group as every member confirmed it.
-    pub assignment: Assignment,
-    /// Data centre of the group.
-    pub data_centre: DataCentreId,
+/// The part of a grant that changes all the time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantTerms {
     /// Time for which the grant holds, counted by the receiver from when it sent the request that
     /// this grant answers.
     pub valid_ms: u32,
@@ -89,6 +85,17 @@
     pub load_age_ms: u32,
 }
 
+/// Right to send work to a group, as granted by one of its probers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PermitGrant {
+    /// The group as every member confirmed it.
+    pub assignment: Assignment,
+    /// Data centre of the group.
+    pub data_centre: DataCentreId,
+    /// For how long, and under what load.
+    pub terms: GrantTerms,
+}
+
 /// A message in one UDP datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -100,14 +107,35 @@
         sent_at: TimeMs,
         /// Where to reply.
         reply_to: SocketAddr,
+        /// Digest of the groups that the sender knows from this prober; 0 if it knows none.
+        known_digest: u64,
     },
-    /// Answers a `PermitRequest`; several datagrams if there are many groups.
+    /// Answers a `PermitRequest` with one part of the list.
     PermitReply {
         /// `sent_at` of the request.
         echo: TimeMs,
+        /// The prober.
+        prober: NodeId,
+        /// Digest of the whole list.
+        digest: u64,
+        /// Number of this part, from 0.
+        part: u8,
+        /// Number of parts.
+        parts: u8,
         /// Grants for groups that may be used.
         grants: Vec<PermitGrant>,
     },
+    /// Answers a `PermitRequest` whose digest is right.
+    PermitTerms {
+        /// `sent_at` of the request.
+        echo: TimeMs,
+        /// The prober.
+        prober: NodeId,
+        /// Digest of the list.
+        digest: u64,
+        /// Terms of each grant, in the order of the list.
+        terms: Vec<GrantTerms>,
+    },
     /// Tells that the sender has a newer configuration in force.
     ConfigNews {
         /// Its revision.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -4,8 +4,9 @@
 
 use jacinthpoint_types::{Assignment, Epoch, MemberAddress, Revision, TimeMs};
 use jacinthpoint_wire::{
-    Datagram, DecodeError, MAX_DATAGRAM_BYTES, PeerMessage, PeerMessageKind, PeerNews, PeerReply,
-    PeerRequest, PeerState, PeerStatus, PermitGrant, decode, encode, read_frame, write_frame,
+    Datagram, DecodeError, GrantTerms, MAX_DATAGRAM_BYTES, PeerMessage, PeerMessageKind, PeerNews,
+    PeerReply, PeerRequest, PeerState, PeerStatus, PermitGrant, decode, encode, read_frame,
+    write_frame,
 };
 use quickcheck::{Arbitrary, Gen, quickcheck};
 
@@ -42,6 +43,14 @@
     }
 }
 
+fn terms(g: &mut Gen) -> GrantTerms {
+    GrantTerms {
+        valid_ms: u32::arbitrary(g),
+        load: u32::arbitrary(g),
+        load_age_ms: u32::arbitrary(g),
+    }
+}
+
 fn grant(g: &mut Gen) -> PermitGrant {
     let member = |g: &mut Gen| MemberAddress {
         vm: name(g),
@@ -55,9 +64,8 @@
             members: (0..8).map(|_| member(g)).collect(),
         },
         data_centre: name(g),
-        valid_ms: u32::arbitrary(g),
-        load: u32::arbitrary(g),
-        load_age_ms: u32::arbitrary(g),
+
+        terms: terms(g),
     }
 }
 
@@ -68,7 +76,7 @@
             PeerMessageKind::Ack,
             PeerMessageKind::PingFor { target: address(g) },
         ];
-        AnyDatagram(match u8::arbitrary(g) % 4 {
+        AnyDatagram(match u8::arbitrary(g) % 5 {
             0 => Datagram::Peer(PeerMessage {
                 from: peer_state(g),
                 number: u32::arbitrary(g),
@@ -78,11 +86,22 @@
             1 => Datagram::PermitRequest {
                 sent_at: TimeMs(u64::arbitrary(g)),
                 reply_to: address(g),
+                known_digest: u64::arbitrary(g),
             },
             2 => Datagram::PermitReply {
                 echo: TimeMs(u64::arbitrary(g)),
+                prober: name(g),
+                digest: u64::arbitrary(g),
+                part: u8::arbitrary(g),
+                parts: u8::arbitrary(g),
                 grants: (0..2).map(|_| grant(g)).collect(),
             },
+            3 => Datagram::PermitTerms {
+                echo: TimeMs(u64::arbitrary(g)),
+                prober: name(g),
+                digest: u64::arbitrary(g),
+                terms: (0..8).map(|_| terms(g)).collect(),
+            },
             _ => Datagram::ConfigNews {
                 revision: Revision(u64::arbitrary(g)),
                 address: address(g),
--- a/examples/capacity/permits.rs
+++ b/examples/capacity/permits.rs
@@ -1,8 +1,8 @@
 //! Permits: bytes of requests and grants, time to take them.
 
 use jacinthpoint_readiness::{Permit, PermitTable};
-use jacinthpoint_types::{Deadline, TimeMs};
-use jacinthpoint_wire::{Datagram, PermitGrant, decode, encode};
+use jacinthpoint_types::{Deadline, NodeId, TimeMs};
+use jacinthpoint_wire::{Datagram, GrantTerms, PermitGrant, decode, encode};
 
 use crate::{
     cost::{UDP_HEADER_BYTES, time_ns},
@@ -12,13 +12,18 @@
 /// Groups that one node holds permits for.
 const GROUPS: [usize; 3] = [6, 50, 500];
 
+/// Terms of a usual size.
+const TERMS: GrantTerms = GrantTerms {
+    valid_ms: 1_234,
+    load: 30,
+    load_age_ms: 700,
+};
+
 fn grant(number: usize) -> PermitGrant {
     PermitGrant {
         assignment: assignment(number),
         data_centre: "bne-north".parse().expect("a valid name"),
-        valid_ms: 1_234,
-        load: 30,
-        load_age_ms: 700,
+        terms: TERMS,
     }
 }
 
@@ -32,24 +37,45 @@
     }
 }
 
+fn prober() -> NodeId {
+    "entry-0042".parse().expect("a valid name")
+}
+
 /// Prints the figures.
 pub fn measure() {
     let request = Datagram::PermitRequest {
         sent_at: TimeMs(86_400_000),
         reply_to: assignment(1).members[0].address,
+        known_digest: u64::MAX,
     };
     let reply = |count: usize| Datagram::PermitReply {
         echo: TimeMs(86_400_000),
+        prober: prober(),
+        digest: u64::MAX,
+        part: 0,
+        parts: 1,
         grants: (0..count).map(grant).collect(),
     };
     let (one, two) = (encode(&reply(1)).len(), encode(&reply(2)).len());
     let request_bytes = encode(&request).len() + UDP_HEADER_BYTES;
+    let terms = |count: usize| Datagram::PermitTerms {
+        echo: TimeMs(86_400_000),
+        prober: prober(),
+        digest: u64::MAX,
+        terms: vec![TERMS; count],
+    };
+    let (bare, with_one) = (encode(&terms(0)).len(), encode(&terms(1)).len());
     println!("permits:\n");
     println!("- bytes a request: {request_bytes}, a grant: {}", two - one);
     println!(
         "- bytes a reply beside its grants: {}",
         one + UDP_HEADER_BYTES - (two - one)
     );
+    println!(
+        "- bytes of terms a group: {}, and beside them: {}",
+        with_one - bare,
+        bare + UDP_HEADER_BYTES
+    );
     let bytes = encode(&reply(4));
     let decode_ns = time_ns(5_000, || decode::<Datagram>(&bytes));
     println!("- {:.0} ns to read a grant", decode_ns / 4.0);
