Ask a few near probers for permits when there are many fabric domains

Cause: every node asked both probers of every domain; with 62 domains each prober would answer the whole fleet, 420 nodes 2.5 times a second. Ruled out: fewer renewals, which would only move the limit. Change: beyond 8 domains a node uses four for each model, the nearest first, one prober each with the other as substitute, and looks at the rest once a minute. Up to 8 domains nothing changes. Conclusion: what a node asks depends on its models and no longer on the fleet.

--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -156,7 +156,7 @@
             shared
                 .grant_book()
                 .on_part(&prober, digest, part, parts, &grants);
-            permits::take_grants(shared, grants, echo);
+            permits::on_answer(shared, &prober, grants, echo);
         }
         Datagram::PermitTerms {
             echo,
@@ -165,7 +165,7 @@
             terms,
         } => {
             let grants = shared.grant_book().on_terms(&prober, digest, &terms);
-            permits::take_grants(shared, grants, echo);
+            permits::on_answer(shared, &prober, grants, echo);
         }
     }
 }
--- a/crates/node/src/control/permits.rs
+++ b/crates/node/src/control/permits.rs
@@ -1,8 +1,11 @@
 //! Asks the probers of each fabric domain for permits, and grants them.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::{
+    collections::BTreeSet,
+    net::{SocketAddr, UdpSocket},
+};
 
-use jacinthpoint_readiness::{Permit, grants_digest};
+use jacinthpoint_readiness::{DomainProbers, Permit, grants_digest};
 use jacinthpoint_types::{Deadline, NodeId, TimeMs};
 use jacinthpoint_wire::{Datagram, GrantTerms, MAX_DATAGRAM_BYTES, PermitGrant, encode};
 
@@ -28,10 +31,16 @@
 }
 
 fn ask(shared: &Shared, socket: &UdpSocket) {
-    let probers = probers(shared);
-    let names: Vec<NodeId> = probers.iter().map(|(name, _)| name.clone()).collect();
-    shared.grant_book().retain(&names);
-    for (prober, address) in probers {
+    let domains = domain_probers(shared);
+    let now = shared.now();
+    let mut probers = shared.asker().round(now, &domains);
+    probers.remove(&shared.settings.name);
+    let all: Vec<NodeId> = domains
+        .into_iter()
+        .flat_map(|domain| domain.probers)
+        .collect();
+    shared.grant_book().retain(&all);
+    for (prober, address) in addresses(shared, &probers) {
         let request = Datagram::PermitRequest {
             sent_at: shared.now(),
             reply_to: shared.settings.listen_peers,
@@ -42,24 +51,24 @@
     }
 }
 
-fn probers(shared: &Shared) -> Vec<(NodeId, SocketAddr)> {
+fn domain_probers(shared: &Shared) -> Vec<DomainProbers> {
     let members = shared.members();
     let domains = engines_by_domain(&members);
-    let mut probers: Vec<NodeId> = domains
-        .keys()
-        .flat_map(|domain| {
-            shared
-                .ranked_nodes(domain.as_str())
-                .into_iter()
-                .take(PROBERS)
-        })
-        .collect();
-    probers.sort();
-    probers.dedup();
+    let probers = domains.into_iter().map(|(domain, (data_centre, _))| {
+        let mut probers = shared.ranked_nodes(domain.as_str());
+        probers.truncate(PROBERS);
+        DomainProbers {
+            domain,
+            data_centre,
+            probers,
+        }
+    });
+    probers.collect()
+}
+
+fn addresses(shared: &Shared, probers: &BTreeSet<NodeId>) -> Vec<(NodeId, SocketAddr)> {
     let peers = shared.peers();
-    let live = peers
-        .live()
-        .filter(|peer| probers.binary_search(&peer.node).is_ok());
+    let live = peers.live().filter(|peer| probers.contains(&peer.node));
     live.map(|peer| (peer.node.clone(), peer.address)).collect()
 }
 
@@ -129,26 +138,41 @@
 fn own_grants(shared: &Shared) -> Vec<PermitGrant> {
     let now = shared.now();
     let domains = shared.domains.lock();
-    let sights = domains.values().flat_map(|domain| {
+    let sights = domains.iter().flat_map(|(name, domain)| {
         let whole = domain.prober.whole_groups(now);
-        whole
-            .into_iter()
-            .map(|sight| (domain.data_centre.clone(), sight))
+        whole.into_iter().map(move |sight| (name, domain, sight))
     });
-    let grants = sights.map(|(data_centre, sight)| PermitGrant {
+    let grants = sights.map(|(name, domain, sight)| PermitGrant {
         terms: GrantTerms {
             valid_ms: sight.deadline.remaining_ms(now) as u32,
             load: sight.load,
             load_age_ms: now.since_ms(sight.load_at) as u32,
         },
         assignment: sight.assignment,
-        data_centre,
+        data_centre: domain.data_centre.clone(),
+        fabric_domain: name.clone(),
     });
     grants.collect()
 }
 
+/// Takes the answer of a prober to a request sent at `asked_at`.
+pub(crate) fn on_answer(
+    shared: &Shared,
+    prober: &NodeId,
+    grants: Vec<PermitGrant>,
+    asked_at: TimeMs,
+) {
+    let groups = grants.iter().map(|grant| {
+        let domain = grant.fabric_domain.clone();
+        (domain, grant.assignment.model.clone())
+    });
+    let now = shared.now();
+    shared.asker().on_answer(now, prober, groups);
+    take_grants(shared, grants, asked_at);
+}
+
 /// Takes grants that answer a request sent at `asked_at`.
-pub(crate) fn take_grants(shared: &Shared, grants: Vec<PermitGrant>, asked_at: TimeMs) {
+fn take_grants(shared: &Shared, grants: Vec<PermitGrant>, asked_at: TimeMs) {
     let now = shared.now();
     // A time from the future was not sent by this node, or before its last start.
     if asked_at > now {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,7 +8,7 @@
 
 use jacinthpoint_membership::Membership;
 use jacinthpoint_platform::{Platform, PlatformMember};
-use jacinthpoint_readiness::{GrantBook, PermitTable};
+use jacinthpoint_readiness::{Asker, GrantBook, PermitTable};
 use jacinthpoint_records::Config;
 use jacinthpoint_types::{GroupId, NodeId, Revision, TimeMs};
 use jacinthpoint_wire::PeerState;
@@ -52,6 +52,7 @@
     peers: Mutex<Membership>,
     permits: Mutex<PermitTable>,
     grant_book: Mutex<GrantBook>,
+    asker: Mutex<Asker>,
     in_flight: [Mutex<BTreeMap<GroupId, u32>>; IN_FLIGHT_SHARDS],
 }
 
@@ -66,6 +67,7 @@
             revision: Revision(0),
         };
         let rng = SmallRng::from_os_rng();
+        let asker = Asker::new(settings.name.clone(), settings.data_centre.clone());
         Shared {
             clock: Clock::new(),
             drain: Arc::new(Drain::default()),
@@ -80,6 +82,7 @@
             peers: Mutex::new(Membership::new(own, rng)),
             permits: Mutex::default(),
             grant_book: Mutex::default(),
+            asker: Mutex::new(asker),
             in_flight: Default::default(),
             settings,
         }
@@ -173,6 +176,10 @@
         self.permits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn asker(&self) -> MutexGuard<'_, Asker> {
+        self.asker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn grant_book(&self) -> MutexGuard<'_, GrantBook> {
         self.grant_book
             .lock()
--- a/crates/readiness/src/handover.rs
+++ b/crates/readiness/src/handover.rs
@@ -15,7 +15,11 @@
 pub fn grants_digest(grants: &[PermitGrant]) -> u64 {
     let mut bytes = Vec::new();
     for grant in grants {
-        bytes.extend(encode(&(&grant.assignment, &grant.data_centre)));
+        bytes.extend(encode(&(
+            &grant.assignment,
+            &grant.data_centre,
+            &grant.fabric_domain,
+        )));
     }
     xxh3_64(&bytes).max(1)
 }
--- a/crates/readiness/src/lib.rs
+++ b/crates/readiness/src/lib.rs
@@ -6,11 +6,13 @@
 //! This crate does no I/O and reads no clock.
 
 pub use crate::{
+    asker::{Asker, DomainProbers},
     handover::{GrantBook, grants_digest},
     permits::{Permit, PermitTable},
     prober::{GroupSight, LEAVING_MS, PERMIT_MS, ProbeReport, Prober, STRAGGLER_SLOWNESS},
 };
 
+mod asker;
 mod handover;
 mod permits;
 mod prober;
--- a/crates/readiness/tests/handover.rs
+++ b/crates/readiness/tests/handover.rs
@@ -30,6 +30,7 @@
             members: vec![member],
         },
         data_centre: "dc".parse().expect("a valid name"),
+        fabric_domain: "rack".parse().expect("a valid name"),
         terms: terms(100),
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use jacinthpoint_types::{Assignment, DataCentreId, NodeId, Revision, TimeMs};
+use jacinthpoint_types::{Assignment, DataCentreId, FabricDomainId, NodeId, Revision, TimeMs};
 use serde::{Deserialize, Serialize};
 
 /// A node's own word on itself, passed on by others.
@@ -92,6 +92,8 @@
     pub assignment: Assignment,
     /// Data centre of the group.
     pub data_centre: DataCentreId,
+    /// Fabric domain of the group.
+    pub fabric_domain: FabricDomainId,
     /// For how long, and under what load.
     pub terms: GrantTerms,
 }
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -64,7 +64,7 @@
             members: (0..8).map(|_| member(g)).collect(),
         },
         data_centre: name(g),
-
+        fabric_domain: name(g),
         terms: terms(g),
     }
 }
--- a/examples/capacity/permits.rs
+++ b/examples/capacity/permits.rs
@@ -23,6 +23,7 @@
     PermitGrant {
         assignment: assignment(number),
         data_centre: "bne-north".parse().expect("a valid name"),
+        fabric_domain: "bne-north-r07".parse().expect("a valid name"),
         terms: TERMS,
     }
 }
