--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -82,7 +82,7 @@
             permits::run(shared, &socket)
         })?;
         spawn("peers", shared, move |shared| {
-            report(messages::run_peer_listener(shared, &peers));
+            messages::run_peer_listener(shared, &peers);
         })?;
         operator::start(shared, operators)?;
         shared.drain.set_listens(true);
@@ -150,6 +150,7 @@
         let cut = self.shared.drain.open_requests();
         self.shared.drain.begin(Instant::now());
         self.shared.stop();
+        messages::wake_peer_listener(self.peers_address());
         for request in &cut {
             log_event!(warn, RequestCut, %request, "cut");
         }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -6,6 +6,7 @@
 
 mod bad_input;
 mod cli;
+mod configuration;
 mod groups;
 mod planned_stop;
 mod serving;
