Drive the controller through random sequences of faults

Cause: repairs, swaps and orders were only tried by one process test with everything healthy.

Ruled out: a simulator of the cluster; the driver is a loop over plain values, without network or randomness, and the sequences come from quickcheck with fixed seeds so that each run gives the same verdict.

Change: `crates/placement/tests` with cases for each repair, for outages and for shares, and three properties over sequences of deaths, restarts, moves, pauses, leaving VMs, paused and rival controllers, outages, lost answers, delayed orders and new versions. After each step: no VM in two places of a plan, fences and epochs grow, no group id comes back, one serving configuration a group, no engine obeys an outdated order. At the end: all groups serve that have VMs, and nothing is written without need.

Failed first, and mended here: orders of the old plan sent after the write of the next one in the same tick; a VM that started again counted as missing although it takes its own place; own standbys not counted when a broken group looked for VMs; a broken group and an outgoing group waiting for each other for ever; outgoing groups picked that free too few VMs; standbys not used to form a group during a change of version.

--- a/crates/placement/src/controller.rs
+++ b/crates/placement/src/controller.rs
@@ -8,7 +8,7 @@
 use crate::{
     event::{Action, Demand, Event, OrderResult},
     health::{VmTable, VmView},
-    orders::{OrderBook, Wanted},
+    orders::{ORDER_TRANSIT_MS, OrderBook, Wanted},
     plan::{GroupPlan, Plan, PlanVersion},
     planner::{PlanInput, next_plan},
     settings::RepairSettings,
@@ -18,8 +18,6 @@
 
 /// A controller that was not run for this long cannot tell a silent VM from its own pause.
 const PAUSE_MS: u64 = 1_000;
-/// Added to the authority of another controller: its last order may be on its way for this long.
-const ORDER_TRANSIT_MS: u64 = 500;
 /// How long a controller leaves a plan alone that another one has just written.
 const CLAIM_HOLD_MS: u64 = 2_000;
 /// Fences above this are not believed: the epoch of a group has no room for them.
@@ -96,7 +94,12 @@
                 version,
                 plan,
             } => self.on_found(now, asked_at, version, plan),
-            Event::PlanWritten { asked_at, version } => self.on_written(now, asked_at, version),
+            Event::PlanWritten { asked_at, version } => {
+                self.on_written(now, asked_at, version);
+                if self.controls {
+                    return self.give_orders(now);
+                }
+            }
             Event::PlanConflict {
                 asked_at,
                 version,
@@ -357,6 +360,10 @@
         if let Some(wanted) = self.wanted() {
             self.orders.end_loads(now, &wanted, &self.vms);
         }
+        // An order of the plan that is being replaced could arrive after one of the next.
+        if self.store.is_writing() {
+            return Vec::new();
+        }
         // With a write unread, a VM outside the certain groups may belong to a new one.
         if self.store.unsure().is_some() && !self.store.is_down() {
             return Vec::new();
--- a/crates/placement/src/orders.rs
+++ b/crates/placement/src/orders.rs
@@ -10,6 +10,8 @@
     settings::RepairSettings,
 };
 
+/// An order without an answer may still arrive for this long, after one that is sent later.
+pub(crate) const ORDER_TRANSIT_MS: u64 = 500;
 /// An order without any word of its end for this long may be given again.
 const ORDER_TIMEOUT_MS: u64 = 3_000;
 /// A load counts for this many times its expected duration at most, so that engines that never
@@ -21,7 +23,7 @@
 pub(crate) struct OrderBook {
     /// Until when no further order goes to a VM unless a later probe is answered.
     on_the_way: BTreeMap<VmId, Deadline>,
-    /// When the last order to a VM ended.
+    /// When the last order to a VM had ended for certain.
     ended_at: BTreeMap<VmId, TimeMs>,
     loads: BTreeMap<VmId, Deadline>,
 }
@@ -45,11 +47,15 @@
 impl OrderBook {
     pub(crate) fn on_ended(&mut self, now: TimeMs, vm: &VmId, result: OrderResult) {
         self.on_the_way.remove(vm);
-        if result == OrderResult::Expired {
-            self.loads.remove(vm);
-        } else {
-            self.ended_at.insert(vm.clone(), now);
-        }
+        let ended_at = match result {
+            OrderResult::Expired => {
+                self.loads.remove(vm);
+                return;
+            }
+            OrderResult::NoAnswer => now.plus_ms(ORDER_TRANSIT_MS),
+            OrderResult::Accepted | OrderResult::Fenced { .. } => now,
+        };
+        self.ended_at.insert(vm.clone(), ended_at);
     }
 
     /// VMs that load weights.
--- a/crates/placement/src/planner/form.rs
+++ b/crates/placement/src/planner/form.rs
@@ -69,7 +69,11 @@
             let staying = self.staying(demand);
             let serving = staying.filter(|slot| self.is_serving(&slot.group)).count();
             let needed = self.wanted(demand).saturating_sub(serving);
-            while self.outgoing(demand).len() > needed && self.dissolve_outgoing(demand) {}
+            for _ in needed..self.outgoing(demand).len() {
+                if let Some(place) = self.least_serving(self.outgoing(demand).into_iter()) {
+                    self.dissolve(place);
+                }
+            }
         }
     }
 
@@ -79,17 +83,11 @@
             .collect()
     }
 
-    /// Dissolves the outgoing group that serves least.
-    fn dissolve_outgoing(&mut self, demand: usize) -> bool {
-        let outgoing = self.outgoing(demand).into_iter();
-        let worst = outgoing.min_by_key(|&place| {
+    fn least_serving(&self, places: impl Iterator<Item = usize>) -> Option<usize> {
+        places.min_by_key(|&place| {
             let group = &self.slots[place].group;
             (self.is_serving(group), self.healthy_members(group))
-        });
-        if let Some(place) = worst {
-            self.dissolve(place);
-        }
-        worst.is_some()
+        })
     }
 
     /// Forms the groups that are missing.
@@ -112,7 +110,7 @@
             return;
         }
         while self.staying(demand).count() < self.wanted(demand) {
-            let has_room = self.free_count() >= size
+            let has_room = self.borrow(size, self.demands[demand].priority, None)
                 || self.make_room(demand, size)
                 || self.dissolve_broken_for(demand, size);
             if !has_room || !self.form_group(demand, rng) {
@@ -131,11 +129,35 @@
             return false;
         }
         let outgoing = self.outgoing(demand).into_iter();
-        let most = outgoing
-            .map(|place| self.healthy_members(&self.slots[place].group))
-            .max();
-        let would_do = most.is_some_and(|freed| freed + self.free_count() >= size);
-        would_do && self.dissolve_outgoing(demand) && self.free_count() >= size
+        let freed: usize = outgoing.map(|place| self.freed(&self.slots[place])).sum();
+        let priority = self.demands[demand].priority;
+        if freed + self.lendable_standbys(priority, None).len() + self.free_count() < size {
+            return false;
+        }
+        // Several go only where leaving VMs make every one of them too small.
+        while !self.dissolve_enough(demand, size) {
+            match self.outgoing(demand).first() {
+                Some(&place) => self.dissolve(place),
+                None => return false,
+            }
+        }
+        true
+    }
+
+    /// Dissolves the outgoing group that serves least among those whose VMs are enough.
+    fn dissolve_enough(&mut self, demand: usize, size: usize) -> bool {
+        let priority = self.demands[demand].priority;
+        let outgoing = self.outgoing(demand).into_iter();
+        let enough = outgoing.filter(|&place| {
+            let slot = &self.slots[place];
+            let lent = self.lendable_standbys(priority, Some(&slot.group.id));
+            self.freed(slot) + lent.len() + self.free_count() >= size
+        });
+        let Some(place) = self.least_serving(enough) else {
+            return self.borrow(size, priority, None);
+        };
+        self.dissolve(place);
+        self.borrow(size, priority, None)
     }
 
     /// Dissolves a group that cannot serve, if its members then form a group of another
@@ -147,7 +169,7 @@
         let cost = self.outage_cost(demand, size);
         let victim = (0..self.slots.len()).rev().find(|&place| {
             let slot = &self.slots[place];
-            let freed = self.healthy_members(&slot.group);
+            let freed = self.freed(slot);
             slot.demand != demand
                 && self.is_broken(slot)
                 && self.demands[slot.demand].priority >= self.demands[demand].priority
--- a/crates/placement/src/planner/repair.rs
+++ b/crates/placement/src/planner/repair.rs
@@ -2,9 +2,12 @@
 
 use std::cmp::Reverse;
 
-use jacinthpoint_types::{MemberAddress, VmId};
+use jacinthpoint_types::{GroupId, MemberAddress, Priority, VmId};
 
-use crate::planner::draft::{Draft, Slot};
+use crate::{
+    health::VmHealth,
+    planner::draft::{Draft, Slot},
+};
 
 impl Draft<'_> {
     /// Replaces lost members from the group's standbys and from free VMs.
@@ -123,6 +126,7 @@
                     break;
                 }
                 let helped = self.borrow_standbys(place)
+                    || self.take_outgoing(place)
                     || self.merge_broken(place)
                     || self.take_lower(place);
                 if !helped {
@@ -132,21 +136,28 @@
         }
     }
 
-    /// Frees standbys of other groups that are no more important, if there are enough of them; it
-    /// stops nobody's service.
+    /// Frees standbys of other groups, if there are enough of them; it stops nobody's service.
     fn borrow_standbys(&mut self, broken: usize) -> bool {
-        if !self.input.settings.repairs.replace {
-            return false;
-        }
         let slot = &self.slots[broken];
-        let own = slot.group.standbys.iter();
-        let own = own.filter(|standby| self.is_live(standby)).count();
-        let missing = self.missing(slot).saturating_sub(own + self.free_count());
-        let lent = self.lendable_standbys(broken);
-        if lent.len() < missing {
+        let missing = self.missing(slot);
+        let priority = self.demands[slot.demand].priority;
+        let id = slot.group.id.clone();
+        self.borrow(missing, priority, Some(&id))
+    }
+
+    /// Frees standbys of groups that are no more important until `needed` VMs are free.
+    pub(super) fn borrow(
+        &mut self,
+        needed: usize,
+        priority: Priority,
+        except: Option<&GroupId>,
+    ) -> bool {
+        let needed = needed.saturating_sub(self.free_count());
+        let lent = self.lendable_standbys(priority, except);
+        if !self.input.settings.repairs.replace || lent.len() < needed {
             return false;
         }
-        for (place, standby) in lent.into_iter().take(missing) {
+        for (place, standby) in lent.into_iter().take(needed) {
             let standbys = &mut self.slots[place].group.standbys;
             standbys.retain(|other| other != &standby);
             self.give_back(&standby.vm);
@@ -154,12 +165,14 @@
         true
     }
 
-    /// Live standbys of groups that are no more important than `broken`, the least important
-    /// first.
-    fn lendable_standbys(&self, broken: usize) -> Vec<(usize, MemberAddress)> {
-        let priority = self.demands[self.slots[broken].demand].priority;
+    /// Live standbys of groups that are no more important, the least important first.
+    pub(super) fn lendable_standbys(
+        &self,
+        priority: Priority,
+        except: Option<&GroupId>,
+    ) -> Vec<(usize, MemberAddress)> {
         let mut lenders: Vec<usize> = (0..self.slots.len())
-            .filter(|&place| place != broken)
+            .filter(|&place| Some(&self.slots[place].group.id) != except)
             .filter(|&place| self.demands[self.slots[place].demand].priority >= priority)
             .collect();
         lenders.sort_by_key(|&place| Reverse(self.slots[place].demand));
@@ -172,9 +185,44 @@
             .collect()
     }
 
+    /// VMs that a broken group needs beyond its own. One that started again takes its own place.
     fn missing(&self, slot: &Slot) -> usize {
-        let members = slot.group.members.iter();
-        members.filter(|member| self.is_lost(member)).count()
+        let lost = slot.group.members.iter().filter(|member| {
+            let itself = self.views.get(&member.vm);
+            self.is_lost(member) && itself.is_none_or(|view| view.health != VmHealth::Live)
+        });
+        let standbys = slot.group.standbys.iter();
+        let own = standbys.filter(|standby| self.is_live(standby)).count();
+        lost.count().saturating_sub(own)
+    }
+
+    /// VMs that dissolving a group frees.
+    pub(super) fn freed(&self, slot: &Slot) -> usize {
+        let vms = slot.group.all_vms();
+        let live = vms.filter(|member| {
+            let view = self.views.get(&member.vm);
+            view.is_some_and(|view| view.health == VmHealth::Live)
+        });
+        live.count()
+    }
+
+    /// Dissolves an outgoing group of the same deployment, unless another group is on its way.
+    fn take_outgoing(&mut self, broken: usize) -> bool {
+        let slot = &self.slots[broken];
+        let (demand, missing) = (slot.demand, self.missing(slot));
+        let mut staying = self.staying(demand);
+        let is_moving = staying.any(|slot| !self.is_broken(slot) && !self.is_serving(&slot.group));
+        drop(staying);
+        let victim = (0..self.slots.len()).find(|&place| {
+            let other = &self.slots[place];
+            let freed = self.freed(other) + self.free_count();
+            other.demand == demand && other.is_outgoing && freed >= missing
+        });
+        match victim {
+            Some(place) if !is_moving => self.dissolve(place),
+            _ => return false,
+        }
+        true
     }
 
     /// Dissolves another broken group, the one with the fewest members left, if that pays.
@@ -193,7 +241,7 @@
             place != broken
                 && self.is_broken(other)
                 && self.demands[other.demand].priority >= priority
-                && self.healthy_members(&other.group) + self.free_count() >= missing
+                && self.freed(other) + self.free_count() >= missing
                 && self.pays_to_dissolve(other, cost, wait_s)
         });
         let victim = victims.min_by_key(|&place| self.healthy_members(&self.slots[place].group));
@@ -214,7 +262,7 @@
         let victims = (0..self.slots.len()).filter(|&place| {
             let other = &self.slots[place];
             self.demands[other.demand].priority > priority
-                && self.healthy_members(&other.group) + self.free_count() >= missing
+                && self.freed(other) + self.free_count() >= missing
                 && self.pays_to_take(slot, other)
         });
         let victim = victims.max_by_key(|&place| {
--- a/crates/placement/src/store.rs
+++ b/crates/placement/src/store.rs
@@ -71,6 +71,11 @@
         self.unsure.as_ref()
     }
 
+    /// Whether another plan may be in force in a moment.
+    pub(crate) fn is_writing(&self) -> bool {
+        matches!(self.call, Some((Call::Write(_), _)))
+    }
+
     /// Asks for a read at the next opportunity.
     pub(crate) fn want_read(&mut self) {
         self.wants_read = true;
--- /dev/null
+++ b/crates/placement/tests/driver.rs
@@ -0,0 +1,420 @@
+//! A small driver of the decision crate: VMs, a platform object and controllers as plain values
+//! that are moved on in steps. It knows no network and no randomness of its own.
+
+#![allow(dead_code, reason = "the tests and the measurement each use a part")]
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    net::SocketAddr,
+};
+
+use jacinthpoint_placement::{
+    Action, Controller, Demand, Event, ListedVm, Order, OrderResult, Plan, PlanVersion,
+    ProbeEvidence, RepairSettings,
+};
+use jacinthpoint_types::{Assignment, Epoch, MemberAddress, ModelRef, Priority, TimeMs, VmId};
+
+/// Time that one step takes.
+pub const STEP_MS: u64 = 250;
+/// Age of the platform's list.
+const LIST_LAG_MS: u64 = 2_000;
+
+/// A VM with its engine.
+#[derive(Debug, Clone)]
+pub struct Vm {
+    pub address: SocketAddr,
+    pub incarnation: u64,
+    pub is_dead: bool,
+    pub paused_until: TimeMs,
+    pub is_leaving: bool,
+    pub refuses_old_orders: bool,
+    pub believed: Option<Assignment>,
+    pub highest: Epoch,
+    pub loaded: Option<ModelRef>,
+    pub load_done_at: TimeMs,
+    pub loads: u32,
+    /// Orders obeyed although a higher epoch was believed in.
+    pub steps_back: u32,
+}
+
+impl Vm {
+    pub fn is_up(&self, now: TimeMs) -> bool {
+        !self.is_dead && now >= self.paused_until
+    }
+
+    fn is_loading(&self, now: TimeMs) -> bool {
+        now < self.load_done_at
+    }
+
+    /// Whether it works as a member of what it believes in.
+    pub fn is_ready(&self, now: TimeMs) -> bool {
+        let wanted = self.believed.as_ref().map(|believed| &believed.model);
+        let is_loaded = wanted.is_some() && wanted == self.loaded.as_ref();
+        self.is_up(now) && !self.is_loading(now) && is_loaded
+    }
+
+    fn obey(&mut self, now: TimeMs, load_ms: u64, order: Order) -> OrderResult {
+        let epoch = match &order {
+            Order::Serve { assignment } => assignment.epoch,
+            Order::Leave { epoch, .. } => *epoch,
+        };
+        if self.refuses_old_orders && epoch < self.highest {
+            let highest = self.highest;
+            return OrderResult::Fenced { highest };
+        }
+        self.steps_back += u32::from(epoch < self.highest);
+        self.highest = self.highest.max(epoch);
+        match order {
+            Order::Serve { assignment } => {
+                if self.loaded.as_ref() != Some(&assignment.model) {
+                    self.loaded = Some(assignment.model.clone());
+                    self.load_done_at = now.plus_ms(load_ms);
+                    self.loads += 1;
+                }
+                self.believed = Some(assignment);
+            }
+            Order::Leave { group, .. } => {
+                self.believed.take_if(|believed| believed.group == group);
+            }
+        }
+        OrderResult::Accepted
+    }
+
+    /// Comes back as another machine, which remembers nothing.
+    pub fn restart(&mut self) {
+        self.incarnation += 1;
+        self.is_dead = false;
+        self.is_leaving = false;
+        self.paused_until = TimeMs(0);
+        self.believed = None;
+        self.highest = Epoch(0);
+        self.loaded = None;
+        self.load_done_at = TimeMs(0);
+    }
+}
+
+/// A controller and how it is connected.
+pub struct Driven {
+    pub controller: Controller,
+    pub controls: bool,
+    pub sees_platform: bool,
+    pub paused_until: TimeMs,
+    /// Pauses as soon as it has decided the next actions, for this long.
+    pub pause_before_acting_ms: u64,
+    /// Actions decided before a pause.
+    pending: VecDeque<Action>,
+}
+
+pub struct World {
+    pub now: TimeMs,
+    pub vms: BTreeMap<VmId, Vm>,
+    pub demands: Vec<Demand>,
+    pub controllers: Vec<Driven>,
+    /// Every plan ever written; the version is the place, from 1.
+    pub plans: Vec<Plan>,
+    pub is_platform_up: bool,
+    /// Writes that still take effect without an answer.
+    pub lose_answers: u32,
+    /// Time for which orders are on their way.
+    pub order_delay_ms: u64,
+    pub load_ms: u64,
+    pub writes: u64,
+    pub reads: u64,
+    pub max_loading: usize,
+    orders: Vec<(TimeMs, MemberAddress, Order)>,
+    lists: VecDeque<(TimeMs, Vec<ListedVm>)>,
+}
+
+pub fn vm_id(number: usize) -> VmId {
+    format!("vm-{number:03}").parse().expect("a valid name")
+}
+
+/// Address of a VM; each time it moves it gets another port.
+pub fn address(number: usize, port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], port))
+}
+
+pub fn demand(name: &str, groups: u16, group_size: u16, standbys: u16) -> Demand {
+    Demand {
+        deployment: name.parse().expect("a valid name"),
+        model: "jp-model@v1".parse().expect("a valid model"),
+        groups,
+        group_size,
+        standbys,
+        priority: Priority::Normal,
+        refuses_old_orders: true,
+    }
+}
+
+impl World {
+    pub fn new(vms: usize, demands: Vec<Demand>, settings: &RepairSettings, nodes: u64) -> World {
+        let refuses = demands.iter().all(|demand| demand.refuses_old_orders);
+        let vms = (0..vms).map(|number| (vm_id(number), new_vm(number, refuses)));
+        World {
+            now: TimeMs(100_000),
+            vms: vms.collect(),
+            demands,
+            controllers: (0..nodes).map(|seed| new_driven(seed, settings)).collect(),
+            plans: Vec::new(),
+            is_platform_up: true,
+            lose_answers: 0,
+            order_delay_ms: 0,
+            load_ms: settings.load_ms,
+            writes: 0,
+            reads: 0,
+            max_loading: 0,
+            orders: Vec::new(),
+            lists: VecDeque::new(),
+        }
+    }
+
+    pub fn vm(&mut self, number: usize) -> &mut Vm {
+        self.vms.get_mut(&vm_id(number)).expect("a VM")
+    }
+
+    pub fn latest(&self) -> Plan {
+        self.plans.last().cloned().unwrap_or_default()
+    }
+
+    /// Moves on by one step.
+    pub fn step(&mut self) {
+        self.now = self.now.plus_ms(STEP_MS);
+        self.deliver_orders();
+        let list = self.lagging_list();
+        let loading = self.vms.values().filter(|vm| vm.is_loading(self.now));
+        self.max_loading = self.max_loading.max(loading.count());
+        for index in 0..self.controllers.len() {
+            if self.now >= self.controllers[index].paused_until {
+                self.run_controller(index, &list);
+            }
+        }
+    }
+
+    pub fn run_ms(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(STEP_MS) {
+            self.step();
+        }
+    }
+
+    /// Runs until the condition holds; tells after how long.
+    pub fn run_until(&mut self, limit_ms: u64, condition: impl Fn(&World) -> bool) -> Option<u64> {
+        let start = self.now;
+        while !condition(self) {
+            if self.now.since_ms(start) >= limit_ms {
+                return None;
+            }
+            self.step();
+        }
+        Some(self.now.since_ms(start))
+    }
+
+    /// Assignments whose members all work and believe in them.
+    pub fn serving(&self) -> BTreeSet<(String, Epoch, Vec<VmId>)> {
+        let believed = self.vms.values().filter_map(|vm| vm.believed.as_ref());
+        let whole = believed.filter(|assignment| {
+            assignment.members.iter().all(|member| {
+                let vm = &self.vms[&member.vm];
+                let agrees = vm.believed.as_ref() == Some(assignment);
+                agrees && vm.address == member.address && vm.is_ready(self.now)
+            })
+        });
+        let named = whole.map(|assignment| {
+            let members = assignment.members.iter();
+            let members = members.map(|member| member.vm.clone()).collect();
+            (assignment.group.to_string(), assignment.epoch, members)
+        });
+        named.collect()
+    }
+
+    /// Healthy VMs that are idle while groups are missing: all that neither serve nor stand by for
+    /// a group that does.
+    pub fn stranded_vms(&self) -> usize {
+        let serving = self.serving();
+        let wanted = self.demands.iter().map(|demand| usize::from(demand.groups));
+        if serving.len() >= wanted.sum() {
+            return 0;
+        }
+        let mut busy: BTreeSet<VmId> = BTreeSet::new();
+        for (id, _, members) in serving {
+            let plan = self.latest();
+            let group = plan.groups.iter().find(|group| group.id.as_str() == id);
+            let standbys = group.into_iter().flat_map(|group| &group.standbys);
+            busy.extend(standbys.map(|member| member.vm.clone()));
+            busy.extend(members);
+        }
+        let healthy = self.vms.iter().filter(|(_, vm)| vm.is_up(self.now));
+        healthy.filter(|(vm, _)| !busy.contains(*vm)).count()
+    }
+
+    fn deliver_orders(&mut self) {
+        let now = self.now;
+        let orders = std::mem::take(&mut self.orders);
+        let (due, later): (Vec<_>, Vec<_>) = orders.into_iter().partition(|(at, ..)| *at <= now);
+        self.orders = later;
+        for (_, member, order) in due {
+            self.obey(&member, order);
+        }
+    }
+
+    fn obey(&mut self, member: &MemberAddress, order: Order) -> OrderResult {
+        let (now, load_ms) = (self.now, self.load_ms);
+        match self.vms.get_mut(&member.vm) {
+            Some(vm) if vm.address == member.address && vm.is_up(now) => {
+                vm.obey(now, load_ms, order)
+            }
+            _ => OrderResult::NoAnswer,
+        }
+    }
+
+    fn lagging_list(&mut self) -> Vec<ListedVm> {
+        let listed = self.vms.iter().filter(|(_, vm)| !vm.is_dead);
+        let list = listed.map(|(id, vm)| ListedVm {
+            member: MemberAddress {
+                vm: id.clone(),
+                address: vm.address,
+            },
+            leaving: vm.is_leaving,
+        });
+        self.lists.push_back((self.now, list.collect()));
+        while self.lists.len() > 1 && self.now.since_ms(self.lists[1].0) >= LIST_LAG_MS {
+            self.lists.pop_front();
+        }
+        self.lists[0].1.clone()
+    }
+
+    fn run_controller(&mut self, index: usize, list: &[ListedVm]) {
+        let now = self.now;
+        let pending = std::mem::take(&mut self.controllers[index].pending);
+        self.perform_all(index, pending);
+        let driven = &mut self.controllers[index];
+        let controls = driven.controls;
+        let controller = &mut driven.controller;
+        controller.handle(now, Event::Role { controls });
+        controller.handle(now, Event::Members(list.to_vec()));
+        controller.handle(now, Event::Demands(self.demands.clone()));
+        for entry in list {
+            let vm = &self.vms[&entry.member.vm];
+            if vm.address == entry.member.address && vm.is_up(now) {
+                controller.handle(now, probe(entry, vm, now));
+            }
+        }
+        let actions = controller.handle(now, Event::Tick);
+        if !actions.is_empty() && driven.pause_before_acting_ms > 0 {
+            driven.paused_until = now.plus_ms(driven.pause_before_acting_ms);
+            driven.pause_before_acting_ms = 0;
+        }
+        self.perform_all(index, actions.into());
+    }
+
+    fn perform_all(&mut self, index: usize, mut actions: VecDeque<Action>) {
+        while let Some(action) = actions.pop_front() {
+            if self.now < self.controllers[index].paused_until {
+                self.controllers[index].pending.push_back(action);
+                continue;
+            }
+            let event = self.perform(index, action);
+            let more = self.controllers[index].controller.handle(self.now, event);
+            actions.extend(more);
+        }
+    }
+
+    fn perform(&mut self, index: usize, action: Action) -> Event {
+        let asked_at = self.now;
+        let is_reachable = self.is_platform_up && self.controllers[index].sees_platform;
+        let version = PlanVersion(self.plans.len() as u64);
+        match action {
+            Action::Order {
+                member,
+                order,
+                deadline,
+            } => {
+                let vm = member.vm.clone();
+                let is_expired = deadline.has_passed(self.now);
+                let result = self.send_order(member, order, is_expired);
+                Event::OrderEnded { vm, result }
+            }
+            _ if !is_reachable => Event::PlatformFailed,
+            Action::ReadPlan => {
+                self.reads += 1;
+                Event::PlanRead {
+                    asked_at,
+                    version,
+                    plan: self.latest(),
+                }
+            }
+            Action::WritePlan { expected, .. } if expected != version => Event::PlanConflict {
+                asked_at,
+                version,
+                plan: self.latest(),
+            },
+            Action::WritePlan { plan, .. } => {
+                self.writes += 1;
+                self.plans.push(plan);
+                if self.lose_answers > 0 {
+                    self.lose_answers -= 1;
+                    return Event::PlanAmbiguous;
+                }
+                Event::PlanWritten {
+                    asked_at,
+                    version: PlanVersion(version.0 + 1),
+                }
+            }
+        }
+    }
+
+    fn send_order(&mut self, member: MemberAddress, order: Order, is_expired: bool) -> OrderResult {
+        if is_expired {
+            return OrderResult::Expired;
+        }
+        if self.order_delay_ms == 0 {
+            return self.obey(&member, order);
+        }
+        let arrives_at = self.now.plus_ms(self.order_delay_ms);
+        self.orders.push((arrives_at, member, order));
+        OrderResult::NoAnswer
+    }
+}
+
+fn probe(entry: &ListedVm, vm: &Vm, now: TimeMs) -> Event {
+    Event::Probe {
+        vm: entry.member.vm.clone(),
+        sent_at: now,
+        evidence: ProbeEvidence {
+            address: vm.address,
+            incarnation: vm.incarnation,
+            believed: vm.believed.clone(),
+            ready: vm.is_ready(now),
+            straggles: false,
+        },
+    }
+}
+
+/// A controller that knows nothing; the first one controls.
+pub fn new_driven(seed: u64, settings: &RepairSettings) -> Driven {
+    let domain = "rack-1".parse().expect("a valid name");
+    Driven {
+        controller: Controller::new(domain, settings.clone(), seed),
+        controls: seed == 0,
+        sees_platform: true,
+        paused_until: TimeMs(0),
+        pause_before_acting_ms: 0,
+        pending: VecDeque::new(),
+    }
+}
+
+fn new_vm(number: usize, refuses_old_orders: bool) -> Vm {
+    Vm {
+        address: address(number, 1),
+        incarnation: 1,
+        is_dead: false,
+        paused_until: TimeMs(0),
+        is_leaving: false,
+        refuses_old_orders,
+        believed: None,
+        highest: Epoch(0),
+        loaded: None,
+        load_done_at: TimeMs(0),
+        loads: 0,
+        steps_back: 0,
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/repair.rs
@@ -0,0 +1,280 @@
+//! Groups are formed, repaired and moved.
+
+use jacinthpoint_placement::{Demand, GroupPlan, RepairSettings};
+use jacinthpoint_types::Priority;
+
+use crate::driver::{World, address, demand, new_driven, vm_id};
+
+/// Bound on any one change: suspicion, wait and two loads, with room.
+const LIMIT_MS: u64 = 20_000;
+
+fn settings() -> RepairSettings {
+    RepairSettings {
+        load_ms: 2_000,
+        replace_ms: 30_000,
+        ..RepairSettings::new()
+    }
+}
+
+fn batch_demand(name: &str, group_size: u16, standbys: u16) -> Demand {
+    Demand {
+        priority: Priority::Batch,
+        ..demand(name, 1, group_size, standbys)
+    }
+}
+
+/// A case over a world of `$vms` VMs whose demanded groups serve.
+macro_rules! repair_case {
+    ($name:ident, $vms:expr, $demands:expr, |$world:ident| $body:block) => {
+        #[test]
+        fn $name() {
+            let mut $world = World::new($vms, $demands, &settings(), 2);
+            let wanted: u16 = $world.demands.iter().map(|demand| demand.groups).sum();
+            serve(&mut $world, usize::from(wanted));
+            $body
+        }
+    };
+}
+
+fn serve(world: &mut World, wanted: usize) {
+    let formed = world.run_until(LIMIT_MS, |world| world.serving().len() == wanted);
+    assert!(formed.is_some(), "{:?}", world.latest());
+}
+
+fn total_loads(world: &World) -> u32 {
+    world.vms.values().map(|vm| vm.loads).sum()
+}
+
+fn first_group(world: &World) -> GroupPlan {
+    world.latest().groups[0].clone()
+}
+
+fn member_number(world: &World, rank: usize) -> usize {
+    let vm = first_group(world).members[rank].vm.clone();
+    let found = (0..world.vms.len()).find(|&number| vm_id(number) == vm);
+    found.expect("a member is a VM")
+}
+
+/// Runs until the condition holds while at least `floor` groups serve at every step.
+fn change_with_capacity(world: &mut World, floor: usize, is_done: impl Fn(&World) -> bool) {
+    let start = world.now;
+    while !is_done(world) {
+        world.step();
+        assert!(world.serving().len() >= floor, "{:?}", world.latest());
+        assert!(world.now.since_ms(start) < 4 * LIMIT_MS, "not in time");
+    }
+}
+
+fn serves_new_version(world: &World, groups: usize) -> bool {
+    let plan = world.latest();
+    let is_new = |group: &GroupPlan| group.model == world.demands[0].model;
+    plan.groups.len() == groups && plan.groups.iter().all(is_new) && world.serving().len() == groups
+}
+
+repair_case!(
+    paused_member_that_returns_within_the_wait_costs_nothing,
+    5,
+    vec![demand("desk", 1, 4, 1)],
+    |world| {
+        let (loads, writes) = (total_loads(&world), world.writes);
+        let member = member_number(&world, 1);
+        world.vm(member).paused_until = world.now.plus_ms(3_000);
+        world.run_ms(10_000);
+        assert_eq!((total_loads(&world), world.writes), (loads, writes));
+        assert_eq!(world.serving().len(), 1);
+    }
+);
+
+repair_case!(
+    standby_replaces_a_dead_member_with_one_load,
+    5,
+    vec![demand("desk", 1, 4, 1)],
+    |world| {
+        let loads = total_loads(&world);
+        let member = member_number(&world, 2);
+        world.vm(member).is_dead = true;
+        serve(&mut world, 1);
+        assert_eq!(total_loads(&world), loads + 1);
+        let group = first_group(&world);
+        assert!(group.all_vms().all(|other| other.vm != vm_id(member)));
+    }
+);
+
+repair_case!(
+    engine_that_started_again_is_not_the_old_member,
+    4,
+    vec![demand("desk", 1, 4, 0)],
+    |world| {
+        let before = first_group(&world);
+        let member = member_number(&world, 0);
+        world.vm(member).restart();
+        serve(&mut world, 1);
+        let after = first_group(&world);
+        assert_eq!(after.id, before.id);
+        assert!(after.epoch > before.epoch);
+    }
+);
+
+repair_case!(
+    vm_with_another_address_is_not_the_old_member,
+    4,
+    vec![demand("desk", 1, 4, 0)],
+    |world| {
+        let before = first_group(&world);
+        let member = member_number(&world, 3);
+        world.vm(member).restart();
+        world.vm(member).address = address(member, 2);
+        let is_moved = |world: &World| first_group(world).members[3].address == address(member, 2);
+        assert!(world.run_until(LIMIT_MS, is_moved).is_some());
+        serve(&mut world, 1);
+        assert!(first_group(&world).epoch > before.epoch);
+    }
+);
+
+repair_case!(
+    standby_of_a_less_important_group_is_borrowed,
+    8,
+    vec![demand("desk", 1, 3, 0), batch_demand("reports", 3, 2)],
+    |world| {
+        let member = member_number(&world, 0);
+        world.vm(member).is_dead = true;
+        serve(&mut world, 2);
+    }
+);
+
+repair_case!(
+    members_are_taken_from_a_less_important_group,
+    6,
+    vec![demand("desk", 1, 3, 0), batch_demand("reports", 3, 0)],
+    |world| {
+        let desk = first_group(&world).id.to_string();
+        let member = member_number(&world, 0);
+        world.vm(member).is_dead = true;
+        world.step();
+        let desk_serves = |world: &World| world.serving().iter().any(|(id, _, _)| id == &desk);
+        assert!(world.run_until(LIMIT_MS, desk_serves).is_some());
+    }
+);
+
+repair_case!(
+    two_broken_groups_become_one_that_serves,
+    6,
+    vec![demand("desk", 2, 3, 0)],
+    |world| {
+        for group in world.latest().groups {
+            let lost = &group.members[1].vm;
+            world.vms.get_mut(lost).expect("a VM").is_dead = true;
+        }
+        serve(&mut world, 1);
+    }
+);
+
+repair_case!(
+    new_version_serves_before_the_old_one_goes,
+    12,
+    vec![demand("desk", 2, 4, 0)],
+    |world| {
+        world.demands[0].model = "jp-model@v2".parse().expect("a valid model");
+        change_with_capacity(&mut world, 2, |world| serves_new_version(world, 2));
+    }
+);
+
+repair_case!(
+    new_version_moves_one_group_at_a_time_without_spare_vms,
+    12,
+    vec![demand("desk", 3, 4, 0)],
+    |world| {
+        world.demands[0].model = "jp-model@v2".parse().expect("a valid model");
+        change_with_capacity(&mut world, 2, |world| serves_new_version(world, 3));
+    }
+);
+
+repair_case!(
+    leaving_vm_is_replaced_without_a_gap,
+    8,
+    vec![demand("desk", 1, 4, 0)],
+    |world| {
+        let member = member_number(&world, 0);
+        world.vm(member).is_leaving = true;
+        change_with_capacity(&mut world, 1, |world| {
+            let groups = world.latest().groups;
+            let mut planned = groups.iter().flat_map(GroupPlan::all_vms);
+            planned.all(|other| other.vm != vm_id(member))
+        });
+        serve(&mut world, 1);
+    }
+);
+
+repair_case!(
+    flapping_vm_is_not_planned_with_anew,
+    6,
+    vec![demand("desk", 1, 4, 0)],
+    |world| {
+        // The fifth and the sixth VM are free; the fifth flaps.
+        for _ in 0..3 {
+            world.vm(4).paused_until = world.now.plus_ms(2_500);
+            world.run_ms(4_000);
+        }
+        let member = member_number(&world, 0);
+        world.vm(member).is_dead = true;
+        serve(&mut world, 1);
+        let group = first_group(&world);
+        assert!(group.all_vms().all(|other| other.vm != vm_id(4)));
+    }
+);
+
+repair_case!(
+    group_ids_differ_after_the_plan_is_lost,
+    4,
+    vec![demand("desk", 1, 4, 0)],
+    |world| {
+        let before = first_group(&world).id;
+        let fence = world.latest().fence;
+        world.plans.clear();
+        world.controllers = vec![new_driven(7, &settings())];
+        world.controllers[0].controls = true;
+        for number in 0..4 {
+            world.vm(number).restart();
+        }
+        assert!(world.serving().is_empty());
+        serve(&mut world, 1);
+        assert_eq!(world.latest().fence, fence);
+        assert_ne!(first_group(&world).id, before);
+    }
+);
+
+repair_case!(
+    fence_rises_above_what_engines_have_seen,
+    5,
+    vec![demand("desk", 1, 4, 1)],
+    |world| {
+        let member = member_number(&world, 0);
+        world.vm(member).is_dead = true;
+        serve(&mut world, 1);
+        let seen = world.latest().fence;
+        world.plans.clear();
+        world.run_ms(LIMIT_MS);
+        assert!(world.latest().fence > seen);
+        serve(&mut world, 1);
+    }
+);
+
+/// A case over the limit of loads at once.
+macro_rules! load_case {
+    ($name:ident, $max_loads:expr) => {
+        #[test]
+        fn $name() {
+            let settings = RepairSettings {
+                max_loads: $max_loads,
+                ..settings()
+            };
+            let mut world = World::new(24, vec![demand("desk", 3, 8, 0)], &settings, 1);
+            let formed = world.run_until(300_000, |world| world.serving().len() == 3);
+            assert!(formed.is_some());
+            assert!(world.max_loading <= $max_loads, "{}", world.max_loading);
+        }
+    };
+}
+
+load_case!(loads_at_once_stay_within_the_limit, 5);
+load_case!(one_load_at_once_still_brings_up_the_groups, 1);
--- /dev/null
+++ b/crates/placement/tests/sequences.rs
@@ -0,0 +1,285 @@
+//! Random sequences of faults; the invariants are checked after each step.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use jacinthpoint_placement::{GroupPlan, Plan, RepairSettings};
+use jacinthpoint_types::{Epoch, GroupId, TimeMs};
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+
+use crate::driver::{World, address, demand};
+
+const VMS: usize = 12;
+const GROUPS: u16 = 2;
+const GROUP_SIZE: u16 = 3;
+/// Longest pause of a VM or controller, in steps of half a second.
+const MAX_PAUSE: u8 = 40;
+/// Within this time after the last fault every group serves that can.
+const SETTLE_MS: u64 = 120_000;
+/// Time without faults in which no plan is written.
+const QUIET_MS: u64 = 30_000;
+
+#[derive(Debug, Clone)]
+enum Fault {
+    Kill(u8),
+    Restart(u8),
+    Move(u8),
+    Pause(u8, u8),
+    Leave(u8),
+    PauseController(u8, u8),
+    PauseBeforeActing(u8, u8),
+    Controls(u8, bool),
+    Platform(bool),
+    SeesPlatform(u8, bool),
+    LoseAnswers(u8),
+    DelayOrders(bool),
+    NewVersion(u8),
+    Wait(u8),
+}
+
+impl Arbitrary for Fault {
+    fn arbitrary(g: &mut Gen) -> Fault {
+        let vm = u8::arbitrary(g) % VMS as u8;
+        let node = u8::arbitrary(g) % 2;
+        let length = u8::arbitrary(g) % MAX_PAUSE;
+        let on = bool::arbitrary(g);
+        match u8::arbitrary(g) % 22 {
+            0..3 => Fault::Kill(vm),
+            3..5 => Fault::Restart(vm),
+            5 => Fault::Move(vm),
+            6..8 => Fault::Pause(vm, length),
+            8 => Fault::Leave(vm),
+            9 => Fault::PauseController(node, length),
+            10 => Fault::PauseBeforeActing(node, length),
+            11 => Fault::Controls(node, on),
+            12 => Fault::Platform(on),
+            13 => Fault::SeesPlatform(node, on),
+            14 => Fault::LoseAnswers(length % 4),
+            15 => Fault::DelayOrders(on),
+            16 => Fault::NewVersion(length % 3),
+            _ => Fault::Wait(length),
+        }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Fault>> {
+        quickcheck::empty_shrinker()
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Setup {
+    refuses_old_orders: bool,
+    with_outages: bool,
+}
+
+impl Fault {
+    fn is_outage(&self) -> bool {
+        matches!(self, Fault::Platform(_) | Fault::SeesPlatform(..))
+    }
+
+    /// Applies the fault; tells for how many steps to run on.
+    fn apply(&self, world: &mut World) -> u32 {
+        let now = world.now;
+        let until = |length: u8| TimeMs(now.0 + 500 * u64::from(length));
+        match *self {
+            Fault::Kill(vm) => world.vm(vm.into()).is_dead = true,
+            Fault::Restart(vm) => world.vm(vm.into()).restart(),
+            Fault::Move(vm) => {
+                let port = world.vm(vm.into()).address.port() + 1;
+                world.vm(vm.into()).restart();
+                world.vm(vm.into()).address = address(vm.into(), port);
+            }
+            Fault::Pause(vm, length) => world.vm(vm.into()).paused_until = until(length),
+            Fault::Leave(vm) => world.vm(vm.into()).is_leaving = true,
+            Fault::PauseController(node, length) => {
+                world.controllers[usize::from(node)].paused_until = until(length);
+            }
+            Fault::PauseBeforeActing(node, length) => {
+                let pause_ms = 500 * u64::from(length);
+                world.controllers[usize::from(node)].pause_before_acting_ms = pause_ms;
+            }
+            Fault::Controls(node, on) => world.controllers[usize::from(node)].controls = on,
+            Fault::Platform(on) => world.is_platform_up = on,
+            Fault::SeesPlatform(node, on) => {
+                world.controllers[usize::from(node)].sees_platform = on;
+            }
+            Fault::LoseAnswers(count) => world.lose_answers = count.into(),
+            Fault::DelayOrders(on) => world.order_delay_ms = if on { 400 } else { 0 },
+            Fault::NewVersion(version) => {
+                let model = format!("jp-model@v{version}");
+                world.demands[0].model = model.parse().expect("a valid model");
+            }
+            Fault::Wait(steps) => return u32::from(steps),
+        }
+        1
+    }
+}
+
+/// What was true of the plans so far.
+#[derive(Default)]
+struct History {
+    checked: usize,
+    fence: u64,
+    groups: BTreeMap<GroupId, GroupPlan>,
+    gone: BTreeSet<GroupId>,
+}
+
+impl History {
+    fn check(&mut self, world: &World, setup: Setup) -> Result<(), String> {
+        for plan in &world.plans[self.checked..] {
+            self.check_plan(plan)?;
+        }
+        self.checked = world.plans.len();
+        let mut served: BTreeMap<String, Epoch> = BTreeMap::new();
+        for (group, epoch, _) in world.serving() {
+            if let Some(other) = served.insert(group.clone(), epoch) {
+                return Err(format!("{group} serves under {epoch} and {other}"));
+            }
+        }
+        // Without the platform two controllers may overtake each other where nobody refuses.
+        let must_not_step_back = setup.refuses_old_orders || !setup.with_outages;
+        match world.vms.iter().find(|(_, vm)| vm.steps_back > 0) {
+            Some((vm, _)) if must_not_step_back => Err(format!("{vm} obeyed an outdated order")),
+            _ => Ok(()),
+        }
+    }
+
+    fn check_plan(&mut self, plan: &Plan) -> Result<(), String> {
+        if !plan.is_disjoint() {
+            return Err(format!("a VM stands in two places: {plan:?}"));
+        }
+        if plan.fence <= self.fence {
+            return Err(format!("fence {} after {}", plan.fence, self.fence));
+        }
+        self.fence = plan.fence;
+        for group in &plan.groups {
+            if self.gone.contains(&group.id) {
+                return Err(format!("{} came back", group.id));
+            }
+            if let Some(old) = self.groups.remove(&group.id) {
+                let is_same = old.assignment() == group.assignment();
+                if !is_same && group.epoch <= old.epoch {
+                    return Err(format!("{group:?} after {old:?}"));
+                }
+            }
+        }
+        self.gone
+            .extend(std::mem::take(&mut self.groups).into_keys());
+        let groups = plan.groups.iter();
+        self.groups = groups
+            .map(|group| (group.id.clone(), group.clone()))
+            .collect();
+        Ok(())
+    }
+}
+
+fn run(faults: &[Fault], setup: Setup) -> Result<(), String> {
+    let settings = RepairSettings {
+        load_ms: 2_000,
+        replace_ms: 20_000,
+        damping_ms: 10_000,
+        ..RepairSettings::new()
+    };
+    let mut wanted = demand("desk", GROUPS, GROUP_SIZE, 2);
+    wanted.refuses_old_orders = setup.refuses_old_orders;
+    let mut world = World::new(VMS, vec![wanted], &settings, 2);
+    let mut history = History::default();
+    world.run_ms(5_000);
+    for fault in faults {
+        if fault.is_outage() && !setup.with_outages {
+            continue;
+        }
+        for _ in 0..fault.apply(&mut world).max(1) {
+            world.step();
+            history.check(&world, setup)?;
+        }
+    }
+    settle(&mut world, &mut history, setup)
+}
+
+/// Ends the faults; then every group serves that has VMs.
+fn settle(world: &mut World, history: &mut History, setup: Setup) -> Result<(), String> {
+    world.is_platform_up = true;
+    world.order_delay_ms = 0;
+    for (index, driven) in world.controllers.iter_mut().enumerate() {
+        driven.controls = index == 0;
+        driven.sees_platform = true;
+    }
+    let stays = world
+        .vms
+        .values()
+        .filter(|vm| !vm.is_dead && !vm.is_leaving);
+    let possible = (stays.count() / usize::from(GROUP_SIZE)).min(GROUPS.into());
+    let start = world.now;
+    let is_done = |world: &World| {
+        let serving = world.serving();
+        let new = &world.demands[0].model;
+        let plan = world.latest();
+        let is_new = |id: &str| {
+            let mut groups = plan.groups.iter();
+            groups.any(|group| group.id.as_str() == id && &group.model == new)
+        };
+        serving.iter().filter(|(id, _, _)| is_new(id)).count() >= possible
+    };
+    while !is_done(world) {
+        world.step();
+        history.check(world, setup)?;
+        if world.now.since_ms(start) > SETTLE_MS {
+            return Err(format!("{possible} groups expected: {:?}", world.latest()));
+        }
+    }
+    // Standbys and outgoing groups come after; then nothing is left to change.
+    world.run_ms(SETTLE_MS);
+    history.check(world, setup)?;
+    let written = world.plans.len();
+    world.run_ms(QUIET_MS);
+    if world.plans.len() > written {
+        return Err(format!("written without need: {:?}", world.latest()));
+    }
+    Ok(())
+}
+
+/// A property over sequences of faults, with a fixed seed, so that every run gives one verdict.
+macro_rules! sequence_case {
+    ($name:ident, $setup:expr, $seed:expr) => {
+        #[test]
+        fn $name() {
+            fn holds(faults: Vec<Fault>) -> TestResult {
+                match run(&faults, $setup) {
+                    Ok(()) => TestResult::passed(),
+                    Err(message) => TestResult::error(message),
+                }
+            }
+            QuickCheck::new()
+                .rng(Gen::from_size_and_seed(60, $seed))
+                .tests(200)
+                .quickcheck(holds as fn(Vec<Fault>) -> TestResult);
+        }
+    };
+}
+
+sequence_case!(
+    invariants_hold_where_old_orders_are_refused,
+    Setup {
+        refuses_old_orders: true,
+        with_outages: true,
+    },
+    1
+);
+
+sequence_case!(
+    invariants_hold_where_fencing_is_ignored,
+    Setup {
+        refuses_old_orders: false,
+        with_outages: false,
+    },
+    2
+);
+
+sequence_case!(
+    invariants_hold_in_outages_where_fencing_is_ignored,
+    Setup {
+        refuses_old_orders: false,
+        with_outages: true,
+    },
+    3
+);
--- /dev/null
+++ b/crates/placement/tests/share.rs
@@ -0,0 +1,87 @@
+//! Groups are dealt over fabric domains.
+
+use std::collections::BTreeMap;
+
+use jacinthpoint_placement::{DomainShares, Spread, domain_share};
+use jacinthpoint_types::{FabricDomainId, TimeMs};
+
+fn spread(replicas: u16) -> Spread {
+    Spread {
+        deployment: "desk".parse().expect("a valid name"),
+        replicas,
+        group_size: 4,
+        standbys: 1,
+    }
+}
+
+fn sizes(vms: &[usize]) -> BTreeMap<FabricDomainId, usize> {
+    let named = vms.iter().enumerate().map(|(number, vms)| {
+        let name = format!("rack-{number}");
+        (name.parse().expect("a valid name"), *vms)
+    });
+    named.collect()
+}
+
+fn dealt(vms: &[usize], replicas: u16) -> Vec<u16> {
+    let shares = domain_share(&mut sizes(vms), &spread(replicas));
+    let share = |name: &FabricDomainId| shares.get(name).copied().unwrap_or(0);
+    sizes(vms).keys().map(share).collect()
+}
+
+/// Sizes after the list has shown each of these for that many seconds.
+fn sizes_after(shown: &[(u64, &[usize])]) -> BTreeMap<FabricDomainId, usize> {
+    let mut shares = DomainShares::default();
+    let mut now = TimeMs(0);
+    for (seconds, vms) in shown {
+        for _ in 0..*seconds {
+            shares.observe(now, &sizes(vms));
+            now = now.plus_ms(1_000);
+        }
+    }
+    shares.sizes()
+}
+
+macro_rules! share_case {
+    ($name:ident, $body:block) => {
+        #[test]
+        fn $name() $body
+    };
+}
+
+share_case!(all_fitting_groups_are_dealt_once, {
+    for replicas in 0..14 {
+        let shares = dealt(&[16, 16, 9], replicas);
+        assert!(shares.iter().sum::<u16>() <= replicas, "{shares:?}");
+    }
+    assert_eq!(dealt(&[15, 15, 10], 8), [3, 3, 2]);
+});
+
+share_case!(loss_of_a_vm_moves_no_group, {
+    assert_eq!(dealt(&[16, 16, 16], 6), dealt(&[16, 15, 16], 6));
+});
+
+share_case!(late_list_changes_no_size, {
+    let shown: &[(u64, &[usize])] = &[(3, &[16, 16]), (3, &[0, 16]), (3, &[16, 16])];
+    assert_eq!(sizes_after(shown), sizes(&[16, 16]));
+});
+
+share_case!(dark_domain_counts_for_nothing_after_a_hold, {
+    let shown: &[(u64, &[usize])] = &[(3, &[16, 16]), (10, &[0, 16])];
+    assert_eq!(sizes_after(shown), sizes(&[0, 16]));
+});
+
+share_case!(share_shrinks_late_and_grows_at_once, {
+    let mut shares = DomainShares::default();
+    let mut hold = |at_s: u64, dealt: u16| shares.hold(TimeMs(at_s * 1_000), &spread(4), dealt, 2);
+    assert_eq!(hold(0, 2), 2);
+    assert_eq!(hold(1, 4), 4);
+    assert_eq!(hold(2, 2), 4);
+    assert_eq!(hold(60, 2), 4);
+    assert_eq!(hold(200, 2), 2);
+});
+
+share_case!(declared_change_shrinks_at_once, {
+    let mut shares = DomainShares::default();
+    assert_eq!(shares.hold(TimeMs(0), &spread(4), 4, 4), 4);
+    assert_eq!(shares.hold(TimeMs(1), &spread(2), 2, 4), 2);
+});
