--- a/crates/node/src/control/domains.rs
+++ b/crates/node/src/control/domains.rs
@@ -1,13 +1,13 @@
 //! What the node knows of the fabric domains it has work for.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
 use jacinthpoint_placement::{Action, Controller, DomainShares, Event, RepairSettings};
 use jacinthpoint_readiness::Prober;
-use jacinthpoint_types::{Assignment, DataCentreId, FabricDomainId, TimeMs};
+use jacinthpoint_types::{Assignment, DataCentreId, FabricDomainId, TimeMs, VmId};
 
 use crate::events::log_event;
 
@@ -18,6 +18,8 @@
     pub(crate) prober: Prober,
     pub(crate) controller: Controller,
     pub(crate) shares: DomainShares,
+    /// VMs that say themselves that they are leaving.
+    pub(crate) leaving: BTreeSet<VmId>,
     /// The groups as the prober was last told of them.
     probed: Vec<Assignment>,
 }
@@ -34,6 +36,7 @@
             // Controllers of different nodes and of different starts must not share a seed.
             controller: Controller::new(name, settings, rand::random()),
             shares: DomainShares::default(),
+            leaving: BTreeSet::new(),
             probed: Vec::new(),
         }
     }
--- a/crates/node/src/control/probing.rs
+++ b/crates/node/src/control/probing.rs
@@ -4,6 +4,7 @@
 
 use crossbeam::channel;
 use jacinthpoint_placement::{Event, ProbeEvidence};
+use jacinthpoint_platform::{MemberState, PlatformMember};
 use jacinthpoint_readiness::{ProbeReport, STRAGGLER_SLOWNESS};
 use jacinthpoint_types::{FabricDomainId, TimeMs, VmId};
 use jacinthpoint_upstream::EngineState;
@@ -61,11 +62,15 @@
     });
     let mut domains = shared.domains.lock();
     domains.retain(|name, _| own.contains_key(name));
+    let now = shared.now();
     let mut targets = Vec::new();
     for (name, (data_centre, engines)) in own {
-        domains.entry(name.clone()).or_insert_with(|| {
+        let domain = domains.entry(name.clone()).or_insert_with(|| {
             Domain::new(name.clone(), data_centre, shared.settings.repair.clone())
         });
+        domain
+            .prober
+            .set_leaving(leaving_vms(domain, &engines), now);
         targets.extend(engines.into_iter().map(|engine| Target {
             domain: name.clone(),
             vm: engine.vm.clone(),
@@ -75,6 +80,16 @@
     targets
 }
 
+/// VMs that leave by the platform's list or by their own word, which also comes when the list
+/// lags or the platform is down.
+fn leaving_vms(domain: &Domain, engines: &[&PlatformMember]) -> Vec<VmId> {
+    let listed = engines
+        .iter()
+        .filter(|engine| engine.state == MemberState::Leaving);
+    let listed = listed.map(|engine| engine.vm.clone());
+    listed.chain(domain.leaving.iter().cloned()).collect()
+}
+
 fn probe(shared: &Shared, target: &Target) {
     let sent_at = shared.now();
     let state = jacinthpoint_upstream::state(target.address, PROBE_TIMEOUT_MS).ok();
@@ -98,6 +113,7 @@
             address: target.address,
             incarnation: state.incarnation,
             believed: state.assignment.clone(),
+            leaving: state.leaving,
             ready: state.ready,
             straggles: state.slowness >= STRAGGLER_SLOWNESS,
         });
@@ -113,9 +129,15 @@
             },
         );
     }
+    if state.as_ref().is_some_and(|state| state.leaving) {
+        domain.leaving.insert(target.vm.clone());
+    } else if state.is_some() {
+        domain.leaving.remove(&target.vm);
+    }
     let report = state.map(|state| ProbeReport {
         vm: state.vm,
         assignment: state.assignment,
+        leaving: state.leaving,
         ready: state.ready,
         slowness: state.slowness,
         load: state.running + state.queued,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,40 +1,38 @@
 //! State that the node's threads share, each part under its own lock.
 
 use std::{
-    collections::BTreeMap,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError, RwLock,
-        atomic::{AtomicBool, Ordering},
-    },
-    thread,
-    time::Duration,
+    collections::{BTreeMap, VecDeque},
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock},
+    time::{Duration, Instant},
 };
 
-use jacinthpoint_membership::PeerTable;
+use jacinthpoint_membership::Membership;
 use jacinthpoint_platform::{Platform, PlatformMember};
 use jacinthpoint_readiness::PermitTable;
 use jacinthpoint_records::Config;
 use jacinthpoint_types::{GroupId, NodeId, Revision, TimeMs};
 use jacinthpoint_wire::PeerState;
+use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
     clock::{Clock, unix_now_ms},
     control::Domains,
     drain::Drain,
+    events::log_event,
     metrics::Metrics,
     settings::NodeSettings,
 };
 
 /// Shards of the in-flight counts.
 const IN_FLIGHT_SHARDS: usize = 16;
-/// How often a sleeping thread looks whether the node stops.
-const SLEEP_STEP_MS: u64 = 20;
+/// Configurations kept, so that a node a few changes behind gets only the changes.
+const CONFIG_HISTORY: usize = 16;
 
-/// A configuration with the text that other nodes ask for.
+/// A configuration with its records as the platform holds them, each in JSON.
 #[derive(Debug)]
 pub(crate) struct ConfigInForce {
     pub(crate) config: Config,
-    pub(crate) records_json: String,
+    pub(crate) records: Vec<String>,
 }
 
 /// State of one node.
@@ -44,29 +42,41 @@
     pub(crate) drain: Arc<Drain>,
     pub(crate) metrics: Metrics,
     pub(crate) platform: Platform,
-    pub(crate) incarnation: u64,
+
     pub(crate) domains: Domains,
-    stopped: AtomicBool,
-    config: RwLock<Option<Arc<ConfigInForce>>>,
+    stopped: Mutex<bool>,
+    stop_signal: Condvar,
+    /// The newest last.
+    configs: RwLock<VecDeque<Arc<ConfigInForce>>>,
     members: RwLock<Arc<Vec<PlatformMember>>>,
-    peers: Mutex<PeerTable>,
+    peers: Mutex<Membership>,
     permits: Mutex<PermitTable>,
     in_flight: [Mutex<BTreeMap<GroupId, u32>>; IN_FLIGHT_SHARDS],
 }
 
 impl Shared {
     pub(crate) fn new(settings: NodeSettings, metrics: Metrics) -> Shared {
+        let own = PeerState {
+            node: settings.name.clone(),
+            incarnation: unix_now_ms(),
+            address: settings.listen_peers,
+            data_centre: settings.data_centre.clone(),
+            leaving: false,
+            revision: Revision(0),
+        };
+        let rng = SmallRng::from_os_rng();
         Shared {
             clock: Clock::new(),
             drain: Arc::new(Drain::default()),
             metrics,
             platform: Platform::new(settings.platform),
-            incarnation: unix_now_ms(),
+
             domains: Domains::default(),
-            stopped: AtomicBool::new(false),
-            config: RwLock::default(),
+            stopped: Mutex::new(false),
+            stop_signal: Condvar::new(),
+            configs: RwLock::default(),
             members: RwLock::default(),
-            peers: Mutex::default(),
+            peers: Mutex::new(Membership::new(own, rng)),
             permits: Mutex::default(),
             in_flight: Default::default(),
             settings,
@@ -77,31 +87,50 @@
         self.clock.now()
     }
 
+    /// Stops the node's threads, sleeping ones at once.
     pub(crate) fn stop(&self) {
-        self.stopped.store(true, Ordering::SeqCst);
+        *self.stopped.lock().unwrap_or_else(PoisonError::into_inner) = true;
+        self.stop_signal.notify_all();
+    }
+
+    /// Begins the planned stop, unless it has begun already.
+    pub(crate) fn begin_drain(&self) {
+        let announce = Duration::from_millis(self.settings.drain_announce_ms);
+        if self.drain.begin(Instant::now() + announce) {
+            let in_flight = self.drain.in_flight();
+            log_event!(info, DrainBegan, in_flight, "no longer ready");
+        }
     }
 
     pub(crate) fn is_stopped(&self) -> bool {
-        self.stopped.load(Ordering::SeqCst)
+        *self.stopped.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sleeps, but not beyond the node's stop.
     pub(crate) fn sleep_ms(&self, ms: u64) {
-        let until = self.now().plus_ms(ms);
-        while !self.is_stopped() {
-            let left = until.since_ms(self.now());
-            if left == 0 {
-                return;
-            }
-            thread::sleep(Duration::from_millis(left.min(SLEEP_STEP_MS)));
-        }
+        let stopped = self.stopped.lock().unwrap_or_else(PoisonError::into_inner);
+        let timeout = Duration::from_millis(ms);
+        let slept = self
+            .stop_signal
+            .wait_timeout_while(stopped, timeout, |stopped| !*stopped);
+        drop(slept);
     }
 
     pub(crate) fn config(&self) -> Option<Arc<ConfigInForce>> {
-        self.config
+        self.configs
             .read()
             .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+            .back()
+            .cloned()
+    }
+
+    /// The configuration of a revision that was in force here, if it is still kept.
+    pub(crate) fn past_config(&self, revision: Revision) -> Option<Arc<ConfigInForce>> {
+        let configs = self.configs.read().unwrap_or_else(PoisonError::into_inner);
+        configs
+            .iter()
+            .find(|kept| kept.config.revision == revision)
+            .cloned()
     }
 
     pub(crate) fn revision(&self) -> Revision {
@@ -111,12 +140,15 @@
 
     /// Puts a configuration in force unless a newer one is; tells whether it did.
     pub(crate) fn put_in_force(&self, new: ConfigInForce) -> bool {
-        let mut config = self.config.write().unwrap_or_else(PoisonError::into_inner);
-        let current = config.as_ref().map(|in_force| in_force.config.revision);
+        let mut configs = self.configs.write().unwrap_or_else(PoisonError::into_inner);
+        let current = configs.back().map(|in_force| in_force.config.revision);
         if current.is_some_and(|current| current >= new.config.revision) {
             return false;
         }
-        *config = Some(Arc::new(new));
+        configs.push_back(Arc::new(new));
+        if configs.len() > CONFIG_HISTORY {
+            configs.pop_front();
+        }
         true
     }
 
@@ -131,7 +163,7 @@
         *self.members.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(members);
     }
 
-    pub(crate) fn peers(&self) -> MutexGuard<'_, PeerTable> {
+    pub(crate) fn peers(&self) -> MutexGuard<'_, Membership> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -139,27 +171,13 @@
         self.permits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// This node's word on itself.
-    pub(crate) fn own_state(&self) -> PeerState {
-        PeerState {
-            node: self.settings.name.clone(),
-            incarnation: self.incarnation,
-            address: self.settings.listen_peers,
-            data_centre: self.settings.data_centre.clone(),
-            leaving: self.drain.is_draining(),
-            revision: self.revision(),
-        }
-    }
-
     /// Live nodes ranked for a piece of work, this one among them unless it is leaving.
     pub(crate) fn ranked_nodes(&self, work: &str) -> Vec<NodeId> {
-        let now = self.now();
         let mut live: Vec<NodeId> = self
             .peers()
-            .live(now)
+            .live()
             .map(|state| state.node.clone())
             .collect();
-        live.retain(|node| node != &self.settings.name);
         if !self.drain.is_draining() {
             live.push(self.settings.name.clone());
         }
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -46,6 +46,8 @@
     pub incarnation: u64,
     /// The assignment it believes in.
     pub believed: Option<Assignment>,
+    /// Whether it says that its VM is leaving.
+    pub leaving: bool,
     /// Whether its weights are loaded and every step completes.
     pub ready: bool,
     /// Whether it is so slow that it counts as missing.
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -56,6 +56,8 @@
     address: SocketAddr,
     is_listed: bool,
     is_leaving: bool,
+    /// Whether the engine says so itself, which also comes while the list lags.
+    says_leaving: bool,
     /// Last sign of a working engine; the time of first mention before any.
     working_at: TimeMs,
     has_answered: bool,
@@ -129,6 +131,7 @@
         }
         record.incarnation = Some(evidence.incarnation);
         record.answered_at = sent_at;
+        record.says_leaving = evidence.leaving;
         record.believed = evidence.believed;
         record.is_ready = evidence.ready && !evidence.straggles;
         if !evidence.straggles {
@@ -182,6 +185,7 @@
             address,
             is_listed: true,
             is_leaving: false,
+            says_leaving: false,
             working_at: now,
             has_answered: false,
             incarnation: None,
@@ -226,7 +230,7 @@
         if silent_ms >= VM_SUSPECT_MS || !self.has_answered {
             return VmHealth::Suspect;
         }
-        if self.is_leaving {
+        if self.is_leaving || self.says_leaving {
             return VmHealth::Leaving;
         }
         if self.is_damped(now, settings) {
