--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -13,6 +13,7 @@
 mod answer;
 mod completion;
 mod context;
+mod select;
 mod service;
 
 /// Path prefix of plain services.
--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -4,7 +4,7 @@
 
 use jacinthpoint_readiness::Permit;
 use jacinthpoint_records::{Config, Deployment};
-use jacinthpoint_routing::{Accepted, Candidate, Dispatched, Ending, Lost, Unstarted, choose};
+use jacinthpoint_routing::{Accepted, Dispatched, Ending, Lost, Unstarted};
 use jacinthpoint_types::{AttemptId, GroupId, Outcome, ResultCode, TimeMs};
 use jacinthpoint_upstream::{StartError, StartRequest, StreamError, TokenEvent, TokenStream};
 use serde_json::{Value, json};
@@ -13,6 +13,7 @@
     caller::{
         answer::{self, Refusal},
         context::Context,
+        select::wait_for_group,
     },
     events::log_event,
     http::{HttpRequest, Responder},
@@ -23,10 +24,6 @@
 const CONNECT_TIMEOUT_MS: u64 = 300;
 /// A stream without a token for this long is taken up on a new connection.
 const SILENCE_MS: u64 = 1_000;
-/// How long a request waits for a group that may be used.
-const CAPACITY_WAIT_MS: u64 = 2_000;
-/// How often it looks.
-const CAPACITY_POLL_MS: u64 = 20;
 /// Times that one attempt is taken up on a new connection without a token in between.
 const MAX_RESUMES: u32 = 2;
 /// Time for an engine to take a cancel.
@@ -139,7 +136,9 @@
             if self.context.deadline.has_passed(self.shared.now()) {
                 return state.give_up(ResultCode::DeadlinePassed);
             }
-            let Some(permit) = self.wait_for_group() else {
+            let model = self.call.deployment.model_ref();
+            let permit = wait_for_group(self.shared, self.context, &model, &self.failed_groups);
+            let Some(permit) = permit else {
                 return state.give_up(ResultCode::NoCapacity);
             };
             state = match self.attempt(&permit, state.dispatch()) {
@@ -152,38 +151,6 @@
         }
     }
 
-    /// A group that may be used now, waiting for one a short time.
-    fn wait_for_group(&mut self) -> Option<Permit> {
-        let give_up_at = self.shared.now().plus_ms(CAPACITY_WAIT_MS);
-        loop {
-            if let Some(permit) = self.choose_group() {
-                return Some(permit);
-            }
-            let now = self.shared.now();
-            if now >= give_up_at || self.context.deadline.has_passed(now) {
-                return None;
-            }
-            self.shared.sleep_ms(CAPACITY_POLL_MS);
-        }
-    }
-
-    fn choose_group(&self) -> Option<Permit> {
-        let now = self.shared.now();
-        let model = self.call.deployment.model_ref();
-        let permits = self.shared.permits();
-        let usable = permits.usable(&model, now);
-        let candidates: Vec<Candidate<Permit>> = usable
-            .filter(|permit| !self.failed_groups.contains(&permit.assignment.group))
-            .map(|permit| Candidate {
-                in_flight: self.shared.in_flight_on(&permit.assignment.group),
-                reported: permit.load,
-                key: permit.clone(),
-            })
-            .collect();
-        drop(permits);
-        choose(&candidates, &mut rand::rng()).cloned()
-    }
-
     fn attempt(&mut self, permit: &Permit, state: Dispatched) -> AttemptEnd {
         let Some(leader) = permit.assignment.leader() else {
             return AttemptEnd::Unstarted(state.unstarted());
--- a/crates/node/src/caller/service.rs
+++ b/crates/node/src/caller/service.rs
@@ -2,10 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use jacinthpoint_platform::{MemberRole, MemberState};
 use jacinthpoint_records::Config;
-use jacinthpoint_routing::{Accepted, Candidate, Ending, Unstarted, choose};
-use jacinthpoint_types::{AttemptId, GroupId, Outcome, ResultCode, ServiceId, VmId};
+use jacinthpoint_routing::{Accepted, Ending, Unstarted};
+use jacinthpoint_types::{AttemptId, Outcome, ResultCode, ServiceId};
 use jacinthpoint_upstream::{ServiceAnswer, ServiceCall};
 
 use crate::{
@@ -13,6 +12,7 @@
         SERVICES_PREFIX,
         answer::{OUTCOME_HEADER, Refusal},
         context::Context,
+        select::{choose_server, in_flight_key},
     },
     events::log_event,
     http::{HttpRequest, Responder},
@@ -123,28 +123,3 @@
         failed.insert(vm);
     }
 }
-
-/// Servers are counted like groups, under their VM's name.
-fn in_flight_key(vm: &VmId) -> Option<GroupId> {
-    vm.as_str().parse().ok()
-}
-
-fn choose_server(
-    shared: &Shared,
-    service: &ServiceId,
-    failed: &BTreeSet<VmId>,
-) -> Option<(VmId, std::net::SocketAddr)> {
-    let role = MemberRole::Service(service.clone());
-    let members = shared.members();
-    let usable = members.iter().filter(|member| {
-        member.role == role && member.state == MemberState::Live && !failed.contains(&member.vm)
-    });
-    let candidates: Vec<_> = usable
-        .map(|member| Candidate {
-            key: (member.vm.clone(), member.address),
-            in_flight: in_flight_key(&member.vm).map_or(0, |key| shared.in_flight_on(&key)),
-            reported: 0,
-        })
-        .collect();
-    choose(&candidates, &mut rand::rng()).cloned()
-}
