Decide at-most-once records in the ledger crate

Cause: a request with a key must run at most once whichever node its resends reach. Ruled out: a lease for the slot's owner, because a paused holder would still dispatch; pruning by age, because clocks would then matter to safety. Change: SlotLedger turns claims and releases into reads and conditional writes of small pages, many records to a write, and grants a claim only when it is seen in a committed page; RunTable keeps the answers of one node's runs; check_key bounds the time of issue. Tests step two owners through each kill point and through random schedules.

--- /dev/null
+++ b/crates/ledger/tests/support.rs
@@ -0,0 +1,183 @@
+//! Two owners of one slot over one store, driven a step at a time.
+
+use std::collections::BTreeMap;
+
+use jacinthpoint_ledger::{
+    Action, Op, Page, PageName, PageVersion, ReadResult, SlotLedger, Ticket, WriteResult,
+};
+use jacinthpoint_types::{AttemptId, Deadline, IdempotencyKey, TimeMs};
+use jacinthpoint_wire::{ClaimRequest, ClaimVerdict, KeyOf, RequestDigest};
+use uuid::{NoContext, Timestamp, Uuid};
+
+pub const BATCH_MS: u64 = 20;
+pub const WAIT_MS: u64 = 2_000;
+
+/// What becomes of a call to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It takes effect and is answered.
+    Answered,
+    /// It takes effect, and the answer is lost.
+    AnswerLost,
+    /// It does not arrive yet: the caller hears of no answer, and it may take effect later.
+    Delayed,
+    /// It is refused.
+    Refused,
+}
+
+/// The platform's store.
+#[derive(Debug, Default, Clone)]
+pub struct Store {
+    pages: BTreeMap<PageName, (PageVersion, Page)>,
+    pub delayed: Vec<(PageName, PageVersion, Page)>,
+}
+
+impl Store {
+    pub fn read(&self, name: PageName) -> (PageVersion, Page) {
+        self.pages.get(&name).cloned().unwrap_or_default()
+    }
+
+    pub fn write(&mut self, name: PageName, expected: PageVersion, page: Page) -> WriteResult {
+        let (version, current) = self.read(name);
+        if version != expected {
+            return WriteResult::Conflict(version, current);
+        }
+        let version = PageVersion(version.0 + 1);
+        self.pages.insert(name, (version, page));
+        WriteResult::Written(version)
+    }
+
+    /// Lets writes that were under way take effect, if their versions still allow it.
+    pub fn deliver_delayed(&mut self) {
+        for (name, expected, page) in std::mem::take(&mut self.delayed) {
+            let _ = self.write(name, expected, page);
+        }
+    }
+}
+
+/// An owner with the calls that it has under way.
+#[derive(Debug)]
+pub struct Owner {
+    pub ledger: SlotLedger,
+    pub calls: Vec<Action>,
+    pub verdicts: Vec<(Ticket, ClaimVerdict)>,
+}
+
+impl Owner {
+    pub fn new() -> Owner {
+        Owner {
+            ledger: SlotLedger::new(0, BATCH_MS),
+            calls: Vec::new(),
+            verdicts: Vec::new(),
+        }
+    }
+
+    pub fn submit(&mut self, now: TimeMs, ticket: u64, op: Op) {
+        let deadline = Deadline::after_ms(now, WAIT_MS);
+        let actions = self.ledger.submit(now, Ticket(ticket), op, deadline);
+        self.take(actions);
+    }
+
+    pub fn tick(&mut self, now: TimeMs) {
+        let actions = self.ledger.tick(now);
+        self.take(actions);
+    }
+
+    /// Carries out the oldest call; `false` if there is none.
+    pub fn step(&mut self, now: TimeMs, store: &mut Store, fate: Fate) -> bool {
+        if self.calls.is_empty() {
+            return false;
+        }
+        let actions = match self.calls.remove(0) {
+            Action::Read { name } => {
+                let (version, page) = store.read(name);
+                let result = match fate {
+                    Fate::Answered => ReadResult::Page(version, page),
+                    _ => ReadResult::Failed,
+                };
+                self.ledger.on_read(now, name, result)
+            }
+            Action::Write {
+                name,
+                expected,
+                page,
+            } => {
+                let result = write(store, name, expected, page, fate);
+                self.ledger.on_written(now, name, result)
+            }
+            Action::Reply { .. } => Vec::new(),
+        };
+        self.take(actions);
+        true
+    }
+
+    /// Carries out calls, with time going on, until there is nothing left to do.
+    pub fn settle(&mut self, now: &mut TimeMs, store: &mut Store) {
+        for _ in 0..20 {
+            *now = now.plus_ms(BATCH_MS);
+            self.tick(*now);
+            while self.step(*now, store, Fate::Answered) {}
+        }
+    }
+
+    pub fn verdict(&self, ticket: u64) -> Option<&ClaimVerdict> {
+        let found = self.verdicts.iter().find(|(t, _)| *t == Ticket(ticket));
+        found.map(|(_, verdict)| verdict)
+    }
+
+    fn take(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Reply { ticket, verdict } => self.verdicts.push((ticket, verdict)),
+                call => self.calls.push(call),
+            }
+        }
+    }
+}
+
+fn write(
+    store: &mut Store,
+    name: PageName,
+    expected: PageVersion,
+    page: Page,
+    fate: Fate,
+) -> WriteResult {
+    match fate {
+        Fate::Answered => store.write(name, expected, page),
+        Fate::AnswerLost => {
+            let _ = store.write(name, expected, page);
+            WriteResult::Ambiguous
+        }
+        Fate::Delayed => {
+            store.delayed.push((name, expected, page));
+            WriteResult::Ambiguous
+        }
+        Fate::Refused => WriteResult::NotWritten,
+    }
+}
+
+/// A key issued at a Unix time, told apart by `number`.
+pub fn key(unix_ms: u64, number: u16) -> KeyOf {
+    let time = Timestamp::from_unix(
+        NoContext,
+        unix_ms / 1_000,
+        (unix_ms % 1_000) as u32 * 1_000_000,
+    );
+    let random = Uuid::new_v7(time).as_u128() & !0xffff;
+    KeyOf {
+        organisation: "coralbank".parse().expect("a valid name"),
+        key: IdempotencyKey(Uuid::from_u128(random | u128::from(number))),
+    }
+}
+
+/// A request for a claim by a runner of its own.
+pub fn claim(key: &KeyOf) -> ClaimRequest {
+    ClaimRequest {
+        key: key.clone(),
+        digest: RequestDigest(7),
+        claim: AttemptId::new(),
+        runner: "node-1".parse().expect("a valid name"),
+        replaces: None,
+        wait_ms: WAIT_MS as u32,
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/tests.rs
@@ -0,0 +1,5 @@
+//! Tests of the at-most-once records.
+
+mod kill_points;
+mod rules;
+mod support;
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -152,3 +152,8 @@
     /// One attempt to run a request on an upstream. Answers to older attempts are dropped.
     AttemptId
 );
+uuid_type!(
+    /// A caller's key for a request that runs at most once. As a UUIDv7 it carries its time of
+    /// issue.
+    IdempotencyKey
+);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,8 +8,8 @@
     assignment::{Assignment, MemberAddress},
     epoch::{Epoch, Revision},
     id::{
-        AttemptId, DataCentreId, DeploymentId, FabricDomainId, GroupId, NodeId, OrganisationId,
-        ParseIdError, RequestId, ServiceId, VmId,
+        AttemptId, DataCentreId, DeploymentId, FabricDomainId, GroupId, IdempotencyKey, NodeId,
+        OrganisationId, ParseIdError, RequestId, ServiceId, VmId,
     },
     model::ModelRef,
     outcome::{Outcome, ResultCode},
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,11 +6,15 @@
 //! side during an upgrade.
 
 pub use crate::{
+    claim::{
+        ClaimRequest, ClaimVerdict, KeptAnswer, KeyOf, ReleaseRequest, RequestDigest, RunState,
+    },
     codec::{
         DecodeError, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, decode, encode, read_frame, write_frame,
     },
     message::{Datagram, Heartbeat, PeerReply, PeerRequest, PeerState, PermitGrant},
 };
 
+mod claim;
 mod codec;
 mod message;
