Run keyed requests at most once over all nodes

Cause: a resend of a supplier enquiry or landing declaration can reach any node, and nothing kept it from running again. Ruled out: forwarding the whole request to the owner of its slot, which would put every byte of the answer through a second node; keeping answers in the platform, which counts each call; taking a claim back before the caller is answered, which would hold the final answer back. Change: the header idempotency-key leads through a claim that the slot's owner grants; the node that took the request dispatches it and keeps the answer for resends; a run under a key goes on when its caller leaves, since a resend may ask for it; a call with a key may run twice only if x-repeatable says so. Events 510 to 512, setting [ledger] batch_ms. Before: a resend ran again.

--- a/crates/core/commands/demo.rs
+++ b/crates/core/commands/demo.rs
@@ -153,6 +153,7 @@
             default_deadline_ms: 30_000,
             max_connections: 200,
             drain_deadline_ms: 10_000,
+            ledger_batch_ms: 20,
             statsd: None,
         })
     }
--- a/crates/ledger/src/runs.rs
+++ b/crates/ledger/src/runs.rs
@@ -43,11 +43,7 @@
 
     /// Ends a claim, once. An answer that is too large is not kept.
     pub fn end(&mut self, claim: AttemptId, state: RunState, now: TimeMs) {
-        let is_running = self
-            .runs
-            .get(&claim)
-            .is_some_and(|run| run.state == RunState::Running);
-        if !is_running {
+        if !self.is_running(claim) {
             return;
         }
         let state = match state {
@@ -58,6 +54,12 @@
         self.make_room(now);
     }
 
+    /// Whether a claim has begun and not ended.
+    pub fn is_running(&self, claim: AttemptId) -> bool {
+        let run = self.runs.get(&claim);
+        run.is_some_and(|run| run.state == RunState::Running)
+    }
+
     /// What is known of a claim.
     pub fn state(&self, claim: AttemptId) -> RunState {
         self.runs
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -13,6 +13,7 @@
 mod answer;
 mod completion;
 mod context;
+mod once;
 mod select;
 mod service;
 
--- a/crates/node/src/caller/answer.rs
+++ b/crates/node/src/caller/answer.rs
@@ -32,7 +32,8 @@
         Refusal::new(ending.outcome(), code, message.into())
     }
 
-    fn new(outcome: Outcome, code: ResultCode, message: String) -> Refusal {
+    /// A refusal with any outcome.
+    pub(crate) fn new(outcome: Outcome, code: ResultCode, message: String) -> Refusal {
         let retry_after_s = code.is_retryable().then_some(DEFAULT_RETRY_AFTER_S);
         Refusal {
             outcome,
--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -7,12 +7,14 @@
 use jacinthpoint_routing::{Accepted, Dispatched, Ending, Lost, Unstarted};
 use jacinthpoint_types::{AttemptId, GroupId, Outcome, ResultCode, TimeMs};
 use jacinthpoint_upstream::{StartError, StartRequest, StreamError, TokenEvent, TokenStream};
+use jacinthpoint_wire::KeptAnswer;
 use serde_json::{Value, json};
 
 use crate::{
     caller::{
         answer::{self, Refusal},
         context::Context,
+        once::{self, Entry},
         select::wait_for_group,
     },
     events::log_event,
@@ -38,6 +40,13 @@
     responder: &mut Responder<'_>,
 ) -> Result<(), Refusal> {
     let call = Call::read(config, context, request)?;
+    let claim = match once::enter(shared, context, request)? {
+        Entry::Run(claim) => claim,
+        Entry::Replay(answer) => {
+            once::replay(responder, &answer);
+            return Ok(());
+        }
+    };
     let mut running = Running {
         shared,
         context,
@@ -49,6 +58,9 @@
     };
     let ending = running.drive();
     running.record(&ending);
+    if let Some(claim) = claim {
+        claim.settle(&ending, Some(running.kept()));
+    }
     running.finish(&ending)
 }
 
@@ -60,6 +72,8 @@
     is_chat: bool,
     wants_stream: bool,
     repeatable: bool,
+    /// Resends may ask for the answer, so the run goes on when its caller leaves.
+    is_keyed: bool,
 }
 
 impl<'a> Call<'a> {
@@ -98,13 +112,15 @@
                 format!("no model {model:?} for this key"),
             )
         })?;
+        let is_keyed = once::has_key(request);
         Ok(Call {
+            is_keyed,
             deployment,
             path: request.path(),
             body,
             is_chat: request.path().contains("chat"),
             wants_stream,
-            repeatable: context.repeatable.unwrap_or(true),
+            repeatable: context.repeatable.unwrap_or(!is_keyed),
         })
     }
 }
@@ -203,7 +219,7 @@
                 Ok(None) => return AttemptEnd::Over(state.answered()),
                 Ok(Some(token)) => {
                     resumes = 0;
-                    if !self.deliver(token) {
+                    if !self.deliver(token) && !self.call.is_keyed {
                         self.cancel(permit, attempt);
                         return AttemptEnd::Over(state.lost().give_up(ResultCode::UpstreamFailed));
                     }
@@ -238,7 +254,7 @@
         let gives_up = resumes > MAX_RESUMES
             || matches!(error, StreamError::Malformed { .. })
             || !self.still_permitted(permit)
-            || self.responder.caller_is_gone();
+            || (self.responder.caller_is_gone() && !self.call.is_keyed);
         if gives_up {
             return None;
         }
@@ -320,8 +336,7 @@
             return Err(Refusal::from_ending(ending, "the request was not answered"));
         }
         if self.call.wants_stream {
-            // The comment line tells the outcome without disturbing clients that parse events.
-            let end = format!(": outcome {}\n\ndata: [DONE]\n\n", Outcome::Answered);
+            let end = stream_end();
             let _ = self
                 .responder
                 .chunk(end.as_bytes())
@@ -333,6 +348,26 @@
         Ok(())
     }
 
+    /// The whole answer as a resend gets it.
+    fn kept(&self) -> KeptAnswer {
+        let (content_type, body) = if self.call.wants_stream {
+            let token = TokenEvent {
+                offset: 0,
+                text: self.delivered.concat(),
+                finish_reason: Some("stop".to_owned()),
+            };
+            let events = format!("data: {}\n\n{}", self.event(&token), stream_end());
+            ("text/event-stream", events)
+        } else {
+            ("application/json", self.whole_body().to_string())
+        };
+        KeptAnswer {
+            status: 200,
+            content_type: content_type.to_owned(),
+            body: body.into_bytes(),
+        }
+    }
+
     fn whole_body(&self) -> Value {
         let text = self.delivered.concat();
         let choice = if self.call.is_chat {
@@ -362,3 +397,9 @@
         );
     }
 }
+
+/// The last events of an answered stream. The comment line tells the outcome without disturbing
+/// clients that parse events.
+fn stream_end() -> String {
+    format!(": outcome {}\n\ndata: [DONE]\n\n", Outcome::Answered)
+}
--- a/crates/node/src/caller/service.rs
+++ b/crates/node/src/caller/service.rs
@@ -6,12 +6,14 @@
 use jacinthpoint_routing::{Accepted, Ending, Unstarted};
 use jacinthpoint_types::{AttemptId, Outcome, ResultCode, ServiceId};
 use jacinthpoint_upstream::{ServiceAnswer, ServiceCall};
+use jacinthpoint_wire::KeptAnswer;
 
 use crate::{
     caller::{
         SERVICES_PREFIX,
         answer::{OUTCOME_HEADER, Refusal},
         context::Context,
+        once::{self, Entry},
         select::{choose_server, in_flight_key},
     },
     events::log_event,
@@ -53,7 +55,15 @@
             format!("no service {name:?} for this key"),
         )
     })?;
-    let repeatable = context.repeatable.unwrap_or(service.repeatable);
+    let claim = match once::enter(shared, context, request)? {
+        Entry::Run(claim) => claim,
+        Entry::Replay(answer) => {
+            once::replay(responder, &answer);
+            return Ok(());
+        }
+    };
+    let default = service.repeatable && claim.is_none();
+    let repeatable = context.repeatable.unwrap_or(default);
     let call = ServiceCall {
         request: context.request,
         attempt: AttemptId::new(),
@@ -74,6 +84,9 @@
         None,
         whole_us,
     );
+    if let Some(claim) = claim {
+        claim.settle(&ending, answer.as_ref().map(kept));
+    }
     let Some(answer) = answer else {
         return Err(Refusal::from_ending(&ending, "the call was not answered"));
     };
@@ -86,6 +99,14 @@
     Ok(())
 }
 
+fn kept(answer: &ServiceAnswer) -> KeptAnswer {
+    KeptAnswer {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: answer.body.clone(),
+    }
+}
+
 fn drive(
     shared: &Shared,
     context: &Context,
--- a/crates/node/src/control/config.rs
+++ b/crates/node/src/control/config.rs
@@ -164,7 +164,7 @@
                 Err(error) => refuse(shared, revision, &error.to_string()),
             }
         }
-        PeerReply::Nothing | PeerReply::Peers(_) => {}
+        PeerReply::Nothing | PeerReply::Peers(_) | PeerReply::Verdict(_) | PeerReply::Run(_) => {}
     }
 }
 
--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -9,6 +9,7 @@
 };
 
 use crossbeam::channel::Sender;
+use jacinthpoint_ledger::Op;
 use jacinthpoint_membership::Send;
 use jacinthpoint_platform::MemberRole;
 use jacinthpoint_types::Deadline;
@@ -202,6 +203,17 @@
             };
             PeerReply::Peers(peers.known().chain([own]).collect())
         }
+        PeerRequest::Claim(request) => {
+            let deadline = Deadline::after_ms(shared.now(), u64::from(request.wait_ms));
+            PeerReply::Verdict(shared.ledger.run(shared, Op::Claim(request), deadline))
+        }
+        PeerRequest::Release(request) => {
+            let deadline = Deadline::after_ms(shared.now(), u64::from(request.wait_ms));
+            PeerReply::Verdict(shared.ledger.run(shared, Op::Release(request), deadline))
+        }
+        PeerRequest::KeptAnswer { claim, wait_ms } => {
+            PeerReply::Run(shared.runs.wait(claim, u64::from(wait_ms)))
+        }
     };
     write_frame(&mut stream, &reply)
 }
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -31,6 +31,12 @@
     AttemptFailed = 500,
     /// A request ended without an answer.
     RequestFailed = 501,
+    /// A page of at-most-once records could not be read or written.
+    LedgerFailed = 510,
+    /// Another owner wrote a page of at-most-once records first.
+    LedgerConflict = 511,
+    /// The owner of a slot did not answer; another node is asked.
+    LedgerOwnerSilent = 512,
 }
 
 impl EventCode {
--- /dev/null
+++ b/crates/node/src/ledger/ask.rs
@@ -0,0 +1,104 @@
+//! The asker's side: finds the owner of a slot and the runner of a claim.
+
+use std::{
+    io,
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use jacinthpoint_ledger::{Op, slot_of};
+use jacinthpoint_types::{AttemptId, Deadline, NodeId};
+use jacinthpoint_wire::{
+    ClaimRequest, ClaimVerdict, PeerReply, PeerRequest, ReleaseRequest, RunState, read_frame,
+    write_frame,
+};
+
+use crate::{events::log_event, shared::Shared};
+
+/// Owners asked before this node serves the slot itself.
+const MAX_OWNERS: usize = 2;
+/// Time to connect to a node.
+const CONNECT_TIMEOUT_MS: u64 = 300;
+/// What an exchange may take beyond the time that the other side waits.
+const EXCHANGE_SLACK_MS: u64 = 300;
+
+/// Asks for the right to run a keyed request.
+pub(crate) fn claim(shared: &Shared, request: &ClaimRequest) -> ClaimVerdict {
+    let op = Op::Claim(request.clone());
+    ask_owner(
+        shared,
+        op,
+        &PeerRequest::Claim(request.clone()),
+        request.wait_ms,
+    )
+}
+
+/// Takes back a claim that was never dispatched.
+pub(crate) fn release(shared: &Shared, request: &ReleaseRequest) -> ClaimVerdict {
+    let op = Op::Release(request.clone());
+    let message = PeerRequest::Release(request.clone());
+    ask_owner(shared, op, &message, request.wait_ms)
+}
+
+/// Asks the slot's owner, then the next in rank, then this node itself. An operation that reaches
+/// two owners takes effect once: both work on the same claim.
+fn ask_owner(shared: &Shared, op: Op, message: &PeerRequest, wait_ms: u32) -> ClaimVerdict {
+    let work = format!("ledger-slot-{}", slot_of(op.key()));
+    let owners = shared.ranked_nodes(&work).into_iter().take(MAX_OWNERS);
+    for owner in owners {
+        if owner == shared.settings.name {
+            break;
+        }
+        match exchange(shared, &owner, message, wait_ms) {
+            Ok(PeerReply::Verdict(verdict)) => return verdict,
+            Ok(_) => {}
+            Err(error) => {
+                log_event!(info, LedgerOwnerSilent, %owner, %error, "the next in rank is asked");
+            }
+        }
+    }
+    let deadline = Deadline::after_ms(shared.now(), u64::from(wait_ms));
+    shared.ledger.run(shared, op, deadline)
+}
+
+/// Asks the runner of a claim for its state; `None` if it cannot be reached.
+pub(crate) fn run_state(
+    shared: &Shared,
+    runner: &NodeId,
+    claim: AttemptId,
+    wait_ms: u32,
+) -> Option<RunState> {
+    if runner == &shared.settings.name {
+        return Some(shared.runs.wait(claim, u64::from(wait_ms)));
+    }
+    let message = PeerRequest::KeptAnswer { claim, wait_ms };
+    match exchange(shared, runner, &message, wait_ms) {
+        Ok(PeerReply::Run(state)) => Some(state),
+        Ok(_) | Err(_) => None,
+    }
+}
+
+fn exchange(
+    shared: &Shared,
+    node: &NodeId,
+    message: &PeerRequest,
+    wait_ms: u32,
+) -> io::Result<PeerReply> {
+    let address = address_of(shared, node).ok_or(io::ErrorKind::NotFound)?;
+    let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
+    let mut stream = TcpStream::connect_timeout(&address, timeout)?;
+    let answer_timeout = Duration::from_millis(u64::from(wait_ms) + EXCHANGE_SLACK_MS);
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(answer_timeout))?;
+    stream.set_write_timeout(Some(timeout))?;
+    write_frame(&mut stream, message)?;
+    read_frame(&mut stream)
+}
+
+fn address_of(shared: &Shared, node: &NodeId) -> Option<SocketAddr> {
+    let peers = shared.peers();
+    let mut known = peers.known();
+    known
+        .find(|news| &news.peer.node == node)
+        .map(|news| news.peer.address)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod drain;
 mod events;
 mod http;
+mod ledger;
 mod metrics;
 mod node;
 mod operator;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,6 +15,7 @@
     control::{config, members, messages, permits, planning, probing},
     events::log_event,
     http::{HttpRequest, ListenerLimits, RequestError, Responder, serve},
+    ledger,
     metrics::Metrics,
     operator,
     settings::NodeSettings,
@@ -24,6 +25,9 @@
 /// Nodes that told of a newer configuration and are still to be asked.
 const TOLD_ROOM: usize = 8;
 
+/// Calls to the platform for at-most-once records that run at once.
+const LEDGER_WORKERS: usize = 8;
+
 /// A running node. It stops when dropped, without a planned stop.
 pub struct Node {
     shared: Arc<Shared>,
@@ -82,6 +86,11 @@
         spawn("peers", shared, move |shared| {
             report(messages::run_peer_listener(shared, &peers));
         })?;
+        spawn("ledger", shared, |shared| ledger::run_timer(shared))?;
+        spawn("releases", shared, |shared| ledger::run_releases(shared))?;
+        for _ in 0..LEDGER_WORKERS {
+            spawn("ledger-calls", shared, |shared| ledger::run_worker(shared))?;
+        }
         operator::start(shared, operators)?;
         spawn("callers", shared, move |shared| {
             let handler = shared.clone();
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -12,6 +12,8 @@
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 /// Open callers' connections beyond which new ones are refused.
 const DEFAULT_MAX_CONNECTIONS: usize = 2_000;
+/// Shortest time between two writes of one page of at-most-once records.
+const DEFAULT_LEDGER_BATCH_MS: u64 = 20;
 /// Longest planned stop.
 const DEFAULT_DRAIN_DEADLINE_MS: u64 = 120_000;
 
@@ -38,6 +40,8 @@
     pub max_connections: usize,
     /// Longest planned stop.
     pub drain_deadline_ms: u64,
+    /// Shortest time between two writes of one page of at-most-once records.
+    pub ledger_batch_ms: u64,
     /// Where metrics are sent.
     pub statsd: Option<SocketAddr>,
 }
@@ -66,6 +70,7 @@
             "drain_deadline_ms",
         ],
     ),
+    ("ledger", &["batch_ms"]),
     ("metrics", &["statsd"]),
 ];
 
@@ -115,6 +120,7 @@
         let deadline_ms = self.optional("limits", "default_deadline_ms");
         let max_connections = self.optional("limits", "max_connections");
         let drain_deadline_ms = self.optional("limits", "drain_deadline_ms");
+        let ledger_batch_ms = self.optional("ledger", "batch_ms");
         let statsd = self.optional("metrics", "statsd");
         let settings = NodeSettings {
             name: name?,
@@ -127,6 +133,7 @@
             default_deadline_ms: deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS),
             max_connections: max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
             drain_deadline_ms: drain_deadline_ms.unwrap_or(DEFAULT_DRAIN_DEADLINE_MS),
+            ledger_batch_ms: ledger_batch_ms.unwrap_or(DEFAULT_LEDGER_BATCH_MS),
             statsd,
         };
         self.check_clashes(&settings);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -22,6 +22,7 @@
     clock::{Clock, unix_now_ms},
     control::Domains,
     drain::Drain,
+    ledger::{Owner, Runs},
     metrics::Metrics,
     settings::NodeSettings,
 };
@@ -50,6 +51,8 @@
     pub(crate) platform: Platform,
 
     pub(crate) domains: Domains,
+    pub(crate) ledger: Owner,
+    pub(crate) runs: Runs,
     stopped: AtomicBool,
     /// The newest last.
     configs: RwLock<VecDeque<Arc<ConfigInForce>>>,
@@ -77,6 +80,8 @@
             platform: Platform::new(settings.platform),
 
             domains: Domains::default(),
+            ledger: Owner::new(settings.ledger_batch_ms),
+            runs: Runs::new(),
             stopped: AtomicBool::new(false),
             configs: RwLock::default(),
             members: RwLock::default(),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 
-use jacinthpoint_types::{Assignment, DataCentreId, NodeId, Revision, TimeMs};
+use jacinthpoint_types::{Assignment, AttemptId, DataCentreId, NodeId, Revision, TimeMs};
 use serde::{Deserialize, Serialize};
 
+use crate::claim::{ClaimRequest, ClaimVerdict, ReleaseRequest, RunState};
+
 /// A node's own word on itself, passed on by others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerState {
@@ -127,6 +129,17 @@
     },
     /// Asks for all nodes that the receiver knows.
     Peers,
+    /// Asks the owner of a slot for the right to run a keyed request.
+    Claim(ClaimRequest),
+    /// Takes back a claim that was never dispatched.
+    Release(ReleaseRequest),
+    /// Asks the runner of a claim for its answer.
+    KeptAnswer {
+        /// The claim.
+        claim: AttemptId,
+        /// How long to wait for the end of a run.
+        wait_ms: u32,
+    },
 }
 
 /// Answer to a [`PeerRequest`].
@@ -154,4 +167,8 @@
     Nothing,
     /// All nodes known.
     Peers(Vec<PeerNews>),
+    /// Answers a `Claim` or `Release`.
+    Verdict(ClaimVerdict),
+    /// Answers a `KeptAnswer`.
+    Run(RunState),
 }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,5 +4,6 @@
 mod macros;
 mod util;
 
+mod at_most_once;
 mod groups;
 mod serving;
--- a/tests/util/caller.rs
+++ b/tests/util/caller.rs
@@ -48,6 +48,11 @@
 
     /// Sends it and reads the whole answer; the error is a failed connection.
     pub fn send(&self, node: SocketAddr) -> Result<Answer, String> {
+        self.read(self.begin(node)?)
+    }
+
+    /// Sends it and reads the head of the answer.
+    pub fn begin(&self, node: SocketAddr) -> Result<attohttpc::Response, String> {
         let body = json!({
             "model": "jp-model",
             "prompt": self.prompt,
@@ -61,11 +66,10 @@
         for (name, value) in &self.headers {
             request = request.header(*name, value);
         }
-        let answer = request
+        request
             .json(&body)
             .and_then(|r| r.send())
-            .map_err(|e| e.to_string())?;
-        self.read(answer)
+            .map_err(|e| e.to_string())
     }
 
     fn read(&self, answer: attohttpc::Response) -> Result<Answer, String> {
