--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -13,6 +13,8 @@
 mod answer;
 mod completion;
 mod context;
+mod once;
+mod select;
 mod service;
 
 /// Path prefix of plain services.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -19,6 +19,7 @@
     control::Domains,
     drain::Drain,
     events::log_event,
+    ledger::{Owner, Runs},
     metrics::Metrics,
     settings::NodeSettings,
 };
@@ -46,6 +47,8 @@
     pub(crate) domains: Domains,
     stopped: Mutex<bool>,
     stop_signal: Condvar,
+    pub(crate) ledger: Owner,
+    pub(crate) runs: Runs,
     /// The newest last.
     configs: RwLock<VecDeque<Arc<ConfigInForce>>>,
     members: RwLock<Arc<Vec<PlatformMember>>>,
@@ -77,6 +80,8 @@
             domains: Domains::default(),
             stopped: Mutex::new(false),
             stop_signal: Condvar::new(),
+            ledger: Owner::new(settings.ledger_batch_ms),
+            runs: Runs::new(),
             configs: RwLock::default(),
             members: RwLock::default(),
             peers: Mutex::new(Membership::new(own, rng)),
--- a/crates/placement/tests/driver.rs
+++ b/crates/placement/tests/driver.rs
@@ -383,6 +383,7 @@
             address: vm.address,
             incarnation: vm.incarnation,
             believed: vm.believed.clone(),
+            leaving: false,
             ready: vm.is_ready(now),
             straggles: false,
         },
