Drive the routing decisions by a seeded event queue; weigh reports by age

Cause: nothing could compare ways to choose a group, and the choice looked at the reported load only to break ties, so a node that had sent little saw all groups as equal.

Ruled out: the least reported load.

The choice now takes the better of two different candidates by estimated load: own requests whole, others' from the report, discounted by its age.

--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -177,6 +177,7 @@
             .map(|permit| Candidate {
                 in_flight: self.shared.in_flight_on(&permit.assignment.group),
                 reported: permit.load,
+                report_age_ms: now.since_ms(permit.load_at),
                 key: permit.clone(),
             })
             .collect();
--- a/crates/node/src/caller/service.rs
+++ b/crates/node/src/caller/service.rs
@@ -144,6 +144,7 @@
             key: (member.vm.clone(), member.address),
             in_flight: in_flight_key(&member.vm).map_or(0, |key| shared.in_flight_on(&key)),
             reported: 0,
+            report_age_ms: 0,
         })
         .collect();
     choose(&candidates, &mut rand::rng()).cloned()
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -2,6 +2,8 @@
 
 use rand::Rng;
 
+use crate::load::estimated_load;
+
 /// A place that could run a request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate<K> {
@@ -11,17 +13,30 @@
     pub in_flight: u32,
     /// Requests there, as last reported.
     pub reported: u32,
+    /// Age of that report.
+    pub report_age_ms: u64,
 }
 
-/// Picks the less loaded of two random candidates; `None` if there is none.
-pub fn choose<'a, K>(candidates: &'a [Candidate<K>], rng: &mut impl Rng) -> Option<&'a K> {
-    if candidates.is_empty() {
-        return None;
+impl<K> Candidate<K> {
+    /// Requests that are probably there now.
+    pub fn load(&self) -> f64 {
+        estimated_load(self.in_flight, self.reported, self.report_age_ms)
     }
-    let first = &candidates[rng.random_range(0..candidates.len())];
-    let second = &candidates[rng.random_range(0..candidates.len())];
-    let load = |candidate: &Candidate<K>| (candidate.in_flight, candidate.reported);
-    Some(if load(second) < load(first) {
+}
+
+/// Picks the less loaded of two different random candidates; `None` if there is none.
+///
+/// The least loaded of all would be the same one for every node that sees the same report.
+pub fn choose<'a, K>(candidates: &'a [Candidate<K>], rng: &mut impl Rng) -> Option<&'a K> {
+    let first_index = match candidates.len() {
+        0 => return None,
+        1 => return Some(&candidates[0].key),
+        count => rng.random_range(0..count),
+    };
+    let step = rng.random_range(1..candidates.len());
+    let first = &candidates[first_index];
+    let second = &candidates[(first_index + step) % candidates.len()];
+    Some(if second.load() < first.load() {
         &second.key
     } else {
         &first.key
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,7 +6,9 @@
 pub use crate::{
     choice::{Candidate, choose},
     lifecycle::{Accepted, Dispatched, Ending, Lost, Unstarted},
+    load::estimated_load,
 };
 
 mod choice;
 mod lifecycle;
+mod load;
--- a/crates/standins/main.rs
+++ b/crates/standins/main.rs
@@ -7,6 +7,7 @@
 use jacinthpoint_standins::{
     Engine, EngineOptions, PlatformOptions, PlatformServer, Registration, ServiceOptions,
     ServiceServer,
+    load::{OpenLoop, Shape, arrivals, experiment, experiment_names, send_open_loop, table},
 };
 
 /// How long an engine stays on the membership list without registering again.
@@ -28,6 +29,10 @@
     Engine(EngineArgs),
     #[options(help = "a plain service")]
     Service(ServiceArgs),
+    #[options(help = "open-loop load on running nodes; prints a report")]
+    Load(LoadArgs),
+    #[options(help = "an experiment of the decision crates; prints a table")]
+    Experiment(ExperimentArgs),
 }
 
 #[derive(Debug, Options)]
@@ -85,12 +90,53 @@
     call_ms: u64,
 }
 
+#[derive(Debug, Options)]
+struct LoadArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        help = "callers' address of a node; may be given several times",
+        no_short
+    )]
+    node: Vec<SocketAddr>,
+    #[options(help = "share of the first node among them", no_short)]
+    first_share: Option<f64>,
+    #[options(help = "key of the organisation that asks", required, no_short)]
+    key: String,
+    #[options(help = "model to ask for", default = "jp-model", no_short)]
+    model: String,
+    #[options(help = "coralbank or tongyeong", default = "coralbank", no_short)]
+    shape: String,
+    #[options(help = "arrivals a second", default = "20", no_short)]
+    rate_per_s: f64,
+    #[options(help = "time during which requests come", default = "10000", no_short)]
+    duration_ms: u64,
+    #[options(help = "seed of the arrivals", default = "1", no_short)]
+    seed: u64,
+    #[options(help = "report as CSV", no_short)]
+    csv: bool,
+}
+
+#[derive(Debug, Options)]
+struct ExperimentArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "its name")]
+    name: String,
+    #[options(help = "seed of the arrivals and choices", default = "1", no_short)]
+    seed: u64,
+    #[options(help = "each variant's whole report as CSV", no_short)]
+    csv: bool,
+}
+
 fn main() -> ExitCode {
     let args = Args::parse_args_default_or_exit();
     let run = match args.command {
         Some(Command::Platform(args)) => platform(&args),
         Some(Command::Engine(args)) => engine(&args),
         Some(Command::Service(args)) => service(&args),
+        Some(Command::Load(args)) => open_loop(&args),
+        Some(Command::Experiment(args)) => run_experiment(&args),
         None => Err("no command; see --help".into()),
     };
     match run {
@@ -155,3 +201,52 @@
     })?;
     serve_forever(server.address())
 }
+
+fn open_loop(args: &LoadArgs) -> Result<(), Box<dyn Error>> {
+    let shape = match args.shape.as_str() {
+        "coralbank" => Shape::coralbank(),
+        "tongyeong" => Shape::tongyeong(),
+        other => return Err(format!("no shape {other:?}").into()),
+    };
+    if args.node.is_empty() {
+        return Err("no --node given".into());
+    }
+    let count = args.node.len() as f64;
+    let first = args.first_share.unwrap_or(1.0 / count);
+    let others = (1.0 - first) / (count - 1.0).max(1.0);
+    let nodes = args.node.iter().enumerate();
+    let target = OpenLoop {
+        nodes: nodes
+            .map(|(index, node)| (*node, if index == 0 { first } else { others }))
+            .collect(),
+        key: args.key.clone(),
+        model: args.model.clone(),
+    };
+    let all = arrivals(&shape, args.rate_per_s, args.duration_ms, args.seed);
+    let report = send_open_loop(&target, &all);
+    print!(
+        "{}",
+        if args.csv {
+            report.csv()
+        } else {
+            report.text()
+        }
+    );
+    Ok(())
+}
+
+fn run_experiment(args: &ExperimentArgs) -> Result<(), Box<dyn Error>> {
+    let rows = experiment(&args.name, args.seed).ok_or_else(|| {
+        let names = experiment_names().join(", ");
+        format!("no experiment {:?}; there are {names}", args.name)
+    })?;
+    if args.csv {
+        for row in &rows {
+            println!("# {}", row.variant);
+            print!("{}", row.outcomes.report.csv());
+        }
+    } else {
+        print!("{}", table(&rows));
+    }
+    Ok(())
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
     service::{ServiceOptions, ServiceServer},
 };
 
+pub mod load;
 pub mod text;
 
 mod engine;
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,24 @@
+//! Load and experiments: open-loop arrivals by seed, a driver of the decision crates, reports.
+//!
+//! The driver is an event queue over engines modelled as slots with a service time. It compares
+//! policies at any speed and gives the same figures for the same seed. Real processes are loaded
+//! with the same arrivals by [`send_open_loop`].
+
+pub use crate::load::{
+    arrivals::{Arrival, arrivals},
+    driver::{Fault, Outcomes, Scenario, run},
+    experiments::{Row, experiment, experiment_names, table},
+    open_loop::{OpenLoop, send_open_loop},
+    report::{Ended, Report},
+    routers::{Router, RouterKind},
+    shape::Shape,
+};
+
+mod arrivals;
+mod driver;
+mod engines;
+mod experiments;
+mod open_loop;
+mod report;
+mod routers;
+mod shape;
