Decide admission: fleet-wide limits, a gate with queue, deadlines and shedding

Cause: nothing limited an organisation, and a request waited only by polling for a usable group.

Ruled out: deadlines judged by capacity alone. A class that more important work crowds out waits far longer than its share of capacity says; its own departures of the last 10 s are looked at too. Ruled out: counting a fractional limit as the smaller whole number, which left group slots idle.

Conclusion: queue, adaptive limits and deadlines are enforced, shedding and reservation watch.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use jacinthpoint_types::{Priority, TimeMs};
+use jacinthpoint_types::{Deadline, Priority, TimeMs};
 use rand::Rng;
 
 use crate::{gate::drain::Drain, mode::LayerMode};
@@ -107,8 +107,8 @@
         now: TimeMs,
         rng: &mut impl Rng,
     ) -> Arrived {
-        let wait_ms = self.expected_wait_ms(waiting.priority, usable);
-        let backlog_ms = self.expected_wait_ms(Priority::Batch, usable);
+        let wait_ms = self.expected_wait_ms(waiting.priority, usable, now);
+        let backlog_ms = self.backlog_ms(usable);
         self.shedder.observe(backlog_ms.unwrap_or(0), now);
         let refusals = [
             (
@@ -155,10 +155,35 @@
         })
     }
 
-    /// Takes a request off the queue, for a group or because its caller has gone or its deadline
-    /// has passed. `false` if it is no longer there.
-    pub fn leave(&mut self, ticket: Ticket, is_dispatched: bool) -> bool {
-        self.queue.remove(ticket, is_dispatched)
+    /// Takes a dispatched request off the queue. `false` if it is no longer there.
+    pub fn dispatched(&mut self, dispatch: &Dispatch<K>, now: TimeMs) -> bool {
+        self.drain.departed(dispatch.priority, now);
+        self.queue.remove(dispatch.ticket, true)
+    }
+
+    /// Takes a request off the queue unserved. `false` if it is no longer there.
+    pub fn withdraw(&mut self, ticket: Ticket) -> bool {
+        self.queue.remove(ticket, false)
+    }
+
+    /// Takes off the queue what can no longer make its deadline, so that it is refused now and
+    /// not when the deadline has passed.
+    pub fn take_hopeless(&mut self, now: TimeMs) -> Vec<Ticket> {
+        let is_enforced = self.settings.deadlines == LayerMode::Enforce;
+        let drain = &self.drain;
+        let latest = |priority| {
+            let needed_ms = if is_enforced {
+                drain.short_hold_ms(priority)
+            } else {
+                0
+            };
+            Deadline::after_ms(now, needed_ms)
+        };
+        let hopeless = self.queue.due_before(latest);
+        for ticket in &hopeless {
+            self.queue.remove(*ticket, false);
+        }
+        hopeless
     }
 
     /// Counts an attempt on a group. Later attempts of a request do not queue again.
@@ -189,7 +214,7 @@
             self.non_critical_in_flight = self.non_critical_in_flight.saturating_sub(1);
         }
         if !finished.is_failure {
-            self.drain.take(finished.priority, finished.held_ms);
+            self.drain.held(finished.priority, finished.held_ms);
         }
     }
 
@@ -219,12 +244,33 @@
     }
 
     /// Expected wait of a newcomer of a class; `None` while too little is known.
-    pub fn expected_wait_ms(&self, priority: Priority, usable: &[K]) -> Option<u64> {
+    ///
+    /// The longer of two estimates: what is ahead through the capacity of now, and the class's own
+    /// line at its own pace.
+    pub fn expected_wait_ms(&self, priority: Priority, usable: &[K], now: TimeMs) -> Option<u64> {
         let ahead = self.queue.len_up_to(priority);
         if ahead == 0 {
             return Some(0);
         }
-        self.drain.time_for_ms(ahead, self.capacity(usable))
+        let through_ms = self
+            .drain
+            .through_capacity_ms(ahead, self.capacity(usable))?;
+        let in_line = self.queue.len_of(priority);
+        if in_line == 0 {
+            return Some(through_ms);
+        }
+        let by_departures_ms = self.drain.by_departures_ms(in_line, priority, now);
+        Some(through_ms.max(by_departures_ms))
+    }
+
+    /// Time in which everything that waits drains; `None` while too little is known.
+    pub fn backlog_ms(&self, usable: &[K]) -> Option<u64> {
+        let queued = self.queue.len();
+        if queued == 0 {
+            return Some(0);
+        }
+        self.drain
+            .through_capacity_ms(queued, self.capacity(usable))
     }
 
     fn has_room(&self, key: &K) -> bool {
--- a/crates/admission/src/gate/concurrency.rs
+++ b/crates/admission/src/gate/concurrency.rs
@@ -67,9 +67,10 @@
         self.in_flight
     }
 
-    /// Whether one more attempt is within the limit.
+    /// Whether there is room for one more attempt. A limit between two whole numbers counts as the
+    /// larger one: with a few slots for each node, the smaller would leave much of a group idle.
     pub fn has_room(&self) -> bool {
-        f64::from(self.in_flight) + 1.0 <= self.limit
+        f64::from(self.in_flight) < self.limit
     }
 
     /// Counts an attempt.
--- a/crates/admission/src/gate/queue.rs
+++ b/crates/admission/src/gate/queue.rs
@@ -4,7 +4,7 @@
 
 use jacinthpoint_types::{Deadline, OrganisationId, Priority};
 use slotmap::{SlotMap, new_key_type};
-use strum::EnumCount;
+use strum::{EnumCount, IntoEnumIterator};
 
 new_key_type! {
     /// Names a request while it waits.
@@ -97,6 +97,24 @@
         self.waiting.is_empty()
     }
 
+    /// Requests of each class whose deadline is not after the one that `latest` gives the class.
+    pub fn due_before(&self, latest: impl Fn(Priority) -> Deadline) -> Vec<Ticket> {
+        let mut due = Vec::new();
+        for (class, priority) in self.classes.iter().zip(Priority::iter()) {
+            let latest = latest(priority);
+            for line in class.lines.values() {
+                let early = line.waiting.iter().take_while(|entry| entry.0 <= latest);
+                due.extend(early.map(|(_, _, ticket)| *ticket));
+            }
+        }
+        due
+    }
+
+    /// Requests that wait in a class.
+    pub fn len_of(&self, priority: Priority) -> usize {
+        self.classes[priority as usize].count
+    }
+
     /// Requests that wait in a class and the more important ones.
     pub fn len_up_to(&self, priority: Priority) -> usize {
         let classes = &self.classes[..=priority as usize];
--- a/crates/admission/src/gate/settings.rs
+++ b/crates/admission/src/gate/settings.rs
@@ -31,9 +31,9 @@
         GateSettings {
             concurrency_mode: LayerMode::Enforce,
             concurrency: ConcurrencySettings::default(),
-            reservation: LayerMode::Enforce,
+            reservation: LayerMode::Watch,
             reserved_share: 0.1,
-            shedding: LayerMode::Enforce,
+            shedding: LayerMode::Watch,
             shed: ShedSettings::default(),
             deadlines: LayerMode::Enforce,
             max_queued: 2_000,
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -6,11 +6,12 @@
 
 pub use crate::load::{
     arrivals::{Arrival, arrivals},
-    driver::{Fault, Outcomes, Scenario, run},
+    driver::run,
     experiments::{Row, experiment, experiment_names, table},
     open_loop::{OpenLoop, send_open_loop},
     report::{Ended, Report},
     routers::{Router, RouterKind},
+    scenario::{Fault, Outcomes, Retrying, Scenario, Second},
     shape::Shape,
 };
 
@@ -18,7 +19,9 @@
 mod driver;
 mod engines;
 mod experiments;
+mod node;
 mod open_loop;
 mod report;
 mod routers;
+mod scenario;
 mod shape;
--- a/crates/standins/src/load/driver.rs
+++ b/crates/standins/src/load/driver.rs
@@ -5,15 +5,17 @@
     collections::{BTreeSet, BinaryHeap},
 };
 
+use jacinthpoint_admission::{Finished, Refusal, retry_after_ms};
 use jacinthpoint_routing::Candidate;
+use jacinthpoint_types::{Deadline, TimeMs};
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::load::{
-    arrivals::{Arrival, arrivals, weighted},
-    engines::{EngineGroup, GroupState, Job, Started, service_ms},
-    report::{Ended, Report},
-    routers::{Router, RouterKind},
-    shape::Shape,
+    arrivals::{Arrival, weighted},
+    engines::{EngineGroup, GroupState, Job, Started},
+    node::Node,
+    report::Ended,
+    scenario::{Fault, Outcomes, Retrying, Scenario, Second},
 };
 
 /// How often a group's load is sampled.
@@ -25,107 +27,25 @@
 /// Attempts of one request.
 const MAX_ATTEMPTS: usize = 3;
 
-/// A fault on a schedule.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Fault {
-    /// Groups from the first to before the second number die.
-    Kill(usize, usize),
-    /// A group's steps take longer.
-    Straggle(usize, f64),
-    /// A group fails every request at once and reports no load.
-    ErrorFast(usize),
-    /// No group's report changes any more.
-    FreezeReports,
-}
-
-/// One experiment.
-#[derive(Debug, Clone)]
-pub struct Scenario {
-    /// Seed of the arrivals and of the nodes' choices.
-    pub seed: u64,
-    /// Nodes in front.
-    pub nodes: usize,
-    /// Share of the arrivals that the first node gets; the rest goes evenly to the others.
-    pub first_node_share: Option<f64>,
-    /// Engine groups.
-    pub groups: usize,
-    /// Requests that a group runs at once.
-    pub slots: usize,
-    /// Arrival rate as a multiple of what the groups can serve.
-    pub load_factor: f64,
-    /// Who asks.
-    pub shape: Shape,
-    /// Time during which requests come.
-    pub duration_ms: u64,
-    /// Requests that come earlier are not counted.
-    pub warm_up_ms: u64,
-    /// How nodes choose.
-    pub router: RouterKind,
-    /// Faults by time.
-    pub faults: Vec<(u64, Fault)>,
-}
-
-impl Scenario {
-    /// Eight nodes in front of 50 groups of 16 slots.
-    pub fn new(seed: u64, shape: Shape, load_factor: f64) -> Scenario {
-        Scenario {
-            seed,
-            nodes: 8,
-            first_node_share: None,
-            groups: 50,
-            slots: 16,
-            load_factor,
-            shape,
-            duration_ms: 120_000,
-            warm_up_ms: 20_000,
-            router: RouterKind::TwoByEstimate,
-            faults: Vec::new(),
-        }
-    }
-
-    /// Arrivals a second that keep all slots busy.
-    pub fn capacity_per_s(&self) -> f64 {
-        let sample = arrivals(&self.shape, 1_000.0, 20_000, self.seed);
-        let cost_ms = |a: &Arrival| service_ms(a.prompt_tokens, a.answer_tokens);
-        let mean_ms = sample.iter().map(cost_ms).sum::<f64>() / sample.len() as f64;
-        (self.groups * self.slots) as f64 * 1_000.0 / mean_ms
-    }
-}
-
-/// What a run gave.
-#[derive(Debug, Clone, Default)]
-pub struct Outcomes {
-    /// Ends by organisation and class.
-    pub report: Report,
-    /// Requests that found their prefix cached, of all that started.
-    pub cache_hits: u64,
-    /// Requests that started.
-    pub started: u64,
-    /// Attempts that each group was sent.
-    pub attempts: Vec<u64>,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Fault(usize),
     Sample,
     Publish,
     Arrive(usize),
-    Done(usize),
-}
-
-struct NodeView {
-    router: Router,
-    rng: SmallRng,
-    in_flight: Vec<u32>,
+    FirstToken(usize, usize),
+    Done(usize, usize),
+    Deadline(usize),
 }
 
 /// Where a request is.
 #[derive(Debug, Clone, Default)]
 struct Progress {
     node: usize,
-    group: usize,
+    /// The group it was sent to, while it is there.
+    group: Option<usize>,
     attempts: usize,
+    sent_at_ms: u64,
     failed: BTreeSet<usize>,
     started: Option<Started>,
     is_over: bool,
@@ -135,7 +55,7 @@
     scenario: &'a Scenario,
     arrivals: Vec<Arrival>,
     progress: Vec<Progress>,
-    nodes: Vec<NodeView>,
+    nodes: Vec<Node>,
     groups: Vec<EngineGroup>,
     sampled: Vec<u32>,
     reported: Vec<u32>,
@@ -153,47 +73,42 @@
         run.now_ms = at_ms;
         run.handle(event);
     }
+    run.outcomes.flaps = run.nodes.first().map_or(0, |node| node.flaps);
     run.outcomes
 }
 
 impl<'a> Run<'a> {
     fn new(scenario: &'a Scenario) -> Run<'a> {
-        let rate_per_s = scenario.capacity_per_s() * scenario.load_factor;
-        let arrivals = arrivals(
-            &scenario.shape,
-            rate_per_s,
-            scenario.duration_ms,
-            scenario.seed,
-        );
-        let mut events: BinaryHeap<_> = arrivals
-            .iter()
-            .enumerate()
-            .map(|(index, arrival)| Reverse((arrival.at_ms, Event::Arrive(index))))
-            .collect();
+        let arrivals = scenario.arrivals();
+        let mut events = BinaryHeap::new();
+        for (index, arrival) in arrivals.iter().enumerate() {
+            let deadline_ms = arrival.at_ms + arrival.patience_ms;
+            events.push(Reverse((arrival.at_ms, Event::Arrive(index))));
+            events.push(Reverse((deadline_ms, Event::Deadline(index))));
+        }
         for (index, (at_ms, _)) in scenario.faults.iter().enumerate() {
             events.push(Reverse((*at_ms, Event::Fault(index))));
         }
         events.push(Reverse((0, Event::Sample)));
-        let nodes = (0..scenario.nodes).map(|node| NodeView {
-            router: scenario.router.router(),
-            rng: SmallRng::seed_from_u64(scenario.seed ^ (node as u64 + 1) << 32),
-            in_flight: vec![0; scenario.groups],
+        let groups = scenario.groups;
+        let nodes = (0..scenario.nodes).map(|node| {
+            let seed = scenario.seed ^ ((node as u64 + 1) << 32);
+            Node::new(seed, scenario.router, scenario.gate, groups)
         });
         Run {
             progress: vec![Progress::default(); arrivals.len()],
             arrivals,
             nodes: nodes.collect(),
-            groups: (0..scenario.groups)
-                .map(|_| EngineGroup::new(scenario.slots))
-                .collect(),
-            sampled: vec![0; scenario.groups],
-            reported: vec![0; scenario.groups],
-            reported_at_ms: vec![0; scenario.groups],
-            died_at_ms: vec![None; scenario.groups],
+            groups: (0..groups).map(|_| new_group(scenario)).collect(),
+            sampled: vec![0; groups],
+            reported: vec![0; groups],
+            reported_at_ms: vec![0; groups],
+            died_at_ms: vec![None; groups],
             events,
             now_ms: 0,
             outcomes: Outcomes {
-                attempts: vec![0; scenario.groups],
+                attempts: vec![0; groups],
+                seconds: vec![Second::default(); scenario.duration_ms as usize / 1_000 + 1],
                 ..Outcomes::default()
             },
             scenario,
@@ -206,23 +121,31 @@
             Event::Sample => self.sample(),
             Event::Publish => self.publish(),
             Event::Arrive(request) => self.arrive(request),
-            Event::Done(request) => self.done(request),
+            Event::FirstToken(request, attempt) => self.first_token(request, attempt),
+            Event::Done(request, attempt) => self.done(request, attempt),
+            Event::Deadline(request) => self.deadline(request),
         }
     }
 
-    fn after(&mut self, delay_ms: u64, event: Event) {
-        self.events.push(Reverse((self.now_ms + delay_ms, event)));
+    fn now(&self) -> TimeMs {
+        TimeMs(self.now_ms)
+    }
+
+    fn at(&mut self, at_ms: u64, event: Event) {
+        self.events.push(Reverse((at_ms, event)));
     }
 
     fn sample(&mut self) {
         for (group, sampled) in self.groups.iter().zip(&mut self.sampled) {
-            if !group.reports_frozen {
-                *sampled = group.load();
-            }
+            *sampled = group.load();
         }
-        self.after(SAMPLE_LAG_MS, Event::Publish);
+        self.at(self.now_ms + SAMPLE_LAG_MS, Event::Publish);
         if self.now_ms < self.scenario.duration_ms {
-            self.after(SAMPLE_MS, Event::Sample);
+            self.at(self.now_ms + SAMPLE_MS, Event::Sample);
+        }
+        // Also lets nodes look again whose groups have come or gone.
+        for node in 0..self.nodes.len() {
+            self.pump(node);
         }
     }
 
@@ -239,6 +162,12 @@
     fn strike(&mut self, fault: Fault) {
         match fault {
             Fault::Kill(first, end) => (first..end).for_each(|group| self.kill(group)),
+            Fault::Revive(first, end) => {
+                for group in first..end {
+                    self.groups[group] = new_group(self.scenario);
+                    self.died_at_ms[group] = None;
+                }
+            }
             Fault::Straggle(group, slowness) => {
                 self.groups[group].state = GroupState::Up { slowness };
             }
@@ -253,57 +182,104 @@
         self.groups[group].die();
         self.died_at_ms[group] = Some(self.now_ms);
         let lost: Vec<usize> = (0..self.progress.len())
-            .filter(|request| {
-                let progress = &self.progress[*request];
-                progress.attempts > 0 && !progress.is_over && progress.group == group
-            })
+            .filter(|request| self.progress[*request].group == Some(group))
             .collect();
         for request in lost {
-            self.fail_attempt(request);
+            self.fail_attempt(request, group);
         }
     }
 
     fn arrive(&mut self, request: usize) {
         let node = self.pick_node(request);
         self.progress[request].node = node;
-        self.dispatch(request);
+        if !self.nodes[node].has_gate() {
+            return self.dispatch(request, None);
+        }
+        let usable = self.usable();
+        let arrival = &self.arrivals[request];
+        let deadline = Deadline(TimeMs(arrival.at_ms + arrival.patience_ms));
+        let now = self.now();
+        match self.nodes[node].arrive(request, arrival, deadline, &usable, now) {
+            Ok(()) => self.pump(node),
+            Err(refusal) => self.refuse(request, refusal),
+        }
+    }
+
+    fn refuse(&mut self, request: usize, refusal: Refusal) {
+        let (Refusal::Shed { wait_ms } | Refusal::DeadlineUnreachable { wait_ms }) = refusal;
+        let node = self.progress[request].node;
+        let told_ms = retry_after_ms(wait_ms, &mut self.nodes[node].rng);
+        let back_at_ms = match self.scenario.retrying {
+            Retrying::Never => None,
+            Retrying::WhenTold => Some(self.now_ms + told_ms),
+            Retrying::AfterMs(ms) => Some(self.now_ms + ms),
+        };
+        let arrival = &self.arrivals[request];
+        let patience_ends_ms = arrival.at_ms + arrival.patience_ms;
+        match back_at_ms.filter(|at_ms| *at_ms < patience_ends_ms) {
+            Some(at_ms) => self.at(at_ms, Event::Arrive(request)),
+            None => self.shed(request),
+        }
+    }
+
+    fn shed(&mut self, request: usize) {
+        let after_ms = self.now_ms - self.arrivals[request].at_ms;
+        self.end(request, Ended::Shed { after_ms });
+    }
+
+    /// Sends what the node's gate lets go.
+    fn pump(&mut self, node: usize) {
+        let now = self.now();
+        for request in self.nodes[node].take_hopeless(now) {
+            self.shed(request);
+        }
+        let usable = self.usable();
+        while let Some(go) = self.nodes[node].next(&usable, now) {
+            self.dispatch(go.request, Some(&go.open));
+        }
     }
 
     /// The node that the balancer gives a request to.
-    fn pick_node(&mut self, request: usize) -> usize {
+    fn pick_node(&self, request: usize) -> usize {
         let nodes = self.scenario.nodes;
         let even = 1.0 / nodes as f64;
         let first = self.scenario.first_node_share.unwrap_or(even);
         let others = (1.0 - first) / (nodes.max(2) - 1) as f64;
         let weights = (0..nodes).map(|node| if node == 0 { first } else { others });
-        let seed = self
-            .scenario
-            .seed
-            .wrapping_mul(31)
-            .wrapping_add(request as u64);
-        weighted(weights, &mut SmallRng::seed_from_u64(seed))
+        let seed = self.scenario.seed.wrapping_mul(31);
+        weighted(
+            weights,
+            &mut SmallRng::seed_from_u64(seed.wrapping_add(request as u64)),
+        )
     }
 
-    fn dispatch(&mut self, request: usize) {
-        let candidates = self.candidates(request);
+    fn dispatch(&mut self, request: usize, open: Option<&[usize]>) {
+        let usable = open.map_or_else(|| self.usable(), <[usize]>::to_vec);
+        let candidates = self.candidates(request, &usable);
         let prefix = self.arrivals[request].prefix;
         let node = &mut self.nodes[self.progress[request].node];
-        match (node.router)(&candidates, prefix, &mut node.rng) {
+        match node.choose(&candidates, prefix) {
             Some(group) => self.send(request, group),
             None => self.end(request, Ended::Failed),
         }
     }
 
-    /// Groups that the request's node believes it may use.
-    fn candidates(&self, request: usize) -> Vec<Candidate<usize>> {
-        let progress = &self.progress[request];
-        let node = &self.nodes[progress.node];
-        let is_known_dead = |group: usize| {
-            self.died_at_ms[group].is_some_and(|at_ms| self.now_ms >= at_ms + PERMIT_MS)
+    /// Groups that the nodes believe they may use.
+    fn usable(&self) -> Vec<usize> {
+        let is_known_dead = |group: &usize| {
+            self.died_at_ms[*group].is_some_and(|at_ms| self.now_ms >= at_ms + PERMIT_MS)
         };
         (0..self.groups.len())
-            .filter(|group| !progress.failed.contains(group) && !is_known_dead(*group))
-            .map(|group| Candidate {
+            .filter(|group| !is_known_dead(group))
+            .collect()
+    }
+
+    fn candidates(&self, request: usize, usable: &[usize]) -> Vec<Candidate<usize>> {
+        let progress = &self.progress[request];
+        let node = &self.nodes[progress.node];
+        let untried = usable.iter().filter(|g| !progress.failed.contains(g));
+        untried
+            .map(|&group| Candidate {
                 key: group,
                 in_flight: node.in_flight[group],
                 reported: self.reported[group],
@@ -313,14 +289,6 @@
     }
 
     fn send(&mut self, request: usize, group: usize) {
-        let progress = &mut self.progress[request];
-        progress.group = group;
-        progress.attempts += 1;
-        self.outcomes.attempts[group] += 1;
-        self.nodes[progress.node].in_flight[group] += 1;
-        if !matches!(self.groups[group].state, GroupState::Up { .. }) {
-            return self.fail_attempt(request);
-        }
         let arrival = &self.arrivals[request];
         let job = Job {
             request,
@@ -329,63 +297,133 @@
             prefix: arrival.prefix,
             priority: arrival.priority,
         };
+        let progress = &mut self.progress[request];
+        progress.group = Some(group);
+        progress.attempts += 1;
+        progress.sent_at_ms = self.now_ms;
+        self.outcomes.attempts[group] += 1;
+        self.nodes[progress.node].start(group, job.priority);
+        if !matches!(self.groups[group].state, GroupState::Up { .. }) {
+            return self.fail_attempt(request, group);
+        }
         let started = self.groups[group].take(job, self.now_ms);
         self.start(started);
     }
 
     fn start(&mut self, started: Option<Started>) {
         let Some(started) = started else { return };
+        let request = started.request;
         self.outcomes.started += 1;
         self.outcomes.cache_hits += u64::from(started.was_cached);
-        self.progress[started.request].started = Some(started);
-        let event = Event::Done(started.request);
-        self.events.push(Reverse((started.done_at_ms, event)));
+        self.progress[request].started = Some(started);
+        let attempt = self.progress[request].attempts;
+        self.at(
+            started.first_token_at_ms,
+            Event::FirstToken(request, attempt),
+        );
+        self.at(started.done_at_ms, Event::Done(request, attempt));
+    }
+
+    fn first_token(&mut self, request: usize, attempt: usize) {
+        let progress = &self.progress[request];
+        let Some(group) = progress.group.filter(|_| progress.attempts == attempt) else {
+            return;
+        };
+        let first_token_ms = self.now_ms - progress.sent_at_ms;
+        let now = self.now();
+        self.nodes[progress.node].on_first_token(group, first_token_ms, now);
+    }
+
+    /// Takes a request off its group.
+    fn leave_group(&mut self, request: usize, group: usize, is_failure: bool) {
+        let now = self.now();
+        let progress = &mut self.progress[request];
+        progress.group = None;
+        let finished = Finished {
+            priority: self.arrivals[request].priority,
+            held_ms: self.now_ms - progress.sent_at_ms,
+            is_failure,
+        };
+        self.nodes[progress.node].finish(group, finished, now);
     }
 
-    fn fail_attempt(&mut self, request: usize) {
+    fn fail_attempt(&mut self, request: usize, group: usize) {
+        self.leave_group(request, group, true);
         let progress = &mut self.progress[request];
-        self.nodes[progress.node].in_flight[progress.group] -= 1;
-        progress.failed.insert(progress.group);
+        progress.failed.insert(group);
         progress.started = None;
         if progress.attempts < MAX_ATTEMPTS {
-            self.dispatch(request);
+            self.dispatch(request, None);
         } else {
             self.end(request, Ended::Failed);
         }
     }
 
-    fn done(&mut self, request: usize) {
+    fn done(&mut self, request: usize, attempt: usize) {
         let progress = &self.progress[request];
-        // An end that belongs to an attempt which was lost meanwhile.
-        let is_current = progress
-            .started
-            .is_some_and(|s| s.done_at_ms == self.now_ms);
-        let Some(started) = progress.started.filter(|_| is_current && !progress.is_over) else {
+        let Some(group) = progress.group.filter(|_| progress.attempts == attempt) else {
             return;
         };
-        let group = progress.group;
-        self.nodes[progress.node].in_flight[group] -= 1;
-        let arrival = &self.arrivals[request];
-        let first_token_ms = started.first_token_at_ms - arrival.at_ms;
-        let is_in_time = self.now_ms <= arrival.at_ms + arrival.patience_ms;
-        self.end(
-            request,
-            if is_in_time {
-                Ended::InTime { first_token_ms }
-            } else {
-                Ended::Late { first_token_ms }
-            },
-        );
+        let Some(started) = progress.started else {
+            return;
+        };
+        let first_token_ms = started.first_token_at_ms - self.arrivals[request].at_ms;
+        self.leave_group(request, group, false);
+        self.end(request, Ended::InTime { first_token_ms });
+        self.free_slot(group);
+        self.pump(self.progress[request].node);
+    }
+
+    fn free_slot(&mut self, group: usize) {
         let next = self.groups[group].finish(self.now_ms);
         self.start(next);
     }
 
+    /// Gives a request up: the node cancels it, wherever it is.
+    fn deadline(&mut self, request: usize) {
+        let progress = &self.progress[request];
+        if progress.is_over {
+            return;
+        }
+        let (node, started) = (progress.node, progress.started);
+        let Some(group) = progress.group else {
+            self.nodes[node].withdraw(request);
+            return self.shed(request);
+        };
+        let is_answering = started.is_some_and(|s| s.first_token_at_ms <= self.now_ms);
+        if !is_answering {
+            let waited_ms = self.now_ms - progress.sent_at_ms;
+            let now = self.now();
+            self.nodes[node].on_first_token(group, waited_ms, now);
+        }
+        self.leave_group(request, group, false);
+        let at_ms = self.arrivals[request].at_ms;
+        let first_token_ms =
+            started.map_or(self.now_ms, |s| s.first_token_at_ms.min(self.now_ms)) - at_ms;
+        self.end(request, Ended::Late { first_token_ms });
+        if started.is_some() {
+            self.free_slot(group);
+        } else {
+            self.groups[group].cancel_queued(request);
+        }
+        self.pump(node);
+    }
+
     fn end(&mut self, request: usize, ended: Ended) {
         self.progress[request].is_over = true;
         let arrival = &self.arrivals[request];
-        if arrival.at_ms >= self.scenario.warm_up_ms {
+        let second = &mut self.outcomes.seconds[arrival.at_ms as usize / 1_000];
+        second.offered += 1;
+        second.in_time += u64::from(matches!(ended, Ended::InTime { .. }));
+        if self.scenario.counts(arrival.at_ms) {
             let report = &mut self.outcomes.report;
             report.take(&arrival.organisation, arrival.priority, ended);
         }
     }
 }
+
+fn new_group(scenario: &Scenario) -> EngineGroup {
+    let mut group = EngineGroup::new(scenario.slots);
+    group.is_fifo = scenario.fifo_engines;
+    group
+}
--- a/crates/standins/src/load/engines.rs
+++ b/crates/standins/src/load/engines.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BinaryHeap, VecDeque},
+    collections::{BinaryHeap, HashSet, VecDeque},
 };
 
 use jacinthpoint_types::Priority;
@@ -56,10 +56,13 @@
 pub(crate) struct EngineGroup {
     pub(crate) state: GroupState,
     pub(crate) reports_frozen: bool,
+    /// Takes jobs in the order they come, whatever their class.
+    pub(crate) is_fifo: bool,
     slots: usize,
     running: usize,
     queue: BinaryHeap<Reverse<(Priority, u64, usize)>>,
     jobs: Vec<Job>,
+    cancelled: HashSet<usize>,
     cache: VecDeque<u64>,
 }
 
@@ -68,10 +71,12 @@
         EngineGroup {
             state: GroupState::Up { slowness: 1.0 },
             reports_frozen: false,
+            is_fifo: false,
             slots,
             running: 0,
             queue: BinaryHeap::new(),
             jobs: Vec::new(),
+            cancelled: HashSet::new(),
             cache: VecDeque::new(),
         }
     }
@@ -80,7 +85,7 @@
     pub(crate) fn load(&self) -> u32 {
         match self.state {
             GroupState::ErrorFast => 0,
-            _ => (self.running + self.queue.len()) as u32,
+            _ => (self.running + self.queue.len() - self.cancelled.len()) as u32,
         }
     }
 
@@ -88,8 +93,12 @@
     pub(crate) fn take(&mut self, job: Job, now_ms: u64) -> Option<Started> {
         let index = self.jobs.len();
         self.jobs.push(job);
-        self.queue
-            .push(Reverse((job.priority, index as u64, index)));
+        let class = if self.is_fifo {
+            Priority::Normal
+        } else {
+            job.priority
+        };
+        self.queue.push(Reverse((class, index as u64, index)));
         self.start_next(now_ms)
     }
 
@@ -99,11 +108,17 @@
         self.start_next(now_ms)
     }
 
+    /// Takes a job off the queue.
+    pub(crate) fn cancel_queued(&mut self, request: usize) {
+        self.cancelled.insert(request);
+    }
+
     /// Loses everything that runs or waits here.
     pub(crate) fn die(&mut self) {
         self.state = GroupState::Dead;
         self.running = 0;
         self.queue.clear();
+        self.cancelled.clear();
         self.cache.clear();
     }
 
@@ -111,9 +126,8 @@
         if self.running >= self.slots {
             return None;
         }
-        let Reverse((_, _, index)) = self.queue.pop()?;
+        let job = self.pop_job()?;
         self.running += 1;
-        let job = self.jobs[index];
         let was_cached = self.touch(job.prefix);
         let slowness = match self.state {
             GroupState::Up { slowness } => slowness,
@@ -129,6 +143,16 @@
         })
     }
 
+    fn pop_job(&mut self) -> Option<Job> {
+        loop {
+            let Reverse((_, _, index)) = self.queue.pop()?;
+            let job = self.jobs[index];
+            if !self.cancelled.remove(&job.request) {
+                return Some(job);
+            }
+        }
+    }
+
     /// Whether the prefix is cached; it is from now on.
     fn touch(&mut self, prefix: u64) -> bool {
         let found = self.cache.iter().position(|cached| *cached == prefix);
--- a/crates/standins/src/load/open_loop.rs
+++ b/crates/standins/src/load/open_loop.rs
@@ -101,7 +101,10 @@
     match answer.status().as_u16() {
         200 => {}
         429 => return Ended::Paced,
-        503 => return Ended::Shed,
+        503 => {
+            let after_ms = sent_at.elapsed().as_millis() as u64;
+            return Ended::Shed { after_ms };
+        }
         _ => return Ended::Failed,
     }
     let first_token_ms = sent_at.elapsed().as_millis() as u64;
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -26,7 +26,10 @@
     /// Refused by the pace of its organisation.
     Paced,
     /// Shed, or refused because its deadline cannot be met.
-    Shed,
+    Shed {
+        /// Time from the arrival until the caller was told.
+        after_ms: u64,
+    },
     /// Failed.
     Failed,
 }
@@ -48,6 +51,12 @@
     pub failed: u64,
     /// First-token times of what was answered, late or not.
     pub first_token_ms: Histogram<u64>,
+    /// Time from arrival to refusal of what was shed.
+    pub shed_after_ms: Histogram<u64>,
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_max(MAX_MS, SIGNIFICANT_DIGITS).expect("the bounds are constant and valid")
 }
 
 impl Default for Series {
@@ -59,8 +68,8 @@
             paced: 0,
             shed: 0,
             failed: 0,
-            first_token_ms: Histogram::new_with_max(MAX_MS, SIGNIFICANT_DIGITS)
-                .expect("the bounds are constant and valid"),
+            first_token_ms: histogram(),
+            shed_after_ms: histogram(),
         }
     }
 }
@@ -83,7 +92,10 @@
                 self.first_token_ms.saturating_record(first_token_ms);
             }
             Ended::Paced => self.paced += 1,
-            Ended::Shed => self.shed += 1,
+            Ended::Shed { after_ms } => {
+                self.shed += 1;
+                self.shed_after_ms.saturating_record(after_ms);
+            }
             Ended::Failed => self.failed += 1,
         }
     }
@@ -95,9 +107,9 @@
         self.paced += other.paced;
         self.shed += other.shed;
         self.failed += other.failed;
-        self.first_token_ms
-            .add(&other.first_token_ms)
-            .expect("both have the same bounds");
+        let same = "both have the same bounds";
+        self.first_token_ms.add(&other.first_token_ms).expect(same);
+        self.shed_after_ms.add(&other.shed_after_ms).expect(same);
     }
 }
 
@@ -121,6 +133,11 @@
         }
     }
 
+    /// Leaves an organisation out.
+    pub fn remove(&mut self, organisation: &OrganisationId) {
+        self.series.retain(|(name, _), _| name != organisation);
+    }
+
     /// The sum of the series that `selects` names.
     pub fn sum(&self, selects: impl Fn(&OrganisationId, Priority) -> bool) -> Series {
         let mut sum = Series::default();
--- a/crates/standins/tests/load.rs
+++ b/crates/standins/tests/load.rs
@@ -1,6 +1,7 @@
 //! The load tool gives the same figures for the same seed.
 
-use jacinthpoint_standins::load::{Fault, RouterKind, Scenario, Shape, arrivals, run};
+use jacinthpoint_admission::GateSettings;
+use jacinthpoint_standins::load::{Fault, Retrying, RouterKind, Scenario, Shape, arrivals, run};
 
 macro_rules! scenario_test {
     ($name:ident, $scenario:expr) => {
@@ -26,24 +27,26 @@
         slots: 4,
         duration_ms: 20_000,
         warm_up_ms: 2_000,
+        cool_down_ms: 2_000,
         ..Scenario::new(7, Shape::tongyeong(), load_factor)
     }
 }
 
 fn arrivals_counted(scenario: &Scenario) -> u64 {
-    let rate_per_s = scenario.capacity_per_s() * scenario.load_factor;
-    let all = arrivals(
-        &scenario.shape,
-        rate_per_s,
-        scenario.duration_ms,
-        scenario.seed,
-    );
-    let counted = all.iter().filter(|a| a.at_ms >= scenario.warm_up_ms);
-    counted.count() as u64
+    let all = scenario.arrivals();
+    all.iter().filter(|a| scenario.counts(a.at_ms)).count() as u64
 }
 
 scenario_test!(calm, small(0.5));
 scenario_test!(overloaded, small(2.0));
+scenario_test!(
+    gated_with_retries,
+    Scenario {
+        gate: Some(GateSettings::default()),
+        retrying: Retrying::WhenTold,
+        ..small(2.0)
+    }
+);
 scenario_test!(
     with_faults,
     Scenario {
@@ -52,8 +55,10 @@
             (8_000, Fault::Straggle(5, 5.0)),
             (9_000, Fault::ErrorFast(6)),
             (10_000, Fault::FreezeReports),
+            (12_000, Fault::Revive(0, 4)),
         ],
         router: RouterKind::TwoByEstimate,
+        gate: Some(GateSettings::default()),
         ..small(0.7)
     }
 );
