--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,12 +6,18 @@
 use std::net::SocketAddr;
 
 use ini::Ini;
+use jacinthpoint_placement::RepairSettings;
 use jacinthpoint_types::{DataCentreId, NodeId};
 
 /// Requests without a deadline of their own get this one.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 /// Open callers' connections beyond which new ones are refused.
 const DEFAULT_MAX_CONNECTIONS: usize = 2_000;
+/// Time for a caller to send a whole head, and then the whole body.
+const DEFAULT_READ_DEADLINE_MS: u64 = 10_000;
+/// Time between the loss of readiness and the close of the listener; a balancer that checks every
+/// second and takes a node out after three failures sees it in time.
+const DEFAULT_DRAIN_ANNOUNCE_MS: u64 = 5_000;
 /// Longest planned stop.
 const DEFAULT_DRAIN_DEADLINE_MS: u64 = 120_000;
 
@@ -36,10 +42,16 @@
     pub default_deadline_ms: u64,
     /// Open callers' connections allowed.
     pub max_connections: usize,
-    /// Longest planned stop.
+    /// Time for a caller to send a whole head, and then the whole body.
+    pub read_deadline_ms: u64,
+    /// Time between the loss of readiness and the close of the listener in a planned stop.
+    pub drain_announce_ms: u64,
+    /// Longest planned stop, the announcement included.
     pub drain_deadline_ms: u64,
     /// Where metrics are sent.
     pub statsd: Option<SocketAddr>,
+    /// Weights, estimates and limits of repairs.
+    pub repair: RepairSettings,
 }
 
 /// One fault of a settings file.
@@ -63,10 +75,24 @@
         &[
             "default_deadline_ms",
             "max_connections",
+            "read_deadline_ms",
+            "drain_announce_ms",
             "drain_deadline_ms",
         ],
     ),
     ("metrics", &["statsd"]),
+    (
+        "repair",
+        &[
+            "group_downtime_weight",
+            "stranded_weight",
+            "load_ms",
+            "replace_ms",
+            "wait_ms",
+            "max_loads",
+            "damping_ms",
+        ],
+    ),
 ];
 
 /// Reads and checks a settings file.
@@ -114,8 +140,11 @@
         let seeds = self.list("peers", "seeds");
         let deadline_ms = self.optional("limits", "default_deadline_ms");
         let max_connections = self.optional("limits", "max_connections");
+        let read_deadline_ms = self.optional("limits", "read_deadline_ms");
+        let drain_announce_ms = self.optional("limits", "drain_announce_ms");
         let drain_deadline_ms = self.optional("limits", "drain_deadline_ms");
         let statsd = self.optional("metrics", "statsd");
+        let repair = self.repair();
         let settings = NodeSettings {
             name: name?,
             data_centre: data_centre?,
@@ -126,13 +155,42 @@
             seeds,
             default_deadline_ms: deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS),
             max_connections: max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
+            read_deadline_ms: read_deadline_ms.unwrap_or(DEFAULT_READ_DEADLINE_MS),
+            drain_announce_ms: drain_announce_ms.unwrap_or(DEFAULT_DRAIN_ANNOUNCE_MS),
             drain_deadline_ms: drain_deadline_ms.unwrap_or(DEFAULT_DRAIN_DEADLINE_MS),
             statsd,
+            repair,
         };
         self.check_clashes(&settings);
         Some(settings)
     }
 
+    fn repair(&mut self) -> RepairSettings {
+        const SECTION: &str = "repair";
+        let defaults = RepairSettings::new();
+        let downtime_weight = self.optional(SECTION, "group_downtime_weight");
+        let stranded_weight = self.optional(SECTION, "stranded_weight");
+        let load_ms = self.optional(SECTION, "load_ms");
+        let replace_ms = self.optional(SECTION, "replace_ms");
+        let wait_ms = self.optional(SECTION, "wait_ms");
+        let max_loads = self.optional(SECTION, "max_loads");
+        let damping_ms = self.optional(SECTION, "damping_ms");
+        if max_loads == Some(0) {
+            let message = "`max_loads` must be at least 1".to_owned();
+            self.fail(SECTION, Some("max_loads"), message);
+        }
+        RepairSettings {
+            group_downtime_weight: downtime_weight.unwrap_or(defaults.group_downtime_weight),
+            stranded_weight: stranded_weight.unwrap_or(defaults.stranded_weight),
+            load_ms: load_ms.unwrap_or(defaults.load_ms),
+            replace_ms: replace_ms.unwrap_or(defaults.replace_ms),
+            wait_ms: wait_ms.unwrap_or(defaults.wait_ms),
+            max_loads: max_loads.unwrap_or(defaults.max_loads),
+            damping_ms: damping_ms.unwrap_or(defaults.damping_ms),
+            repairs: defaults.repairs,
+        }
+    }
+
     fn check_keys(&mut self) {
         for (section, properties) in self.ini.iter() {
             let section = section.unwrap_or_default();
