Add a fault proxy for TCP, UDP and HTTP links

Ruled out: one listener for each pair of parties, since the membership list names one address a VM for every node; finding the owner of a socket in /proc, since each look costs as much as the whole table of connections.

Loss is drawn from a generator of each link, seeded.

--- a/crates/standins/main.rs
+++ b/crates/standins/main.rs
@@ -5,8 +5,8 @@
 use gumdrop::Options;
 use jacinthpoint_platform::{MemberRole, MemberState, PlatformMember};
 use jacinthpoint_standins::{
-    Engine, EngineOptions, PlatformOptions, PlatformServer, Registration, ServiceOptions,
-    ServiceServer,
+    Engine, EngineOptions, PlatformOptions, PlatformServer, ProxyOptions, ProxyServer,
+    Registration, ServiceOptions, ServiceServer,
 };
 
 /// How long an engine stays on the membership list without registering again.
@@ -28,6 +28,8 @@
     Engine(EngineArgs),
     #[options(help = "a plain service")]
     Service(ServiceArgs),
+    #[options(help = "a fault proxy")]
+    Proxy(ProxyArgs),
 }
 
 #[derive(Debug, Options)]
@@ -85,12 +87,27 @@
     call_ms: u64,
 }
 
+#[derive(Debug, Options)]
+struct ProxyArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        help = "address of the control paths",
+        default = "127.0.0.1:0",
+        no_short
+    )]
+    listen: String,
+    #[options(help = "seed of the loss on each link", default = "1", no_short)]
+    seed: u64,
+}
+
 fn main() -> ExitCode {
     let args = Args::parse_args_default_or_exit();
     let run = match args.command {
         Some(Command::Platform(args)) => platform(&args),
         Some(Command::Engine(args)) => engine(&args),
         Some(Command::Service(args)) => service(&args),
+        Some(Command::Proxy(args)) => proxy(&args),
         None => Err("no command; see --help".into()),
     };
     match run {
@@ -155,3 +172,11 @@
     })?;
     serve_forever(server.address())
 }
+
+fn proxy(args: &ProxyArgs) -> Result<(), Box<dyn Error>> {
+    let server = ProxyServer::start(&ProxyOptions {
+        address: args.listen.parse()?,
+        seed: args.seed,
+    })?;
+    serve_forever(server.address())
+}
