--- a/crates/core/commands/demo.rs
+++ b/crates/core/commands/demo.rs
@@ -111,6 +111,7 @@
             vm: "portal-1".parse()?,
             service: "enquiries".parse()?,
             call_ms: 5,
+            run_log: None,
         })?;
         let mut site = Site {
             platform,
@@ -148,6 +149,7 @@
             listen_callers: free_port(),
             listen_operators: free_port(),
             listen_peers: free_port(),
+            advertise_peers: None,
             platform: self.platform.address(),
             seeds: Vec::new(),
             default_deadline_ms: 30_000,
--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -60,7 +60,7 @@
     targets.extend(entries.map(|member| member.address));
     targets.sort();
     targets.dedup();
-    targets.retain(|address| *address != shared.settings.listen_peers);
+    targets.retain(|address| *address != shared.settings.peers_address());
     targets
 }
 
--- a/crates/node/src/control/permits.rs
+++ b/crates/node/src/control/permits.rs
@@ -20,7 +20,7 @@
         take_own_grants(shared);
         let request = Datagram::PermitRequest {
             sent_at: shared.now(),
-            reply_to: shared.settings.listen_peers,
+            reply_to: shared.settings.peers_address(),
         };
         let bytes = encode(&request);
         for address in prober_addresses(shared) {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -28,6 +28,8 @@
     pub listen_operators: SocketAddr,
     /// Where other nodes reach it, UDP and TCP.
     pub listen_peers: SocketAddr,
+    /// Where other nodes are told to reach it, if not at the address it listens on.
+    pub advertise_peers: Option<SocketAddr>,
     /// The platform.
     pub platform: SocketAddr,
     /// Nodes to ask first; the platform's membership list brings the others.
@@ -42,6 +44,13 @@
     pub statsd: Option<SocketAddr>,
 }
 
+impl NodeSettings {
+    /// Where other nodes reach it.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.advertise_peers.unwrap_or(self.listen_peers)
+    }
+}
+
 /// One fault of a settings file.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("line {line}: {message}")]
@@ -55,7 +64,10 @@
 /// Sections and keys, for checks and suggestions.
 const KEYS: &[(&str, &[&str])] = &[
     ("node", &["name", "data_centre"]),
-    ("listen", &["callers", "operators", "peers"]),
+    (
+        "listen",
+        &["callers", "operators", "peers", "advertise_peers"],
+    ),
     ("platform", &["address"]),
     ("peers", &["seeds"]),
     (
@@ -110,6 +122,7 @@
         let listen_callers = self.required("listen", "callers");
         let listen_operators = self.required("listen", "operators");
         let listen_peers = self.required("listen", "peers");
+        let advertise_peers = self.optional("listen", "advertise_peers");
         let platform = self.required("platform", "address");
         let seeds = self.list("peers", "seeds");
         let deadline_ms = self.optional("limits", "default_deadline_ms");
@@ -122,6 +135,7 @@
             listen_callers: listen_callers?,
             listen_operators: listen_operators?,
             listen_peers: listen_peers?,
+            advertise_peers,
             platform: platform?,
             seeds,
             default_deadline_ms: deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -144,7 +144,7 @@
         PeerState {
             node: self.settings.name.clone(),
             incarnation: self.incarnation,
-            address: self.settings.listen_peers,
+            address: self.settings.peers_address(),
             data_centre: self.settings.data_centre.clone(),
             leaving: self.drain.is_draining(),
             revision: self.revision(),
--- a/crates/standins/main.rs
+++ b/crates/standins/main.rs
@@ -1,6 +1,6 @@
 //! Runs one stand-in as a process of its own until it is killed, after printing its address.
 
-use std::{error::Error, net::SocketAddr, process::ExitCode, thread};
+use std::{error::Error, net::SocketAddr, path::PathBuf, process::ExitCode, thread};
 
 use gumdrop::Options;
 use jacinthpoint_platform::{MemberRole, MemberState, PlatformMember};
@@ -71,6 +71,8 @@
     slots: usize,
     #[options(help = "obey orders with old fencing numbers", no_short)]
     ignore_fencing: bool,
+    #[options(help = "file to append the run log to", no_short)]
+    run_log: Option<String>,
 }
 
 #[derive(Debug, Options)]
@@ -85,6 +87,8 @@
     service: String,
     #[options(help = "time of a call in ms", default = "5", no_short)]
     call_ms: u64,
+    #[options(help = "file to append the run log to", no_short)]
+    run_log: Option<String>,
 }
 
 #[derive(Debug, Options)]
@@ -143,6 +147,7 @@
     options.load_ms = args.load_ms;
     options.slots = args.slots;
     options.refuses_old_orders = !args.ignore_fencing;
+    options.run_log = args.run_log.as_ref().map(PathBuf::from);
     if let Some(platform) = args.platform {
         let member = PlatformMember {
             vm: args.vm.parse()?,
@@ -169,6 +174,7 @@
         vm: args.vm.parse()?,
         service: args.service.parse()?,
         call_ms: args.call_ms,
+        run_log: args.run_log.as_ref().map(PathBuf::from),
     })?;
     serve_forever(server.address())
 }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -16,6 +16,7 @@
 use std::{
     io,
     net::SocketAddr,
+    path::PathBuf,
     sync::{Arc, atomic::AtomicBool},
     thread,
 };
@@ -55,6 +56,8 @@
     pub refuses_old_orders: bool,
     /// Platform to register with, and the entry to register; the address is filled in.
     pub registration: Option<(SocketAddr, Registration)>,
+    /// File to append the run log to.
+    pub run_log: Option<PathBuf>,
 }
 
 impl EngineOptions {
@@ -72,6 +75,7 @@
             report_lag_ms: 300,
             refuses_old_orders: true,
             registration: None,
+            run_log: None,
         }
     }
 }
@@ -106,10 +110,11 @@
     ///
     /// # Errors
     ///
-    /// Fails if the address cannot be bound.
+    /// Fails if the address cannot be bound or the run log cannot be opened.
     pub fn start(options: EngineOptions) -> io::Result<Engine> {
         let stopped = Arc::new(AtomicBool::new(false));
-        let shared = Arc::new(Shared::new(options, stopped.clone()));
+        let log = RunLog::open(options.run_log.as_deref())?;
+        let shared = Arc::new(Shared::new(options, log, stopped.clone()));
         let handler = shared.clone();
         let http = HttpServer::start(shared.options.address, stopped, move |request| {
             handlers::handle(&handler, request);
--- a/crates/standins/src/engine/attempt.rs
+++ b/crates/standins/src/engine/attempt.rs
@@ -39,6 +39,7 @@
     pub(super) epoch: Epoch,
     pub(super) first_offset: u64,
     pub(super) total: u64,
+    pub(super) members: Vec<String>,
     pub(super) model: String,
     pub(super) prompt: String,
     pub(super) last_before: String,
@@ -50,6 +51,7 @@
 pub(super) struct AttemptRequest {
     pub(super) id: AttemptId,
     pub(super) epoch: Epoch,
+    pub(super) members: Vec<String>,
     pub(super) model: String,
     pub(super) prompt: String,
     pub(super) total: u64,
@@ -63,6 +65,7 @@
             epoch: request.epoch,
             first_offset: request.continue_from.len() as u64,
             total: request.total,
+            members: request.members,
             model: request.model,
             prompt: request.prompt,
             last_before: request.continue_from.last().cloned().unwrap_or_default(),
--- a/crates/standins/src/engine/handlers.rs
+++ b/crates/standins/src/engine/handlers.rs
@@ -122,6 +122,7 @@
         vm: shared.options.vm.to_string(),
         group: header(&request, GROUP_HEADER),
         epoch: attempt.epoch.0,
+        members: attempt.members.clone(),
         body: String::from_utf8_lossy(&raw).into_owned(),
         started_wall_ms: wall_ms(),
     });
@@ -157,6 +158,11 @@
     let attempt = Arc::new(Attempt::new(AttemptRequest {
         id,
         epoch,
+        members: assignment
+            .members
+            .iter()
+            .map(|member| member.vm.to_string())
+            .collect(),
         model: assignment.model.to_string(),
         prompt: text::prompt_of(body),
         total: text::max_tokens_of(body),
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -54,10 +54,10 @@
 }
 
 impl Shared {
-    pub(super) fn new(options: EngineOptions, stopped: Arc<AtomicBool>) -> Shared {
+    pub(super) fn new(options: EngineOptions, log: RunLog, stopped: Arc<AtomicBool>) -> Shared {
         Shared {
             options,
-            log: RunLog::default(),
+            log,
             incarnation: wall_ms(),
             state: Mutex::default(),
             stopped,
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -6,6 +6,7 @@
 use std::{
     io,
     net::SocketAddr,
+    path::PathBuf,
     sync::{Arc, atomic::AtomicBool},
     thread,
     time::Duration,
@@ -31,6 +32,8 @@
     pub service: ServiceId,
     /// Time a call takes.
     pub call_ms: u64,
+    /// File to append the run log to.
+    pub run_log: Option<PathBuf>,
 }
 
 /// A running plain service.
@@ -45,9 +48,9 @@
     ///
     /// # Errors
     ///
-    /// Fails if the address cannot be bound.
+    /// Fails if the address cannot be bound or the run log cannot be opened.
     pub fn start(options: ServiceOptions) -> io::Result<ServiceServer> {
-        let log = RunLog::default();
+        let log = RunLog::open(options.run_log.as_deref())?;
         let shared_log = log.clone();
         let stopped = Arc::new(AtomicBool::new(false));
         let http = HttpServer::start(options.address, stopped, move |request| {
@@ -81,6 +84,7 @@
         vm: options.vm.to_string(),
         group: String::new(),
         epoch: 0,
+        members: Vec::new(),
         body: echo.clone(),
         started_wall_ms: wall_ms(),
     });
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -1,11 +1,19 @@
-//! A site of real processes, and callers of it.
+//! A site of real processes, callers of it, and the reconciliation of both.
 
 pub use crate::util::{
-    caller::{Call, KEYS},
+    caller::{Answer, Call, KEYS},
+    http::{get_json, post_json},
+    links::Links,
     process::Process,
-    site::{Site, SiteOptions, permitted_groups, wait_until},
+    reconcile::{Missing, SHORT_GROUP_BOUND_MS, Tally, read_run_logs, reconcile},
+    site::{Site, SiteOptions, permitted_groups, status, wait_until},
+    traffic::{Sent, Traffic},
 };
 
 mod caller;
+mod http;
+mod links;
 mod process;
+mod reconcile;
 mod site;
+mod traffic;
--- a/tests/util/caller.rs
+++ b/tests/util/caller.rs
@@ -11,14 +11,16 @@
     ("tongyeong", "key-tongyeong"),
 ];
 
-/// A model call.
-#[derive(Clone)]
+/// A call to a model, or to a plain service.
+#[derive(Debug, Clone)]
 pub struct Call {
     pub request: RequestId,
     pub key: &'static str,
     pub prompt: String,
     pub max_tokens: u64,
     pub stream: bool,
+    /// The plain service to call, which may not be called twice.
+    pub service: Option<&'static str>,
     pub headers: Vec<(&'static str, String)>,
 }
 
@@ -42,19 +44,15 @@
             prompt: prompt.to_owned(),
             max_tokens: 16,
             stream: false,
+            service: None,
             headers: Vec::new(),
         }
     }
 
     /// Sends it and reads the whole answer; the error is a failed connection.
     pub fn send(&self, node: SocketAddr) -> Result<Answer, String> {
-        let body = json!({
-            "model": "jp-model",
-            "prompt": self.prompt,
-            "max_tokens": self.max_tokens,
-            "stream": self.stream,
-        });
-        let mut request = attohttpc::post(format!("http://{node}/v1/completions"))
+        let (path, body) = self.path_and_body();
+        let mut request = attohttpc::post(format!("http://{node}{path}"))
             .read_timeout(Duration::from_secs(30))
             .header("authorization", format!("Bearer {}", self.key))
             .header("x-request-id", self.request.to_string());
@@ -68,6 +66,20 @@
         self.read(answer)
     }
 
+    fn path_and_body(&self) -> (String, Value) {
+        if let Some(service) = self.service {
+            let body = json!({ "text": self.prompt });
+            return (format!("/services/{service}/send"), body);
+        }
+        let body = json!({
+            "model": "jp-model",
+            "prompt": self.prompt,
+            "max_tokens": self.max_tokens,
+            "stream": self.stream,
+        });
+        ("/v1/completions".to_owned(), body)
+    }
+
     fn read(&self, answer: attohttpc::Response) -> Result<Answer, String> {
         let (status, headers, mut reader) = answer.split();
         let header = |name: &str| {
@@ -85,10 +97,9 @@
             read_events(&body)
         } else {
             let value: Value = serde_json::from_str(&body).unwrap_or_default();
-            let text = value["choices"][0]["text"]
-                .as_str()
-                .unwrap_or_default()
-                .to_owned();
+            let text = value["choices"][0]["text"].as_str();
+            let text = text.or(value["echo"].as_str());
+            let text = text.unwrap_or_default().to_owned();
             (text, header("x-outcome").unwrap_or_default())
         };
         Ok(Answer {
@@ -101,8 +112,17 @@
         })
     }
 
+    /// Whether it may run only once.
+    pub fn is_marked(&self) -> bool {
+        let marked = ("x-repeatable", "false".to_owned());
+        self.service.is_some() || self.headers.contains(&marked)
+    }
+
     /// The text that this call must get.
     pub fn expected(&self) -> String {
+        if self.service.is_some() {
+            return json!({ "text": self.prompt }).to_string();
+        }
         expected_text(&self.prompt, self.max_tokens)
     }
 }
--- a/tests/util/process.rs
+++ b/tests/util/process.rs
@@ -18,7 +18,12 @@
 impl Process {
     /// Starts a stand-in, which prints its address.
     pub fn standin(args: &[&str]) -> (Process, SocketAddr) {
-        let process = Process::start(env!("CARGO_BIN_EXE_jacinthpoint-standins"), args);
+        Process::standin_behind(None, args)
+    }
+
+    /// Starts a stand-in that makes its HTTP calls through a proxy.
+    pub fn standin_behind(proxy: Option<SocketAddr>, args: &[&str]) -> (Process, SocketAddr) {
+        let process = Process::start(env!("CARGO_BIN_EXE_jacinthpoint-standins"), proxy, args);
         let address = process
             .first_line
             .parse()
@@ -28,12 +33,19 @@
 
     /// Starts the program under test.
     pub fn jacinthpoint(args: &[&str]) -> Process {
-        Process::start(env!("CARGO_BIN_EXE_jacinthpoint"), args)
+        Process::jacinthpoint_behind(None, args)
+    }
+
+    /// Starts the program under test, which makes its HTTP calls through a proxy.
+    pub fn jacinthpoint_behind(proxy: Option<SocketAddr>, args: &[&str]) -> Process {
+        Process::start(env!("CARGO_BIN_EXE_jacinthpoint"), proxy, args)
     }
 
-    fn start(program: &str, args: &[&str]) -> Process {
+    fn start(program: &str, proxy: Option<SocketAddr>, args: &[&str]) -> Process {
+        let proxy = proxy.map(|proxy| ("http_proxy", format!("http://{proxy}")));
         let mut child = Command::new(program)
             .args(args)
+            .envs(proxy)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -5,16 +5,17 @@
     fs,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
+    sync::{Mutex, PoisonError},
     thread,
     time::{Duration, Instant},
 };
 
 use jacinthpoint_platform::{MemberRole, MemberState, Platform, PlatformMember, Version};
 use jacinthpoint_records::{CONFIG_KIND, CONFIG_NAME, RecordsObject, key_digest};
-use jacinthpoint_standins::{Registration, RunRecord};
+use jacinthpoint_standins::{Registration, RunRecord, wall_ms};
 use serde_json::{Value, json};
 
-use crate::util::{KEYS, Process};
+use crate::util::{KEYS, Links, Missing, Process, get_json, post_json, read_run_logs};
 
 /// Time for the groups of a site to form.
 const START_DEADLINE_MS: u64 = 30_000;
@@ -29,6 +30,12 @@
     pub group_size: u16,
     pub standbys: u16,
     pub engine_args: Vec<String>,
+    /// Servers of the plain service `enquiries`.
+    pub servers: usize,
+    /// Age of the platform's membership list.
+    pub membership_lag_ms: u64,
+    /// Seed of a fault proxy on every link; without one, links are direct.
+    pub proxy_seed: Option<u64>,
 }
 
 impl SiteOptions {
@@ -42,6 +49,20 @@
             group_size: 3,
             standbys: 1,
             engine_args: Vec::new(),
+            servers: 1,
+            membership_lag_ms: 500,
+            proxy_seed: None,
+        }
+    }
+
+    /// As [`SiteOptions::small`], with three nodes, three servers and every link through a fault
+    /// proxy.
+    pub fn proxied() -> SiteOptions {
+        SiteOptions {
+            nodes: 3,
+            servers: 3,
+            proxy_seed: Some(1),
+            ..SiteOptions::small()
         }
     }
 }
@@ -49,7 +70,10 @@
 /// An upstream with its process.
 pub struct Upstream {
     pub process: Process,
+    /// Where it listens itself, past any proxy.
     pub address: SocketAddr,
+    domain: String,
+    route: Option<SocketAddr>,
 }
 
 /// A node with its process.
@@ -57,6 +81,8 @@
     pub process: Process,
     pub callers: SocketAddr,
     pub operators: SocketAddr,
+    settings: PathBuf,
+    http_proxy: Option<SocketAddr>,
 }
 
 /// Everything that a test needs.
@@ -67,13 +93,16 @@
     pub engines: BTreeMap<String, Upstream>,
     pub services: BTreeMap<String, Upstream>,
     pub nodes: Vec<SiteNode>,
+    links: Option<Links>,
+    missing: Mutex<Vec<Missing>>,
     folder: PathBuf,
 }
 
 impl Site {
     /// Starts a site and waits until its groups serve.
     pub fn start(options: SiteOptions) -> Site {
-        let (platform, platform_address) = Process::standin(&["platform"]);
+        let lag_ms = options.membership_lag_ms.to_string();
+        let (platform, platform_address) = Process::standin(&["platform", "--lag-ms", &lag_ms]);
         let name = format!("jacinthpoint-test-{}", platform_address.port());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).expect("a folder for settings");
@@ -84,6 +113,8 @@
             engines: BTreeMap::new(),
             services: BTreeMap::new(),
             nodes: Vec::new(),
+            links: options.proxy_seed.map(Links::start),
+            missing: Mutex::default(),
             folder,
         };
         site.write_records(&site.sample_records());
@@ -92,7 +123,9 @@
                 site.start_engine(&format!("rack-{domain}-vm-{vm}"), &format!("rack-{domain}"));
             }
         }
-        site.start_service("enquiries-1");
+        for number in 1..=options.servers {
+            site.start_service(&format!("enquiries-{number}"));
+        }
         for number in 1..=options.nodes {
             let node = site.start_node(number);
             site.nodes.push(node);
@@ -139,44 +172,177 @@
         Platform::new(self.platform_address)
     }
 
+    /// The fault proxy.
+    pub fn links(&self) -> &Links {
+        self.links.as_ref().expect("the site has a fault proxy")
+    }
+
+    /// A route to a party through the proxy, if there is one.
+    fn route_to(
+        &self,
+        to: &str,
+        transport: &str,
+        target: Option<SocketAddr>,
+    ) -> Option<SocketAddr> {
+        let links = self.links.as_ref()?;
+        Some(links.route(None, to, transport, target))
+    }
+
+    /// Where one party reaches the platform.
+    fn platform_seen_by(&self, party: &str) -> SocketAddr {
+        let target = Some(self.platform_address);
+        self.links.as_ref().map_or(self.platform_address, |links| {
+            links.route(Some(party), "platform", "tcp", target)
+        })
+    }
+
     pub fn start_engine(&mut self, vm: &str, domain: &str) {
-        let platform = self.platform_address.to_string();
+        let route = self.route_to(vm, "tcp", None);
+        self.start_engine_at(vm, domain, route);
+    }
+
+    fn start_engine_at(&mut self, vm: &str, domain: &str, route: Option<SocketAddr>) {
+        let platform = self.platform_seen_by(vm).to_string();
+        let run_log = self.folder.join(format!("{vm}.jsonl"));
+        let run_log = run_log.to_str().expect("the path is UTF-8");
+        let advertise = route.map(|route| route.to_string());
         let mut args = vec!["engine", "--vm", vm, "--fabric-domain", domain];
-        args.extend(["--platform", platform.as_str()]);
+        args.extend(["--platform", platform.as_str(), "--run-log", run_log]);
+        if let Some(advertise) = &advertise {
+            args.extend(["--advertise", advertise.as_str()]);
+        }
         args.extend(self.options.engine_args.iter().map(String::as_str));
-        let (process, address) = Process::standin(&args);
-        self.engines
-            .insert(vm.to_owned(), Upstream { process, address });
+        let http_proxy = self.links.as_ref().map(|links| links.http_proxy(vm));
+        let (process, address) = Process::standin_behind(http_proxy, &args);
+        if let (Some(links), Some(route)) = (&self.links, route) {
+            links.set_target(route, address);
+        }
+        let upstream = Upstream {
+            process,
+            address,
+            domain: domain.to_owned(),
+            route,
+        };
+        self.engines.insert(vm.to_owned(), upstream);
+    }
+
+    /// Kills an engine's VM.
+    pub fn kill_engine(&mut self, vm: &str) {
+        let engine = self.engines.remove(vm).expect("the engine runs");
+        drop(engine.process);
+        self.note_missing(vm);
+    }
+
+    /// Replaces an engine's VM by another one on the same address and in the same domain.
+    pub fn replace_engine(&mut self, vm: &str, by: &str) {
+        let (domain, route) = {
+            let engine = &self.engines[vm];
+            (engine.domain.clone(), engine.route)
+        };
+        self.kill_engine(vm);
+        self.start_engine_at(by, &domain, route);
+    }
+
+    /// Pauses an engine's process.
+    pub fn pause_engine(&self, vm: &str) {
+        self.engines[vm].process.signal("STOP");
+        self.note_missing(vm);
+    }
+
+    /// Lets a paused engine's process go on.
+    pub fn resume_engine(&self, vm: &str) {
+        self.note_present(vm);
+        self.engines[vm].process.signal("CONT");
+    }
+
+    fn note_missing(&self, vm: &str) {
+        self.missing_list().push(Missing {
+            vm: vm.to_owned(),
+            from_ms: wall_ms(),
+            to_ms: None,
+        });
+    }
+
+    fn note_present(&self, vm: &str) {
+        let now_ms = wall_ms();
+        let mut missing = self.missing_list();
+        for entry in missing.iter_mut().filter(|entry| entry.vm == vm) {
+            entry.to_ms.get_or_insert(now_ms);
+        }
+    }
+
+    /// When VMs were missing.
+    pub fn missing(&self) -> Vec<Missing> {
+        self.missing_list().clone()
+    }
+
+    fn missing_list(&self) -> std::sync::MutexGuard<'_, Vec<Missing>> {
+        self.missing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn start_service(&mut self, vm: &str) {
-        let args = ["service", "--vm", vm, "--service", "enquiries"];
+        let run_log = self.folder.join(format!("{vm}.jsonl"));
+        let run_log = run_log.to_str().expect("the path is UTF-8");
+        let mut args = vec!["service", "--vm", vm, "--service", "enquiries"];
+        args.extend(["--run-log", run_log]);
         let (process, address) = Process::standin(&args);
+        let route = self.route_to(vm, "tcp", Some(address));
         let role = MemberRole::Service("enquiries".parse().expect("a valid name"));
-        self.register(vm, role, address);
-        self.services
-            .insert(vm.to_owned(), Upstream { process, address });
+        self.register(vm, role, route.unwrap_or(address));
+        let upstream = Upstream {
+            process,
+            address,
+            domain: "entry".to_owned(),
+            route,
+        };
+        self.services.insert(vm.to_owned(), upstream);
     }
 
     pub fn start_node(&mut self, number: usize) -> SiteNode {
         let [callers, operators, peers] = free_addresses();
+        let name = format!("node-{number}");
+        let advertise = self.route_to(&name, "tcp-and-udp", Some(peers));
+        let advertise_line = advertise.map_or(String::new(), |address| {
+            format!("advertise_peers = {address}\n")
+        });
         let settings = format!(
-            "[node]\nname = node-{number}\ndata_centre = dc-1\n\n[listen]\ncallers = {callers}\n\
-             operators = {operators}\npeers = {peers}\n\n[platform]\naddress = {}\n",
-            self.platform_address
+            "[node]\nname = {name}\ndata_centre = dc-1\n\n[listen]\ncallers = {callers}\n\
+             operators = {operators}\npeers = {peers}\n{advertise_line}\n[platform]\n\
+             address = {}\n",
+            self.platform_seen_by(&name)
         );
-        let path = self.folder.join(format!("node-{number}.ini"));
+        let path = self.folder.join(format!("{name}.ini"));
         fs::write(&path, settings).expect("settings are written");
-        let path = path.to_str().expect("the path is UTF-8");
-        let process = Process::jacinthpoint(&["node", path]);
-        self.register(&format!("node-{number}"), MemberRole::Entry, peers);
+        let http_proxy = self.links.as_ref().map(|links| {
+            links.name_sender(&name, peers);
+            links.http_proxy(&name)
+        });
+        let process = run_node(&path, http_proxy);
+        self.register(&name, MemberRole::Entry, advertise.unwrap_or(peers));
         SiteNode {
             process,
-            callers,
+            callers: self
+                .route_to(&name, "tcp", Some(callers))
+                .unwrap_or(callers),
             operators,
+            settings: path,
+            http_proxy,
         }
     }
 
+    /// Kills a node and starts it again on its addresses.
+    pub fn restart_node(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.process.signal("KILL");
+        assert!(node.process.wait(10_000).is_some(), "the node is dead");
+        node.process = run_node(&node.settings, node.http_proxy);
+    }
+
+    /// Where callers reach the nodes.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|node| node.callers).collect()
+    }
+
     fn register(&self, vm: &str, role: MemberRole, address: SocketAddr) {
         let member = PlatformMember {
             vm: vm.parse().expect("a valid name"),
@@ -215,12 +381,9 @@
         });
     }
 
-    /// Runs of all upstreams that still run.
+    /// Runs of all upstreams, those of dead ones included.
     pub fn run_log(&self) -> Vec<RunRecord> {
-        let upstreams = self.engines.values().chain(self.services.values());
-        upstreams
-            .flat_map(|upstream| run_log(upstream.address))
-            .collect()
+        read_run_logs(&self.folder)
     }
 }
 
@@ -230,18 +393,14 @@
     }
 }
 
-/// Run log of one upstream.
-pub fn run_log(address: SocketAddr) -> Vec<RunRecord> {
-    let answer = attohttpc::get(format!("http://{address}/control/runlog")).send();
-    answer
-        .and_then(|answer| answer.json())
-        .expect("an upstream gives its run log")
+fn run_node(settings: &std::path::Path, http_proxy: Option<SocketAddr>) -> Process {
+    let settings = settings.to_str().expect("the path is UTF-8");
+    Process::jacinthpoint_behind(http_proxy, &["node", settings])
 }
 
 /// Status of a node; null if it does not answer.
 pub fn status(operators: SocketAddr) -> Value {
-    let answer = attohttpc::get(format!("http://{operators}/status")).send();
-    answer.and_then(|answer| answer.json()).unwrap_or_default()
+    get_json(operators, "/status")
 }
 
 /// Members of each group that a node may use.
@@ -267,15 +426,6 @@
     }
 }
 
-fn post_json(address: SocketAddr, path: &str, body: &Value) {
-    let answer = attohttpc::post(format!("http://{address}{path}")).json(body);
-    let answer = answer.and_then(|request| request.send());
-    let status = answer
-        .map(|answer| answer.status().as_u16())
-        .expect("the stand-in answers");
-    assert_eq!(status, 200, "{path}");
-}
-
 fn free_addresses() -> [SocketAddr; 3] {
     // All are held until all are found, so that they differ.
     let listeners = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
