Provoke link, upstream and platform faults between processes

Ruled out: asking live upstreams for their run logs, since the evidence of a killed VM would be gone; each stand-in appends its log to a file before a run does anything.

--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -71,6 +71,8 @@
     None,
     /// Every call gets 503.
     Refuse,
+    /// Every call gets 429.
+    Throttle,
     /// No call is answered or takes effect.
     Silent,
     /// Every call takes this much longer.
@@ -173,6 +175,7 @@
         let fault = self.lock().fault;
         match fault {
             PlatformFault::Refuse => return respond_error(request, 503, "outage"),
+            PlatformFault::Throttle => return respond_error(request, 429, "call rate exceeded"),
             PlatformFault::Silent => return self.never_answer(request),
             PlatformFault::Slow { delay_ms } => thread::sleep(Duration::from_millis(delay_ms)),
             PlatformFault::None | PlatformFault::LoseAnswers { .. } => {}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -5,4 +5,7 @@
 mod util;
 
 mod groups;
+mod outages;
+mod partitions;
 mod serving;
+mod upstreams;
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -2,7 +2,11 @@
 
 pub use crate::util::{
     caller::{Answer, Call, KEYS},
-    http::{get_json, post_json},
+    checks::{
+        every_node_answers, fault_survived, let_pass, none_lost, wait_for_answers,
+        wait_for_revision,
+    },
+    http::{get_json, get_status, post_json},
     links::Links,
     process::Process,
     reconcile::{Missing, SHORT_GROUP_BOUND_MS, Tally, read_run_logs, reconcile},
@@ -11,6 +15,7 @@
 };
 
 mod caller;
+mod checks;
 mod http;
 mod links;
 mod process;
--- a/tests/util/http.rs
+++ b/tests/util/http.rs
@@ -25,3 +25,11 @@
         .send();
     answer.and_then(|answer| answer.json()).unwrap_or_default()
 }
+
+/// Status of a page; `None` if nothing answers.
+pub fn get_status(address: SocketAddr, path: &str) -> Option<u16> {
+    let answer = attohttpc::get(format!("http://{address}{path}"))
+        .read_timeout(Duration::from_millis(ANSWER_MS))
+        .send();
+    answer.ok().map(|answer| answer.status().as_u16())
+}
--- a/tests/util/links.rs
+++ b/tests/util/links.rs
@@ -71,11 +71,6 @@
         self.post("heal", &json!({ "rule": rule }));
     }
 
-    /// Removes all rules.
-    pub fn heal_all(&self) {
-        self.post("heal", &json!({}));
-    }
-
     /// Makes open connections go silent for good; tells how many.
     pub fn freeze(&self, from: &[&str], to: &[&str]) -> u64 {
         let answer = self.post("freeze", &json!({ "from": from, "to": to }));
--- a/tests/util/process.rs
+++ b/tests/util/process.rs
@@ -31,13 +31,8 @@
         (process, address)
     }
 
-    /// Starts the program under test.
-    pub fn jacinthpoint(args: &[&str]) -> Process {
-        Process::jacinthpoint_behind(None, args)
-    }
-
-    /// Starts the program under test, which makes its HTTP calls through a proxy.
-    pub fn jacinthpoint_behind(proxy: Option<SocketAddr>, args: &[&str]) -> Process {
+    /// Starts the program under test, which makes its HTTP calls through a proxy if one is given.
+    pub fn jacinthpoint(proxy: Option<SocketAddr>, args: &[&str]) -> Process {
         Process::start(env!("CARGO_BIN_EXE_jacinthpoint"), proxy, args)
     }
 
--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -81,6 +81,8 @@
     pub process: Process,
     pub callers: SocketAddr,
     pub operators: SocketAddr,
+    /// Where other nodes reach it.
+    peers: SocketAddr,
     settings: PathBuf,
     http_proxy: Option<SocketAddr>,
 }
@@ -305,11 +307,17 @@
         let advertise_line = advertise.map_or(String::new(), |address| {
             format!("advertise_peers = {address}\n")
         });
+        let seeds: Vec<String> = self
+            .nodes
+            .iter()
+            .map(|node| node.peers.to_string())
+            .collect();
         let settings = format!(
             "[node]\nname = {name}\ndata_centre = dc-1\n\n[listen]\ncallers = {callers}\n\
              operators = {operators}\npeers = {peers}\n{advertise_line}\n[platform]\n\
-             address = {}\n",
-            self.platform_seen_by(&name)
+             address = {}\n\n[peers]\nseeds = {}\n",
+            self.platform_seen_by(&name),
+            seeds.join(", ")
         );
         let path = self.folder.join(format!("{name}.ini"));
         fs::write(&path, settings).expect("settings are written");
@@ -325,6 +333,7 @@
                 .route_to(&name, "tcp", Some(callers))
                 .unwrap_or(callers),
             operators,
+            peers: advertise.unwrap_or(peers),
             settings: path,
             http_proxy,
         }
@@ -367,6 +376,11 @@
         post_json(self.platform_address, &format!("/control/{path}"), body);
     }
 
+    /// Switches a fault of the platform on.
+    pub fn platform_fault(&self, fault: &Value) {
+        self.control("fault", fault);
+    }
+
     /// Switches a fault of an engine on.
     pub fn engine_fault(&self, vm: &str, fault: &Value) {
         post_json(self.engines[vm].address, "/control/fault", fault);
@@ -395,7 +409,7 @@
 
 fn run_node(settings: &std::path::Path, http_proxy: Option<SocketAddr>) -> Process {
     let settings = settings.to_str().expect("the path is UTF-8");
-    Process::jacinthpoint_behind(http_proxy, &["node", settings])
+    Process::jacinthpoint(http_proxy, &["node", settings])
 }
 
 /// Status of a node; null if it does not answer.
--- a/tests/util/traffic.rs
+++ b/tests/util/traffic.rs
@@ -17,7 +17,16 @@
 /// Tokens of an answer, by turns: short ones, and some that outlast a fault.
 const TOKENS: [u64; 4] = [8, 24, 60, 150];
 /// One call of this many is a plain call that may not be repeated.
-const SERVICE_EVERY: usize = 3;
+///
+/// The strides below share no factor with each other or with the usual three nodes, so that every
+/// node gets every kind of call.
+const SERVICE_EVERY: usize = 4;
+/// One model call of this many may not be repeated.
+const MARKED_EVERY: usize = 5;
+/// Of this many model calls, those below [`STREAMED_OF_STRIDE`] are streamed.
+const STREAM_STRIDE: usize = 7;
+/// See [`STREAM_STRIDE`].
+const STREAMED_OF_STRIDE: usize = 4;
 
 /// A request and what its caller saw.
 #[derive(Debug, Clone)]
@@ -63,14 +72,6 @@
         }
     }
 
-    /// Number of requests that have ended.
-    pub fn ended(&self) -> usize {
-        self.sent
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .len()
-    }
-
     /// Number of requests that were answered.
     pub fn answered(&self) -> usize {
         let sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
@@ -106,10 +107,9 @@
         };
     }
     Call {
-        stream: number.is_multiple_of(2),
-        max_tokens: TOKENS[number % TOKENS.len()],
-        // The request is not repeatable: an answer that is lost is not asked for again.
-        headers: if number % 5 == 1 {
+        stream: number % STREAM_STRIDE < STREAMED_OF_STRIDE,
+        max_tokens: TOKENS[number / STREAM_STRIDE % TOKENS.len()],
+        headers: if number.is_multiple_of(MARKED_EVERY) {
             vec![("x-repeatable", "false".to_owned())]
         } else {
             Vec::new()
