--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -2,12 +2,8 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError, RwLock,
-        atomic::{AtomicBool, Ordering},
-    },
-    thread,
-    time::Duration,
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock},
+    time::{Duration, Instant},
 };
 
 use jacinthpoint_membership::Membership;
@@ -22,15 +18,13 @@
     clock::{Clock, unix_now_ms},
     control::Domains,
     drain::Drain,
+    events::log_event,
     metrics::Metrics,
     settings::NodeSettings,
 };
 
 /// Shards of the in-flight counts.
 const IN_FLIGHT_SHARDS: usize = 16;
-/// How often a sleeping thread looks whether the node stops.
-const SLEEP_STEP_MS: u64 = 20;
-
 /// Configurations kept, so that a node a few changes behind gets only the changes.
 const CONFIG_HISTORY: usize = 16;
 
@@ -50,7 +44,8 @@
     pub(crate) platform: Platform,
 
     pub(crate) domains: Domains,
-    stopped: AtomicBool,
+    stopped: Mutex<bool>,
+    stop_signal: Condvar,
     /// The newest last.
     configs: RwLock<VecDeque<Arc<ConfigInForce>>>,
     members: RwLock<Arc<Vec<PlatformMember>>>,
@@ -77,7 +72,8 @@
             platform: Platform::new(settings.platform),
 
             domains: Domains::default(),
-            stopped: AtomicBool::new(false),
+            stopped: Mutex::new(false),
+            stop_signal: Condvar::new(),
             configs: RwLock::default(),
             members: RwLock::default(),
             peers: Mutex::new(Membership::new(own, rng)),
@@ -91,24 +87,33 @@
         self.clock.now()
     }
 
+    /// Stops the node's threads, sleeping ones at once.
     pub(crate) fn stop(&self) {
-        self.stopped.store(true, Ordering::SeqCst);
+        *self.stopped.lock().unwrap_or_else(PoisonError::into_inner) = true;
+        self.stop_signal.notify_all();
+    }
+
+    /// Begins the planned stop, unless it has begun already.
+    pub(crate) fn begin_drain(&self) {
+        let announce = Duration::from_millis(self.settings.drain_announce_ms);
+        if self.drain.begin(Instant::now() + announce) {
+            let in_flight = self.drain.in_flight();
+            log_event!(info, DrainBegan, in_flight, "no longer ready");
+        }
     }
 
     pub(crate) fn is_stopped(&self) -> bool {
-        self.stopped.load(Ordering::SeqCst)
+        *self.stopped.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sleeps, but not beyond the node's stop.
     pub(crate) fn sleep_ms(&self, ms: u64) {
-        let until = self.now().plus_ms(ms);
-        while !self.is_stopped() {
-            let left = until.since_ms(self.now());
-            if left == 0 {
-                return;
-            }
-            thread::sleep(Duration::from_millis(left.min(SLEEP_STEP_MS)));
-        }
+        let stopped = self.stopped.lock().unwrap_or_else(PoisonError::into_inner);
+        let timeout = Duration::from_millis(ms);
+        let slept = self
+            .stop_signal
+            .wait_timeout_while(stopped, timeout, |stopped| !*stopped);
+        drop(slept);
     }
 
     pub(crate) fn config(&self) -> Option<Arc<ConfigInForce>> {
--- a/tests/outages.rs
+++ b/tests/outages.rs
@@ -82,6 +82,21 @@
     }
 );
 
+site_test!(
+    new_node_serves_once_it_is_ready_in_an_outage,
+    SiteOptions::proxied(),
+    |mut site| {
+        site.platform_fault(&json!({ "mode": "refuse" }));
+        let node = site.start_node(4);
+        wait_until("the new node is ready", START_MS, || {
+            get_status(node.operators, "/ready") == Some(200)
+        });
+        let call = Call::new("asked of a new node");
+        let answer = call.send(node.callers).expect("the node answers");
+        assert_eq!(answer.outcome, "answered", "{}", answer.body);
+    }
+);
+
 site_test!(
     new_node_without_peers_is_not_ready_in_an_outage,
     SiteOptions {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,8 +4,11 @@
 mod macros;
 mod util;
 
+mod cli;
+mod configuration;
 mod groups;
 mod outages;
 mod partitions;
+mod planned_stop;
 mod serving;
 mod upstreams;
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -6,8 +6,10 @@
         every_node_answers, fault_survived, let_pass, none_lost, wait_for_answers,
         wait_for_revision,
     },
+    command::{Folder, jacinthpoint},
     http::{get_json, get_status, post_json},
     links::Links,
+    lone_node::LoneNode,
     process::Process,
     reconcile::{Missing, SHORT_GROUP_BOUND_MS, Tally, read_run_logs, reconcile},
     site::{Site, SiteOptions, permitted_groups, status, wait_until},
@@ -16,8 +18,10 @@
 
 mod caller;
 mod checks;
+mod command;
 mod http;
 mod links;
+mod lone_node;
 mod process;
 mod reconcile;
 mod site;
--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -82,7 +82,7 @@
     pub callers: SocketAddr,
     pub operators: SocketAddr,
     /// Where other nodes reach it.
-    peers: SocketAddr,
+    pub peers: SocketAddr,
     settings: PathBuf,
     http_proxy: Option<SocketAddr>,
 }
@@ -432,7 +432,7 @@
 }
 
 /// Waits until `condition` holds, and fails the test if it does not in time.
-pub fn wait_until(what: &str, timeout_ms: u64, condition: impl Fn() -> bool) {
+pub fn wait_until(what: &str, timeout_ms: u64, mut condition: impl FnMut() -> bool) {
     let deadline = Instant::now() + Duration::from_millis(timeout_ms);
     while !condition() {
         assert!(Instant::now() < deadline, "not in time: {what}");
