Replace a straggling member of a group

Cause: the gate closes a group with a straggling member, but the planner took every VM that answers for a good one, so the group stayed closed for as long as the VM was slow. The test straggler_is_replaced failed first: no group without the VM within 20 s.

Ruled out: waiting for the VM to recover; a group that does not serve costs its other members too, and the standby is loaded in seconds.

Change: a VM as slow as the gate's bound is suspect to the planner as well.

Conclusion: a straggler is treated as a member that is gone.

--- a/crates/node/src/control/planning.rs
+++ b/crates/node/src/control/planning.rs
@@ -4,6 +4,7 @@
 
 use jacinthpoint_placement::{Demand, Plan, VmHealth, VmView, domain_share, next_plan};
 use jacinthpoint_platform::{MemberState, Object, PlatformError, PlatformMember, Version};
+use jacinthpoint_readiness::STRAGGLER_SLOWNESS;
 use jacinthpoint_records::Config;
 use jacinthpoint_types::{Assignment, Epoch, FabricDomainId, MemberAddress, VmId};
 use jacinthpoint_upstream::{Order, OrderReply};
@@ -162,10 +163,13 @@
         .map(|(_, engines)| engines);
     let views = engines.unwrap_or_default().into_iter().map(|engine| {
         let sight = sights.and_then(|sights| sights.get(&engine.vm));
-        let answers = sight.is_some_and(|sight| now.since_ms(sight.answered_at) < VM_SUSPECT_MS);
+        let serves = sight.is_some_and(|sight| {
+            now.since_ms(sight.answered_at) < VM_SUSPECT_MS
+                && sight.report.slowness < STRAGGLER_SLOWNESS
+        });
         let health = match engine.state {
             MemberState::Leaving => VmHealth::Leaving,
-            MemberState::Live if answers => VmHealth::Live,
+            MemberState::Live if serves => VmHealth::Live,
             MemberState::Live => VmHealth::Suspect,
         };
         let member = MemberAddress {
--- a/tests/upstreams.rs
+++ b/tests/upstreams.rs
@@ -63,6 +63,15 @@
     site.wait_for_groups(2);
 });
 
+loses_nothing_test!(straggler_is_replaced, |site| {
+    site.engine_fault(
+        "rack-1-vm-2",
+        &json!({ "mode": "straggle", "factor": 10.0 }),
+    );
+    wait_for_groups_without(site, "rack-1-vm-2", 0, SHORT_GROUP_BOUND_MS);
+    wait_for_groups_without(site, "rack-1-vm-2", 2, REPAIR_MS);
+});
+
 site_test!(
     fabric_domain_goes_dark_and_comes_back,
     SiteOptions::proxied(),
