--- a/crates/node/src/control/probing.rs
+++ b/crates/node/src/control/probing.rs
@@ -3,15 +3,14 @@
 use std::net::SocketAddr;
 
 use crossbeam::channel;
+use jacinthpoint_placement::{Event, ProbeEvidence};
 use jacinthpoint_platform::{MemberState, PlatformMember};
-use jacinthpoint_readiness::ProbeReport;
+use jacinthpoint_readiness::{ProbeReport, STRAGGLER_SLOWNESS};
 use jacinthpoint_types::{FabricDomainId, TimeMs, VmId};
+use jacinthpoint_upstream::EngineState;
 
 use crate::{
-    control::{
-        domains::{Domain, VmSight},
-        members::engines_by_domain,
-    },
+    control::{domains::Domain, members::engines_by_domain},
     shared::Shared,
 };
 
@@ -66,9 +65,9 @@
     let now = shared.now();
     let mut targets = Vec::new();
     for (name, (data_centre, engines)) in own {
-        let domain = domains
-            .entry(name.clone())
-            .or_insert_with(|| Domain::new(data_centre));
+        let domain = domains.entry(name.clone()).or_insert_with(|| {
+            Domain::new(name.clone(), data_centre, shared.settings.repair.clone())
+        });
         domain
             .prober
             .set_leaving(leaving_vms(domain, &engines), now);
@@ -87,17 +86,54 @@
     let listed = engines
         .iter()
         .filter(|engine| engine.state == MemberState::Leaving);
-    let reported = domain
-        .sights
-        .iter()
-        .filter(|(_, sight)| sight.report.leaving);
     let listed = listed.map(|engine| engine.vm.clone());
-    listed.chain(reported.map(|(vm, _)| vm.clone())).collect()
+    listed.chain(domain.leaving.iter().cloned()).collect()
 }
 
 fn probe(shared: &Shared, target: &Target) {
     let sent_at = shared.now();
     let state = jacinthpoint_upstream::state(target.address, PROBE_TIMEOUT_MS).ok();
+    let now = shared.now();
+    if let Some(domain) = shared.domains.lock().get_mut(&target.domain) {
+        take_state(domain, target, sent_at, now, state);
+    }
+}
+
+fn take_state(
+    domain: &mut Domain,
+    target: &Target,
+    sent_at: TimeMs,
+    now: TimeMs,
+    state: Option<EngineState>,
+) {
+    let evidence = state
+        .as_ref()
+        .filter(|state| state.vm == target.vm)
+        .map(|state| ProbeEvidence {
+            address: target.address,
+            incarnation: state.incarnation,
+            believed: state.assignment.clone(),
+            leaving: state.leaving,
+            ready: state.ready,
+            straggles: state.slowness >= STRAGGLER_SLOWNESS,
+        });
+    // The controller first: the answer may tell of a standby swap that the prober has to know.
+    if let Some(evidence) = evidence {
+        let vm = target.vm.clone();
+        domain.handle(
+            now,
+            Event::Probe {
+                vm,
+                sent_at,
+                evidence,
+            },
+        );
+    }
+    if state.as_ref().is_some_and(|state| state.leaving) {
+        domain.leaving.insert(target.vm.clone());
+    } else if state.is_some() {
+        domain.leaving.remove(&target.vm);
+    }
     let report = state.map(|state| ProbeReport {
         vm: state.vm,
         assignment: state.assignment,
@@ -107,9 +143,7 @@
         load: state.running + state.queued,
         load_age_ms: state.report_age_ms,
     });
-    if let Some(domain) = shared.domains.lock().get_mut(&target.domain) {
-        take_report(domain, &target.vm, sent_at, report);
-    }
+    take_report(domain, &target.vm, sent_at, report);
 }
 
 fn take_report(domain: &mut Domain, vm: &VmId, sent_at: TimeMs, report: Option<ProbeReport>) {
@@ -124,13 +158,4 @@
             .prober
             .on_report(&group, vm, sent_at, report.as_ref());
     }
-    if let Some(report) = report.filter(|report| &report.vm == vm) {
-        domain.sights.insert(
-            vm.clone(),
-            VmSight {
-                answered_at: sent_at,
-                report,
-            },
-        );
-    }
 }
--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -20,6 +20,10 @@
 /// Time for the groups of a site to form.
 const START_DEADLINE_MS: u64 = 30_000;
 
+/// Deadline of requests that name none, within the time for which [`crate::util::Call`] waits, so
+/// that a caller is told an outcome even when an upstream never answers.
+const DEADLINE_MS: u64 = 20_000;
+
 /// Size of a site.
 #[derive(Clone)]
 pub struct SiteOptions {
@@ -315,7 +319,8 @@
         let settings = format!(
             "[node]\nname = {name}\ndata_centre = dc-1\n\n[listen]\ncallers = {callers}\n\
              operators = {operators}\npeers = {peers}\n{advertise_line}\n[platform]\n\
-             address = {}\n\n[peers]\nseeds = {}\n",
+             address = {}\n\n[peers]\nseeds = {}\n\n\
+             [limits]\ndefault_deadline_ms = {DEADLINE_MS}\n",
             self.platform_seen_by(&name),
             seeds.join(", ")
         );
