Add a soak with seeded random faults

Ruled out: drawing each fault independently, since a short run would then miss kinds; the kinds are dealt in a random order, each once before any comes again.

Change: seventeen kinds of faults drawn from a seed, the soak over them, and a test that a marked call on a connection frozen for good is told unknown by its deadline.

--- a/tests/outages.rs
+++ b/tests/outages.rs
@@ -6,13 +6,12 @@
     time::Duration,
 };
 
-use jacinthpoint_placement::Plan;
-use jacinthpoint_platform::{Object, PlatformError, Version};
+use jacinthpoint_platform::{PlatformError, Version};
 use jacinthpoint_records::{CONFIG_KIND, CONFIG_NAME, RecordsObject};
-use serde_json::{Value, json};
+use serde_json::json;
 
 use crate::util::{
-    Call, Site, SiteOptions, Traffic, fault_survived, get_json, get_status, let_pass, none_lost,
+    Call, Site, SiteOptions, Traffic, check_plans, fault_survived, get_status, let_pass, none_lost,
     status, wait_for_answers, wait_for_revision, wait_until,
 };
 
@@ -176,30 +175,6 @@
     seen
 }
 
-/// All plans ever written for a domain.
-fn plan_history(site: &Site, domain: &str) -> Vec<Plan> {
-    let path = format!("/control/history/plans/{domain}");
-    let history: Vec<Object> = serde_json::from_value(get_json(site.platform_address, &path))
-        .expect("a history of objects");
-    let plans = history.into_iter().map(|object| object.value);
-    plans
-        .map(|value: Value| serde_json::from_value(value).expect("a plan"))
-        .collect()
-}
-
-fn check_plans(site: &Site) {
-    for domain in ["rack-1", "rack-2"] {
-        let plans = plan_history(site, domain);
-        assert!(!plans.is_empty(), "no plan for {domain}");
-        assert!(
-            plans.iter().all(Plan::is_disjoint),
-            "a VM stands in two places"
-        );
-        let fences: Vec<u64> = plans.iter().map(|plan| plan.fence).collect();
-        assert!(fences.is_sorted_by(|a, b| a < b), "{fences:?}");
-    }
-}
-
 site_test!(
     lost_answers_of_writes_do_no_harm,
     SiteOptions::proxied(),
--- a/tests/partitions.rs
+++ b/tests/partitions.rs
@@ -1,14 +1,19 @@
 //! Faults of links between real processes, behind the fault proxy.
 
+use jacinthpoint_standins::wall_ms;
 use serde_json::json;
 
 use crate::util::{
-    SiteOptions, Traffic, every_node_answers, fault_survived, let_pass, none_lost,
-    wait_for_answers, wait_until,
+    Call, Sent, SiteOptions, Traffic, every_node_answers, fault_survived, let_pass, none_lost,
+    reconcile, wait_for_answers, wait_until,
 };
 
 /// Time for a cut node to be given up by its peers and for its permits to lapse.
 const FAULT_MS: u64 = 4_000;
+/// Deadline of a call whose answer never comes.
+const DEADLINE_MS: u64 = 5_000;
+/// Time for a final answer to reach its caller on a busy machine.
+const ANSWER_SLACK_MS: u64 = 3_000;
 /// Time for the site to be as before.
 const RECOVERY_MS: u64 = 30_000;
 
@@ -67,6 +72,34 @@
     }
 );
 
+site_test!(
+    marked_call_on_a_frozen_connection_ends_unknown,
+    SiteOptions::proxied(),
+    |site| {
+        let servers = ["enquiries-1", "enquiries-2", "enquiries-3"];
+        let fault = json!({ "mode": "lose-towards-source" });
+        site.links().disturb("fault", &NODES, &servers, &fault);
+        let deadline_ms = wall_ms() + DEADLINE_MS;
+        let call = Call {
+            service: Some("enquiries"),
+            headers: vec![("x-deadline-unix-ms", deadline_ms.to_string())],
+            ..Call::new("one reel, once only")
+        };
+        let (sent, node) = (call.clone(), site.nodes[0].callers);
+        let caller = std::thread::spawn(move || sent.send(node));
+        let request = call.request.to_string();
+        let ran = || site.run_log().iter().any(|run| run.request == request);
+        wait_until("the call runs", DEADLINE_MS, ran);
+        assert_eq!(site.links().freeze(&NODES, &servers), 1);
+        site.links().heal("fault");
+        let answer = caller.join().expect("no panic").expect("an answer");
+        assert_eq!(answer.outcome, "unknown", "{}", answer.body);
+        assert!(wall_ms() < deadline_ms + ANSWER_SLACK_MS, "answered late");
+        let answer = Ok(answer);
+        reconcile(&site, &[Sent { call, answer }]);
+    }
+);
+
 /// Disturbs some links while callers go on, then heals them.
 macro_rules! link_fault_test {
     ($name:ident, $from:expr, $to:expr, $fault:expr) => {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -11,4 +11,5 @@
 mod partitions;
 mod planned_stop;
 mod serving;
+mod soak;
 mod upstreams;
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -3,10 +3,11 @@
 pub use crate::util::{
     caller::{Answer, Call, KEYS},
     checks::{
-        every_node_answers, fault_survived, let_pass, none_lost, wait_for_answers,
+        check_plans, every_node_answers, fault_survived, let_pass, none_lost, wait_for_answers,
         wait_for_revision,
     },
     command::{Folder, jacinthpoint},
+    faults::Faults,
     http::{get_json, get_status, post_json},
     links::Links,
     lone_node::LoneNode,
@@ -19,6 +20,7 @@
 mod caller;
 mod checks;
 mod command;
+mod faults;
 mod http;
 mod links;
 mod lone_node;
--- a/tests/util/checks.rs
+++ b/tests/util/checks.rs
@@ -1,8 +1,11 @@
 //! What the end of a fault test demands.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
-use crate::util::{Call, Sent, Site, Tally, Traffic, reconcile, status, wait_until};
+use jacinthpoint_placement::Plan;
+use jacinthpoint_platform::Object;
+
+use crate::util::{Call, Sent, Site, Tally, Traffic, get_json, reconcile, status, wait_until};
 
 /// Time for answers to come in.
 const ANSWERS_MS: u64 = 60_000;
@@ -60,3 +63,26 @@
         })
     });
 }
+
+/// Checks every plan ever written: no VM in two places, fencing numbers that only rise.
+pub fn check_plans(site: &Site) {
+    let domains: BTreeSet<&str> = site.engines.values().map(|e| e.domain.as_str()).collect();
+    for domain in domains {
+        let plans = plan_history(site, domain);
+        assert!(!plans.is_empty(), "no plan for {domain}");
+        let disjoint = plans.iter().all(Plan::is_disjoint);
+        assert!(disjoint, "a VM stands in two places: {plans:?}");
+        let fences: Vec<u64> = plans.iter().map(|plan| plan.fence).collect();
+        assert!(fences.is_sorted_by(|a, b| a < b), "{fences:?}");
+    }
+}
+
+fn plan_history(site: &Site, domain: &str) -> Vec<Plan> {
+    let path = format!("/control/history/plans/{domain}");
+    let history = get_json(site.platform_address, &path);
+    let history: Vec<Object> = serde_json::from_value(history).expect("a history of objects");
+    let plans = history.into_iter().map(|object| object.value);
+    plans
+        .map(|value| serde_json::from_value(value).expect("a plan"))
+        .collect()
+}
--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -76,7 +76,8 @@
     pub process: Process,
     /// Where it listens itself, past any proxy.
     pub address: SocketAddr,
-    domain: String,
+    /// Its fabric domain.
+    pub domain: String,
     route: Option<SocketAddr>,
 }
 
