Measure the processor time of a probe

Ruled out: timing the call, which waits for the engine. Change: the measurement reads this process's time around 3,000 probes of an engine in a process of its own.

--- a/examples/capacity/cost.rs
+++ b/examples/capacity/cost.rs
@@ -9,6 +9,8 @@
 /// Segments of a short TCP exchange beside those with data: three to open, four to close and an
 /// acknowledgement of each of the two messages.
 pub const TCP_CONTROL_SEGMENTS: usize = 9;
+/// Clock ticks a second in `/proc/PID/stat`.
+const TICKS_PER_S: f64 = 100.0;
 /// Size of a memory page in bytes.
 const PAGE_BYTES: u64 = 4_096;
 
@@ -28,6 +30,18 @@
     runs[RUNS / 2]
 }
 
+/// Processor time that a process has used so far, in seconds; `self` or an id.
+pub fn cpu_s(process: &str) -> f64 {
+    let stat = fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
+    // The name in parentheses may hold spaces; user and system time are the 12th and 13th after.
+    let after_name = stat.rsplit(") ").next().unwrap_or_default();
+    let ticks = after_name.split(' ').skip(11).take(2);
+    ticks
+        .filter_map(|ticks| ticks.parse::<f64>().ok())
+        .sum::<f64>()
+        / TICKS_PER_S
+}
+
 /// Resident memory of a process in bytes; `self` or an id. 0 if it cannot be read.
 pub fn resident_bytes(process: &str) -> u64 {
     let statm = fs::read_to_string(format!("/proc/{process}/statm")).unwrap_or_default();
--- a/examples/capacity/entry.rs
+++ b/examples/capacity/entry.rs
@@ -14,7 +14,7 @@
 use jacinthpoint_standins::{Engine, EngineOptions, PlatformOptions, PlatformServer, Registration};
 use serde_json::{Value, json};
 
-use crate::cost::resident_bytes;
+use crate::cost::{cpu_s, resident_bytes};
 
 type Error = Box<dyn std::error::Error>;
 
@@ -24,8 +24,6 @@
 const TOKENS: [u64; 2] = [10, 100];
 /// Time between tokens of the engine.
 const TOKEN_MS: u64 = 20;
-/// Clock ticks a second in `/proc/PID/stat`.
-const TICKS_PER_S: f64 = 100.0;
 /// Times that each caller asks.
 const ROUNDS: usize = 4;
 
@@ -76,7 +74,7 @@
 }
 
 fn run(node: &NodeProcess, streams: usize, tokens: u64, idle: f64) {
-    let before = cpu_s(node);
+    let before = cpu_s(&node.child.id().to_string());
     let start = Instant::now();
     let mut resident = 0;
     thread::scope(|scope| {
@@ -88,7 +86,7 @@
         drop(callers);
     });
     let took_s = start.elapsed().as_secs_f64();
-    let share = (cpu_s(node) - before) / took_s - idle;
+    let share = (cpu_s(&node.child.id().to_string()) - before) / took_s - idle;
     let requests = (streams * ROUNDS) as f64 / took_s;
     println!(
         "| {streams} | {tokens} | {requests:.0} | {:.0} | {:.1}% | {:.1} MB |",
@@ -121,23 +119,9 @@
 
 fn idle_share(node: &NodeProcess) -> f64 {
     const IDLE_S: f64 = 5.0;
-    let before = cpu_s(node);
+    let before = cpu_s(&node.child.id().to_string());
     thread::sleep(Duration::from_secs_f64(IDLE_S));
-    (cpu_s(node) - before) / IDLE_S
-}
-
-/// Processor time used by a process so far.
-fn cpu_s(node: &NodeProcess) -> f64 {
-    let stat = fs::read_to_string(format!("/proc/{}/stat", node.child.id())).unwrap_or_default();
-    // The name in parentheses may hold spaces; user and system time are the 12th and 13th after.
-    let after_name = stat.rsplit(") ").next().unwrap_or_default();
-    let fields: Vec<f64> = after_name
-        .split(' ')
-        .skip(11)
-        .take(2)
-        .filter_map(|field| field.parse().ok())
-        .collect();
-    fields.iter().sum::<f64>() / TICKS_PER_S
+    (cpu_s(&node.child.id().to_string()) - before) / IDLE_S
 }
 
 fn start_node(platform: SocketAddr) -> Result<NodeProcess, Error> {
--- a/examples/capacity/main.rs
+++ b/examples/capacity/main.rs
@@ -13,6 +13,7 @@
 mod memory;
 mod permits;
 mod probes;
+mod process;
 
 fn main() -> ExitCode {
     match std::env::args().nth(1).as_deref() {
--- a/examples/capacity/probes.rs
+++ b/examples/capacity/probes.rs
@@ -15,7 +15,10 @@
 use jacinthpoint_types::{Assignment, Epoch, MemberAddress, TimeMs};
 use jacinthpoint_upstream::Order;
 
-use crate::cost::{TCP_CONTROL_SEGMENTS, TCP_HEADER_BYTES, time_ns};
+use crate::{
+    cost::{TCP_CONTROL_SEGMENTS, TCP_HEADER_BYTES, cpu_s, time_ns},
+    process::Standin,
+};
 
 /// Probes made for the figure of bytes.
 const PROBES: usize = 50;
@@ -93,9 +96,25 @@
     Ok(payload + (segments * TCP_HEADER_BYTES) as f64)
 }
 
+/// Processor time of this process for one probe of an engine in a process of its own, in
+/// microseconds.
+fn probe_cpu_us() -> std::io::Result<f64> {
+    const PROBES: u32 = 3_000;
+    let engine = Standin::start(&["engine", "--vm", "vm-1"])?;
+    let before = cpu_s("self");
+    for _ in 0..PROBES {
+        jacinthpoint_upstream::state(engine.address, 1_000).map_err(std::io::Error::other)?;
+    }
+    Ok((cpu_s("self") - before) * 1e6 / f64::from(PROBES))
+}
+
 /// Prints the figures.
 pub fn measure() {
     println!("probes:\n");
+    match probe_cpu_us() {
+        Ok(us) => println!("- processor time of the prober a probe: {us:.0} us"),
+        Err(error) => println!("- processor time a probe: not measured: {error}"),
+    }
     match probe_bytes() {
         Ok(bytes) => println!("- bytes a probe, both ways, headers included: {bytes:.0}"),
         Err(error) => println!("- bytes a probe: not measured: {error}"),
--- /dev/null
+++ b/examples/capacity/process.rs
@@ -0,0 +1,41 @@
+//! A stand-in as a process of its own.
+
+use std::{
+    io::{self, BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+};
+
+/// A stand-in, ended when dropped.
+pub struct Standin {
+    child: Child,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl Standin {
+    /// Starts it with these arguments.
+    pub fn start(args: &[&str]) -> io::Result<Standin> {
+        // This example lies in a folder below the program's.
+        let program = std::env::current_exe()?.with_file_name("../jacinthpoint-standins");
+        let mut child = Command::new(program)
+            .args(args)
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let output = child
+            .stdout
+            .take()
+            .ok_or_else(|| io::Error::other("no output"))?;
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line)?;
+        let address = line.trim().parse().map_err(io::Error::other)?;
+        Ok(Standin { child, address })
+    }
+}
+
+impl Drop for Standin {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
