Check settings for slips of units, repeats and clashes, and document each key

Cause: a repeated section was read only in part without a word, a key with another unit got no hint, listeners that clash failed only when they were bound, and no page named the keys. Ruled out: generating the page, since its words are for people and a test against the code keeps it true as well. Change: one table of keys with defaults and ranges, from which values are read; a module each for reading, units and clashes; the suggestion of a similar word moved to the types crate, where records use it too; docs/operators/settings.md.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,7 +8,9 @@
     drain::OpenRequest,
     events::EventCode,
     node::Node,
-    settings::{NodeSettings, SettingsError, parse_settings},
+    settings::{
+        Absent, KEYS as SETTINGS_KEYS, NodeSettings, SettingsError, SettingsKey, parse_settings,
+    },
 };
 pub use jacinthpoint_placement::RepairSettings;
 
--- /dev/null
+++ b/crates/node/src/settings/clashes.rs
@@ -0,0 +1,48 @@
+//! Values that are right alone but not together.
+
+use std::net::SocketAddr;
+
+use crate::settings::{NodeSettings, reader::Reader};
+
+/// Finds values that clash.
+pub(super) fn check_clashes(settings: &NodeSettings, reader: &mut Reader<'_>) {
+    let listeners = [
+        ("callers", settings.listen_callers),
+        ("operators", settings.listen_operators),
+        ("peers", settings.listen_peers),
+    ];
+    for (place, (name, address)) in listeners.iter().enumerate() {
+        for (earlier, other) in &listeners[..place] {
+            if overlap(*address, *other) {
+                let message = format!("`{name}` takes the same address as `{earlier}`");
+                reader.fail("listen", Some(name), message);
+            }
+        }
+        if *address == settings.platform && address.port() != 0 {
+            let message = format!("`address` is where this node listens for `{name}`");
+            reader.fail("platform", Some("address"), message);
+        }
+    }
+    if settings.listen_peers.ip().is_unspecified() {
+        let message = "`peers` must be an address at which other nodes reach this one, since it is \
+                       told to them";
+        reader.fail("listen", Some("peers"), message.to_owned());
+    }
+    if settings.statsd == Some(settings.listen_peers) {
+        let message = "`statsd` is where this node listens for `peers`".to_owned();
+        reader.fail("metrics", Some("statsd"), message);
+    }
+    if settings.drain_announce_ms >= settings.drain_deadline_ms {
+        let message = format!(
+            "`drain_announce_ms = {}` leaves no time before `drain_deadline_ms = {}`",
+            settings.drain_announce_ms, settings.drain_deadline_ms
+        );
+        reader.fail("limits", Some("drain_announce_ms"), message);
+    }
+}
+
+/// Whether two listeners cannot both be bound. Ports of 0 are chosen to differ.
+fn overlap(a: SocketAddr, b: SocketAddr) -> bool {
+    let same_ip = a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified();
+    same_ip && a.port() == b.port() && a.port() != 0
+}
--- /dev/null
+++ b/crates/node/src/settings/keys.rs
@@ -0,0 +1,110 @@
+//! Every key of the settings file. `docs/operators/settings.md` has a row for each; a test compares
+//! the two.
+
+use std::ops::RangeInclusive;
+
+/// Longest time that a setting may name: a day. Anything longer is a slip of the unit.
+const MAX_MS: u64 = 24 * 60 * 60 * 1_000;
+/// Shortest deadline that a setting may name. Anything shorter is likely meant in seconds.
+const MIN_DEADLINE_MS: u64 = 100;
+
+/// What holds if a key is absent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Absent {
+    /// The file is refused.
+    Refused,
+    /// There is no such thing.
+    Nothing,
+    /// This value, written as in the file.
+    Default(&'static str),
+}
+
+/// One key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsKey {
+    /// Its section.
+    pub section: &'static str,
+    /// Its name.
+    pub name: &'static str,
+    /// What holds if it is absent.
+    pub absent: Absent,
+    /// Range of a number.
+    pub range: Option<RangeInclusive<u64>>,
+}
+
+const fn key(section: &'static str, name: &'static str, absent: Absent) -> SettingsKey {
+    SettingsKey {
+        section,
+        name,
+        absent,
+        range: None,
+    }
+}
+
+const fn number(
+    section: &'static str,
+    name: &'static str,
+    default: &'static str,
+    range: RangeInclusive<u64>,
+) -> SettingsKey {
+    SettingsKey {
+        section,
+        name,
+        absent: Absent::Default(default),
+        range: Some(range),
+    }
+}
+
+/// All keys, section by section.
+pub const KEYS: &[SettingsKey] = &[
+    key("node", "name", Absent::Refused),
+    key("node", "data_centre", Absent::Refused),
+    key("listen", "callers", Absent::Refused),
+    key("listen", "operators", Absent::Refused),
+    key("listen", "peers", Absent::Refused),
+    key("platform", "address", Absent::Refused),
+    key("peers", "seeds", Absent::Nothing),
+    number(
+        "limits",
+        "default_deadline_ms",
+        "60000",
+        MIN_DEADLINE_MS..=MAX_MS,
+    ),
+    number("limits", "max_connections", "2000", 1..=1_000_000),
+    number(
+        "limits",
+        "read_deadline_ms",
+        "10000",
+        MIN_DEADLINE_MS..=MAX_MS,
+    ),
+    // A balancer that checks every second and takes a node out after three failures sees it in
+    // time.
+    number("limits", "drain_announce_ms", "5000", 0..=MAX_MS),
+    number(
+        "limits",
+        "drain_deadline_ms",
+        "120000",
+        MIN_DEADLINE_MS..=MAX_MS,
+    ),
+    key("metrics", "statsd", Absent::Nothing),
+    number("repair", "group_downtime_weight", "10", 0..=1_000_000),
+    number("repair", "stranded_weight", "1", 0..=1_000_000),
+    number("repair", "load_ms", "30000", 0..=MAX_MS),
+    number("repair", "replace_ms", "300000", 0..=MAX_MS),
+    number("repair", "wait_ms", "2000", 0..=MAX_MS),
+    number("repair", "max_loads", "16", 1..=1_000_000),
+    number("repair", "damping_ms", "60000", 0..=MAX_MS),
+];
+
+/// The key of this name in this section.
+pub(super) fn find(section: &str, name: &str) -> Option<&'static SettingsKey> {
+    KEYS.iter()
+        .find(|key| key.section == section && key.name == name)
+}
+
+/// Names of the keys of a section.
+pub(super) fn names_in(section: &str) -> impl Iterator<Item = &'static str> {
+    KEYS.iter()
+        .filter(move |key| key.section == section)
+        .map(|key| key.name)
+}
--- /dev/null
+++ b/crates/node/src/settings/reader.rs
@@ -0,0 +1,199 @@
+//! Reads values out of an INI text and collects every fault with its line.
+
+use std::{fmt::Display, str::FromStr};
+
+use ini::Ini;
+use jacinthpoint_types::suggestion;
+
+use crate::settings::{
+    SettingsError,
+    keys::{Absent, KEYS, find, names_in},
+    units::{key_with_unit, value_hint},
+};
+
+/// A section or key with its line.
+#[derive(Debug, PartialEq, Eq)]
+struct Place {
+    section: String,
+    key: Option<String>,
+    line: usize,
+}
+
+pub(super) struct Reader<'a> {
+    places: Vec<Place>,
+    ini: Ini,
+    errors: Vec<SettingsError>,
+    text: &'a str,
+}
+
+impl<'a> Reader<'a> {
+    /// Parses the text.
+    pub(super) fn new(text: &'a str) -> Result<Reader<'a>, Vec<SettingsError>> {
+        let ini = Ini::load_from_str(text).map_err(|error| {
+            vec![SettingsError {
+                line: error.line,
+                message: error.msg.to_string(),
+            }]
+        })?;
+        let mut reader = Reader {
+            places: Vec::new(),
+            ini,
+            errors: Vec::new(),
+            text,
+        };
+        reader.find_places();
+        Ok(reader)
+    }
+
+    /// Every fault, in the order of the lines.
+    pub(super) fn into_errors(mut self) -> Vec<SettingsError> {
+        self.errors.sort_by_key(|error| error.line);
+        self.errors
+    }
+
+    fn find_places(&mut self) {
+        let mut section = String::new();
+        for (index, line) in self.text.lines().enumerate() {
+            let line = line.trim();
+            let key = line.split_once('=').map(|(key, _)| key.trim().to_owned());
+            let header = line
+                .strip_prefix('[')
+                .and_then(|rest| rest.split(']').next());
+            if let Some(header) = header {
+                section = header.trim().to_owned();
+            }
+            let is_comment = line.starts_with(['#', ';']);
+            if !is_comment && (header.is_some() || key.is_some()) {
+                self.places.push(Place {
+                    section: section.clone(),
+                    key: key.filter(|_| header.is_none()),
+                    line: index + 1,
+                });
+            }
+        }
+    }
+
+    /// Finds unknown and repeated sections and keys.
+    pub(super) fn check_keys(&mut self) {
+        let places = std::mem::take(&mut self.places);
+        for (index, place) in places.iter().enumerate() {
+            let is_same =
+                |earlier: &&Place| earlier.section == place.section && earlier.key == place.key;
+            let message = if let Some(earlier) = places[..index].iter().find(is_same) {
+                let what = place.key.as_ref().map_or_else(
+                    || format!("section `[{}]`", place.section),
+                    |key| format!("key `{key}`"),
+                );
+                Some(format!("{what} stands already in line {}", earlier.line))
+            } else {
+                unknown(place)
+            };
+            if let Some(message) = message {
+                let line = place.line;
+                self.errors.push(SettingsError { line, message });
+            }
+        }
+        self.places = places;
+    }
+
+    /// The value of a key or its default; `None`, with a fault if need be, if there is neither.
+    pub(super) fn value<T: FromStr<Err: Display>>(
+        &mut self,
+        section: &'static str,
+        name: &'static str,
+    ) -> Option<T> {
+        let absent = find(section, name).map_or(Absent::Nothing, |key| key.absent);
+        let written = self.ini.get_from(Some(section), name);
+        let text = match (written, absent) {
+            (Some(text), _) => text.trim().to_owned(),
+            (None, Absent::Default(text)) => text.to_owned(),
+            (None, Absent::Nothing) => return None,
+            (None, Absent::Refused) => {
+                let message = format!("`{name}` is missing in `[{section}]`");
+                self.fail(section, None, message);
+                return None;
+            }
+        };
+        self.parse(section, name, &text)
+    }
+
+    /// The values of a key, separated by commas.
+    pub(super) fn list<T: FromStr<Err: Display>>(
+        &mut self,
+        section: &'static str,
+        name: &'static str,
+    ) -> Vec<T> {
+        let text = self.ini.get_from(Some(section), name).unwrap_or_default();
+        let items: Vec<String> = text.split(',').map(|item| item.trim().to_owned()).collect();
+        items
+            .iter()
+            .filter(|item| !item.is_empty())
+            .filter_map(|item| self.parse(section, name, item))
+            .collect()
+    }
+
+    fn parse<T: FromStr<Err: Display>>(
+        &mut self,
+        section: &str,
+        name: &str,
+        text: &str,
+    ) -> Option<T> {
+        let range = find(section, name).and_then(|key| key.range.clone());
+        let number = text.parse::<u64>().ok();
+        if let (Some(range), Some(number)) = (&range, number)
+            && !range.contains(&number)
+        {
+            let message = format!(
+                "`{name} = {number}` is not within {} to {}",
+                range.start(),
+                range.end()
+            );
+            self.fail(section, Some(name), message);
+            return None;
+        }
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                let hint = value_hint(name, text);
+                self.fail(
+                    section,
+                    Some(name),
+                    format!("`{name} = {text}`: {error}{hint}"),
+                );
+                None
+            }
+        }
+    }
+
+    /// Notes a fault of a key, or of its section if there is no such key.
+    pub(super) fn fail(&mut self, section: &str, key: Option<&str>, message: String) {
+        let in_section = || self.places.iter().filter(|place| place.section == section);
+        let exact = in_section().find(|place| place.key.as_deref() == key);
+        let line = exact.or_else(|| in_section().next());
+        let line = line.map_or(1, |place| place.line);
+        self.errors.push(SettingsError { line, message });
+    }
+}
+
+/// The complaint about a section or key that does not exist.
+fn unknown(place: &Place) -> Option<String> {
+    let section = &place.section;
+    let is_known_section = KEYS.iter().any(|key| key.section == section);
+    let Some(key) = &place.key else {
+        let hint = suggestion(section, KEYS.iter().map(|key| key.section));
+        return (!is_known_section).then(|| format!("unknown section `[{section}]`{hint}"));
+    };
+    if find(section, key).is_some() || (!is_known_section && !section.is_empty()) {
+        // The keys of an unknown section are left out: the section is complained about.
+        return None;
+    }
+    let elsewhere = KEYS.iter().find(|known| known.name == key);
+    let hint = if let Some(known) = key_with_unit(key, names_in(section)) {
+        format!("; did you mean `{known}`, in milliseconds?")
+    } else if let Some(known) = elsewhere {
+        format!("; it belongs in `[{}]`", known.section)
+    } else {
+        suggestion(key, names_in(section))
+    };
+    Some(format!("unknown key `{key}`{hint}"))
+}
--- a/crates/records/src/fault.rs
+++ b/crates/records/src/fault.rs
@@ -3,6 +3,7 @@
 //! A parser stops at the first fault. So each field is put, alone, into a record of its kind that
 //! is known to be right: what the parser says then is about this field.
 
+use jacinthpoint_types::suggestion;
 use serde_json::{Map, Value, json};
 
 use crate::{
@@ -11,9 +12,6 @@
     schema::{CURRENT_SCHEMA, PREVIOUS_SCHEMA, record_from_json},
 };
 
-/// Similarity above which a known word is offered in place of an unknown one.
-const SUGGESTION_SIMILARITY: f64 = 0.8;
-
 /// Where in a record a fault is.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Field {
@@ -97,18 +95,6 @@
     format!("unknown field `{name}`{}", suggestion(name, known))
 }
 
-fn suggestion<'a>(word: &str, known: impl IntoIterator<Item = &'a str>) -> String {
-    let scored = known
-        .into_iter()
-        .map(|known| (strsim::jaro_winkler(word, known), known));
-    match scored.max_by(|a, b| a.0.total_cmp(&b.0)) {
-        Some((score, known)) if score > SUGGESTION_SIMILARITY => {
-            format!("; did you mean `{known}`?")
-        }
-        _ => String::new(),
-    }
-}
-
 /// A record of a kind that has just the required fields, in their place for the schema version.
 fn valid_record(kind: &str, previous: bool) -> Option<Map<String, Value>> {
     let value = match (kind, previous) {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -15,6 +15,7 @@
     outcome::{Outcome, ResultCode},
     priority::Priority,
     rendezvous::{rank, ranked},
+    suggestion::suggestion,
     time::{Deadline, TimeMs},
 };
 
@@ -25,4 +26,5 @@
 mod outcome;
 mod priority;
 mod rendezvous;
+mod suggestion;
 mod time;
