Show the time between tokens for each organisation and class

Cause: the target for the time between tokens could not be read off a node, and quantiles alone cannot be added up over nodes. Ruled out: taking the series' lock for each token, since one organisation's streams would all wait for it; a histogram for each stream, at 20 KiB each.

--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -16,6 +16,7 @@
     },
     events::log_event,
     http::{HttpRequest, Responder},
+    metrics::TokenGaps,
     shared::Shared,
 };
 
@@ -48,6 +49,7 @@
         responder,
         delivered: Vec::new(),
         first_token_at: None,
+        token_gaps: TokenGaps::new(&shared.metrics, &context.organisation, context.priority),
         failed_groups: BTreeSet::new(),
     };
     let ending = running.drive();
@@ -129,6 +131,7 @@
     responder: &'a mut Responder<'s>,
     delivered: Vec<String>,
     first_token_at: Option<TimeMs>,
+    token_gaps: TokenGaps<'a>,
     failed_groups: BTreeSet<GroupId>,
 }
 
@@ -305,6 +308,7 @@
     /// Takes a token; `false` if the caller has gone.
     fn deliver(&mut self, token: TokenEvent) -> bool {
         self.first_token_at.get_or_insert(self.shared.now());
+        self.token_gaps.token();
         let event = self.call.wants_stream.then(|| self.event(&token));
         self.delivered.push(token.text);
         let Some(event) = event else { return true };
--- a/crates/placement/tests/driver.rs
+++ b/crates/placement/tests/driver.rs
@@ -385,6 +385,7 @@
             believed: vm.believed.clone(),
             ready: vm.is_ready(now),
             straggles: false,
+            leaving: false,
         },
     }
 }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -8,5 +8,6 @@
 mod cli;
 mod configuration;
 mod groups;
+mod metrics;
 mod planned_stop;
 mod serving;
