--- /dev/null
+++ b/crates/node/tests/pages.rs
@@ -0,0 +1,47 @@
+//! The pages list just what the code has.
+
+use std::collections::BTreeSet;
+
+use jacinthpoint_node::EventCode;
+use jacinthpoint_types::ResultCode;
+use strum::IntoEnumIterator;
+
+/// First cells of a page's rows that begin with a number, joined as in the page.
+fn rows(page: &str, cells: usize) -> BTreeSet<String> {
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| "));
+    rows.filter(|row| row.starts_with(|first: char| first.is_ascii_digit()))
+        .map(|row| row.split(" | ").take(cells).collect::<Vec<_>>().join(" | "))
+        .collect()
+}
+
+#[test]
+fn result_codes_page_is_whole() {
+    let expected: BTreeSet<String> = ResultCode::iter()
+        .map(|code| format!("{} | {code} | {}", code.number(), code.http_status()))
+        .collect();
+    let page = include_str!("../../../docs/RESULT-CODES.md");
+    assert_eq!(rows(page, 3), expected);
+}
+
+#[test]
+fn events_page_is_whole() {
+    let expected: BTreeSet<String> = EventCode::iter()
+        .map(|code| format!("{} | {code}", code.number()))
+        .collect();
+    let page = include_str!("../../../docs/EVENTS.md");
+    assert_eq!(rows(page, 2), expected);
+}
+
+/// Each row ends with what to do.
+#[test]
+fn every_row_says_what_to_do() {
+    for (page, cells) in [
+        (include_str!("../../../docs/RESULT-CODES.md"), 5),
+        (include_str!("../../../docs/EVENTS.md"), 4),
+    ] {
+        for row in rows(page, cells) {
+            let last = row.split(" | ").nth(cells - 1).unwrap_or_default();
+            assert!(last.trim_end_matches(" |").len() > 5, "{row}");
+        }
+    }
+}
