--- a/crates/core/commands/demo.rs
+++ b/crates/core/commands/demo.rs
@@ -154,6 +154,7 @@
             read_deadline_ms: 10_000,
             drain_announce_ms: 0,
             drain_deadline_ms: 10_000,
+            ledger_batch_ms: 20,
             statsd: None,
             repair: RepairSettings::new(),
         })
--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -4,15 +4,18 @@
 
 use jacinthpoint_readiness::Permit;
 use jacinthpoint_records::{Config, Deployment};
-use jacinthpoint_routing::{Accepted, Candidate, Dispatched, Ending, Lost, Unstarted, choose};
+use jacinthpoint_routing::{Accepted, Dispatched, Ending, Lost, Unstarted};
 use jacinthpoint_types::{AttemptId, GroupId, Outcome, ResultCode, TimeMs};
 use jacinthpoint_upstream::{StartError, StartRequest, StreamError, TokenEvent, TokenStream};
+use jacinthpoint_wire::KeptAnswer;
 use serde_json::{Value, json};
 
 use crate::{
     caller::{
         answer::{self, Refusal},
         context::Context,
+        once::{self, Entry},
+        select::wait_for_group,
     },
     events::log_event,
     http::{HttpRequest, Responder},
@@ -24,10 +27,6 @@
 const CONNECT_TIMEOUT_MS: u64 = 300;
 /// A stream without a token for this long is taken up on a new connection.
 const SILENCE_MS: u64 = 1_000;
-/// How long a request waits for a group that may be used.
-const CAPACITY_WAIT_MS: u64 = 2_000;
-/// How often it looks.
-const CAPACITY_POLL_MS: u64 = 20;
 /// Times that one attempt is taken up on a new connection without a token in between.
 const MAX_RESUMES: u32 = 2;
 /// Time for an engine to take a cancel.
@@ -42,6 +41,13 @@
     responder: &mut Responder<'_>,
 ) -> Result<(), Refusal> {
     let call = Call::read(config, context, request)?;
+    let claim = match once::enter(shared, context, request)? {
+        Entry::Run(claim) => claim,
+        Entry::Replay(answer) => {
+            once::replay(responder, &answer);
+            return Ok(());
+        }
+    };
     let mut running = Running {
         shared,
         context,
@@ -54,6 +60,9 @@
     };
     let ending = running.drive();
     running.record(&ending);
+    if let Some(claim) = claim {
+        claim.settle(&ending, Some(running.kept()));
+    }
     running.finish(&ending)
 }
 
@@ -65,6 +74,8 @@
     is_chat: bool,
     wants_stream: bool,
     repeatable: bool,
+    /// Resends may ask for the answer, so the run goes on when its caller leaves.
+    is_keyed: bool,
 }
 
 impl<'a> Call<'a> {
@@ -103,13 +114,15 @@
                 format!("no model {model:?} for this key"),
             )
         })?;
+        let is_keyed = once::has_key(request);
         Ok(Call {
+            is_keyed,
             deployment,
             path: request.path(),
             body,
             is_chat: request.path().contains("chat"),
             wants_stream,
-            repeatable: context.repeatable.unwrap_or(true),
+            repeatable: context.repeatable.unwrap_or(!is_keyed),
         })
     }
 }
@@ -142,7 +155,9 @@
             if self.context.deadline.has_passed(self.shared.now()) {
                 return state.give_up(ResultCode::DeadlinePassed);
             }
-            let Some(permit) = self.wait_for_group() else {
+            let model = self.call.deployment.model_ref();
+            let permit = wait_for_group(self.shared, self.context, &model, &self.failed_groups);
+            let Some(permit) = permit else {
                 return state.give_up(ResultCode::NoCapacity);
             };
             state = match self.attempt(&permit, state.dispatch()) {
@@ -155,38 +170,6 @@
         }
     }
 
-    /// A group that may be used now, waiting for one a short time.
-    fn wait_for_group(&mut self) -> Option<Permit> {
-        let give_up_at = self.shared.now().plus_ms(CAPACITY_WAIT_MS);
-        loop {
-            if let Some(permit) = self.choose_group() {
-                return Some(permit);
-            }
-            let now = self.shared.now();
-            if now >= give_up_at || self.context.deadline.has_passed(now) {
-                return None;
-            }
-            self.shared.sleep_ms(CAPACITY_POLL_MS);
-        }
-    }
-
-    fn choose_group(&self) -> Option<Permit> {
-        let now = self.shared.now();
-        let model = self.call.deployment.model_ref();
-        let permits = self.shared.permits();
-        let usable = permits.usable(&model, now);
-        let candidates: Vec<Candidate<Permit>> = usable
-            .filter(|permit| !self.failed_groups.contains(&permit.assignment.group))
-            .map(|permit| Candidate {
-                in_flight: self.shared.in_flight_on(&permit.assignment.group),
-                reported: permit.load,
-                key: permit.clone(),
-            })
-            .collect();
-        drop(permits);
-        choose(&candidates, &mut rand::rng()).cloned()
-    }
-
     fn attempt(&mut self, permit: &Permit, state: Dispatched) -> AttemptEnd {
         let Some(leader) = permit.assignment.leader() else {
             return AttemptEnd::Unstarted(state.unstarted());
@@ -239,7 +222,7 @@
                 Ok(None) => return AttemptEnd::Over(state.answered()),
                 Ok(Some(token)) => {
                     resumes = 0;
-                    if !self.deliver(token) {
+                    if !self.deliver(token) && !self.call.is_keyed {
                         self.cancel(permit, attempt);
                         return AttemptEnd::Over(state.lost().give_up(ResultCode::UpstreamFailed));
                     }
@@ -274,7 +257,7 @@
         let gives_up = resumes > MAX_RESUMES
             || matches!(error, StreamError::Malformed { .. })
             || !self.still_permitted(permit)
-            || self.responder.caller_is_gone();
+            || (self.responder.caller_is_gone() && !self.call.is_keyed);
         if gives_up {
             return None;
         }
@@ -357,8 +340,7 @@
             return Err(Refusal::from_ending(ending, "the request was not answered"));
         }
         if self.call.wants_stream {
-            // The comment line tells the outcome without disturbing clients that parse events.
-            let end = format!(": outcome {}\n\ndata: [DONE]\n\n", Outcome::Answered);
+            let end = stream_end();
             let _ = self
                 .responder
                 .chunk(end.as_bytes())
@@ -370,6 +352,26 @@
         Ok(())
     }
 
+    /// The whole answer as a resend gets it.
+    fn kept(&self) -> KeptAnswer {
+        let (content_type, body) = if self.call.wants_stream {
+            let token = TokenEvent {
+                offset: 0,
+                text: self.delivered.concat(),
+                finish_reason: Some("stop".to_owned()),
+            };
+            let events = format!("data: {}\n\n{}", self.event(&token), stream_end());
+            ("text/event-stream", events)
+        } else {
+            ("application/json", self.whole_body().to_string())
+        };
+        KeptAnswer {
+            status: 200,
+            content_type: content_type.to_owned(),
+            body: body.into_bytes(),
+        }
+    }
+
     fn whole_body(&self) -> Value {
         let text = self.delivered.concat();
         let choice = if self.call.is_chat {
@@ -399,3 +401,9 @@
         );
     }
 }
+
+/// The last events of an answered stream. The comment line tells the outcome without disturbing
+/// clients that parse events.
+fn stream_end() -> String {
+    format!(": outcome {}\n\ndata: [DONE]\n\n", Outcome::Answered)
+}
--- a/crates/node/src/caller/service.rs
+++ b/crates/node/src/caller/service.rs
@@ -2,17 +2,19 @@
 
 use std::collections::BTreeSet;
 
-use jacinthpoint_platform::{MemberRole, MemberState};
 use jacinthpoint_records::Config;
-use jacinthpoint_routing::{Accepted, Candidate, Ending, Unstarted, choose};
-use jacinthpoint_types::{AttemptId, GroupId, Outcome, ResultCode, ServiceId, VmId};
+use jacinthpoint_routing::{Accepted, Ending, Unstarted};
+use jacinthpoint_types::{AttemptId, Outcome, ResultCode, ServiceId};
 use jacinthpoint_upstream::{ServiceAnswer, ServiceCall};
+use jacinthpoint_wire::KeptAnswer;
 
 use crate::{
     caller::{
         SERVICES_PREFIX,
         answer::{OUTCOME_HEADER, Refusal},
         context::Context,
+        once::{self, Entry},
+        select::{choose_server, in_flight_key},
     },
     events::log_event,
     http::{HttpRequest, Responder},
@@ -53,7 +55,15 @@
             format!("no service {name:?} for this key"),
         )
     })?;
-    let repeatable = context.repeatable.unwrap_or(service.repeatable);
+    let claim = match once::enter(shared, context, request)? {
+        Entry::Run(claim) => claim,
+        Entry::Replay(answer) => {
+            once::replay(responder, &answer);
+            return Ok(());
+        }
+    };
+    let default = service.repeatable && claim.is_none();
+    let repeatable = context.repeatable.unwrap_or(default);
     let call = ServiceCall {
         request: context.request,
         attempt: AttemptId::new(),
@@ -74,6 +84,9 @@
         None,
         whole_us,
     );
+    if let Some(claim) = claim {
+        claim.settle(&ending, answer.as_ref().map(kept));
+    }
     let Some(answer) = answer else {
         return Err(Refusal::from_ending(&ending, "the call was not answered"));
     };
@@ -86,6 +99,14 @@
     Ok(())
 }
 
+fn kept(answer: &ServiceAnswer) -> KeptAnswer {
+    KeptAnswer {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: answer.body.clone(),
+    }
+}
+
 fn drive(
     shared: &Shared,
     context: &Context,
@@ -123,28 +144,3 @@
         failed.insert(vm);
     }
 }
-
-/// Servers are counted like groups, under their VM's name.
-fn in_flight_key(vm: &VmId) -> Option<GroupId> {
-    vm.as_str().parse().ok()
-}
-
-fn choose_server(
-    shared: &Shared,
-    service: &ServiceId,
-    failed: &BTreeSet<VmId>,
-) -> Option<(VmId, std::net::SocketAddr)> {
-    let role = MemberRole::Service(service.clone());
-    let members = shared.members();
-    let usable = members.iter().filter(|member| {
-        member.role == role && member.state == MemberState::Live && !failed.contains(&member.vm)
-    });
-    let candidates: Vec<_> = usable
-        .map(|member| Candidate {
-            key: (member.vm.clone(), member.address),
-            in_flight: in_flight_key(&member.vm).map_or(0, |key| shared.in_flight_on(&key)),
-            reported: 0,
-        })
-        .collect();
-    choose(&candidates, &mut rand::rng()).cloned()
-}
--- a/crates/node/src/control/config.rs
+++ b/crates/node/src/control/config.rs
@@ -165,7 +165,8 @@
                 Err(error) => refuse(shared, revision, &error.to_string()),
             }
         }
-        PeerReply::Nothing | PeerReply::Peers(_) | PeerReply::Members { .. } => {}
+        // An answer to another question changes nothing.
+        _ => {}
     }
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -44,6 +44,8 @@
     pub drain_announce_ms: u64,
     /// Longest planned stop, the announcement included.
     pub drain_deadline_ms: u64,
+    /// Shortest time between two writes of one page of at-most-once records.
+    pub ledger_batch_ms: u64,
     /// Where metrics are sent.
     pub statsd: Option<SocketAddr>,
     /// Weights, estimates and limits of repairs.
@@ -93,6 +95,7 @@
     let read_deadline_ms = reader.value("limits", "read_deadline_ms");
     let drain_announce_ms = reader.value("limits", "drain_announce_ms");
     let drain_deadline_ms = reader.value("limits", "drain_deadline_ms");
+    let ledger_batch_ms = reader.value("ledger", "batch_ms");
     let statsd = reader.value("metrics", "statsd");
     let repair = read_repair(reader);
     Some(NodeSettings {
@@ -108,6 +111,7 @@
         read_deadline_ms: read_deadline_ms?,
         drain_announce_ms: drain_announce_ms?,
         drain_deadline_ms: drain_deadline_ms?,
+        ledger_batch_ms: ledger_batch_ms?,
         statsd,
         repair: repair?,
     })
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -8,6 +8,9 @@
 /// Shortest deadline that a setting may name. Anything shorter is likely meant in seconds.
 const MIN_DEADLINE_MS: u64 = 100;
 
+/// Longest time that a keyed request may wait for others to be written down with it.
+const MAX_BATCH_MS: u64 = 1_000;
+
 /// What holds if a key is absent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Absent {
@@ -86,6 +89,7 @@
         "120000",
         MIN_DEADLINE_MS..=MAX_MS,
     ),
+    number("ledger", "batch_ms", "20", 1..=MAX_BATCH_MS),
     key("metrics", "statsd", Absent::Nothing),
     number("repair", "group_downtime_weight", "10", 0..=1_000_000),
     number("repair", "stranded_weight", "1", 0..=1_000_000),
--- a/crates/placement/tests/driver.rs
+++ b/crates/placement/tests/driver.rs
@@ -383,9 +383,9 @@
             address: vm.address,
             incarnation: vm.incarnation,
             believed: vm.believed.clone(),
+            leaving: false,
             ready: vm.is_ready(now),
             straggles: false,
-            leaving: false,
         },
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,9 @@
 //! side during an upgrade.
 
 pub use crate::{
+    claim::{
+        ClaimRequest, ClaimVerdict, KeptAnswer, KeyOf, ReleaseRequest, RequestDigest, RunState,
+    },
     codec::{
         DecodeError, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, decode, encode, read_frame, write_frame,
     },
@@ -15,5 +18,6 @@
     },
 };
 
+mod claim;
 mod codec;
 mod message;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,6 +4,7 @@
 mod macros;
 mod util;
 
+mod at_most_once;
 mod bad_input;
 mod cli;
 mod configuration;
