--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -30,6 +30,8 @@
     pub listen_operators: SocketAddr,
     /// Where other nodes reach it, UDP and TCP.
     pub listen_peers: SocketAddr,
+    /// Where other nodes are told to reach it, if not at the address it listens on.
+    pub advertise_peers: Option<SocketAddr>,
     /// The platform.
     pub platform: SocketAddr,
     /// Nodes to ask first; the platform's membership list brings the others.
@@ -52,6 +54,13 @@
     pub repair: RepairSettings,
 }
 
+impl NodeSettings {
+    /// Where other nodes reach it.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.advertise_peers.unwrap_or(self.listen_peers)
+    }
+}
+
 /// One fault of a settings file.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("line {line}: {message}")]
@@ -88,6 +97,7 @@
     let listen_callers = reader.value("listen", "callers");
     let listen_operators = reader.value("listen", "operators");
     let listen_peers = reader.value("listen", "peers");
+    let advertise_peers = reader.value("listen", "advertise_peers");
     let platform = reader.value("platform", "address");
     let seeds = reader.list("peers", "seeds");
     let default_deadline_ms = reader.value("limits", "default_deadline_ms");
@@ -104,6 +114,7 @@
         listen_callers: listen_callers?,
         listen_operators: listen_operators?,
         listen_peers: listen_peers?,
+        advertise_peers,
         platform: platform?,
         seeds,
         default_deadline_ms: default_deadline_ms?,
--- a/crates/node/src/settings/clashes.rs
+++ b/crates/node/src/settings/clashes.rs
@@ -23,9 +23,9 @@
             reader.fail("platform", Some("address"), message);
         }
     }
-    if settings.listen_peers.ip().is_unspecified() {
-        let message = "`peers` must be an address at which other nodes reach this one, since it is \
-                       told to them";
+    if settings.peers_address().ip().is_unspecified() {
+        let message = "`peers`, or else `advertise_peers`, must be an address at which other nodes \
+                       reach this one, since it is told to them";
         reader.fail("listen", Some("peers"), message.to_owned());
     }
     if settings.statsd == Some(settings.listen_peers) {
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -65,6 +65,7 @@
     key("listen", "callers", Absent::Refused),
     key("listen", "operators", Absent::Refused),
     key("listen", "peers", Absent::Refused),
+    key("listen", "advertise_peers", Absent::Nothing),
     key("platform", "address", Absent::Refused),
     key("peers", "seeds", Absent::Nothing),
     number(
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -69,8 +69,8 @@
         "line 7: `peers` takes the same address as `callers`"
     ];
     peers_on_every_address: "10.0.0.1:8082" => "0.0.0.0:8082", "" => [
-        "line 7: `peers` must be an address at which other nodes reach this one, since it is told \
-         to them"
+        "line 7: `peers`, or else `advertise_peers`, must be an address at which other nodes reach \
+         this one, since it is told to them"
     ];
     own_address_as_platform: "10.0.9.9:7000" => "10.0.0.1:8081", "" => [
         "line 9: `address` is where this node listens for `operators`"
