--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -9,6 +9,7 @@
 mod cli;
 mod configuration;
 mod groups;
+mod metrics;
 mod outages;
 mod partitions;
 mod planned_stop;
