--- a/crates/placement/src/controller.rs
+++ b/crates/placement/src/controller.rs
@@ -273,10 +273,13 @@
         let epoch = Epoch::from_fence(fence);
         for group in &mut base.groups {
             match self.swaps.get(&group.id) {
-                Some(swapped) => group.apply_swap(swapped, epoch),
-                None if was_lost => group.epoch = epoch,
+                // The epoch stays the swap's, so that telling the platform stops no service.
+                Some(swapped) => group.apply_swap(swapped),
                 None => {}
             }
+            if was_lost || self.vms.believe_above(group) {
+                group.epoch = epoch;
+            }
         }
         base
     }
@@ -303,7 +306,8 @@
             if !self.is_certain(group) {
                 continue;
             }
-            self.swaps.swap(group, &self.vms, &views, now);
+            self.swaps
+                .swap(known.plan.fence, group, &self.vms, &views, now);
         }
     }
 
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     event::{ListedVm, ProbeEvidence},
+    plan::GroupPlan,
     settings::RepairSettings,
 };
 
@@ -164,6 +165,13 @@
         })
     }
 
+    /// Whether an engine believes in a later epoch of a group than the plan has: orders of the
+    /// planned epoch would be below it.
+    pub(crate) fn believe_above(&self, group: &GroupPlan) -> bool {
+        let mut believed = self.vms.values().filter_map(|vm| vm.believed.as_ref());
+        believed.any(|own| own.group == group.id && own.epoch > group.epoch)
+    }
+
     /// The VMs as the planner sees them.
     pub(crate) fn views(&self, now: TimeMs, settings: &RepairSettings) -> Vec<VmView> {
         self.vms
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -59,13 +59,16 @@
     /// It must keep more than half of the planned members. Any two such assignments then share a
     /// VM, and a VM believes in one assignment at a time, so two controllers that both swap never
     /// yield two whole configurations.
-    pub fn allows_swap(&self, swapped: &Assignment) -> bool {
+    ///
+    /// `fence` is that of the plan: a standby may have seen it in another group, so the epoch of a
+    /// swap grows from there.
+    pub fn allows_swap(&self, fence: u64, swapped: &Assignment) -> bool {
         let own: BTreeSet<&MemberAddress> = self.all_vms().collect();
         let distinct: BTreeSet<&MemberAddress> = swapped.members.iter().collect();
         swapped.group == self.id
             && swapped.model == self.model
             && swapped.epoch > self.epoch
-            && swapped.epoch.fence() == self.epoch.fence()
+            && swapped.epoch.fence() <= fence
             && distinct.len() == self.members.len()
             && swapped.members.len() == self.members.len()
             && distinct.is_subset(&own)
@@ -81,11 +84,11 @@
     }
 
     /// Takes a swap over into the group. Members that were swapped out belong to it no longer.
-    pub fn apply_swap(&mut self, swapped: &Assignment, epoch: Epoch) {
+    pub fn apply_swap(&mut self, swapped: &Assignment) {
         self.members = swapped.members.clone();
         self.standbys
             .retain(|standby| !swapped.members.contains(standby));
-        self.epoch = epoch;
+        self.epoch = swapped.epoch;
     }
 }
 
--- a/crates/placement/src/swap.rs
+++ b/crates/placement/src/swap.rs
@@ -33,7 +33,7 @@
             return;
         };
         let current = self.effective(group);
-        if group.allows_swap(seen) && rank(seen) > rank(&current) {
+        if group.allows_swap(plan.fence, seen) && rank(seen) > rank(&current) {
             self.by_group.insert(group.id.clone(), seen.clone());
         }
     }
@@ -42,13 +42,14 @@
     pub(crate) fn keep_valid(&mut self, plan: &Plan) {
         self.by_group.retain(|id, swapped| {
             plan.group(id)
-                .is_some_and(|group| group.allows_swap(swapped))
+                .is_some_and(|group| group.allows_swap(plan.fence, swapped))
         });
     }
 
     /// Replaces the lost members of a group by its own standbys, all of them or none.
     pub(crate) fn swap(
         &mut self,
+        fence: u64,
         group: &GroupPlan,
         vms: &VmTable,
         views: &BTreeMap<&MemberAddress, &VmView>,
@@ -64,7 +65,8 @@
             .all_vms()
             .filter(|member| !current.members.contains(member))
             .filter(|member| health(member) == Some(VmHealth::Live));
-        let Some(epoch) = current.epoch.after_swap() else {
+        let base = current.epoch.max(Epoch::from_fence(fence));
+        let Some(epoch) = base.after_swap() else {
             return false;
         };
         let mut swapped = Assignment {
@@ -77,7 +79,7 @@
                 None => return false,
             }
         }
-        if !group.allows_swap(&swapped) || !all_answer_below(&swapped, vms, now) {
+        if !group.allows_swap(fence, &swapped) || !all_answer_below(&swapped, vms, now) {
             return false;
         }
         self.by_group.insert(group.id.clone(), swapped);
--- a/crates/placement/tests/driver.rs
+++ b/crates/placement/tests/driver.rs
@@ -266,7 +266,8 @@
         }
     }
 
-    fn lagging_list(&mut self) -> Vec<ListedVm> {
+    /// The VMs as the platform would list them without a lag.
+    pub fn list(&self) -> Vec<ListedVm> {
         let listed = self.vms.iter().filter(|(_, vm)| !vm.is_dead);
         let list = listed.map(|(id, vm)| ListedVm {
             member: MemberAddress {
@@ -275,7 +276,22 @@
             },
             leaving: vm.is_leaving,
         });
-        self.lists.push_back((self.now, list.collect()));
+        list.collect()
+    }
+
+    /// The answers of all VMs to a probe now.
+    pub fn probes(&self) -> Vec<Event> {
+        let list = self.list();
+        let entries = list
+            .iter()
+            .map(|entry| (entry, &self.vms[&entry.member.vm]));
+        let up = entries.filter(|(_, vm)| vm.is_up(self.now));
+        up.map(|(entry, vm)| probe(entry, vm, self.now)).collect()
+    }
+
+    fn lagging_list(&mut self) -> Vec<ListedVm> {
+        let list = self.list();
+        self.lists.push_back((self.now, list));
         while self.lists.len() > 1 && self.now.since_ms(self.lists[1].0) >= LIST_LAG_MS {
             self.lists.pop_front();
         }
@@ -383,6 +399,7 @@
             address: vm.address,
             incarnation: vm.incarnation,
             believed: vm.believed.clone(),
+            leaving: false,
             ready: vm.is_ready(now),
             straggles: false,
         },
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -1,8 +1,8 @@
 //! Groups while the platform is away, and afterwards.
 
-use jacinthpoint_placement::RepairSettings;
+use jacinthpoint_placement::{Action, Event, Plan, PlanVersion, RepairSettings};
 
-use crate::driver::{World, demand};
+use crate::driver::{STEP_MS, World, demand, new_driven};
 
 /// Suspicion, wait, failed calls and a load, with room.
 const LIMIT_MS: u64 = 20_000;
@@ -52,8 +52,12 @@
         let planned = &world.latest().groups[0].members;
         planned.iter().map(|member| &member.vm).eq(&members)
     };
-    assert!(world.run_until(LIMIT_MS, is_told).is_some());
-    assert!(world.run_until(LIMIT_MS, serves).is_some());
+    let start = world.now;
+    while !is_told(world) || world.now.since_ms(start) < LIMIT_MS {
+        world.step();
+        assert!(serves(world), "telling the platform stops no service");
+        assert!(world.now.since_ms(start) < 2 * LIMIT_MS, "not told");
+    }
 }
 
 outage_case!(standby_is_swapped_in, true, |world| {
@@ -109,3 +113,62 @@
     assert!(world.run_until(LIMIT_MS, serves).is_some());
     assert_eq!(world.plans.len(), written + 1);
 });
+
+#[test]
+fn nothing_is_done_until_an_unsure_write_is_read_back() {
+    let world = started(true);
+    let mut controller = new_driven(9, &RepairSettings::new()).controller;
+    let now = world.now;
+    controller.handle(now, Event::Role { controls: true });
+    controller.handle(now, Event::Members(world.list()));
+    controller.handle(now, Event::Demands(world.demands.clone()));
+    controller.handle(
+        now,
+        Event::PlanRead {
+            asked_at: now,
+            version: PlanVersion(0),
+            plan: Plan::default(),
+        },
+    );
+    for event in world.probes() {
+        controller.handle(now, event);
+    }
+    let actions = controller.handle(now, Event::Tick);
+    assert!(matches!(actions[..], [Action::ReadPlan]), "{actions:?}");
+    let confirmed = Event::PlanRead {
+        asked_at: now,
+        version: PlanVersion(0),
+        plan: Plan::default(),
+    };
+    controller.handle(now, confirmed);
+    let actions = controller.handle(now, Event::Tick);
+    let [Action::WritePlan { .. }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    let actions = controller.handle(now, Event::PlanAmbiguous);
+    assert!(matches!(actions[..], [Action::ReadPlan]), "{actions:?}");
+    for step in 1..8 {
+        let actions = controller.handle(now.plus_ms(step * STEP_MS), Event::Tick);
+        assert!(actions.is_empty(), "{actions:?}");
+    }
+}
+
+#[test]
+fn new_controller_waits_out_the_authority_of_the_old_one() {
+    let settings = RepairSettings {
+        load_ms: 2_000,
+        max_loads: 1,
+        ..RepairSettings::new()
+    };
+    for offset in 0..40 {
+        let mut wanted = demand("desk", 2, 4, 0);
+        wanted.refuses_old_orders = false;
+        let mut world = World::new(8, vec![wanted], &settings, 2);
+        world.run_ms(1_000 + offset * STEP_MS);
+        world.controllers[0].pause_before_acting_ms = 3 * STEP_MS;
+        world.controllers[1].controls = true;
+        world.demands[0].model = "jp-model@v2".parse().expect("a valid model");
+        world.run_ms(LIMIT_MS);
+        assert!(world.vms.values().all(|vm| vm.steps_back == 0), "{offset}");
+    }
+}
--- a/crates/placement/tests/repair.rs
+++ b/crates/placement/tests/repair.rs
@@ -1,6 +1,6 @@
 //! Groups are formed, repaired and moved.
 
-use jacinthpoint_placement::{Demand, GroupPlan, RepairSettings};
+use jacinthpoint_placement::{Action, Demand, Event, GroupPlan, RepairSettings};
 use jacinthpoint_types::Priority;
 
 use crate::driver::{World, address, demand, new_driven, vm_id};
@@ -41,6 +41,11 @@
     assert!(formed.is_some(), "{:?}", world.latest());
 }
 
+fn writes(actions: &[Action]) -> bool {
+    let mut actions = actions.iter();
+    actions.any(|action| matches!(action, Action::WritePlan { .. }))
+}
+
 fn total_loads(world: &World) -> u32 {
     world.vms.values().map(|vm| vm.loads).sum()
 }
@@ -259,6 +264,21 @@
     }
 );
 
+repair_case!(
+    own_pause_of_the_controller_costs_no_repair,
+    5,
+    vec![demand("desk", 1, 4, 1)],
+    |world| {
+        let woken_at = world.now.plus_ms(60_000);
+        let controller = &mut world.controllers[0].controller;
+        // The first look at the clock after a pause comes before any probe is answered.
+        let actions = controller.handle(woken_at, Event::Tick);
+        assert!(!writes(&actions), "{actions:?}");
+        let actions = controller.handle(woken_at.plus_ms(500), Event::Tick);
+        assert!(!writes(&actions), "{actions:?}");
+    }
+);
+
 /// A case over the limit of loads at once.
 macro_rules! load_case {
     ($name:ident, $max_loads:expr) => {
--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -104,6 +104,9 @@
 
     /// Records of two organisations, one deployment and one plain service.
     pub fn sample_records(&self) -> RecordsObject {
+        let args = &self.options.engine_args;
+        let is_ignored = args.iter().any(|arg| arg == "--ignore-fencing");
+        let fencing = if is_ignored { "ignores" } else { "refuses" };
         let mut records: Vec<Value> = KEYS
             .iter()
             .map(|(name, key)| {
@@ -118,7 +121,7 @@
             "schema": 2, "kind": "deployment", "name": "desk", "model": "jp-model",
             "version": "v1", "replicas": self.options.groups,
             "group_size": self.options.group_size, "standbys": self.options.standbys,
-            "fencing": "refuses",
+            "fencing": fencing,
         }));
         records.push(json!({ "schema": 2, "kind": "service", "name": "enquiries" }));
         RecordsObject { records }
