--- a/crates/placement/src/controller.rs
+++ b/crates/placement/src/controller.rs
@@ -272,10 +272,9 @@
         let was_lost = self.highest_fence > known.plan.fence;
         let epoch = Epoch::from_fence(fence);
         for group in &mut base.groups {
-            match self.swaps.get(&group.id) {
-                // The epoch stays the swap's, so that telling the platform stops no service.
-                Some(swapped) => group.apply_swap(swapped),
-                None => {}
+            // The epoch stays the swap's, so that telling the platform stops no service.
+            if let Some(swapped) = self.swaps.get(&group.id) {
+                group.apply_swap(swapped);
             }
             if was_lost || self.vms.believe_above(group) {
                 group.epoch = epoch;
--- a/crates/placement/tests/driver.rs
+++ b/crates/placement/tests/driver.rs
@@ -101,6 +101,8 @@
     pub paused_until: TimeMs,
     /// Pauses as soon as it has decided the next actions, for this long.
     pub pause_before_acting_ms: u64,
+    /// Pauses right before the next order, for this long.
+    pub pause_before_order_ms: u64,
     /// Actions decided before a pause.
     pending: VecDeque<Action>,
 }
@@ -324,6 +326,11 @@
 
     fn perform_all(&mut self, index: usize, mut actions: VecDeque<Action>) {
         while let Some(action) = actions.pop_front() {
+            let driven = &mut self.controllers[index];
+            if matches!(action, Action::Order { .. }) && driven.pause_before_order_ms > 0 {
+                driven.paused_until = self.now.plus_ms(driven.pause_before_order_ms);
+                driven.pause_before_order_ms = 0;
+            }
             if self.now < self.controllers[index].paused_until {
                 self.controllers[index].pending.push_back(action);
                 continue;
@@ -415,6 +422,7 @@
         sees_platform: true,
         paused_until: TimeMs(0),
         pause_before_acting_ms: 0,
+        pause_before_order_ms: 0,
         pending: VecDeque::new(),
     }
 }
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -155,20 +155,53 @@
 
 #[test]
 fn new_controller_waits_out_the_authority_of_the_old_one() {
-    let settings = RepairSettings {
-        load_ms: 2_000,
-        max_loads: 1,
-        ..RepairSettings::new()
-    };
-    for offset in 0..40 {
-        let mut wanted = demand("desk", 2, 4, 0);
-        wanted.refuses_old_orders = false;
-        let mut world = World::new(8, vec![wanted], &settings, 2);
-        world.run_ms(1_000 + offset * STEP_MS);
-        world.controllers[0].pause_before_acting_ms = 3 * STEP_MS;
-        world.controllers[1].controls = true;
-        world.demands[0].model = "jp-model@v2".parse().expect("a valid model");
-        world.run_ms(LIMIT_MS);
-        assert!(world.vms.values().all(|vm| vm.steps_back == 0), "{offset}");
+    let mut wanted = demand("desk", 2, 4, 0);
+    wanted.refuses_old_orders = false;
+    let mut world = World::new(8, vec![wanted], &RepairSettings::new(), 1);
+    world.controllers[0].pause_before_order_ms = 3 * STEP_MS;
+    let is_written = world.run_until(LIMIT_MS, |world| !world.plans.is_empty());
+    assert!(is_written.is_some());
+    // Another one takes over between the plan and its orders, and wants something else.
+    world.demands[0].model = "jp-model@v2".parse().expect("a valid model");
+    world
+        .controllers
+        .push(new_driven(5, &RepairSettings::new()));
+    world.controllers[1].controls = true;
+    world.run_ms(LIMIT_MS);
+    assert!(world.plans.len() > 1);
+    assert!(world.vms.values().all(|vm| vm.steps_back == 0));
+}
+
+#[test]
+fn standby_that_left_another_group_later_is_swapped_in() {
+    let mut world = World::new(9, vec![demand("desk", 1, 3, 1)], &RepairSettings::new(), 1);
+    assert!(world.run_until(2 * LIMIT_MS, serves).is_some());
+    let desk = world.latest().groups[0].clone();
+    // The standby leaves another group under the plan's latest fence.
+    world.demands.push(demand("reports", 1, 4, 0));
+    let is_formed = world.run_until(4 * LIMIT_MS, |world| world.serving().len() == 2);
+    assert!(is_formed.is_some());
+    world.demands.pop();
+    world.run_ms(LIMIT_MS);
+    let left = world.vms.iter().find(|(vm, state)| {
+        let was_desk = desk.all_vms().any(|member| &member.vm == *vm);
+        !was_desk && state.highest.fence() > desk.epoch.fence()
+    });
+    let left = left.expect("a VM left the other group").0.clone();
+    for member in &desk.standbys {
+        world.vms.get_mut(&member.vm).expect("a VM").is_dead = true;
     }
+    for (vm, state) in &mut world.vms {
+        let was_desk = desk.all_vms().any(|member| &member.vm == vm);
+        state.is_dead |= !was_desk && vm != &left;
+    }
+    let stands_by = |world: &World| {
+        let standbys = &world.latest().groups[0].standbys;
+        standbys.iter().any(|member| member.vm == left)
+    };
+    assert!(world.run_until(LIMIT_MS, stands_by).is_some());
+    world.is_platform_up = false;
+    kill_member(&mut world, 1);
+    world.step();
+    assert!(world.run_until(3 * LIMIT_MS, serves).is_some());
 }
--- a/crates/placement/tests/sequences.rs
+++ b/crates/placement/tests/sequences.rs
@@ -94,8 +94,12 @@
                 world.controllers[usize::from(node)].paused_until = until(length);
             }
             Fault::PauseBeforeActing(node, length) => {
-                let pause_ms = 500 * u64::from(length);
-                world.controllers[usize::from(node)].pause_before_acting_ms = pause_ms;
+                let pause_ms = 250 * u64::from(length);
+                let driven = &mut world.controllers[usize::from(node)];
+                match length % 2 {
+                    0 => driven.pause_before_acting_ms = pause_ms,
+                    _ => driven.pause_before_order_ms = pause_ms,
+                }
             }
             Fault::Controls(node, on) => world.controllers[usize::from(node)].controls = on,
             Fault::Platform(on) => world.is_platform_up = on,
