Decide in the ledger crate what a resend does, and stop the runner at each step

Cause: whether a resend runs, waits, is replayed or refused was decided in the shell, where the steps of a runner could not be tried one by one. Ruled out: trying them by timing with real processes only. Change: Entry holds these decisions; the shell carries its steps out. A sending that has learnt of another one no longer says not-run when the platform fails afterwards. 18 cases stop a runner at 7 named steps (killed, paused, or going on) and compare the run log with what callers are told. Conclusion: the one step that leaves a key unusable without a run is a death between grant and dispatch; it is told as unknown.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,11 +1,13 @@
 //! Decisions on requests that run at most once.
 //!
 //! A keyed request is dispatched only under a record that is known to stand in the platform's
-//! store. [`SlotLedger`] decides what to read and write for that; [`RunTable`] keeps the answers
+//! store. [`SlotLedger`] decides what to read and write for that; [`Entry`] decides whether
+//! a sending runs, waits or ends; [`RunTable`] keeps the answers
 //! of the runs of one node; [`check_key`] says which keys may be used at all. This crate does no
 //! I/O and reads no clock.
 
 pub use crate::{
+    entry::{Entry, Step},
     key::{
         BUCKET_MS, Bucket, KeyError, MAX_AHEAD_MS, MAX_NODE_SKEW_MS, PLACES, PageName, SLOTS,
         WINDOW_MS, check_key, slot_of,
@@ -15,6 +17,7 @@
     slot::{Action, Op, ReadResult, SlotLedger, Ticket, WriteResult},
 };
 
+mod entry;
 mod key;
 mod page;
 mod runs;
--- a/crates/ledger/tests/support.rs
+++ b/crates/ledger/tests/support.rs
@@ -7,7 +7,7 @@
 };
 use jacinthpoint_types::{AttemptId, Deadline, IdempotencyKey, TimeMs};
 use jacinthpoint_wire::{ClaimRequest, ClaimVerdict, KeyOf, RequestDigest};
-use uuid::{NoContext, Timestamp, Uuid};
+use uuid::Uuid;
 
 pub const BATCH_MS: u64 = 20;
 pub const WAIT_MS: u64 = 2_000;
@@ -158,15 +158,10 @@
 
 /// A key issued at a Unix time, told apart by `number`.
 pub fn key(unix_ms: u64, number: u16) -> KeyOf {
-    let time = Timestamp::from_unix(
-        NoContext,
-        unix_ms / 1_000,
-        (unix_ms % 1_000) as u32 * 1_000_000,
-    );
-    let random = Uuid::new_v7(time).as_u128() & !0xffff;
+    let bits = u128::from(unix_ms) << 80 | 7 << 76 | 0b10 << 62 | u128::from(number);
     KeyOf {
         organisation: "coralbank".parse().expect("a valid name"),
-        key: IdempotencyKey(Uuid::from_u128(random | u128::from(number))),
+        key: IdempotencyKey(Uuid::from_u128(bits)),
     }
 }
 
--- a/crates/ledger/tests/tests.rs
+++ b/crates/ledger/tests/tests.rs
@@ -2,4 +2,5 @@
 
 mod kill_points;
 mod rules;
+mod runner;
 mod support;
--- a/crates/node/src/caller/once.rs
+++ b/crates/node/src/caller/once.rs
@@ -1,8 +1,8 @@
 //! Keyed requests: run at most once, over all nodes and resends.
 
-use jacinthpoint_ledger::{KeyError, check_key};
+use jacinthpoint_ledger::{KeyError, Step, check_key};
 use jacinthpoint_routing::Ending;
-use jacinthpoint_types::{AttemptId, Deadline, IdempotencyKey, NodeId, Outcome, ResultCode};
+use jacinthpoint_types::{AttemptId, Deadline, IdempotencyKey, Outcome, ResultCode};
 use jacinthpoint_wire::{
     ClaimRequest, ClaimVerdict, KeptAnswer, KeyOf, ReleaseRequest, RequestDigest, RunState,
 };
@@ -25,10 +25,7 @@
 const CLAIM_WAIT_MS: u64 = 1_500;
 /// How long a runner is asked to wait at once.
 const RUN_WAIT_MS: u64 = 2_000;
-/// Times that a runner which does not answer is asked; one round of failure detection lies between
-/// the first and the last.
-const MAX_RUNNER_FAILURES: u32 = 4;
-/// Pause between them.
+/// Pause before a runner that did not answer is asked again.
 const RUNNER_RETRY_MS: u64 = 500;
 
 /// What to do with a request.
@@ -129,74 +126,58 @@
 }
 
 impl Claim<'_> {
-    /// Gets the claim granted, or the answer to the sending that holds the key.
+    /// Carries out what the sending decides, until it runs or ends.
     fn enter(
         &self,
         context: &Context,
         digest: RequestDigest,
     ) -> Result<Option<KeptAnswer>, Refusal> {
-        let mut replaces = None;
+        let mut entry = jacinthpoint_ledger::Entry::new();
+        let mut step = Step::Claim { replaces: None };
         loop {
-            let wait_ms =
-                wait_ms(self.shared, context.deadline, CLAIM_WAIT_MS).ok_or_else(|| {
-                    unavailable("the deadline passed before the request was recorded")
-                })?;
-            let request = ClaimRequest {
-                key: self.key.clone(),
-                digest,
-                claim: self.id,
-                runner: self.shared.settings.name.clone(),
-                replaces,
-                wait_ms,
-            };
-            match ledger::claim(self.shared, &request) {
-                ClaimVerdict::Granted => return Ok(None),
-                ClaimVerdict::Held { claim, runner } => {
-                    match self.wait_for(context.deadline, claim, &runner)? {
-                        Some(answer) => return Ok(Some(answer)),
-                        None => replaces = Some(claim),
+            step = match step {
+                Step::Claim { replaces } => self
+                    .ask_for_claim(context.deadline, digest, replaces)
+                    .map(|verdict| entry.on_verdict(verdict)),
+                Step::AskRunner {
+                    claim,
+                    runner,
+                    is_retry,
+                } => {
+                    if is_retry {
+                        self.shared.sleep_ms(RUNNER_RETRY_MS);
                     }
+                    wait_ms(self.shared, context.deadline, RUN_WAIT_MS).map(|wait_ms| {
+                        let state = ledger::run_state(self.shared, &runner, claim, wait_ms);
+                        entry.on_run_state(state)
+                    })
                 }
-                ClaimVerdict::KeyReused => {
-                    let message = "the key was used with another request";
-                    return Err(Refusal::not_run(ResultCode::KeyReused, message));
-                }
-                ClaimVerdict::Expired => return Err(refuse_key(KeyError::TooOld)),
-                ClaimVerdict::Released | ClaimVerdict::Unavailable => {
-                    return Err(unavailable("the request cannot be recorded now"));
+                Step::Run => return Ok(None),
+                Step::Replay(answer) => return Ok(Some(answer)),
+                Step::Refuse { outcome, code } => {
+                    return Err(Refusal::new(outcome, code, message_of(code).to_owned()));
                 }
             }
+            .unwrap_or_else(|| entry.on_deadline());
         }
     }
 
-    /// The answer to another sending, once it is there; `None` if that one never ran.
-    fn wait_for(
+    /// The owner's verdict; `None` once the deadline has passed.
+    fn ask_for_claim(
         &self,
         deadline: Deadline,
-        claim: AttemptId,
-        runner: &NodeId,
-    ) -> Result<Option<KeptAnswer>, Refusal> {
-        let unknown =
-            |code, message: &str| Refusal::new(Outcome::Unknown, code, message.to_owned());
-        let mut failures = 0;
-        loop {
-            let wait_ms = wait_ms(self.shared, deadline, RUN_WAIT_MS).ok_or_else(|| {
-                unknown(ResultCode::DeadlinePassed, "an earlier sending still runs")
-            })?;
-            match ledger::run_state(self.shared, runner, claim, wait_ms) {
-                Some(RunState::Answered(answer)) => return Ok(Some(answer)),
-                Some(RunState::Unstarted) => return Ok(None),
-                Some(RunState::Running) => failures = 0,
-                None if failures < MAX_RUNNER_FAILURES => {
-                    failures += 1;
-                    self.shared.sleep_ms(RUNNER_RETRY_MS);
-                }
-                Some(RunState::NotKept) | None => {
-                    let message = "an earlier sending may have run, and its answer is not kept";
-                    return Err(unknown(ResultCode::AnswerNotKept, message));
-                }
-            }
-        }
+        digest: RequestDigest,
+        replaces: Option<AttemptId>,
+    ) -> Option<ClaimVerdict> {
+        let request = ClaimRequest {
+            key: self.key.clone(),
+            digest,
+            claim: self.id,
+            runner: self.shared.settings.name.clone(),
+            replaces,
+            wait_ms: wait_ms(self.shared, deadline, CLAIM_WAIT_MS)?,
+        };
+        Some(ledger::claim(self.shared, &request))
     }
 
     /// Ends the claim with the request: its answer is kept, or the key is free again if nothing
@@ -237,7 +218,14 @@
     (left_ms > 0).then_some(left_ms as u32)
 }
 
-fn unavailable(message: &str) -> Refusal {
-    let message = format!("{message}; send it again under the same key");
-    Refusal::not_run(ResultCode::LedgerUnavailable, message)
+fn message_of(code: ResultCode) -> &'static str {
+    match code {
+        ResultCode::KeyReused => "the key was used with another request",
+        ResultCode::KeyExpired => "the key is older than the time that keys are kept",
+        ResultCode::LedgerUnavailable => {
+            "this sending was not run, since it cannot be recorded; send it again under its key"
+        }
+        ResultCode::DeadlinePassed => "an earlier sending still runs",
+        _ => "an earlier sending may have run, and its answer is not kept",
+    }
 }
