--- a/crates/core/commands/demo.rs
+++ b/crates/core/commands/demo.rs
@@ -6,7 +6,6 @@
     error::Error,
     io,
     net::SocketAddr,
-    process::ExitCode,
     sync::{
         Mutex, PoisonError,
         atomic::{AtomicUsize, Ordering},
@@ -15,7 +14,7 @@
     time::{Duration, Instant},
 };
 
-use jacinthpoint_node::{Node, NodeSettings};
+use jacinthpoint_node::{Node, NodeSettings, RepairSettings};
 use jacinthpoint_platform::{MemberRole, MemberState, Platform, PlatformMember, Version};
 use jacinthpoint_records::{CONFIG_KIND, CONFIG_NAME, RecordsObject, key_digest};
 use jacinthpoint_standins::{
@@ -25,7 +24,7 @@
 use jacinthpoint_types::RequestId;
 use serde_json::{Value, json};
 
-use crate::logs;
+use crate::{exit::Exit, logs};
 
 /// Requests sent.
 const REQUESTS: usize = 300;
@@ -53,14 +52,14 @@
 ];
 
 /// Runs the command.
-pub fn run() -> ExitCode {
+pub fn run() -> Exit {
     logs::init(false, "error");
     match demo() {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
+        Ok(true) => Exit::Success,
+        Ok(false) => Exit::Negative,
         Err(error) => {
             eprintln!("demo: {error}");
-            ExitCode::FAILURE
+            Exit::Negative
         }
     }
 }
@@ -152,9 +151,12 @@
             seeds: Vec::new(),
             default_deadline_ms: 30_000,
             max_connections: 200,
+            read_deadline_ms: 10_000,
+            drain_announce_ms: 0,
             drain_deadline_ms: 10_000,
             ledger_batch_ms: 20,
             statsd: None,
+            repair: RepairSettings::new(),
         })
     }
 
--- a/crates/node/src/caller/select.rs
+++ b/crates/node/src/caller/select.rs
@@ -48,6 +48,7 @@
         .map(|permit| Candidate {
             in_flight: shared.in_flight_on(&permit.assignment.group),
             reported: permit.load,
+            report_age_ms: now.since_ms(permit.load_at),
             key: permit.clone(),
         })
         .collect();
@@ -76,6 +77,7 @@
             key: (member.vm.clone(), member.address),
             in_flight: in_flight_key(&member.vm).map_or(0, |key| shared.in_flight_on(&key)),
             reported: 0,
+            report_age_ms: 0,
         })
         .collect();
     choose(&candidates, &mut rand::rng()).cloned()
--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -14,12 +14,12 @@
 use jacinthpoint_platform::MemberRole;
 use jacinthpoint_types::Deadline;
 use jacinthpoint_wire::{
-    Datagram, MAX_DATAGRAM_BYTES, PeerNews, PeerReply, PeerRequest, PeerStatus, PermitGrant,
-    decode, encode, read_frame, write_frame,
+    Datagram, MAX_DATAGRAM_BYTES, PeerNews, PeerReply, PeerRequest, PeerStatus, decode, encode,
+    read_frame, write_frame,
 };
 
 use crate::{
-    control::{config, permits},
+    control::{config, members, permits},
     events::log_event,
     shared::Shared,
 };
@@ -32,6 +32,8 @@
 const FIRST_SYNC_MS: u64 = 1_000;
 /// How often a receiving thread looks whether the node stops.
 const RECEIVE_POLL_MS: u64 = 100;
+/// Pause after a connection could not be accepted.
+const ACCEPT_RETRY_MS: u64 = 50;
 /// Time for a peer to send its request or take its answer.
 const PEER_TIMEOUT_MS: u64 = 1_000;
 
@@ -90,17 +92,23 @@
 }
 
 fn sync(shared: &Shared, address: SocketAddr) -> io::Result<()> {
-    let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
-    let mut stream = TcpStream::connect_timeout(&address, timeout)?;
-    stream.set_read_timeout(Some(timeout))?;
-    write_frame(&mut stream, &PeerRequest::Peers)?;
-    if let PeerReply::Peers(news) = read_frame(&mut stream)? {
+    if let PeerReply::Peers(news) = ask_peer(address, &PeerRequest::Peers)? {
         let now = shared.now();
-        shared.peers().on_news(news, now);
+        shared.peers().on_sync(news, now);
     }
     Ok(())
 }
 
+/// Asks another node over TCP.
+pub(crate) fn ask_peer(address: SocketAddr, request: &PeerRequest) -> io::Result<PeerReply> {
+    let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
+    let mut stream = TcpStream::connect_timeout(&address, timeout)?;
+    stream.set_read_timeout(Some(timeout))?;
+    stream.set_write_timeout(Some(timeout))?;
+    write_frame(&mut stream, request)?;
+    read_frame(&mut stream)
+}
+
 /// Receives datagrams until the node stops.
 pub(crate) fn run_receiver(shared: &Shared, socket: &UdpSocket, told: &Sender<SocketAddr>) {
     let mut buffer = [0; 2 * MAX_DATAGRAM_BYTES];
@@ -132,50 +140,41 @@
                 let _ = told.try_send(address);
             }
         }
-        Datagram::PermitRequest { sent_at, reply_to } => {
-            for grants in split_grants(permits::own_grants(shared)) {
-                let reply = Datagram::PermitReply {
-                    echo: sent_at,
-                    grants,
-                };
-                let _ = socket.send_to(&encode(&reply), reply_to);
-            }
+        Datagram::PermitRequest {
+            sent_at,
+            reply_to,
+            known_digest,
+        } => {
+            permits::reply(shared, socket, sent_at, reply_to, known_digest);
         }
-        Datagram::PermitReply { echo, grants } => {
-            // An echo from the future was not sent by this node, or before its last start.
-            if echo > shared.now() {
-                return;
-            }
-            for grant in grants {
-                let deadline = Deadline::after_ms(echo, u64::from(grant.valid_ms));
-                permits::take_grant(shared, grant, deadline);
-            }
-        }
-    }
-}
-
-/// Groups grants so that each reply fits into one datagram.
-fn split_grants(grants: Vec<PermitGrant>) -> Vec<Vec<PermitGrant>> {
-    const ROOM_BYTES: usize = MAX_DATAGRAM_BYTES - 32;
-    let mut parts: Vec<Vec<PermitGrant>> = Vec::new();
-    let mut used = ROOM_BYTES;
-    for grant in grants {
-        let bytes = encode(&grant).len();
-        if used + bytes > ROOM_BYTES || parts.is_empty() {
-            parts.push(Vec::new());
-            used = 0;
+        Datagram::PermitReply {
+            echo,
+            prober,
+            digest,
+            part,
+            parts,
+            grants,
+        } => {
+            shared
+                .grant_book()
+                .on_part(&prober, digest, part, parts, &grants);
+            permits::on_answer(shared, &prober, grants, echo);
         }
-        used += bytes;
-        if let Some(part) = parts.last_mut() {
-            part.push(grant);
+        Datagram::PermitTerms {
+            echo,
+            prober,
+            digest,
+            terms,
+        } => {
+            let grants = shared.grant_book().on_terms(&prober, digest, &terms);
+            permits::on_answer(shared, &prober, grants, echo);
         }
     }
-    parts
 }
 
-/// Answers other nodes' requests over TCP until the node stops.
-pub(crate) fn run_peer_listener(shared: &Arc<Shared>, listener: &TcpListener) -> io::Result<()> {
-    listener.set_nonblocking(true)?;
+/// Answers other nodes' requests over TCP until the node stops, which [`wake_peer_listener`] lets
+/// it see.
+pub(crate) fn run_peer_listener(shared: &Arc<Shared>, listener: &TcpListener) {
     while !shared.is_stopped() {
         match listener.accept() {
             Ok((stream, _)) => {
@@ -183,17 +182,24 @@
                 // A node that fails in the exchange asks again.
                 thread::spawn(move || answer_peer(&shared, stream).ok());
             }
-            Err(_) => thread::sleep(Duration::from_millis(5)),
+            // Such as a connection reset before it was accepted, or no free descriptor.
+            Err(_) => shared.sleep_ms(ACCEPT_RETRY_MS),
         }
     }
-    Ok(())
+}
+
+/// Makes the listener for other nodes look whether the node stops.
+pub(crate) fn wake_peer_listener(address: SocketAddr) {
+    let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
+    // Without a listener there is nothing to wake.
+    drop(TcpStream::connect_timeout(&address, timeout));
 }
 
 fn answer_peer(shared: &Shared, mut stream: TcpStream) -> io::Result<()> {
-    stream.set_nonblocking(false)?;
     stream.set_read_timeout(Some(Duration::from_millis(PEER_TIMEOUT_MS)))?;
     stream.set_write_timeout(Some(Duration::from_millis(PEER_TIMEOUT_MS)))?;
     let reply = match read_frame(&mut stream)? {
+        PeerRequest::Members => members::reply(shared),
         PeerRequest::Config { above } => config::reply_above(shared, above),
         PeerRequest::Peers => {
             let peers = shared.peers();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -2,17 +2,13 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError, RwLock,
-        atomic::{AtomicBool, Ordering},
-    },
-    thread,
-    time::Duration,
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock},
+    time::{Duration, Instant},
 };
 
 use jacinthpoint_membership::Membership;
 use jacinthpoint_platform::{Platform, PlatformMember};
-use jacinthpoint_readiness::PermitTable;
+use jacinthpoint_readiness::{Asker, GrantBook, PermitTable};
 use jacinthpoint_records::Config;
 use jacinthpoint_types::{GroupId, NodeId, Revision, TimeMs};
 use jacinthpoint_wire::PeerState;
@@ -22,6 +18,7 @@
     clock::{Clock, unix_now_ms},
     control::Domains,
     drain::Drain,
+    events::log_event,
     ledger::{Owner, Runs},
     metrics::Metrics,
     settings::NodeSettings,
@@ -29,9 +26,6 @@
 
 /// Shards of the in-flight counts.
 const IN_FLIGHT_SHARDS: usize = 16;
-/// How often a sleeping thread looks whether the node stops.
-const SLEEP_STEP_MS: u64 = 20;
-
 /// Configurations kept, so that a node a few changes behind gets only the changes.
 const CONFIG_HISTORY: usize = 16;
 
@@ -51,14 +45,17 @@
     pub(crate) platform: Platform,
 
     pub(crate) domains: Domains,
+    stopped: Mutex<bool>,
+    stop_signal: Condvar,
     pub(crate) ledger: Owner,
     pub(crate) runs: Runs,
-    stopped: AtomicBool,
     /// The newest last.
     configs: RwLock<VecDeque<Arc<ConfigInForce>>>,
     members: RwLock<Arc<Vec<PlatformMember>>>,
     peers: Mutex<Membership>,
     permits: Mutex<PermitTable>,
+    grant_book: Mutex<GrantBook>,
+    asker: Mutex<Asker>,
     in_flight: [Mutex<BTreeMap<GroupId, u32>>; IN_FLIGHT_SHARDS],
 }
 
@@ -73,6 +70,7 @@
             revision: Revision(0),
         };
         let rng = SmallRng::from_os_rng();
+        let asker = Asker::new(settings.name.clone(), settings.data_centre.clone());
         Shared {
             clock: Clock::new(),
             drain: Arc::new(Drain::default()),
@@ -80,13 +78,16 @@
             platform: Platform::new(settings.platform),
 
             domains: Domains::default(),
+            stopped: Mutex::new(false),
+            stop_signal: Condvar::new(),
             ledger: Owner::new(settings.ledger_batch_ms),
             runs: Runs::new(),
-            stopped: AtomicBool::new(false),
             configs: RwLock::default(),
             members: RwLock::default(),
             peers: Mutex::new(Membership::new(own, rng)),
             permits: Mutex::default(),
+            grant_book: Mutex::default(),
+            asker: Mutex::new(asker),
             in_flight: Default::default(),
             settings,
         }
@@ -96,24 +97,33 @@
         self.clock.now()
     }
 
+    /// Stops the node's threads, sleeping ones at once.
     pub(crate) fn stop(&self) {
-        self.stopped.store(true, Ordering::SeqCst);
+        *self.stopped.lock().unwrap_or_else(PoisonError::into_inner) = true;
+        self.stop_signal.notify_all();
+    }
+
+    /// Begins the planned stop, unless it has begun already.
+    pub(crate) fn begin_drain(&self) {
+        let announce = Duration::from_millis(self.settings.drain_announce_ms);
+        if self.drain.begin(Instant::now() + announce) {
+            let in_flight = self.drain.in_flight();
+            log_event!(info, DrainBegan, in_flight, "no longer ready");
+        }
     }
 
     pub(crate) fn is_stopped(&self) -> bool {
-        self.stopped.load(Ordering::SeqCst)
+        *self.stopped.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sleeps, but not beyond the node's stop.
     pub(crate) fn sleep_ms(&self, ms: u64) {
-        let until = self.now().plus_ms(ms);
-        while !self.is_stopped() {
-            let left = until.since_ms(self.now());
-            if left == 0 {
-                return;
-            }
-            thread::sleep(Duration::from_millis(left.min(SLEEP_STEP_MS)));
-        }
+        let stopped = self.stopped.lock().unwrap_or_else(PoisonError::into_inner);
+        let timeout = Duration::from_millis(ms);
+        let slept = self
+            .stop_signal
+            .wait_timeout_while(stopped, timeout, |stopped| !*stopped);
+        drop(slept);
     }
 
     pub(crate) fn config(&self) -> Option<Arc<ConfigInForce>> {
@@ -171,6 +181,16 @@
         self.permits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn asker(&self) -> MutexGuard<'_, Asker> {
+        self.asker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn grant_book(&self) -> MutexGuard<'_, GrantBook> {
+        self.grant_book
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Live nodes ranked for a piece of work, this one among them unless it is leaving.
     pub(crate) fn ranked_nodes(&self, work: &str) -> Vec<NodeId> {
         let mut live: Vec<NodeId> = self
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -5,5 +5,9 @@
 mod util;
 
 mod at_most_once;
+mod bad_input;
+mod cli;
+mod configuration;
 mod groups;
+mod planned_stop;
 mod serving;
