Pay retries from budgets and keep an attempt that waits in a queue

Cause: every failed attempt was followed by another at once, also after a refusal by a saturated engine; and a request that waited longer than three seconds in an engine's queue for its first token was taken for lost and started again elsewhere, which multiplies an overload. A stream whose last token had come but not its end marker was continued past its end, and a caller's leaving was treated as the loss of the group. Change: budgets per organisation and per target, filled by requests; a refusal costs ten times a loss; pauses with full jitter; an answer begun is always continued. A silent stream of an attempt that the engine still holds is waited for until the deadline. An engine that answers only with its first token is asked for the attempt before it counts as lost. The engine's own finish reason is passed on in whole answers. Tests: request_in_an_engines_queue_waits_and_runs_once failed first (unknown, 2004) and passes; 19 tests with real processes (requests, serving, at_most_once) pass. The whole workspace was not run for this commit. Conclusion: the page docs/design/requests.md still has to say this.

--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -14,9 +14,12 @@
 mod completion;
 mod context;
 mod once;
+mod retry;
 mod select;
 mod service;
 
+pub(crate) use crate::caller::retry::Retries;
+
 /// Path prefix of plain services.
 const SERVICES_PREFIX: &str = "/services/";
 
--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -4,7 +4,7 @@
 
 use jacinthpoint_readiness::Permit;
 use jacinthpoint_records::{Config, Deployment};
-use jacinthpoint_routing::{Accepted, Dispatched, Ending, Lost, Unstarted};
+use jacinthpoint_routing::{Accepted, Dispatched, Ending, Failure, Lost, Unstarted};
 use jacinthpoint_types::{AttemptId, GroupId, Outcome, ResultCode, TimeMs};
 use jacinthpoint_upstream::{StartError, StartRequest, StreamError, TokenEvent, TokenStream};
 use jacinthpoint_wire::KeptAnswer;
@@ -15,6 +15,7 @@
         answer::{self, Refusal},
         context::Context,
         once::{self, Entry},
+        retry,
         select::wait_for_group,
     },
     events::log_event,
@@ -26,8 +27,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 300;
 /// A stream without a token for this long is taken up on a new connection.
 const SILENCE_MS: u64 = 1_000;
-/// Times that one attempt is taken up on a new connection without a token in between.
-const MAX_RESUMES: u32 = 2;
+/// Times that taking up one attempt may fail without a token in between.
+const MAX_FAILED_RESUMES: u32 = 2;
 /// Time for an engine to take a cancel.
 const CANCEL_TIMEOUT_MS: u64 = 300;
 
@@ -53,6 +54,7 @@
         call: &call,
         responder,
         delivered: Vec::new(),
+        finish_reason: None,
         first_token_at: None,
         failed_groups: BTreeSet::new(),
     };
@@ -128,7 +130,7 @@
 /// Why one attempt ended without the whole answer.
 enum AttemptEnd {
     /// It did not start.
-    Unstarted(Unstarted),
+    Unstarted(Unstarted, Failure),
     /// It may have run.
     Lost(Lost),
     /// The request is over.
@@ -141,6 +143,7 @@
     call: &'a Call<'a>,
     responder: &'a mut Responder<'s>,
     delivered: Vec<String>,
+    finish_reason: Option<String>,
     first_token_at: Option<TimeMs>,
     failed_groups: BTreeSet<GroupId>,
 }
@@ -148,7 +151,12 @@
 impl Running<'_, '_> {
     fn drive(&mut self) -> Ending {
         let mut state = Unstarted::Accepted(Accepted::new());
+        let target = self.call.deployment.name.as_str();
+        self.shared
+            .retries
+            .on_request(&self.context.organisation, target);
         loop {
+            let cause;
             if self.context.deadline.has_passed(self.shared.now()) {
                 return state.give_up(ResultCode::DeadlinePassed);
             }
@@ -159,17 +167,35 @@
             };
             state = match self.attempt(&permit, state.dispatch()) {
                 AttemptEnd::Over(ending) => return ending,
-                AttemptEnd::Unstarted(unstarted) => unstarted,
-                AttemptEnd::Lost(lost) if self.call.repeatable => Unstarted::Lost(lost),
+                AttemptEnd::Unstarted(unstarted, failure) => {
+                    cause = failure;
+                    unstarted
+                }
+                AttemptEnd::Lost(lost) if self.call.repeatable => {
+                    cause = Failure::Lost;
+                    Unstarted::Lost(lost)
+                }
                 AttemptEnd::Lost(lost) => return lost.give_up(ResultCode::UpstreamFailed),
             };
             self.failed_groups.insert(permit.assignment.group);
+            if !self.may_retry(cause) {
+                return retry::give_up(state, cause);
+            }
         }
     }
 
+    /// Whether another group may take the request. An answer begun is always continued: what was
+    /// generated is not lost, and the caller sees no second start.
+    fn may_retry(&self, cause: Failure) -> bool {
+        let failures = self.failed_groups.len() as u32;
+        let target = self.call.deployment.name.as_str();
+        let is_begun = !self.delivered.is_empty() && cause == Failure::Lost;
+        is_begun || retry::may_follow(self.shared, self.context, target, cause, failures)
+    }
+
     fn attempt(&mut self, permit: &Permit, state: Dispatched) -> AttemptEnd {
         let Some(leader) = permit.assignment.leader() else {
-            return AttemptEnd::Unstarted(state.unstarted());
+            return AttemptEnd::Unstarted(state.unstarted(), Failure::Lost);
         };
         let _in_flight = self.shared.enter_group(&permit.assignment.group);
         let attempt = AttemptId::new();
@@ -190,78 +216,116 @@
         let started =
             jacinthpoint_upstream::start(leader.address, &request, CONNECT_TIMEOUT_MS, silence_ms);
         match started {
-            Ok(stream) => self.relay(permit, attempt, stream, state),
-            Err(error) => self.not_started(permit, state, &error),
+            Ok(stream) => self.relay(permit, attempt, Ok(stream), state),
+            Err(error) if error.is_not_run() => {
+                self.log_failure(permit, &error);
+                AttemptEnd::Unstarted(state.unstarted(), retry::failure_of(&error))
+            }
+            // An engine that answers only with its first token may hold the attempt all the same.
+            Err(StartError::NoAnswer { .. }) => {
+                self.relay(permit, attempt, Err(StreamError::Silent), state)
+            }
+            Err(_) => AttemptEnd::Lost(state.lost()),
         }
     }
 
-    fn not_started(&self, permit: &Permit, state: Dispatched, error: &StartError) -> AttemptEnd {
+    fn log_failure(&self, permit: &Permit, error: &impl std::fmt::Display) {
         let group = &permit.assignment.group;
-        log_event!(info, AttemptFailed, request = %self.context.request, %group, %error, "start");
-        if error.is_not_run() {
-            AttemptEnd::Unstarted(state.unstarted())
-        } else {
-            AttemptEnd::Lost(state.lost())
-        }
+        log_event!(info, AttemptFailed, request = %self.context.request, %group, %error, "attempt");
     }
 
-    /// Passes tokens on until the answer is whole, taking a silent stream up again.
+    /// Passes tokens on until the answer is whole, taking a silent or broken stream up again.
     fn relay(
         &mut self,
         permit: &Permit,
         attempt: AttemptId,
-        mut stream: TokenStream,
+        mut stream: Result<TokenStream, StreamError>,
         state: Dispatched,
     ) -> AttemptEnd {
-        let mut resumes = 0;
+        let mut failures = 0;
         loop {
-            match stream.next_token() {
+            let next = match &mut stream {
+                Ok(stream) => stream.next_token(),
+                Err(error) => Err(error.clone()),
+            };
+            match next {
                 Ok(None) => return AttemptEnd::Over(state.answered()),
                 Ok(Some(token)) => {
-                    resumes = 0;
+                    failures = 0;
                     if !self.deliver(token) && !self.call.is_keyed {
-                        self.cancel(permit, attempt);
-                        return AttemptEnd::Over(state.lost().give_up(ResultCode::UpstreamFailed));
+                        return self.leave(permit, attempt, state, ResultCode::UpstreamFailed);
                     }
                 }
+                // Only the end marker is missing.
+                Err(_) if self.finish_reason.is_some() => {
+                    return AttemptEnd::Over(state.answered());
+                }
+                Err(_) if !self.call.is_keyed && self.responder.caller_is_gone() => {
+                    return self.leave(permit, attempt, state, ResultCode::UpstreamFailed);
+                }
                 Err(error) => {
-                    resumes += 1;
-                    match self.resume(permit, attempt, &error, resumes) {
-                        Some(resumed) => stream = resumed,
-                        None => {
-                            self.cancel(permit, attempt);
-                            return AttemptEnd::Lost(state.lost());
-                        }
+                    self.log_failure(permit, &error);
+                    stream = self.resume(permit, attempt, &error);
+                    // A silent stream of an attempt that the engine still holds is a queue's.
+                    let is_queued = error == StreamError::Silent && stream.is_ok();
+                    failures += u32::from(!is_queued);
+                    let is_lost = matches!(stream, Err(StreamError::Malformed { .. }));
+                    if is_lost || failures > MAX_FAILED_RESUMES {
+                        self.cancel(permit, attempt);
+                        return AttemptEnd::Lost(state.lost());
                     }
                 }
             }
             if self.context.deadline.has_passed(self.shared.now()) {
-                self.cancel(permit, attempt);
-                return AttemptEnd::Over(state.lost().give_up(ResultCode::DeadlinePassed));
+                return self.leave(permit, attempt, state, ResultCode::DeadlinePassed);
             }
         }
     }
 
+    /// Ends the request and its attempt.
+    fn leave(
+        &self,
+        permit: &Permit,
+        attempt: AttemptId,
+        state: Dispatched,
+        code: ResultCode,
+    ) -> AttemptEnd {
+        self.cancel(permit, attempt);
+        AttemptEnd::Over(state.lost().give_up(code))
+    }
+
+    /// Takes the attempt up on a new connection. `Malformed` means that there is nothing to take
+    /// up any more.
     fn resume(
-        &mut self,
+        &self,
         permit: &Permit,
         attempt: AttemptId,
         error: &StreamError,
-        resumes: u32,
-    ) -> Option<TokenStream> {
-        let group = &permit.assignment.group;
-        log_event!(info, AttemptFailed, request = %self.context.request, %group, %error, "stream");
-        let gives_up = resumes > MAX_RESUMES
-            || matches!(error, StreamError::Malformed { .. })
-            || !self.still_permitted(permit)
-            || (self.responder.caller_is_gone() && !self.call.is_keyed);
-        if gives_up {
-            return None;
+    ) -> Result<TokenStream, StreamError> {
+        let lost = |message: &str| StreamError::Malformed {
+            message: message.to_owned(),
+        };
+        if matches!(error, StreamError::Malformed { .. }) {
+            return Err(error.clone());
         }
+        let leader = permit.assignment.leader();
+        let leader = leader.filter(|_| self.still_permitted(permit));
+        let leader = leader.ok_or_else(|| lost("the group may no longer be used"))?;
         let offset = self.delivered.len() as u64;
-        let address = permit.assignment.leader()?.address;
         let silence_ms = self.silence_ms();
-        jacinthpoint_upstream::resume(address, attempt, offset, CONNECT_TIMEOUT_MS, silence_ms).ok()
+        let resumed = jacinthpoint_upstream::resume(
+            leader.address,
+            attempt,
+            offset,
+            CONNECT_TIMEOUT_MS,
+            silence_ms,
+        );
+        resumed.map_err(|error| match error {
+            StartError::Refused { .. } => lost("the engine no longer holds the attempt"),
+            StartError::NotSent { message } | StartError::NoAnswer { message } => {
+                StreamError::Broken { message }
+            }
+        })
     }
 
     fn still_permitted(&self, permit: &Permit) -> bool {
@@ -289,6 +353,7 @@
     fn deliver(&mut self, token: TokenEvent) -> bool {
         self.first_token_at.get_or_insert(self.shared.now());
         let event = self.call.wants_stream.then(|| self.event(&token));
+        self.finish_reason = token.finish_reason;
         self.delivered.push(token.text);
         let Some(event) = event else { return true };
         if !self.responder.head_sent() {
@@ -354,7 +419,7 @@
             let token = TokenEvent {
                 offset: 0,
                 text: self.delivered.concat(),
-                finish_reason: Some("stop".to_owned()),
+                finish_reason: self.finish_reason.clone(),
             };
             let events = format!("data: {}\n\n{}", self.event(&token), stream_end());
             ("text/event-stream", events)
@@ -372,9 +437,9 @@
         let text = self.delivered.concat();
         let choice = if self.call.is_chat {
             let message = json!({ "role": "assistant", "content": text });
-            json!({ "index": 0, "message": message, "finish_reason": "stop" })
+            json!({ "index": 0, "message": message, "finish_reason": self.finish_reason })
         } else {
-            json!({ "index": 0, "text": text, "finish_reason": "stop" })
+            json!({ "index": 0, "text": text, "finish_reason": self.finish_reason })
         };
         json!({
             "id": self.context.request,
--- a/crates/node/src/caller/service.rs
+++ b/crates/node/src/caller/service.rs
@@ -14,6 +14,7 @@
         answer::{OUTCOME_HEADER, Refusal},
         context::Context,
         once::{self, Entry},
+        retry,
         select::{choose_server, in_flight_key},
     },
     events::log_event,
@@ -116,6 +117,9 @@
 ) -> (Ending, Option<ServiceAnswer>) {
     let mut state = Unstarted::Accepted(Accepted::new());
     let mut failed = BTreeSet::new();
+    shared
+        .retries
+        .on_request(&context.organisation, service.as_str());
     loop {
         let left_ms = context.deadline.remaining_ms(shared.now());
         if left_ms == 0 {
@@ -142,5 +146,10 @@
             return (dispatched.lost().give_up(ResultCode::UpstreamFailed), None);
         };
         failed.insert(vm);
+        let failure = retry::failure_of(&error);
+        let target = service.as_str();
+        if !retry::may_follow(shared, context, target, failure, failed.len() as u32) {
+            return (retry::give_up(state, failure), None);
+        }
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,6 +15,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
+    caller::Retries,
     clock::{Clock, unix_now_ms},
     control::Domains,
     drain::Drain,
@@ -49,6 +50,7 @@
     stop_signal: Condvar,
     pub(crate) ledger: Owner,
     pub(crate) runs: Runs,
+    pub(crate) retries: Retries,
     /// The newest last.
     configs: RwLock<VecDeque<Arc<ConfigInForce>>>,
     members: RwLock<Arc<Vec<PlatformMember>>>,
@@ -82,6 +84,7 @@
             stop_signal: Condvar::new(),
             ledger: Owner::new(settings.ledger_batch_ms),
             runs: Runs::new(),
+            retries: Retries::default(),
             configs: RwLock::default(),
             members: RwLock::default(),
             peers: Mutex::new(Membership::new(own, rng)),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,8 +7,10 @@
     choice::{Candidate, choose},
     lifecycle::{Accepted, Dispatched, Ending, Lost, Unstarted},
     load::estimated_load,
+    retry::{Failure, RetryBudgets, pause_ms},
 };
 
 mod choice;
 mod lifecycle;
 mod load;
+mod retry;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -10,4 +10,5 @@
 mod configuration;
 mod groups;
 mod planned_stop;
+mod requests;
 mod serving;
--- a/tests/util/caller.rs
+++ b/tests/util/caller.rs
@@ -1,6 +1,10 @@
 //! Callers of a site.
 
-use std::{io::Read, net::SocketAddr, time::Duration};
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
 
 use jacinthpoint_types::RequestId;
 use serde_json::{Value, json};
@@ -72,6 +76,28 @@
             .map_err(|e| e.to_string())
     }
 
+    /// Sends it and leaves after `stay`, without reading the answer.
+    pub fn send_and_leave(&self, node: SocketAddr, stay: Duration) -> std::io::Result<()> {
+        let body = json!({
+            "model": "jp-model",
+            "prompt": self.prompt,
+            "max_tokens": self.max_tokens,
+            "stream": self.stream,
+        });
+        let body = body.to_string();
+        let mut stream = TcpStream::connect(node)?;
+        write!(
+            stream,
+            "POST /v1/completions HTTP/1.1\r\nauthorization: Bearer {}\r\nx-request-id: {}\r\n\
+             content-length: {}\r\n\r\n{body}",
+            self.key,
+            self.request,
+            body.len()
+        )?;
+        std::thread::sleep(stay);
+        Ok(())
+    }
+
     fn read(&self, answer: attohttpc::Response) -> Result<Answer, String> {
         let (status, headers, mut reader) = answer.split();
         let header = |name: &str| {
