--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -11,8 +11,10 @@
 };
 
 mod answer;
+mod call;
 mod completion;
 mod context;
+mod format;
 mod once;
 mod retry;
 mod select;
--- /dev/null
+++ b/crates/node/src/caller/call.rs
@@ -0,0 +1,76 @@
+//! What a model call asks for.
+
+use jacinthpoint_records::{Config, Deployment};
+use jacinthpoint_types::ResultCode;
+use serde_json::Value;
+
+use crate::{
+    caller::{answer::Refusal, context::Context, once},
+    http::HttpRequest,
+};
+
+/// What is asked for.
+pub(crate) struct Call<'a> {
+    pub(crate) deployment: &'a Deployment,
+    pub(crate) path: &'a str,
+    pub(crate) body: Value,
+    pub(crate) is_chat: bool,
+    pub(crate) wants_stream: bool,
+    pub(crate) repeatable: bool,
+    /// Resends may ask for the answer, so the run goes on when its caller leaves.
+    pub(crate) is_keyed: bool,
+}
+
+impl<'a> Call<'a> {
+    /// Reads the body and finds the deployment.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a body that is no model call, and a model that the organisation may not use.
+    pub(crate) fn read(
+        config: &'a Config,
+        context: &Context,
+        request: &'a HttpRequest,
+    ) -> Result<Call<'a>, Refusal> {
+        let bad = |message: &str| Refusal::not_run(ResultCode::BadRequest, message);
+        let mut body: Value = serde_json::from_slice(&request.body)
+            .map_err(|error| bad(&format!("the body is not JSON: {error}")))?;
+        let fields = body
+            .as_object_mut()
+            .ok_or_else(|| bad("the body is not a JSON object"))?;
+        // Only this system continues answers.
+        fields.remove("continue_from");
+        let wants_stream = match fields.insert("stream".to_owned(), Value::Bool(true)) {
+            None => false,
+            Some(Value::Bool(wants_stream)) => wants_stream,
+            Some(_) => return Err(bad("`stream` is not true or false")),
+        };
+        let model = fields.get("model").and_then(Value::as_str);
+        let model = model
+            .ok_or_else(|| bad("`model` is missing or not a text"))?
+            .to_owned();
+        let mut deployments: Vec<&Deployment> = config
+            .deployments_named(&model)
+            .into_iter()
+            .filter(|deployment| deployment.allows(&context.organisation))
+            .collect();
+        deployments.sort_by_key(|deployment| deployment.priority);
+        let deployment = deployments.into_iter().next();
+        let deployment = deployment.ok_or_else(|| {
+            Refusal::not_run(
+                ResultCode::NotFound,
+                format!("no model {model:?} for this key"),
+            )
+        })?;
+        let is_keyed = once::has_key(request);
+        Ok(Call {
+            is_keyed,
+            deployment,
+            path: request.path(),
+            body,
+            is_chat: request.path().contains("chat"),
+            wants_stream,
+            repeatable: context.repeatable.unwrap_or(!is_keyed),
+        })
+    }
+}
--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -3,17 +3,18 @@
 use std::collections::BTreeSet;
 
 use jacinthpoint_readiness::Permit;
-use jacinthpoint_records::{Config, Deployment};
+use jacinthpoint_records::Config;
 use jacinthpoint_routing::{Accepted, Dispatched, Ending, Failure, Lost, Unstarted};
 use jacinthpoint_types::{AttemptId, GroupId, Outcome, ResultCode, TimeMs};
 use jacinthpoint_upstream::{StartError, StartRequest, StreamError, TokenEvent, TokenStream};
-use jacinthpoint_wire::KeptAnswer;
-use serde_json::{Value, json};
+use serde_json::json;
 
 use crate::{
     caller::{
         answer::{self, Refusal},
+        call::Call,
         context::Context,
+        format::{Format, stream_end},
         once::{self, Entry},
         retry,
         select::wait_for_group,
@@ -61,72 +62,18 @@
     let ending = running.drive();
     running.record(&ending);
     if let Some(claim) = claim {
-        claim.settle(&ending, Some(running.kept()));
+        claim.settle(
+            &ending,
+            Some(
+                running
+                    .format()
+                    .kept(&running.delivered, running.finish_reason.as_deref()),
+            ),
+        );
     }
     running.finish(&ending)
 }
 
-/// What is asked for.
-struct Call<'a> {
-    deployment: &'a Deployment,
-    path: &'a str,
-    body: Value,
-    is_chat: bool,
-    wants_stream: bool,
-    repeatable: bool,
-    /// Resends may ask for the answer, so the run goes on when its caller leaves.
-    is_keyed: bool,
-}
-
-impl<'a> Call<'a> {
-    fn read(
-        config: &'a Config,
-        context: &Context,
-        request: &'a HttpRequest,
-    ) -> Result<Call<'a>, Refusal> {
-        let bad = |message: &str| Refusal::not_run(ResultCode::BadRequest, message);
-        let mut body: Value = serde_json::from_slice(&request.body)
-            .map_err(|error| bad(&format!("the body is not JSON: {error}")))?;
-        let fields = body
-            .as_object_mut()
-            .ok_or_else(|| bad("the body is not a JSON object"))?;
-        // Only this system continues answers.
-        fields.remove("continue_from");
-        let wants_stream = match fields.insert("stream".to_owned(), Value::Bool(true)) {
-            None => false,
-            Some(Value::Bool(wants_stream)) => wants_stream,
-            Some(_) => return Err(bad("`stream` is not true or false")),
-        };
-        let model = fields.get("model").and_then(Value::as_str);
-        let model = model
-            .ok_or_else(|| bad("`model` is missing or not a text"))?
-            .to_owned();
-        let mut deployments: Vec<&Deployment> = config
-            .deployments_named(&model)
-            .into_iter()
-            .filter(|deployment| deployment.allows(&context.organisation))
-            .collect();
-        deployments.sort_by_key(|deployment| deployment.priority);
-        let deployment = deployments.into_iter().next();
-        let deployment = deployment.ok_or_else(|| {
-            Refusal::not_run(
-                ResultCode::NotFound,
-                format!("no model {model:?} for this key"),
-            )
-        })?;
-        let is_keyed = once::has_key(request);
-        Ok(Call {
-            is_keyed,
-            deployment,
-            path: request.path(),
-            body,
-            is_chat: request.path().contains("chat"),
-            wants_stream,
-            repeatable: context.repeatable.unwrap_or(!is_keyed),
-        })
-    }
-}
-
 /// Why one attempt ended without the whole answer.
 enum AttemptEnd {
     /// It did not start.
@@ -149,6 +96,13 @@
 }
 
 impl Running<'_, '_> {
+    fn format(&self) -> Format<'_> {
+        Format {
+            request: self.context.request,
+            call: self.call,
+        }
+    }
+
     fn drive(&mut self) -> Ending {
         let mut state = Unstarted::Accepted(Accepted::new());
         let target = self.call.deployment.name.as_str();
@@ -352,7 +306,7 @@
     /// Takes a token; `false` if the caller has gone.
     fn deliver(&mut self, token: TokenEvent) -> bool {
         self.first_token_at.get_or_insert(self.shared.now());
-        let event = self.call.wants_stream.then(|| self.event(&token));
+        let event = self.call.wants_stream.then(|| self.format().event(&token));
         self.finish_reason = token.finish_reason;
         self.delivered.push(token.text);
         let Some(event) = event else { return true };
@@ -371,26 +325,6 @@
             .is_ok()
     }
 
-    fn event(&self, token: &TokenEvent) -> Value {
-        let finish = &token.finish_reason;
-        let choice = if self.call.is_chat {
-            json!({ "index": 0, "delta": { "content": token.text }, "finish_reason": finish })
-        } else {
-            json!({ "index": 0, "text": token.text, "finish_reason": finish })
-        };
-        let object = if self.call.is_chat {
-            "chat.completion.chunk"
-        } else {
-            "text_completion"
-        };
-        json!({
-            "id": self.context.request,
-            "object": object,
-            "model": self.call.deployment.model_ref().to_string(),
-            "choices": [choice],
-        })
-    }
-
     fn finish(&mut self, ending: &Ending) -> Result<(), Refusal> {
         if ending.outcome() != Outcome::Answered {
             log_event!(
@@ -407,49 +341,15 @@
                 .chunk(end.as_bytes())
                 .and_then(|()| self.responder.end_stream());
         } else {
-            let body = self.whole_body().to_string();
+            let body = self
+                .format()
+                .whole_body(&self.delivered, self.finish_reason.as_deref())
+                .to_string();
             answer::whole_json(self.responder, Outcome::Answered, body.as_bytes());
         }
         Ok(())
     }
 
-    /// The whole answer as a resend gets it.
-    fn kept(&self) -> KeptAnswer {
-        let (content_type, body) = if self.call.wants_stream {
-            let token = TokenEvent {
-                offset: 0,
-                text: self.delivered.concat(),
-                finish_reason: self.finish_reason.clone(),
-            };
-            let events = format!("data: {}\n\n{}", self.event(&token), stream_end());
-            ("text/event-stream", events)
-        } else {
-            ("application/json", self.whole_body().to_string())
-        };
-        KeptAnswer {
-            status: 200,
-            content_type: content_type.to_owned(),
-            body: body.into_bytes(),
-        }
-    }
-
-    fn whole_body(&self) -> Value {
-        let text = self.delivered.concat();
-        let choice = if self.call.is_chat {
-            let message = json!({ "role": "assistant", "content": text });
-            json!({ "index": 0, "message": message, "finish_reason": self.finish_reason })
-        } else {
-            json!({ "index": 0, "text": text, "finish_reason": self.finish_reason })
-        };
-        json!({
-            "id": self.context.request,
-            "object": if self.call.is_chat { "chat.completion" } else { "text_completion" },
-            "model": self.call.deployment.model_ref().to_string(),
-            "choices": [choice],
-            "usage": { "completion_tokens": self.delivered.len() },
-        })
-    }
-
     fn record(&self, ending: &Ending) {
         let now = self.shared.now();
         let since_us = |at: TimeMs| at.since_ms(self.context.accepted_at) * 1_000;
@@ -462,9 +362,3 @@
         );
     }
 }
-
-/// The last events of an answered stream. The comment line tells the outcome without disturbing
-/// clients that parse events.
-fn stream_end() -> String {
-    format!(": outcome {}\n\ndata: [DONE]\n\n", Outcome::Answered)
-}
--- /dev/null
+++ b/crates/node/src/caller/format.rs
@@ -0,0 +1,84 @@
+//! Answers to model calls, as callers get them.
+
+use jacinthpoint_types::{Outcome, RequestId};
+use jacinthpoint_upstream::TokenEvent;
+use jacinthpoint_wire::KeptAnswer;
+use serde_json::{Value, json};
+
+use crate::caller::call::Call;
+
+/// Writes the answer to one call.
+pub(crate) struct Format<'a> {
+    pub(crate) request: RequestId,
+    pub(crate) call: &'a Call<'a>,
+}
+
+impl Format<'_> {
+    /// One token as an event of a stream.
+    pub(crate) fn event(&self, token: &TokenEvent) -> Value {
+        let finish = &token.finish_reason;
+        let choice = if self.call.is_chat {
+            json!({ "index": 0, "delta": { "content": token.text }, "finish_reason": finish })
+        } else {
+            json!({ "index": 0, "text": token.text, "finish_reason": finish })
+        };
+        let object = if self.call.is_chat {
+            "chat.completion.chunk"
+        } else {
+            "text_completion"
+        };
+        json!({
+            "id": self.request,
+            "object": object,
+            "model": self.call.deployment.model_ref().to_string(),
+            "choices": [choice],
+        })
+    }
+
+    /// The whole answer as a resend gets it.
+    pub(crate) fn kept(&self, delivered: &[String], finish_reason: Option<&str>) -> KeptAnswer {
+        let (content_type, body) = if self.call.wants_stream {
+            let token = TokenEvent {
+                offset: 0,
+                text: delivered.concat(),
+                finish_reason: finish_reason.map(str::to_owned),
+            };
+            let events = format!("data: {}\n\n{}", self.event(&token), stream_end());
+            ("text/event-stream", events)
+        } else {
+            (
+                "application/json",
+                self.whole_body(delivered, finish_reason).to_string(),
+            )
+        };
+        KeptAnswer {
+            status: 200,
+            content_type: content_type.to_owned(),
+            body: body.into_bytes(),
+        }
+    }
+
+    /// The whole answer as one body.
+    pub(crate) fn whole_body(&self, delivered: &[String], finish_reason: Option<&str>) -> Value {
+        let text = delivered.concat();
+        let choice = if self.call.is_chat {
+            let message = json!({ "role": "assistant", "content": text });
+            json!({ "index": 0, "message": message, "finish_reason": finish_reason })
+        } else {
+            json!({ "index": 0, "text": text, "finish_reason": finish_reason })
+        };
+        json!({
+            "id": self.request,
+            "object": if self.call.is_chat { "chat.completion" } else { "text_completion" },
+            "model": self.call.deployment.model_ref().to_string(),
+            "choices": [choice],
+            "usage": { "completion_tokens": delivered.len() },
+        })
+    }
+}
+
+/// The last events of an answered stream. The comment line tells the outcome without disturbing
+/// clients that parse events.
+pub(crate) fn stream_end() -> String {
+    format!(": outcome {}\n\ndata: [DONE]\n\n", Outcome::Answered)
+}
--- a/crates/standins/main.rs
+++ b/crates/standins/main.rs
@@ -10,6 +10,8 @@
     load::{OpenLoop, Shape, arrivals, experiment, experiment_names, send_open_loop, table},
 };
 
+mod ledger_bench;
+
 /// How long an engine stays on the membership list without registering again.
 const REGISTRATION_LEASE_MS: u64 = 2_000;
 
@@ -31,6 +33,8 @@
     Service(ServiceArgs),
     #[options(help = "open-loop load on running nodes; prints a report")]
     Load(LoadArgs),
+    #[options(help = "cost of at-most-once records; prints a table")]
+    LedgerBench(ledger_bench::LedgerBenchArgs),
     #[options(help = "an experiment of the decision crates; prints a table")]
     Experiment(ExperimentArgs),
 }
@@ -134,6 +138,7 @@
     let run = match args.command {
         Some(Command::Platform(args)) => platform(&args),
         Some(Command::Engine(args)) => engine(&args),
+        Some(Command::LedgerBench(args)) => ledger_bench::run(&args),
         Some(Command::Service(args)) => service(&args),
         Some(Command::Load(args)) => open_loop(&args),
         Some(Command::Experiment(args)) => run_experiment(&args),
