--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -13,6 +13,7 @@
 mod outages;
 mod partitions;
 mod planned_stop;
+mod requests;
 mod serving;
 mod soak;
 mod upstreams;
