--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -310,7 +310,6 @@
     fn deliver(&mut self, token: TokenEvent) -> bool {
         self.first_token_at.get_or_insert(self.shared.now());
         self.token_gaps.token();
-        let event = self.call.wants_stream.then(|| self.event(&token));
         let event = self.call.wants_stream.then(|| self.format().event(&token));
         self.finish_reason = token.finish_reason;
         self.delivered.push(token.text);
