Measure the membership list and the digest of grants

Cause: the capacity page lacked the rows of the membership list and of granting. Ruled out: nothing. Change: two more measurements.

--- a/examples/capacity/main.rs
+++ b/examples/capacity/main.rs
@@ -9,6 +9,7 @@
 mod config;
 mod cost;
 mod entry;
+mod members;
 mod membership;
 mod memory;
 mod permits;
@@ -22,6 +23,7 @@
             probes::measure();
             permits::measure();
             config::measure();
+            members::measure();
             ExitCode::SUCCESS
         }
         Some("memory") => {
--- /dev/null
+++ b/examples/capacity/members.rs
@@ -0,0 +1,47 @@
+//! The platform's membership list: bytes and time to read it.
+
+use std::net::SocketAddr;
+
+use jacinthpoint_platform::{MemberRole, MemberState, PlatformMember};
+
+use crate::cost::{TCP_CONTROL_SEGMENTS, TCP_HEADER_BYTES, time_ns};
+
+/// Entries of the list; the last is the target's, upstreams and nodes together.
+const SIZES: [usize; 3] = [60, 600, 4_420];
+/// Payload of one TCP segment on the usual path.
+const SEGMENT_BYTES: usize = 1_448;
+
+fn member(number: usize) -> PlatformMember {
+    let (rack, place) = (number / 64, number % 64);
+    PlatformMember {
+        vm: format!("bne-north-r{rack:02}-vm-{place:03}")
+            .parse()
+            .expect("a valid name"),
+        incarnation: 1_764_000_000_000,
+        address: SocketAddr::from(([10, 1, rack as u8, place as u8], 8_000)),
+        data_centre: "bne-north".parse().expect("a valid name"),
+        fabric_domain: format!("bne-north-r{rack:02}")
+            .parse()
+            .expect("a valid name"),
+        role: MemberRole::Engine,
+        state: MemberState::Live,
+    }
+}
+
+/// Prints the table.
+pub fn measure() {
+    println!("membership list:\n");
+    println!("| entries | bytes a read, headers included | ms to read |");
+    println!("| --- | --- | --- |");
+    for size in SIZES {
+        let members: Vec<PlatformMember> = (0..size).map(member).collect();
+        let json = serde_json::to_string(&members).expect("entries are plain values");
+        let segments = TCP_CONTROL_SEGMENTS + 1 + json.len().div_ceil(SEGMENT_BYTES);
+        let bytes = json.len() + segments * TCP_HEADER_BYTES;
+        let read_ns = time_ns(5, || {
+            serde_json::from_str::<Vec<PlatformMember>>(&json).expect("the list is valid")
+        });
+        println!("| {size} | {bytes} | {:.2} |", read_ns / 1e6);
+    }
+    println!();
+}
--- a/examples/capacity/membership.rs
+++ b/examples/capacity/membership.rs
@@ -4,7 +4,7 @@
 
 use jacinthpoint_membership::{Membership, Send};
 use jacinthpoint_types::{Revision, TimeMs};
-use jacinthpoint_wire::{Datagram, PeerNews, PeerState, PeerStatus, encode};
+use jacinthpoint_wire::{Datagram, PeerNews, PeerReply, PeerState, PeerStatus, encode};
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::cost::UDP_HEADER_BYTES;
@@ -111,7 +111,16 @@
             share * 100.0,
         );
     }
-    println!();
+    println!(
+        "\n- bytes of a full exchange, an entry: {}\n",
+        sync_entry_bytes()
+    );
+}
+
+/// Bytes of one entry of a full exchange.
+fn sync_entry_bytes() -> usize {
+    let reply = |count: usize| encode(&PeerReply::Peers((0..count).map(news).collect())).len();
+    reply(101) - reply(100)
 }
 
 /// A node that knows `count` others.
--- a/examples/capacity/permits.rs
+++ b/examples/capacity/permits.rs
@@ -1,6 +1,6 @@
 //! Permits: bytes of requests and grants, time to take them.
 
-use jacinthpoint_readiness::{Permit, PermitTable};
+use jacinthpoint_readiness::{Permit, PermitTable, grants_digest};
 use jacinthpoint_types::{Deadline, NodeId, TimeMs};
 use jacinthpoint_wire::{Datagram, GrantTerms, PermitGrant, decode, encode};
 
@@ -80,6 +80,9 @@
     let bytes = encode(&reply(4));
     let decode_ns = time_ns(5_000, || decode::<Datagram>(&bytes));
     println!("- {:.0} ns to read a grant", decode_ns / 4.0);
+    let eight: Vec<PermitGrant> = (0..8).map(grant).collect();
+    let digest_ns = time_ns(2_000, || grants_digest(&eight));
+    println!("- {digest_ns:.0} ns for the digest of eight groups");
     println!("\n| groups | ns to take a grant | ns to look for a model |");
     println!("| --- | --- | --- |");
     for groups in GROUPS {
