Check limits on acceptance, queue in front of groups, report shares over UDP

Cause: the node polled for a usable group and knew no limits; declared rates and concurrency were read from the records and used nowhere.

Change: a request is admitted against its organisation's limits before anything else (429 with Retry-After, code 2001), then waits its turn in its deployment's gate (503 with code 2002 or 2003). Each node reports demand every 500 ms to the organisation's home node by rendezvous and applies the granted share for 3 s from when it sent the report; without a grant it applies an even share of the nodes on the platform's list. Section [admission] of the settings has off, watch and enforce for each layer. Later attempts of a request do not queue again.

Ruled out: reports from nodes without demand, which would cost a message for each organisation and node; an idle node starts from an even share, which may exceed the limit for one report interval.

Found and left: a request queued inside an engine for more than 1 s looks silent to the relay and is taken up again and then sent to another group, which adds load in an overload; the relay cannot tell an engine's queue from a dead stream.

--- a/crates/core/commands/demo.rs
+++ b/crates/core/commands/demo.rs
@@ -14,7 +14,7 @@
     time::{Duration, Instant},
 };
 
-use jacinthpoint_node::{Node, NodeSettings, RepairSettings};
+use jacinthpoint_node::{AdmissionSettings, Node, NodeSettings, RepairSettings};
 use jacinthpoint_platform::{MemberRole, MemberState, Platform, PlatformMember, Version};
 use jacinthpoint_records::{CONFIG_KIND, CONFIG_NAME, RecordsObject, key_digest};
 use jacinthpoint_standins::{
@@ -155,6 +155,7 @@
             drain_announce_ms: 0,
             drain_deadline_ms: 10_000,
             statsd: None,
+            admission: AdmissionSettings::new(),
             repair: RepairSettings::new(),
         })
     }
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -10,9 +10,16 @@
     shared::Shared,
 };
 
+pub(crate) use crate::caller::{
+    gate::Gates,
+    limits::{LimitState, declared as declared_limits},
+};
+
 mod answer;
 mod completion;
 mod context;
+mod gate;
+mod limits;
 mod select;
 mod service;
 
--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -5,7 +5,7 @@
 use jacinthpoint_readiness::Permit;
 use jacinthpoint_records::{Config, Deployment};
 use jacinthpoint_routing::{Accepted, Dispatched, Ending, Lost, Unstarted};
-use jacinthpoint_types::{AttemptId, GroupId, Outcome, ResultCode, TimeMs};
+use jacinthpoint_types::{AttemptId, GroupId, ModelRef, Outcome, ResultCode, TimeMs};
 use jacinthpoint_upstream::{StartError, StartRequest, StreamError, TokenEvent, TokenStream};
 use serde_json::{Value, json};
 
@@ -13,6 +13,8 @@
     caller::{
         answer::{self, Refusal},
         context::Context,
+        gate::{Slot, Turned, start_again, wait_turn},
+        limits::{self, retry_after_s},
         select::wait_for_group,
     },
     events::log_event,
@@ -38,6 +40,7 @@
     responder: &mut Responder<'_>,
 ) -> Result<(), Refusal> {
     let call = Call::read(config, context, request)?;
+    let mut admitted = limits::admit_named(shared, config, context, max_tokens(&call.body))?;
     let mut running = Running {
         shared,
         context,
@@ -46,9 +49,12 @@
         delivered: Vec::new(),
         first_token_at: None,
         failed_groups: BTreeSet::new(),
+        slot: None,
+        retry_after_s: None,
     };
     let ending = running.drive();
     running.record(&ending);
+    admitted.generated(running.delivered.len());
     running.finish(&ending)
 }
 
@@ -127,21 +133,35 @@
     delivered: Vec<String>,
     first_token_at: Option<TimeMs>,
     failed_groups: BTreeSet<GroupId>,
+    slot: Option<Slot<'a>>,
+    retry_after_s: Option<u32>,
+}
+
+/// Tokens that a request may generate; the usual default of engines if it does not say.
+fn max_tokens(body: &Value) -> u32 {
+    const DEFAULT_MAX_TOKENS: u64 = 16;
+    let tokens = body["max_tokens"].as_u64().unwrap_or(DEFAULT_MAX_TOKENS);
+    u32::try_from(tokens).unwrap_or(u32::MAX)
 }
 
 impl Running<'_, '_> {
     fn drive(&mut self) -> Ending {
         let mut state = Unstarted::Accepted(Accepted::new());
+        let model = self.call.deployment.model_ref();
         loop {
             if self.context.deadline.has_passed(self.shared.now()) {
                 return state.give_up(ResultCode::DeadlinePassed);
             }
-            let model = self.call.deployment.model_ref();
-            let permit = wait_for_group(self.shared, self.context, &model, &self.failed_groups);
-            let Some(permit) = permit else {
-                return state.give_up(ResultCode::NoCapacity);
+            let permit = match self.next_group(&model) {
+                Ok(permit) => permit,
+                Err(turned) => {
+                    self.retry_after_s = Some(retry_after_s(turned.wait_ms));
+                    return state.give_up(turned.code);
+                }
             };
-            state = match self.attempt(&permit, state.dispatch()) {
+            let end = self.attempt(&permit, state.dispatch());
+            self.leave_group(&end);
+            state = match end {
                 AttemptEnd::Over(ending) => return ending,
                 AttemptEnd::Unstarted(unstarted) => unstarted,
                 AttemptEnd::Lost(lost) if self.call.repeatable => Unstarted::Lost(lost),
@@ -151,6 +171,30 @@
         }
     }
 
+    /// Where the next attempt goes: the first one after its turn in the queue.
+    fn next_group(&mut self, model: &ModelRef) -> Result<Permit, Turned> {
+        if self.failed_groups.is_empty() {
+            let cost = max_tokens(&self.call.body);
+            let (permit, slot) = wait_turn(self.shared, self.context, model, cost)?;
+            self.slot = Some(slot);
+            return Ok(permit);
+        }
+        let permit = wait_for_group(self.shared, self.context, model, &self.failed_groups);
+        let permit = permit.ok_or(Turned {
+            code: ResultCode::NoCapacity,
+            wait_ms: 0,
+        })?;
+        self.slot = Some(start_again(self.shared, self.context, model, &permit));
+        Ok(permit)
+    }
+
+    fn leave_group(&mut self, end: &AttemptEnd) {
+        let slot = self.slot.take();
+        if let Some(mut slot) = slot.filter(|_| !matches!(end, AttemptEnd::Over(_))) {
+            slot.fail();
+        }
+    }
+
     fn attempt(&mut self, permit: &Permit, state: Dispatched) -> AttemptEnd {
         let Some(leader) = permit.assignment.leader() else {
             return AttemptEnd::Unstarted(state.unstarted());
@@ -272,6 +316,9 @@
     /// Takes a token; `false` if the caller has gone.
     fn deliver(&mut self, token: TokenEvent) -> bool {
         self.first_token_at.get_or_insert(self.shared.now());
+        if let Some(slot) = &mut self.slot {
+            slot.on_token();
+        }
         let event = self.call.wants_stream.then(|| self.event(&token));
         self.delivered.push(token.text);
         let Some(event) = event else { return true };
@@ -317,7 +364,11 @@
                 organisation = %self.context.organisation, outcome = %ending.outcome(),
                 code = ending.code().map(ResultCode::number), "not answered"
             );
-            return Err(Refusal::from_ending(ending, "the request was not answered"));
+            let mut refusal = Refusal::from_ending(ending, "the request was not answered");
+            if refusal.retry_after_s.is_some() {
+                refusal.retry_after_s = self.retry_after_s.or(refusal.retry_after_s);
+            }
+            return Err(refusal);
         }
         if self.call.wants_stream {
             // The comment line tells the outcome without disturbing clients that parse events.
--- /dev/null
+++ b/crates/node/src/caller/gate.rs
@@ -0,0 +1,336 @@
+//! The queue in front of the groups of each deployment.
+//!
+//! A caller's thread puts its request into the queue and waits until it is told where to go.
+//! Whichever thread changes something, by an arrival or an end, sends on what may go now.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    time::Duration,
+};
+
+use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender};
+use jacinthpoint_admission::{
+    Arrived, Dispatch, Finished, Gate, GateSettings, Refusal, Ticket, Waiting,
+};
+use jacinthpoint_readiness::Permit;
+use jacinthpoint_types::{GroupId, ModelRef, Priority, ResultCode, TimeMs};
+
+use crate::{
+    caller::{context::Context, select},
+    events::log_event,
+    shared::Shared,
+};
+
+/// How often a waiting thread looks by itself, for what no arrival or end tells: a permit that
+/// came or went, a deadline that can no longer be met.
+const LOOK_MS: u64 = 50;
+/// Shortest time between two such looks of all threads together.
+const LOOK_PAUSE_MS: u64 = 10;
+/// How long a request waits while no group may be used at all.
+const CAPACITY_WAIT_MS: u64 = 2_000;
+
+/// Gates by what they stand in front of.
+#[derive(Default)]
+pub(crate) struct Gates(RwLock<BTreeMap<ModelRef, Arc<DeploymentGate>>>);
+
+impl Gates {
+    /// The gate of a model; made when it is first asked for.
+    fn of(&self, model: &ModelRef, settings: GateSettings, now: TimeMs) -> Arc<DeploymentGate> {
+        let gates = self.0.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(gate) = gates.get(model) {
+            return gate.clone();
+        }
+        drop(gates);
+        let mut gates = self.0.write().unwrap_or_else(PoisonError::into_inner);
+        let new = || Arc::new(DeploymentGate::new(model, settings, now));
+        gates.entry(model.clone()).or_insert_with(new).clone()
+    }
+}
+
+struct DeploymentGate {
+    model: ModelRef,
+    state: Mutex<State>,
+}
+
+struct State {
+    gate: Gate<GroupId>,
+    waiters: HashMap<Ticket, Sender<Told>>,
+    looked_at: TimeMs,
+}
+
+/// What a waiting thread is told.
+enum Told {
+    Go(Permit),
+    Hopeless,
+}
+
+/// Why a request does not go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Turned {
+    pub(crate) code: ResultCode,
+    /// Expected time until such a request would be taken.
+    pub(crate) wait_ms: u64,
+}
+
+/// A request on its way to a group, counted there until dropped.
+pub(crate) struct Slot<'a> {
+    shared: &'a Shared,
+    gate: Arc<DeploymentGate>,
+    group: GroupId,
+    priority: Priority,
+    started_at: TimeMs,
+    has_token: bool,
+    is_failure: bool,
+}
+
+impl DeploymentGate {
+    fn new(model: &ModelRef, settings: GateSettings, now: TimeMs) -> DeploymentGate {
+        DeploymentGate {
+            model: model.clone(),
+            state: Mutex::new(State {
+                gate: Gate::new(settings, now),
+                waiters: HashMap::new(),
+                looked_at: now,
+            }),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends on what may go now, and tells what no longer can.
+    fn pump(&self, shared: &Shared, state: &mut State) {
+        let now = shared.now();
+        state.looked_at = now;
+        for ticket in state.gate.take_hopeless(now) {
+            state.tell(ticket, Told::Hopeless);
+        }
+        if state.gate.queued() == 0 {
+            return;
+        }
+        let permits = select::usable_permits(shared, &self.model);
+        let usable: Vec<GroupId> = permits.iter().map(group_of).collect();
+        state.gate.retain(&usable);
+        while let Some(dispatch) = state.gate.poll(&usable) {
+            let open = permits
+                .iter()
+                .filter(|permit| dispatch.open.contains(&permit.assignment.group));
+            let Some(permit) = select::choose_permit(shared, open, now) else {
+                return;
+            };
+            state.send_on(&dispatch, permit, now);
+        }
+    }
+}
+
+impl State {
+    fn send_on(&mut self, dispatch: &Dispatch<GroupId>, permit: Permit, now: TimeMs) {
+        self.gate.dispatched(dispatch, now);
+        self.gate.start(&permit.assignment.group, dispatch.priority);
+        self.tell(dispatch.ticket, Told::Go(permit));
+    }
+
+    fn tell(&mut self, ticket: Ticket, told: Told) {
+        if let Some(waiter) = self.waiters.remove(&ticket) {
+            // A waiter leaves the map under the same lock before it stops listening.
+            let _ = waiter.send(told);
+        }
+    }
+}
+
+fn group_of(permit: &Permit) -> GroupId {
+    permit.assignment.group.clone()
+}
+
+/// Waits for this request's turn and a group with room.
+///
+/// # Errors
+///
+/// Fails with the reason for which the request is refused.
+pub(crate) fn wait_turn<'a>(
+    shared: &'a Shared,
+    context: &Context,
+    model: &ModelRef,
+    cost: u32,
+) -> Result<(Permit, Slot<'a>), Turned> {
+    let settings = shared.settings.admission.gate();
+    let gate = shared.gates.of(model, settings, shared.now());
+    let (ticket, told) = enter(shared, context, &gate, cost)?;
+    let permit = wait_told(shared, context, &gate, ticket, &told)?;
+    let slot = Slot::new(shared, gate, &permit, context.priority);
+    Ok((permit, slot))
+}
+
+/// Counts a later attempt of a request; it does not queue again.
+pub(crate) fn start_again<'a>(
+    shared: &'a Shared,
+    context: &Context,
+    model: &ModelRef,
+    permit: &Permit,
+) -> Slot<'a> {
+    let settings = shared.settings.admission.gate();
+    let gate = shared.gates.of(model, settings, shared.now());
+    let group = &permit.assignment.group;
+    gate.lock().gate.start(group, context.priority);
+    Slot::new(shared, gate, permit, context.priority)
+}
+
+fn enter(
+    shared: &Shared,
+    context: &Context,
+    gate: &DeploymentGate,
+    cost: u32,
+) -> Result<(Ticket, Receiver<Told>), Turned> {
+    let waiting = Waiting {
+        organisation: context.organisation.clone(),
+        priority: context.priority,
+        deadline: context.deadline,
+        cost,
+    };
+    let permits = select::usable_permits(shared, &gate.model);
+    let usable: Vec<GroupId> = permits.iter().map(group_of).collect();
+    let mut state = gate.lock();
+    let now = shared.now();
+    match state.gate.arrive(waiting, &usable, now, &mut rand::rng()) {
+        Arrived::Refused(refusal) => Err(turned(shared, context, refusal)),
+        Arrived::Queued { ticket, watched } => {
+            if let Some(refusal) = watched {
+                shared.metrics.count("gate_watched");
+                log_event!(debug, GateWatched, request = %context.request, %refusal, "queued");
+            }
+            let (teller, told) = channel::bounded(1);
+            state.waiters.insert(ticket, teller);
+            gate.pump(shared, &mut state);
+            Ok((ticket, told))
+        }
+    }
+}
+
+fn turned(shared: &Shared, context: &Context, refusal: Refusal) -> Turned {
+    shared.metrics.count("gate_refused");
+    log_event!(debug, GateRefused, request = %context.request, %refusal, "refused");
+    match refusal {
+        Refusal::Shed { wait_ms } => Turned {
+            code: ResultCode::Shed,
+            wait_ms,
+        },
+        Refusal::DeadlineUnreachable { wait_ms } => Turned {
+            code: ResultCode::DeadlineUnreachable,
+            wait_ms,
+        },
+    }
+}
+
+fn wait_told(
+    shared: &Shared,
+    context: &Context,
+    gate: &DeploymentGate,
+    ticket: Ticket,
+    told: &Receiver<Told>,
+) -> Result<Permit, Turned> {
+    let mut last_usable_at = shared.now();
+    loop {
+        match told.recv_timeout(Duration::from_millis(LOOK_MS)) {
+            Ok(Told::Go(permit)) => return Ok(permit),
+            Ok(Told::Hopeless) => {
+                let wait_ms = expected_wait_ms(shared, context, gate);
+                let refusal = Refusal::DeadlineUnreachable { wait_ms };
+                return Err(turned(shared, context, refusal));
+            }
+            Err(RecvTimeoutError::Disconnected) => {
+                return Err(Turned {
+                    code: ResultCode::Internal,
+                    wait_ms: 0,
+                });
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+        }
+        let now = shared.now();
+        if select::has_usable(shared, &gate.model) {
+            last_usable_at = now;
+        }
+        let mut state = gate.lock();
+        if now.since_ms(state.looked_at) >= LOOK_PAUSE_MS {
+            gate.pump(shared, &mut state);
+        }
+        let gives_up = now.since_ms(last_usable_at) >= CAPACITY_WAIT_MS
+            || context.deadline.has_passed(now)
+            || shared.is_stopped();
+        // A waiter that is no longer in the map has been told already.
+        if gives_up && state.waiters.remove(&ticket).is_some() {
+            state.gate.withdraw(ticket);
+            return Err(Turned {
+                code: ResultCode::NoCapacity,
+                wait_ms: 0,
+            });
+        }
+    }
+}
+
+fn expected_wait_ms(shared: &Shared, context: &Context, gate: &DeploymentGate) -> u64 {
+    let permits = select::usable_permits(shared, &gate.model);
+    let usable: Vec<GroupId> = permits.iter().map(group_of).collect();
+    let state = gate.lock();
+    let now = shared.now();
+    let wait_ms = state.gate.expected_wait_ms(context.priority, &usable, now);
+    wait_ms.unwrap_or_default()
+}
+
+impl<'a> Slot<'a> {
+    fn new(
+        shared: &'a Shared,
+        gate: Arc<DeploymentGate>,
+        permit: &Permit,
+        priority: Priority,
+    ) -> Slot<'a> {
+        Slot {
+            shared,
+            gate,
+            group: group_of(permit),
+            priority,
+            started_at: shared.now(),
+            has_token: false,
+            is_failure: false,
+        }
+    }
+
+    /// Takes in a token; only the first one counts.
+    pub(crate) fn on_token(&mut self) {
+        if !self.has_token {
+            self.has_token = true;
+            self.tell_first_token();
+        }
+    }
+
+    /// The group failed the attempt.
+    pub(crate) fn fail(&mut self) {
+        self.is_failure = true;
+    }
+
+    fn tell_first_token(&self) {
+        let now = self.shared.now();
+        let first_token_ms = now.since_ms(self.started_at);
+        let mut state = self.gate.lock();
+        state.gate.on_first_token(&self.group, first_token_ms, now);
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        if !self.has_token && !self.is_failure {
+            // Given up before it had an answer: a sign of the load as a late token is.
+            self.tell_first_token();
+        }
+        let now = self.shared.now();
+        let finished = Finished {
+            priority: self.priority,
+            held_ms: now.since_ms(self.started_at),
+            is_failure: self.is_failure,
+        };
+        let mut state = self.gate.lock();
+        state.gate.finish(&self.group, finished, now);
+        self.gate.pump(self.shared, &mut state);
+    }
+}
--- /dev/null
+++ b/crates/node/src/caller/limits.rs
@@ -0,0 +1,136 @@
+//! Limits of organisations, checked when a request is accepted.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use jacinthpoint_admission::{
+    HomeShares, LimitRefusal, Limiter, LimiterSettings, Limits, PerSecond, Verdict, retry_after_ms,
+};
+use jacinthpoint_records::{Config, Organisation};
+use jacinthpoint_types::{OrganisationId, ResultCode, TimeMs};
+
+use crate::{
+    caller::{answer::Refusal, context::Context},
+    events::log_event,
+    shared::Shared,
+};
+
+/// Shards of the limits, so that requests of different organisations do not wait for one lock.
+const SHARDS: usize = 8;
+
+/// The node's part of all limits.
+pub(crate) struct LimitState {
+    shards: Vec<Mutex<Limiter>>,
+    home: Mutex<HomeShares>,
+}
+
+impl LimitState {
+    pub(crate) fn new(settings: LimiterSettings, now: TimeMs) -> LimitState {
+        let shards = (0..SHARDS).map(|_| Mutex::new(Limiter::new(settings)));
+        LimitState {
+            shards: shards.collect(),
+            home: Mutex::new(HomeShares::new(now)),
+        }
+    }
+
+    /// Shares of the organisations whose home is this node.
+    pub(crate) fn home(&self) -> MutexGuard<'_, HomeShares> {
+        self.home.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The limits that an organisation's requests are counted in.
+    pub(crate) fn of(&self, organisation: &OrganisationId) -> MutexGuard<'_, Limiter> {
+        let hash = jacinthpoint_types::rank("limits", organisation.as_str());
+        let shard = &self.shards[hash as usize % SHARDS];
+        shard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// All limits, one lock after another.
+    pub(crate) fn shards(&self) -> impl Iterator<Item = MutexGuard<'_, Limiter>> {
+        self.shards
+            .iter()
+            .map(|shard| shard.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// The declared limits of an organisation.
+pub(crate) fn declared(organisation: &Organisation) -> Limits {
+    Limits {
+        requests_per_s: organisation.requests_per_s.map(PerSecond),
+        tokens_per_s: organisation.tokens_per_s.map(PerSecond),
+        concurrency: organisation.concurrency,
+    }
+}
+
+/// A request within its organisation's limits, until dropped.
+pub(crate) struct Admitted<'a> {
+    shared: &'a Shared,
+    organisation: OrganisationId,
+    unused_tokens: u32,
+}
+
+impl Admitted<'_> {
+    /// Takes in the number of tokens that were generated.
+    pub(crate) fn generated(&mut self, tokens: usize) {
+        self.unused_tokens = self.unused_tokens.saturating_sub(tokens as u32);
+    }
+}
+
+impl Drop for Admitted<'_> {
+    fn drop(&mut self) {
+        let mut limiter = self.shared.limits.of(&self.organisation);
+        limiter.finish(&self.organisation, self.unused_tokens);
+    }
+}
+
+/// Admits a request that may generate `tokens`, or refuses it for now.
+pub(crate) fn admit_named<'a>(
+    shared: &'a Shared,
+    config: &Config,
+    context: &Context,
+    tokens: u32,
+) -> Result<Admitted<'a>, Refusal> {
+    let organisation = config.organisations.get(&context.organisation);
+    // The organisation was found by its key in the same configuration.
+    let organisation = organisation.ok_or_else(|| {
+        Refusal::not_run(ResultCode::Internal, "the organisation is not declared")
+    })?;
+    admit(shared, organisation, tokens)
+}
+
+fn admit<'a>(
+    shared: &'a Shared,
+    organisation: &Organisation,
+    tokens: u32,
+) -> Result<Admitted<'a>, Refusal> {
+    let name = &organisation.name;
+    let limits = declared(organisation);
+    let now = shared.now();
+    let verdict = shared.limits.of(name).admit(name, &limits, tokens, now);
+    match verdict {
+        Verdict::Admit { watched } => {
+            if let Some(LimitRefusal { kind, .. }) = watched {
+                shared.metrics.count("limit_watched");
+                log_event!(debug, LimitWatched, organisation = %name, limit = %kind, "admitted");
+            }
+            Ok(Admitted {
+                shared,
+                organisation: name.clone(),
+                unused_tokens: tokens,
+            })
+        }
+        Verdict::Refuse(LimitRefusal { kind, wait_ms }) => {
+            shared.metrics.count("limit_reached");
+            log_event!(debug, LimitReached, organisation = %name, limit = %kind, "refused");
+            let message = format!("the organisation's limit on {kind} is reached");
+            let mut refusal = Refusal::not_run(ResultCode::Paced, message);
+            refusal.retry_after_s = Some(retry_after_s(wait_ms));
+            Err(refusal)
+        }
+    }
+}
+
+/// `Retry-After` for an expected wait.
+pub(crate) fn retry_after_s(wait_ms: u64) -> u32 {
+    let told_ms = retry_after_ms(wait_ms, &mut rand::rng());
+    u32::try_from(told_ms.div_ceil(1_000)).unwrap_or(u32::MAX)
+}
--- a/crates/node/src/caller/select.rs
+++ b/crates/node/src/caller/select.rs
@@ -5,7 +5,7 @@
 use jacinthpoint_platform::{MemberRole, MemberState};
 use jacinthpoint_readiness::Permit;
 use jacinthpoint_routing::{Candidate, choose};
-use jacinthpoint_types::{GroupId, ModelRef, ServiceId, VmId};
+use jacinthpoint_types::{GroupId, ModelRef, ServiceId, TimeMs, VmId};
 
 use crate::{caller::context::Context, shared::Shared};
 
@@ -14,7 +14,7 @@
 /// How often it looks.
 const CAPACITY_POLL_MS: u64 = 20;
 
-/// A group that may be used now, waiting for one a short time.
+/// A group for another attempt of a request that has had its turn, waiting for one a short time.
 pub(crate) fn wait_for_group(
     shared: &Shared,
     context: &Context,
@@ -35,25 +35,41 @@
 }
 
 /// A group that may be used now, other than those that failed this request.
-pub(crate) fn choose_group(
+fn choose_group(shared: &Shared, model: &ModelRef, failed: &BTreeSet<GroupId>) -> Option<Permit> {
+    let permits = usable_permits(shared, model);
+    let untried = permits
+        .iter()
+        .filter(|permit| !failed.contains(&permit.assignment.group));
+    choose_permit(shared, untried, shared.now())
+}
+
+/// Permits for the groups that serve a model now.
+pub(crate) fn usable_permits(shared: &Shared, model: &ModelRef) -> Vec<Permit> {
+    let now = shared.now();
+    shared.permits().usable(model, now).cloned().collect()
+}
+
+/// Whether any group serves a model now.
+pub(crate) fn has_usable(shared: &Shared, model: &ModelRef) -> bool {
+    let now = shared.now();
+    shared.permits().usable(model, now).next().is_some()
+}
+
+/// Chooses among permits.
+pub(crate) fn choose_permit<'a>(
     shared: &Shared,
-    model: &ModelRef,
-    failed: &BTreeSet<GroupId>,
+    permits: impl Iterator<Item = &'a Permit>,
+    now: TimeMs,
 ) -> Option<Permit> {
-    let now = shared.now();
-    let permits = shared.permits();
-    let usable = permits.usable(model, now);
-    let candidates: Vec<Candidate<Permit>> = usable
-        .filter(|permit| !failed.contains(&permit.assignment.group))
+    let candidates: Vec<Candidate<&Permit>> = permits
         .map(|permit| Candidate {
             in_flight: shared.in_flight_on(&permit.assignment.group),
             reported: permit.load,
             report_age_ms: now.since_ms(permit.load_at),
-            key: permit.clone(),
+            key: permit,
         })
         .collect();
-    drop(permits);
-    choose(&candidates, &mut rand::rng()).cloned()
+    choose(&candidates, &mut rand::rng()).map(|permit| (*permit).clone())
 }
 
 /// Servers are counted like groups, under their VM's name.
--- a/crates/node/src/caller/service.rs
+++ b/crates/node/src/caller/service.rs
@@ -12,6 +12,7 @@
         SERVICES_PREFIX,
         answer::{OUTCOME_HEADER, Refusal},
         context::Context,
+        limits,
         select::{choose_server, in_flight_key},
     },
     events::log_event,
@@ -53,6 +54,7 @@
             format!("no service {name:?} for this key"),
         )
     })?;
+    let _admitted = limits::admit_named(shared, config, context, 0)?;
     let repeatable = context.repeatable.unwrap_or(service.repeatable);
     let call = ServiceCall {
         request: context.request,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod config;
 mod domains;
+pub(crate) mod limits;
 pub(crate) mod members;
 pub(crate) mod messages;
 pub(crate) mod permits;
--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::{
-    control::{config, members, permits},
+    control::{config, limits, members, permits},
     events::log_event,
     shared::Shared,
 };
@@ -158,6 +158,12 @@
                 permits::take_grant(shared, grant, deadline);
             }
         }
+        Datagram::ShareReports {
+            sent_at,
+            reply_to,
+            reports,
+        } => limits::on_reports(shared, socket, sent_at, reply_to, &reports),
+        Datagram::ShareGrants { echo, grants } => limits::take_grants(shared, echo, grants),
     }
 }
 
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -41,6 +41,14 @@
     AttemptFailed = 500,
     /// A request ended without an answer.
     RequestFailed = 501,
+    /// A limit of an organisation is reached; the request is refused.
+    LimitReached = 600,
+    /// A limit that only watches is reached; the request goes on.
+    LimitWatched = 601,
+    /// A request is refused in front of the groups: shed, or too late for its deadline.
+    GateRefused = 610,
+    /// A layer that only watches would refuse a request; it goes on.
+    GateWatched = 611,
 }
 
 impl EventCode {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,7 +8,7 @@
     drain::OpenRequest,
     events::EventCode,
     node::Node,
-    settings::{NodeSettings, SettingsError, parse_settings},
+    settings::{AdmissionSettings, NodeSettings, SettingsError, parse_settings},
 };
 pub use jacinthpoint_placement::RepairSettings;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     caller,
-    control::{config, members, messages, permits, planning, probing},
+    control::{config, limits, members, messages, permits, planning, probing},
     drain::OpenRequest,
     events::log_event,
     http::{HttpRequest, ListenerLimits, RequestError, Responder, serve},
@@ -78,6 +78,10 @@
         spawn("datagrams", shared, move |shared| {
             messages::run_receiver(shared, &on_socket, &teller)
         })?;
+        let on_socket = socket.clone();
+        spawn("shares", shared, move |shared| {
+            limits::run(shared, &on_socket)
+        })?;
         spawn("permits", shared, move |shared| {
             permits::run(shared, &socket)
         })?;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -9,6 +9,10 @@
 use jacinthpoint_placement::RepairSettings;
 use jacinthpoint_types::{DataCentreId, NodeId};
 
+pub use crate::settings::admission::AdmissionSettings;
+
+mod admission;
+
 /// Requests without a deadline of their own get this one.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 /// Open callers' connections beyond which new ones are refused.
@@ -50,6 +54,8 @@
     pub drain_deadline_ms: u64,
     /// Where metrics are sent.
     pub statsd: Option<SocketAddr>,
+    /// Modes and bounds of admission.
+    pub admission: AdmissionSettings,
     /// Weights, estimates and limits of repairs.
     pub repair: RepairSettings,
 }
@@ -81,6 +87,7 @@
         ],
     ),
     ("metrics", &["statsd"]),
+    ("admission", admission::KEYS),
     (
         "repair",
         &[
@@ -144,6 +151,7 @@
         let drain_announce_ms = self.optional("limits", "drain_announce_ms");
         let drain_deadline_ms = self.optional("limits", "drain_deadline_ms");
         let statsd = self.optional("metrics", "statsd");
+        let admission = self.admission();
         let repair = self.repair();
         let settings = NodeSettings {
             name: name?,
@@ -159,12 +167,40 @@
             drain_announce_ms: drain_announce_ms.unwrap_or(DEFAULT_DRAIN_ANNOUNCE_MS),
             drain_deadline_ms: drain_deadline_ms.unwrap_or(DEFAULT_DRAIN_DEADLINE_MS),
             statsd,
+            admission,
             repair,
         };
         self.check_clashes(&settings);
         Some(settings)
     }
 
+    fn admission(&mut self) -> AdmissionSettings {
+        const SECTION: &str = "admission";
+        let defaults = AdmissionSettings::new();
+        let rate = self.optional(SECTION, "rate");
+        let concurrency = self.optional(SECTION, "concurrency");
+        let burst_ms = self.optional(SECTION, "burst_ms");
+        let group_concurrency = self.optional(SECTION, "group_concurrency");
+        let first_token_target_ms = self.optional(SECTION, "first_token_target_ms");
+        let deadlines = self.optional(SECTION, "deadlines");
+        let shedding = self.optional(SECTION, "shedding");
+        let reservation = self.optional(SECTION, "reservation");
+        let reserved_percent = self.optional(SECTION, "reserved_percent");
+        let max_queued = self.optional(SECTION, "max_queued");
+        AdmissionSettings {
+            rate: rate.unwrap_or(defaults.rate),
+            concurrency: concurrency.unwrap_or(defaults.concurrency),
+            burst_ms: burst_ms.unwrap_or(defaults.burst_ms),
+            group_concurrency: group_concurrency.unwrap_or(defaults.group_concurrency),
+            first_token_target_ms: first_token_target_ms.unwrap_or(defaults.first_token_target_ms),
+            deadlines: deadlines.unwrap_or(defaults.deadlines),
+            shedding: shedding.unwrap_or(defaults.shedding),
+            reservation: reservation.unwrap_or(defaults.reservation),
+            reserved_percent: reserved_percent.unwrap_or(defaults.reserved_percent),
+            max_queued: max_queued.unwrap_or(defaults.max_queued),
+        }
+    }
+
     fn repair(&mut self) -> RepairSettings {
         const SECTION: &str = "repair";
         let defaults = RepairSettings::new();
--- /dev/null
+++ b/crates/node/src/settings/admission.rs
@@ -0,0 +1,95 @@
+//! Section `[admission]`: modes and bounds of the admission layers.
+
+use jacinthpoint_admission::{
+    ConcurrencySettings, GateSettings, LayerMode, LimiterSettings, ShedSettings,
+};
+
+/// Keys of the section.
+pub(super) const KEYS: &[&str] = &[
+    "rate",
+    "concurrency",
+    "burst_ms",
+    "group_concurrency",
+    "first_token_target_ms",
+    "deadlines",
+    "shedding",
+    "reservation",
+    "reserved_percent",
+    "max_queued",
+];
+
+/// Settings of the admission layers. Each mode is `off`, `watch` or `enforce`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionSettings {
+    /// Limits of organisations on requests and tokens a second.
+    pub rate: LayerMode,
+    /// Limit of organisations on requests in flight.
+    pub concurrency: LayerMode,
+    /// Time over which an unused rate may be saved up for a burst.
+    pub burst_ms: u64,
+    /// Adaptive limit on what the node has in flight on one group.
+    pub group_concurrency: LayerMode,
+    /// Time within which first tokens shall come, for that limit.
+    pub first_token_target_ms: u64,
+    /// Refusal of what cannot make its deadline.
+    pub deadlines: LayerMode,
+    /// Shedding by class.
+    pub shedding: LayerMode,
+    /// Capacity kept for the critical class.
+    pub reservation: LayerMode,
+    /// How much of it, in percent.
+    pub reserved_percent: u8,
+    /// Requests that may wait for one deployment.
+    pub max_queued: usize,
+}
+
+impl AdmissionSettings {
+    /// The defaults.
+    pub fn new() -> AdmissionSettings {
+        let gate = GateSettings::default();
+        AdmissionSettings {
+            rate: LayerMode::Enforce,
+            concurrency: LayerMode::Enforce,
+            burst_ms: 2_000,
+            group_concurrency: gate.concurrency_mode,
+            first_token_target_ms: gate.concurrency.first_token_target_ms,
+            deadlines: gate.deadlines,
+            shedding: gate.shedding,
+            reservation: gate.reservation,
+            reserved_percent: 10,
+            max_queued: gate.max_queued,
+        }
+    }
+
+    /// What the limits of organisations need of it.
+    pub fn limiter(&self) -> LimiterSettings {
+        LimiterSettings {
+            rate: self.rate,
+            concurrency: self.concurrency,
+            burst_ms: self.burst_ms,
+        }
+    }
+
+    /// What the gates need of it.
+    pub fn gate(&self) -> GateSettings {
+        GateSettings {
+            concurrency_mode: self.group_concurrency,
+            concurrency: ConcurrencySettings {
+                first_token_target_ms: self.first_token_target_ms,
+                ..ConcurrencySettings::default()
+            },
+            reservation: self.reservation,
+            reserved_share: f64::from(self.reserved_percent.min(100)) / 100.0,
+            shedding: self.shedding,
+            shed: ShedSettings::default(),
+            deadlines: self.deadlines,
+            max_queued: self.max_queued,
+        }
+    }
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> AdmissionSettings {
+        AdmissionSettings::new()
+    }
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,6 +15,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
+    caller::{Gates, LimitState},
     clock::{Clock, unix_now_ms},
     control::Domains,
     drain::Drain,
@@ -44,6 +45,8 @@
     pub(crate) platform: Platform,
 
     pub(crate) domains: Domains,
+    pub(crate) limits: LimitState,
+    pub(crate) gates: Gates,
     stopped: Mutex<bool>,
     stop_signal: Condvar,
     /// The newest last.
@@ -65,13 +68,16 @@
             revision: Revision(0),
         };
         let rng = SmallRng::from_os_rng();
+        let clock = Clock::new();
         Shared {
-            clock: Clock::new(),
+            clock,
             drain: Arc::new(Drain::default()),
             metrics,
             platform: Platform::new(settings.platform),
 
             domains: Domains::default(),
+            limits: LimitState::new(settings.admission.limiter(), clock.now()),
+            gates: Gates::default(),
             stopped: Mutex::new(false),
             stop_signal: Condvar::new(),
             configs: RwLock::default(),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use jacinthpoint_admission::{ShareGrant, ShareReport};
 use jacinthpoint_types::{Assignment, DataCentreId, NodeId, Revision, TimeMs};
 use serde::{Deserialize, Serialize};
 
@@ -115,6 +116,22 @@
         /// Where to fetch it.
         address: SocketAddr,
     },
+    /// Tells an organisation's home node what is wanted of its limits.
+    ShareReports {
+        /// The sender's own time, echoed in the reply and read by nobody else.
+        sent_at: TimeMs,
+        /// Where to reply.
+        reply_to: SocketAddr,
+        /// A report for each organisation.
+        reports: Vec<ShareReport>,
+    },
+    /// Answers `ShareReports`.
+    ShareGrants {
+        /// `sent_at` of the reports.
+        echo: TimeMs,
+        /// A grant for each report.
+        grants: Vec<ShareGrant>,
+    },
 }
 
 /// A request over a short TCP connection.
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -7,5 +7,6 @@
 mod cli;
 mod configuration;
 mod groups;
+mod limits;
 mod planned_stop;
 mod serving;
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -1,7 +1,7 @@
 //! A site of real processes, and callers of it.
 
 pub use crate::util::{
-    caller::{Call, KEYS},
+    caller::{Answer, Call, KEYS},
     command::{Folder, jacinthpoint},
     lone_node::LoneNode,
     process::Process,
--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -29,6 +29,8 @@
     pub group_size: u16,
     pub standbys: u16,
     pub engine_args: Vec<String>,
+    /// Added to the settings of each node.
+    pub node_settings: String,
 }
 
 impl SiteOptions {
@@ -42,6 +44,7 @@
             group_size: 3,
             standbys: 1,
             engine_args: Vec::new(),
+            node_settings: String::new(),
         }
     }
 }
@@ -169,9 +172,10 @@
         let settings = format!(
             "[node]\nname = node-{number}\ndata_centre = dc-1\n\n[listen]\ncallers = {callers}\n\
              operators = {operators}\npeers = {peers}\n\n[platform]\naddress = {}\n\n\
-             [peers]\nseeds = {}\n",
+             [peers]\nseeds = {}\n\n{}",
             self.platform_address,
             seeds.join(", "),
+            self.options.node_settings,
         );
         let path = self.folder.join(format!("node-{number}.ini"));
         fs::write(&path, settings).expect("settings are written");
