Route by prefix, near groups first, and leave groups alone that fail at once

Cause: the choice knew neither which engine has a prompt's prefix cached nor which groups are near, and a group that answers errors at once looked idle and drew work.

Ruled out: ejecting for slow failures. A group that is silent under load would be ejected for it and its load moved to the others.

Change: prefix affinity by rendezvous hashing over the groups with room, for prompts whose first 512 bytes are shared within one organisation; near candidates first otherwise; at most half of the groups ejected. Subsets for a node are decided and tested and not yet used by the node.

--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -14,7 +14,7 @@
         answer::{self, Refusal},
         context::Context,
         gate::{Slot, Turned, start_again, wait_turn},
-        limits::{self, retry_after_s},
+        limits::{self, max_tokens, retry_after_s},
         select::wait_for_group,
     },
     events::log_event,
@@ -137,13 +137,6 @@
     retry_after_s: Option<u32>,
 }
 
-/// Tokens that a request may generate; the usual default of engines if it does not say.
-fn max_tokens(body: &Value) -> u32 {
-    const DEFAULT_MAX_TOKENS: u64 = 16;
-    let tokens = body["max_tokens"].as_u64().unwrap_or(DEFAULT_MAX_TOKENS);
-    u32::try_from(tokens).unwrap_or(u32::MAX)
-}
-
 impl Running<'_, '_> {
     fn drive(&mut self) -> Ending {
         let mut state = Unstarted::Accepted(Accepted::new());
@@ -174,8 +167,7 @@
     /// Where the next attempt goes: the first one after its turn in the queue.
     fn next_group(&mut self, model: &ModelRef) -> Result<Permit, Turned> {
         if self.failed_groups.is_empty() {
-            let cost = max_tokens(&self.call.body);
-            let (permit, slot) = wait_turn(self.shared, self.context, model, cost)?;
+            let (permit, slot) = wait_turn(self.shared, self.context, model, &self.call.body)?;
             self.slot = Some(slot);
             return Ok(permit);
         }
--- a/crates/node/src/caller/gate.rs
+++ b/crates/node/src/caller/gate.rs
@@ -14,10 +14,12 @@
     Arrived, Dispatch, Finished, Gate, GateSettings, Refusal, Ticket, Waiting,
 };
 use jacinthpoint_readiness::Permit;
+use jacinthpoint_routing::Ejector;
 use jacinthpoint_types::{GroupId, ModelRef, Priority, ResultCode, TimeMs};
+use serde_json::Value;
 
 use crate::{
-    caller::{context::Context, select},
+    caller::{context::Context, limits::max_tokens, select},
     events::log_event,
     shared::Shared,
 };
@@ -55,10 +57,17 @@
 
 struct State {
     gate: Gate<GroupId>,
-    waiters: HashMap<Ticket, Sender<Told>>,
+    waiters: HashMap<Ticket, Waiter>,
+    ejector: Ejector<GroupId>,
     looked_at: TimeMs,
 }
 
+/// A thread that waits, and the prefix of its prompt.
+struct Waiter {
+    teller: Sender<Told>,
+    prefix: Option<u64>,
+}
+
 /// What a waiting thread is told.
 enum Told {
     Go(Permit),
@@ -91,6 +100,7 @@
             state: Mutex::new(State {
                 gate: Gate::new(settings, now),
                 waiters: HashMap::new(),
+                ejector: Ejector::new(),
                 looked_at: now,
             }),
         }
@@ -113,11 +123,14 @@
         let permits = select::usable_permits(shared, &self.model);
         let usable: Vec<GroupId> = permits.iter().map(group_of).collect();
         state.gate.retain(&usable);
+        state.ejector.retain(&usable);
+        let usable = state.ejector.usable(&usable, now);
         while let Some(dispatch) = state.gate.poll(&usable) {
             let open = permits
                 .iter()
                 .filter(|permit| dispatch.open.contains(&permit.assignment.group));
-            let Some(permit) = select::choose_permit(shared, open, now) else {
+            let prefix = state.prefix_of(dispatch.ticket);
+            let Some(permit) = select::choose_permit(shared, open, prefix, now) else {
                 return;
             };
             state.send_on(&dispatch, permit, now);
@@ -132,10 +145,14 @@
         self.tell(dispatch.ticket, Told::Go(permit));
     }
 
+    fn prefix_of(&self, ticket: Ticket) -> Option<u64> {
+        self.waiters.get(&ticket).and_then(|waiter| waiter.prefix)
+    }
+
     fn tell(&mut self, ticket: Ticket, told: Told) {
         if let Some(waiter) = self.waiters.remove(&ticket) {
             // A waiter leaves the map under the same lock before it stops listening.
-            let _ = waiter.send(told);
+            let _ = waiter.teller.send(told);
         }
     }
 }
@@ -153,11 +170,11 @@
     shared: &'a Shared,
     context: &Context,
     model: &ModelRef,
-    cost: u32,
+    body: &Value,
 ) -> Result<(Permit, Slot<'a>), Turned> {
     let settings = shared.settings.admission.gate();
     let gate = shared.gates.of(model, settings, shared.now());
-    let (ticket, told) = enter(shared, context, &gate, cost)?;
+    let (ticket, told) = enter(shared, context, &gate, body)?;
     let permit = wait_told(shared, context, &gate, ticket, &told)?;
     let slot = Slot::new(shared, gate, &permit, context.priority);
     Ok((permit, slot))
@@ -181,13 +198,13 @@
     shared: &Shared,
     context: &Context,
     gate: &DeploymentGate,
-    cost: u32,
+    body: &Value,
 ) -> Result<(Ticket, Receiver<Told>), Turned> {
     let waiting = Waiting {
         organisation: context.organisation.clone(),
         priority: context.priority,
         deadline: context.deadline,
-        cost,
+        cost: max_tokens(body),
     };
     let permits = select::usable_permits(shared, &gate.model);
     let usable: Vec<GroupId> = permits.iter().map(group_of).collect();
@@ -201,7 +218,8 @@
                 log_event!(debug, GateWatched, request = %context.request, %refusal, "queued");
             }
             let (teller, told) = channel::bounded(1);
-            state.waiters.insert(ticket, teller);
+            let prefix = select::prefix_of(context, body);
+            state.waiters.insert(ticket, Waiter { teller, prefix });
             gate.pump(shared, &mut state);
             Ok((ticket, told))
         }
@@ -331,6 +349,11 @@
         };
         let mut state = self.gate.lock();
         state.gate.finish(&self.group, finished, now);
+        if self.has_token {
+            state.ejector.on_success(&self.group);
+        } else if self.is_failure && state.ejector.on_failure(&self.group, finished.held_ms, now) {
+            log_event!(warn, GroupEjected, group = %self.group, "left alone after failures");
+        }
         self.gate.pump(self.shared, &mut state);
     }
 }
--- a/crates/node/src/caller/limits.rs
+++ b/crates/node/src/caller/limits.rs
@@ -7,6 +7,7 @@
 };
 use jacinthpoint_records::{Config, Organisation};
 use jacinthpoint_types::{OrganisationId, ResultCode, TimeMs};
+use serde_json::Value;
 
 use crate::{
     caller::{answer::Refusal, context::Context},
@@ -134,3 +135,10 @@
     let told_ms = retry_after_ms(wait_ms, &mut rand::rng());
     u32::try_from(told_ms.div_ceil(1_000)).unwrap_or(u32::MAX)
 }
+
+/// Tokens that a request may generate; the usual default of engines if it does not say.
+pub(crate) fn max_tokens(body: &Value) -> u32 {
+    const DEFAULT_MAX_TOKENS: u64 = 16;
+    let tokens = body["max_tokens"].as_u64().unwrap_or(DEFAULT_MAX_TOKENS);
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
--- a/crates/node/src/caller/select.rs
+++ b/crates/node/src/caller/select.rs
@@ -4,13 +4,16 @@
 
 use jacinthpoint_platform::{MemberRole, MemberState};
 use jacinthpoint_readiness::Permit;
-use jacinthpoint_routing::{Candidate, choose};
-use jacinthpoint_types::{GroupId, ModelRef, ServiceId, TimeMs, VmId};
+use jacinthpoint_routing::{Candidate, choose_near, choose_with_affinity};
+use jacinthpoint_types::{GroupId, ModelRef, ServiceId, TimeMs, VmId, rank};
+use serde_json::Value;
 
 use crate::{caller::context::Context, shared::Shared};
 
 /// How long a request waits for a group that may be used.
 const CAPACITY_WAIT_MS: u64 = 2_000;
+/// Bytes at the start of a prompt by which requests are taken to share it.
+const PREFIX_BYTES: usize = 512;
 /// How often it looks.
 const CAPACITY_POLL_MS: u64 = 20;
 
@@ -40,7 +43,7 @@
     let untried = permits
         .iter()
         .filter(|permit| !failed.contains(&permit.assignment.group));
-    choose_permit(shared, untried, shared.now())
+    choose_permit(shared, untried, None, shared.now())
 }
 
 /// Permits for the groups that serve a model now.
@@ -55,10 +58,11 @@
     shared.permits().usable(model, now).next().is_some()
 }
 
-/// Chooses among permits.
+/// Chooses among permits, by the prompt's prefix where that is long enough to be worth it.
 pub(crate) fn choose_permit<'a>(
     shared: &Shared,
     permits: impl Iterator<Item = &'a Permit>,
+    prefix: Option<u64>,
     now: TimeMs,
 ) -> Option<Permit> {
     let candidates: Vec<Candidate<&Permit>> = permits
@@ -66,10 +70,31 @@
             in_flight: shared.in_flight_on(&permit.assignment.group),
             reported: permit.load,
             report_age_ms: now.since_ms(permit.load_at),
+            is_near: permit.data_centre == shared.settings.data_centre,
             key: permit,
         })
         .collect();
-    choose(&candidates, &mut rand::rng()).map(|permit| (*permit).clone())
+    let rng = &mut rand::rng();
+    let chosen = match prefix {
+        Some(prefix) => choose_with_affinity(&candidates, prefix, hash_of, rng),
+        None => choose_near(&candidates, rng),
+    };
+    chosen.map(|permit| (*permit).clone())
+}
+
+/// The same on every node.
+fn hash_of(permit: &&Permit) -> u64 {
+    rank("affinity", permit.assignment.group.as_str())
+}
+
+/// What a prompt begins with, if it is long enough for an engine's cache to spare much.
+pub(crate) fn prefix_of(context: &Context, body: &Value) -> Option<u64> {
+    let first_message = &body["messages"][0]["content"];
+    let text = body["prompt"].as_str().or_else(|| first_message.as_str())?;
+    let prefix = text.as_bytes().get(..PREFIX_BYTES)?;
+    // Organisations share no prefixes, and one must not learn from its times what another asks.
+    let prefix = String::from_utf8_lossy(prefix);
+    Some(rank(context.organisation.as_str(), &prefix))
 }
 
 /// Servers are counted like groups, under their VM's name.
@@ -94,7 +119,8 @@
             in_flight: in_flight_key(&member.vm).map_or(0, |key| shared.in_flight_on(&key)),
             reported: 0,
             report_age_ms: 0,
+            is_near: member.data_centre == shared.settings.data_centre,
         })
         .collect();
-    choose(&candidates, &mut rand::rng()).cloned()
+    choose_near(&candidates, &mut rand::rng()).cloned()
 }
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -49,6 +49,8 @@
     GateRefused = 610,
     /// A layer that only watches would refuse a request; it goes on.
     GateWatched = 611,
+    /// A group is left alone for a time, because it fails while others do not.
+    GroupEjected = 620,
 }
 
 impl EventCode {
--- /dev/null
+++ b/crates/routing/src/affinity.rs
@@ -0,0 +1,49 @@
+//! Prefix affinity with a load bound.
+//!
+//! Requests whose prompts begin alike go to the same group, whose engine has that prefix in its
+//! cache. Every node ranks the groups for a prefix by rendezvous hashing, so nodes agree without a
+//! message, and late or lost cache events cannot mislead them. A group that carries clearly more
+//! than its part is passed over: a popular prefix must not make a hot spot.
+
+use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::choice::{Candidate, choose};
+
+/// Requests above the mean load up to which affinity holds. Near the capacity every request beyond
+/// an even part waits for a slot, which costs more than the prefix saves.
+const LOAD_ABOVE_MEAN: f64 = 1.0;
+
+/// Picks the first or second group in the ranking for `prefix` that is within the load bound, else
+/// by load alone. `hash_of` must give the same value for a group on every node.
+pub fn choose_with_affinity<'a, K>(
+    candidates: &'a [Candidate<K>],
+    prefix: u64,
+    hash_of: impl Fn(&K) -> u64,
+    rng: &mut impl Rng,
+) -> Option<&'a K> {
+    let rank = |candidate: &Candidate<K>| {
+        xxh3_64_with_seed(&hash_of(&candidate.key).to_le_bytes(), prefix)
+    };
+    let mut first: Option<(u64, &Candidate<K>)> = None;
+    let mut second: Option<(u64, &Candidate<K>)> = None;
+    let mut sum = 0.0;
+    for candidate in candidates {
+        sum += candidate.load();
+        let ranked = Some((rank(candidate), candidate));
+        if ranked.map(|(rank, _)| rank) > first.map(|(rank, _)| rank) {
+            second = first;
+            first = ranked;
+        } else if ranked.map(|(rank, _)| rank) > second.map(|(rank, _)| rank) {
+            second = ranked;
+        }
+    }
+    let bound = sum / candidates.len().max(1) as f64 + LOAD_ABOVE_MEAN;
+    let is_within = |candidate: &&Candidate<K>| candidate.load() < bound;
+    let preferred = [first, second].into_iter().flatten().map(|(_, c)| c);
+    preferred
+        .into_iter()
+        .find(is_within)
+        .map(|candidate| &candidate.key)
+        .or_else(|| choose(candidates, rng))
+}
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -4,6 +4,9 @@
 
 use crate::load::estimated_load;
 
+/// How much more loaded a near candidate must be before a far one is taken.
+const SPILL_RATIO: f64 = 1.2;
+
 /// A place that could run a request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate<K> {
@@ -15,6 +18,8 @@
     pub reported: u32,
     /// Age of that report.
     pub report_age_ms: u64,
+    /// Whether it is in this node's data centre.
+    pub is_near: bool,
 }
 
 impl<K> Candidate<K> {
@@ -28,17 +33,43 @@
 ///
 /// The least loaded of all would be the same one for every node that sees the same report.
 pub fn choose<'a, K>(candidates: &'a [Candidate<K>], rng: &mut impl Rng) -> Option<&'a K> {
+    let all: Vec<&Candidate<K>> = candidates.iter().collect();
+    better_of_two(&all, rng).map(|candidate| &candidate.key)
+}
+
+/// As [`choose`], among the near candidates first; a far one is taken where there is no near one
+/// or the near one has clearly more to do.
+pub fn choose_near<'a, K>(candidates: &'a [Candidate<K>], rng: &mut impl Rng) -> Option<&'a K> {
+    let (near, far): (Vec<_>, Vec<_>) = candidates.iter().partition(|c| c.is_near);
+    let near = better_of_two(&near, rng);
+    let far = better_of_two(&far, rng);
+    let chosen = match (near, far) {
+        (Some(near), Some(far)) if spills(near, far) => Some(far),
+        (near, far) => near.or(far),
+    };
+    chosen.map(|candidate| &candidate.key)
+}
+
+fn spills<K>(near: &Candidate<K>, far: &Candidate<K>) -> bool {
+    // The one more keeps nearly idle places from counting as far apart.
+    near.load() + 1.0 > SPILL_RATIO * (far.load() + 1.0)
+}
+
+fn better_of_two<'a, K>(
+    candidates: &[&'a Candidate<K>],
+    rng: &mut impl Rng,
+) -> Option<&'a Candidate<K>> {
     let first_index = match candidates.len() {
         0 => return None,
-        1 => return Some(&candidates[0].key),
+        1 => return Some(candidates[0]),
         count => rng.random_range(0..count),
     };
     let step = rng.random_range(1..candidates.len());
-    let first = &candidates[first_index];
-    let second = &candidates[(first_index + step) % candidates.len()];
+    let first = candidates[first_index];
+    let second = candidates[(first_index + step) % candidates.len()];
     Some(if second.load() < first.load() {
-        &second.key
+        second
     } else {
-        &first.key
+        first
     })
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,11 +4,17 @@
 //! looks least loaded would send all of it to the same place. This crate does no I/O.
 
 pub use crate::{
-    choice::{Candidate, choose},
+    affinity::choose_with_affinity,
+    choice::{Candidate, choose, choose_near},
+    ejection::Ejector,
     lifecycle::{Accepted, Dispatched, Ending, Lost, Unstarted},
     load::estimated_load,
+    subset::subset,
 };
 
+mod affinity;
 mod choice;
+mod ejection;
 mod lifecycle;
 mod load;
+mod subset;
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -10,6 +10,7 @@
         in_flight,
         reported,
         report_age_ms: 0,
+        is_near: true,
     }
 }
 
--- /dev/null
+++ b/crates/routing/tests/outliers.rs
@@ -0,0 +1,119 @@
+//! Ejection, affinity, locality and subsets.
+
+use jacinthpoint_routing::{Candidate, Ejector, choose_near, choose_with_affinity, subset};
+use jacinthpoint_types::TimeMs;
+use quickcheck::quickcheck;
+use rand::{SeedableRng, rngs::SmallRng};
+
+const NOW: TimeMs = TimeMs(1_000);
+
+fn candidate(key: usize, in_flight: u32, is_near: bool) -> Candidate<usize> {
+    Candidate {
+        key,
+        in_flight,
+        reported: 0,
+        report_age_ms: 0,
+        is_near,
+    }
+}
+
+fn fail(ejector: &mut Ejector<usize>, key: usize, times: usize, now: TimeMs) {
+    for _ in 0..times {
+        ejector.on_failure(&key, 5, now);
+    }
+}
+
+/// Failures of places 0 to 3, and which of them are usable after a time.
+macro_rules! ejection_test {
+    ($name:ident, $failures:expr, $after_ms:literal, $usable:expr) => {
+        #[test]
+        fn $name() {
+            let mut ejector = Ejector::new();
+            for (key, times) in $failures {
+                fail(&mut ejector, key, times, NOW);
+            }
+            let mut usable = ejector.usable(&[0, 1, 2, 3], NOW.plus_ms($after_ms));
+            usable.sort();
+            assert_eq!(usable, $usable);
+        }
+    };
+}
+
+ejection_test!(few_failures_are_borne, [(1, 2)], 0, [0, 1, 2, 3]);
+ejection_test!(outlier_is_ejected, [(1, 3)], 0, [0, 2, 3]);
+ejection_test!(ejection_ends, [(1, 3)], 5_000, [0, 1, 2, 3]);
+ejection_test!(half_stay, [(0, 3), (1, 3), (2, 3)], 0, [0, 3]);
+ejection_test!(
+    shared_fault_leaves_half,
+    [(0, 3), (1, 3), (2, 3), (3, 3)],
+    0,
+    [0, 1]
+);
+
+#[test]
+fn outlier_that_fails_again_stays_out_longer() {
+    let mut ejector = Ejector::new();
+    fail(&mut ejector, 1, 3, NOW);
+    let back = NOW.plus_ms(5_000);
+    fail(&mut ejector, 1, 1, back);
+    assert_eq!(ejector.usable(&[0, 1, 2], back.plus_ms(9_999)), [0, 2]);
+    assert_eq!(ejector.usable(&[0, 1, 2], back.plus_ms(10_000)), [0, 1, 2]);
+    ejector.on_success(&1);
+    fail(&mut ejector, 1, 1, back.plus_ms(10_000));
+    assert_eq!(ejector.usable(&[0, 1, 2], back.plus_ms(10_000)), [0, 1, 2]);
+}
+
+#[test]
+fn slow_failures_do_not_eject() {
+    let mut ejector = Ejector::new();
+    let is_ejected = (0..10).any(|_| ejector.on_failure(&1, 1_000, NOW));
+    assert!(!is_ejected);
+}
+
+macro_rules! near_test {
+    ($name:ident, $near:expr, $far:expr, $expected:expr) => {
+        #[test]
+        fn $name() {
+            let candidates = [candidate(0, $near, true), candidate(1, $far, false)];
+            let chosen = choose_near(&candidates, &mut SmallRng::seed_from_u64(1));
+            assert_eq!(chosen, Some(&$expected));
+        }
+    };
+}
+
+near_test!(near_one_is_preferred, 5, 3, 0);
+near_test!(work_spills_over, 9, 3, 1);
+near_test!(nearly_idle_near_one_is_preferred, 1, 0, 0);
+
+quickcheck! {
+    fn prefix_goes_to_one_place_while_loads_are_even(prefix: u64, seeds: Vec<u64>) -> bool {
+        let candidates: Vec<_> = (0..20).map(|key| candidate(key, 3, true)).collect();
+        let mut chosen: Vec<usize> = seeds
+            .iter()
+            .map(|seed| SmallRng::seed_from_u64(*seed))
+            .filter_map(|mut rng| {
+                choose_with_affinity(&candidates, prefix, |key| *key as u64, &mut rng).copied()
+            })
+            .collect();
+        chosen.dedup();
+        chosen.len() <= 1
+    }
+
+    fn overloaded_place_is_passed_over(prefix: u64, hot: usize) -> bool {
+        let hot = hot % 20;
+        let load = |key| if key == hot { 40 } else { 3 };
+        let candidates: Vec<_> = (0..20).map(|key| candidate(key, load(key), true)).collect();
+        let mut rng = SmallRng::seed_from_u64(prefix);
+        choose_with_affinity(&candidates, prefix, |key| *key as u64, &mut rng) != Some(&hot)
+    }
+
+    fn subset_changes_little_when_a_group_goes(gone: usize) -> bool {
+        let groups: Vec<String> = (0..60).map(|group| format!("group-{group}")).collect();
+        let mut left = groups.clone();
+        let gone = left.remove(gone % 60);
+        let before = subset("node-1", &groups, 12);
+        let after = subset("node-1", &left, 12);
+        let kept = before.iter().filter(|group| after.contains(*group)).count();
+        after.len() == 12 && kept == if before.contains(&&gone) { 11 } else { 12 }
+    }
+}
--- a/crates/standins/src/load/driver.rs
+++ b/crates/standins/src/load/driver.rs
@@ -93,7 +93,13 @@
         let groups = scenario.groups;
         let nodes = (0..scenario.nodes).map(|node| {
             let seed = scenario.seed ^ ((node as u64 + 1) << 32);
-            Node::new(seed, scenario.router, scenario.gate, groups)
+            Node::new(
+                seed,
+                scenario.router,
+                scenario.gate,
+                scenario.ejects,
+                groups,
+            )
         });
         Run {
             progress: vec![Progress::default(); arrivals.len()],
@@ -195,7 +201,7 @@
         if !self.nodes[node].has_gate() {
             return self.dispatch(request, None);
         }
-        let usable = self.usable();
+        let usable = self.usable(node);
         let arrival = &self.arrivals[request];
         let deadline = Deadline(TimeMs(arrival.at_ms + arrival.patience_ms));
         let now = self.now();
@@ -233,7 +239,7 @@
         for request in self.nodes[node].take_hopeless(now) {
             self.shed(request);
         }
-        let usable = self.usable();
+        let usable = self.usable(node);
         while let Some(go) = self.nodes[node].next(&usable, now) {
             self.dispatch(go.request, Some(&go.open));
         }
@@ -254,7 +260,10 @@
     }
 
     fn dispatch(&mut self, request: usize, open: Option<&[usize]>) {
-        let usable = open.map_or_else(|| self.usable(), <[usize]>::to_vec);
+        let usable = open.map_or_else(
+            || self.usable(self.progress[request].node),
+            <[usize]>::to_vec,
+        );
         let candidates = self.candidates(request, &usable);
         let prefix = self.arrivals[request].prefix;
         let node = &mut self.nodes[self.progress[request].node];
@@ -264,14 +273,13 @@
         }
     }
 
-    /// Groups that the nodes believe they may use.
-    fn usable(&self) -> Vec<usize> {
+    /// Groups that a node believes it may use.
+    fn usable(&self, node: usize) -> Vec<usize> {
         let is_known_dead = |group: &usize| {
             self.died_at_ms[*group].is_some_and(|at_ms| self.now_ms >= at_ms + PERMIT_MS)
         };
-        (0..self.groups.len())
-            .filter(|group| !is_known_dead(group))
-            .collect()
+        let usable = (0..self.groups.len()).filter(|group| !is_known_dead(group));
+        self.nodes[node].not_ejected(usable.collect(), self.now())
     }
 
     fn candidates(&self, request: usize, usable: &[usize]) -> Vec<Candidate<usize>> {
@@ -284,10 +292,16 @@
                 in_flight: node.in_flight[group],
                 reported: self.reported[group],
                 report_age_ms: self.now_ms - self.reported_at_ms[group],
+                is_near: self.is_near(progress.node, group),
             })
             .collect()
     }
 
+    fn is_near(&self, node: usize, group: usize) -> bool {
+        let data_centres = self.scenario.data_centres;
+        node % data_centres == group % data_centres
+    }
+
     fn send(&mut self, request: usize, group: usize) {
         let arrival = &self.arrivals[request];
         let job = Job {
@@ -297,11 +311,13 @@
             prefix: arrival.prefix,
             priority: arrival.priority,
         };
+        let is_near = self.is_near(self.progress[request].node, group);
         let progress = &mut self.progress[request];
         progress.group = Some(group);
         progress.attempts += 1;
         progress.sent_at_ms = self.now_ms;
         self.outcomes.attempts[group] += 1;
+        self.outcomes.near_attempts += u64::from(is_near);
         self.nodes[progress.node].start(group, job.priority);
         if !matches!(self.groups[group].state, GroupState::Up { .. }) {
             return self.fail_attempt(request, group);
--- a/crates/standins/src/load/experiments.rs
+++ b/crates/standins/src/load/experiments.rs
@@ -51,6 +51,8 @@
         "fairness" => Some(fairness(seed)),
         "flapping" => Some(flapping(seed)),
         "burst" => Some(burst(seed)),
+        "faults" => Some(faults(seed)),
+        "skew" => Some(skew(seed)),
         "half-dead" => Some(half_dead(seed)),
         _ => None,
     }
@@ -252,6 +254,51 @@
     rows.to_vec()
 }
 
+/// Reports that freeze or lie, and a straggler, at 0.7 of the capacity.
+fn faults(seed: u64) -> Vec<Row> {
+    let faults = [
+        ("no fault", None),
+        ("frozen reports", Some(Fault::FreezeReports)),
+        ("lying group", Some(Fault::ErrorFast(0))),
+        ("straggler", Some(Fault::Straggle(0, 8.0))),
+    ];
+    let routers = [
+        (RouterKind::RoundRobin, false),
+        (RouterKind::LeastReported, false),
+        (RouterKind::TwoByEstimate, false),
+        (RouterKind::TwoByEstimate, true),
+        (RouterKind::Affinity, true),
+    ];
+    let mut rows = Vec::new();
+    for (fault_name, fault) in faults {
+        for (router, ejects) in routers {
+            let mut scenario = Scenario::new(seed, Shape::coralbank(), 0.7);
+            scenario.router = router;
+            scenario.ejects = ejects;
+            scenario.faults = fault.map(|fault| (10_000, fault)).into_iter().collect();
+            let ejecting = if ejects { ", ejects" } else { "" };
+            rows.push(row(format!("{fault_name}: {router}{ejecting}"), &scenario));
+        }
+    }
+    rows
+}
+
+/// Half of all arrivals on one node, so that its data centre gets more than its part.
+fn skew(seed: u64) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for load_factor in [0.5, 0.9] {
+        for router in [RouterKind::TwoByEstimate, RouterKind::NearFirst] {
+            for (name, share) in [("even", None), ("half on one node", Some(0.5))] {
+                let mut scenario = Scenario::new(seed, Shape::coralbank(), load_factor);
+                scenario.router = router;
+                scenario.first_node_share = share;
+                rows.push(row(format!("{router}, {name} at {load_factor}"), &scenario));
+            }
+        }
+    }
+    rows
+}
+
 fn row(variant: String, scenario: &Scenario) -> Row {
     Row {
         variant,
@@ -264,7 +311,7 @@
 pub fn table(rows: &[Row]) -> String {
     let mut page = String::from(
         "variant                              goodput   crit   high normal  batch  crit95  crit99  high95     p95     p99 \
-         refused  after95 cached flaps recovery\n",
+         refused  after95 cached   near flaps recovery\n",
     );
     for row in rows {
         write_row(&mut page, row);
@@ -283,7 +330,7 @@
     let recovery = row.recovery_s.map_or("-".to_owned(), |s| format!("{s} s"));
     let _ = writeln!(
         page,
-        "{:36} {:6.3} {:6.3} {:6.3} {:6.3} {:6.3} {:7} {:7} {:7} {:7} {:7} {:7.3} {:8} {:6.3} {:5} {:>8}",
+        "{:36} {:6.3} {:6.3} {:6.3} {:6.3} {:6.3} {:7} {:7} {:7} {:7} {:7} {:7.3} {:8} {:6.3} {:6.3} {:5} {:>8}",
         row.variant,
         total.goodput(),
         goodput(Priority::Critical),
@@ -298,6 +345,7 @@
         total.shed as f64 / total.offered.max(1) as f64,
         total.shed_after_ms.value_at_quantile(0.95),
         row.outcomes.cache_hits as f64 / row.outcomes.started.max(1) as f64,
+        row.outcomes.near_attempts as f64 / row.outcomes.started.max(1) as f64,
         row.outcomes.flaps,
         recovery,
     );
--- a/crates/standins/src/load/node.rs
+++ b/crates/standins/src/load/node.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use jacinthpoint_admission::{Arrived, Finished, Gate, GateSettings, Refusal, Ticket, Waiting};
-use jacinthpoint_routing::Candidate;
+use jacinthpoint_routing::{Candidate, Ejector};
 use jacinthpoint_types::{Deadline, Priority, TimeMs};
 use rand::{SeedableRng, rngs::SmallRng};
 
@@ -20,6 +20,7 @@
     pub(crate) rng: SmallRng,
     pub(crate) in_flight: Vec<u32>,
     pub(crate) flaps: u64,
+    ejector: Option<Ejector<usize>>,
     router: Router,
     gate: Option<Gate<usize>>,
     tickets: HashMap<Ticket, usize>,
@@ -38,12 +39,14 @@
         seed: u64,
         router: RouterKind,
         gate: Option<GateSettings>,
+        ejects: bool,
         groups: usize,
     ) -> Node {
         Node {
             rng: SmallRng::seed_from_u64(seed),
             in_flight: vec![0; groups],
             flaps: 0,
+            ejector: ejects.then(Ejector::new),
             router: router.router(),
             gate: gate.map(|settings| Gate::new(settings, TimeMs(0))),
             tickets: HashMap::new(),
@@ -56,6 +59,14 @@
         self.gate.is_some()
     }
 
+    /// Groups that the node does not leave alone.
+    pub(crate) fn not_ejected(&self, usable: Vec<usize>, now: TimeMs) -> Vec<usize> {
+        match &self.ejector {
+            Some(ejector) => ejector.usable(&usable, now),
+            None => usable,
+        }
+    }
+
     /// Queues a request, or refuses it.
     pub(crate) fn arrive(
         &mut self,
@@ -141,6 +152,13 @@
 
     pub(crate) fn finish(&mut self, group: usize, finished: Finished, now: TimeMs) {
         self.in_flight[group] -= 1;
+        if let Some(ejector) = &mut self.ejector {
+            if finished.is_failure {
+                ejector.on_failure(&group, finished.held_ms, now);
+            } else {
+                ejector.on_success(&group);
+            }
+        }
         if let Some(gate) = &mut self.gate {
             gate.finish(&group, finished, now);
         }
--- a/crates/standins/src/load/routers.rs
+++ b/crates/standins/src/load/routers.rs
@@ -1,6 +1,6 @@
 //! Ways to choose a group: the baselines, and the ones of the routing crate.
 
-use jacinthpoint_routing::{Candidate, choose};
+use jacinthpoint_routing::{Candidate, choose, choose_near, choose_with_affinity};
 use rand::{Rng, rngs::SmallRng};
 
 /// Chooses an index among the candidates; the number is the prompt's prefix.
@@ -20,6 +20,10 @@
     TwoByInFlight,
     /// The better of two random ones by estimated load.
     TwoByEstimate,
+    /// The same among groups in the node's own data centre first.
+    NearFirst,
+    /// By the prompt's prefix, within a bound on load.
+    Affinity,
 }
 
 impl RouterKind {
@@ -38,6 +42,13 @@
             RouterKind::TwoByInFlight => {
                 Box::new(|candidates, _, rng| two_by_in_flight(candidates, rng))
             }
+            RouterKind::NearFirst => {
+                Box::new(|candidates, _, rng| choose_near(candidates, rng).copied())
+            }
+            RouterKind::Affinity => Box::new(|candidates, prefix, rng| {
+                let hash_of = |key: &usize| *key as u64;
+                choose_with_affinity(candidates, prefix, hash_of, rng).copied()
+            }),
             RouterKind::TwoByEstimate => {
                 Box::new(|candidates, _, rng| choose(candidates, rng).copied())
             }
--- a/crates/standins/src/load/scenario.rs
+++ b/crates/standins/src/load/scenario.rs
@@ -63,6 +63,10 @@
     pub cool_down_ms: u64,
     /// How nodes choose.
     pub router: RouterKind,
+    /// Whether nodes leave groups alone that fail.
+    pub ejects: bool,
+    /// Data centres over which nodes and groups are spread in turn.
+    pub data_centres: usize,
     /// Admission, if any.
     pub gate: Option<GateSettings>,
     /// What refused callers do.
@@ -87,6 +91,8 @@
             warm_up_ms: 20_000,
             cool_down_ms: 60_000,
             router: RouterKind::TwoByEstimate,
+            ejects: false,
+            data_centres: 3,
             gate: None,
             retrying: Retrying::Never,
             faults: Vec::new(),
@@ -131,6 +137,8 @@
     pub cache_hits: u64,
     /// Requests that started.
     pub started: u64,
+    /// Attempts that went to a group in the node's own data centre.
+    pub near_attempts: u64,
     /// Attempts that each group was sent.
     pub attempts: Vec<u64>,
     /// By the second in which requests came.
