--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -20,6 +20,7 @@
 mod context;
 mod gate;
 mod limits;
+mod once;
 mod select;
 mod service;
 
--- a/crates/node/src/caller/service.rs
+++ b/crates/node/src/caller/service.rs
@@ -6,6 +6,7 @@
 use jacinthpoint_routing::{Accepted, Ending, Unstarted};
 use jacinthpoint_types::{AttemptId, Outcome, ResultCode, ServiceId};
 use jacinthpoint_upstream::{ServiceAnswer, ServiceCall};
+use jacinthpoint_wire::KeptAnswer;
 
 use crate::{
     caller::{
@@ -13,6 +14,7 @@
         answer::{OUTCOME_HEADER, Refusal},
         context::Context,
         limits,
+        once::{self, Entry},
         select::{choose_server, in_flight_key},
     },
     events::log_event,
@@ -55,7 +57,15 @@
         )
     })?;
     let _admitted = limits::admit_named(shared, config, context, 0)?;
-    let repeatable = context.repeatable.unwrap_or(service.repeatable);
+    let claim = match once::enter(shared, context, request)? {
+        Entry::Run(claim) => claim,
+        Entry::Replay(answer) => {
+            once::replay(responder, &answer);
+            return Ok(());
+        }
+    };
+    let default = service.repeatable && claim.is_none();
+    let repeatable = context.repeatable.unwrap_or(default);
     let call = ServiceCall {
         request: context.request,
         attempt: AttemptId::new(),
@@ -76,6 +86,9 @@
         None,
         whole_us,
     );
+    if let Some(claim) = claim {
+        claim.settle(&ending, answer.as_ref().map(kept));
+    }
     let Some(answer) = answer else {
         return Err(Refusal::from_ending(&ending, "the call was not answered"));
     };
@@ -88,6 +101,14 @@
     Ok(())
 }
 
+fn kept(answer: &ServiceAnswer) -> KeptAnswer {
+    KeptAnswer {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: answer.body.clone(),
+    }
+}
+
 fn drive(
     shared: &Shared,
     context: &Context,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod drain;
 mod events;
 mod http;
+mod ledger;
 mod metrics;
 mod node;
 mod operator;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,7 +8,7 @@
 
 use jacinthpoint_membership::Membership;
 use jacinthpoint_platform::{Platform, PlatformMember};
-use jacinthpoint_readiness::PermitTable;
+use jacinthpoint_readiness::{Asker, GrantBook, PermitTable};
 use jacinthpoint_records::Config;
 use jacinthpoint_types::{GroupId, NodeId, Revision, TimeMs};
 use jacinthpoint_wire::PeerState;
@@ -20,6 +20,7 @@
     control::Domains,
     drain::Drain,
     events::log_event,
+    ledger::{Owner, Runs},
     metrics::Metrics,
     settings::NodeSettings,
 };
@@ -49,11 +50,15 @@
     pub(crate) gates: Gates,
     stopped: Mutex<bool>,
     stop_signal: Condvar,
+    pub(crate) ledger: Owner,
+    pub(crate) runs: Runs,
     /// The newest last.
     configs: RwLock<VecDeque<Arc<ConfigInForce>>>,
     members: RwLock<Arc<Vec<PlatformMember>>>,
     peers: Mutex<Membership>,
     permits: Mutex<PermitTable>,
+    grant_book: Mutex<GrantBook>,
+    asker: Mutex<Asker>,
     in_flight: [Mutex<BTreeMap<GroupId, u32>>; IN_FLIGHT_SHARDS],
 }
 
@@ -69,6 +74,7 @@
         };
         let rng = SmallRng::from_os_rng();
         let clock = Clock::new();
+        let asker = Asker::new(settings.name.clone(), settings.data_centre.clone());
         Shared {
             clock,
             drain: Arc::new(Drain::default()),
@@ -80,10 +86,14 @@
             gates: Gates::default(),
             stopped: Mutex::new(false),
             stop_signal: Condvar::new(),
+            ledger: Owner::new(settings.ledger_batch_ms),
+            runs: Runs::new(),
             configs: RwLock::default(),
             members: RwLock::default(),
             peers: Mutex::new(Membership::new(own, rng)),
             permits: Mutex::default(),
+            grant_book: Mutex::default(),
+            asker: Mutex::new(asker),
             in_flight: Default::default(),
             settings,
         }
@@ -177,6 +187,16 @@
         self.permits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn asker(&self) -> MutexGuard<'_, Asker> {
+        self.asker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn grant_book(&self) -> MutexGuard<'_, GrantBook> {
+        self.grant_book
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Live nodes ranked for a piece of work, this one among them unless it is leaving.
     pub(crate) fn ranked_nodes(&self, work: &str) -> Vec<NodeId> {
         let mut live: Vec<NodeId> = self
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,14 +6,18 @@
 //! side during an upgrade.
 
 pub use crate::{
+    claim::{
+        ClaimRequest, ClaimVerdict, KeptAnswer, KeyOf, ReleaseRequest, RequestDigest, RunState,
+    },
     codec::{
         DecodeError, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, decode, encode, read_frame, write_frame,
     },
     message::{
-        Datagram, PeerMessage, PeerMessageKind, PeerNews, PeerReply, PeerRequest, PeerState,
-        PeerStatus, PermitGrant,
+        Datagram, GrantTerms, PeerMessage, PeerMessageKind, PeerNews, PeerReply, PeerRequest,
+        PeerState, PeerStatus, PermitGrant,
     },
 };
 
+mod claim;
 mod codec;
 mod message;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,6 +4,8 @@
 mod macros;
 mod util;
 
+mod at_most_once;
+mod bad_input;
 mod cli;
 mod configuration;
 mod groups;
