Measure fleet limits and decision cost; note the ways that were weighed

Change: spill-over at 1.2 times the far load and two requests more. 'experiment limits' compares the whole limit on each node, even shares and shares by demand. Two choices no longer collect references to all candidates.

--- /dev/null
+++ b/crates/admission/examples/gate_cost.rs
@@ -0,0 +1,76 @@
+//! Time of one request through the limits and the gate, by the number of groups.
+
+use std::{hint::black_box, time::Instant};
+
+use jacinthpoint_admission::{
+    Arrived, Finished, Gate, GateSettings, LayerMode, Limiter, LimiterSettings, Limits, PerSecond,
+    Waiting,
+};
+use jacinthpoint_types::{Deadline, OrganisationId, Priority, TimeMs};
+use rand::{SeedableRng, rngs::SmallRng};
+
+/// Requests timed together.
+const ROUNDS: u64 = 20_000;
+/// Organisations that ask in turn.
+const ORGANISATIONS: u64 = 10;
+
+fn main() {
+    let names: Vec<OrganisationId> = (0..ORGANISATIONS)
+        .map(|number| format!("broker-{number}").parse().expect("a valid name"))
+        .collect();
+    println!("limits {} ns", limits_ns(&names));
+    println!("groups gate (ns)");
+    for groups in [24, 50, 500, 4_000] {
+        println!("{groups:6} {}", gate_ns(&names, groups));
+    }
+}
+
+fn limits_ns(names: &[OrganisationId]) -> u128 {
+    let mut limiter = Limiter::new(LimiterSettings {
+        rate: LayerMode::Enforce,
+        concurrency: LayerMode::Enforce,
+        burst_ms: 1_000,
+    });
+    let limits = Limits {
+        requests_per_s: Some(PerSecond(1e6)),
+        tokens_per_s: Some(PerSecond(1e9)),
+        concurrency: Some(1_000),
+    };
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        let name = &names[(round % ORGANISATIONS) as usize];
+        black_box(limiter.admit(name, &limits, 100, TimeMs(round)));
+        limiter.finish(name, 20);
+    }
+    start.elapsed().as_nanos() / u128::from(ROUNDS)
+}
+
+fn gate_ns(names: &[OrganisationId], groups: u32) -> u128 {
+    let usable: Vec<u32> = (0..groups).collect();
+    let mut gate: Gate<u32> = Gate::new(GateSettings::default(), TimeMs(0));
+    let mut rng = SmallRng::seed_from_u64(1);
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        let now = TimeMs(round);
+        let waiting = Waiting {
+            organisation: names[(round % ORGANISATIONS) as usize].clone(),
+            priority: Priority::Normal,
+            deadline: Deadline::after_ms(now, 60_000),
+            cost: 100,
+        };
+        let arrived = gate.arrive(waiting, &usable, now, &mut rng);
+        assert!(matches!(arrived, Arrived::Queued { .. }));
+        let dispatch = gate.poll(&usable).expect("there is room");
+        gate.dispatched(&dispatch, now);
+        let group = dispatch.open[round as usize % dispatch.open.len()];
+        gate.start(&group, dispatch.priority);
+        gate.on_first_token(&group, 100, now);
+        let finished = Finished {
+            priority: Priority::Normal,
+            held_ms: 1_000,
+            is_failure: false,
+        };
+        gate.finish(&group, finished, now);
+    }
+    start.elapsed().as_nanos() / u128::from(ROUNDS)
+}
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -4,8 +4,10 @@
 
 use crate::load::estimated_load;
 
-/// How much more loaded a near candidate must be before a far one is taken.
+/// How many times as loaded a near candidate must be before a far one is taken.
 const SPILL_RATIO: f64 = 1.2;
+/// Requests that it must have beyond that, so that nearly idle places do not count as far apart.
+const SPILL_EXTRA: f64 = 2.0;
 
 /// A place that could run a request.
 #[derive(Debug, Clone, PartialEq)]
@@ -33,16 +35,16 @@
 ///
 /// The least loaded of all would be the same one for every node that sees the same report.
 pub fn choose<'a, K>(candidates: &'a [Candidate<K>], rng: &mut impl Rng) -> Option<&'a K> {
-    let all: Vec<&Candidate<K>> = candidates.iter().collect();
-    better_of_two(&all, rng).map(|candidate| &candidate.key)
+    let chosen = better_of_two(candidates.len(), |index| &candidates[index], rng);
+    chosen.map(|candidate| &candidate.key)
 }
 
 /// As [`choose`], among the near candidates first; a far one is taken where there is no near one
 /// or the near one has clearly more to do.
 pub fn choose_near<'a, K>(candidates: &'a [Candidate<K>], rng: &mut impl Rng) -> Option<&'a K> {
     let (near, far): (Vec<_>, Vec<_>) = candidates.iter().partition(|c| c.is_near);
-    let near = better_of_two(&near, rng);
-    let far = better_of_two(&far, rng);
+    let near = better_of_two(near.len(), |index| near[index], rng);
+    let far = better_of_two(far.len(), |index| far[index], rng);
     let chosen = match (near, far) {
         (Some(near), Some(far)) if spills(near, far) => Some(far),
         (near, far) => near.or(far),
@@ -51,22 +53,21 @@
 }
 
 fn spills<K>(near: &Candidate<K>, far: &Candidate<K>) -> bool {
-    // The one more keeps nearly idle places from counting as far apart.
-    near.load() + 1.0 > SPILL_RATIO * (far.load() + 1.0)
+    near.load() > SPILL_RATIO * far.load() + SPILL_EXTRA
 }
 
-fn better_of_two<'a, K>(
-    candidates: &[&'a Candidate<K>],
+fn better_of_two<'a, K: 'a>(
+    count: usize,
+    at: impl Fn(usize) -> &'a Candidate<K>,
     rng: &mut impl Rng,
 ) -> Option<&'a Candidate<K>> {
-    let first_index = match candidates.len() {
+    let first_index = match count {
         0 => return None,
-        1 => return Some(candidates[0]),
+        1 => return Some(at(0)),
         count => rng.random_range(0..count),
     };
-    let step = rng.random_range(1..candidates.len());
-    let first = candidates[first_index];
-    let second = candidates[(first_index + step) % candidates.len()];
+    let step = rng.random_range(1..count);
+    let (first, second) = (at(first_index), at((first_index + step) % count));
     Some(if second.load() < first.load() {
         second
     } else {
--- a/crates/standins/main.rs
+++ b/crates/standins/main.rs
@@ -7,12 +7,18 @@
 use jacinthpoint_standins::{
     Engine, EngineOptions, PlatformOptions, PlatformServer, Registration, ServiceOptions,
     ServiceServer,
-    load::{OpenLoop, Shape, arrivals, experiment, experiment_names, send_open_loop, table},
+    load::{
+        OpenLoop, Shape, arrivals, experiment, experiment_names, limits_table, send_open_loop,
+        table,
+    },
 };
 
 /// How long an engine stays on the membership list without registering again.
 const REGISTRATION_LEASE_MS: u64 = 2_000;
 
+/// The experiment on fleet-wide limits, which has a table of its own.
+const LIMITS: &str = "limits";
+
 #[derive(Debug, Options)]
 struct Args {
     #[options(help = "print this help")]
@@ -236,9 +242,13 @@
 }
 
 fn run_experiment(args: &ExperimentArgs) -> Result<(), Box<dyn Error>> {
+    if args.name == LIMITS {
+        print!("{}", limits_table(args.seed));
+        return Ok(());
+    }
     let rows = experiment(&args.name, args.seed).ok_or_else(|| {
         let names = experiment_names().join(", ");
-        format!("no experiment {:?}; there are {names}", args.name)
+        format!("no experiment {:?}; there are {names}, {LIMITS}", args.name)
     })?;
     if args.csv {
         for row in &rows {
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -8,6 +8,7 @@
     arrivals::{Arrival, arrivals},
     driver::run,
     experiments::{Row, experiment, experiment_names, table},
+    fleet::limits_table,
     open_loop::{OpenLoop, send_open_loop},
     report::{Ended, Report},
     routers::{Router, RouterKind},
@@ -19,6 +20,7 @@
 mod driver;
 mod engines;
 mod experiments;
+mod fleet;
 mod node;
 mod open_loop;
 mod report;
