--- a/crates/standins/src/load/driver.rs
+++ b/crates/standins/src/load/driver.rs
@@ -15,13 +15,11 @@
     engines::{EngineGroup, GroupState, Job, Started},
     node::Node,
     report::Ended,
-    scenario::{Fault, Outcomes, Retrying, Scenario, Second},
+    scenario::{Outcomes, Retrying, Scenario, Second},
 };
 
-/// How often a group's load is sampled.
-const SAMPLE_MS: u64 = 300;
-/// Time from a sample until the nodes see it.
-const SAMPLE_LAG_MS: u64 = 300;
+mod groups;
+
 /// Time until the nodes know that a group is gone: the life of a permit.
 const PERMIT_MS: u64 = 1_000;
 /// Attempts of one request.
@@ -105,7 +103,7 @@
             progress: vec![Progress::default(); arrivals.len()],
             arrivals,
             nodes: nodes.collect(),
-            groups: (0..groups).map(|_| new_group(scenario)).collect(),
+            groups: (0..groups).map(|_| groups::new_group(scenario)).collect(),
             sampled: vec![0; groups],
             reported: vec![0; groups],
             reported_at_ms: vec![0; groups],
@@ -141,60 +139,6 @@
         self.events.push(Reverse((at_ms, event)));
     }
 
-    fn sample(&mut self) {
-        for (group, sampled) in self.groups.iter().zip(&mut self.sampled) {
-            *sampled = group.load();
-        }
-        self.at(self.now_ms + SAMPLE_LAG_MS, Event::Publish);
-        if self.now_ms < self.scenario.duration_ms {
-            self.at(self.now_ms + SAMPLE_MS, Event::Sample);
-        }
-        // Also lets nodes look again whose groups have come or gone.
-        for node in 0..self.nodes.len() {
-            self.pump(node);
-        }
-    }
-
-    fn publish(&mut self) {
-        let sampled_at_ms = self.now_ms - SAMPLE_LAG_MS;
-        for (index, group) in self.groups.iter().enumerate() {
-            if !group.reports_frozen {
-                self.reported[index] = self.sampled[index];
-                self.reported_at_ms[index] = sampled_at_ms;
-            }
-        }
-    }
-
-    fn strike(&mut self, fault: Fault) {
-        match fault {
-            Fault::Kill(first, end) => (first..end).for_each(|group| self.kill(group)),
-            Fault::Revive(first, end) => {
-                for group in first..end {
-                    self.groups[group] = new_group(self.scenario);
-                    self.died_at_ms[group] = None;
-                }
-            }
-            Fault::Straggle(group, slowness) => {
-                self.groups[group].state = GroupState::Up { slowness };
-            }
-            Fault::ErrorFast(group) => self.groups[group].state = GroupState::ErrorFast,
-            Fault::FreezeReports => {
-                self.groups.iter_mut().for_each(|g| g.reports_frozen = true);
-            }
-        }
-    }
-
-    fn kill(&mut self, group: usize) {
-        self.groups[group].die();
-        self.died_at_ms[group] = Some(self.now_ms);
-        let lost: Vec<usize> = (0..self.progress.len())
-            .filter(|request| self.progress[*request].group == Some(group))
-            .collect();
-        for request in lost {
-            self.fail_attempt(request, group);
-        }
-    }
-
     fn arrive(&mut self, request: usize) {
         let node = self.pick_node(request);
         self.progress[request].node = node;
@@ -437,9 +381,3 @@
         }
     }
 }
-
-fn new_group(scenario: &Scenario) -> EngineGroup {
-    let mut group = EngineGroup::new(scenario.slots);
-    group.is_fifo = scenario.fifo_engines;
-    group
-}
