Take a request off the queue when its caller leaves

Cause: a caller that closed its connection while its request waited was noticed only at the first token, so an engine ran work that nobody wanted, and most of all in an overload, when callers give up.

Change: the waiting thread looks at the connection whenever it looks at the queue; a keyed request stays, since a resend may ask for its answer.

Shown by limits::caller_that_leaves_the_queue_costs_no_run, which failed before the change (the request was in an engine's run log) and passes after it; one run each.

--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -183,7 +183,10 @@
     /// Where the next attempt goes: the first one after its turn in the queue.
     fn next_group(&mut self, model: &ModelRef) -> Result<Permit, Turned> {
         if self.failed_groups.is_empty() {
-            let (permit, slot) = wait_turn(self.shared, self.context, model, &self.call.body)?;
+            // A keyed request runs on, since a resend may ask for its answer.
+            let caller_is_gone = || !self.call.is_keyed && self.responder.caller_is_gone();
+            let body = &self.call.body;
+            let (permit, slot) = wait_turn(self.shared, self.context, model, body, caller_is_gone)?;
             self.slot = Some(slot);
             return Ok(permit);
         }
--- a/crates/node/src/caller/gate.rs
+++ b/crates/node/src/caller/gate.rs
@@ -171,11 +171,12 @@
     context: &Context,
     model: &ModelRef,
     body: &Value,
+    caller_is_gone: impl Fn() -> bool,
 ) -> Result<(Permit, Slot<'a>), Turned> {
     let settings = shared.settings.admission.gate();
     let gate = shared.gates.of(model, settings, shared.now());
     let (ticket, told) = enter(shared, context, &gate, body)?;
-    let permit = wait_told(shared, context, &gate, ticket, &told)?;
+    let permit = wait_told(shared, context, &gate, ticket, &told, caller_is_gone)?;
     let slot = Slot::new(shared, gate, &permit, context.priority);
     Ok((permit, slot))
 }
@@ -247,6 +248,7 @@
     gate: &DeploymentGate,
     ticket: Ticket,
     told: &Receiver<Told>,
+    caller_is_gone: impl Fn() -> bool,
 ) -> Result<Permit, Turned> {
     let mut last_usable_at = shared.now();
     loop {
@@ -269,13 +271,15 @@
         if select::has_usable(shared, &gate.model) {
             last_usable_at = now;
         }
+        let is_gone = caller_is_gone();
         let mut state = gate.lock();
         if now.since_ms(state.looked_at) >= LOOK_PAUSE_MS {
             gate.pump(shared, &mut state);
         }
         let gives_up = now.since_ms(last_usable_at) >= CAPACITY_WAIT_MS
             || context.deadline.has_passed(now)
-            || shared.is_stopped();
+            || shared.is_stopped()
+            || is_gone;
         // A waiter that is no longer in the map has been told already.
         if gives_up && state.waiters.remove(&ticket).is_some() {
             state.gate.withdraw(ticket);
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -272,3 +272,26 @@
     assert_eq!(answer.text, call.expected());
     flood.join().expect("no panic");
 });
+
+site_test!(
+    caller_that_leaves_the_queue_costs_no_run,
+    few_slots(),
+    |site| {
+        let node = site.nodes[0].callers;
+        let long = thread::spawn(move || {
+            let calls = (0..16).map(|number| Call {
+                max_tokens: 60,
+                ..call_of_class("normal", number, 25_000)
+            });
+            send_all(calls.collect(), node)
+        });
+        thread::sleep(Duration::from_millis(1_500));
+        let left = call_of_class("batch", 0, 25_000);
+        left.send_and_leave(node, Duration::from_millis(300));
+        long.join().expect("no panic");
+        // What waited behind the long calls starts as soon as they end.
+        thread::sleep(Duration::from_millis(1_500));
+        let request = left.request.to_string();
+        assert!(site.run_log().iter().all(|run| run.request != request));
+    }
+);
--- a/tests/util/caller.rs
+++ b/tests/util/caller.rs
@@ -53,6 +53,19 @@
 
     /// Sends it and reads the head of the answer.
     pub fn begin(&self, node: SocketAddr) -> Result<attohttpc::Response, String> {
+        self.begin_within(node, Duration::from_secs(30))
+    }
+
+    /// Sends it and closes the connection if no head of an answer comes within a time.
+    pub fn send_and_leave(&self, node: SocketAddr, after: Duration) {
+        drop(self.begin_within(node, after));
+    }
+
+    fn begin_within(
+        &self,
+        node: SocketAddr,
+        read_timeout: Duration,
+    ) -> Result<attohttpc::Response, String> {
         let body = json!({
             "model": "jp-model",
             "prompt": self.prompt,
@@ -60,7 +73,7 @@
             "stream": self.stream,
         });
         let mut request = attohttpc::post(format!("http://{node}/v1/completions"))
-            .read_timeout(Duration::from_secs(30))
+            .read_timeout(read_timeout)
             .header("authorization", format!("Bearer {}", self.key))
             .header("x-request-id", self.request.to_string());
         for (name, value) in &self.headers {
