--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -13,14 +13,18 @@
 pub(crate) use crate::caller::{
     gate::Gates,
     limits::{LimitState, declared as declared_limits},
+    retry::Retries,
 };
 
 mod answer;
+mod call;
 mod completion;
 mod context;
+mod format;
 mod gate;
 mod limits;
 mod once;
+mod retry;
 mod select;
 mod service;
 
--- a/crates/node/src/control/permits.rs
+++ b/crates/node/src/control/permits.rs
@@ -43,7 +43,7 @@
     for (prober, address) in addresses(shared, &probers) {
         let request = Datagram::PermitRequest {
             sent_at: shared.now(),
-            reply_to: shared.settings.listen_peers,
+            reply_to: shared.settings.peers_address(),
             known_digest: shared.grant_book().known_digest(&prober),
         };
         // A lost request is made good by the next one, before the permit runs out.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,7 +8,10 @@
     drain::OpenRequest,
     events::EventCode,
     node::Node,
-    settings::{AdmissionSettings, NodeSettings, SettingsError, parse_settings},
+    settings::{
+        Absent, AdmissionSettings, KEYS as SETTINGS_KEYS, NodeSettings, SettingsError, SettingsKey,
+        parse_settings,
+    },
 };
 pub use jacinthpoint_placement::RepairSettings;
 
--- a/crates/node/src/settings/admission.rs
+++ b/crates/node/src/settings/admission.rs
@@ -4,19 +4,7 @@
     ConcurrencySettings, GateSettings, LayerMode, LimiterSettings, ShedSettings,
 };
 
-/// Keys of the section.
-pub(super) const KEYS: &[&str] = &[
-    "rate",
-    "concurrency",
-    "burst_ms",
-    "group_concurrency",
-    "first_token_target_ms",
-    "deadlines",
-    "shedding",
-    "reservation",
-    "reserved_percent",
-    "max_queued",
-];
+use crate::settings::reader::Reader;
 
 /// Settings of the admission layers. Each mode is `off`, `watch` or `enforce`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -93,3 +81,30 @@
         AdmissionSettings::new()
     }
 }
+
+/// Reads the section.
+pub(super) fn read(reader: &mut Reader<'_>) -> Option<AdmissionSettings> {
+    const SECTION: &str = "admission";
+    let rate = reader.value(SECTION, "rate");
+    let concurrency = reader.value(SECTION, "concurrency");
+    let burst_ms = reader.value(SECTION, "burst_ms");
+    let group_concurrency = reader.value(SECTION, "group_concurrency");
+    let first_token_target_ms = reader.value(SECTION, "first_token_target_ms");
+    let deadlines = reader.value(SECTION, "deadlines");
+    let shedding = reader.value(SECTION, "shedding");
+    let reservation = reader.value(SECTION, "reservation");
+    let reserved_percent = reader.value(SECTION, "reserved_percent");
+    let max_queued = reader.value(SECTION, "max_queued");
+    Some(AdmissionSettings {
+        rate: rate?,
+        concurrency: concurrency?,
+        burst_ms: burst_ms?,
+        group_concurrency: group_concurrency?,
+        first_token_target_ms: first_token_target_ms?,
+        deadlines: deadlines?,
+        shedding: shedding?,
+        reservation: reservation?,
+        reserved_percent: reserved_percent?,
+        max_queued: max_queued?,
+    })
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,7 +15,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
-    caller::{Gates, LimitState},
+    caller::{Gates, LimitState, Retries},
     clock::{Clock, unix_now_ms},
     control::Domains,
     drain::Drain,
@@ -52,6 +52,7 @@
     stop_signal: Condvar,
     pub(crate) ledger: Owner,
     pub(crate) runs: Runs,
+    pub(crate) retries: Retries,
     /// The newest last.
     configs: RwLock<VecDeque<Arc<ConfigInForce>>>,
     members: RwLock<Arc<Vec<PlatformMember>>>,
@@ -67,7 +68,7 @@
         let own = PeerState {
             node: settings.name.clone(),
             incarnation: unix_now_ms(),
-            address: settings.listen_peers,
+            address: settings.peers_address(),
             data_centre: settings.data_centre.clone(),
             leaving: false,
             revision: Revision(0),
@@ -88,6 +89,7 @@
             stop_signal: Condvar::new(),
             ledger: Owner::new(settings.ledger_batch_ms),
             runs: Runs::new(),
+            retries: Retries::default(),
             configs: RwLock::default(),
             members: RwLock::default(),
             peers: Mutex::new(Membership::new(own, rng)),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
     ejection::Ejector,
     lifecycle::{Accepted, Dispatched, Ending, Lost, Unstarted},
     load::estimated_load,
+    retry::{Failure, RetryBudgets, pause_ms},
     subset::subset,
 };
 
@@ -17,4 +18,5 @@
 mod ejection;
 mod lifecycle;
 mod load;
+mod retry;
 mod subset;
--- a/crates/standins/main.rs
+++ b/crates/standins/main.rs
@@ -1,18 +1,20 @@
 //! Runs one stand-in as a process of its own until it is killed, after printing its address.
 
-use std::{error::Error, net::SocketAddr, process::ExitCode, thread};
+use std::{error::Error, net::SocketAddr, path::PathBuf, process::ExitCode, thread};
 
 use gumdrop::Options;
 use jacinthpoint_platform::{MemberRole, MemberState, PlatformMember};
 use jacinthpoint_standins::{
-    Engine, EngineOptions, PlatformOptions, PlatformServer, Registration, ServiceOptions,
-    ServiceServer,
+    Engine, EngineOptions, PlatformOptions, PlatformServer, ProxyOptions, ProxyServer,
+    Registration, ServiceOptions, ServiceServer,
     load::{
         OpenLoop, Shape, arrivals, experiment, experiment_names, limits_table, send_open_loop,
         table,
     },
 };
 
+mod ledger_bench;
+
 /// How long an engine stays on the membership list without registering again.
 const REGISTRATION_LEASE_MS: u64 = 2_000;
 
@@ -37,8 +39,12 @@
     Service(ServiceArgs),
     #[options(help = "open-loop load on running nodes; prints a report")]
     Load(LoadArgs),
+    #[options(help = "cost of at-most-once records; prints a table")]
+    LedgerBench(ledger_bench::LedgerBenchArgs),
     #[options(help = "an experiment of the decision crates; prints a table")]
     Experiment(ExperimentArgs),
+    #[options(help = "a fault proxy")]
+    Proxy(ProxyArgs),
 }
 
 #[derive(Debug, Options)]
@@ -80,6 +86,8 @@
     slots: usize,
     #[options(help = "obey orders with old fencing numbers", no_short)]
     ignore_fencing: bool,
+    #[options(help = "file to append the run log to", no_short)]
+    run_log: Option<String>,
 }
 
 #[derive(Debug, Options)]
@@ -94,6 +102,22 @@
     service: String,
     #[options(help = "time of a call in ms", default = "5", no_short)]
     call_ms: u64,
+    #[options(help = "file to append the run log to", no_short)]
+    run_log: Option<String>,
+}
+
+#[derive(Debug, Options)]
+struct ProxyArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        help = "address of the control paths",
+        default = "127.0.0.1:0",
+        no_short
+    )]
+    listen: String,
+    #[options(help = "seed of the loss on each link", default = "1", no_short)]
+    seed: u64,
 }
 
 #[derive(Debug, Options)]
@@ -140,9 +164,11 @@
     let run = match args.command {
         Some(Command::Platform(args)) => platform(&args),
         Some(Command::Engine(args)) => engine(&args),
+        Some(Command::LedgerBench(args)) => ledger_bench::run(&args),
         Some(Command::Service(args)) => service(&args),
         Some(Command::Load(args)) => open_loop(&args),
         Some(Command::Experiment(args)) => run_experiment(&args),
+        Some(Command::Proxy(args)) => proxy(&args),
         None => Err("no command; see --help".into()),
     };
     match run {
@@ -178,6 +204,7 @@
     options.load_ms = args.load_ms;
     options.slots = args.slots;
     options.refuses_old_orders = !args.ignore_fencing;
+    options.run_log = args.run_log.as_ref().map(PathBuf::from);
     if let Some(platform) = args.platform {
         let member = PlatformMember {
             vm: args.vm.parse()?,
@@ -204,6 +231,15 @@
         vm: args.vm.parse()?,
         service: args.service.parse()?,
         call_ms: args.call_ms,
+        run_log: args.run_log.as_ref().map(PathBuf::from),
+    })?;
+    serve_forever(server.address())
+}
+
+fn proxy(args: &ProxyArgs) -> Result<(), Box<dyn Error>> {
+    let server = ProxyServer::start(&ProxyOptions {
+        address: args.listen.parse()?,
+        seed: args.seed,
     })?;
     serve_forever(server.address())
 }
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -287,7 +287,8 @@
         });
         thread::sleep(Duration::from_millis(1_500));
         let left = call_of_class("batch", 0, 25_000);
-        left.send_and_leave(node, Duration::from_millis(300));
+        left.send_and_leave(node, Duration::from_millis(300))
+            .expect("the node accepts the connection");
         long.join().expect("no panic");
         // What waited behind the long calls starts as soon as they end.
         thread::sleep(Duration::from_millis(1_500));
--- a/tests/util/caller.rs
+++ b/tests/util/caller.rs
@@ -1,6 +1,10 @@
 //! Callers of a site.
 
-use std::{io::Read, net::SocketAddr, time::Duration};
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
 
 use jacinthpoint_types::RequestId;
 use serde_json::{Value, json};
@@ -11,14 +15,16 @@
     ("tongyeong", "key-tongyeong"),
 ];
 
-/// A model call.
-#[derive(Clone)]
+/// A call to a model, or to a plain service.
+#[derive(Debug, Clone)]
 pub struct Call {
     pub request: RequestId,
     pub key: &'static str,
     pub prompt: String,
     pub max_tokens: u64,
     pub stream: bool,
+    /// The plain service to call, which may not be called twice.
+    pub service: Option<&'static str>,
     pub headers: Vec<(&'static str, String)>,
 }
 
@@ -42,6 +48,7 @@
             prompt: prompt.to_owned(),
             max_tokens: 16,
             stream: false,
+            service: None,
             headers: Vec::new(),
         }
     }
@@ -53,36 +60,49 @@
 
     /// Sends it and reads the head of the answer.
     pub fn begin(&self, node: SocketAddr) -> Result<attohttpc::Response, String> {
-        self.begin_within(node, Duration::from_secs(30))
+        let (path, body) = self.path_and_body();
+        let mut request = attohttpc::post(format!("http://{node}{path}"))
+            .read_timeout(Duration::from_secs(30))
+            .header("authorization", format!("Bearer {}", self.key))
+            .header("x-request-id", self.request.to_string());
+        for (name, value) in &self.headers {
+            request = request.header(*name, value);
+        }
+        request
+            .json(&body)
+            .and_then(|r| r.send())
+            .map_err(|e| e.to_string())
     }
 
-    /// Sends it and closes the connection if no head of an answer comes within a time.
-    pub fn send_and_leave(&self, node: SocketAddr, after: Duration) {
-        drop(self.begin_within(node, after));
+    /// Sends it and leaves after `stay`, without reading the answer.
+    pub fn send_and_leave(&self, node: SocketAddr, stay: Duration) -> std::io::Result<()> {
+        let (path, body) = self.path_and_body();
+        let body = body.to_string();
+        let mut stream = TcpStream::connect(node)?;
+        write!(
+            stream,
+            "POST {path} HTTP/1.1\r\nauthorization: Bearer {}\r\nx-request-id: {}\r\n\
+             content-length: {}\r\n\r\n{body}",
+            self.key,
+            self.request,
+            body.len()
+        )?;
+        std::thread::sleep(stay);
+        Ok(())
     }
 
-    fn begin_within(
-        &self,
-        node: SocketAddr,
-        read_timeout: Duration,
-    ) -> Result<attohttpc::Response, String> {
+    fn path_and_body(&self) -> (String, Value) {
+        if let Some(service) = self.service {
+            let body = json!({ "text": self.prompt });
+            return (format!("/services/{service}/send"), body);
+        }
         let body = json!({
             "model": "jp-model",
             "prompt": self.prompt,
             "max_tokens": self.max_tokens,
             "stream": self.stream,
         });
-        let mut request = attohttpc::post(format!("http://{node}/v1/completions"))
-            .read_timeout(read_timeout)
-            .header("authorization", format!("Bearer {}", self.key))
-            .header("x-request-id", self.request.to_string());
-        for (name, value) in &self.headers {
-            request = request.header(*name, value);
-        }
-        request
-            .json(&body)
-            .and_then(|r| r.send())
-            .map_err(|e| e.to_string())
+        ("/v1/completions".to_owned(), body)
     }
 
     fn read(&self, answer: attohttpc::Response) -> Result<Answer, String> {
@@ -102,10 +122,9 @@
             read_events(&body)
         } else {
             let value: Value = serde_json::from_str(&body).unwrap_or_default();
-            let text = value["choices"][0]["text"]
-                .as_str()
-                .unwrap_or_default()
-                .to_owned();
+            let text = value["choices"][0]["text"].as_str();
+            let text = text.or(value["echo"].as_str());
+            let text = text.unwrap_or_default().to_owned();
             (text, header("x-outcome").unwrap_or_default())
         };
         Ok(Answer {
@@ -118,8 +137,17 @@
         })
     }
 
+    /// Whether it may run only once.
+    pub fn is_marked(&self) -> bool {
+        let marked = ("x-repeatable", "false".to_owned());
+        self.service.is_some() || self.headers.contains(&marked)
+    }
+
     /// The text that this call must get.
     pub fn expected(&self) -> String {
+        if self.service.is_some() {
+            return json!({ "text": self.prompt }).to_string();
+        }
         expected_text(&self.prompt, self.max_tokens)
     }
 }
--- a/tests/util/lone_node.rs
+++ b/tests/util/lone_node.rs
@@ -25,7 +25,7 @@
         );
         let folder = Folder::with(&[("node.ini", &settings)]);
         let path = format!("{}/node.ini", folder.path());
-        let process = Process::jacinthpoint(&["node", &path]);
+        let process = Process::jacinthpoint(None, &["node", &path]);
         let [callers, operators] = addresses(process.first_line());
         let node = LoneNode {
             process,
