--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -5,7 +5,7 @@
 use jacinthpoint_readiness::Permit;
 use jacinthpoint_records::Config;
 use jacinthpoint_routing::{Accepted, Dispatched, Ending, Failure, Lost, Unstarted};
-use jacinthpoint_types::{AttemptId, GroupId, Outcome, ResultCode, TimeMs};
+use jacinthpoint_types::{AttemptId, GroupId, ModelRef, Outcome, ResultCode, TimeMs};
 use jacinthpoint_upstream::{StartError, StartRequest, StreamError, TokenEvent, TokenStream};
 use serde_json::json;
 
@@ -15,6 +15,8 @@
         call::Call,
         context::Context,
         format::{Format, stream_end},
+        gate::{Slot, Turned, start_again, wait_turn},
+        limits::{self, max_tokens, retry_after_s},
         once::{self, Entry},
         retry,
         select::wait_for_group,
@@ -43,6 +45,7 @@
     responder: &mut Responder<'_>,
 ) -> Result<(), Refusal> {
     let call = Call::read(config, context, request)?;
+    let mut admitted = limits::admit_named(shared, config, context, max_tokens(&call.body))?;
     let claim = match once::enter(shared, context, request)? {
         Entry::Run(claim) => claim,
         Entry::Replay(answer) => {
@@ -60,9 +63,12 @@
         first_token_at: None,
         token_gaps: TokenGaps::new(&shared.metrics, &context.organisation, context.priority),
         failed_groups: BTreeSet::new(),
+        slot: None,
+        retry_after_s: None,
     };
     let ending = running.drive();
     running.record(&ending);
+    admitted.generated(running.delivered.len());
     if let Some(claim) = claim {
         claim.settle(
             &ending,
@@ -96,6 +102,8 @@
     first_token_at: Option<TimeMs>,
     token_gaps: TokenGaps<'a>,
     failed_groups: BTreeSet<GroupId>,
+    slot: Option<Slot<'a>>,
+    retry_after_s: Option<u32>,
 }
 
 impl Running<'_, '_> {
@@ -108,6 +116,7 @@
 
     fn drive(&mut self) -> Ending {
         let mut state = Unstarted::Accepted(Accepted::new());
+        let model = self.call.deployment.model_ref();
         let target = self.call.deployment.name.as_str();
         self.shared
             .retries
@@ -117,12 +126,16 @@
             if self.context.deadline.has_passed(self.shared.now()) {
                 return state.give_up(ResultCode::DeadlinePassed);
             }
-            let model = self.call.deployment.model_ref();
-            let permit = wait_for_group(self.shared, self.context, &model, &self.failed_groups);
-            let Some(permit) = permit else {
-                return state.give_up(ResultCode::NoCapacity);
+            let permit = match self.next_group(&model) {
+                Ok(permit) => permit,
+                Err(turned) => {
+                    self.retry_after_s = Some(retry_after_s(turned.wait_ms));
+                    return state.give_up(turned.code);
+                }
             };
-            state = match self.attempt(&permit, state.dispatch()) {
+            let end = self.attempt(&permit, state.dispatch());
+            self.leave_group(&end);
+            state = match end {
                 AttemptEnd::Over(ending) => return ending,
                 AttemptEnd::Unstarted(unstarted, failure) => {
                     cause = failure;
@@ -141,6 +154,32 @@
         }
     }
 
+    /// Where the next attempt goes: the first one after its turn in the queue.
+    fn next_group(&mut self, model: &ModelRef) -> Result<Permit, Turned> {
+        if self.failed_groups.is_empty() {
+            // A keyed request runs on, since a resend may ask for its answer.
+            let caller_is_gone = || !self.call.is_keyed && self.responder.caller_is_gone();
+            let body = &self.call.body;
+            let (permit, slot) = wait_turn(self.shared, self.context, model, body, caller_is_gone)?;
+            self.slot = Some(slot);
+            return Ok(permit);
+        }
+        let permit = wait_for_group(self.shared, self.context, model, &self.failed_groups);
+        let permit = permit.ok_or(Turned {
+            code: ResultCode::NoCapacity,
+            wait_ms: 0,
+        })?;
+        self.slot = Some(start_again(self.shared, self.context, model, &permit));
+        Ok(permit)
+    }
+
+    fn leave_group(&mut self, end: &AttemptEnd) {
+        let slot = self.slot.take();
+        if let Some(mut slot) = slot.filter(|_| !matches!(end, AttemptEnd::Over(_))) {
+            slot.fail();
+        }
+    }
+
     /// Whether another group may take the request. An answer begun is always continued: what was
     /// generated is not lost, and the caller sees no second start.
     fn may_retry(&self, cause: Failure) -> bool {
@@ -309,6 +348,9 @@
     /// Takes a token; `false` if the caller has gone.
     fn deliver(&mut self, token: TokenEvent) -> bool {
         self.first_token_at.get_or_insert(self.shared.now());
+        if let Some(slot) = &mut self.slot {
+            slot.on_token();
+        }
         self.token_gaps.token();
         let event = self.call.wants_stream.then(|| self.format().event(&token));
         self.finish_reason = token.finish_reason;
@@ -336,7 +378,11 @@
                 organisation = %self.context.organisation, outcome = %ending.outcome(),
                 code = ending.code().map(ResultCode::number), "not answered"
             );
-            return Err(Refusal::from_ending(ending, "the request was not answered"));
+            let mut refusal = Refusal::from_ending(ending, "the request was not answered");
+            if refusal.retry_after_s.is_some() {
+                refusal.retry_after_s = self.retry_after_s.or(refusal.retry_after_s);
+            }
+            return Err(refusal);
         }
         if self.call.wants_stream {
             let end = stream_end();
--- a/crates/node/src/caller/service.rs
+++ b/crates/node/src/caller/service.rs
@@ -13,6 +13,7 @@
         SERVICES_PREFIX,
         answer::{OUTCOME_HEADER, Refusal},
         context::Context,
+        limits,
         once::{self, Entry},
         retry,
         select::{choose_server, in_flight_key},
@@ -56,6 +57,7 @@
             format!("no service {name:?} for this key"),
         )
     })?;
+    let _admitted = limits::admit_named(shared, config, context, 0)?;
     let claim = match once::enter(shared, context, request)? {
         Entry::Run(claim) => claim,
         Entry::Replay(answer) => {
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -47,6 +47,16 @@
     LedgerConflict = 511,
     /// The owner of a slot did not answer; another node is asked.
     LedgerOwnerSilent = 512,
+    /// A limit of an organisation is reached; the request is refused.
+    LimitReached = 600,
+    /// A limit that only watches is reached; the request goes on.
+    LimitWatched = 601,
+    /// A request is refused in front of the groups: shed, or too late for its deadline.
+    GateRefused = 610,
+    /// A layer that only watches would refuse a request; it goes on.
+    GateWatched = 611,
+    /// A group is left alone for a time, because it fails while others do not.
+    GroupEjected = 620,
 }
 
 impl EventCode {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -10,8 +10,10 @@
 
 use crate::settings::{clashes::check_clashes, reader::Reader};
 
+pub use crate::settings::admission::AdmissionSettings;
 pub use crate::settings::keys::{Absent, KEYS, SettingsKey};
 
+mod admission;
 mod clashes;
 mod keys;
 mod reader;
@@ -50,6 +52,8 @@
     pub ledger_batch_ms: u64,
     /// Where metrics are sent.
     pub statsd: Option<SocketAddr>,
+    /// Modes and bounds of admission.
+    pub admission: AdmissionSettings,
     /// Weights, estimates and limits of repairs.
     pub repair: RepairSettings,
 }
@@ -107,6 +111,7 @@
     let drain_deadline_ms = reader.value("limits", "drain_deadline_ms");
     let ledger_batch_ms = reader.value("ledger", "batch_ms");
     let statsd = reader.value("metrics", "statsd");
+    let admission = admission::read(reader);
     let repair = read_repair(reader);
     Some(NodeSettings {
         name: name?,
@@ -124,6 +129,7 @@
         drain_deadline_ms: drain_deadline_ms?,
         ledger_batch_ms: ledger_batch_ms?,
         statsd,
+        admission: admission?,
         repair: repair?,
     })
 }
--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -34,6 +34,8 @@
     pub group_size: u16,
     pub standbys: u16,
     pub engine_args: Vec<String>,
+    /// Added to the settings of each node.
+    pub node_settings: String,
     /// Servers of the plain service `enquiries`.
     pub servers: usize,
     /// Age of the platform's membership list.
@@ -53,6 +55,7 @@
             group_size: 3,
             standbys: 1,
             engine_args: Vec::new(),
+            node_settings: String::new(),
             servers: 1,
             membership_lag_ms: 500,
             proxy_seed: None,
@@ -324,9 +327,10 @@
             "[node]\nname = {name}\ndata_centre = dc-1\n\n[listen]\ncallers = {callers}\n\
              operators = {operators}\npeers = {peers}\n{advertise_line}\n[platform]\n\
              address = {}\n\n[peers]\nseeds = {}\n\n\
-             [limits]\ndefault_deadline_ms = {DEADLINE_MS}\n",
+             [limits]\ndefault_deadline_ms = {DEADLINE_MS}\n\n{}",
             self.platform_seen_by(&name),
-            seeds.join(", ")
+            seeds.join(", "),
+            self.options.node_settings,
         );
         let path = self.folder.join(format!("{name}.ini"));
         fs::write(&path, settings).expect("settings are written");
