--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -20,5 +20,6 @@
 mod entry;
 mod key;
 mod page;
+mod page_state;
 mod runs;
 mod slot;
