End the search for VMs when more of them would not help

Cause: with repairs switched off, a broken group and a free VM made the planner look for VMs for ever: enough were free, so the search succeeded at once, and the repair then failed again. A group whose member had started again also still counted as broken after its repair, so it could be dissolved for another one.

Ruled out: a limit on the rounds, which would hide such a search instead of ending it.

Change: standbys are borrowed only if they are what is missing; VMs that were planned anew in their own place no longer count as lost. A case for the first fault, which did not end before.

Conclusion: every step of the search now either frees VMs or ends it.

--- a/crates/placement/src/planner/draft.rs
+++ b/crates/placement/src/planner/draft.rs
@@ -28,6 +28,8 @@
     pub(super) views: BTreeMap<&'a VmId, &'a VmView>,
     /// Healthy VMs that no slot names.
     free: BTreeSet<VmId>,
+    /// VMs that were planned anew in their own place.
+    pub(super) renewed: BTreeSet<VmId>,
 }
 
 impl<'a> Draft<'a> {
@@ -41,6 +43,7 @@
             slots: Vec::new(),
             views: views.collect(),
             free: BTreeSet::new(),
+            renewed: BTreeSet::new(),
         };
         draft.take_over_groups();
         draft.collect_free();
@@ -89,7 +92,8 @@
         let Some(view) = self.view(member) else {
             return true;
         };
-        view.health == VmHealth::Lost || self.has_restarted(view)
+        let is_renewed = self.renewed.contains(&member.vm);
+        view.health == VmHealth::Lost || (self.has_restarted(view) && !is_renewed)
     }
 
     fn has_restarted(&self, view: &VmView) -> bool {
--- a/crates/placement/src/planner/repair.rs
+++ b/crates/placement/src/planner/repair.rs
@@ -89,6 +89,8 @@
                 group.members[rank] = replacement.clone();
             }
         }
+        self.renewed
+            .extend(found.iter().map(|member| member.vm.clone()));
         for member in lost {
             if found.iter().all(|replacement| replacement.vm != member.vm) {
                 self.give_back(&member.vm);
@@ -140,6 +142,10 @@
     fn borrow_standbys(&mut self, broken: usize) -> bool {
         let slot = &self.slots[broken];
         let missing = self.missing(slot);
+        // Enough are free already, and the repair failed all the same: more would not help.
+        if missing <= self.free_count() {
+            return false;
+        }
         let priority = self.demands[slot.demand].priority;
         let id = slot.group.id.clone();
         self.borrow(missing, priority, Some(&id))
@@ -153,6 +159,9 @@
         except: Option<&GroupId>,
     ) -> bool {
         let needed = needed.saturating_sub(self.free_count());
+        if needed == 0 {
+            return true;
+        }
         let lent = self.lendable_standbys(priority, except);
         if !self.input.settings.repairs.replace || lent.len() < needed {
             return false;
--- a/crates/placement/tests/repair.rs
+++ b/crates/placement/tests/repair.rs
@@ -1,6 +1,6 @@
 //! Groups are formed, repaired and moved.
 
-use jacinthpoint_placement::{Action, Demand, Event, GroupPlan, RepairSettings};
+use jacinthpoint_placement::{Action, Demand, Event, GroupPlan, RepairSettings, Repairs};
 use jacinthpoint_types::Priority;
 
 use crate::driver::{World, address, demand, new_driven, vm_id};
@@ -298,3 +298,23 @@
 
 load_case!(loads_at_once_stay_within_the_limit, 5);
 load_case!(one_load_at_once_still_brings_up_the_groups, 1);
+
+#[test]
+fn without_repairs_a_broken_group_waits_for_its_member() {
+    let settings = RepairSettings {
+        repairs: Repairs {
+            replace: false,
+            take: false,
+            dissolve: false,
+        },
+        ..settings()
+    };
+    let mut world = World::new(6, vec![demand("desk", 1, 4, 0)], &settings, 1);
+    serve(&mut world, 1);
+    let member = member_number(&world, 1);
+    world.vm(member).is_dead = true;
+    world.run_ms(LIMIT_MS);
+    assert!(world.serving().is_empty());
+    world.vm(member).restart();
+    serve(&mut world, 1);
+}
