--- /dev/null
+++ b/crates/ledger/tests/tests.rs
@@ -0,0 +1,6 @@
+//! Tests of the at-most-once records.
+
+mod kill_points;
+mod rules;
+mod runner;
+mod support;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,17 +8,19 @@
 
 use jacinthpoint_membership::Membership;
 use jacinthpoint_platform::{Platform, PlatformMember};
-use jacinthpoint_readiness::PermitTable;
+use jacinthpoint_readiness::{Asker, GrantBook, PermitTable};
 use jacinthpoint_records::Config;
 use jacinthpoint_types::{GroupId, NodeId, Revision, TimeMs};
 use jacinthpoint_wire::PeerState;
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
+    caller::Retries,
     clock::{Clock, unix_now_ms},
     control::Domains,
     drain::Drain,
     events::log_event,
+    ledger::{Owner, Runs},
     metrics::Metrics,
     settings::NodeSettings,
 };
@@ -46,11 +48,16 @@
     pub(crate) domains: Domains,
     stopped: Mutex<bool>,
     stop_signal: Condvar,
+    pub(crate) ledger: Owner,
+    pub(crate) runs: Runs,
+    pub(crate) retries: Retries,
     /// The newest last.
     configs: RwLock<VecDeque<Arc<ConfigInForce>>>,
     members: RwLock<Arc<Vec<PlatformMember>>>,
     peers: Mutex<Membership>,
     permits: Mutex<PermitTable>,
+    grant_book: Mutex<GrantBook>,
+    asker: Mutex<Asker>,
     in_flight: [Mutex<BTreeMap<GroupId, u32>>; IN_FLIGHT_SHARDS],
 }
 
@@ -59,12 +66,13 @@
         let own = PeerState {
             node: settings.name.clone(),
             incarnation: unix_now_ms(),
-            address: settings.listen_peers,
+            address: settings.peers_address(),
             data_centre: settings.data_centre.clone(),
             leaving: false,
             revision: Revision(0),
         };
         let rng = SmallRng::from_os_rng();
+        let asker = Asker::new(settings.name.clone(), settings.data_centre.clone());
         Shared {
             clock: Clock::new(),
             drain: Arc::new(Drain::default()),
@@ -74,10 +82,15 @@
             domains: Domains::default(),
             stopped: Mutex::new(false),
             stop_signal: Condvar::new(),
+            ledger: Owner::new(settings.ledger_batch_ms),
+            runs: Runs::new(),
+            retries: Retries::default(),
             configs: RwLock::default(),
             members: RwLock::default(),
             peers: Mutex::new(Membership::new(own, rng)),
             permits: Mutex::default(),
+            grant_book: Mutex::default(),
+            asker: Mutex::new(asker),
             in_flight: Default::default(),
             settings,
         }
@@ -171,6 +184,16 @@
         self.permits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn asker(&self) -> MutexGuard<'_, Asker> {
+        self.asker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn grant_book(&self) -> MutexGuard<'_, GrantBook> {
+        self.grant_book
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Live nodes ranked for a piece of work, this one among them unless it is leaving.
     pub(crate) fn ranked_nodes(&self, work: &str) -> Vec<NodeId> {
         let mut live: Vec<NodeId> = self
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,13 +8,14 @@
     assignment::{Assignment, MemberAddress},
     epoch::{Epoch, Revision},
     id::{
-        AttemptId, DataCentreId, DeploymentId, FabricDomainId, GroupId, NodeId, OrganisationId,
-        ParseIdError, RequestId, ServiceId, VmId,
+        AttemptId, DataCentreId, DeploymentId, FabricDomainId, GroupId, IdempotencyKey, NodeId,
+        OrganisationId, ParseIdError, RequestId, ServiceId, VmId,
     },
     model::ModelRef,
     outcome::{Outcome, ResultCode},
     priority::Priority,
     rendezvous::{rank, ranked},
+    suggestion::suggestion,
     time::{Deadline, TimeMs},
 };
 
@@ -25,4 +26,5 @@
 mod outcome;
 mod priority;
 mod rendezvous;
+mod suggestion;
 mod time;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,8 +4,16 @@
 mod macros;
 mod util;
 
+mod at_most_once;
+mod bad_input;
 mod cli;
 mod configuration;
 mod groups;
+mod metrics;
+mod outages;
+mod partitions;
 mod planned_stop;
+mod requests;
 mod serving;
+mod soak;
+mod upstreams;
