--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -18,6 +18,8 @@
 /// Time between the loss of readiness and the close of the listener; a balancer that checks every
 /// second and takes a node out after three failures sees it in time.
 const DEFAULT_DRAIN_ANNOUNCE_MS: u64 = 5_000;
+/// Shortest time between two writes of one page of at-most-once records.
+const DEFAULT_LEDGER_BATCH_MS: u64 = 20;
 /// Longest planned stop.
 const DEFAULT_DRAIN_DEADLINE_MS: u64 = 120_000;
 
@@ -50,6 +52,8 @@
     pub drain_announce_ms: u64,
     /// Longest planned stop, the announcement included.
     pub drain_deadline_ms: u64,
+    /// Shortest time between two writes of one page of at-most-once records.
+    pub ledger_batch_ms: u64,
     /// Where metrics are sent.
     pub statsd: Option<SocketAddr>,
     /// Weights, estimates and limits of repairs.
@@ -92,6 +96,7 @@
             "drain_deadline_ms",
         ],
     ),
+    ("ledger", &["batch_ms"]),
     ("metrics", &["statsd"]),
     (
         "repair",
@@ -156,6 +161,7 @@
         let read_deadline_ms = self.optional("limits", "read_deadline_ms");
         let drain_announce_ms = self.optional("limits", "drain_announce_ms");
         let drain_deadline_ms = self.optional("limits", "drain_deadline_ms");
+        let ledger_batch_ms = self.optional("ledger", "batch_ms");
         let statsd = self.optional("metrics", "statsd");
         let repair = self.repair();
         let settings = NodeSettings {
@@ -172,6 +178,7 @@
             read_deadline_ms: read_deadline_ms.unwrap_or(DEFAULT_READ_DEADLINE_MS),
             drain_announce_ms: drain_announce_ms.unwrap_or(DEFAULT_DRAIN_ANNOUNCE_MS),
             drain_deadline_ms: drain_deadline_ms.unwrap_or(DEFAULT_DRAIN_DEADLINE_MS),
+            ledger_batch_ms: ledger_batch_ms.unwrap_or(DEFAULT_LEDGER_BATCH_MS),
             statsd,
             repair,
         };
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,6 +16,7 @@
     service::{ServiceOptions, ServiceServer},
 };
 
+pub mod load;
 pub mod text;
 
 mod engine;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,9 +2,13 @@
 
 use std::net::SocketAddr;
 
-use jacinthpoint_types::{Assignment, DataCentreId, FabricDomainId, NodeId, Revision, TimeMs};
+use jacinthpoint_types::{
+    Assignment, AttemptId, DataCentreId, FabricDomainId, NodeId, Revision, TimeMs,
+};
 use serde::{Deserialize, Serialize};
 
+use crate::claim::{ClaimRequest, ClaimVerdict, ReleaseRequest, RunState};
+
 /// A node's own word on itself, passed on by others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerState {
@@ -159,6 +163,17 @@
     Peers,
     /// Asks for the platform's membership list as the receiver last read it.
     Members,
+    /// Asks the owner of a slot for the right to run a keyed request.
+    Claim(ClaimRequest),
+    /// Takes back a claim that was never dispatched.
+    Release(ReleaseRequest),
+    /// Asks the runner of a claim for its answer.
+    KeptAnswer {
+        /// The claim.
+        claim: AttemptId,
+        /// How long to wait for the end of a run.
+        wait_ms: u32,
+    },
 }
 
 /// Answer to a [`PeerRequest`].
@@ -191,4 +206,8 @@
         /// The list as the platform gave it, in JSON.
         members_json: String,
     },
+    /// Answers a `Claim` or `Release`.
+    Verdict(ClaimVerdict),
+    /// Answers a `KeptAnswer`.
+    Run(RunState),
 }
