--- a/tests/partitions.rs
+++ b/tests/partitions.rs
@@ -95,8 +95,12 @@
         let answer = caller.join().expect("no panic").expect("an answer");
         assert_eq!(answer.outcome, "unknown", "{}", answer.body);
         assert!(wall_ms() < deadline_ms + ANSWER_SLACK_MS, "answered late");
-        let answer = Ok(answer);
-        reconcile(&site, &[Sent { call, answer }]);
+        let sent = Sent {
+            call,
+            answer: Ok(answer),
+            ended_ms: wall_ms(),
+        };
+        reconcile(&site, &[sent]);
     }
 );
 
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -13,7 +13,7 @@
     lone_node::LoneNode,
     process::Process,
     reconcile::{Missing, SHORT_GROUP_BOUND_MS, Tally, read_run_logs, reconcile},
-    site::{Site, SiteOptions, permitted_groups, status, wait_until},
+    site::{Site, SiteOptions, Upstream, permitted_groups, status, wait_until},
     traffic::{Sent, Traffic},
 };
 
--- a/tests/util/caller.rs
+++ b/tests/util/caller.rs
@@ -119,7 +119,14 @@
     /// Whether it may run only once.
     pub fn is_marked(&self) -> bool {
         let marked = ("x-repeatable", "false".to_owned());
-        self.service.is_some() || self.headers.contains(&marked)
+        self.service.is_some() || self.is_keyed() || self.headers.contains(&marked)
+    }
+
+    /// Whether it may be sent again.
+    pub fn is_keyed(&self) -> bool {
+        self.headers
+            .iter()
+            .any(|(name, _)| *name == "idempotency-key")
     }
 
     /// The text that this call must get.
--- a/tests/util/reconcile.rs
+++ b/tests/util/reconcile.rs
@@ -37,16 +37,19 @@
 /// that kills a node may have any.
 pub fn reconcile(site: &Site, sent: &[Sent]) -> Tally {
     let runs = site.run_log();
-    let mut by_request: BTreeMap<&str, Vec<&RunRecord>> = BTreeMap::new();
-    for run in &runs {
-        by_request.entry(&run.request).or_default().push(run);
-    }
+    let by_request = group_by(&runs, |run| run.request.clone());
+    let by_prompt = group_by(&runs, run_prompt);
+    let none = Vec::new();
     let mut tally = Tally::default();
     for one in sent {
-        let request = one.call.request.to_string();
-        let runs = by_request.get(request.as_str());
         tally.count(one);
-        check_request(one, runs.map_or(&[], Vec::as_slice));
+        // The sendings of one key have different request ids, and prompts that no other call has.
+        let runs = if one.call.is_keyed() {
+            by_prompt.get(&one.call.prompt)
+        } else {
+            by_request.get(&one.call.request.to_string())
+        };
+        check_request(one, runs.unwrap_or(&none));
     }
     for missing in site.missing() {
         check_missing(&missing, &runs);
@@ -57,6 +60,17 @@
     tally
 }
 
+fn group_by(
+    runs: &[RunRecord],
+    key: impl Fn(&RunRecord) -> String,
+) -> BTreeMap<String, Vec<&RunRecord>> {
+    let mut grouped: BTreeMap<String, Vec<&RunRecord>> = BTreeMap::new();
+    for run in runs {
+        grouped.entry(key(run)).or_default().push(run);
+    }
+    grouped
+}
+
 impl Tally {
     fn count(&mut self, sent: &Sent) {
         self.accepted += 1;
@@ -84,7 +98,10 @@
             assert!(!runs.is_empty(), "answered without a run: {sent:?}");
         }
         "not-run" => {
-            assert!(runs.is_empty(), "told not-run, but ran: {sent:?} {runs:?}");
+            // A keyed call may run at a later sending.
+            let mut ran = runs.iter();
+            let lie = ran.find(|run| !sent.call.is_keyed() || run.started_wall_ms < sent.ended_ms);
+            assert!(lie.is_none(), "told not-run, but ran: {sent:?} {lie:?}");
             let answer = sent.answer.as_ref().expect("an outcome comes in an answer");
             let retryable = matches!(answer.status, 429 | 503 | 504);
             let told_when = answer.retry_after.is_some();
--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -5,18 +5,22 @@
     fs,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
-    sync::{Mutex, PoisonError},
+    sync::Mutex,
     thread,
     time::{Duration, Instant},
 };
 
 use jacinthpoint_platform::{MemberRole, MemberState, Platform, PlatformMember, Version};
 use jacinthpoint_records::{CONFIG_KIND, CONFIG_NAME, RecordsObject, key_digest};
-use jacinthpoint_standins::{Registration, RunRecord, wall_ms};
+use jacinthpoint_standins::{Registration, RunRecord};
 use serde_json::{Value, json};
 
+pub use crate::util::site::options::SiteOptions;
 use crate::util::{KEYS, Links, Missing, Process, get_json, post_json, read_run_logs};
 
+mod options;
+mod upstreams;
+
 /// Time for the groups of a site to form.
 const START_DEADLINE_MS: u64 = 30_000;
 
@@ -24,53 +28,6 @@
 /// that a caller is told an outcome even when an upstream never answers.
 const DEADLINE_MS: u64 = 20_000;
 
-/// Size of a site.
-#[derive(Clone)]
-pub struct SiteOptions {
-    pub nodes: usize,
-    pub domains: usize,
-    pub vms_per_domain: usize,
-    pub groups: u16,
-    pub group_size: u16,
-    pub standbys: u16,
-    pub engine_args: Vec<String>,
-    /// Servers of the plain service `enquiries`.
-    pub servers: usize,
-    /// Age of the platform's membership list.
-    pub membership_lag_ms: u64,
-    /// Seed of a fault proxy on every link; without one, links are direct.
-    pub proxy_seed: Option<u64>,
-}
-
-impl SiteOptions {
-    /// Two fabric domains, each with a group of three VMs and one more VM; two nodes.
-    pub fn small() -> SiteOptions {
-        SiteOptions {
-            nodes: 2,
-            domains: 2,
-            vms_per_domain: 4,
-            groups: 2,
-            group_size: 3,
-            standbys: 1,
-            engine_args: Vec::new(),
-            servers: 1,
-            membership_lag_ms: 500,
-            proxy_seed: None,
-        }
-    }
-
-    /// As [`SiteOptions::small`], with three nodes, three servers and every link through a fault
-    /// proxy.
-    pub fn proxied() -> SiteOptions {
-        SiteOptions {
-            nodes: 3,
-            servers: 3,
-            proxy_seed: Some(1),
-            ..SiteOptions::small()
-        }
-    }
-}
-
 /// An upstream with its process.
 pub struct Upstream {
     pub process: Process,
@@ -203,108 +160,6 @@
         })
     }
 
-    pub fn start_engine(&mut self, vm: &str, domain: &str) {
-        let route = self.route_to(vm, "tcp", None);
-        self.start_engine_at(vm, domain, route);
-    }
-
-    fn start_engine_at(&mut self, vm: &str, domain: &str, route: Option<SocketAddr>) {
-        let platform = self.platform_seen_by(vm).to_string();
-        let run_log = self.folder.join(format!("{vm}.jsonl"));
-        let run_log = run_log.to_str().expect("the path is UTF-8");
-        let advertise = route.map(|route| route.to_string());
-        let mut args = vec!["engine", "--vm", vm, "--fabric-domain", domain];
-        args.extend(["--platform", platform.as_str(), "--run-log", run_log]);
-        if let Some(advertise) = &advertise {
-            args.extend(["--advertise", advertise.as_str()]);
-        }
-        args.extend(self.options.engine_args.iter().map(String::as_str));
-        let http_proxy = self.links.as_ref().map(|links| links.http_proxy(vm));
-        let (process, address) = Process::standin_behind(http_proxy, &args);
-        if let (Some(links), Some(route)) = (&self.links, route) {
-            links.set_target(route, address);
-        }
-        let upstream = Upstream {
-            process,
-            address,
-            domain: domain.to_owned(),
-            route,
-        };
-        self.engines.insert(vm.to_owned(), upstream);
-    }
-
-    /// Kills an engine's VM.
-    pub fn kill_engine(&mut self, vm: &str) {
-        let engine = self.engines.remove(vm).expect("the engine runs");
-        drop(engine.process);
-        self.note_missing(vm);
-    }
-
-    /// Replaces an engine's VM by another one on the same address and in the same domain.
-    pub fn replace_engine(&mut self, vm: &str, by: &str) {
-        let (domain, route) = {
-            let engine = &self.engines[vm];
-            (engine.domain.clone(), engine.route)
-        };
-        self.kill_engine(vm);
-        self.start_engine_at(by, &domain, route);
-    }
-
-    /// Pauses an engine's process.
-    pub fn pause_engine(&self, vm: &str) {
-        self.engines[vm].process.signal("STOP");
-        self.note_missing(vm);
-    }
-
-    /// Lets a paused engine's process go on.
-    pub fn resume_engine(&self, vm: &str) {
-        self.note_present(vm);
-        self.engines[vm].process.signal("CONT");
-    }
-
-    fn note_missing(&self, vm: &str) {
-        self.missing_list().push(Missing {
-            vm: vm.to_owned(),
-            from_ms: wall_ms(),
-            to_ms: None,
-        });
-    }
-
-    fn note_present(&self, vm: &str) {
-        let now_ms = wall_ms();
-        let mut missing = self.missing_list();
-        for entry in missing.iter_mut().filter(|entry| entry.vm == vm) {
-            entry.to_ms.get_or_insert(now_ms);
-        }
-    }
-
-    /// When VMs were missing.
-    pub fn missing(&self) -> Vec<Missing> {
-        self.missing_list().clone()
-    }
-
-    fn missing_list(&self) -> std::sync::MutexGuard<'_, Vec<Missing>> {
-        self.missing.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn start_service(&mut self, vm: &str) {
-        let run_log = self.folder.join(format!("{vm}.jsonl"));
-        let run_log = run_log.to_str().expect("the path is UTF-8");
-        let mut args = vec!["service", "--vm", vm, "--service", "enquiries"];
-        args.extend(["--run-log", run_log]);
-        let (process, address) = Process::standin(&args);
-        let route = self.route_to(vm, "tcp", Some(address));
-        let role = MemberRole::Service("enquiries".parse().expect("a valid name"));
-        self.register(vm, role, route.unwrap_or(address));
-        let upstream = Upstream {
-            process,
-            address,
-            domain: "entry".to_owned(),
-            route,
-        };
-        self.services.insert(vm.to_owned(), upstream);
-    }
-
     pub fn start_node(&mut self, number: usize) -> SiteNode {
         let [callers, operators, peers] = free_addresses();
         let name = format!("node-{number}");
@@ -387,11 +242,6 @@
         self.control("fault", fault);
     }
 
-    /// Switches a fault of an engine on.
-    pub fn engine_fault(&self, vm: &str, fault: &Value) {
-        post_json(self.engines[vm].address, "/control/fault", fault);
-    }
-
     /// Waits until every node may use `count` groups.
     pub fn wait_for_groups(&self, count: usize) {
         wait_until("the groups serve", START_DEADLINE_MS, || {
--- a/tests/util/traffic.rs
+++ b/tests/util/traffic.rs
@@ -10,6 +10,9 @@
     time::Duration,
 };
 
+use jacinthpoint_standins::wall_ms;
+use jacinthpoint_types::{IdempotencyKey, RequestId};
+
 use crate::util::{Answer, Call};
 
 /// Pause of a caller between two requests.
@@ -23,6 +26,10 @@
 const SERVICE_EVERY: usize = 4;
 /// One model call of this many may not be repeated.
 const MARKED_EVERY: usize = 5;
+/// One model call of this many carries an idempotency key, and is sent again until it is answered.
+const KEYED_EVERY: usize = 11;
+/// Times that a keyed call is sent.
+const MAX_SENDINGS: usize = 4;
 /// Of this many model calls, those below [`STREAMED_OF_STRIDE`] are streamed.
 const STREAM_STRIDE: usize = 7;
 /// See [`STREAM_STRIDE`].
@@ -34,6 +41,8 @@
     pub call: Call,
     /// An error means that the connection failed, so that the caller was told nothing.
     pub answer: Result<Answer, String>,
+    /// Wall-clock time of the answer's end.
+    pub ended_ms: u64,
 }
 
 /// Callers in threads of their own, each asking the nodes in turn.
@@ -55,11 +64,10 @@
             thread::spawn(move || {
                 while !stop.load(Ordering::Relaxed) {
                     let number = next.fetch_add(1, Ordering::Relaxed);
-                    let call = nth_call(number, service);
-                    let answer = call.send(nodes[number % nodes.len()]);
-                    let mut sent = sent.lock().unwrap_or_else(PoisonError::into_inner);
-                    sent.push(Sent { call, answer });
-                    drop(sent);
+                    for one in send(nth_call(number, service), number, &nodes) {
+                        let mut sent = sent.lock().unwrap_or_else(PoisonError::into_inner);
+                        sent.push(one);
+                    }
                     thread::sleep(Duration::from_millis(PAUSE_MS));
                 }
             })
@@ -98,6 +106,29 @@
     }
 }
 
+/// Sends a call, a keyed one again at the next node until it is answered.
+fn send(call: Call, number: usize, nodes: &[SocketAddr]) -> Vec<Sent> {
+    let sendings = if call.is_keyed() { MAX_SENDINGS } else { 1 };
+    let mut sent: Vec<Sent> = Vec::new();
+    for sending in 0..sendings {
+        let call = Call {
+            request: RequestId::new(),
+            ..call.clone()
+        };
+        let answer = call.send(nodes[(number + sending) % nodes.len()]);
+        sent.push(Sent {
+            call,
+            answer,
+            ended_ms: wall_ms(),
+        });
+        if sent[sending].outcome() == "answered" {
+            break;
+        }
+        thread::sleep(Duration::from_millis(PAUSE_MS));
+    }
+    sent
+}
+
 fn nth_call(number: usize, service: Option<&'static str>) -> Call {
     let prompt = format!("request {number}");
     if let Some(service) = service.filter(|_| number.is_multiple_of(SERVICE_EVERY)) {
@@ -106,6 +137,13 @@
             ..Call::new(&prompt)
         };
     }
+    if number.is_multiple_of(KEYED_EVERY) {
+        let key = IdempotencyKey::new().to_string();
+        return Call {
+            headers: vec![("idempotency-key", key)],
+            ..Call::new(&prompt)
+        };
+    }
     Call {
         stream: number % STREAM_STRIDE < STREAMED_OF_STRIDE,
         max_tokens: TOKENS[number / STREAM_STRIDE % TOKENS.len()],
