--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -11,12 +11,17 @@
 };
 
 mod answer;
+mod call;
 mod completion;
 mod context;
+mod format;
 mod once;
+mod retry;
 mod select;
 mod service;
 
+pub(crate) use crate::caller::retry::Retries;
+
 /// Path prefix of plain services.
 const SERVICES_PREFIX: &str = "/services/";
 
--- a/tests/util/caller.rs
+++ b/tests/util/caller.rs
@@ -1,6 +1,10 @@
 //! Callers of a site.
 
-use std::{io::Read, net::SocketAddr, time::Duration};
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
 
 use jacinthpoint_types::RequestId;
 use serde_json::{Value, json};
@@ -70,6 +74,23 @@
             .map_err(|e| e.to_string())
     }
 
+    /// Sends it and leaves after `stay`, without reading the answer.
+    pub fn send_and_leave(&self, node: SocketAddr, stay: Duration) -> std::io::Result<()> {
+        let (path, body) = self.path_and_body();
+        let body = body.to_string();
+        let mut stream = TcpStream::connect(node)?;
+        write!(
+            stream,
+            "POST {path} HTTP/1.1\r\nauthorization: Bearer {}\r\nx-request-id: {}\r\n\
+             content-length: {}\r\n\r\n{body}",
+            self.key,
+            self.request,
+            body.len()
+        )?;
+        std::thread::sleep(stay);
+        Ok(())
+    }
+
     fn path_and_body(&self) -> (String, Value) {
         if let Some(service) = self.service {
             let body = json!({ "text": self.prompt });
