Start a test's node on other ports when one was taken

Cause: in a whole run, controllers_cut_from_each_other_never_share_a_vm failed with groups that did not form. The log shows a node that ended with "Address already in use": ports found free were taken by another test before the node bound them, and the failure was that of the site's start.

Change: a node that ends before it prints its addresses is started again on other ports.

Conclusion: the verdict no longer depends on which ports other tests take.

--- a/crates/standins/ledger_bench.rs
+++ b/crates/standins/ledger_bench.rs
@@ -138,6 +138,7 @@
             vm: "portal-1".parse()?,
             service: "enquiries".parse()?,
             call_ms: 0,
+            run_log: None,
         })?;
         let role = MemberRole::Service("enquiries".parse()?);
         register(platform.address(), "portal-1", role, service.address())?;
--- a/tests/util/process.rs
+++ b/tests/util/process.rs
@@ -63,6 +63,11 @@
         &self.first_line
     }
 
+    /// Whether it printed its first line; one that could not start ends without.
+    pub fn has_started(&self) -> bool {
+        !self.first_line.is_empty()
+    }
+
     /// Sends a signal, such as `TERM`, `STOP`, `CONT` or `KILL`.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -24,6 +24,9 @@
 /// Time for the groups of a site to form.
 const START_DEADLINE_MS: u64 = 30_000;
 
+/// Times that a node is started on other ports.
+const START_TRIES: usize = 5;
+
 /// Deadline of requests that name none, within the time for which [`crate::util::Call`] waits, so
 /// that a caller is told an outcome even when an upstream never answers.
 const DEADLINE_MS: u64 = 20_000;
@@ -163,35 +166,27 @@
         })
     }
 
+    /// Starts a node, on other ports if another process took one of the free ones meanwhile.
     pub fn start_node(&mut self, number: usize) -> SiteNode {
+        let started = (0..START_TRIES).find_map(|_| self.try_start_node(number));
+        let node = started.expect("a node starts");
+        self.register(&format!("node-{number}"), MemberRole::Entry, node.peers);
+        node
+    }
+
+    fn try_start_node(&self, number: usize) -> Option<SiteNode> {
         let [callers, operators, peers] = free_addresses();
         let name = format!("node-{number}");
         let advertise = self.route_to(&name, "tcp-and-udp", Some(peers));
-        let advertise_line = advertise.map_or(String::new(), |address| {
-            format!("advertise_peers = {address}\n")
-        });
-        let seeds: Vec<String> = self
-            .nodes
-            .iter()
-            .map(|node| node.peers.to_string())
-            .collect();
-        let settings = format!(
-            "[node]\nname = {name}\ndata_centre = dc-1\n\n[listen]\ncallers = {callers}\n\
-             operators = {operators}\npeers = {peers}\n{advertise_line}\n[platform]\n\
-             address = {}\n\n[peers]\nseeds = {}\n\n\
-             [limits]\ndefault_deadline_ms = {DEADLINE_MS}\n",
-            self.platform_seen_by(&name),
-            seeds.join(", ")
-        );
         let path = self.folder.join(format!("{name}.ini"));
-        fs::write(&path, settings).expect("settings are written");
+        let listen = [callers, operators, peers];
+        fs::write(&path, self.node_settings(&name, listen, advertise)).expect("a file is written");
         let http_proxy = self.links.as_ref().map(|links| {
             links.name_sender(&name, peers);
             links.http_proxy(&name)
         });
         let process = run_node(&path, http_proxy);
-        self.register(&name, MemberRole::Entry, advertise.unwrap_or(peers));
-        SiteNode {
+        process.has_started().then(|| SiteNode {
             process,
             callers: self
                 .route_to(&name, "tcp", Some(callers))
@@ -200,7 +195,28 @@
             peers: advertise.unwrap_or(peers),
             settings: path,
             http_proxy,
-        }
+        })
+    }
+
+    fn node_settings(
+        &self,
+        name: &str,
+        [callers, operators, peers]: [SocketAddr; 3],
+        advertise: Option<SocketAddr>,
+    ) -> String {
+        let advertise_line = advertise.map_or(String::new(), |address| {
+            format!("advertise_peers = {address}\n")
+        });
+        let seeds = self.nodes.iter().map(|node| node.peers.to_string());
+        let seeds: Vec<String> = seeds.collect();
+        format!(
+            "[node]\nname = {name}\ndata_centre = dc-1\n\n[listen]\ncallers = {callers}\n\
+             operators = {operators}\npeers = {peers}\n{advertise_line}\n[platform]\n\
+             address = {}\n\n[peers]\nseeds = {}\n\n\
+             [limits]\ndefault_deadline_ms = {DEADLINE_MS}\n",
+            self.platform_seen_by(name),
+            seeds.join(", ")
+        )
     }
 
     /// Kills a node and starts it again on its addresses.
