--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -5,75 +5,32 @@
     fs,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
-    sync::{Mutex, PoisonError},
+    sync::Mutex,
     thread,
     time::{Duration, Instant},
 };
 
 use jacinthpoint_platform::{MemberRole, MemberState, Platform, PlatformMember, Version};
 use jacinthpoint_records::{CONFIG_KIND, CONFIG_NAME, RecordsObject, key_digest};
-use jacinthpoint_standins::{Registration, RunRecord, wall_ms};
+use jacinthpoint_standins::{Registration, RunRecord};
 use serde_json::{Value, json};
 
+pub use crate::util::site::options::SiteOptions;
 use crate::util::{KEYS, Links, Missing, Process, get_json, post_json, read_run_logs};
 
+mod options;
+mod upstreams;
+
 /// Time for the groups of a site to form.
 const START_DEADLINE_MS: u64 = 30_000;
 
+/// Times that a node is started on other ports.
+const START_TRIES: usize = 5;
+
 /// Deadline of requests that name none, within the time for which [`crate::util::Call`] waits, so
 /// that a caller is told an outcome even when an upstream never answers.
 const DEADLINE_MS: u64 = 20_000;
 
-/// Size of a site.
-#[derive(Clone)]
-pub struct SiteOptions {
-    pub nodes: usize,
-    pub domains: usize,
-    pub vms_per_domain: usize,
-    pub groups: u16,
-    pub group_size: u16,
-    pub standbys: u16,
-    pub engine_args: Vec<String>,
-    /// Added to the settings of each node.
-    pub node_settings: String,
-    /// Servers of the plain service `enquiries`.
-    pub servers: usize,
-    /// Age of the platform's membership list.
-    pub membership_lag_ms: u64,
-    /// Seed of a fault proxy on every link; without one, links are direct.
-    pub proxy_seed: Option<u64>,
-}
-
-impl SiteOptions {
-    /// Two fabric domains, each with a group of three VMs and one more VM; two nodes.
-    pub fn small() -> SiteOptions {
-        SiteOptions {
-            nodes: 2,
-            domains: 2,
-            vms_per_domain: 4,
-            groups: 2,
-            group_size: 3,
-            standbys: 1,
-            engine_args: Vec::new(),
-            node_settings: String::new(),
-            servers: 1,
-            membership_lag_ms: 500,
-            proxy_seed: None,
-        }
-    }
-
-    /// As [`SiteOptions::small`], with three nodes, three servers and every link through a fault
-    /// proxy.
-    pub fn proxied() -> SiteOptions {
-        SiteOptions {
-            nodes: 3,
-            servers: 3,
-            proxy_seed: Some(1),
-            ..SiteOptions::small()
-        }
-    }
-}
-
 /// An upstream with its process.
 pub struct Upstream {
     pub process: Process,
@@ -209,138 +166,27 @@
         })
     }
 
-    pub fn start_engine(&mut self, vm: &str, domain: &str) {
-        let route = self.route_to(vm, "tcp", None);
-        self.start_engine_at(vm, domain, route);
-    }
-
-    fn start_engine_at(&mut self, vm: &str, domain: &str, route: Option<SocketAddr>) {
-        let platform = self.platform_seen_by(vm).to_string();
-        let run_log = self.folder.join(format!("{vm}.jsonl"));
-        let run_log = run_log.to_str().expect("the path is UTF-8");
-        let advertise = route.map(|route| route.to_string());
-        let mut args = vec!["engine", "--vm", vm, "--fabric-domain", domain];
-        args.extend(["--platform", platform.as_str(), "--run-log", run_log]);
-        if let Some(advertise) = &advertise {
-            args.extend(["--advertise", advertise.as_str()]);
-        }
-        args.extend(self.options.engine_args.iter().map(String::as_str));
-        let http_proxy = self.links.as_ref().map(|links| links.http_proxy(vm));
-        let (process, address) = Process::standin_behind(http_proxy, &args);
-        if let (Some(links), Some(route)) = (&self.links, route) {
-            links.set_target(route, address);
-        }
-        let upstream = Upstream {
-            process,
-            address,
-            domain: domain.to_owned(),
-            route,
-        };
-        self.engines.insert(vm.to_owned(), upstream);
-    }
-
-    /// Kills an engine's VM.
-    pub fn kill_engine(&mut self, vm: &str) {
-        let engine = self.engines.remove(vm).expect("the engine runs");
-        drop(engine.process);
-        self.note_missing(vm);
-    }
-
-    /// Replaces an engine's VM by another one on the same address and in the same domain.
-    pub fn replace_engine(&mut self, vm: &str, by: &str) {
-        let (domain, route) = {
-            let engine = &self.engines[vm];
-            (engine.domain.clone(), engine.route)
-        };
-        self.kill_engine(vm);
-        self.start_engine_at(by, &domain, route);
-    }
-
-    /// Pauses an engine's process.
-    pub fn pause_engine(&self, vm: &str) {
-        self.engines[vm].process.signal("STOP");
-        self.note_missing(vm);
-    }
-
-    /// Lets a paused engine's process go on.
-    pub fn resume_engine(&self, vm: &str) {
-        self.note_present(vm);
-        self.engines[vm].process.signal("CONT");
-    }
-
-    fn note_missing(&self, vm: &str) {
-        self.missing_list().push(Missing {
-            vm: vm.to_owned(),
-            from_ms: wall_ms(),
-            to_ms: None,
-        });
-    }
-
-    fn note_present(&self, vm: &str) {
-        let now_ms = wall_ms();
-        let mut missing = self.missing_list();
-        for entry in missing.iter_mut().filter(|entry| entry.vm == vm) {
-            entry.to_ms.get_or_insert(now_ms);
-        }
-    }
-
-    /// When VMs were missing.
-    pub fn missing(&self) -> Vec<Missing> {
-        self.missing_list().clone()
-    }
-
-    fn missing_list(&self) -> std::sync::MutexGuard<'_, Vec<Missing>> {
-        self.missing.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn start_service(&mut self, vm: &str) {
-        let run_log = self.folder.join(format!("{vm}.jsonl"));
-        let run_log = run_log.to_str().expect("the path is UTF-8");
-        let mut args = vec!["service", "--vm", vm, "--service", "enquiries"];
-        args.extend(["--run-log", run_log]);
-        let (process, address) = Process::standin(&args);
-        let route = self.route_to(vm, "tcp", Some(address));
-        let role = MemberRole::Service("enquiries".parse().expect("a valid name"));
-        self.register(vm, role, route.unwrap_or(address));
-        let upstream = Upstream {
-            process,
-            address,
-            domain: "entry".to_owned(),
-            route,
-        };
-        self.services.insert(vm.to_owned(), upstream);
+    /// Starts a node, on other ports if another process took one of the free ones meanwhile.
+    pub fn start_node(&mut self, number: usize) -> SiteNode {
+        let started = (0..START_TRIES).find_map(|_| self.try_start_node(number));
+        let node = started.expect("a node starts");
+        self.register(&format!("node-{number}"), MemberRole::Entry, node.peers);
+        node
     }
 
-    pub fn start_node(&mut self, number: usize) -> SiteNode {
+    fn try_start_node(&self, number: usize) -> Option<SiteNode> {
         let [callers, operators, peers] = free_addresses();
         let name = format!("node-{number}");
         let advertise = self.route_to(&name, "tcp-and-udp", Some(peers));
-        let advertise_line = advertise.map_or(String::new(), |address| {
-            format!("advertise_peers = {address}\n")
-        });
-        let seeds: Vec<String> = self
-            .nodes
-            .iter()
-            .map(|node| node.peers.to_string())
-            .collect();
-        let settings = format!(
-            "[node]\nname = {name}\ndata_centre = dc-1\n\n[listen]\ncallers = {callers}\n\
-             operators = {operators}\npeers = {peers}\n{advertise_line}\n[platform]\n\
-             address = {}\n\n[peers]\nseeds = {}\n\n\
-             [limits]\ndefault_deadline_ms = {DEADLINE_MS}\n\n{}",
-            self.platform_seen_by(&name),
-            seeds.join(", "),
-            self.options.node_settings,
-        );
         let path = self.folder.join(format!("{name}.ini"));
-        fs::write(&path, settings).expect("settings are written");
+        let listen = [callers, operators, peers];
+        fs::write(&path, self.node_settings(&name, listen, advertise)).expect("a file is written");
         let http_proxy = self.links.as_ref().map(|links| {
             links.name_sender(&name, peers);
             links.http_proxy(&name)
         });
         let process = run_node(&path, http_proxy);
-        self.register(&name, MemberRole::Entry, advertise.unwrap_or(peers));
-        SiteNode {
+        process.has_started().then(|| SiteNode {
             process,
             callers: self
                 .route_to(&name, "tcp", Some(callers))
@@ -349,7 +195,29 @@
             peers: advertise.unwrap_or(peers),
             settings: path,
             http_proxy,
-        }
+        })
+    }
+
+    fn node_settings(
+        &self,
+        name: &str,
+        [callers, operators, peers]: [SocketAddr; 3],
+        advertise: Option<SocketAddr>,
+    ) -> String {
+        let advertise_line = advertise.map_or(String::new(), |address| {
+            format!("advertise_peers = {address}\n")
+        });
+        let seeds = self.nodes.iter().map(|node| node.peers.to_string());
+        let seeds: Vec<String> = seeds.collect();
+        format!(
+            "[node]\nname = {name}\ndata_centre = dc-1\n\n[listen]\ncallers = {callers}\n\
+             operators = {operators}\npeers = {peers}\n{advertise_line}\n[platform]\n\
+             address = {}\n\n[peers]\nseeds = {}\n\n\
+             [limits]\ndefault_deadline_ms = {DEADLINE_MS}\n\n{}",
+            self.platform_seen_by(name),
+            seeds.join(", "),
+            self.options.node_settings,
+        )
     }
 
     /// Kills a node and starts it again on its addresses.
@@ -394,11 +262,6 @@
         self.control("fault", fault);
     }
 
-    /// Switches a fault of an engine on.
-    pub fn engine_fault(&self, vm: &str, fault: &Value) {
-        post_json(self.engines[vm].address, "/control/fault", fault);
-    }
-
     /// Waits until every node may use `count` groups.
     pub fn wait_for_groups(&self, count: usize) {
         wait_until("the groups serve", START_DEADLINE_MS, || {
