--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -32,6 +32,7 @@
         Err(RequestError::Broken) => None,
     };
     if let Some(refusal) = refusal {
+        shared.metrics.record_refusal(refusal.code);
         answer::refuse(responder, &refusal);
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,12 +2,13 @@
 
 use std::{
     collections::BTreeMap,
+    fmt::Write,
     net::{SocketAddr, UdpSocket},
     sync::{Mutex, PoisonError},
 };
 
 use cadence::{CountedExt, NopMetricSink, StatsdClient, UdpMetricSink};
-use jacinthpoint_types::{OrganisationId, Outcome, Priority};
+use jacinthpoint_types::{OrganisationId, Outcome, Priority, ResultCode};
 
 use crate::metrics::series::Series;
 
@@ -30,6 +31,7 @@
 pub(crate) struct Metrics {
     client: StatsdClient,
     shards: [Mutex<BTreeMap<SeriesKey, Series>>; SHARDS],
+    refused: Mutex<BTreeMap<u16, (ResultCode, u64)>>,
 }
 
 impl Metrics {
@@ -47,6 +49,7 @@
         Ok(Metrics {
             client,
             shards: Default::default(),
+            refused: Mutex::default(),
         })
     }
 
@@ -81,6 +84,13 @@
         });
     }
 
+    /// Counts a request that ended with a result code, whether its organisation is known or not.
+    pub(crate) fn record_refusal(&self, code: ResultCode) {
+        let refused = self.refused.lock();
+        let mut refused = refused.unwrap_or_else(PoisonError::into_inner);
+        refused.entry(code.number()).or_insert((code, 0)).1 += 1;
+    }
+
     /// Takes in times between tokens of one answer.
     fn record_token_gaps(
         &self,
@@ -115,6 +125,12 @@
     /// All series as a text page, a line each value.
     pub(crate) fn page(&self) -> String {
         let mut page = String::new();
+        let refused = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
+        for (number, (code, count)) in refused.iter() {
+            let labels = format!("code=\"{number}\",type=\"{code}\"");
+            let _ = writeln!(page, "requests_refused{{{labels}}} {count}");
+        }
+        drop(refused);
         for shard in &self.shards {
             let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
             for ((organisation, class), series) in shard.iter() {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,6 +29,9 @@
 /// Calls to the platform for at-most-once records that run at once.
 const LEDGER_WORKERS: usize = 8;
 
+/// Free ports tried in turn where the settings leave the choice.
+const FREE_PORT_TRIES: u32 = 20;
+
 /// A running node. It stops when dropped, without a planned stop.
 pub struct Node {
     shared: Arc<Shared>,
@@ -45,11 +48,11 @@
     pub fn start(mut settings: NodeSettings) -> io::Result<Node> {
         let callers = TcpListener::bind(settings.listen_callers)?;
         let operators = TcpListener::bind(settings.listen_operators)?;
-        let peers = TcpListener::bind(settings.listen_peers)?;
+        let (peers, socket) = bind_peers(settings.listen_peers)?;
         settings.listen_callers = callers.local_addr()?;
         settings.listen_operators = operators.local_addr()?;
         settings.listen_peers = peers.local_addr()?;
-        let socket = Arc::new(UdpSocket::bind(settings.listen_peers)?);
+        let socket = Arc::new(socket);
         let metrics = Metrics::new(settings.statsd)?;
         let limits = ListenerLimits {
             max_connections: settings.max_connections,
@@ -167,6 +170,20 @@
     }
 }
 
+/// Binds one port for TCP and UDP. A free port of 0's choice for TCP may be taken for UDP, so then
+/// another one is tried.
+fn bind_peers(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    let mut tries_left = FREE_PORT_TRIES;
+    loop {
+        let listener = TcpListener::bind(address)?;
+        match UdpSocket::bind(listener.local_addr()?) {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(error) if address.port() != 0 || tries_left == 0 => return Err(error),
+            Err(_) => tries_left -= 1,
+        }
+    }
+}
+
 fn spawn(
     name: &str,
     shared: &Arc<Shared>,
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -253,6 +253,20 @@
     assert_eq!(ask("enquiries"), ask("registers"));
 }
 
+/// Operators see what is refused, also where no organisation is known.
+#[test]
+fn refusals_are_counted_by_code() {
+    let target = Target::start("");
+    for _ in 0..3 {
+        target.answer_to(models_request("key").as_bytes());
+    }
+    let url = format!("http://{}/metrics", target.node.operators);
+    let answer = attohttpc::get(url).send().and_then(|answer| answer.text());
+    let page = answer.expect("the page");
+    let line = "requests_refused{code=\"1002\",type=\"unauthenticated\"} 3\n";
+    assert!(page.contains(line), "{page}");
+}
+
 #[test]
 fn pipelined_requests_are_answered_in_order() {
     let target = Target::start("");
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,6 +1,9 @@
 //! The commands, over the real program.
 
-use std::{net::SocketAddr, thread};
+use std::{
+    net::{SocketAddr, UdpSocket},
+    thread,
+};
 
 use jacinthpoint_platform::Platform;
 use jacinthpoint_records::{CONFIG_KIND, CONFIG_NAME};
@@ -289,6 +292,40 @@
     }
 );
 
+fn max_open_files() -> usize {
+    let limits = std::fs::read_to_string("/proc/self/limits").expect("the limits");
+    let line = limits
+        .lines()
+        .find_map(|line| line.strip_prefix("Max open files"));
+    let limit = line.and_then(|line| line.split_whitespace().next());
+    limit
+        .and_then(|limit| limit.parse().ok())
+        .unwrap_or(usize::MAX)
+}
+
+/// Peers need one port for TCP and UDP; one that is free for TCP may be taken for UDP.
+#[test]
+fn node_finds_a_port_that_is_free_for_tcp_and_udp() {
+    // An address of its own, so that nothing else on this machine lacks ports meanwhile. Half of
+    // the ports that the kernel offers are taken, even and odd ones, or half as many as this
+    // process may open.
+    let ports = (32_768..61_000).filter(|port| port % 4 >= 2);
+    let taken: Vec<UdpSocket> = ports
+        .take(max_open_files() / 2)
+        .filter_map(|port| UdpSocket::bind(("127.9.9.9", port)).ok())
+        .collect();
+    let settings = "[node]\nname = lone\ndata_centre = dc-1\n[listen]\n\
+        callers = 127.9.9.9:0\noperators = 127.9.9.9:0\npeers = 127.9.9.9:0\n\
+        [platform]\naddress = 127.0.0.1:1\n";
+    let folder = Folder::with(&[("node.ini", settings)]);
+    let path = format!("{}/node.ini", folder.path());
+    for _ in 0..8 {
+        let node = Process::jacinthpoint(None, &["node", &path]);
+        assert!(node.first_line().starts_with("callers on"), "it started");
+    }
+    drop(taken);
+}
+
 #[test]
 fn exit_codes_are_documented() {
     let page = include_str!("../docs/operators/commands.md");
