--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,8 +29,8 @@
 /// Calls to the platform for at-most-once records that run at once.
 const LEDGER_WORKERS: usize = 8;
 
-/// Ports tried where any will do.
-const PORT_TRIES: u32 = 16;
+/// Free ports tried in turn where the settings leave the choice.
+const FREE_PORT_TRIES: u32 = 20;
 
 /// A running node. It stops when dropped, without a planned stop.
 pub struct Node {
@@ -174,17 +174,16 @@
     }
 }
 
-/// Binds the address for other nodes for TCP and UDP. Where the port is free to choose, one that is
-/// free for TCP may be taken for UDP, and another is tried.
+/// Binds one port for TCP and UDP. A free port of 0's choice for TCP may be taken for UDP, so then
+/// another one is tried.
 fn bind_peers(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
-    let mut tries = if address.port() == 0 { PORT_TRIES } else { 1 };
+    let mut tries_left = FREE_PORT_TRIES;
     loop {
         let listener = TcpListener::bind(address)?;
-        tries -= 1;
         match UdpSocket::bind(listener.local_addr()?) {
             Ok(socket) => return Ok((listener, socket)),
-            Err(error) if tries == 0 => return Err(error),
-            Err(_) => {}
+            Err(error) if address.port() != 0 || tries_left == 0 => return Err(error),
+            Err(_) => tries_left -= 1,
         }
     }
 }
