Give up the permit of a group that refused work

Cause: after a VM was replaced on its address, every request spent a retry to learn that its group refuses, until the permit lapsed 1.5 s later; the retry budget ran out and a repeatable request ended not-run (code 3001).

Ruled out: a larger budget, which would also grow the load on a full group.

Conclusion: one request finds out what many did before.

--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -176,6 +176,10 @@
             Ok(stream) => self.relay(permit, attempt, Ok(stream), state),
             Err(error) if error.is_not_run() => {
                 self.log_failure(permit, &error);
+                if self.still_permitted(permit) {
+                    // Until the next grant no other request spends a retry to find out the same.
+                    self.shared.permits().revoke(&permit.assignment.group);
+                }
                 AttemptEnd::Unstarted(state.unstarted(), retry::failure_of(&error))
             }
             // An engine that answers only with its first token may hold the attempt all the same.
