Let an answer begun wait for a group until its deadline

Cause: a stream of which 105 of 150 tokens were delivered ended unknown after 2 s without a free group, while its deadline was many seconds off and a repair was under way. Seen in upstreams::straggler_is_replaced, which failed in one of two whole runs.

Ruled out: a longer wait for all requests; one that is not begun is better told not-run at once, with Retry-After.

Change: a repeatable request with tokens delivered waits until its deadline, for the groups that failed it before as well.

Conclusion: what was delivered is not thrown away while a group is repaired.

--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -120,6 +120,11 @@
             let model = self.call.deployment.model_ref();
             let permit = wait_for_group(self.shared, self.context, &model, &self.failed_groups);
             let Some(permit) = permit else {
+                if self.call.repeatable && !self.delivered.is_empty() {
+                    // An answer begun waits until its deadline, for repaired groups as well.
+                    self.failed_groups.clear();
+                    continue;
+                }
                 return state.give_up(ResultCode::NoCapacity);
             };
             state = match self.attempt(&permit, state.dispatch()) {
