--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -35,6 +35,8 @@
 const SILENCE_MS: u64 = 1_000;
 /// Times that taking up one attempt may fail without a token in between.
 const MAX_FAILED_RESUMES: u32 = 2;
+/// Pause of an answer begun before groups are looked for again.
+const BEGUN_PAUSE_MS: u64 = 100;
 /// Time for an engine to take a cancel.
 const CANCEL_TIMEOUT_MS: u64 = 300;
 
@@ -130,6 +132,12 @@
             }
             let permit = match self.next_group(&model) {
                 Ok(permit) => permit,
+                Err(_) if self.may_wait_on() => {
+                    // An answer begun waits until its deadline, for repaired groups as well.
+                    self.failed_groups.clear();
+                    self.shared.sleep_ms(BEGUN_PAUSE_MS);
+                    continue;
+                }
                 Err(turned) => {
                     self.retry_after_s = Some(retry_after_s(turned.wait_ms));
                     return state.give_up(turned.code);
@@ -156,6 +164,12 @@
         }
     }
 
+    /// Whether an answer has begun that another group may continue, for a caller that still waits.
+    fn may_wait_on(&self) -> bool {
+        let is_begun = self.call.repeatable && !self.delivered.is_empty();
+        is_begun && !self.responder.caller_is_gone()
+    }
+
     /// Where the next attempt goes: the first one after its turn in the queue.
     fn next_group(&mut self, model: &ModelRef) -> Result<Permit, Turned> {
         if self.failed_groups.is_empty() {
@@ -217,6 +231,10 @@
             Ok(stream) => self.relay(permit, attempt, Ok(stream), state),
             Err(error) if error.is_not_run() => {
                 self.log_failure(permit, &error);
+                if self.still_permitted(permit) {
+                    // Until the next grant no other request spends a retry to find out the same.
+                    self.shared.permits().revoke(&permit.assignment.group);
+                }
                 AttemptEnd::Unstarted(state.unstarted(), retry::failure_of(&error))
             }
             // An engine that answers only with its first token may hold the attempt all the same.
