--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -10,18 +10,24 @@
     shared::Shared,
 };
 
+pub(crate) use crate::caller::{
+    gate::Gates,
+    limits::{LimitState, declared as declared_limits},
+    retry::Retries,
+};
+
 mod answer;
 mod call;
 mod completion;
 mod context;
 mod format;
+mod gate;
+mod limits;
 mod once;
 mod retry;
 mod select;
 mod service;
 
-pub(crate) use crate::caller::retry::Retries;
-
 /// Path prefix of plain services.
 const SERVICES_PREFIX: &str = "/services/";
 
--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::{
-    control::{config, members, permits},
+    control::{config, limits, members, permits},
     events::log_event,
     shared::Shared,
 };
@@ -169,6 +169,12 @@
             let grants = shared.grant_book().on_terms(&prober, digest, &terms);
             permits::on_answer(shared, &prober, grants, echo);
         }
+        Datagram::ShareReports {
+            sent_at,
+            reply_to,
+            reports,
+        } => limits::on_reports(shared, socket, sent_at, reply_to, &reports),
+        Datagram::ShareGrants { echo, grants } => limits::take_grants(shared, echo, grants),
     }
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,7 +15,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
-    caller::Retries,
+    caller::{Gates, LimitState, Retries},
     clock::{Clock, unix_now_ms},
     control::Domains,
     drain::Drain,
@@ -46,6 +46,8 @@
     pub(crate) platform: Platform,
 
     pub(crate) domains: Domains,
+    pub(crate) limits: LimitState,
+    pub(crate) gates: Gates,
     stopped: Mutex<bool>,
     stop_signal: Condvar,
     pub(crate) ledger: Owner,
@@ -72,14 +74,17 @@
             revision: Revision(0),
         };
         let rng = SmallRng::from_os_rng();
+        let clock = Clock::new();
         let asker = Asker::new(settings.name.clone(), settings.data_centre.clone());
         Shared {
-            clock: Clock::new(),
+            clock,
             drain: Arc::new(Drain::default()),
             metrics,
             platform: Platform::new(settings.platform),
 
             domains: Domains::default(),
+            limits: LimitState::new(settings.admission.limiter(), clock.now()),
+            gates: Gates::default(),
             stopped: Mutex::new(false),
             stop_signal: Condvar::new(),
             ledger: Owner::new(settings.ledger_batch_ms),
--- a/crates/standins/src/load/driver.rs
+++ b/crates/standins/src/load/driver.rs
@@ -15,13 +15,11 @@
     engines::{EngineGroup, GroupState, Job, Started},
     node::Node,
     report::Ended,
-    scenario::{Fault, Outcomes, Retrying, Scenario, Second},
+    scenario::{Outcomes, Retrying, Scenario, Second},
 };
 
-/// How often a group's load is sampled.
-const SAMPLE_MS: u64 = 300;
-/// Time from a sample until the nodes see it.
-const SAMPLE_LAG_MS: u64 = 300;
+mod groups;
+
 /// Time until the nodes know that a group is gone: the life of a permit.
 const PERMIT_MS: u64 = 1_000;
 /// Attempts of one request.
@@ -93,13 +91,19 @@
         let groups = scenario.groups;
         let nodes = (0..scenario.nodes).map(|node| {
             let seed = scenario.seed ^ ((node as u64 + 1) << 32);
-            Node::new(seed, scenario.router, scenario.gate, groups)
+            Node::new(
+                seed,
+                scenario.router,
+                scenario.gate,
+                scenario.ejects,
+                groups,
+            )
         });
         Run {
             progress: vec![Progress::default(); arrivals.len()],
             arrivals,
             nodes: nodes.collect(),
-            groups: (0..groups).map(|_| new_group(scenario)).collect(),
+            groups: (0..groups).map(|_| groups::new_group(scenario)).collect(),
             sampled: vec![0; groups],
             reported: vec![0; groups],
             reported_at_ms: vec![0; groups],
@@ -135,67 +139,13 @@
         self.events.push(Reverse((at_ms, event)));
     }
 
-    fn sample(&mut self) {
-        for (group, sampled) in self.groups.iter().zip(&mut self.sampled) {
-            *sampled = group.load();
-        }
-        self.at(self.now_ms + SAMPLE_LAG_MS, Event::Publish);
-        if self.now_ms < self.scenario.duration_ms {
-            self.at(self.now_ms + SAMPLE_MS, Event::Sample);
-        }
-        // Also lets nodes look again whose groups have come or gone.
-        for node in 0..self.nodes.len() {
-            self.pump(node);
-        }
-    }
-
-    fn publish(&mut self) {
-        let sampled_at_ms = self.now_ms - SAMPLE_LAG_MS;
-        for (index, group) in self.groups.iter().enumerate() {
-            if !group.reports_frozen {
-                self.reported[index] = self.sampled[index];
-                self.reported_at_ms[index] = sampled_at_ms;
-            }
-        }
-    }
-
-    fn strike(&mut self, fault: Fault) {
-        match fault {
-            Fault::Kill(first, end) => (first..end).for_each(|group| self.kill(group)),
-            Fault::Revive(first, end) => {
-                for group in first..end {
-                    self.groups[group] = new_group(self.scenario);
-                    self.died_at_ms[group] = None;
-                }
-            }
-            Fault::Straggle(group, slowness) => {
-                self.groups[group].state = GroupState::Up { slowness };
-            }
-            Fault::ErrorFast(group) => self.groups[group].state = GroupState::ErrorFast,
-            Fault::FreezeReports => {
-                self.groups.iter_mut().for_each(|g| g.reports_frozen = true);
-            }
-        }
-    }
-
-    fn kill(&mut self, group: usize) {
-        self.groups[group].die();
-        self.died_at_ms[group] = Some(self.now_ms);
-        let lost: Vec<usize> = (0..self.progress.len())
-            .filter(|request| self.progress[*request].group == Some(group))
-            .collect();
-        for request in lost {
-            self.fail_attempt(request, group);
-        }
-    }
-
     fn arrive(&mut self, request: usize) {
         let node = self.pick_node(request);
         self.progress[request].node = node;
         if !self.nodes[node].has_gate() {
             return self.dispatch(request, None);
         }
-        let usable = self.usable();
+        let usable = self.usable(node);
         let arrival = &self.arrivals[request];
         let deadline = Deadline(TimeMs(arrival.at_ms + arrival.patience_ms));
         let now = self.now();
@@ -233,7 +183,7 @@
         for request in self.nodes[node].take_hopeless(now) {
             self.shed(request);
         }
-        let usable = self.usable();
+        let usable = self.usable(node);
         while let Some(go) = self.nodes[node].next(&usable, now) {
             self.dispatch(go.request, Some(&go.open));
         }
@@ -254,7 +204,10 @@
     }
 
     fn dispatch(&mut self, request: usize, open: Option<&[usize]>) {
-        let usable = open.map_or_else(|| self.usable(), <[usize]>::to_vec);
+        let usable = open.map_or_else(
+            || self.usable(self.progress[request].node),
+            <[usize]>::to_vec,
+        );
         let candidates = self.candidates(request, &usable);
         let prefix = self.arrivals[request].prefix;
         let node = &mut self.nodes[self.progress[request].node];
@@ -264,14 +217,13 @@
         }
     }
 
-    /// Groups that the nodes believe they may use.
-    fn usable(&self) -> Vec<usize> {
+    /// Groups that a node believes it may use.
+    fn usable(&self, node: usize) -> Vec<usize> {
         let is_known_dead = |group: &usize| {
             self.died_at_ms[*group].is_some_and(|at_ms| self.now_ms >= at_ms + PERMIT_MS)
         };
-        (0..self.groups.len())
-            .filter(|group| !is_known_dead(group))
-            .collect()
+        let usable = (0..self.groups.len()).filter(|group| !is_known_dead(group));
+        self.nodes[node].not_ejected(usable.collect(), self.now())
     }
 
     fn candidates(&self, request: usize, usable: &[usize]) -> Vec<Candidate<usize>> {
@@ -284,10 +236,16 @@
                 in_flight: node.in_flight[group],
                 reported: self.reported[group],
                 report_age_ms: self.now_ms - self.reported_at_ms[group],
+                is_near: self.is_near(progress.node, group),
             })
             .collect()
     }
 
+    fn is_near(&self, node: usize, group: usize) -> bool {
+        let data_centres = self.scenario.data_centres;
+        node % data_centres == group % data_centres
+    }
+
     fn send(&mut self, request: usize, group: usize) {
         let arrival = &self.arrivals[request];
         let job = Job {
@@ -297,11 +255,13 @@
             prefix: arrival.prefix,
             priority: arrival.priority,
         };
+        let is_near = self.is_near(self.progress[request].node, group);
         let progress = &mut self.progress[request];
         progress.group = Some(group);
         progress.attempts += 1;
         progress.sent_at_ms = self.now_ms;
         self.outcomes.attempts[group] += 1;
+        self.outcomes.near_attempts += u64::from(is_near);
         self.nodes[progress.node].start(group, job.priority);
         if !matches!(self.groups[group].state, GroupState::Up { .. }) {
             return self.fail_attempt(request, group);
@@ -421,9 +381,3 @@
         }
     }
 }
-
-fn new_group(scenario: &Scenario) -> EngineGroup {
-    let mut group = EngineGroup::new(scenario.slots);
-    group.is_fifo = scenario.fifo_engines;
-    group
-}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod groups;
 mod latency;
+mod limits;
 mod metrics;
 mod outages;
 mod partitions;
--- a/tests/util/caller.rs
+++ b/tests/util/caller.rs
@@ -81,7 +81,7 @@
         let mut stream = TcpStream::connect(node)?;
         write!(
             stream,
-            "POST {path} HTTP/1.1\r\nauthorization: Bearer {}\r\nx-request-id: {}\r\n\
+            "POST {path} HTTP/1.1\r\nhost: node\r\nauthorization: Bearer {}\r\nx-request-id: {}\r\n\
              content-length: {}\r\n\r\n{body}",
             self.key,
             self.request,
--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -213,9 +213,10 @@
             "[node]\nname = {name}\ndata_centre = dc-1\n\n[listen]\ncallers = {callers}\n\
              operators = {operators}\npeers = {peers}\n{advertise_line}\n[platform]\n\
              address = {}\n\n[peers]\nseeds = {}\n\n\
-             [limits]\ndefault_deadline_ms = {DEADLINE_MS}\n",
+             [limits]\ndefault_deadline_ms = {DEADLINE_MS}\n\n{}",
             self.platform_seen_by(name),
-            seeds.join(", ")
+            seeds.join(", "),
+            self.options.node_settings,
         )
     }
 
--- a/tests/util/site/options.rs
+++ b/tests/util/site/options.rs
@@ -10,6 +10,8 @@
     pub group_size: u16,
     pub standbys: u16,
     pub engine_args: Vec<String>,
+    /// Added to the settings of each node.
+    pub node_settings: String,
     /// Servers of the plain service `enquiries`.
     pub servers: usize,
     /// Age of the platform's membership list.
@@ -29,6 +31,7 @@
             group_size: 3,
             standbys: 1,
             engine_args: Vec::new(),
+            node_settings: String::new(),
             servers: 1,
             membership_lag_ms: 500,
             proxy_seed: None,
