--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -3,18 +3,24 @@
 use std::collections::BTreeSet;
 
 use jacinthpoint_readiness::Permit;
-use jacinthpoint_records::{Config, Deployment};
-use jacinthpoint_routing::{Accepted, Dispatched, Ending, Lost, Unstarted};
-use jacinthpoint_types::{AttemptId, GroupId, Outcome, ResultCode, TimeMs};
-use jacinthpoint_upstream::{StartError, StartRequest, StreamError, TokenEvent, TokenStream};
-use jacinthpoint_wire::KeptAnswer;
-use serde_json::{Value, json};
+use jacinthpoint_records::Config;
+use jacinthpoint_routing::{Accepted, Dispatched, Ending, Failure, Lost, Unstarted};
+use jacinthpoint_types::{AttemptId, GroupId, ModelRef, Outcome, ResultCode, TimeMs};
+use jacinthpoint_upstream::{
+    StartError, StartRequest, StreamError, StreamEvent, TokenEvent, TokenStream,
+};
+use serde_json::json;
 
 use crate::{
     caller::{
         answer::{self, Refusal},
+        call::Call,
         context::Context,
+        format::{Format, stream_end},
+        gate::{Slot, Turned, start_again, wait_turn},
+        limits::{self, max_tokens, retry_after_s},
         once::{self, Entry},
+        retry,
         select::wait_for_group,
     },
     events::log_event,
@@ -27,8 +33,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 300;
 /// A stream without a token for this long is taken up on a new connection.
 const SILENCE_MS: u64 = 1_000;
-/// Times that one attempt is taken up on a new connection without a token in between.
-const MAX_RESUMES: u32 = 2;
+/// Times that taking up one attempt may fail without a token in between.
+const MAX_FAILED_RESUMES: u32 = 2;
 /// Time for an engine to take a cancel.
 const CANCEL_TIMEOUT_MS: u64 = 300;
 
@@ -41,6 +47,7 @@
     responder: &mut Responder<'_>,
 ) -> Result<(), Refusal> {
     let call = Call::read(config, context, request)?;
+    let mut admitted = limits::admit_named(shared, config, context, max_tokens(&call.body))?;
     let claim = match once::enter(shared, context, request)? {
         Entry::Run(claim) => claim,
         Entry::Replay(answer) => {
@@ -54,83 +61,33 @@
         call: &call,
         responder,
         delivered: Vec::new(),
+        finish_reason: None,
         first_token_at: None,
         token_gaps: TokenGaps::new(&shared.metrics, &context.organisation, context.priority),
         failed_groups: BTreeSet::new(),
+        slot: None,
+        retry_after_s: None,
     };
     let ending = running.drive();
     running.record(&ending);
+    admitted.generated(running.delivered.len());
     if let Some(claim) = claim {
-        claim.settle(&ending, Some(running.kept()));
+        claim.settle(
+            &ending,
+            Some(
+                running
+                    .format()
+                    .kept(&running.delivered, running.finish_reason.as_deref()),
+            ),
+        );
     }
     running.finish(&ending)
 }
 
-/// What is asked for.
-struct Call<'a> {
-    deployment: &'a Deployment,
-    path: &'a str,
-    body: Value,
-    is_chat: bool,
-    wants_stream: bool,
-    repeatable: bool,
-    /// Resends may ask for the answer, so the run goes on when its caller leaves.
-    is_keyed: bool,
-}
-
-impl<'a> Call<'a> {
-    fn read(
-        config: &'a Config,
-        context: &Context,
-        request: &'a HttpRequest,
-    ) -> Result<Call<'a>, Refusal> {
-        let bad = |message: &str| Refusal::not_run(ResultCode::BadRequest, message);
-        let mut body: Value = serde_json::from_slice(&request.body)
-            .map_err(|error| bad(&format!("the body is not JSON: {error}")))?;
-        let fields = body
-            .as_object_mut()
-            .ok_or_else(|| bad("the body is not a JSON object"))?;
-        // Only this system continues answers.
-        fields.remove("continue_from");
-        let wants_stream = match fields.insert("stream".to_owned(), Value::Bool(true)) {
-            None => false,
-            Some(Value::Bool(wants_stream)) => wants_stream,
-            Some(_) => return Err(bad("`stream` is not true or false")),
-        };
-        let model = fields.get("model").and_then(Value::as_str);
-        let model = model
-            .ok_or_else(|| bad("`model` is missing or not a text"))?
-            .to_owned();
-        let mut deployments: Vec<&Deployment> = config
-            .deployments_named(&model)
-            .into_iter()
-            .filter(|deployment| deployment.allows(&context.organisation))
-            .collect();
-        deployments.sort_by_key(|deployment| deployment.priority);
-        let deployment = deployments.into_iter().next();
-        let deployment = deployment.ok_or_else(|| {
-            Refusal::not_run(
-                ResultCode::NotFound,
-                format!("no model {model:?} for this key"),
-            )
-        })?;
-        let is_keyed = once::has_key(request);
-        Ok(Call {
-            is_keyed,
-            deployment,
-            path: request.path(),
-            body,
-            is_chat: request.path().contains("chat"),
-            wants_stream,
-            repeatable: context.repeatable.unwrap_or(!is_keyed),
-        })
-    }
-}
-
 /// Why one attempt ended without the whole answer.
 enum AttemptEnd {
     /// It did not start.
-    Unstarted(Unstarted),
+    Unstarted(Unstarted, Failure),
     /// It may have run.
     Lost(Lost),
     /// The request is over.
@@ -143,36 +100,100 @@
     call: &'a Call<'a>,
     responder: &'a mut Responder<'s>,
     delivered: Vec<String>,
+    finish_reason: Option<String>,
     first_token_at: Option<TimeMs>,
     token_gaps: TokenGaps<'a>,
     failed_groups: BTreeSet<GroupId>,
+    slot: Option<Slot<'a>>,
+    retry_after_s: Option<u32>,
 }
 
 impl Running<'_, '_> {
+    fn format(&self) -> Format<'_> {
+        Format {
+            request: self.context.request,
+            call: self.call,
+        }
+    }
+
     fn drive(&mut self) -> Ending {
         let mut state = Unstarted::Accepted(Accepted::new());
+        let model = self.call.deployment.model_ref();
+        let target = self.call.deployment.name.as_str();
+        self.shared
+            .retries
+            .on_request(&self.context.organisation, target);
         loop {
+            let cause;
             if self.context.deadline.has_passed(self.shared.now()) {
                 return state.give_up(ResultCode::DeadlinePassed);
             }
-            let model = self.call.deployment.model_ref();
-            let permit = wait_for_group(self.shared, self.context, &model, &self.failed_groups);
-            let Some(permit) = permit else {
-                return state.give_up(ResultCode::NoCapacity);
+            let permit = match self.next_group(&model) {
+                Ok(permit) => permit,
+                Err(turned) => {
+                    self.retry_after_s = Some(retry_after_s(turned.wait_ms));
+                    return state.give_up(turned.code);
+                }
             };
-            state = match self.attempt(&permit, state.dispatch()) {
+            let end = self.attempt(&permit, state.dispatch());
+            self.leave_group(&end);
+            state = match end {
                 AttemptEnd::Over(ending) => return ending,
-                AttemptEnd::Unstarted(unstarted) => unstarted,
-                AttemptEnd::Lost(lost) if self.call.repeatable => Unstarted::Lost(lost),
+                AttemptEnd::Unstarted(unstarted, failure) => {
+                    cause = failure;
+                    unstarted
+                }
+                AttemptEnd::Lost(lost) if self.call.repeatable => {
+                    cause = Failure::Lost;
+                    Unstarted::Lost(lost)
+                }
                 AttemptEnd::Lost(lost) => return lost.give_up(ResultCode::UpstreamFailed),
             };
             self.failed_groups.insert(permit.assignment.group);
+            if !self.may_retry(cause) {
+                return retry::give_up(state, cause);
+            }
         }
     }
 
+    /// Where the next attempt goes: the first one after its turn in the queue.
+    fn next_group(&mut self, model: &ModelRef) -> Result<Permit, Turned> {
+        if self.failed_groups.is_empty() {
+            // A keyed request runs on, since a resend may ask for its answer.
+            let caller_is_gone = || !self.call.is_keyed && self.responder.caller_is_gone();
+            let body = &self.call.body;
+            let (permit, slot) = wait_turn(self.shared, self.context, model, body, caller_is_gone)?;
+            self.slot = Some(slot);
+            return Ok(permit);
+        }
+        let permit = wait_for_group(self.shared, self.context, model, &self.failed_groups);
+        let permit = permit.ok_or(Turned {
+            code: ResultCode::NoCapacity,
+            wait_ms: 0,
+        })?;
+        self.slot = Some(start_again(self.shared, self.context, model, &permit));
+        Ok(permit)
+    }
+
+    fn leave_group(&mut self, end: &AttemptEnd) {
+        let slot = self.slot.take();
+        if let Some(mut slot) = slot.filter(|_| !matches!(end, AttemptEnd::Over(_))) {
+            slot.fail();
+        }
+    }
+
+    /// Whether another group may take the request. An answer begun is always continued: what was
+    /// generated is not lost, and the caller sees no second start.
+    fn may_retry(&self, cause: Failure) -> bool {
+        let failures = self.failed_groups.len() as u32;
+        let target = self.call.deployment.name.as_str();
+        let is_begun = !self.delivered.is_empty() && cause == Failure::Lost;
+        is_begun || retry::may_follow(self.shared, self.context, target, cause, failures)
+    }
+
     fn attempt(&mut self, permit: &Permit, state: Dispatched) -> AttemptEnd {
         let Some(leader) = permit.assignment.leader() else {
-            return AttemptEnd::Unstarted(state.unstarted());
+            return AttemptEnd::Unstarted(state.unstarted(), Failure::Lost);
         };
         let _in_flight = self.shared.enter_group(&permit.assignment.group);
         let attempt = AttemptId::new();
@@ -193,78 +214,121 @@
         let started =
             jacinthpoint_upstream::start(leader.address, &request, CONNECT_TIMEOUT_MS, silence_ms);
         match started {
-            Ok(stream) => self.relay(permit, attempt, stream, state),
-            Err(error) => self.not_started(permit, state, &error),
+            Ok(stream) => self.relay(permit, attempt, Ok(stream), state),
+            Err(error) if error.is_not_run() => {
+                self.log_failure(permit, &error);
+                AttemptEnd::Unstarted(state.unstarted(), retry::failure_of(&error))
+            }
+            // An engine that answers only with its first token may hold the attempt all the same.
+            Err(StartError::NoAnswer { .. }) => {
+                self.relay(permit, attempt, Err(StreamError::Silent), state)
+            }
+            Err(_) => AttemptEnd::Lost(state.lost()),
         }
     }
 
-    fn not_started(&self, permit: &Permit, state: Dispatched, error: &StartError) -> AttemptEnd {
+    fn log_failure(&self, permit: &Permit, error: &impl std::fmt::Display) {
         let group = &permit.assignment.group;
-        log_event!(info, AttemptFailed, request = %self.context.request, %group, %error, "start");
-        if error.is_not_run() {
-            AttemptEnd::Unstarted(state.unstarted())
-        } else {
-            AttemptEnd::Lost(state.lost())
-        }
+        log_event!(info, AttemptFailed, request = %self.context.request, %group, %error, "attempt");
     }
 
-    /// Passes tokens on until the answer is whole, taking a silent stream up again.
+    /// Passes tokens on until the answer is whole, taking a silent or broken stream up again.
     fn relay(
         &mut self,
         permit: &Permit,
         attempt: AttemptId,
-        mut stream: TokenStream,
+        mut stream: Result<TokenStream, StreamError>,
         state: Dispatched,
     ) -> AttemptEnd {
-        let mut resumes = 0;
+        let mut failures = 0;
         loop {
-            match stream.next_token() {
-                Ok(None) => return AttemptEnd::Over(state.answered()),
-                Ok(Some(token)) => {
-                    resumes = 0;
+            let next = match &mut stream {
+                Ok(stream) => stream.next_event(),
+                Err(error) => Err(error.clone()),
+            };
+            match next {
+                Ok(StreamEvent::End) => return AttemptEnd::Over(state.answered()),
+                Ok(StreamEvent::KeepAlive) => {
+                    if !self.call.is_keyed && self.responder.caller_is_gone() {
+                        return self.leave(permit, attempt, state, ResultCode::UpstreamFailed);
+                    }
+                }
+                Ok(StreamEvent::Token(token)) => {
+                    failures = 0;
                     if !self.deliver(token) && !self.call.is_keyed {
-                        self.cancel(permit, attempt);
-                        return AttemptEnd::Over(state.lost().give_up(ResultCode::UpstreamFailed));
+                        return self.leave(permit, attempt, state, ResultCode::UpstreamFailed);
                     }
                 }
+                // Only the end marker is missing.
+                Err(_) if self.finish_reason.is_some() => {
+                    return AttemptEnd::Over(state.answered());
+                }
+                Err(_) if !self.call.is_keyed && self.responder.caller_is_gone() => {
+                    return self.leave(permit, attempt, state, ResultCode::UpstreamFailed);
+                }
                 Err(error) => {
-                    resumes += 1;
-                    match self.resume(permit, attempt, &error, resumes) {
-                        Some(resumed) => stream = resumed,
-                        None => {
-                            self.cancel(permit, attempt);
-                            return AttemptEnd::Lost(state.lost());
-                        }
+                    self.log_failure(permit, &error);
+                    stream = self.resume(permit, attempt, &error);
+                    // A silent stream of an attempt that the engine still holds is a queue's.
+                    let is_queued = error == StreamError::Silent && stream.is_ok();
+                    failures += u32::from(!is_queued);
+                    let is_lost = matches!(stream, Err(StreamError::Malformed { .. }));
+                    if is_lost || failures > MAX_FAILED_RESUMES {
+                        self.cancel(permit, attempt);
+                        return AttemptEnd::Lost(state.lost());
                     }
                 }
             }
             if self.context.deadline.has_passed(self.shared.now()) {
-                self.cancel(permit, attempt);
-                return AttemptEnd::Over(state.lost().give_up(ResultCode::DeadlinePassed));
+                return self.leave(permit, attempt, state, ResultCode::DeadlinePassed);
             }
         }
     }
 
+    /// Ends the request and its attempt.
+    fn leave(
+        &self,
+        permit: &Permit,
+        attempt: AttemptId,
+        state: Dispatched,
+        code: ResultCode,
+    ) -> AttemptEnd {
+        self.cancel(permit, attempt);
+        AttemptEnd::Over(state.lost().give_up(code))
+    }
+
+    /// Takes the attempt up on a new connection. `Malformed` means that there is nothing to take
+    /// up any more.
     fn resume(
-        &mut self,
+        &self,
         permit: &Permit,
         attempt: AttemptId,
         error: &StreamError,
-        resumes: u32,
-    ) -> Option<TokenStream> {
-        let group = &permit.assignment.group;
-        log_event!(info, AttemptFailed, request = %self.context.request, %group, %error, "stream");
-        let gives_up = resumes > MAX_RESUMES
-            || matches!(error, StreamError::Malformed { .. })
-            || !self.still_permitted(permit)
-            || (self.responder.caller_is_gone() && !self.call.is_keyed);
-        if gives_up {
-            return None;
+    ) -> Result<TokenStream, StreamError> {
+        let lost = |message: &str| StreamError::Malformed {
+            message: message.to_owned(),
+        };
+        if matches!(error, StreamError::Malformed { .. }) {
+            return Err(error.clone());
         }
+        let leader = permit.assignment.leader();
+        let leader = leader.filter(|_| self.still_permitted(permit));
+        let leader = leader.ok_or_else(|| lost("the group may no longer be used"))?;
         let offset = self.delivered.len() as u64;
-        let address = permit.assignment.leader()?.address;
         let silence_ms = self.silence_ms();
-        jacinthpoint_upstream::resume(address, attempt, offset, CONNECT_TIMEOUT_MS, silence_ms).ok()
+        let resumed = jacinthpoint_upstream::resume(
+            leader.address,
+            attempt,
+            offset,
+            CONNECT_TIMEOUT_MS,
+            silence_ms,
+        );
+        resumed.map_err(|error| match error {
+            StartError::Refused { .. } => lost("the engine no longer holds the attempt"),
+            StartError::NotSent { message } | StartError::NoAnswer { message } => {
+                StreamError::Broken { message }
+            }
+        })
     }
 
     fn still_permitted(&self, permit: &Permit) -> bool {
@@ -291,8 +355,12 @@
     /// Takes a token; `false` if the caller has gone.
     fn deliver(&mut self, token: TokenEvent) -> bool {
         self.first_token_at.get_or_insert(self.shared.now());
+        if let Some(slot) = &mut self.slot {
+            slot.on_token();
+        }
         self.token_gaps.token();
-        let event = self.call.wants_stream.then(|| self.event(&token));
+        let event = self.call.wants_stream.then(|| self.format().event(&token));
+        self.finish_reason = token.finish_reason;
         self.delivered.push(token.text);
         let Some(event) = event else { return true };
         if !self.responder.head_sent() {
@@ -310,26 +378,6 @@
             .is_ok()
     }
 
-    fn event(&self, token: &TokenEvent) -> Value {
-        let finish = &token.finish_reason;
-        let choice = if self.call.is_chat {
-            json!({ "index": 0, "delta": { "content": token.text }, "finish_reason": finish })
-        } else {
-            json!({ "index": 0, "text": token.text, "finish_reason": finish })
-        };
-        let object = if self.call.is_chat {
-            "chat.completion.chunk"
-        } else {
-            "text_completion"
-        };
-        json!({
-            "id": self.context.request,
-            "object": object,
-            "model": self.call.deployment.model_ref().to_string(),
-            "choices": [choice],
-        })
-    }
-
     fn finish(&mut self, ending: &Ending) -> Result<(), Refusal> {
         if ending.outcome() != Outcome::Answered {
             log_event!(
@@ -337,7 +385,11 @@
                 organisation = %self.context.organisation, outcome = %ending.outcome(),
                 code = ending.code().map(ResultCode::number), "not answered"
             );
-            return Err(Refusal::from_ending(ending, "the request was not answered"));
+            let mut refusal = Refusal::from_ending(ending, "the request was not answered");
+            if refusal.retry_after_s.is_some() {
+                refusal.retry_after_s = self.retry_after_s.or(refusal.retry_after_s);
+            }
+            return Err(refusal);
         }
         if self.call.wants_stream {
             let end = stream_end();
@@ -346,49 +398,15 @@
                 .chunk(end.as_bytes())
                 .and_then(|()| self.responder.end_stream());
         } else {
-            let body = self.whole_body().to_string();
+            let body = self
+                .format()
+                .whole_body(&self.delivered, self.finish_reason.as_deref())
+                .to_string();
             answer::whole_json(self.responder, Outcome::Answered, body.as_bytes());
         }
         Ok(())
     }
 
-    /// The whole answer as a resend gets it.
-    fn kept(&self) -> KeptAnswer {
-        let (content_type, body) = if self.call.wants_stream {
-            let token = TokenEvent {
-                offset: 0,
-                text: self.delivered.concat(),
-                finish_reason: Some("stop".to_owned()),
-            };
-            let events = format!("data: {}\n\n{}", self.event(&token), stream_end());
-            ("text/event-stream", events)
-        } else {
-            ("application/json", self.whole_body().to_string())
-        };
-        KeptAnswer {
-            status: 200,
-            content_type: content_type.to_owned(),
-            body: body.into_bytes(),
-        }
-    }
-
-    fn whole_body(&self) -> Value {
-        let text = self.delivered.concat();
-        let choice = if self.call.is_chat {
-            let message = json!({ "role": "assistant", "content": text });
-            json!({ "index": 0, "message": message, "finish_reason": "stop" })
-        } else {
-            json!({ "index": 0, "text": text, "finish_reason": "stop" })
-        };
-        json!({
-            "id": self.context.request,
-            "object": if self.call.is_chat { "chat.completion" } else { "text_completion" },
-            "model": self.call.deployment.model_ref().to_string(),
-            "choices": [choice],
-            "usage": { "completion_tokens": self.delivered.len() },
-        })
-    }
-
     fn record(&self, ending: &Ending) {
         let now = self.shared.now();
         let since_us = |at: TimeMs| at.since_ms(self.context.accepted_at) * 1_000;
@@ -401,9 +419,3 @@
         );
     }
 }
-
-/// The last events of an answered stream. The comment line tells the outcome without disturbing
-/// clients that parse events.
-fn stream_end() -> String {
-    format!(": outcome {}\n\ndata: [DONE]\n\n", Outcome::Answered)
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,7 +9,8 @@
     events::EventCode,
     node::Node,
     settings::{
-        Absent, KEYS as SETTINGS_KEYS, NodeSettings, SettingsError, SettingsKey, parse_settings,
+        Absent, AdmissionSettings, KEYS as SETTINGS_KEYS, NodeSettings, SettingsError, SettingsKey,
+        parse_settings,
     },
 };
 pub use jacinthpoint_placement::RepairSettings;
--- a/crates/placement/tests/driver.rs
+++ b/crates/placement/tests/driver.rs
@@ -101,6 +101,8 @@
     pub paused_until: TimeMs,
     /// Pauses as soon as it has decided the next actions, for this long.
     pub pause_before_acting_ms: u64,
+    /// Pauses right before the next order, for this long.
+    pub pause_before_order_ms: u64,
     /// Actions decided before a pause.
     pending: VecDeque<Action>,
 }
@@ -266,7 +268,8 @@
         }
     }
 
-    fn lagging_list(&mut self) -> Vec<ListedVm> {
+    /// The VMs as the platform would list them without a lag.
+    pub fn list(&self) -> Vec<ListedVm> {
         let listed = self.vms.iter().filter(|(_, vm)| !vm.is_dead);
         let list = listed.map(|(id, vm)| ListedVm {
             member: MemberAddress {
@@ -275,7 +278,22 @@
             },
             leaving: vm.is_leaving,
         });
-        self.lists.push_back((self.now, list.collect()));
+        list.collect()
+    }
+
+    /// The answers of all VMs to a probe now.
+    pub fn probes(&self) -> Vec<Event> {
+        let list = self.list();
+        let entries = list
+            .iter()
+            .map(|entry| (entry, &self.vms[&entry.member.vm]));
+        let up = entries.filter(|(_, vm)| vm.is_up(self.now));
+        up.map(|(entry, vm)| probe(entry, vm, self.now)).collect()
+    }
+
+    fn lagging_list(&mut self) -> Vec<ListedVm> {
+        let list = self.list();
+        self.lists.push_back((self.now, list));
         while self.lists.len() > 1 && self.now.since_ms(self.lists[1].0) >= LIST_LAG_MS {
             self.lists.pop_front();
         }
@@ -308,6 +326,11 @@
 
     fn perform_all(&mut self, index: usize, mut actions: VecDeque<Action>) {
         while let Some(action) = actions.pop_front() {
+            let driven = &mut self.controllers[index];
+            if matches!(action, Action::Order { .. }) && driven.pause_before_order_ms > 0 {
+                driven.paused_until = self.now.plus_ms(driven.pause_before_order_ms);
+                driven.pause_before_order_ms = 0;
+            }
             if self.now < self.controllers[index].paused_until {
                 self.controllers[index].pending.push_back(action);
                 continue;
@@ -399,6 +422,7 @@
         sees_platform: true,
         paused_until: TimeMs(0),
         pause_before_acting_ms: 0,
+        pause_before_order_ms: 0,
         pending: VecDeque::new(),
     }
 }
--- a/crates/standins/main.rs
+++ b/crates/standins/main.rs
@@ -7,12 +7,20 @@
 use jacinthpoint_standins::{
     Engine, EngineOptions, PlatformOptions, PlatformServer, ProxyOptions, ProxyServer,
     Registration, ServiceOptions, ServiceServer,
-    load::{OpenLoop, Shape, arrivals, experiment, experiment_names, send_open_loop, table},
+    load::{
+        OpenLoop, Shape, arrivals, experiment, experiment_names, limits_table, send_open_loop,
+        table,
+    },
 };
 
+mod ledger_bench;
+
 /// How long an engine stays on the membership list without registering again.
 const REGISTRATION_LEASE_MS: u64 = 2_000;
 
+/// The experiment on fleet-wide limits, which has a table of its own.
+const LIMITS: &str = "limits";
+
 #[derive(Debug, Options)]
 struct Args {
     #[options(help = "print this help")]
@@ -31,6 +39,8 @@
     Service(ServiceArgs),
     #[options(help = "open-loop load on running nodes; prints a report")]
     Load(LoadArgs),
+    #[options(help = "cost of at-most-once records; prints a table")]
+    LedgerBench(ledger_bench::LedgerBenchArgs),
     #[options(help = "an experiment of the decision crates; prints a table")]
     Experiment(ExperimentArgs),
     #[options(help = "a fault proxy")]
@@ -154,6 +164,7 @@
     let run = match args.command {
         Some(Command::Platform(args)) => platform(&args),
         Some(Command::Engine(args)) => engine(&args),
+        Some(Command::LedgerBench(args)) => ledger_bench::run(&args),
         Some(Command::Service(args)) => service(&args),
         Some(Command::Load(args)) => open_loop(&args),
         Some(Command::Experiment(args)) => run_experiment(&args),
@@ -267,9 +278,13 @@
 }
 
 fn run_experiment(args: &ExperimentArgs) -> Result<(), Box<dyn Error>> {
+    if args.name == LIMITS {
+        print!("{}", limits_table(args.seed));
+        return Ok(());
+    }
     let rows = experiment(&args.name, args.seed).ok_or_else(|| {
         let names = experiment_names().join(", ");
-        format!("no experiment {:?}; there are {names}", args.name)
+        format!("no experiment {:?}; there are {names}, {LIMITS}", args.name)
     })?;
     if args.csv {
         for row in &rows {
