--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -1,11 +1,9 @@
 //! Model calls: an answer from one replica group, or continued over several.
 
-use std::collections::BTreeSet;
-
 use jacinthpoint_readiness::Permit;
 use jacinthpoint_records::Config;
 use jacinthpoint_routing::{Accepted, Dispatched, Ending, Failure, Lost, Unstarted};
-use jacinthpoint_types::{AttemptId, GroupId, Outcome, ResultCode, TimeMs};
+use jacinthpoint_types::{AttemptId, Outcome, ResultCode, TimeMs};
 use jacinthpoint_upstream::{
     StartError, StartRequest, StreamError, StreamEvent, TokenEvent, TokenStream,
 };
@@ -19,10 +17,11 @@
         format::{Format, stream_end},
         once::{self, Entry},
         retry,
-        select::wait_for_group,
+        select::{FailedGroups, wait_for_group},
     },
     events::log_event,
     http::{HttpRequest, Responder},
+    metrics::TokenGaps,
     shared::Shared,
 };
 
@@ -59,7 +58,8 @@
         delivered: Vec::new(),
         finish_reason: None,
         first_token_at: None,
-        failed_groups: BTreeSet::new(),
+        token_gaps: TokenGaps::new(&shared.metrics, &context.organisation, context.priority),
+        failed_groups: FailedGroups::new(),
     };
     let ending = running.drive();
     running.record(&ending);
@@ -94,7 +94,8 @@
     delivered: Vec<String>,
     finish_reason: Option<String>,
     first_token_at: Option<TimeMs>,
-    failed_groups: BTreeSet<GroupId>,
+    token_gaps: TokenGaps<'a>,
+    failed_groups: FailedGroups,
 }
 
 impl Running<'_, '_> {
@@ -118,8 +119,10 @@
             }
             let model = self.call.deployment.model_ref();
             let permit = wait_for_group(self.shared, self.context, &model, &self.failed_groups);
-            let Some(permit) = permit else {
-                return state.give_up(ResultCode::NoCapacity);
+            let permit = match permit {
+                Some(permit) => permit,
+                None if self.keeps_waiting(&state) => continue,
+                None => return state.give_up(ResultCode::NoCapacity),
             };
             state = match self.attempt(&permit, state.dispatch()) {
                 AttemptEnd::Over(ending) => return ending,
@@ -133,13 +136,22 @@
                 }
                 AttemptEnd::Lost(lost) => return lost.give_up(ResultCode::UpstreamFailed),
             };
-            self.failed_groups.insert(permit.assignment.group);
+            let assignment = permit.assignment;
+            self.failed_groups
+                .insert((assignment.group, assignment.epoch));
             if !self.may_retry(cause) {
                 return retry::give_up(state, cause);
             }
         }
     }
 
+    /// Whether to wait on for a group, up to the deadline. A request that may have run would be lost
+    /// without one; any other is refused, so that its caller can go elsewhere.
+    fn keeps_waiting(&self, state: &Unstarted) -> bool {
+        let is_awaited = self.call.is_keyed || !self.responder.caller_is_gone();
+        matches!(state, Unstarted::Lost(_)) && is_awaited
+    }
+
     /// Whether another group may take the request. An answer begun is always continued: what was
     /// generated is not lost, and the caller sees no second start.
     fn may_retry(&self, cause: Failure) -> bool {
@@ -313,6 +325,7 @@
     /// Takes a token; `false` if the caller has gone.
     fn deliver(&mut self, token: TokenEvent) -> bool {
         self.first_token_at.get_or_insert(self.shared.now());
+        self.token_gaps.token();
         let event = self.call.wants_stream.then(|| self.format().event(&token));
         self.finish_reason = token.finish_reason;
         self.delivered.push(token.text);
--- a/crates/node/src/caller/select.rs
+++ b/crates/node/src/caller/select.rs
@@ -5,7 +5,7 @@
 use jacinthpoint_platform::{MemberRole, MemberState};
 use jacinthpoint_readiness::Permit;
 use jacinthpoint_routing::{Candidate, choose};
-use jacinthpoint_types::{GroupId, ModelRef, ServiceId, VmId};
+use jacinthpoint_types::{Epoch, GroupId, ModelRef, ServiceId, VmId};
 
 use crate::{caller::context::Context, shared::Shared};
 
@@ -14,12 +14,15 @@
 /// How often it looks.
 const CAPACITY_POLL_MS: u64 = 20;
 
+/// Groups that failed a request. One that was repaired has another epoch and may be tried again.
+pub(crate) type FailedGroups = BTreeSet<(GroupId, Epoch)>;
+
 /// A group that may be used now, waiting for one a short time.
 pub(crate) fn wait_for_group(
     shared: &Shared,
     context: &Context,
     model: &ModelRef,
-    failed: &BTreeSet<GroupId>,
+    failed: &FailedGroups,
 ) -> Option<Permit> {
     let give_up_at = shared.now().plus_ms(CAPACITY_WAIT_MS);
     loop {
@@ -38,13 +41,15 @@
 pub(crate) fn choose_group(
     shared: &Shared,
     model: &ModelRef,
-    failed: &BTreeSet<GroupId>,
+    failed: &FailedGroups,
 ) -> Option<Permit> {
     let now = shared.now();
     let permits = shared.permits();
     let usable = permits.usable(model, now);
     let candidates: Vec<Candidate<Permit>> = usable
-        .filter(|permit| !failed.contains(&permit.assignment.group))
+        .filter(|permit| {
+            !failed.contains(&(permit.assignment.group.clone(), permit.assignment.epoch))
+        })
         .map(|permit| Candidate {
             in_flight: shared.in_flight_on(&permit.assignment.group),
             reported: permit.load,
--- a/crates/node/src/control/config.rs
+++ b/crates/node/src/control/config.rs
@@ -189,7 +189,7 @@
 }
 
 fn tell_others(shared: &Shared, socket: &UdpSocket, revision: Revision) {
-    let address = shared.settings.listen_peers;
+    let address = shared.settings.peers_address();
     let bytes = encode(&Datagram::ConfigNews { revision, address });
     let told = shared.peers().random_live(TOLD_AT_ONCE);
     for peer in told {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -66,7 +66,7 @@
         let own = PeerState {
             node: settings.name.clone(),
             incarnation: unix_now_ms(),
-            address: settings.listen_peers,
+            address: settings.peers_address(),
             data_centre: settings.data_centre.clone(),
             leaving: false,
             revision: Revision(0),
--- a/crates/standins/ledger_bench.rs
+++ b/crates/standins/ledger_bench.rs
@@ -73,9 +73,9 @@
         "mode        batch_ms  rate/s  p50_ms  p95_ms  p99_ms  writes/s  reads/s  not_answered"
     );
     for rate in [10, 100, 1_000] {
-        measure(args, Mode::Unkeyed, 20, rate)?;
-        measure(args, Mode::WriteEach, 20, rate)?;
-        for batch_ms in [0, 10, 20, 50, 100] {
+        measure(args, Mode::Unkeyed, 50, rate)?;
+        measure(args, Mode::WriteEach, 50, rate)?;
+        for batch_ms in [1, 10, 20, 50, 100] {
             measure(args, Mode::Keyed, batch_ms, rate)?;
         }
     }
@@ -138,6 +138,7 @@
             vm: "portal-1".parse()?,
             service: "enquiries".parse()?,
             call_ms: 0,
+            run_log: None,
         })?;
         let role = MemberRole::Service("enquiries".parse()?);
         register(platform.address(), "portal-1", role, service.address())?;
