--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -1,9 +1,11 @@
 //! Model calls: an answer from one replica group, or continued over several.
 
+use std::collections::BTreeSet;
+
 use jacinthpoint_readiness::Permit;
 use jacinthpoint_records::Config;
 use jacinthpoint_routing::{Accepted, Dispatched, Ending, Failure, Lost, Unstarted};
-use jacinthpoint_types::{AttemptId, Outcome, ResultCode, TimeMs};
+use jacinthpoint_types::{AttemptId, GroupId, ModelRef, Outcome, ResultCode, TimeMs};
 use jacinthpoint_upstream::{
     StartError, StartRequest, StreamError, StreamEvent, TokenEvent, TokenStream,
 };
@@ -15,9 +17,11 @@
         call::Call,
         context::Context,
         format::{Format, stream_end},
+        gate::{Slot, Turned, start_again, wait_turn},
+        limits::{self, max_tokens, retry_after_s},
         once::{self, Entry},
         retry,
-        select::{FailedGroups, wait_for_group},
+        select::wait_for_group,
     },
     events::log_event,
     http::{HttpRequest, Responder},
@@ -31,6 +35,8 @@
 const SILENCE_MS: u64 = 1_000;
 /// Times that taking up one attempt may fail without a token in between.
 const MAX_FAILED_RESUMES: u32 = 2;
+/// Pause of an answer begun before groups are looked for again.
+const BEGUN_PAUSE_MS: u64 = 100;
 /// Time for an engine to take a cancel.
 const CANCEL_TIMEOUT_MS: u64 = 300;
 
@@ -43,6 +49,7 @@
     responder: &mut Responder<'_>,
 ) -> Result<(), Refusal> {
     let call = Call::read(config, context, request)?;
+    let mut admitted = limits::admit_named(shared, config, context, max_tokens(&call.body))?;
     let claim = match once::enter(shared, context, request)? {
         Entry::Run(claim) => claim,
         Entry::Replay(answer) => {
@@ -59,10 +66,13 @@
         finish_reason: None,
         first_token_at: None,
         token_gaps: TokenGaps::new(&shared.metrics, &context.organisation, context.priority),
-        failed_groups: FailedGroups::new(),
+        failed_groups: BTreeSet::new(),
+        slot: None,
+        retry_after_s: None,
     };
     let ending = running.drive();
     running.record(&ending);
+    admitted.generated(running.delivered.len());
     if let Some(claim) = claim {
         claim.settle(
             &ending,
@@ -95,7 +105,9 @@
     finish_reason: Option<String>,
     first_token_at: Option<TimeMs>,
     token_gaps: TokenGaps<'a>,
-    failed_groups: FailedGroups,
+    failed_groups: BTreeSet<GroupId>,
+    slot: Option<Slot<'a>>,
+    retry_after_s: Option<u32>,
 }
 
 impl Running<'_, '_> {
@@ -108,6 +120,7 @@
 
     fn drive(&mut self) -> Ending {
         let mut state = Unstarted::Accepted(Accepted::new());
+        let model = self.call.deployment.model_ref();
         let target = self.call.deployment.name.as_str();
         self.shared
             .retries
@@ -117,14 +130,22 @@
             if self.context.deadline.has_passed(self.shared.now()) {
                 return state.give_up(ResultCode::DeadlinePassed);
             }
-            let model = self.call.deployment.model_ref();
-            let permit = wait_for_group(self.shared, self.context, &model, &self.failed_groups);
-            let permit = match permit {
-                Some(permit) => permit,
-                None if self.keeps_waiting(&state) => continue,
-                None => return state.give_up(ResultCode::NoCapacity),
+            let permit = match self.next_group(&model) {
+                Ok(permit) => permit,
+                Err(_) if self.may_wait_on(&state) => {
+                    // An answer begun waits until its deadline, for repaired groups as well.
+                    self.failed_groups.clear();
+                    self.shared.sleep_ms(BEGUN_PAUSE_MS);
+                    continue;
+                }
+                Err(turned) => {
+                    self.retry_after_s = Some(retry_after_s(turned.wait_ms));
+                    return state.give_up(turned.code);
+                }
             };
-            state = match self.attempt(&permit, state.dispatch()) {
+            let end = self.attempt(&permit, state.dispatch());
+            self.leave_group(&end);
+            state = match end {
                 AttemptEnd::Over(ending) => return ending,
                 AttemptEnd::Unstarted(unstarted, failure) => {
                     cause = failure;
@@ -136,20 +157,44 @@
                 }
                 AttemptEnd::Lost(lost) => return lost.give_up(ResultCode::UpstreamFailed),
             };
-            let assignment = permit.assignment;
-            self.failed_groups
-                .insert((assignment.group, assignment.epoch));
+            self.failed_groups.insert(permit.assignment.group);
             if !self.may_retry(cause) {
                 return retry::give_up(state, cause);
             }
         }
     }
 
-    /// Whether to wait on for a group, up to the deadline. A request that may have run would be lost
-    /// without one; any other is refused, so that its caller can go elsewhere.
-    fn keeps_waiting(&self, state: &Unstarted) -> bool {
-        let is_awaited = self.call.is_keyed || !self.responder.caller_is_gone();
-        matches!(state, Unstarted::Lost(_)) && is_awaited
+    /// Whether the request may have run, and would be lost without another group, for a caller that
+    /// still waits.
+    fn may_wait_on(&self, state: &Unstarted) -> bool {
+        let is_begun = self.call.repeatable && matches!(state, Unstarted::Lost(_));
+        is_begun && !self.responder.caller_is_gone()
+    }
+
+    /// Where the next attempt goes: the first one after its turn in the queue.
+    fn next_group(&mut self, model: &ModelRef) -> Result<Permit, Turned> {
+        if self.failed_groups.is_empty() {
+            // A keyed request runs on, since a resend may ask for its answer.
+            let caller_is_gone = || !self.call.is_keyed && self.responder.caller_is_gone();
+            let body = &self.call.body;
+            let (permit, slot) = wait_turn(self.shared, self.context, model, body, caller_is_gone)?;
+            self.slot = Some(slot);
+            return Ok(permit);
+        }
+        let permit = wait_for_group(self.shared, self.context, model, &self.failed_groups);
+        let permit = permit.ok_or(Turned {
+            code: ResultCode::NoCapacity,
+            wait_ms: 0,
+        })?;
+        self.slot = Some(start_again(self.shared, self.context, model, &permit));
+        Ok(permit)
+    }
+
+    fn leave_group(&mut self, end: &AttemptEnd) {
+        let slot = self.slot.take();
+        if let Some(mut slot) = slot.filter(|_| !matches!(end, AttemptEnd::Over(_))) {
+            slot.fail();
+        }
     }
 
     /// Whether another group may take the request. An answer begun is always continued: what was
@@ -187,6 +232,10 @@
             Ok(stream) => self.relay(permit, attempt, Ok(stream), state),
             Err(error) if error.is_not_run() => {
                 self.log_failure(permit, &error);
+                if self.still_permitted(permit) {
+                    // Until the next grant no other request spends a retry to find out the same.
+                    self.shared.permits().revoke(&permit.assignment.group);
+                }
                 AttemptEnd::Unstarted(state.unstarted(), retry::failure_of(&error))
             }
             // An engine that answers only with its first token may hold the attempt all the same.
@@ -325,6 +374,9 @@
     /// Takes a token; `false` if the caller has gone.
     fn deliver(&mut self, token: TokenEvent) -> bool {
         self.first_token_at.get_or_insert(self.shared.now());
+        if let Some(slot) = &mut self.slot {
+            slot.on_token();
+        }
         self.token_gaps.token();
         let event = self.call.wants_stream.then(|| self.format().event(&token));
         self.finish_reason = token.finish_reason;
@@ -352,7 +404,11 @@
                 organisation = %self.context.organisation, outcome = %ending.outcome(),
                 code = ending.code().map(ResultCode::number), "not answered"
             );
-            return Err(Refusal::from_ending(ending, "the request was not answered"));
+            let mut refusal = Refusal::from_ending(ending, "the request was not answered");
+            if refusal.retry_after_s.is_some() {
+                refusal.retry_after_s = self.retry_after_s.or(refusal.retry_after_s);
+            }
+            return Err(refusal);
         }
         if self.call.wants_stream {
             let end = stream_end();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,13 +4,19 @@
 //! looks least loaded would send all of it to the same place. This crate does no I/O.
 
 pub use crate::{
-    choice::{Candidate, choose},
+    affinity::choose_with_affinity,
+    choice::{Candidate, choose, choose_near},
+    ejection::Ejector,
     lifecycle::{Accepted, Dispatched, Ending, Lost, Unstarted},
     load::estimated_load,
     retry::{Failure, RetryBudgets, pause_ms},
+    subset::subset,
 };
 
+mod affinity;
 mod choice;
+mod ejection;
 mod lifecycle;
 mod load;
 mod retry;
+mod subset;
--- a/tests/util/caller.rs
+++ b/tests/util/caller.rs
@@ -81,8 +81,8 @@
         let mut stream = TcpStream::connect(node)?;
         write!(
             stream,
-            "POST {path} HTTP/1.1\r\nhost: node\r\nauthorization: Bearer {}\r\n\
-             x-request-id: {}\r\ncontent-length: {}\r\n\r\n{body}",
+            "POST {path} HTTP/1.1\r\nhost: node\r\nauthorization: Bearer {}\r\nx-request-id: {}\r\n\
+             content-length: {}\r\n\r\n{body}",
             self.key,
             self.request,
             body.len()
@@ -140,7 +140,14 @@
     /// Whether it may run only once.
     pub fn is_marked(&self) -> bool {
         let marked = ("x-repeatable", "false".to_owned());
-        self.service.is_some() || self.headers.contains(&marked)
+        self.service.is_some() || self.is_keyed() || self.headers.contains(&marked)
+    }
+
+    /// Whether it may be sent again.
+    pub fn is_keyed(&self) -> bool {
+        self.headers
+            .iter()
+            .any(|(name, _)| *name == "idempotency-key")
     }
 
     /// The text that this call must get.
