--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -132,7 +132,7 @@
             }
             let permit = match self.next_group(&model) {
                 Ok(permit) => permit,
-                Err(_) if self.may_wait_on() => {
+                Err(_) if self.may_wait_on(&state) => {
                     // An answer begun waits until its deadline, for repaired groups as well.
                     self.failed_groups.clear();
                     self.shared.sleep_ms(BEGUN_PAUSE_MS);
@@ -164,9 +164,10 @@
         }
     }
 
-    /// Whether an answer has begun that another group may continue, for a caller that still waits.
-    fn may_wait_on(&self) -> bool {
-        let is_begun = self.call.repeatable && !self.delivered.is_empty();
+    /// Whether the request may have run, and would be lost without another group, for a caller that
+    /// still waits.
+    fn may_wait_on(&self, state: &Unstarted) -> bool {
+        let is_begun = self.call.repeatable && matches!(state, Unstarted::Lost(_));
         is_begun && !self.responder.caller_is_gone()
     }
 
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -90,7 +90,7 @@
         "120000",
         MIN_DEADLINE_MS..=MAX_MS,
     ),
-    number("ledger", "batch_ms", "20", 1..=MAX_BATCH_MS),
+    number("ledger", "batch_ms", "50", 1..=MAX_BATCH_MS),
     key("metrics", "statsd", Absent::Nothing),
     key("admission", "rate", Absent::Default("enforce")),
     key("admission", "concurrency", Absent::Default("enforce")),
