Measure the bytes of share reports

Cause: the capacity page lacked the rows of fleet-wide limits. Ruled out: nothing. Change: one more measurement.

--- a/examples/capacity/main.rs
+++ b/examples/capacity/main.rs
@@ -15,6 +15,7 @@
 mod permits;
 mod probes;
 mod process;
+mod shares;
 
 fn main() -> ExitCode {
     match std::env::args().nth(1).as_deref() {
@@ -24,6 +25,7 @@
             permits::measure();
             config::measure();
             members::measure();
+            shares::measure();
             ExitCode::SUCCESS
         }
         Some("memory") => {
