Double the limit of a new group until a first token comes late

Cause: the adaptive limit grew by one a round from 4, so one node before a large engine answered 62 requests/s where 211 were answered without the gate. Ruled out: the relay; with the limit off the slopes are as before. Change: a limit doubles with each round of first tokens until the first late one, then grows by one a round as before.

--- a/crates/admission/src/gate/concurrency.rs
+++ b/crates/admission/src/gate/concurrency.rs
@@ -44,6 +44,8 @@
     limit: f64,
     in_flight: u32,
     decreased_at: TimeMs,
+    /// Whether no first token has come late yet.
+    is_starting: bool,
 }
 
 impl ConcurrencyLimit {
@@ -54,6 +56,7 @@
             limit: settings.initial,
             in_flight: 0,
             decreased_at: TimeMs(0),
+            is_starting: true,
         }
     }
 
@@ -83,7 +86,14 @@
         if first_token_ms > self.settings.first_token_target_ms {
             self.decrease(now);
         } else if f64::from(self.in_flight) >= self.limit * IN_USE_SHARE {
-            self.limit = (self.limit + 1.0 / self.limit).min(self.settings.max);
+            // Doubles with each round of first tokens until one comes late. Growth by one a round
+            // would hold back the first burst on a new group for minutes.
+            let step = if self.is_starting {
+                1.0
+            } else {
+                1.0 / self.limit
+            };
+            self.limit = (self.limit + step).min(self.settings.max);
         }
     }
 
@@ -99,6 +109,7 @@
         if now.since_ms(self.decreased_at) >= DECREASE_PAUSE_MS {
             self.limit = (self.limit * DECREASE).max(self.settings.min);
             self.decreased_at = now;
+            self.is_starting = false;
         }
     }
 }
