Wait for a group longer than an ordinary repair takes

Cause: a request without a group was given up after 2 s, and the repair of a group takes 1.5 s to detect, 2 s of waiting for a paused member, and the load. Ruled out: the queue; its requests were refused only when no group was usable. Change: one bound of 10 s for both waits, still cut by the deadline.

--- a/crates/node/src/caller/gate.rs
+++ b/crates/node/src/caller/gate.rs
@@ -29,8 +29,6 @@
 const LOOK_MS: u64 = 50;
 /// Shortest time between two such looks of all threads together.
 const LOOK_PAUSE_MS: u64 = 10;
-/// How long a request waits while no group may be used at all.
-const CAPACITY_WAIT_MS: u64 = 2_000;
 
 /// Gates by what they stand in front of.
 #[derive(Default)]
@@ -276,7 +274,7 @@
         if now.since_ms(state.looked_at) >= LOOK_PAUSE_MS {
             gate.pump(shared, &mut state);
         }
-        let gives_up = now.since_ms(last_usable_at) >= CAPACITY_WAIT_MS
+        let gives_up = now.since_ms(last_usable_at) >= select::CAPACITY_WAIT_MS
             || context.deadline.has_passed(now)
             || shared.is_stopped()
             || is_gone;
--- a/crates/node/src/caller/select.rs
+++ b/crates/node/src/caller/select.rs
@@ -10,8 +10,9 @@
 
 use crate::{caller::context::Context, shared::Shared};
 
-/// How long a request waits for a group that may be used.
-const CAPACITY_WAIT_MS: u64 = 2_000;
+/// How long a request waits for a group that may be used. Longer than an ordinary repair takes with
+/// a standby, from the loss of a member to the service of its group.
+pub(crate) const CAPACITY_WAIT_MS: u64 = 10_000;
 /// Bytes at the start of a prompt by which requests are taken to share it.
 const PREFIX_BYTES: usize = 512;
 /// How often it looks.
