--- a/examples/capacity/entry.rs
+++ b/examples/capacity/entry.rs
@@ -128,7 +128,8 @@
     let [callers, operators, peers] = [free()?, free()?, free()?];
     let settings = format!(
         "[node]\nname = node-1\ndata_centre = dc-1\n[listen]\ncallers = {callers}\n\
-         operators = {operators}\npeers = {peers}\n[platform]\naddress = {platform}\n"
+         operators = {operators}\npeers = {peers}\n[platform]\naddress = {platform}\n\
+         [admission]\ngroup_concurrency = off\n"
     );
     let path = std::env::temp_dir().join(format!("capacity-{}.ini", callers.port()));
     fs::write(&path, settings)?;
--- a/examples/capacity/members.rs
+++ b/examples/capacity/members.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 
 use jacinthpoint_platform::{MemberRole, MemberState, PlatformMember};
+use jacinthpoint_types::TimeMs;
+use jacinthpoint_wire::{Datagram, encode};
 
-use crate::cost::{TCP_CONTROL_SEGMENTS, TCP_HEADER_BYTES, time_ns};
+use crate::cost::{TCP_CONTROL_SEGMENTS, TCP_HEADER_BYTES, UDP_HEADER_BYTES, time_ns};
 
 /// Entries of the list; the last is the target's, upstreams and nodes together.
 const SIZES: [usize; 3] = [60, 600, 4_420];
@@ -31,6 +33,18 @@
 /// Prints the table.
 pub fn measure() {
     println!("membership list:\n");
+    let query = Datagram::MembersQuery {
+        sent_at: TimeMs(86_400_000),
+        reply_to: member(1).address,
+    };
+    let answer = Datagram::MembersDigest {
+        echo: TimeMs(86_400_000),
+        digest: u64::MAX,
+        age_ms: 1_200,
+        address: member(1).address,
+    };
+    let bytes = encode(&query).len() + encode(&answer).len() + 2 * UDP_HEADER_BYTES;
+    println!("- bytes of a question and its answer, headers included: {bytes}\n");
     println!("| entries | bytes a read, headers included | ms to read |");
     println!("| --- | --- | --- |");
     for size in SIZES {
--- a/tests/upstreams.rs
+++ b/tests/upstreams.rs
@@ -162,3 +162,28 @@
     lag_ms: 500,
     |site| site.platform_fault(&json!({ "mode": "silent" }))
 );
+
+site_test!(
+    engine_that_says_it_leaves_gets_no_new_work_in_an_outage,
+    SiteOptions::proxied(),
+    |site| {
+        let vm = "rack-1-vm-1";
+        site.platform_fault(&json!({ "mode": "refuse" }));
+        let traffic = Traffic::start(&site.callers(), 8, None);
+        wait_for_answers(&traffic, 20);
+        site.engine_fault(vm, &json!({ "mode": "leaving" }));
+        let last_ms = wall_ms() + LEAVING_BOUND_MS;
+        let_pass(2 * LEAVING_BOUND_MS);
+        wait_for_answers(&traffic, 10);
+        none_lost(&site, &traffic.finish());
+        let runs = site.run_log();
+        let mut on_leaving = runs
+            .iter()
+            .filter(|run| run.members.iter().any(|member| member == vm));
+        let late = on_leaving.find(|run| run.started_wall_ms > last_ms);
+        assert!(
+            late.is_none(),
+            "new work after {LEAVING_BOUND_MS} ms: {late:?}"
+        );
+    }
+);
