Measure the time from the loss of a member to service through processes

Cause: recovery was only bounded by tests, not measured. Ruled out: the driver of the placement crate, which knows no probes or permits. Change: a measurement by command that kills ten members one after another.

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -16,6 +16,7 @@
 mod partitions;
 mod planned_stop;
 mod promises;
+mod recovery;
 mod requests;
 mod serving;
 mod soak;
