Write a call's model name once and not for each token

Cause: each event of a stream built the model's full name anew, two texts a token on the busiest path. Change: the call holds the name. The events are the same.

--- a/crates/node/src/caller/call.rs
+++ b/crates/node/src/caller/call.rs
@@ -12,6 +12,8 @@
 /// What is asked for.
 pub(crate) struct Call<'a> {
     pub(crate) deployment: &'a Deployment,
+    /// Full name of the model, as every event of the answer gives it.
+    pub(crate) model_name: String,
     pub(crate) path: &'a str,
     pub(crate) body: Value,
     pub(crate) is_chat: bool,
@@ -65,6 +67,7 @@
         let is_keyed = once::has_key(request);
         Ok(Call {
             is_keyed,
+            model_name: deployment.model_ref().to_string(),
             deployment,
             path: request.path(),
             body,
--- a/crates/node/src/caller/format.rs
+++ b/crates/node/src/caller/format.rs
@@ -30,7 +30,7 @@
         json!({
             "id": self.request,
             "object": object,
-            "model": self.call.deployment.model_ref().to_string(),
+            "model": self.call.model_name,
             "choices": [choice],
         })
     }
@@ -70,7 +70,7 @@
         json!({
             "id": self.request,
             "object": if self.call.is_chat { "chat.completion" } else { "text_completion" },
-            "model": self.call.deployment.model_ref().to_string(),
+            "model": self.call.model_name,
             "choices": [choice],
             "usage": { "completion_tokens": delivered.len() },
         })
