--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -280,13 +280,22 @@
     refuse(gateway, &context.attempt_id, code, why, retry_after)
 }
 
+/// When the events of a stream came.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct StreamTimes {
+    /// From the request to the first event.
+    pub(super) first_event_ms: u64,
+    /// Longest time between two events.
+    pub(super) longest_gap_ms: u64,
+}
+
 /// Passes an upstream's answer on as it is.
 fn pass_on(context: &Context, answer: WholeAnswer) -> Response<AnswerBody> {
     let mut response = Response::new(whole(answer.body));
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
     clean(response.headers_mut());
-    note_end(context, answer.status, "answered");
+    note_end(context, answer.status, "answered", None);
     response
 }
 
@@ -297,23 +306,34 @@
 }
 
 /// Takes in the end of a request.
-pub(super) fn note_end(context: &Context, status: StatusCode, outcome: &'static str) {
+pub(super) fn note_end(
+    context: &Context,
+    status: StatusCode,
+    outcome: &'static str,
+    times: Option<StreamTimes>,
+) {
     let gateway = &context.gateway;
     let elapsed_ms = context.elapsed_ms();
     let organisation = context.organisation_name();
-    gateway.metrics.count("requests_ended", outcome);
-    gateway
-        .metrics
-        .record("request", organisation, &context.route.name, elapsed_ms);
+    let route = &context.route.name;
+    let metrics = &gateway.metrics;
+    metrics.count("requests_ended", outcome);
+    metrics.record("request", organisation, route, elapsed_ms);
+    if let Some(times) = times {
+        metrics.record("first_event", organisation, route, times.first_event_ms);
+        metrics.record("longest_gap", organisation, route, times.longest_gap_ms);
+    }
     log_event!(
         info,
         RequestEnded,
         request = context.attempt_id,
-        route = context.route.name,
+        route,
         organisation,
         status = status.as_u16(),
         outcome,
         elapsed_ms,
+        first_event_ms = times.map(|times| times.first_event_ms),
+        longest_gap_ms = times.map(|times| times.longest_gap_ms),
         "a request ended"
     );
 }
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -12,7 +12,7 @@
     body::{AnswerBody, BrokenOff, PartSender, channel},
     call::{
         attempt::{Attempt, OpenStream, Sending, send, suspect},
-        attempts::{Tries, choose, clean, note_end, note_failure, note_not_run},
+        attempts::{StreamTimes, Tries, choose, clean, note_end, note_failure, note_not_run},
         context::Context,
         events::EventSplitter,
     },
@@ -302,20 +302,11 @@
     }
 
     fn note_end(&self, outcome: &'static str) {
-        let context = &self.context;
-        if let Some(first_event_at) = self.first_event_at {
-            let first_ms = first_event_at.since_ms(context.started);
-            let organisation = context.organisation_name();
-            let metrics = &context.gateway.metrics;
-            metrics.record("first_event", organisation, &context.route.name, first_ms);
-            metrics.record(
-                "longest_gap",
-                organisation,
-                &context.route.name,
-                self.longest_gap_ms,
-            );
-        }
-        note_end(context, StatusCode::OK, outcome);
+        let times = self.first_event_at.map(|first_event_at| StreamTimes {
+            first_event_ms: first_event_at.since_ms(self.context.started),
+            longest_gap_ms: self.longest_gap_ms,
+        });
+        note_end(&self.context, StatusCode::OK, outcome, times);
     }
 }
 
