Exchange loads between gateways through a hub; choose by room; leave silent groups alone

Cause: each of 60 gateways sees an answer of a group every few seconds, so at high load it filled groups beyond their slots while others had room, and a request at a group that had stopped waited three limits of silence (1.3 s) because its gateway alone could not tell. Change: gateways report in-flight requests and the age of the last event a target to a hub each 100 ms and get the sum of the others back (UDP); the choice is by chance in proportion to free room; a group that nobody hears of is left alone and its waiting requests are sent elsewhere after one limit. Without a hub all is as before. Test: dispatch many_gateways (share of requests that find a full group, against the choice without exchange).

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,8 +7,9 @@
     budget::{FleetBudget, FleetBudgetSettings},
     demand::DemandMeter,
     directory::{Directory, Target, TargetGroup, TargetKey},
-    load::{LoadBook, Refusal, retry_after_ms},
+    load::{LoadBook, Refusal, Selection, retry_after_ms},
     silence::{Silence, Verdict},
+    tally::{FleetLoad, Sighting, Tally, TargetDigest},
 };
 
 mod budget;
@@ -16,3 +17,4 @@
 mod directory;
 mod load;
 mod silence;
+mod tally;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -2,7 +2,8 @@
 //!
 //! An engine batches: a request that finds a free slot starts with the next pass, one that finds
 //! none waits for another to end. A target's load is what the gateway has there itself and what
-//! the target last stated, discounted by its age.
+//! the other gateways have there; if that is not known, what the target last stated, discounted by
+//! its age.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -10,7 +11,11 @@
 use jacinthpoint_types::{Deadline, TimeMs};
 use rand::Rng;
 
-use crate::directory::{Target, TargetKey};
+use crate::{
+    directory::{Target, TargetKey},
+    silence::Silence,
+    tally::{FleetLoad, Sighting, TargetDigest},
+};
 
 /// Weight of a target in another data centre: its bytes are dearer and its answers later.
 const FAR_WEIGHT: f64 = 1.08;
@@ -24,6 +29,8 @@
 /// Time for which a target without progress gets no work: the owner of the groups has closed it by
 /// then if it is dead.
 const SUSPENDED_MS: u64 = 2_500;
+/// Time for which an event from a target where there is no request now is worth telling others.
+const HEARD_OF_LATE_MS: u64 = 1_000;
 /// Shortest time to name to a caller who is refused.
 const MIN_RETRY_AFTER_MS: u64 = 200;
 /// Longest time to name to a caller who is refused.
@@ -32,6 +39,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Load {
     in_flight: u32,
+    /// Since when there has been a request all the time.
+    busy_since: TimeMs,
     stated: u32,
     stated_at: TimeMs,
     last_event_at: Option<TimeMs>,
@@ -50,17 +59,35 @@
     NoRoom,
 }
 
+/// What a request needs of its target.
+#[derive(Debug, Clone, Copy)]
+pub struct Selection<'a> {
+    /// Targets that serve it.
+    pub targets: &'a [Arc<Target>],
+    /// Targets that failed it.
+    pub tried: &'a [TargetKey],
+    /// Part of its slots that a target may have waiting before it counts as full.
+    pub queue_share: f64,
+    /// How long silence of a group is borne; a group that is silent for longer is left alone.
+    pub silence: Option<Silence>,
+}
+
 /// Loads of all targets, as one gateway knows them.
 #[derive(Debug, Default)]
 pub struct LoadBook {
     loads: BTreeMap<TargetKey, Load>,
+    fleet: FleetLoad,
     ejector: Ejector<TargetKey>,
 }
 
 impl LoadBook {
     /// A request is sent there.
-    pub fn on_sent(&mut self, key: &TargetKey) {
-        self.loads.entry(key.clone()).or_default().in_flight += 1;
+    pub fn on_sent(&mut self, key: &TargetKey, now: TimeMs) {
+        let load = self.loads.entry(key.clone()).or_default();
+        if load.in_flight == 0 {
+            load.busy_since = now;
+        }
+        load.in_flight += 1;
     }
 
     /// A request that was sent there is over.
@@ -116,9 +143,47 @@
         self.ejector.on_failure(key, 0, now)
     }
 
-    /// When a stream from there last had an event.
-    pub fn last_event_at(&self, key: &TargetKey) -> Option<TimeMs> {
-        self.loads.get(key).and_then(|load| load.last_event_at)
+    /// Takes in what other gateways have at each target.
+    pub fn on_fleet(&mut self, sightings: &[Sighting], now: TimeMs) {
+        self.fleet.on_answer(sightings, now);
+    }
+
+    /// Whether it is known what other gateways see.
+    pub fn knows_fleet(&self, now: TimeMs) -> bool {
+        self.fleet.is_fresh(now)
+    }
+
+    /// What this gateway has at each target, for the others.
+    pub fn sightings(&self, now: TimeMs) -> Vec<Sighting> {
+        let ms_since = |at: TimeMs| u32::try_from(now.since_ms(at)).unwrap_or(u32::MAX);
+        let sighting = |(key, load): (&TargetKey, &Load)| {
+            let last_event_at = load.last_event_at.unwrap_or(load.busy_since);
+            Sighting {
+                target: TargetDigest::from(key),
+                in_flight: load.in_flight,
+                heard_ms: load.last_event_at.map(ms_since),
+                waited_ms: (load.in_flight > 0)
+                    .then(|| ms_since(load.busy_since.max(last_event_at))),
+            }
+        };
+        let is_worth_telling = |sighting: &Sighting| {
+            let is_recent = |ms: u32| u64::from(ms) < HEARD_OF_LATE_MS;
+            sighting.in_flight > 0 || sighting.heard_ms.is_some_and(is_recent)
+        };
+        let sightings = self.loads.iter().map(sighting);
+        sightings.filter(is_worth_telling).collect()
+    }
+
+    /// When a stream from there last had an event, here or at another gateway.
+    pub fn last_event_at(&self, key: &TargetKey, now: TimeMs) -> Option<TimeMs> {
+        let here = self.loads.get(key).and_then(|load| load.last_event_at);
+        here.max(self.fleet.heard_at(key, now))
+    }
+
+    /// Whether all gateways together have heard nothing from there for `limit_ms` although there
+    /// are requests.
+    pub fn is_silent(&self, key: &TargetKey, limit_ms: u64, now: TimeMs) -> bool {
+        self.fleet.is_silent(key, limit_ms, now)
     }
 
     /// Whether it gets no work for want of progress.
@@ -130,7 +195,10 @@
     /// Requests that are probably there.
     pub fn load(&self, key: &TargetKey, now: TimeMs) -> f64 {
         let load = self.loads.get(key).copied().unwrap_or_default();
-        estimated_load(load.in_flight, load.stated, now.since_ms(load.stated_at))
+        match self.fleet.in_flight(key, now) {
+            Some(of_others) => f64::from(load.in_flight + of_others),
+            None => estimated_load(load.in_flight, load.stated, now.since_ms(load.stated_at)),
+        }
     }
 
     /// Forgets targets that are gone.
@@ -155,53 +223,102 @@
         if count > 0.0 { sum / count } else { 1.0 }
     }
 
-    /// The target with the least work for its pace among those not in `tried`. A target counts as
-    /// full when it has `queue_share` of its slots waiting.
+    /// A target with little work.
     ///
     /// # Errors
     ///
     /// Says why there is none.
     pub fn choose(
         &self,
-        targets: &[Arc<Target>],
-        tried: &[TargetKey],
-        queue_share: f64,
+        selection: &Selection<'_>,
         now: TimeMs,
         rng: &mut impl Rng,
     ) -> Result<Arc<Target>, Refusal> {
+        let Selection {
+            targets,
+            tried,
+            queue_share,
+            silence,
+        } = *selection;
         let keys: Vec<TargetKey> = targets.iter().map(|target| target.key.clone()).collect();
         let usable = self.ejector.usable(&keys, now);
         let is_usable = |target: &&Arc<Target>| {
             !tried.contains(&target.key)
                 && !self.is_suspended(&target.key, now)
+                && !silence.is_some_and(|s| self.is_silent(&target.key, s.limit_ms(), now))
                 && usable.contains(&target.key)
         };
-        let usual_pass_ms = self.usual_pass_ms(targets);
         let mut works = false;
-        let mut best: Option<(f64, &Arc<Target>)> = None;
+        let mut roomy: Vec<(f64, &Arc<Target>)> = Vec::new();
         for target in targets.iter().filter(is_usable) {
             works = true;
             let load = self.loads.get(&target.key).copied().unwrap_or_default();
             let requests = self.load(&target.key, now);
             let is_shedding = load.shed_until.is_some_and(|until| !until.has_passed(now));
-            let slots = f64::from(target.slots);
-            if is_shedding || requests >= slots * (1.0 + queue_share) {
-                continue;
-            }
-            let distance = if target.is_near { 1.0 } else { FAR_WEIGHT };
-            let pace = load.mean_pass_ms.unwrap_or(usual_pass_ms).max(1.0);
-            let jitter = 1.0 + rng.random_range(0.0..JITTER);
-            let cost = (requests + 1.0) / slots * distance * pace * jitter;
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, target));
+            if !is_shedding && requests < f64::from(target.slots) * (1.0 + queue_share) {
+                roomy.push((requests, target));
             }
         }
-        match best {
-            Some((_, target)) => Ok(target.clone()),
+        let chosen = if self.fleet.is_fresh(now) {
+            by_room(&roomy, queue_share, rng)
+        } else {
+            self.least_loaded(&roomy, self.usual_pass_ms(targets), rng)
+        };
+        match chosen {
+            Some(target) => Ok(target.clone()),
             None if works => Err(Refusal::NoRoom),
             None => Err(Refusal::NoTarget),
         }
     }
+
+    /// The target with the least work for its pace. What is known of each is uncertain, so those
+    /// that are nearly the best are chosen too.
+    fn least_loaded<'a>(
+        &self,
+        targets: &[(f64, &'a Arc<Target>)],
+        usual_pass_ms: f64,
+        rng: &mut impl Rng,
+    ) -> Option<&'a Arc<Target>> {
+        let cost = |(requests, target): &(f64, &Arc<Target>), jitter: f64| {
+            let load = self.loads.get(&target.key).copied().unwrap_or_default();
+            let distance = if target.is_near { 1.0 } else { FAR_WEIGHT };
+            let pace = load.mean_pass_ms.unwrap_or(usual_pass_ms).max(1.0);
+            (requests + 1.0) / f64::from(target.slots) * distance * pace * (1.0 + jitter)
+        };
+        let costs = targets
+            .iter()
+            .map(|entry| (cost(entry, rng.random_range(0.0..JITTER)), entry.1));
+        let least = costs.min_by(|a, b| a.0.total_cmp(&b.0));
+        least.map(|(_, target)| target)
+    }
+}
+
+/// A target by chance, in proportion to its room. All gateways know the same loads, and those that
+/// decide between two exchanges must not all choose the same target. A free slot goes before a place
+/// in a queue.
+fn by_room<'a>(
+    targets: &[(f64, &'a Arc<Target>)],
+    queue_share: f64,
+    rng: &mut impl Rng,
+) -> Option<&'a Arc<Target>> {
+    let free = |(requests, target): &(f64, &Arc<Target>)| f64::from(target.slots) - requests;
+    let has_free = targets.iter().any(|entry| free(entry) > 0.0);
+    let room = |entry: &(f64, &Arc<Target>)| {
+        let queue = if has_free {
+            0.0
+        } else {
+            f64::from(entry.1.slots) * queue_share
+        };
+        let distance = if entry.1.is_near { 1.0 } else { FAR_WEIGHT };
+        (free(entry) + queue).max(0.0) / distance
+    };
+    let sum: f64 = targets.iter().map(room).sum();
+    let mut at = rng.random_range(0.0..sum.max(f64::MIN_POSITIVE));
+    let chosen = targets.iter().find(|entry| {
+        at -= room(entry);
+        at < 0.0
+    });
+    chosen.or(targets.last()).map(|(_, target)| *target)
 }
 
 /// When a refused caller should come back: spread over the time in which room is expected, so that
--- a/crates/dispatch/src/silence.rs
+++ b/crates/dispatch/src/silence.rs
@@ -73,18 +73,23 @@
         now.since_ms(since) >= self.limit_ms
     }
 
-    /// Judges a request that waits for its first event since `sent_at`. `is_suspended` tells that
-    /// the group is known to make no progress.
+    /// Silence that no healthy group shows.
+    pub fn limit_ms(self) -> u64 {
+        self.limit_ms
+    }
+
+    /// Judges a request that waits for its first event since `sent_at`. `is_known_silent` tells
+    /// that the group is known to make no progress.
     pub fn judge_waiting(
         self,
         sent_at: TimeMs,
         group_at: Option<TimeMs>,
-        is_suspended: bool,
+        is_known_silent: bool,
         now: TimeMs,
     ) -> Verdict {
         let since = group_at.map_or(sent_at, |at| at.max(sent_at));
         let waited_ms = now.since_ms(since);
-        let is_lost = is_suspended && waited_ms >= self.limit_ms;
+        let is_lost = is_known_silent && waited_ms >= self.limit_ms;
         if is_lost || waited_ms >= self.limit_ms * WAITING_FACTOR {
             return Verdict::GroupIsSilent;
         }
--- a/crates/dispatch/tests/new_group.rs
+++ b/crates/dispatch/tests/new_group.rs
@@ -4,7 +4,7 @@
 use jacinthpoint_types::TimeMs;
 use rand::{SeedableRng, rngs::SmallRng};
 
-use crate::support::{groups, now};
+use crate::support::{groups, now, selection};
 
 /// A new group that looked faster than all others got the requests of all gateways at once and
 /// shed them.
@@ -14,7 +14,7 @@
     let mut book = LoadBook::default();
     let mut rng = SmallRng::seed_from_u64(1);
     for target in &targets[1..] {
-        book.on_sent(&target.key);
+        book.on_sent(&target.key, now());
         book.on_over(&target.key);
         for pass in 0..50 {
             book.on_event(&target.key, Some(60), TimeMs(now().0 + pass));
@@ -25,9 +25,9 @@
     let mut to_new = 0;
     for _ in 0..200 {
         let chosen = book
-            .choose(&targets, &[], 0.35, now(), &mut rng)
+            .choose(&selection(&targets), now(), &mut rng)
             .expect("there is room");
-        book.on_sent(&chosen.key);
+        book.on_sent(&chosen.key, now());
         to_new += usize::from(chosen.key == targets[0].key);
     }
     assert!(
--- a/crates/dispatch/tests/support.rs
+++ b/crates/dispatch/tests/support.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use jacinthpoint_dispatch::{Directory, Target};
+use jacinthpoint_dispatch::{Directory, Selection, Target};
 use jacinthpoint_fleet::{
     CallerLimits, ConfigVersion, Engine, FleetConfig, GroupState, Membership, ModelSpec, Service,
     Upstream, UpstreamState,
@@ -81,3 +81,13 @@
         .groups(&service, &model)
         .to_vec()
 }
+
+/// A first request for any of `targets`.
+pub fn selection(targets: &[Arc<Target>]) -> Selection<'_> {
+    Selection {
+        targets,
+        tried: &[],
+        queue_share: 0.35,
+        silence: None,
+    }
+}
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions on one request.
 
 mod budget;
+mod many_gateways;
 mod new_group;
 mod silence;
 mod support;
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -10,13 +10,14 @@
 use jacinthpoint_types::{TimeMs, VmId};
 
 use crate::{
-    alarm::{self, Alarm},
+    alarm,
     call::{
         answer::{Meaning, meaning, stated_load},
         context::Context,
         request::to_target,
     },
     connection::Connection,
+    datagram::Alarm,
     events::log_event,
     pool::Checkout,
     state::Gateway,
@@ -42,7 +43,7 @@
 
 impl InFlight {
     fn new(gateway: &Rc<Gateway>, key: &TargetKey) -> InFlight {
-        gateway.loads.borrow_mut().on_sent(key);
+        gateway.loads.borrow_mut().on_sent(key, gateway.now());
         InFlight {
             gateway: gateway.clone(),
             key: key.clone(),
@@ -250,9 +251,12 @@
             Look::GiveUp("no answer in time")
         };
     };
-    let group_at = gateway.loads.borrow().last_event_at(&target.key);
-    let is_suspended = gateway.loads.borrow().is_suspended(&target.key, now);
-    let verdict = silence.judge_waiting(sent_at, group_at, is_suspended, now);
+    let loads = gateway.loads.borrow();
+    let group_at = loads.last_event_at(&target.key, now);
+    let is_known_silent = loads.is_suspended(&target.key, now)
+        || loads.is_silent(&target.key, silence.limit_ms(), now);
+    drop(loads);
+    let verdict = silence.judge_waiting(sent_at, group_at, is_known_silent, now);
     if silence.is_suspicious(sent_at, group_at, now) {
         suspect(gateway, target, false);
     }
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Response, StatusCode, header, http::request::Parts};
-use jacinthpoint_dispatch::{Refusal, Target, TargetKey, retry_after_ms};
+use jacinthpoint_dispatch::{Refusal, Selection, Target, TargetKey, retry_after_ms};
 use jacinthpoint_types::{ResultCode, VmId};
 
 use crate::{
@@ -99,7 +99,13 @@
     let mut rng = gateway.rng.borrow_mut();
     let loads = gateway.loads.borrow();
     let now = gateway.now();
-    let chosen = loads.choose(targets, &tries.tried, queue_share, now, &mut *rng);
+    let selection = Selection {
+        targets,
+        tried: &tries.tried,
+        queue_share,
+        silence: context.silence(),
+    };
+    let chosen = loads.choose(&selection, now, &mut *rng);
     if let Err(refusal) = &chosen {
         let least_load = targets
             .iter()
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -134,13 +134,17 @@
                     if now >= deadline {
                         return End::DeadlinePassed;
                     }
-                    let group_at = gateway.loads.borrow().last_event_at(&target.key);
                     let has_flowed = gap_begin.is_some();
-                    let is_suspended = gateway.loads.borrow().is_suspended(&target.key, now);
+                    let group_at = gateway.loads.borrow().last_event_at(&target.key, now);
+                    let is_known_silent = silence.is_some_and(|silence| {
+                        let loads = gateway.loads.borrow();
+                        loads.is_suspended(&target.key, now)
+                            || loads.is_silent(&target.key, silence.limit_ms(), now)
+                    });
                     let verdict = silence.map(|s| if has_flowed {
                         s.judge(self.last_event_at, group_at, now)
                     } else {
-                        s.judge_waiting(self.last_event_at, group_at, is_suspended, now)
+                        s.judge_waiting(self.last_event_at, group_at, is_known_silent, now)
                     });
                     match verdict {
                         None => look_at = deadline,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -35,6 +35,8 @@
     StoreChanged = 715,
     /// The store dropped the history that a watch needed; the list is read again.
     HistoryLost = 716,
+    /// Loads are exchanged through another gateway than before.
+    HubChanged = 717,
     /// This gateway gives orders from now on.
     OwnershipGained = 720,
     /// This gateway gives no more orders.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! edge -> call -> (pool -> upstream)          serves callers
 //! watch -> state, relay                       keeps the view of the fleet and passes it on
 //! lease -> owner -> (pool -> upstream)        one gateway at a time forms groups
+//! peers -> alarm, tally                       what gateways tell each other
 //! ```
 
 pub use crate::{
@@ -20,11 +21,14 @@
 mod call;
 mod clock;
 mod connection;
+mod datagram;
 mod edge;
 mod events;
+mod exchange;
 mod lease;
 mod metrics;
 mod owner;
+mod peers;
 mod pool;
 mod relay;
 mod roster;
@@ -32,4 +36,5 @@
 mod settings;
 mod state;
 mod store;
+mod tally;
 mod watch;
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -15,12 +15,8 @@
 use tokio::time::timeout;
 
 use crate::{
-    alarm::{self, Alarm},
-    clock::sleep_ms,
-    connection::Connection,
-    events::log_event,
-    lease::Lease,
-    state::Gateway,
+    alarm, clock::sleep_ms, connection::Connection, datagram::Alarm, events::log_event,
+    lease::Lease, state::Gateway,
 };
 
 /// Time between two looks at the fleet.
@@ -78,7 +74,7 @@
     let planners = &mut *planners;
     let silent = std::mem::take(&mut gateway.suspicions.borrow_mut().silent);
     let view = gateway.view.borrow();
-    let groups_heard = groups_heard(gateway, &snapshot.directory, &mut planners.events_seen);
+    let groups_heard = groups_heard(gateway, &snapshot.directory, &mut planners.events_seen, now);
     let demand = gateway
         .demand
         .borrow_mut()
@@ -120,11 +116,12 @@
     gateway: &Gateway,
     directory: &'a Directory,
     events_seen: &mut BTreeMap<TargetKey, TimeMs>,
+    now: TimeMs,
 ) -> Vec<(&'a [VmId], TimeMs)> {
     let loads = gateway.loads.borrow();
     let mut heard = Vec::new();
     for target in directory.targets() {
-        let last_event_at = loads.last_event_at(&target.key);
+        let last_event_at = loads.last_event_at(&target.key, now);
         if let (Some(group), Some(at)) = (&target.group, last_event_at)
             && events_seen.insert(target.key.clone(), at) != Some(at)
         {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -94,6 +94,13 @@
         others.filter_map(|(_, address)| *address).collect()
     }
 
+    /// Addresses of all gateways in the order in which they do a piece of work.
+    pub(crate) fn ranked_addresses(&self, work: &str) -> Vec<SocketAddr> {
+        let all = self.all.borrow();
+        let order = ranked(work, all.keys());
+        order.into_iter().filter_map(|name| all[name]).collect()
+    }
+
     /// Whether this gateway is among those that look at the lease often.
     pub(crate) fn is_candidate(&self, own: &str) -> bool {
         let all = self.all.borrow();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -10,16 +10,17 @@
 };
 
 use crate::{
-    alarm,
     clock::sleep_ms,
     edge::{serve_callers, serve_metrics, serve_readiness},
     events::log_event,
     lease::{Lease, keep_lease},
     owner::own_groups,
+    peers,
     relay::serve_gateways,
     roster::keep_roster,
     settings::{GatewaySettings, parse_settings},
     state::{Gateway, Phase},
+    tally,
     watch::{expire_entries, watch_config, watch_upstreams},
 };
 
@@ -101,9 +102,10 @@
     spawn_local(serve_callers(gateway.clone(), callers));
     spawn_local(serve_readiness(gateway.clone(), readiness));
     if let Some((listener, socket)) = peers {
-        *gateway.alarms.borrow_mut() = Some(socket.clone());
+        *gateway.peers_socket.borrow_mut() = Some(socket.clone());
         spawn_local(serve_gateways(gateway.clone(), listener));
-        spawn_local(alarm::receive(gateway.clone(), socket));
+        spawn_local(peers::receive(gateway.clone(), socket));
+        spawn_local(tally::report(gateway.clone()));
     }
     if let Some(address) = metrics {
         spawn_local(serve_metrics(gateway.clone(), address));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,8 +15,8 @@
 use tokio::{net::UdpSocket, sync::watch};
 
 use crate::{
-    clock::Clock, events::log_event, metrics::Metrics, pool::Pool, relay::Relay, roster::Roster,
-    settings::GatewaySettings,
+    clock::Clock, events::log_event, exchange::Exchange, metrics::Metrics, pool::Pool,
+    relay::Relay, roster::Roster, settings::GatewaySettings,
 };
 
 /// Gateways that are assumed until the roster is known: more than there are, so that the shared
@@ -67,8 +67,9 @@
     pub(crate) owner: RefCell<Option<String>>,
     /// When word of each silent target was last sent.
     pub(crate) silence_told_at: RefCell<BTreeMap<TargetKey, TimeMs>>,
-    /// Socket for alarms, if the settings name an address for other gateways.
-    pub(crate) alarms: RefCell<Option<Rc<UdpSocket>>>,
+    /// Socket for datagrams, if the settings name an address for other gateways.
+    pub(crate) peers_socket: RefCell<Option<Rc<UdpSocket>>>,
+    pub(crate) exchange: Exchange,
     pub(crate) has_traffic: Cell<bool>,
     pub(crate) demand: RefCell<DemandMeter>,
     pub(crate) suspicions: RefCell<Suspicions>,
@@ -95,7 +96,8 @@
             relay: Relay::default(),
             owner: RefCell::default(),
             silence_told_at: RefCell::default(),
-            alarms: RefCell::default(),
+            peers_socket: RefCell::default(),
+            exchange: Exchange::default(),
             has_traffic: Cell::new(false),
             demand: RefCell::default(),
             suspicions: RefCell::default(),
