Make fewer calls to a store that is away, at the start and for the roster

Each gateway also tried to create the lease at its start. Change: a reader that answers but does not reach the store is passed over for one second only; substitutes ask once a second, readers after a pause that doubles; a refusal of a reader counts as an outage of the store, dated back by the age at which it refuses; later counts of the roster may be old (a tenth of the price); only candidates compete for the lease at the start.

--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -86,6 +86,11 @@
     let life = gateway.rng.borrow_mut().random::<u32>();
     let mut renewals = 0_u64;
     let mut revision = None;
+    // Only candidates compete for the lease at the start.
+    gateway.roster.wait_known().await;
+    if !is_candidate(&gateway) {
+        sleep_ms(IDLE_LOOK_MS).await;
+    }
     loop {
         if *gateway.phase.borrow() != Phase::Serving {
             release(&gateway, &lease, &mut store, revision).await;
@@ -129,14 +134,19 @@
             Err(StoreError::Refused(404)) => revision = None,
             Err(error) => availability.on_failure(KIND, &error, gateway.now()),
         }
-        let name = gateway.settings().name.clone();
-        let is_active = lease.fence.get().is_some() || gateway.roster.is_candidate(name.as_str());
+        let is_active = lease.fence.get().is_some() || is_candidate(&gateway);
         let pause_ms = if is_active { RENEW_MS } else { IDLE_LOOK_MS };
         let jitter_ms = gateway.rng.borrow_mut().random_range(0..RENEW_MS / 5);
         sleep_ms(pause_ms - jitter_ms).await;
     }
 }
 
+fn is_candidate(gateway: &Gateway) -> bool {
+    gateway
+        .roster
+        .is_candidate(gateway.settings().name.as_str())
+}
+
 fn content(holder: &str, life: u32, renewals: u64) -> Value {
     json!({ "holder": holder, "life": life, "renewals": renewals })
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -35,7 +35,7 @@
 
 /// Age of the store's last answer beyond which nothing is passed on. With the time that a watch of
 /// another gateway takes, it stays below the shortest time for a configuration to be in force.
-const MAX_AGE_MS: u64 = 1_100;
+pub(crate) const MAX_AGE_MS: u64 = 1_100;
 /// Changes that are kept for watches that lag behind.
 const MAX_CHANGES: usize = 2_000;
 /// Pause after a failed accept.
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -5,6 +5,7 @@
 
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
+use jacinthpoint_adapter::paths::Freshness;
 use jacinthpoint_types::{Deadline, TimeMs, ranked};
 use serde_json::json;
 use tokio::sync::watch;
@@ -34,6 +35,9 @@
 const GATEWAYS_PER_READER: usize = 20;
 /// Time for which a reader that failed is passed over.
 const PASS_OVER_MS: u64 = 4_000;
+/// The same for a reader that answers but does not reach the store: the store may be away, and is
+/// read by all as long as the readers are passed over.
+const PASS_OVER_STALE_MS: u64 = 1_000;
 
 /// The registered gateways.
 #[derive(Debug, Default)]
@@ -59,11 +63,10 @@
             let until = passed_over.get(&near[name.as_str()]);
             name.as_str() == own || until.is_none_or(|until| until.has_passed(now))
         };
-        let order = ranked("readers", near.keys());
-        let always = order.len().div_ceil(GATEWAYS_PER_READER);
-        if order.iter().take(always).any(|name| name.as_str() == own) {
+        if always_reads(&near, own) {
             return None;
         }
+        let order = ranked("readers", near.keys());
         let reader = order.into_iter().take(MAX_READERS).find(is_usable)?;
         (reader.as_str() != own).then(|| near[reader.as_str()])
     }
@@ -76,12 +79,23 @@
         let _ = tokio::time::timeout(wait, is_known.wait_for(|is_known| *is_known)).await;
     }
 
-    /// A reader did not answer or knows nothing new itself.
+    /// Whether this gateway reads the store as long as it runs.
+    pub(crate) fn always_reads(&self, own: &str) -> bool {
+        always_reads(&self.near.borrow(), own)
+    }
+
+    /// A reader did not answer.
     pub(crate) fn pass_over(&self, address: SocketAddr, now: TimeMs) {
         let until = Deadline::after_ms(now, PASS_OVER_MS);
         self.passed_over.borrow_mut().insert(address, until);
     }
 
+    /// A reader answered that it knows nothing new itself.
+    pub(crate) fn pass_over_stale(&self, address: SocketAddr, now: TimeMs) {
+        let until = Deadline::after_ms(now, PASS_OVER_STALE_MS);
+        self.passed_over.borrow_mut().insert(address, until);
+    }
+
     /// Address of a gateway.
     pub(crate) fn address(&self, name: &str) -> Option<SocketAddr> {
         self.all.borrow().get(name).copied().flatten()
@@ -110,6 +124,12 @@
     }
 }
 
+fn always_reads(near: &BTreeMap<String, SocketAddr>, own: &str) -> bool {
+    let order = ranked("readers", near.keys());
+    let always = order.len().div_ceil(GATEWAYS_PER_READER);
+    order.iter().take(always).any(|name| name.as_str() == own)
+}
+
 /// Registers this gateway and counts all, for ever.
 pub(crate) async fn keep_roster(gateway: Rc<Gateway>) {
     let availability = Availability::default();
@@ -119,14 +139,22 @@
         sleep_ms(FIRST_COUNT_MS).await;
     }
     let mut pause_ms = COUNT_MS;
+    // Gateways come and go rarely, and one that is missing for seconds does no harm.
+    let mut is_first = true;
     loop {
-        match store.list_all(KIND).await {
+        let freshness = if is_first {
+            Freshness::Newest
+        } else {
+            Freshness::MayBeOld
+        };
+        is_first = false;
+        match store.list_all(KIND, freshness).await {
             Ok(list) => {
                 availability.on_answer(KIND, gateway.now());
-                gateway.gateways.set(list.objects.len().max(1));
                 let own = gateway.settings().data_centre.clone();
-                let mut near = BTreeMap::new();
-                let mut all = BTreeMap::new();
+                // Names are never removed, and an old list may lack some that are known.
+                let mut near = gateway.roster.near.borrow_mut();
+                let mut all = gateway.roster.all.borrow_mut();
                 for object in &list.objects {
                     let field = |name| object.content.get(name).and_then(|value| value.as_str());
                     let address = field("address").and_then(|text| text.parse().ok());
@@ -137,8 +165,8 @@
                         near.insert(object.name.clone(), address);
                     }
                 }
-                *gateway.roster.near.borrow_mut() = near;
-                *gateway.roster.all.borrow_mut() = all;
+                gateway.gateways.set(all.len().max(1));
+                drop((near, all));
                 gateway.roster.is_known.send_replace(true);
             }
             Err(error) => availability.on_failure(KIND, &error, gateway.now()),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -7,7 +7,8 @@
 use hyper::{Method, Request, header};
 use jacinthpoint_adapter::{
     DecodeError, Events, List, StoredObject, decode_events, decode_list, decode_object,
-    encode_object, paths,
+    encode_object,
+    paths::{self, Freshness},
 };
 use serde_json::Value;
 use tokio::time::timeout;
@@ -116,19 +117,25 @@
         &mut self,
         kind: &str,
         after: Option<&str>,
+        freshness: Freshness,
     ) -> Result<List, StoreError> {
-        let body = self.read(&paths::list_after(kind, after), 0).await?;
+        let path = paths::list_after(kind, after, freshness);
+        let body = self.read(&path, 0).await?;
         decode_list(&body).map_err(StoreError::Unreadable)
     }
 
     /// All objects of a kind, with the revision from which a watch goes on.
-    pub(crate) async fn list_all(&mut self, kind: &str) -> Result<List, StoreError> {
-        let mut all = self.list(kind, None).await?;
+    pub(crate) async fn list_all(
+        &mut self,
+        kind: &str,
+        freshness: Freshness,
+    ) -> Result<List, StoreError> {
+        let mut all = self.list(kind, None, freshness).await?;
         while all.has_more {
             let Some(last) = all.objects.last().map(|object| object.name.clone()) else {
                 break;
             };
-            let part = self.list(kind, Some(&last)).await?;
+            let part = self.list(kind, Some(&last), freshness).await?;
             all.objects.extend(part.objects);
             all.has_more = part.has_more;
             // The watch goes on from the first part: what changed while the others were read
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -2,12 +2,17 @@
 
 use std::rc::Rc;
 
-use jacinthpoint_adapter::{Events, List, StoredObject, decode_config, decode_upstream, paths};
+use jacinthpoint_adapter::{
+    Events, List, StoredObject, decode_config, decode_upstream,
+    paths::{self, Freshness},
+};
 use jacinthpoint_fleet::{OUTAGE_MS, ViewChange};
+use jacinthpoint_types::TimeMs;
 
 use crate::{
     clock::sleep_ms,
     events::log_event,
+    relay::MAX_AGE_MS,
     state::Gateway,
     store::{Availability, Store, StoreError},
 };
@@ -25,8 +30,12 @@
 const OWNER_GATHER_MS: u64 = 50;
 /// Refusals of a reader that has just begun to read, before another one is asked.
 const MAX_REFUSALS: u32 = 3;
-/// Pause after a failure.
+/// Pause after the first failure of the store or of another gateway; it doubles up to the longest.
 const BACKOFF_MS: u64 = 150;
+const MAX_BACKOFF_MS: u64 = 600;
+/// Pause after a failure of the store for a gateway that reads it only because no reader knows
+/// anything new: the readers find out first that it is back.
+const SUBSTITUTE_BACKOFF_MS: u64 = 1_000;
 /// Time between two looks for entries that did not come back after an outage.
 const EXPIRE_EVERY_MS: u64 = 100;
 
@@ -86,6 +95,7 @@
     let mut revision = None;
     let mut must_list = false;
     let mut refusals = 0;
+    let mut failures = 0;
     gateway.roster.wait_known().await;
     loop {
         let mut source = source(gateway, feed.kind);
@@ -113,19 +123,36 @@
                 );
                 must_list = true;
             }
-            Err(StoreError::Refused(503)) if source.is_relayed() && refusals < MAX_REFUSALS => {
+            Err(error @ StoreError::Refused(503)) if source.is_relayed() => {
+                // The reader is there, but what it knows is too old to pass on.
+                availability.on_failure(feed.kind, &error, TimeMs(now.0 - MAX_AGE_MS));
                 refusals += 1;
-                sleep_ms(BACKOFF_MS).await;
-                continue;
+                if refusals <= MAX_REFUSALS {
+                    sleep_ms(BACKOFF_MS).await;
+                    continue;
+                }
+                gateway.roster.pass_over_stale(source.address(), now);
             }
             Err(_) if source.is_relayed() => gateway.roster.pass_over(source.address(), now),
             Err(error) => {
                 availability.on_failure(feed.kind, &error, now);
-                sleep_ms(BACKOFF_MS).await;
+                sleep_ms(backoff_ms(gateway, failures)).await;
+                failures += 1;
+                continue;
             }
         }
         refusals = 0;
+        failures = 0;
+    }
+}
+
+/// Pause after this many failures of the store in a row.
+fn backoff_ms(gateway: &Gateway, failures: u32) -> u64 {
+    let own = gateway.settings().name.clone();
+    if !gateway.is_owner() && !gateway.roster.always_reads(own.as_str()) {
+        return SUBSTITUTE_BACKOFF_MS;
     }
+    (BACKOFF_MS << failures.min(8)).min(MAX_BACKOFF_MS)
 }
 
 /// The gateway to watch, if this one does not read the store itself. The owner of the groups does.
@@ -154,7 +181,7 @@
     revision: &mut Option<u64>,
     availability: &Availability,
 ) -> Result<(), StoreError> {
-    let list = source.list_all(feed.kind).await?;
+    let list = source.list_all(feed.kind, Freshness::Newest).await?;
     if revision.is_some_and(|known| known > list.revision) {
         return Err(StoreError::Refused(503));
     }
