--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -260,4 +260,23 @@
         assert!(text.contains("jacinthpoint_groups_open"), "{text}");
         assert!(text.contains("requests_ended_total{label=\"answered\"}"), "{text}");
     }
+
+    // Every gateway behind a reader that knew nothing new asked the store itself seven times a
+    // second and kind.
+    store_that_is_away_is_asked_rarely(6): |site| {
+        let (gateways, outage_s, kinds) = (6, 4, 2);
+        let before = site.platform.store.calls();
+        site.platform.store.set_fault(StoreFault::Busy);
+        pause_ms(outage_s * 1_000);
+        let calls = site.platform.store.calls() - before;
+        site.platform.store.set_fault(StoreFault::None);
+        let substitutes = (gateways - 1) * kinds * outage_s;
+        // The longest pause of readers is 600 ms; candidates look at the lease twice a second.
+        let readers = 2 * kinds * (outage_s * 1_000 / 600 + 3);
+        let lease = gateways * 2 * outage_s;
+        assert!(
+            calls <= substitutes + readers + lease,
+            "{calls} calls in an outage of {outage_s} s"
+        );
+    }
 }
