Let groups go on while a member that is not the head is missing in the list

Cause: upstreams that are cut off from the store drop out of the list after three heartbeats and serve on. Change: the view keeps a group's member that drops out of the list (not the head, not one that was leaving) for 20 s; the owner asks it for its health each second and closes the group if it leaves, or if it does not answer probes. A new owner learns of such members from its own watch.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -53,10 +53,12 @@
 }
 
 impl Directory {
-    /// Indexes the upstreams for a gateway in `data_centre`.
+    /// Indexes the upstreams for a gateway in `data_centre`. Members in `unlisted` dropped out of
+    /// the list; their groups go on as long as their heads are listed.
     pub fn new(
         config: &FleetConfig,
         upstreams: &BTreeMap<VmId, Upstream>,
+        unlisted: &BTreeMap<VmId, Upstream>,
         data_centre: &str,
     ) -> Directory {
         let mut directory = Directory::default();
@@ -73,6 +75,7 @@
         for (service, engine) in config.engines() {
             let members = upstreams
                 .values()
+                .chain(unlisted.values())
                 .filter(|upstream| &upstream.service == service);
             for group in groups_of(members).into_values() {
                 let model = group
--- a/crates/dispatch/tests/support.rs
+++ b/crates/dispatch/tests/support.rs
@@ -72,12 +72,13 @@
             rank: 0,
             state: GroupState::Open,
         }),
+        is_listed: true,
     };
     let upstreams: BTreeMap<VmId, Upstream> = (0..count)
         .map(upstream)
         .map(|upstream| (upstream.id.clone(), upstream))
         .collect();
-    Directory::new(&config, &upstreams, "dc")
+    Directory::new(&config, &upstreams, &BTreeMap::new(), "dc")
         .groups(&service, &model)
         .to_vec()
 }
--- a/crates/fleet/src/group.rs
+++ b/crates/fleet/src/group.rs
@@ -68,7 +68,7 @@
         });
         group.members.insert(membership.rank, upstream.id.clone());
         group.model = group.model.take().or_else(|| upstream.model.clone());
-        group.has_leaving_member |= !upstream.is_ready();
+        group.has_leaving_member |= upstream.is_leaving();
         if membership.rank == 0 {
             group.head_state = Some(membership.state);
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,7 +13,7 @@
     group::{Group, groups_of},
     order::{Order, OrderAction, OrderAnswer},
     upstream::{GroupState, Membership, Upstream, UpstreamState},
-    view::{FleetView, LAPSE_GRACE_MS, OUTAGE_MS, ViewChange},
+    view::{FleetView, LAPSE_GRACE_MS, OUTAGE_MS, UNLISTED_MS, ViewChange},
 };
 
 mod config;
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -68,11 +68,26 @@
     pub model: Option<DeploymentId>,
     /// The group that it is in, if any.
     pub membership: Option<Membership>,
+    /// Whether its entry is in the store's list. One that is cut off from the store drops out of
+    /// the list and serves on.
+    pub is_listed: bool,
 }
 
 impl Upstream {
     /// Whether it takes new work.
     pub fn is_ready(&self) -> bool {
-        self.state == UpstreamState::Ready
+        self.state == UpstreamState::Ready && self.is_listed
+    }
+
+    /// Whether it finishes what it has and leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.state == UpstreamState::Draining
+    }
+
+    /// Whether its group may go on without its entry: the head passes work on to it, and callers'
+    /// requests do not reach it.
+    pub fn may_serve_unlisted(&self) -> bool {
+        let is_member = |membership: &Membership| membership.rank != 0;
+        self.membership.as_ref().is_some_and(is_member) && !self.is_leaving()
     }
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -21,6 +21,10 @@
 /// a shorter one removes no live entry.
 pub const OUTAGE_MS: u64 = 1_500;
 
+/// Time for which the entry of a group's member is kept after it dropped out of the list. Whoever
+/// gives orders to the engines has closed the group by then if the member has left.
+pub const UNLISTED_MS: u64 = 20_000;
+
 /// What a list or an event changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -40,6 +44,9 @@
     upstreams: BTreeMap<VmId, Upstream>,
     /// Entries that are missing since an outage, with the time at which they count as gone.
     lapsed: BTreeMap<VmId, Deadline>,
+    /// Members of groups that dropped out of the list.
+    unlisted: BTreeMap<VmId, Upstream>,
+    unlisted_until: BTreeMap<VmId, Deadline>,
     has_upstreams: bool,
 }
 
@@ -66,6 +73,11 @@
         &self.upstreams
     }
 
+    /// Members of groups that dropped out of the list and may serve on.
+    pub fn unlisted(&self) -> &BTreeMap<VmId, Upstream> {
+        &self.unlisted
+    }
+
     /// Takes in a configuration unless a newer one is in force.
     pub fn take_config(&mut self, config: FleetConfig) -> ViewChange {
         match &self.config {
@@ -105,12 +117,23 @@
             }
         }
         self.has_upstreams = true;
+        let gone: Vec<Upstream> = self
+            .upstreams
+            .values()
+            .filter(|known| !next.contains_key(&known.id))
+            .cloned()
+            .collect();
+        for known in gone {
+            self.keep_unlisted(known, now);
+        }
+        self.unlisted.retain(|id, _| !next.contains_key(id));
         self.replace(next)
     }
 
     /// Takes in a changed entry.
     pub fn take_upstream(&mut self, entry: Upstream) -> ViewChange {
         self.lapsed.remove(&entry.id);
+        self.unlisted.remove(&entry.id);
         let is_same = self.upstreams.get(&entry.id) == Some(&entry);
         self.upstreams.insert(entry.id.clone(), entry);
         if is_same {
@@ -120,15 +143,38 @@
         }
     }
 
-    /// Takes in that an entry is gone, or that nobody can read it.
-    pub fn take_gone(&mut self, id: &VmId) -> ViewChange {
+    /// Takes in that an entry is gone.
+    pub fn take_gone(&mut self, id: &VmId, now: TimeMs) -> ViewChange {
         self.lapsed.remove(id);
         match self.upstreams.remove(id) {
-            Some(_) => ViewChange::Changed,
+            Some(known) => {
+                self.keep_unlisted(known, now);
+                ViewChange::Changed
+            }
             None => ViewChange::Same,
         }
     }
 
+    /// Takes in that nobody can read an entry: it names no upstream to use.
+    pub fn take_unreadable(&mut self, id: &VmId) -> ViewChange {
+        self.lapsed.remove(id);
+        let is_known = self.upstreams.remove(id).is_some() | self.unlisted.remove(id).is_some();
+        if is_known {
+            ViewChange::Changed
+        } else {
+            ViewChange::Same
+        }
+    }
+
+    fn keep_unlisted(&mut self, mut known: Upstream, now: TimeMs) {
+        if known.may_serve_unlisted() {
+            let until = Deadline::after_ms(now, UNLISTED_MS);
+            known.is_listed = false;
+            self.unlisted_until.insert(known.id.clone(), until);
+            self.unlisted.insert(known.id.clone(), known);
+        }
+    }
+
     /// Takes in that an entry was removed while the store was away. A live upstream writes it anew;
     /// until then the entry is kept.
     pub fn take_lapsed(&mut self, id: &VmId, now: TimeMs) {
@@ -140,6 +186,10 @@
 
     /// Drops entries that were kept after an outage and did not come back; names them.
     pub fn expire(&mut self, now: TimeMs) -> Vec<VmId> {
+        self.unlisted_until
+            .retain(|_, until| !until.has_passed(now));
+        let until = &self.unlisted_until;
+        self.unlisted.retain(|id, _| until.contains_key(id));
         let expired: Vec<VmId> = self
             .lapsed
             .iter()
@@ -147,7 +197,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &expired {
-            self.take_gone(id);
+            self.take_gone(id, now);
         }
         expired
     }
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -1,8 +1,8 @@
 //! The view of the fleet over changes, outages and relists.
 
 use jacinthpoint_fleet::{
-    CallerLimits, ConfigVersion, FleetConfig, FleetView, LAPSE_GRACE_MS, Upstream, UpstreamState,
-    ViewChange,
+    CallerLimits, ConfigVersion, FleetConfig, FleetView, GroupState, LAPSE_GRACE_MS, Membership,
+    UNLISTED_MS, Upstream, UpstreamState, ViewChange,
 };
 use jacinthpoint_types::{TimeMs, VmId};
 
@@ -33,6 +33,20 @@
         staged: Vec::new(),
         model: None,
         membership: None,
+        is_listed: true,
+    }
+}
+
+/// An upstream in a group.
+fn member(id: &str, rank: usize) -> Upstream {
+    Upstream {
+        membership: Some(Membership {
+            group: "g1".parse().expect("a name"),
+            epoch: 1,
+            rank,
+            state: GroupState::Ready,
+        }),
+        ..upstream(id)
     }
 }
 
@@ -113,4 +127,42 @@
         empty.take_list(Vec::new(), false, TimeMs(1));
         assert!(!empty.is_complete());
     }
+
+    member_that_drops_out_of_the_list_is_kept_for_its_group: |view| {
+        view.take_upstream(member("b", 1));
+        view.take_gone(&id("b"), TimeMs(20_000));
+        assert!(!view.upstreams().contains_key(&id("b")));
+        assert!(!view.unlisted()[&id("b")].is_listed);
+        view.take_upstream(member("b", 1));
+        assert!(view.unlisted().is_empty());
+    }
+
+    member_that_is_missing_in_a_list_is_kept_for_its_group: |view| {
+        view.take_upstream(member("b", 1));
+        view.take_list(vec![upstream("a")], false, TimeMs(20_000));
+        assert!(view.unlisted().contains_key(&id("b")));
+        view.expire(TimeMs(20_000 + UNLISTED_MS));
+        assert!(view.unlisted().is_empty());
+    }
+
+    // Callers' requests reach the head, which must get none once it is gone.
+    head_that_drops_out_of_the_list_is_gone: |view| {
+        view.take_upstream(member("b", 0));
+        view.take_gone(&id("b"), TimeMs(20_000));
+        assert!(view.unlisted().is_empty());
+    }
+
+    leaving_member_that_drops_out_of_the_list_is_gone: |view| {
+        let state = UpstreamState::Draining;
+        view.take_upstream(Upstream { state, ..member("b", 1) });
+        view.take_gone(&id("b"), TimeMs(20_000));
+        assert!(view.unlisted().is_empty());
+    }
+
+    member_whose_entry_cannot_be_read_is_gone: |view| {
+        view.take_upstream(member("b", 1));
+        view.take_unreadable(&id("b"));
+        assert!(view.unlisted().is_empty());
+        assert!(!view.upstreams().contains_key(&id("b")));
+    }
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -47,6 +47,8 @@
     UpstreamDead = 723,
     /// A group of upstreams takes requests from now on, or no longer.
     GroupChanged = 724,
+    /// An upstream that dropped out of the list told whether it stays.
+    StayAnswered = 725,
     /// A request was sent to an upstream.
     RequestSent = 730,
     /// An attempt failed or was refused.
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -85,12 +85,8 @@
             .by_service
             .entry(service.clone())
             .or_insert_with(|| Planner::new(planners.fence));
-        let upstreams: BTreeMap<VmId, Upstream> = view
-            .upstreams()
-            .iter()
-            .filter(|(_, upstream)| &upstream.service == service)
-            .map(|(id, upstream)| (id.clone(), upstream.clone()))
-            .collect();
+        let upstreams = of_service(view.upstreams(), service);
+        let unlisted = of_service(view.unlisted(), service);
         let is_own = |id: &&VmId| upstreams.contains_key(*id);
         for (members, at) in &groups_heard {
             planner.on_group_event(members.iter().filter(is_own), *at);
@@ -98,6 +94,7 @@
         planner.on_group_silent(silent.iter().filter(is_own));
         let around = Surroundings {
             upstreams: &upstreams,
+            unlisted: &unlisted,
             engine,
             has_traffic: gateway.has_traffic.get(),
             demand: &demand,
@@ -111,6 +108,16 @@
     actions
 }
 
+fn of_service(
+    upstreams: &BTreeMap<VmId, Upstream>,
+    service: &ServiceId,
+) -> BTreeMap<VmId, Upstream> {
+    let upstreams = upstreams.iter();
+    let own = upstreams.filter(|(_, upstream)| &upstream.service == service);
+    own.map(|(id, upstream)| (id.clone(), upstream.clone()))
+        .collect()
+}
+
 /// Members of the groups whose streams had an event since the last look, and when.
 fn groups_heard<'a>(
     gateway: &Gateway,
@@ -144,6 +151,7 @@
     async fn carry_out(self, action: Action) {
         match action {
             Action::Probe(id, address) => self.probe(id, address).await,
+            Action::AskStay(id, address) => self.ask_stay(&id, address).await,
             Action::Order(order, address) => self.order(order, address).await,
         }
     }
@@ -182,6 +190,25 @@
         }
     }
 
+    /// Asks an upstream that dropped out of the list for its health: one that leaves says that it
+    /// is not ready. Without an answer, probes tell whether it lives.
+    async fn ask_stay(self, id: &VmId, address: SocketAddr) {
+        let snapshot = self.gateway.snapshot();
+        let service = snapshot
+            .as_ref()
+            .and_then(|snapshot| snapshot.config.services.get(&self.service));
+        let Some(service) = service else { return };
+        let call = (Method::GET, service.health_path.as_str());
+        let answer = self.call(id, address, call, Bytes::new(), PROBE_MS).await;
+        let Some((status, _)) = answer else { return };
+        let stays = status == 200;
+        log_event!(info, StayAnswered, upstream = %id, status, stays,
+            "an upstream that is not listed told whether it stays");
+        if let Some(planner) = self.planners.borrow_mut().by_service.get_mut(&self.service) {
+            planner.on_stay_answer(id, stays);
+        }
+    }
+
     async fn order(self, order: Order, address: SocketAddr) {
         // The right to give orders may have run out since the decision.
         if self.lease.fence(self.gateway.now()) != Some(self.fence) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -148,7 +148,7 @@
         };
         let settings = self.settings();
         let data_centre = settings.data_centre.as_str();
-        let directory = Directory::new(config, view.upstreams(), data_centre);
+        let directory = Directory::new(config, view.upstreams(), view.unlisted(), data_centre);
         self.log_groups(&directory);
         self.loads.borrow_mut().retain(directory.targets());
         let known: BTreeSet<_> = directory
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -277,7 +277,7 @@
 
 fn take_entry(gateway: &Gateway, object: &StoredObject, is_gone: bool, was_away: bool) {
     let change = if is_gone {
-        take_gone(gateway, object, was_away, "its entry was removed")
+        take_removed(gateway, object, was_away)
     } else {
         match decode_upstream(&object.name, &object.content) {
             Ok(entry) => {
@@ -295,19 +295,14 @@
             }
             Err(error) => {
                 log_refused(object, &error);
-                take_gone(gateway, object, false, "its entry cannot be read")
+                take_unreadable(gateway, object)
             }
         }
     };
     gateway.on_view_change(change);
 }
 
-fn take_gone(
-    gateway: &Gateway,
-    object: &StoredObject,
-    was_away: bool,
-    why: &'static str,
-) -> ViewChange {
+fn take_removed(gateway: &Gateway, object: &StoredObject, was_away: bool) -> ViewChange {
     let Ok(id) = object.name.parse() else {
         return ViewChange::Same;
     };
@@ -317,12 +312,31 @@
         view.take_lapsed(&id, gateway.now());
         return ViewChange::Same;
     }
-    let change = view.take_gone(&id);
+    let change = view.take_gone(&id, gateway.now());
+    log_gone(object, change, "its entry was removed");
+    change
+}
+
+fn take_unreadable(gateway: &Gateway, object: &StoredObject) -> ViewChange {
+    let Ok(id) = object.name.parse() else {
+        return ViewChange::Same;
+    };
+    let change = gateway.view.borrow_mut().take_unreadable(&id);
+    log_gone(object, change, "its entry cannot be read");
+    change
+}
+
+fn log_gone(object: &StoredObject, change: ViewChange, why: &'static str) {
     if change == ViewChange::Changed {
-        log_event!(info, UpstreamGone, upstream = %id, revision = object.revision, why,
-            "an upstream is gone");
+        log_event!(
+            info,
+            UpstreamGone,
+            upstream = object.name,
+            revision = object.revision,
+            why,
+            "an upstream is gone"
+        );
     }
-    change
 }
 
 fn log_refused(object: &StoredObject, error: &jacinthpoint_adapter::DecodeError) {
--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -31,6 +31,8 @@
     Order(Order, SocketAddr),
     /// Ask an upstream at this address how it is.
     Probe(VmId, SocketAddr),
+    /// Ask an upstream at this address, which dropped out of the list, whether it stays.
+    AskStay(VmId, SocketAddr),
 }
 
 /// What the planner looks at.
@@ -38,6 +40,8 @@
 pub struct Surroundings<'a> {
     /// Upstreams of the service by name.
     pub upstreams: &'a BTreeMap<VmId, Upstream>,
+    /// Members of groups that dropped out of the list.
+    pub unlisted: &'a BTreeMap<VmId, Upstream>,
     /// Its engines.
     pub engine: &'a Engine,
     /// Whether callers' requests have begun. Loads are cheap before.
@@ -72,6 +76,8 @@
     /// Members that are no longer listed. Some serve on for a while, so their groups are closed
     /// before the other members are used again.
     unlisted: BTreeMap<VmId, (Upstream, Deadline)>,
+    /// When each of these was last asked whether it stays.
+    stay_asked_at: BTreeMap<VmId, TimeMs>,
     /// Groups that are closed for good; they are never opened again.
     condemned: BTreeSet<(GroupId, u64)>,
     /// Groups with an order to open them on its way, and until when it may take effect unseen.
@@ -99,6 +105,7 @@
             load_starts: Vec::new(),
             partial_since: BTreeMap::new(),
             unlisted: BTreeMap::new(),
+            stay_asked_at: BTreeMap::new(),
             condemned: BTreeSet::new(),
             opening: BTreeMap::new(),
             left: BTreeSet::new(),
@@ -173,7 +180,7 @@
 
     /// Looks at everything and returns what is due.
     pub fn plan(&mut self, around: Surroundings<'_>, now: TimeMs) -> Vec<Action> {
-        let upstreams = self.believed(around.upstreams, now);
+        let upstreams = self.believed(around, now);
         let mut orders = self.advance_formations(&upstreams, now);
         let groups = groups_of(upstreams.values());
         let mut taken: BTreeSet<VmId> = self.claimed();
@@ -208,6 +215,7 @@
         });
         let mut actions: Vec<Action> = orders.collect();
         actions.extend(self.probes(&upstreams, now));
+        actions.extend(self.stay_questions(now));
         actions
     }
 
--- a/crates/regroup/src/planner/belief.rs
+++ b/crates/regroup/src/planner/belief.rs
@@ -3,24 +3,24 @@
 
 use std::collections::BTreeMap;
 
-use jacinthpoint_fleet::{Upstream, UpstreamState};
+use jacinthpoint_fleet::{UNLISTED_MS, Upstream, UpstreamState};
 use jacinthpoint_types::{Deadline, DeploymentId, TimeMs, VmId};
 
-use crate::planner::Planner;
+use crate::planner::{Action, Planner, Surroundings};
 
-/// Longest time for which an upstream that is no longer listed is asked whether it still serves.
-const UNLISTED_MS: u64 = 20_000;
+/// Time between two questions to an unlisted member whether it stays.
+const ASK_STAY_EVERY_MS: u64 = 1_000;
 
 impl Planner {
     /// The upstreams as they are believed to be: what their entries say, or what they said
     /// themselves since.
     pub(super) fn believed(
         &mut self,
-        listed: &BTreeMap<VmId, Upstream>,
+        around: Surroundings<'_>,
         now: TimeMs,
     ) -> BTreeMap<VmId, Upstream> {
-        let mut upstreams = listed.clone();
-        self.add_unlisted(&mut upstreams, now);
+        let mut upstreams = around.upstreams.clone();
+        self.add_unlisted(&mut upstreams, around.unlisted, now);
         self.evidence.retain(|id| upstreams.contains_key(id));
         self.statements.retain(|id, _| upstreams.contains_key(id));
         self.lives.retain(|id, _| upstreams.contains_key(id));
@@ -55,12 +55,25 @@
         upstreams
     }
 
-    /// Adds the members of groups that are no longer listed and still answer, as leaving ones.
-    fn add_unlisted(&mut self, upstreams: &mut BTreeMap<VmId, Upstream>, now: TimeMs) {
-        let before = std::mem::replace(&mut self.listed, upstreams.clone());
+    /// Adds the members of groups that are no longer listed and still answer. One that is not the
+    /// head counts as staying until it says otherwise: it may be cut off from the store only.
+    fn add_unlisted(
+        &mut self,
+        upstreams: &mut BTreeMap<VmId, Upstream>,
+        seen_before: &BTreeMap<VmId, Upstream>,
+        now: TimeMs,
+    ) {
+        let mut before = std::mem::replace(&mut self.listed, upstreams.clone());
+        if before.is_empty() {
+            // A new owner knows from its watch what an earlier one knew.
+            before.clone_from(seen_before);
+        }
         for (id, mut upstream) in before {
             if !upstreams.contains_key(&id) && upstream.membership.is_some() {
-                upstream.state = UpstreamState::Draining;
+                upstream.is_listed = false;
+                if !upstream.may_serve_unlisted() {
+                    upstream.state = UpstreamState::Draining;
+                }
                 let until = Deadline::after_ms(now, UNLISTED_MS);
                 self.unlisted.insert(id, (upstream, until));
             }
@@ -74,8 +87,34 @@
             !is_over && !upstreams.contains_key(id)
         });
         for (id, (upstream, _)) in &self.unlisted {
-            self.evidence.on_suspicion(id);
+            if upstream.is_leaving() {
+                self.evidence.on_suspicion(id);
+            }
             upstreams.insert(id.clone(), upstream.clone());
         }
     }
+
+    /// Takes in whether an unlisted member stays. One that leaves is not asked again, and its group
+    /// is closed.
+    pub fn on_stay_answer(&mut self, id: &VmId, stays: bool) {
+        if let Some((upstream, _)) = self.unlisted.get_mut(id).filter(|_| !stays) {
+            upstream.state = UpstreamState::Draining;
+        }
+    }
+
+    /// Questions to unlisted members that are due.
+    pub(super) fn stay_questions(&mut self, now: TimeMs) -> Vec<Action> {
+        let unlisted = &self.unlisted;
+        self.stay_asked_at.retain(|id, _| unlisted.contains_key(id));
+        let mut due = Vec::new();
+        for (id, (upstream, _)) in unlisted {
+            let asked_at = self.stay_asked_at.get(id);
+            let is_due = asked_at.is_none_or(|at| now.since_ms(*at) >= ASK_STAY_EVERY_MS);
+            if is_due && !upstream.is_leaving() {
+                self.stay_asked_at.insert(id.clone(), now);
+                due.push(Action::AskStay(id.clone(), upstream.address));
+            }
+        }
+        due
+    }
 }
--- a/crates/regroup/tests/engines.rs
+++ b/crates/regroup/tests/engines.rs
@@ -62,6 +62,7 @@
                 .collect(),
             model: None,
             membership: None,
+            is_listed: true,
         };
         let machine = Machine {
             entry,
--- a/crates/regroup/tests/random.rs
+++ b/crates/regroup/tests/random.rs
@@ -36,6 +36,7 @@
     Kill(u8),
     Restart(u8),
     Unlist(u8),
+    Relist(u8),
     Drain(u8),
     TakeOver,
     Wait(u16),
@@ -44,12 +45,13 @@
 impl Arbitrary for Event {
     fn arbitrary(source: &mut Gen) -> Event {
         let index = u8::arbitrary(source) % 24;
-        match u8::arbitrary(source) % 10 {
+        match u8::arbitrary(source) % 12 {
             0..=2 => Event::Kill(index),
             3..=4 => Event::Restart(index),
             5 => Event::Unlist(index),
-            6 => Event::Drain(index),
-            7 => Event::TakeOver,
+            6 => Event::Relist(index),
+            7 => Event::Drain(index),
+            8 => Event::TakeOver,
             _ => Event::Wait(u16::arbitrary(source) % 4_000),
         }
     }
@@ -72,6 +74,10 @@
             }
             Event::Restart(_) => {}
             Event::Unlist(index) => world.engines.machine(&id(index)).is_listed = false,
+            Event::Relist(index) => {
+                let machine = world.engines.machine(&id(index));
+                machine.is_listed |= machine.is_alive;
+            }
             Event::Drain(index) => {
                 let machine = world.engines.machine(&id(index));
                 machine.entry.state = jacinthpoint_fleet::UpstreamState::Draining;
--- a/crates/regroup/tests/repair.rs
+++ b/crates/regroup/tests/repair.rs
@@ -54,6 +54,42 @@
         assert_eq!(world.count(LARGE), 7);
     }
 
+    // Cut off from the store only: the list dropped it, and a fifth of all groups were closed.
+    member_that_is_cut_off_from_the_store_keeps_its_group: |world, members| {
+        world.engines.machine(&members[2]).is_listed = false;
+        world.run_ms(8_000);
+        assert!(world.is_open(&members));
+        world.engines.machine(&members[2]).is_listed = true;
+        world.run_ms(4_000);
+        assert!(world.is_open(&members));
+        assert_eq!(world.count(LARGE), 7);
+    }
+
+    member_that_is_cut_off_keeps_its_group_under_the_next_owner: |world, members| {
+        world.engines.machine(&members[2]).is_listed = false;
+        world.run_ms(1_000);
+        world.take_over();
+        world.run_ms(6_000);
+        assert!(world.is_open(&members));
+    }
+
+    // Some leave the list without having said that they leave; only they themselves can tell.
+    member_that_leaves_unannounced_is_replaced: |world, members| {
+        let machine = world.engines.machine(&members[2]);
+        machine.is_listed = false;
+        machine.entry.state = jacinthpoint_fleet::UpstreamState::Draining;
+        world.run_until(REPAIR_MS, |world| world.count(LARGE) == 7);
+        assert!(!world.is_open(&members));
+    }
+
+    member_that_dies_unlisted_is_replaced: |world, members| {
+        world.engines.machine(&members[2]).is_listed = false;
+        world.run_ms(2_000);
+        world.engines.kill(&members[2]);
+        tell_silence(&mut world, &members);
+        world.run_until(REPAIR_MS, |world| world.count(LARGE) == 7);
+    }
+
     // The next owner has never seen the head.
     head_leaves_the_list_before_a_takeover: |world, members| {
         world.engines.machine(&members[0]).is_listed = false;
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use jacinthpoint_fleet::{Engine, GroupState, ModelSpec, OrderAnswer, groups_of};
+use jacinthpoint_fleet::{Engine, GroupState, ModelSpec, OrderAnswer, Upstream, groups_of};
 use jacinthpoint_regroup::{Action, Demand, Planner, Surroundings};
 use jacinthpoint_types::{TimeMs, VmId};
 
@@ -54,6 +54,9 @@
     pub planner: Planner,
     pub demand: Demand,
     pub has_traffic: bool,
+    /// What the list showed last, and members that dropped out of it since.
+    listed: BTreeMap<VmId, Upstream>,
+    unlisted: BTreeMap<VmId, Upstream>,
     /// Chooses orders that are not answered, and when they are carried out.
     pub defers: Box<dyn FnMut() -> Option<u64>>,
 }
@@ -66,6 +69,8 @@
             planner: Planner::new(1),
             demand: Demand::new(),
             has_traffic: false,
+            listed: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
             defers: Box::new(|| None),
         }
     }
@@ -145,9 +150,11 @@
         self.now = self.now.plus_ms(STEP_MS);
         self.engines.advance(self.now);
         let listed = self.engines.listed();
+        self.note_unlisted(&listed);
         let engine = engine();
         let around = Surroundings {
             upstreams: &listed,
+            unlisted: &self.unlisted,
             engine: &engine,
             has_traffic: self.has_traffic,
             demand: &self.demand,
@@ -171,6 +178,13 @@
                     };
                     self.planner.on_answer(&order, answer, self.now);
                 }
+                Action::AskStay(id, _) => {
+                    let machine = self.engines.machines.get(&id);
+                    if let Some(machine) = machine.filter(|machine| machine.is_alive) {
+                        let stays = !machine.entry.is_leaving();
+                        self.planner.on_stay_answer(&id, stays);
+                    }
+                }
                 Action::Probe(id, _) => {
                     let machine = self.engines.machines.get(&id);
                     let answer = machine.filter(|machine| machine.is_alive).map(|machine| {
@@ -186,6 +200,23 @@
         }
     }
 
+    /// Notes members that dropped out of the list, as a gateway's view does.
+    fn note_unlisted(&mut self, listed: &BTreeMap<VmId, Upstream>) {
+        for (id, known) in std::mem::replace(&mut self.listed, listed.clone()) {
+            if !listed.contains_key(&id) && known.may_serve_unlisted() {
+                let is_listed = false;
+                self.unlisted.insert(id, Upstream { is_listed, ..known });
+            }
+        }
+        self.unlisted.retain(|id, _| !listed.contains_key(id));
+    }
+
+    /// Whether the head of these members still takes requests for their group.
+    pub fn is_open(&self, members: &[VmId]) -> bool {
+        let membership = self.engines.machines[&members[0]].entry.membership.as_ref();
+        membership.is_some_and(|membership| membership.state == GroupState::Open)
+    }
+
     /// Serving groups by model.
     pub fn groups(&self) -> BTreeMap<String, usize> {
         let engine = engine();
