Believe a report only if it is of the life that the entry speaks of

Change: a report with another birth than the entry's counts as no answer. Test: regroup addresses_of_dead_members_are_used_again (fails without the check).

--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -10,7 +10,7 @@
 };
 use jacinthpoint_dispatch::{Directory, TargetKey};
 use jacinthpoint_fleet::{Order, OrderAnswer, Upstream};
-use jacinthpoint_regroup::{Action, Planner, Surroundings};
+use jacinthpoint_regroup::{Action, Planner, Report, Surroundings};
 use jacinthpoint_types::{ServiceId, TimeMs, VmId};
 use tokio::time::timeout;
 
@@ -181,8 +181,12 @@
         let Some(planner) = planners.by_service.get_mut(&self.service) else {
             return;
         };
-        let statement = report.map(|report| (report.membership, report.staged));
-        if planner.on_probe(&id, statement, entry.as_ref(), self.gateway.now()) {
+        let report = report.map(|report| Report {
+            started_unix_ms: report.started_unix_ms,
+            membership: report.membership,
+            staged: report.staged,
+        });
+        if planner.on_probe(&id, report, entry.as_ref(), self.gateway.now()) {
             self.gateway.metrics.count("upstreams_dead", "probe");
             log_event!(warn, UpstreamDead, upstream = %id, "an upstream does not answer probes");
             drop(planners);
--- a/crates/regroup/src/lib.rs
+++ b/crates/regroup/src/lib.rs
@@ -9,7 +9,7 @@
 pub use crate::{
     demand::Demand,
     evidence::Evidence,
-    planner::{Action, Planner, Surroundings},
+    planner::{Action, Planner, Report, Surroundings},
 };
 
 mod candidates;
--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -50,7 +50,27 @@
     pub demand: &'a Demand,
 }
 
-/// What an upstream said of itself when it was asked.
+/// What an upstream says of itself when it is asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// When its life began, in Unix milliseconds; 0 if it does not say.
+    pub started_unix_ms: u64,
+    /// The group that it is in.
+    pub membership: Option<Membership>,
+    /// Models whose weights are on its host.
+    pub staged: Vec<DeploymentId>,
+}
+
+impl Report {
+    /// Whether it is of the life that the entry speaks of. After the end of an upstream another one
+    /// may listen at its address, with a membership of its own.
+    fn is_of(&self, entry: &Upstream) -> bool {
+        let (said, known) = (self.started_unix_ms, entry.started_unix_ms);
+        said == known || said == 0 || known == 0
+    }
+}
+
+/// A report that is believed until the entry changes.
 #[derive(Debug, Clone)]
 struct Statement {
     membership: Option<Membership>,
@@ -138,20 +158,22 @@
     pub fn on_probe(
         &mut self,
         id: &VmId,
-        answer: Option<(Option<Membership>, Vec<DeploymentId>)>,
+        report: Option<Report>,
         entry: Option<&Upstream>,
         now: TimeMs,
     ) -> bool {
         self.evidence.on_probe_end(id);
-        let Some((membership, staged)) = answer else {
+        let unlisted = self.unlisted.get(id).map(|(upstream, _)| upstream);
+        let entry = entry.or(unlisted);
+        let is_own = |report: &Report| entry.is_none_or(|entry| report.is_of(entry));
+        let Some(report) = report.filter(is_own) else {
             return self.evidence.on_failed_probe(id);
         };
         self.evidence.on_alive(id, now);
-        let unlisted = self.unlisted.get(id).map(|(upstream, _)| upstream);
-        if let Some(entry) = entry.or(unlisted) {
+        if let Some(entry) = entry {
             let statement = Statement {
-                membership,
-                staged,
+                membership: report.membership,
+                staged: report.staged,
                 entry_membership: entry.membership.clone(),
             };
             self.statements.insert(id.clone(), statement);
--- a/crates/regroup/src/planner/belief.rs
+++ b/crates/regroup/src/planner/belief.rs
@@ -95,7 +95,7 @@
     }
 
     /// Takes in whether an unlisted member stays. One that leaves is not asked again, and its group
-    /// is closed.
+    /// is closed. One at whose address another upstream answers is gone.
     pub fn on_stay_answer(&mut self, id: &VmId, stays: bool) {
         if let Some((upstream, _)) = self.unlisted.get_mut(id).filter(|_| !stays) {
             upstream.state = UpstreamState::Draining;
--- a/crates/regroup/tests/repair.rs
+++ b/crates/regroup/tests/repair.rs
@@ -90,6 +90,24 @@
         world.run_until(REPAIR_MS, |world| world.count(LARGE) == 7);
     }
 
+    // Another engine with a group of its own listens at the address of a member that ended: the
+    // planner took its report for the member's and gave its place to the dead one (quiet-1, TWO).
+    addresses_of_dead_members_are_used_again: |world, members| {
+        let dead = world.members_of_another(LARGE, &members);
+        assert!(dead[1] > members[1], "the dead come later in the list");
+        for (dead, successor) in dead.iter().zip(&members) {
+            world.engines.machine(successor).entry.started_unix_ms = 2;
+            world.engines.kill(dead);
+            world.engines.machine(dead).is_listed = false;
+        }
+        world.run_ms(50);
+        let pairs = dead.iter().cloned().zip(members.iter().cloned());
+        world.successors.extend(pairs);
+        world.take_over();
+        world.run_ms(10_000);
+        assert!(world.is_open(&members));
+    }
+
     // The next owner has never seen the head.
     head_leaves_the_list_before_a_takeover: |world, members| {
         world.engines.machine(&members[0]).is_listed = false;
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use jacinthpoint_fleet::{Engine, GroupState, ModelSpec, OrderAnswer, Upstream, groups_of};
-use jacinthpoint_regroup::{Action, Demand, Planner, Surroundings};
-use jacinthpoint_types::{TimeMs, VmId};
+use jacinthpoint_regroup::{Action, Demand, Planner, Report, Surroundings};
+use jacinthpoint_types::{DeploymentId, TimeMs, VmId};
 
 use crate::engines::{Engines, FORM_MS, LOAD_MS, WARM_MS};
 
@@ -57,6 +57,8 @@
     /// What the list showed last, and members that dropped out of it since.
     listed: BTreeMap<VmId, Upstream>,
     unlisted: BTreeMap<VmId, Upstream>,
+    /// Who listens at the address of an engine that ended.
+    pub successors: BTreeMap<VmId, VmId>,
     /// Chooses orders that are not answered, and when they are carried out.
     pub defers: Box<dyn FnMut() -> Option<u64>>,
 }
@@ -71,6 +73,7 @@
             has_traffic: false,
             listed: BTreeMap::new(),
             unlisted: BTreeMap::new(),
+            successors: BTreeMap::new(),
             defers: Box::new(|| None),
         }
     }
@@ -179,19 +182,17 @@
                     self.planner.on_answer(&order, answer, self.now);
                 }
                 Action::AskStay(id, _) => {
-                    let machine = self.engines.machines.get(&id);
-                    if let Some(machine) = machine.filter(|machine| machine.is_alive) {
-                        let stays = !machine.entry.is_leaving();
+                    let stays = self.at_address_of(&id).map(|m| !m.entry.is_leaving());
+                    if let Some(stays) = stays {
                         self.planner.on_stay_answer(&id, stays);
                     }
                 }
                 Action::Probe(id, _) => {
-                    let machine = self.engines.machines.get(&id);
-                    let answer = machine.filter(|machine| machine.is_alive).map(|machine| {
-                        (
-                            machine.entry.membership.clone(),
-                            machine.entry.staged.clone(),
-                        )
+                    let answering = self.at_address_of(&id);
+                    let answer = answering.map(|machine| Report {
+                        started_unix_ms: machine.entry.started_unix_ms,
+                        membership: machine.entry.membership.clone(),
+                        staged: machine.entry.staged.clone(),
                     });
                     self.planner
                         .on_probe(&id, answer, listed.get(&id), self.now);
@@ -217,6 +218,13 @@
         membership.is_some_and(|membership| membership.state == GroupState::Open)
     }
 
+    /// The engine that answers at the address of `id`.
+    fn at_address_of(&self, id: &VmId) -> Option<&crate::engines::Machine> {
+        let id = self.successors.get(id).unwrap_or(id);
+        let machine = self.engines.machines.get(id);
+        machine.filter(|machine| machine.is_alive)
+    }
+
     /// Serving groups by model.
     pub fn groups(&self) -> BTreeMap<String, usize> {
         let engine = engine();
@@ -244,14 +252,18 @@
 
     /// Members of some serving group of a model, the head first.
     pub fn members_of_one(&self, model: &str) -> Vec<VmId> {
+        self.members_of_another(model, &[])
+    }
+
+    /// The same of a group without these members.
+    pub fn members_of_another(&self, model: &str, without: &[VmId]) -> Vec<VmId> {
         let listed = self.engines.listed();
         let groups = groups_of(listed.values());
         let is_wanted = |group: &&jacinthpoint_fleet::Group| {
+            let name = group.model.as_ref().map(DeploymentId::as_str);
             group.head_state == Some(GroupState::Open)
-                && group
-                    .model
-                    .as_ref()
-                    .is_some_and(|name| name.as_str() == model)
+                && name == Some(model)
+                && !group.members.values().any(|id| without.contains(id))
         };
         let group = groups.values().find(is_wanted).expect("one serves");
         group.members.values().cloned().collect()
