Take a member that left the list as ended when another upstream uses its address

Change: an unlisted member is dropped once a listed upstream has its address; a report that puts an unlisted member into another group is not its own. Tests: fleet view (two), regroup (one more).

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -5,7 +5,10 @@
 //! is missing right after an outage is kept for that time, and one that is missing at any other
 //! time is gone.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use jacinthpoint_types::{Deadline, TimeMs, VmId};
 
@@ -126,14 +129,18 @@
         for known in gone {
             self.keep_unlisted(known, now);
         }
-        self.unlisted.retain(|id, _| !next.contains_key(id));
+        let addresses: BTreeSet<_> = next.values().map(|listed| listed.address).collect();
+        self.unlisted
+            .retain(|id, known| !next.contains_key(id) && !addresses.contains(&known.address));
         self.replace(next)
     }
 
     /// Takes in a changed entry.
     pub fn take_upstream(&mut self, entry: Upstream) -> ViewChange {
         self.lapsed.remove(&entry.id);
-        self.unlisted.remove(&entry.id);
+        // After its end another upstream may listen at its address.
+        self.unlisted
+            .retain(|id, known| *id != entry.id && known.address != entry.address);
         let is_same = self.upstreams.get(&entry.id) == Some(&entry);
         self.upstreams.insert(entry.id.clone(), entry);
         if is_same {
@@ -167,7 +174,9 @@
     }
 
     fn keep_unlisted(&mut self, mut known: Upstream, now: TimeMs) {
-        if known.may_serve_unlisted() {
+        let mut listed = self.upstreams.values();
+        let is_replaced = listed.any(|one| one.id != known.id && one.address == known.address);
+        if known.may_serve_unlisted() && !is_replaced {
             let until = Deadline::after_ms(now, UNLISTED_MS);
             known.is_listed = false;
             self.unlisted_until.insert(known.id.clone(), until);
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -1,5 +1,7 @@
 //! The view of the fleet over changes, outages and relists.
 
+use std::net::SocketAddr;
+
 use jacinthpoint_fleet::{
     CallerLimits, ConfigVersion, FleetConfig, FleetView, GroupState, LAPSE_GRACE_MS, Membership,
     UNLISTED_MS, Upstream, UpstreamState, ViewChange,
@@ -25,7 +27,7 @@
         id: id.parse().expect("a name"),
         started_unix_ms: 1,
         service: "service".parse().expect("a name"),
-        address: "127.0.0.1:1".parse().expect("an address"),
+        address: address_of(id),
         data_centre: "dc".parse().expect("a name"),
         state: UpstreamState::Ready,
         slots: 4,
@@ -37,6 +39,11 @@
     }
 }
 
+/// Address of an upstream with a name of one letter.
+fn address_of(id: &str) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], u16::from(id.as_bytes()[0])))
+}
+
 /// An upstream in a group.
 fn member(id: &str, rank: usize) -> Upstream {
     Upstream {
@@ -165,4 +172,19 @@
         assert!(view.unlisted().is_empty());
         assert!(!view.upstreams().contains_key(&id("b")));
     }
+
+    // Its host was given to another one: the member has ended.
+    member_whose_address_is_used_again_is_gone: |view| {
+        view.take_upstream(member("b", 1));
+        view.take_gone(&id("b"), TimeMs(20_000));
+        view.take_upstream(Upstream { address: address_of("b"), ..upstream("c") });
+        assert!(view.unlisted().is_empty());
+    }
+
+    member_whose_address_is_used_again_in_a_list_is_gone: |view| {
+        view.take_upstream(member("b", 1));
+        let successor = Upstream { address: address_of("b"), ..upstream("c") };
+        view.take_list(vec![upstream("a"), successor], false, TimeMs(20_000));
+        assert!(view.unlisted().is_empty());
+    }
 }
--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -63,10 +63,15 @@
 
 impl Report {
     /// Whether it is of the life that the entry speaks of. After the end of an upstream another one
-    /// may listen at its address, with a membership of its own.
+    /// may listen at its address, with a membership of its own. Not all say when they were born;
+    /// but one that is not listed is not ordered into another group.
     fn is_of(&self, entry: &Upstream) -> bool {
-        let (said, known) = (self.started_unix_ms, entry.started_unix_ms);
-        said == known || said == 0 || known == 0
+        let group = |membership: &Membership| (membership.group.clone(), membership.epoch);
+        let said = self.membership.as_ref().map(group);
+        let is_same_group = said.is_none() || said == entry.membership.as_ref().map(group);
+        let (born, known_born) = (self.started_unix_ms, entry.started_unix_ms);
+        let is_same_life = born == known_born || born == 0 || known_born == 0;
+        is_same_life && (entry.is_listed || is_same_group)
     }
 }
 
--- a/crates/regroup/src/planner/belief.rs
+++ b/crates/regroup/src/planner/belief.rs
@@ -1,7 +1,7 @@
 //! The upstreams as they are believed to be: what their entries say, what they said themselves since,
 //! and members that left the list and may serve on.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use jacinthpoint_fleet::{UNLISTED_MS, Upstream, UpstreamState};
 use jacinthpoint_types::{Deadline, DeploymentId, TimeMs, VmId};
@@ -79,11 +79,14 @@
             }
         }
         let (evidence, statements) = (&self.evidence, &self.statements);
-        self.unlisted.retain(|id, (_, until)| {
+        let addresses: BTreeSet<_> = upstreams.values().map(|listed| listed.address).collect();
+        self.unlisted.retain(|id, (upstream, until)| {
             let has_left = statements
                 .get(id)
                 .is_some_and(|said| said.membership.is_none());
-            let is_over = until.has_passed(now) || has_left || evidence.is_dead(id);
+            // Another one listens at its address.
+            let is_replaced = addresses.contains(&upstream.address);
+            let is_over = until.has_passed(now) || has_left || is_replaced || evidence.is_dead(id);
             !is_over && !upstreams.contains_key(id)
         });
         for (id, (upstream, _)) in &self.unlisted {
--- a/crates/regroup/tests/engines.rs
+++ b/crates/regroup/tests/engines.rs
@@ -1,7 +1,10 @@
 //! Model engines in memory. They carry out orders as real ones do, and note each order that must
 //! not have been given.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use jacinthpoint_fleet::{
     GroupState, Membership, OrderAction, OrderAnswer, Upstream, UpstreamState,
@@ -46,12 +49,13 @@
 impl Engines {
     /// Adds an engine of a fabric domain, with a model's weights on its host or none.
     pub fn add(&mut self, id: &str, domain: &str, staged: Option<&str>) {
+        let port = u16::try_from(self.machines.len() + 1).expect("few engines");
         let id: VmId = id.parse().expect("a name");
         let entry = Upstream {
             id: id.clone(),
             started_unix_ms: 1,
             service: "models".parse().expect("a name"),
-            address: "127.0.0.1:1".parse().expect("an address"),
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
             data_centre: "dc".parse().expect("a name"),
             state: UpstreamState::Ready,
             slots: 26,
--- a/crates/regroup/tests/repair.rs
+++ b/crates/regroup/tests/repair.rs
@@ -27,6 +27,23 @@
     world.planner.on_group_silent(members);
 }
 
+/// Gives the addresses of a group that ends to the members of one that serves on.
+fn use_addresses_again(world: &mut World, members: &[VmId], started_unix_ms: u64) {
+    let dead = world.members_of_another(LARGE, members);
+    assert!(dead[1] > members[1], "the dead come later in the list");
+    for (dead, successor) in dead.iter().zip(members) {
+        world.engines.machine(successor).entry.started_unix_ms = started_unix_ms;
+        world.engines.kill(dead);
+        world.engines.machine(dead).is_listed = false;
+    }
+    world.run_ms(50);
+    let pairs = dead.iter().cloned().zip(members.iter().cloned());
+    world.successors.extend(pairs);
+    world.take_over();
+    world.run_ms(10_000);
+    assert!(world.is_open(members));
+}
+
 repair! {
     lost_member_is_replaced_by_a_spare: |world, members| {
         world.engines.kill(&members[2]);
@@ -92,20 +109,13 @@
 
     // Another engine with a group of its own listens at the address of a member that ended: the
     // planner took its report for the member's and gave its place to the dead one (quiet-1, TWO).
+    // Engines that say when they were born, engines that do not, and engines that are listed.
     addresses_of_dead_members_are_used_again: |world, members| {
-        let dead = world.members_of_another(LARGE, &members);
-        assert!(dead[1] > members[1], "the dead come later in the list");
-        for (dead, successor) in dead.iter().zip(&members) {
-            world.engines.machine(successor).entry.started_unix_ms = 2;
-            world.engines.kill(dead);
-            world.engines.machine(dead).is_listed = false;
-        }
-        world.run_ms(50);
-        let pairs = dead.iter().cloned().zip(members.iter().cloned());
-        world.successors.extend(pairs);
-        world.take_over();
-        world.run_ms(10_000);
-        assert!(world.is_open(&members));
+        use_addresses_again(&mut world, &members, 2);
+    }
+
+    addresses_are_used_again_by_engines_without_birth: |world, members| {
+        use_addresses_again(&mut world, &members, 0);
     }
 
     // The next owner has never seen the head.
