Leave readers sooner that are cut off from the store; only a failure of the store itself is its outage

Change: a reader's refusal is no outage; the store is asked after 0.3 s of refusals instead of 1.35 s; readers are asked again after a second, without a second chance.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -28,7 +28,7 @@
 const GATHER_MS: u64 = 150;
 /// The same for the gateway that gives orders: each step of a repair waits for it.
 const OWNER_GATHER_MS: u64 = 50;
-/// Refusals of a reader that has just begun to read, before another one is asked.
+/// Refusals of a reader, which may just have begun to read, before the others are asked.
 const MAX_REFUSALS: u32 = 3;
 /// Pause after the first failure of the store or of another gateway; it doubles up to the longest.
 const BACKOFF_MS: u64 = 150;
@@ -90,23 +90,45 @@
     }
 }
 
+/// How far the reading of a kind has come.
+#[derive(Debug, Default)]
+struct Reading {
+    revision: Option<u64>,
+    must_list: bool,
+    /// Refusals of readers in a row.
+    refusals: u32,
+    /// Whether a reader refused since the last answer.
+    is_refused: bool,
+    /// Failures of the store in a row.
+    failures: u32,
+    availability: Availability,
+}
+
+impl Reading {
+    /// Takes in an answer; tells whether the store was away before. Readers whose knowledge was
+    /// older than the store's get no second chance when they are asked again.
+    fn on_answer(&mut self, feed: &Feed, is_relayed: bool, now: TimeMs) -> bool {
+        self.refusals = if is_relayed { 0 } else { MAX_REFUSALS };
+        self.failures = 0;
+        self.is_refused = false;
+        self.availability.on_answer(feed.kind, now) >= OUTAGE_MS
+    }
+}
+
 async fn run(gateway: &Gateway, feed: &Feed) {
-    let availability = Availability::default();
-    let mut revision = None;
-    let mut must_list = false;
-    let mut refusals = 0;
-    let mut failures = 0;
+    let mut reading = Reading::default();
     gateway.roster.wait_known().await;
     loop {
         let mut source = source(gateway, feed.kind);
-        let known = revision.filter(|_| !must_list && source.is_relayed());
-        let listed = match known {
-            Some(_) => Ok(()),
-            None => read_list(gateway, feed, &mut source, &mut revision, &availability).await,
+        let is_known = reading.revision.is_some() && !reading.must_list && source.is_relayed();
+        let listed = if is_known {
+            Ok(())
+        } else {
+            read_list(gateway, feed, &mut source, &mut reading).await
         };
-        must_list &= listed.is_err();
+        reading.must_list &= listed.is_err();
         let result = match listed {
-            Ok(()) => follow(gateway, feed, &mut source, &mut revision, &availability).await,
+            Ok(()) => follow(gateway, feed, &mut source, &mut reading).await,
             Err(error) => Err(error),
         };
         let now = gateway.now();
@@ -117,32 +139,33 @@
                     info,
                     HistoryLost,
                     kind = feed.kind,
-                    revision,
+                    revision = reading.revision,
                     relayed = source.is_relayed(),
                     "the list is read again"
                 );
-                must_list = true;
+                reading.must_list = true;
             }
-            Err(error @ StoreError::Refused(503)) if source.is_relayed() => {
-                // The reader is there, but what it knows is too old to pass on.
-                availability.on_failure(feed.kind, &error, TimeMs(now.0 - MAX_AGE_MS));
-                refusals += 1;
-                if refusals <= MAX_REFUSALS {
+            Err(StoreError::Refused(503)) if source.is_relayed() => {
+                // The reader is there, but what it knows is too old to pass on. Whether the store
+                // is away or only the reader cut off from it shows when the store is asked.
+                reading.is_refused = true;
+                reading.refusals += 1;
+                if reading.refusals < MAX_REFUSALS {
                     sleep_ms(BACKOFF_MS).await;
-                    continue;
+                } else {
+                    gateway.roster.pass_over_stale(source.address(), now);
                 }
-                gateway.roster.pass_over_stale(source.address(), now);
             }
             Err(_) if source.is_relayed() => gateway.roster.pass_over(source.address(), now),
             Err(error) => {
-                availability.on_failure(feed.kind, &error, now);
-                sleep_ms(backoff_ms(gateway, failures)).await;
-                failures += 1;
-                continue;
+                // Readers that refused had not heard from the store for that long either.
+                let unheard_ms = if reading.is_refused { MAX_AGE_MS } else { 0 };
+                let since = TimeMs(now.0.saturating_sub(unheard_ms));
+                reading.availability.on_failure(feed.kind, &error, since);
+                sleep_ms(backoff_ms(gateway, reading.failures)).await;
+                reading.failures += 1;
             }
         }
-        refusals = 0;
-        failures = 0;
     }
 }
 
@@ -178,21 +201,20 @@
     gateway: &Gateway,
     feed: &Feed,
     source: &mut Store,
-    revision: &mut Option<u64>,
-    availability: &Availability,
+    reading: &mut Reading,
 ) -> Result<(), StoreError> {
     let list = source.list_all(feed.kind, Freshness::Newest).await?;
-    if revision.is_some_and(|known| known > list.revision) {
+    if reading.revision.is_some_and(|known| known > list.revision) {
         return Err(StoreError::Refused(503));
     }
     let now = gateway.now();
-    let was_away = availability.on_answer(feed.kind, now) >= OUTAGE_MS;
+    let was_away = reading.on_answer(feed, source.is_relayed(), now);
     if !source.is_relayed() {
         gateway
             .relay
             .on_list(feed.kind, &list.objects, list.revision, now);
     }
-    *revision = Some(list.revision);
+    reading.revision = Some(list.revision);
     (feed.on_list)(gateway, list, was_away);
     Ok(())
 }
@@ -202,10 +224,9 @@
     gateway: &Gateway,
     feed: &Feed,
     source: &mut Store,
-    revision: &mut Option<u64>,
-    availability: &Availability,
+    reading: &mut Reading,
 ) -> Result<(), StoreError> {
-    let mut after = revision.unwrap_or(0);
+    let mut after = reading.revision.unwrap_or(0);
     loop {
         let is_relayed = source.is_relayed();
         let wait_ms = if is_relayed { RELAY_WAIT_MS } else { WAIT_MS };
@@ -214,12 +235,12 @@
             revision: next,
         } = source.watch(feed.kind, after, wait_ms).await?;
         let now = gateway.now();
-        let was_away = availability.on_answer(feed.kind, now) >= OUTAGE_MS;
+        let was_away = reading.on_answer(feed, is_relayed, now);
         if !is_relayed {
             gateway.relay.on_events(feed.kind, &changes, next, now);
         }
         after = after.max(next);
-        *revision = Some(after);
+        reading.revision = Some(after);
         for (object, is_gone) in &changes {
             (feed.on_change)(gateway, object, *is_gone, was_away);
         }
