--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,7 +3,7 @@
 //! The store counts each call, and a fleet of gateways that all watch it makes calls by the number
 //! of gateways times the number of changes. So only some in each data centre read the store; the
 //! others watch one of these, with the same calls. What is passed on is never older than
-//! [`MAX_AGE_MS`]: a gateway that has not heard from the store for longer refuses, and those behind
+//! [`UNHEARD_MS`]: a gateway that has not heard from the store for longer refuses, and those behind
 //! it turn to the store themselves.
 
 use std::{
@@ -23,6 +23,7 @@
     StoredObject, encode_events, encode_list,
     paths::{ObjectsCall, parse_objects_call},
 };
+use jacinthpoint_fleet::UNHEARD_MS;
 use jacinthpoint_types::TimeMs;
 use tokio::{net::TcpListener, sync::Notify};
 
@@ -33,9 +34,6 @@
     state::Gateway,
 };
 
-/// Age of the store's last answer beyond which nothing is passed on. With the time that a watch of
-/// another gateway takes, it stays below the shortest time for a configuration to be in force.
-pub(crate) const MAX_AGE_MS: u64 = 1_100;
 /// Changes that are kept for watches that lag behind.
 const MAX_CHANGES: usize = 2_000;
 /// Pause after a failed accept.
@@ -128,7 +126,7 @@
         };
         let is_fresh = journal
             .answered_at
-            .is_some_and(|at| now.since_ms(at) <= MAX_AGE_MS);
+            .is_some_and(|at| now.since_ms(at) <= UNHEARD_MS);
         if !is_fresh {
             return refused;
         }
@@ -189,7 +187,7 @@
         if now >= until {
             return gateway.relay.answer_empty(call);
         }
-        let wait = Duration::from_millis(until.since_ms(now).min(MAX_AGE_MS / 4));
+        let wait = Duration::from_millis(until.since_ms(now).min(UNHEARD_MS / 4));
         let _ = tokio::time::timeout(wait, changed).await;
     }
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -6,15 +6,14 @@
     Events, List, StoredObject, decode_config, decode_upstream,
     paths::{self, Freshness},
 };
-use jacinthpoint_fleet::{OUTAGE_MS, ViewChange};
+use jacinthpoint_fleet::{Reading, ViewChange};
 use jacinthpoint_types::TimeMs;
 
 use crate::{
     clock::sleep_ms,
     events::log_event,
-    relay::MAX_AGE_MS,
     state::Gateway,
-    store::{Availability, Store, StoreError},
+    store::{Store, StoreError},
 };
 
 /// Longest wait of one watch. A connection may fall silent for good; then nothing is heard until
@@ -28,14 +27,8 @@
 const GATHER_MS: u64 = 150;
 /// The same for the gateway that gives orders: each step of a repair waits for it.
 const OWNER_GATHER_MS: u64 = 50;
-/// Refusals of a reader, which may just have begun to read, before the others are asked.
-const MAX_REFUSALS: u32 = 3;
-/// Pause after the first failure of the store or of another gateway; it doubles up to the longest.
-const BACKOFF_MS: u64 = 150;
-const MAX_BACKOFF_MS: u64 = 600;
-/// Pause after a failure of the store for a gateway that reads it only because no reader knows
-/// anything new: the readers find out first that it is back.
-const SUBSTITUTE_BACKOFF_MS: u64 = 1_000;
+/// Pause after the refusal of a reader.
+const REFUSED_PAUSE_MS: u64 = 150;
 /// Time between two looks for entries that did not come back after an outage.
 const EXPIRE_EVERY_MS: u64 = 100;
 
@@ -92,43 +85,43 @@
 
 /// How far the reading of a kind has come.
 #[derive(Debug, Default)]
-struct Reading {
+struct Progress {
     revision: Option<u64>,
     must_list: bool,
-    /// Refusals of readers in a row.
-    refusals: u32,
-    /// Whether a reader refused since the last answer.
-    is_refused: bool,
-    /// Failures of the store in a row.
-    failures: u32,
-    availability: Availability,
+    reading: Reading,
 }
 
-impl Reading {
-    /// Takes in an answer; tells whether the store was away before. Readers whose knowledge was
-    /// older than the store's get no second chance when they are asked again.
-    fn on_answer(&mut self, feed: &Feed, is_relayed: bool, now: TimeMs) -> bool {
-        self.refusals = if is_relayed { 0 } else { MAX_REFUSALS };
-        self.failures = 0;
-        self.is_refused = false;
-        self.availability.on_answer(feed.kind, now) >= OUTAGE_MS
+impl Progress {
+    /// Takes in an answer; tells whether the store was away before.
+    fn on_answer(&mut self, feed: &Feed, source: &Store, now: TimeMs) -> bool {
+        let back = self.reading.on_answer(source.is_relayed(), now);
+        if back.away_ms > 0 {
+            log_event!(
+                info,
+                StoreChanged,
+                what = feed.kind,
+                away_ms = back.away_ms,
+                "the store answers again"
+            );
+        }
+        back.is_after_outage()
     }
 }
 
 async fn run(gateway: &Gateway, feed: &Feed) {
-    let mut reading = Reading::default();
+    let mut progress = Progress::default();
     gateway.roster.wait_known().await;
     loop {
         let mut source = source(gateway, feed.kind);
-        let is_known = reading.revision.is_some() && !reading.must_list && source.is_relayed();
+        let is_known = progress.revision.is_some() && !progress.must_list && source.is_relayed();
         let listed = if is_known {
             Ok(())
         } else {
-            read_list(gateway, feed, &mut source, &mut reading).await
+            read_list(gateway, feed, &mut source, &mut progress).await
         };
-        reading.must_list &= listed.is_err();
+        progress.must_list &= listed.is_err();
         let result = match listed {
-            Ok(()) => follow(gateway, feed, &mut source, &mut reading).await,
+            Ok(()) => follow(gateway, feed, &mut source, &mut progress).await,
             Err(error) => Err(error),
         };
         let now = gateway.now();
@@ -139,43 +132,35 @@
                     info,
                     HistoryLost,
                     kind = feed.kind,
-                    revision = reading.revision,
+                    revision = progress.revision,
                     relayed = source.is_relayed(),
                     "the list is read again"
                 );
-                reading.must_list = true;
+                progress.must_list = true;
             }
             Err(StoreError::Refused(503)) if source.is_relayed() => {
-                // The reader is there, but what it knows is too old to pass on. Whether the store
-                // is away or only the reader cut off from it shows when the store is asked.
-                reading.is_refused = true;
-                reading.refusals += 1;
-                if reading.refusals < MAX_REFUSALS {
-                    sleep_ms(BACKOFF_MS).await;
-                } else {
+                if progress.reading.on_refusal() {
                     gateway.roster.pass_over_stale(source.address(), now);
+                } else {
+                    sleep_ms(REFUSED_PAUSE_MS).await;
                 }
             }
             Err(_) if source.is_relayed() => gateway.roster.pass_over(source.address(), now),
             Err(error) => {
-                // Readers that refused had not heard from the store for that long either.
-                let unheard_ms = if reading.is_refused { MAX_AGE_MS } else { 0 };
-                let since = TimeMs(now.0.saturating_sub(unheard_ms));
-                reading.availability.on_failure(feed.kind, &error, since);
-                sleep_ms(backoff_ms(gateway, reading.failures)).await;
-                reading.failures += 1;
+                if progress.reading.on_failure(now) {
+                    log_event!(warn, StoreChanged, what = feed.kind, %error,
+                        "the store does not answer");
+                }
+                sleep_ms(progress.reading.backoff_ms(is_substitute(gateway))).await;
             }
         }
     }
 }
 
-/// Pause after this many failures of the store in a row.
-fn backoff_ms(gateway: &Gateway, failures: u32) -> u64 {
+/// Whether this gateway reads the store only because its readers refuse or do not answer.
+fn is_substitute(gateway: &Gateway) -> bool {
     let own = gateway.settings().name.clone();
-    if !gateway.is_owner() && !gateway.roster.always_reads(own.as_str()) {
-        return SUBSTITUTE_BACKOFF_MS;
-    }
-    (BACKOFF_MS << failures.min(8)).min(MAX_BACKOFF_MS)
+    !gateway.is_owner() && !gateway.roster.always_reads(own.as_str())
 }
 
 /// The gateway to watch, if this one does not read the store itself. The owner of the groups does.
@@ -201,20 +186,20 @@
     gateway: &Gateway,
     feed: &Feed,
     source: &mut Store,
-    reading: &mut Reading,
+    progress: &mut Progress,
 ) -> Result<(), StoreError> {
     let list = source.list_all(feed.kind, Freshness::Newest).await?;
-    if reading.revision.is_some_and(|known| known > list.revision) {
+    if progress.revision.is_some_and(|known| known > list.revision) {
         return Err(StoreError::Refused(503));
     }
     let now = gateway.now();
-    let was_away = reading.on_answer(feed, source.is_relayed(), now);
+    let was_away = progress.on_answer(feed, source, now);
     if !source.is_relayed() {
         gateway
             .relay
             .on_list(feed.kind, &list.objects, list.revision, now);
     }
-    reading.revision = Some(list.revision);
+    progress.revision = Some(list.revision);
     (feed.on_list)(gateway, list, was_away);
     Ok(())
 }
@@ -224,9 +209,9 @@
     gateway: &Gateway,
     feed: &Feed,
     source: &mut Store,
-    reading: &mut Reading,
+    progress: &mut Progress,
 ) -> Result<(), StoreError> {
-    let mut after = reading.revision.unwrap_or(0);
+    let mut after = progress.revision.unwrap_or(0);
     loop {
         let is_relayed = source.is_relayed();
         let wait_ms = if is_relayed { RELAY_WAIT_MS } else { WAIT_MS };
@@ -235,12 +220,12 @@
             revision: next,
         } = source.watch(feed.kind, after, wait_ms).await?;
         let now = gateway.now();
-        let was_away = reading.on_answer(feed, is_relayed, now);
+        let was_away = progress.on_answer(feed, source, now);
         if !is_relayed {
             gateway.relay.on_events(feed.kind, &changes, next, now);
         }
         after = after.max(next);
-        reading.revision = Some(after);
+        progress.revision = Some(after);
         for (object, is_gone) in &changes {
             (feed.on_change)(gateway, object, *is_gone, was_away);
         }
