--- a/crates/dispatch/tests/many_gateways.rs
+++ b/crates/dispatch/tests/many_gateways.rs
@@ -171,3 +171,33 @@
     assert!(!fleet.books[1].knows_fleet(later));
     assert_eq!(fleet.books[1].load(&targets[0].key, later), 0.0);
 }
+
+/// A gateway that ended reports no more; its requests ended with its connections.
+#[test]
+fn requests_of_a_gateway_that_ended_do_not_count() {
+    let targets = groups(1);
+    let key = &targets[0].key;
+    let mut fleet = Fleet::new(true);
+    fleet.books[0].on_sent(key, now());
+    fleet.exchange(now());
+    assert_eq!(fleet.books[1].load(key, now()), 1.0);
+    let later = now().plus_ms(1_000);
+    fleet.exchange_of(|gateway| gateway != 0, later);
+    fleet.exchange_of(|gateway| gateway == 1, later);
+    assert_eq!(fleet.books[1].load(key, later), 0.0);
+}
+
+/// Its own requests are not counted twice.
+#[test]
+fn gateway_counts_its_own_requests_once() {
+    let targets = groups(1);
+    let key = &targets[0].key;
+    let mut fleet = Fleet::new(true);
+    fleet.books[0].on_sent(key, now());
+    fleet.books[1].on_sent(key, now());
+    fleet.exchange(now());
+    fleet.exchange(now().plus_ms(EXCHANGE_MS));
+    assert_eq!(fleet.books[0].load(key, now().plus_ms(EXCHANGE_MS)), 2.0);
+    fleet.books[0].on_over(key);
+    assert_eq!(fleet.books[0].load(key, now().plus_ms(EXCHANGE_MS)), 1.0);
+}
