--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -22,6 +22,7 @@
 mod attempt;
 mod attempts;
 mod context;
+mod ending;
 mod events;
 mod refusal;
 mod request;
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -3,17 +3,18 @@
 use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
-use hyper::{HeaderMap, Response, StatusCode, header, http::request::Parts};
+use hyper::{Response, http::request::Parts};
 use jacinthpoint_dispatch::{Refusal, Selection, Target, TargetKey, retry_after_ms};
-use jacinthpoint_types::{ResultCode, VmId};
+use jacinthpoint_types::ResultCode;
 
 use crate::{
-    body::{AnswerBody, whole},
+    body::AnswerBody,
     call::{
         attempt::{Attempt, Sending, WholeAnswer, send},
         context::Context,
+        ending::{note_failure, note_not_run, pass_on},
         refusal::refuse,
-        request::{shared_headers, strip_hop_by_hop},
+        request::shared_headers,
         stream,
     },
     events::log_event,
@@ -208,40 +209,6 @@
     Ok(target)
 }
 
-/// Takes in a failure of a target.
-pub(super) fn note_failure(context: &Context, target: &Target) {
-    let gateway = &context.gateway;
-    if gateway
-        .loads
-        .borrow_mut()
-        .on_failure(&target.key, gateway.now())
-    {
-        gateway
-            .metrics
-            .count("targets_ejected", target.upstream.as_str());
-        log_event!(warn, UpstreamEjected, upstream = %target.upstream, target = %target.key,
-            "an upstream is left alone for a time");
-    }
-}
-
-/// Takes in that an upstream did not run a request; `faulty` is the one it blames.
-pub(super) fn note_not_run(context: &Context, target: &Target, faulty: Option<VmId>) {
-    let gateway = &context.gateway;
-    gateway
-        .loads
-        .borrow_mut()
-        .on_shed(&target.key, gateway.now());
-    if let Some(faulty) = faulty {
-        log_event!(warn, GroupSilent, target = %target.key, %faulty,
-            "a group blames one of its members");
-        gateway
-            .loads
-            .borrow_mut()
-            .suspend(&target.key, gateway.now());
-        gateway.suspicions.borrow_mut().silent.insert(faulty);
-    }
-}
-
 /// The final answer when there is no further attempt.
 fn finish(context: &Context, tries: Tries, end: &End) -> Response<AnswerBody> {
     if let Some(answer) = tries.last_answer {
@@ -285,61 +252,3 @@
     let retry_after = expected_ms.map(|ms| retry_after_ms(ms, &mut *gateway.rng.borrow_mut()));
     refuse(gateway, &context.attempt_id, code, why, retry_after)
 }
-
-/// When the events of a stream came.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct StreamTimes {
-    /// From the request to the first event.
-    pub(super) first_event_ms: u64,
-    /// Longest time between two events.
-    pub(super) longest_gap_ms: u64,
-}
-
-/// Passes an upstream's answer on as it is.
-fn pass_on(context: &Context, answer: WholeAnswer) -> Response<AnswerBody> {
-    let mut response = Response::new(whole(answer.body));
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = answer.headers;
-    clean(response.headers_mut());
-    note_end(context, answer.status, "answered", None);
-    response
-}
-
-/// Removes the headers that concern the connection to the upstream.
-pub(super) fn clean(fields: &mut HeaderMap) {
-    strip_hop_by_hop(fields);
-    fields.remove(header::CONTENT_LENGTH);
-}
-
-/// Takes in the end of a request.
-pub(super) fn note_end(
-    context: &Context,
-    status: StatusCode,
-    outcome: &'static str,
-    times: Option<StreamTimes>,
-) {
-    let gateway = &context.gateway;
-    let elapsed_ms = context.elapsed_ms();
-    let organisation = context.organisation_name();
-    let route = &context.route.name;
-    let metrics = &gateway.metrics;
-    metrics.count("requests_ended", outcome);
-    metrics.record("request", organisation, route, elapsed_ms);
-    if let Some(times) = times {
-        metrics.record("first_event", organisation, route, times.first_event_ms);
-        metrics.record("longest_gap", organisation, route, times.longest_gap_ms);
-    }
-    log_event!(
-        info,
-        RequestEnded,
-        request = context.attempt_id,
-        route,
-        organisation,
-        status = status.as_u16(),
-        outcome,
-        elapsed_ms,
-        first_event_ms = times.map(|times| times.first_event_ms),
-        longest_gap_ms = times.map(|times| times.longest_gap_ms),
-        "a request ended"
-    );
-}
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -12,8 +12,9 @@
     body::{AnswerBody, BrokenOff, PartSender, channel},
     call::{
         attempt::{Attempt, OpenStream, Sending, send, suspect},
-        attempts::{StreamTimes, Tries, choose, clean, note_end, note_failure, note_not_run},
+        attempts::{Tries, choose},
         context::Context,
+        ending::{StreamTimes, clean, note_end, note_failure, note_not_run},
         events::EventSplitter,
     },
     events::log_event,
