--- a/crates/gateway/src/tally.rs
+++ b/crates/gateway/src/tally.rs
@@ -14,6 +14,7 @@
 
 /// Time between two reports. A group takes a few new requests in it.
 const REPORT_EVERY_MS: u64 = 100;
+
 /// Reports what this gateway has at each target, for ever.
 pub(crate) async fn report(gateway: Rc<Gateway>) {
     loop {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -70,17 +70,20 @@
     run(&gateway, &feed).await;
 }
 
-/// Drops entries that did not come back after an outage of the store.
+/// Drops entries that did not come back after an outage of the store, and members that have been
+/// missing in the list for too long.
 pub(crate) async fn expire_entries(gateway: Rc<Gateway>) {
     loop {
         sleep_ms(EXPIRE_EVERY_MS).await;
         let now = gateway.now();
+        let unlisted_before = gateway.view.borrow().unlisted().len();
         let expired = gateway.view.borrow_mut().expire(now);
+        let is_unlisted_changed = gateway.view.borrow().unlisted().len() != unlisted_before;
         for id in &expired {
             log_event!(warn, UpstreamGone, upstream = %id, why = "not back after an outage",
                 "an upstream is gone");
         }
-        if !expired.is_empty() {
+        if !expired.is_empty() || is_unlisted_changed {
             gateway.on_view_change(ViewChange::Changed);
         }
     }
