--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -78,10 +78,7 @@
                 .chain(unlisted.values())
                 .filter(|upstream| &upstream.service == service);
             for group in groups_of(members).into_values() {
-                let model = group
-                    .model
-                    .as_ref()
-                    .and_then(|name| engine.model(name.as_str()));
+                let model = group.model_spec(engine);
                 let head = group.head().and_then(|id| upstreams.get(id));
                 let (Some(model), Some(head)) = (model, head) else {
                     continue;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     directory::{Target, TargetKey},
+    silence::Silence,
     tally::{FleetLoad, Sighting, TargetDigest},
 };
 
@@ -132,13 +133,14 @@
     pub fn sightings(&self, now: TimeMs) -> Vec<Sighting> {
         let ms_since = |at: TimeMs| u32::try_from(now.since_ms(at)).unwrap_or(u32::MAX);
         let sighting = |(key, load): (&TargetKey, &Load)| {
-            let last_event_at = load.last_event_at.unwrap_or(load.busy_since);
+            let quiet_since = load
+                .last_event_at
+                .map_or(load.busy_since, |at| at.max(load.busy_since));
             Sighting {
                 target: TargetDigest::from(key),
                 in_flight: load.in_flight,
                 heard_ms: load.last_event_at.map(ms_since),
-                waited_ms: (load.in_flight > 0)
-                    .then(|| ms_since(load.busy_since.max(last_event_at))),
+                waited_ms: (load.in_flight > 0).then(|| ms_since(quiet_since)),
             }
         };
         let is_worth_telling = |sighting: &Sighting| {
@@ -167,6 +169,13 @@
         until.is_some_and(|until| !until.has_passed(now))
     }
 
+    /// Whether it is known to make no progress, from here or from all gateways together; `silence`
+    /// tells how long its silence is borne.
+    pub fn is_stuck(&self, key: &TargetKey, silence: Option<Silence>, now: TimeMs) -> bool {
+        let is_silent = |silence: Silence| self.is_silent(key, silence.limit_ms(), now);
+        self.is_suspended(key, now) || silence.is_some_and(is_silent)
+    }
+
     /// Requests that are probably there.
     pub fn load(&self, key: &TargetKey, now: TimeMs) -> f64 {
         let load = self.loads.get(key).copied().unwrap_or_default();
--- a/crates/dispatch/src/load/choice.rs
+++ b/crates/dispatch/src/load/choice.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use jacinthpoint_types::TimeMs;
-use rand::Rng;
+use rand::{Rng, seq::IndexedRandom};
 
 use crate::{
     directory::{Target, TargetKey},
@@ -19,6 +19,7 @@
 /// Free places beyond which a target is chosen no more often: the prompts of many requests that
 /// come at once are read one after the other, and all of them are late.
 const MAX_ROOM: f64 = 10.0;
+
 /// Why no target is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -77,8 +78,7 @@
         let usable = self.ejector.usable(&keys, now);
         let is_usable = |target: &&Arc<Target>| {
             !tried.contains(&target.key)
-                && !self.is_suspended(&target.key, now)
-                && !silence.is_some_and(|s| self.is_silent(&target.key, s.limit_ms(), now))
+                && !self.is_stuck(&target.key, silence, now)
                 && usable.contains(&target.key)
         };
         let mut works = false;
@@ -145,11 +145,7 @@
         let distance = if entry.1.is_near { 1.0 } else { FAR_WEIGHT };
         (free(entry) + queue).clamp(0.0, MAX_ROOM) / distance
     };
-    let sum: f64 = targets.iter().map(room).sum();
-    let mut at = rng.random_range(0.0..sum.max(f64::MIN_POSITIVE));
-    let chosen = targets.iter().find(|entry| {
-        at -= room(entry);
-        at < 0.0
-    });
-    chosen.or(targets.last()).map(|(_, target)| *target)
+    // Without any room the last is as good as another.
+    let chosen = targets.choose_weighted(rng, room).ok().or(targets.last());
+    chosen.map(|(_, target)| *target)
 }
--- a/crates/dispatch/src/tally.rs
+++ b/crates/dispatch/src/tally.rs
@@ -131,7 +131,7 @@
         let without_own = |sighting: &Sighting| {
             let own = own.and_then(|own| own.get(&sighting.target));
             Sighting {
-                in_flight: sighting.in_flight - own.copied().unwrap_or(0).min(sighting.in_flight),
+                in_flight: sighting.in_flight.saturating_sub(own.copied().unwrap_or(0)),
                 ..*sighting
             }
         };
--- a/crates/fleet/src/group.rs
+++ b/crates/fleet/src/group.rs
@@ -4,7 +4,10 @@
 
 use jacinthpoint_types::{DeploymentId, GroupId, ServiceId, VmId};
 
-use crate::upstream::{GroupState, Upstream};
+use crate::{
+    config::{Engine, ModelSpec},
+    upstream::{GroupState, Upstream},
+};
 
 /// A replica group as its members describe it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -28,6 +31,11 @@
 }
 
 impl Group {
+    /// What the engine says of its model, if it is known.
+    pub fn model_spec<'a>(&self, engine: &'a Engine) -> Option<&'a ModelSpec> {
+        engine.model(self.model.as_ref()?.as_str())
+    }
+
     /// The head, if it is known.
     pub fn head(&self) -> Option<&VmId> {
         self.members.get(&0)
--- a/crates/fleet/src/reading.rs
+++ b/crates/fleet/src/reading.rs
@@ -36,14 +36,14 @@
 /// What an answer says about the time before it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Return {
-    /// For how long the store was away; 0 if it was not.
-    pub away_ms: u64,
+    /// For how long the store was away, if it was.
+    pub away_ms: Option<u64>,
 }
 
 impl Return {
     /// Whether live entries may have lapsed meanwhile.
     pub fn is_after_outage(self) -> bool {
-        self.away_ms >= OUTAGE_MS
+        self.away_ms.is_some_and(|away_ms| away_ms >= OUTAGE_MS)
     }
 }
 
@@ -54,11 +54,10 @@
         self.refusals = if is_relayed { 0 } else { MAX_REFUSALS };
         self.is_refused = false;
         self.failures = 0;
-        let away_ms = self
-            .away_since
-            .take()
-            .map_or(0, |since| now.since_ms(since));
-        Return { away_ms }
+        let away_since = self.away_since.take();
+        Return {
+            away_ms: away_since.map(|since| now.since_ms(since)),
+        }
     }
 
     /// Takes in the refusal of a reader; tells whether to ask another one now. Whether the store is
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -193,12 +193,22 @@
         }
     }
 
-    /// Drops entries that were kept after an outage and did not come back; names them.
-    pub fn expire(&mut self, now: TimeMs) -> Vec<VmId> {
+    /// Drops members that have been missing in the list for too long.
+    pub fn expire_unlisted(&mut self, now: TimeMs) -> ViewChange {
+        let before = self.unlisted.len();
         self.unlisted_until
             .retain(|_, until| !until.has_passed(now));
         let until = &self.unlisted_until;
         self.unlisted.retain(|id, _| until.contains_key(id));
+        if self.unlisted.len() == before {
+            ViewChange::Same
+        } else {
+            ViewChange::Changed
+        }
+    }
+
+    /// Drops entries that were kept after an outage and did not come back; names them.
+    pub fn expire(&mut self, now: TimeMs) -> Vec<VmId> {
         let expired: Vec<VmId> = self
             .lapsed
             .iter()
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -6,7 +6,7 @@
 use jacinthpoint_adapter::headers;
 use jacinthpoint_fleet::RouteMatch;
 use jacinthpoint_types::{Deadline, ResultCode};
-use rand::Rng;
+use rand::seq::IndexedRandom;
 
 use crate::{
     body::AnswerBody,
@@ -96,15 +96,12 @@
         RouteMatch::NoKey(_) => return refused(ResultCode::Unauthenticated, "unknown key"),
     };
     let service = {
-        let total: f64 = route.targets.iter().map(|target| target.weight).sum();
-        let mut point = gateway.rng.borrow_mut().random_range(0.0..1.0) * total;
-        let chosen = route.targets.iter().find(|target| {
-            point -= target.weight;
-            point < 0.0
-        });
-        chosen
-            .or(route.targets.last())
-            .map(|target| target.service.clone())
+        let targets = &route.targets;
+        let mut rng = gateway.rng.borrow_mut();
+        let chosen = targets.choose_weighted(&mut *rng, |target| target.weight);
+        // Without any weight the last is taken.
+        let chosen = chosen.ok().or(targets.last());
+        chosen.map(|target| target.service.clone())
     };
     let Some(service) = service else {
         return refused(ResultCode::NoCapacity, "the route leads nowhere");
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -253,8 +253,7 @@
     };
     let loads = gateway.loads.borrow();
     let group_at = loads.last_event_at(&target.key, now);
-    let is_known_silent = loads.is_suspended(&target.key, now)
-        || loads.is_silent(&target.key, silence.limit_ms(), now);
+    let is_known_silent = loads.is_stuck(&target.key, Some(silence), now);
     drop(loads);
     let verdict = silence.judge_waiting(sent_at, group_at, is_known_silent, now);
     if silence.is_suspicious(sent_at, group_at, now) {
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -136,12 +136,10 @@
                         return End::DeadlinePassed;
                     }
                     let has_flowed = gap_begin.is_some();
-                    let group_at = gateway.loads.borrow().last_event_at(&target.key, now);
-                    let is_known_silent = silence.is_some_and(|silence| {
-                        let loads = gateway.loads.borrow();
-                        loads.is_suspended(&target.key, now)
-                            || loads.is_silent(&target.key, silence.limit_ms(), now)
-                    });
+                    let loads = gateway.loads.borrow();
+                    let group_at = loads.last_event_at(&target.key, now);
+                    let is_known_silent = loads.is_stuck(&target.key, silence, now);
+                    drop(loads);
                     let verdict = silence.map(|s| if has_flowed {
                         s.judge(self.last_event_at, group_at, now)
                     } else {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,12 +5,13 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
     net::SocketAddr,
 };
 
 use jacinthpoint_dispatch::{Sighting, Tally};
-use jacinthpoint_types::{Deadline, TimeMs};
+use jacinthpoint_types::TimeMs;
+
+use crate::passed_over::PassedOver;
 
 /// Time without an answer after which the next hub is asked: three reports in a row.
 const HUB_SILENT_MS: u64 = 350;
@@ -25,7 +26,7 @@
     hub: Cell<Option<SocketAddr>>,
     /// When the hub last answered, or was first asked.
     heard_at: Cell<TimeMs>,
-    passed_over: RefCell<BTreeMap<SocketAddr, Deadline>>,
+    passed_over: PassedOver,
 }
 
 impl Exchange {
@@ -37,15 +38,13 @@
         now: TimeMs,
     ) -> (Option<SocketAddr>, bool) {
         let is_late = now.since_ms(self.heard_at.get()) >= HUB_SILENT_MS;
-        let mut passed_over = self.passed_over.borrow_mut();
         if let Some(hub) = self.hub.get().filter(|_| is_late) {
-            passed_over.insert(hub, Deadline::after_ms(now, PASS_OVER_MS));
+            self.passed_over.add(hub, PASS_OVER_MS, now);
         }
-        passed_over.retain(|_, until| !until.has_passed(now));
         let next = order
             .iter()
             .copied()
-            .find(|address| !passed_over.contains_key(address));
+            .find(|address| !self.passed_over.contains(address, now));
         let is_new = next != self.hub.replace(next);
         if is_new {
             self.heard_at.set(now);
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -81,7 +81,7 @@
 
 /// Holds the lease or waits for it, until the gateway stops.
 pub(crate) async fn keep_lease(gateway: Rc<Gateway>, lease: Rc<Lease>) {
-    let availability = Availability::default();
+    let mut availability = Availability::default();
     let mut store = Store::new(gateway.settings().store);
     let life = gateway.rng.borrow_mut().random::<u32>();
     let mut renewals = 0_u64;
@@ -105,14 +105,14 @@
         };
         match result {
             Ok(object) => {
-                availability.on_answer(KIND, gateway.now());
+                availability.on_answer(KIND, false, gateway.now());
                 revision = Some(object.revision);
                 let fence = lease.fence.get().unwrap_or(object.revision);
                 lease.hold(fence, sent_at);
                 *gateway.owner.borrow_mut() = Some(gateway.settings().name.to_string());
             }
             Err(StoreError::Conflict(current)) => {
-                availability.on_answer(KIND, gateway.now());
+                availability.on_answer(KIND, false, gateway.now());
                 // A write whose answer was lost may have taken effect: then the content is ours.
                 let is_own =
                     |object: &StoredObject| object.content.get("life") == content.get("life");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod lease;
 mod metrics;
 mod owner;
+mod passed_over;
 mod peers;
 mod pool;
 mod relay;
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -6,12 +6,13 @@
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use jacinthpoint_adapter::paths::Freshness;
-use jacinthpoint_types::{Deadline, TimeMs, ranked};
+use jacinthpoint_types::{TimeMs, ranked};
 use serde_json::json;
 use tokio::sync::watch;
 
 use crate::{
     clock::sleep_ms,
+    passed_over::PassedOver,
     state::Gateway,
     store::{Availability, Store, StoreError},
 };
@@ -46,7 +47,7 @@
     near: RefCell<BTreeMap<String, SocketAddr>>,
     /// The same of all gateways.
     all: RefCell<BTreeMap<String, Option<SocketAddr>>>,
-    passed_over: RefCell<BTreeMap<SocketAddr, Deadline>>,
+    passed_over: PassedOver,
     is_known: watch::Sender<bool>,
 }
 
@@ -55,18 +56,13 @@
     /// agree on the order, so the next in it takes over from one that does not answer.
     pub(crate) fn reader(&self, own: &str, now: TimeMs) -> Option<SocketAddr> {
         let near = self.near.borrow();
-        if !near.contains_key(own) {
+        let order = ranked("readers", near.keys());
+        if !near.contains_key(own) || always_reads(&order, own) {
             return None;
         }
-        let passed_over = self.passed_over.borrow();
         let is_usable = |name: &&String| {
-            let until = passed_over.get(&near[name.as_str()]);
-            name.as_str() == own || until.is_none_or(|until| until.has_passed(now))
+            name.as_str() == own || !self.passed_over.contains(&near[name.as_str()], now)
         };
-        if always_reads(&near, own) {
-            return None;
-        }
-        let order = ranked("readers", near.keys());
         let reader = order.into_iter().take(MAX_READERS).find(is_usable)?;
         (reader.as_str() != own).then(|| near[reader.as_str()])
     }
@@ -81,19 +77,18 @@
 
     /// Whether this gateway reads the store as long as it runs.
     pub(crate) fn always_reads(&self, own: &str) -> bool {
-        always_reads(&self.near.borrow(), own)
+        let near = self.near.borrow();
+        always_reads(&ranked("readers", near.keys()), own)
     }
 
     /// A reader did not answer.
     pub(crate) fn pass_over(&self, address: SocketAddr, now: TimeMs) {
-        let until = Deadline::after_ms(now, PASS_OVER_MS);
-        self.passed_over.borrow_mut().insert(address, until);
+        self.passed_over.add(address, PASS_OVER_MS, now);
     }
 
     /// A reader answered that it knows nothing new itself.
     pub(crate) fn pass_over_stale(&self, address: SocketAddr, now: TimeMs) {
-        let until = Deadline::after_ms(now, PASS_OVER_STALE_MS);
-        self.passed_over.borrow_mut().insert(address, until);
+        self.passed_over.add(address, PASS_OVER_STALE_MS, now);
     }
 
     /// Address of a gateway.
@@ -124,17 +119,17 @@
     }
 }
 
-fn always_reads(near: &BTreeMap<String, SocketAddr>, own: &str) -> bool {
-    let order = ranked("readers", near.keys());
+/// Whether `own` is among those in the order of readers that read the store as long as they run.
+fn always_reads(order: &[&String], own: &str) -> bool {
     let always = order.len().div_ceil(GATEWAYS_PER_READER);
     order.iter().take(always).any(|name| name.as_str() == own)
 }
 
 /// Registers this gateway and counts all, for ever.
 pub(crate) async fn keep_roster(gateway: Rc<Gateway>) {
-    let availability = Availability::default();
+    let mut availability = Availability::default();
     let mut store = Store::new(gateway.settings().store);
-    let is_first_start = register(&gateway, &mut store, &availability).await;
+    let is_first_start = register(&gateway, &mut store, &mut availability).await;
     if is_first_start {
         sleep_ms(FIRST_COUNT_MS).await;
     }
@@ -150,7 +145,7 @@
         is_first = false;
         match store.list_all(KIND, freshness).await {
             Ok(list) => {
-                availability.on_answer(KIND, gateway.now());
+                availability.on_answer(KIND, false, gateway.now());
                 let own = gateway.settings().data_centre.clone();
                 // Names are never removed, and an old list may lack some that are known.
                 let mut near = gateway.roster.near.borrow_mut();
@@ -178,7 +173,7 @@
 
 /// Registers this gateway; tells whether its name is new. One that was there before under its name
 /// may have another address.
-async fn register(gateway: &Gateway, store: &mut Store, availability: &Availability) -> bool {
+async fn register(gateway: &Gateway, store: &mut Store, availability: &mut Availability) -> bool {
     let settings = gateway.settings();
     let name = settings.name.as_str();
     let content = json!({
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's store.
 
-use std::{cell::Cell, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -10,10 +10,12 @@
     encode_object,
     paths::{self, Freshness},
 };
+use jacinthpoint_fleet::Reading;
+use jacinthpoint_types::TimeMs;
 use serde_json::Value;
 use tokio::time::timeout;
 
-use crate::connection::Connection;
+use crate::{connection::Connection, events::log_event};
 
 /// Time to connect. The store is a few milliseconds away.
 const CONNECT_MS: u64 = 500;
@@ -275,33 +277,27 @@
     }
 }
 
-/// Whether the store answers, as its users see it; logs the changes.
+/// Whether the store answers, as one of its users sees it; logs the changes.
 #[derive(Debug, Default)]
 pub(crate) struct Availability {
-    away_since: Cell<Option<jacinthpoint_types::TimeMs>>,
+    pub(crate) reading: Reading,
 }
 
 impl Availability {
-    /// Takes in an answer; returns for how long the store was away before it.
-    pub(crate) fn on_answer(&self, what: &'static str, now: jacinthpoint_types::TimeMs) -> u64 {
-        let Some(since) = self.away_since.take() else {
-            return 0;
-        };
-        let away_ms = now.since_ms(since);
-        crate::events::log_event!(info, StoreChanged, what, away_ms, "the store answers again");
-        away_ms
+    /// Takes in an answer of the store, or of a reader; tells whether the store was away before it
+    /// for so long that live entries may have lapsed.
+    pub(crate) fn on_answer(&mut self, what: &'static str, is_relayed: bool, now: TimeMs) -> bool {
+        let back = self.reading.on_answer(is_relayed, now);
+        if let Some(away_ms) = back.away_ms {
+            log_event!(info, StoreChanged, what, away_ms, "the store answers again");
+        }
+        back.is_after_outage()
     }
 
-    /// Takes in a failure.
-    pub(crate) fn on_failure(
-        &self,
-        what: &'static str,
-        error: &StoreError,
-        now: jacinthpoint_types::TimeMs,
-    ) {
-        if self.away_since.get().is_none() {
-            self.away_since.set(Some(now));
-            crate::events::log_event!(warn, StoreChanged, what, %error, "the store does not answer");
+    /// Takes in a failure of the store.
+    pub(crate) fn on_failure(&mut self, what: &'static str, error: &StoreError, now: TimeMs) {
+        if self.reading.on_failure(now) {
+            log_event!(warn, StoreChanged, what, %error, "the store does not answer");
         }
     }
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -6,14 +6,13 @@
     Events, List, StoredObject,
     paths::{self, Freshness},
 };
-use jacinthpoint_fleet::{Reading, ViewChange};
-use jacinthpoint_types::TimeMs;
+use jacinthpoint_fleet::ViewChange;
 
 use crate::{
     clock::sleep_ms,
     events::log_event,
     state::Gateway,
-    store::{Store, StoreError},
+    store::{Availability, Store, StoreError},
     watch::entries::{take_config, take_entry, take_list},
 };
 
@@ -76,14 +75,14 @@
     loop {
         sleep_ms(EXPIRE_EVERY_MS).await;
         let now = gateway.now();
-        let unlisted_before = gateway.view.borrow().unlisted().len();
+        let change = gateway.view.borrow_mut().expire_unlisted(now);
+        gateway.on_view_change(change);
         let expired = gateway.view.borrow_mut().expire(now);
-        let is_unlisted_changed = gateway.view.borrow().unlisted().len() != unlisted_before;
         for id in &expired {
             log_event!(warn, UpstreamGone, upstream = %id, why = "not back after an outage",
                 "an upstream is gone");
         }
-        if !expired.is_empty() || is_unlisted_changed {
+        if !expired.is_empty() {
             gateway.on_view_change(ViewChange::Changed);
         }
     }
@@ -94,24 +93,7 @@
 struct Progress {
     revision: Option<u64>,
     must_list: bool,
-    reading: Reading,
-}
-
-impl Progress {
-    /// Takes in an answer; tells whether the store was away before.
-    fn on_answer(&mut self, feed: &Feed, source: &Store, now: TimeMs) -> bool {
-        let back = self.reading.on_answer(source.is_relayed(), now);
-        if back.away_ms > 0 {
-            log_event!(
-                info,
-                StoreChanged,
-                what = feed.kind,
-                away_ms = back.away_ms,
-                "the store answers again"
-            );
-        }
-        back.is_after_outage()
-    }
+    availability: Availability,
 }
 
 async fn run(gateway: &Gateway, feed: &Feed) {
@@ -145,7 +127,7 @@
                 progress.must_list = true;
             }
             Err(StoreError::Refused(503)) if source.is_relayed() => {
-                if progress.reading.on_refusal() {
+                if progress.availability.reading.on_refusal() {
                     gateway.roster.pass_over_stale(source.address(), now);
                 } else {
                     sleep_ms(REFUSED_PAUSE_MS).await;
@@ -153,11 +135,9 @@
             }
             Err(_) if source.is_relayed() => gateway.roster.pass_over(source.address(), now),
             Err(error) => {
-                if progress.reading.on_failure(now) {
-                    log_event!(warn, StoreChanged, what = feed.kind, %error,
-                        "the store does not answer");
-                }
-                sleep_ms(progress.reading.backoff_ms(is_substitute(gateway))).await;
+                progress.availability.on_failure(feed.kind, &error, now);
+                let reading = &progress.availability.reading;
+                sleep_ms(reading.backoff_ms(is_substitute(gateway))).await;
             }
         }
     }
@@ -199,7 +179,9 @@
         return Err(StoreError::Refused(503));
     }
     let now = gateway.now();
-    let was_away = progress.on_answer(feed, source, now);
+    let was_away = progress
+        .availability
+        .on_answer(feed.kind, source.is_relayed(), now);
     if !source.is_relayed() {
         gateway
             .relay
@@ -226,7 +208,9 @@
             revision: next,
         } = source.watch(feed.kind, after, wait_ms).await?;
         let now = gateway.now();
-        let was_away = progress.on_answer(feed, source, now);
+        let was_away = progress
+            .availability
+            .on_answer(feed.kind, source.is_relayed(), now);
         if !is_relayed {
             gateway.relay.on_events(feed.kind, &changes, next, now);
         }
--- a/crates/regroup/src/planner/growth.rs
+++ b/crates/regroup/src/planner/growth.rs
@@ -27,11 +27,9 @@
     ) -> BTreeMap<DeploymentId, usize> {
         let mut counts: BTreeMap<DeploymentId, usize> = BTreeMap::new();
         for group in groups.values() {
-            let model = group
-                .model
-                .as_ref()
-                .and_then(|name| engine.model(name.as_str()));
-            let Some(model) = model else { continue };
+            let Some(model) = group.model_spec(engine) else {
+                continue;
+            };
             let has_dead = group.members.values().any(|id| self.evidence.is_dead(id));
             let is_forming = self.formations.contains_key(&group.id);
             if group.is_serving(model.size) && !has_dead && !is_forming {
--- a/crates/regroup/src/planner/upkeep.rs
+++ b/crates/regroup/src/planner/upkeep.rs
@@ -25,11 +25,9 @@
         engine: &Engine,
         now: TimeMs,
     ) -> (bool, Vec<Order>) {
-        let model = group
-            .model
-            .as_ref()
-            .and_then(|name| engine.model(name.as_str()));
-        let size = model.map_or(usize::MAX, |model| model.size);
+        let size = group
+            .model_spec(engine)
+            .map_or(usize::MAX, |model| model.size);
         let has_dead = group.members.values().any(|id| self.evidence.is_dead(id));
         let is_complete = group.members.len() == size && !has_dead;
         let key = (group.id.clone(), group.epoch);
--- a/crates/types/src/rendezvous.rs
+++ b/crates/types/src/rendezvous.rs
@@ -3,6 +3,8 @@
 //! Every node ranks the nodes it believes live for a piece of work. Nodes that agree on who is
 //! live agree on the ranking, and when one node goes only its own work moves.
 
+use std::cmp::Reverse;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Weight of `node` for `work`; the highest weight owns the work.
@@ -16,9 +18,6 @@
     nodes: impl IntoIterator<Item = &'a N>,
 ) -> Vec<&'a N> {
     let mut order: Vec<&N> = nodes.into_iter().collect();
-    order.sort_by(|a, b| {
-        let by_weight = rank(work, b.as_ref()).cmp(&rank(work, a.as_ref()));
-        by_weight.then_with(|| a.as_ref().cmp(b.as_ref()))
-    });
+    order.sort_by_cached_key(|&node| (Reverse(rank(work, node.as_ref())), node.as_ref()));
     order
 }
