--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -51,6 +51,12 @@
     GroupChanged = 724,
     /// An unlisted upstream answered a health check, which shows whether it is leaving.
     StayAnswered = 725,
+    /// The owner began to form a group. The event has the state by which each member counted as
+    /// free.
+    FormationStarted = 726,
+    /// The owner ended the formation of a group. The event says whether the group opened, or why it
+    /// did not.
+    FormationEnded = 727,
     /// A request was sent to an upstream.
     RequestSent = 730,
     /// An attempt failed or was refused, or could not be made.
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -12,7 +12,7 @@
 };
 use jacinthpoint_dispatch::{Directory, TargetKey, WorkMeter};
 use jacinthpoint_fleet::{Engine, ModelSpec, Order, OrderAnswer, Upstream};
-use jacinthpoint_regroup::{Action, Planner, PlannerInput, Report};
+use jacinthpoint_regroup::{Action, Decision, Planner, PlannerInput, Report};
 use jacinthpoint_types::{ServiceId, TimeMs, VmId};
 use tokio::time::timeout;
 
@@ -124,6 +124,9 @@
             demand: &demand,
         };
         let due = planner.plan(input, now);
+        for decision in planner.take_decisions() {
+            log_decision(gateway, planners.token, &decision);
+        }
         actions.extend(due.into_iter().map(|action| (service.clone(), action)));
     }
     planners.connections.retain(|id, connection| {
@@ -132,6 +135,26 @@
     actions
 }
 
+/// Logs and counts a decision of a planner.
+fn log_decision(gateway: &Gateway, token: u64, decision: &Decision) {
+    match decision {
+        Decision::FormationStarted {
+            group,
+            model,
+            members,
+        } => {
+            let members: Vec<String> = members.iter().map(ToString::to_string).collect();
+            log_event!(info, FormationStarted, fence = token, %group, %model, ?members,
+                "the formation of a group began");
+        }
+        Decision::FormationEnded { group, outcome } => {
+            gateway.metrics.count("formations", outcome.into());
+            log_event!(info, FormationEnded, fence = token, %group, %outcome,
+                "the formation of a group ended");
+        }
+    }
+}
+
 /// Returns the upstreams of one service.
 fn upstreams_of(
     upstreams: &BTreeMap<VmId, Upstream>,
--- a/crates/regroup/src/formation.rs
+++ b/crates/regroup/src/formation.rs
@@ -5,6 +5,8 @@
 use jacinthpoint_fleet::{GroupState, Order, OrderAction, OrderAnswer, Upstream};
 use jacinthpoint_types::{Deadline, DeploymentId, GroupId, TimeMs, VmId};
 
+use crate::decision::FormationOutcome;
+
 /// Time after which an order to open, or an unanswered order to join, is retried. An answered order
 /// to join is retried this long after the expected duration.
 const RETRY_MS: u64 = 600;
@@ -18,11 +20,8 @@
 pub(crate) enum Progress {
     /// Members are joining, or the leader is opening the group.
     Forming,
-    /// The group takes requests.
-    Open,
-    /// A member was lost, an order was refused, or the group was not open in time. The members are
-    /// free again.
-    Failed,
+    /// The formation ended. Unless the group is open, the members are free again.
+    Ended(FormationOutcome),
 }
 
 /// A group that is being formed.
@@ -97,8 +96,12 @@
         is_usable: impl Fn(&VmId) -> bool,
         now: TimeMs,
     ) -> (Progress, Vec<Order>) {
-        if self.is_refused || !self.members.iter().all(&is_usable) {
-            return (Progress::Failed, Vec::new());
+        let ended = |outcome| (Progress::Ended(outcome), Vec::new());
+        if self.is_refused {
+            return ended(FormationOutcome::OrderRefused);
+        }
+        if !self.members.iter().all(&is_usable) {
+            return ended(FormationOutcome::MemberLost);
         }
         for id in &self.members {
             if find(id).is_some_and(|upstream| self.is_ready_member(upstream)) {
@@ -112,10 +115,10 @@
             })
         });
         if leader_is_open || self.open_done {
-            return (Progress::Open, Vec::new());
+            return ended(FormationOutcome::Open);
         }
         if self.timeout_at.has_passed(now) {
-            return (Progress::Failed, Vec::new());
+            return ended(FormationOutcome::TimedOut);
         }
         (Progress::Forming, self.due_orders(now))
     }
--- a/crates/regroup/src/lib.rs
+++ b/crates/regroup/src/lib.rs
@@ -13,12 +13,14 @@
 //! never replaces a group that its successor formed. This crate does no I/O.
 
 pub use crate::{
+    decision::{Decision, FormationOutcome, MemberBasis, StateSource},
     demand::Demand,
     failure_detector::FailureDetector,
     planner::{Action, Planner, PlannerInput, Report},
 };
 
 mod arrangement;
+mod decision;
 mod demand;
 mod failure_detector;
 mod formation;
--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -12,6 +12,7 @@
 use jacinthpoint_types::{Deadline, DeploymentId, GroupId, TimeMs, VmId};
 
 use crate::{
+    decision::Decision,
     demand::Demand,
     failure_detector::FailureDetector,
     formation::{Formation, Progress},
@@ -158,6 +159,8 @@
     peak_upstreams: usize,
     /// When `peak_upstreams` was reached.
     peak_reached_at: TimeMs,
+    /// Decisions since the last call of [`Planner::take_decisions`].
+    decisions: Vec<Decision>,
 }
 
 impl Planner {
@@ -188,6 +191,7 @@
             listed: BTreeMap::new(),
             peak_upstreams: 0,
             peak_reached_at: TimeMs(0),
+            decisions: Vec::new(),
         }
     }
 
@@ -196,6 +200,11 @@
         self.fencing_token
     }
 
+    /// Returns the decisions since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
     /// Records an event on a stream of a group, which proves that all its members are alive.
     pub fn on_group_event<'a>(&mut self, members: impl IntoIterator<Item = &'a VmId>, now: TimeMs) {
         for id in members {
@@ -357,8 +366,11 @@
         for formation in self.formations.values_mut() {
             let (progress, orders) = formation.advance(|id| upstreams.get(id), is_usable, now);
             due.extend(orders);
-            if progress != Progress::Forming {
-                ended.push(formation.group.clone());
+            if let Progress::Ended(outcome) = progress {
+                let group = formation.group.clone();
+                ended.push(group.clone());
+                self.decisions
+                    .push(Decision::FormationEnded { group, outcome });
             }
             // `current_upstreams` removed the model of a member that restarted. It is added again,
             // since the member is assigned to this group and counts as a holder of its model.
--- a/crates/regroup/src/planner/new_groups.rs
+++ b/crates/regroup/src/planner/new_groups.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     arrangement::{DomainStock, ModelNeed, arrange},
+    decision::{Decision, MemberBasis, StateSource},
     demand::{model_needs, models_below_target},
     formation::Formation,
     member_selection::{
@@ -203,6 +204,7 @@
         now: TimeMs,
     ) -> Vec<Order> {
         self.formation_count += 1;
+        let bases = self.member_bases(&selection.members, upstreams);
         for id in &selection.members {
             self.last_models.insert(id.clone(), selection.model.clone());
         }
@@ -213,11 +215,37 @@
         };
         let mut formation =
             Formation::new(epoch, selection.model, selection.members, expected_ms, now);
+        self.decisions.push(Decision::FormationStarted {
+            group: formation.group.clone(),
+            model: formation.model.clone(),
+            members: bases,
+        });
         let (_, orders) = formation.advance(|id| upstreams.get(id), |_| true, now);
         self.formations.insert(formation.group.clone(), formation);
         orders
     }
 
+    /// Returns the states by which these upstreams count as free.
+    fn member_bases(
+        &self,
+        members: &[VmId],
+        upstreams: &BTreeMap<VmId, Upstream>,
+    ) -> Vec<MemberBasis> {
+        let shared = shared_addresses(upstreams.values());
+        let members = members.iter().filter_map(|id| upstreams.get(id));
+        let basis = |member: &Upstream| MemberBasis {
+            id: member.id.clone(),
+            source: if self.reported_states.contains_key(&member.id) {
+                StateSource::Report
+            } else {
+                StateSource::Entry
+            },
+            membership: member.membership.clone(),
+            shares_address: shared.contains(&member.address),
+        };
+        members.map(basis).collect()
+    }
+
     /// Returns the live upstreams that take new work and are not assigned to a group. Those with an
     /// address that another live upstream has are left out, since only one of them can exist.
     fn free_by_domain<'a>(
--- a/crates/regroup/tests/repair.rs
+++ b/crates/regroup/tests/repair.rs
@@ -1,6 +1,7 @@
 //! Tests of the repair of groups after losses, drains and takeovers. Each test also checks that
 //! no order was a violation.
 
+use jacinthpoint_regroup::{Decision, FormationOutcome, StateSource};
 use jacinthpoint_types::VmId;
 
 use crate::world::{LARGE, SMALL, World};
@@ -156,6 +157,29 @@
         world.run_until(20_000, |world| world.serving_group_count(LARGE) == 7);
     }
 
+    // Guards against formations without a record of why their members counted as free.
+    decisions_tell_why_members_counted_as_free: |world, members| {
+        world.decisions.clear();
+        let successor = world.engines.replace_at_address(&members[0]);
+        world.engines.kill(&members[2]);
+        report_stall(&mut world, &members);
+        world.run_until(REPAIR_MS, |world| world.serving_group_count(LARGE) == 7);
+        let started: Vec<_> = world.decisions.iter().filter_map(|decision| match decision {
+            Decision::FormationStarted { members, .. } => Some(members),
+            Decision::FormationEnded { .. } => None,
+        }).collect();
+        let successors = started.iter().flat_map(|members| members.iter());
+        for basis in successors.filter(|basis| basis.id == successor) {
+            assert!(basis.shares_address && basis.membership.is_none());
+            assert_eq!(basis.source, StateSource::Entry);
+        }
+        assert_eq!(started.len(), 1);
+        let is_end = |decision: &Decision| matches!(
+            decision, Decision::FormationEnded { outcome: FormationOutcome::Open, .. }
+        );
+        assert!(world.decisions.iter().any(is_end));
+    }
+
     // The next owner has never seen the leader's entry.
     group_whose_leader_is_unlisted_before_a_takeover_is_replaced: |world, members| {
         world.engines.engine(&members[0]).is_listed = false;
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use jacinthpoint_fleet::{Engine, GroupState, ModelSpec, OrderAnswer, Upstream, groups_of};
-use jacinthpoint_regroup::{Action, Demand, Planner, PlannerInput, Report};
+use jacinthpoint_regroup::{Action, Decision, Demand, Planner, PlannerInput, Report};
 use jacinthpoint_types::{DeploymentId, TimeMs, VmId};
 
 use crate::engines::{Engines, LOAD_MS, OPEN_MS, WARM_MS};
@@ -56,6 +56,8 @@
     pub now: TimeMs,
     pub engines: Engines,
     pub planner: Planner,
+    /// Decisions of all planners so far.
+    pub decisions: Vec<Decision>,
     /// Settings of the engines.
     pub spec: Engine,
     pub demand: Demand,
@@ -77,6 +79,7 @@
             now: TimeMs(1_000_000),
             engines: Engines::default(),
             planner: Planner::new(1),
+            decisions: Vec::new(),
             spec: engine_spec(),
             demand: Demand::new(),
             has_traffic: false,
@@ -190,6 +193,7 @@
             demand: &self.demand,
         };
         let actions = self.planner.plan(input, self.now);
+        self.decisions.extend(self.planner.take_decisions());
         let fencing_token = self.planner.fencing_token();
         for action in actions {
             match action {
