--- a/crates/regroup/tests/engines.rs
+++ b/crates/regroup/tests/engines.rs
@@ -22,6 +22,10 @@
 /// Time from an order to open a group until its leader takes requests: `form_ms` of the settings.
 pub const OPEN_MS: u64 = 300;
 
+/// Time after which the entry of an engine that is cut off from the store is removed: three
+/// heartbeats.
+pub const ENTRY_EXPIRY_MS: u64 = 3_600;
+
 /// An engine, simulated together with its host.
 #[derive(Debug, Clone)]
 pub struct SimulatedEngine {
@@ -30,10 +34,15 @@
     pub is_alive: bool,
     /// Whether the store shows the entry. `entry.is_listed` stays true.
     pub is_listed: bool,
+    /// The entry that the store shows while the engine is cut off from the store, and when it
+    /// expires. Orders and probes still reach the engine.
+    cut: Option<(Upstream, TimeMs)>,
     /// When the join in progress ends, if any.
     pub ready_at: Option<TimeMs>,
     /// When the group opens, if the engine is its leader and was ordered to open it.
     open_at: Option<TimeMs>,
+    /// When the group is closed, if the engine is its leader and was ordered to close it.
+    closed_at: Option<TimeMs>,
     /// The model whose weights the host is loading, and when the load ends.
     loading: Option<(DeploymentId, TimeMs)>,
     /// Model in the last order to join that the current incarnation accepted.
@@ -49,6 +58,8 @@
 pub struct Engines {
     pub by_id: BTreeMap<VmId, SimulatedEngine>,
     pub violations: Vec<String>,
+    /// Time that a group which is closed without cutting its requests takes to finish them.
+    pub close_ms: u64,
     /// Members that were ready at any time, by group and epoch.
     ever_ready: BTreeMap<(GroupId, u64), BTreeSet<VmId>>,
     /// Orders to be carried out late: when, by which engine, action and fencing token.
@@ -81,8 +92,10 @@
             entry,
             is_alive: true,
             is_listed: true,
+            cut: None,
             ready_at: None,
             open_at: None,
+            closed_at: None,
             loading: None,
             last_model: None,
             members: Vec::new(),
@@ -95,11 +108,32 @@
     /// Returns the entries that the store shows.
     pub fn listed(&self) -> BTreeMap<VmId, Upstream> {
         let listed = self.by_id.iter().filter(|(_, engine)| engine.is_listed);
+        let shown = |engine: &SimulatedEngine| match &engine.cut {
+            Some((entry, _)) => entry.clone(),
+            None => engine.entry.clone(),
+        };
         listed
-            .map(|(id, engine)| (id.clone(), engine.entry.clone()))
+            .map(|(id, engine)| (id.clone(), shown(engine)))
             .collect()
     }
 
+    /// Cuts an engine off from the store: its entry stays as it is until it expires.
+    pub fn cut_off(&mut self, id: &VmId, now: TimeMs) {
+        let engine = self.engine(id);
+        if engine.is_listed && engine.cut.is_none() {
+            let expires_at = now.plus_ms(ENTRY_EXPIRY_MS);
+            engine.cut = Some((engine.entry.clone(), expires_at));
+        }
+    }
+
+    /// Ends the cut of an engine from the store. A live engine publishes its entry again.
+    pub fn reconnect(&mut self, id: &VmId) {
+        let engine = self.engine(id);
+        if engine.cut.take().is_some() {
+            engine.is_listed = engine.is_alive;
+        }
+    }
+
     pub fn engine(&mut self, id: &VmId) -> &mut SimulatedEngine {
         self.by_id.get_mut(id).expect("the engine exists")
     }
@@ -114,11 +148,13 @@
         let engine = self.engine(id);
         engine.is_alive = true;
         engine.is_listed = true;
+        engine.cut = None;
         engine.entry.started_unix_ms += 1;
         engine.entry.membership = None;
         engine.entry.model = None;
         engine.ready_at = None;
         engine.open_at = None;
+        engine.closed_at = None;
         engine.loading = None;
         engine.last_model = None;
         engine.highest_epoch = 0;
@@ -168,6 +204,8 @@
         }
         let mut opened = Vec::new();
         for (id, engine) in &mut self.by_id {
+            let is_expired = |(_, at): &(Upstream, TimeMs)| *at <= now;
+            engine.is_listed &= !engine.cut.as_ref().is_some_and(is_expired);
             if !engine.is_alive {
                 continue;
             }
@@ -185,6 +223,11 @@
                 let key = (membership.group.clone(), membership.epoch);
                 self.ever_ready.entry(key).or_default().insert(id.clone());
             }
+            if engine.closed_at.take_if(|at| *at <= now).is_some()
+                && let Some(membership) = &mut engine.entry.membership
+            {
+                membership.state = GroupState::Ready;
+            }
             if engine.open_at.take_if(|at| *at <= now).is_some()
                 && let Some(membership) = &mut engine.entry.membership
             {
@@ -233,17 +276,32 @@
                 members,
             } => self.join(id, (group, *epoch), model, members, now),
             OrderAction::Open { group, epoch } => self.open(id, group, *epoch, now),
-            OrderAction::Close { group, epoch, .. } => {
+            OrderAction::Close {
+                group,
+                epoch,
+                cuts_running,
+            } => {
+                let close_ms = if *cuts_running { 0 } else { self.close_ms };
                 self.change_member(id, group, *epoch, |engine| {
                     engine.open_at = None;
-                    if let Some(membership) = &mut engine.entry.membership {
+                    let Some(membership) = &mut engine.entry.membership else {
+                        return;
+                    };
+                    let is_open =
+                        matches!(membership.state, GroupState::Open | GroupState::Closing);
+                    if close_ms > 0 && is_open {
+                        membership.state = GroupState::Closing;
+                        engine.closed_at.get_or_insert(now.plus_ms(close_ms));
+                    } else {
                         membership.state = GroupState::Ready;
+                        engine.closed_at = None;
                     }
                 })
             }
             OrderAction::Leave { group, epoch } => {
                 self.change_member(id, group, *epoch, |engine| {
                     engine.open_at = None;
+                    engine.closed_at = None;
                     engine.ready_at = None;
                     engine.entry.membership = None;
                     engine.entry.model = None;
@@ -289,7 +347,8 @@
         }
     }
 
-    /// Returns whether the leader of this group takes requests or is about to.
+    /// Returns whether the leader of this group takes requests, finishes them or is about to open
+    /// the group.
     fn is_serving(&self, membership: &Membership) -> bool {
         self.by_id.values().any(|engine| {
             engine.is_alive
@@ -297,7 +356,8 @@
                     m.group == membership.group
                         && m.epoch == membership.epoch
                         && m.rank == 0
-                        && (m.state == GroupState::Open || engine.open_at.is_some())
+                        && (matches!(m.state, GroupState::Open | GroupState::Closing)
+                            || engine.open_at.is_some())
                 })
         })
     }
@@ -354,6 +414,7 @@
             state: GroupState::Joining,
         });
         engine.open_at = None;
+        engine.closed_at = None;
         engine.ready_at = Some(now.plus_ms(join_ms));
         OrderAnswer::Begun
     }
--- a/crates/regroup/tests/random.rs
+++ b/crates/regroup/tests/random.rs
@@ -42,6 +42,9 @@
     Replace(u8),
     Unlist(u8),
     Relist(u8),
+    /// The engine is cut off from the store: its entry stays as it is until it expires.
+    CutOff(u8),
+    Reconnect(u8),
     Drain(u8),
     /// The next owner takes over.
     TakeOver,
@@ -52,7 +55,7 @@
 impl Arbitrary for Event {
     fn arbitrary(source: &mut Gen) -> Event {
         let index = u8::arbitrary(source) % 24;
-        match u8::arbitrary(source) % 14 {
+        match u8::arbitrary(source) % 18 {
             0..=2 => Event::Kill(index),
             3..=4 => Event::Restart(index),
             5 => Event::Unlist(index),
@@ -60,6 +63,8 @@
             7 => Event::Drain(index),
             8 => Event::TakeOver,
             9..=10 => Event::Replace(index),
+            11..=13 => Event::CutOff(index),
+            14 => Event::Reconnect(index),
             _ => Event::Wait(u16::arbitrary(source) % 4_000),
         }
     }
@@ -70,6 +75,8 @@
 fn has_no_violation(events: Vec<Event>, seed: u64, late_share: f64) -> bool {
     let mut world = World::serving(3);
     world.run_ms(20_000);
+    world.engines.close_ms = 600;
+    world.report_lag_ms = 300;
     let mut rng = SmallRng::seed_from_u64(seed);
     world.order_delay = Box::new(move || {
         rng.random_bool(late_share)
@@ -97,6 +104,8 @@
                 let engine = world.engines.engine(&id(index));
                 engine.is_listed |= engine.is_alive;
             }
+            Event::CutOff(index) => world.engines.cut_off(&id(index), world.now),
+            Event::Reconnect(index) => world.engines.reconnect(&id(index)),
             Event::Drain(index) => {
                 let engine = world.engines.engine(&id(index));
                 engine.entry.state = jacinthpoint_fleet::UpstreamState::Draining;
--- a/crates/regroup/tests/repair.rs
+++ b/crates/regroup/tests/repair.rs
@@ -157,6 +157,59 @@
         world.run_until(20_000, |world| world.serving_group_count(LARGE) == 7);
     }
 
+    // Guards against a member of a serving group that the next owner ordered into another group: the
+    // member is cut off from the store, and its entry is from before it joined.
+    member_with_an_old_entry_is_in_one_group_after_a_takeover: |world, members| {
+        let (spares, dead) = world.others_in_domain(&members);
+        world.engines.close_ms = 500;
+        for id in &spares {
+            world.engines.kill(id);
+            world.run_ms(50);
+            world.engines.restart(id);
+        }
+        world.run_ms(2_000);
+        for id in &spares {
+            let now = world.now;
+            world.engines.cut_off(id, now);
+        }
+        world.engines.kill(&members[2]);
+        report_stall(&mut world, &members);
+        world.run_until(REPAIR_MS, |world| spares.iter().any(|id| world.is_in_open_group(id)));
+        world.take_over();
+        for id in dead.iter().chain([&members[2]]) {
+            world.engines.restart(id);
+        }
+        world.run_ms(6_000);
+        for id in &spares {
+            world.engines.reconnect(id);
+        }
+        world.run_until(20_000, |world| world.serving_group_count(LARGE) == 7);
+    }
+
+    // Guards against a member of a serving group that its own owner ordered into another group: the
+    // member is cut off from the store, its entry is from before it joined, and its reports are not
+    // used because an ended upstream is still listed at its address.
+    member_with_an_old_entry_and_a_shared_address_is_in_one_group: |world, members| {
+        let (_, dead) = world.others_in_domain(&members);
+        world.engines.close_ms = 500;
+        world.engines.kill(&members[2]);
+        let successor = world.engines.replace_at_address(&members[0]);
+        let now = world.now;
+        world.engines.cut_off(&successor, now);
+        report_stall(&mut world, &members);
+        world.run_until(REPAIR_MS, |world| {
+            world.engines.by_id[&successor].entry.membership.is_some()
+        });
+        // With these, the other free upstreams and the successor could form one more group.
+        for id in &dead {
+            world.engines.restart(id);
+        }
+        world.run_ms(6_000);
+        world.engines.reconnect(&successor);
+        world.engines.engine(&members[0]).is_listed = false;
+        world.run_until(20_000, |world| world.serving_group_count(LARGE) == 7);
+    }
+
     // Guards against formations without a record of why their members counted as free.
     decisions_tell_why_members_counted_as_free: |world, members| {
         world.decisions.clear();
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -1,12 +1,14 @@
 //! Runs a planner against simulated engines in steps of simulated time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-use jacinthpoint_fleet::{Engine, GroupState, ModelSpec, OrderAnswer, Upstream, groups_of};
+use jacinthpoint_fleet::{
+    Engine, GroupState, Membership, ModelSpec, OrderAnswer, Upstream, groups_of,
+};
 use jacinthpoint_regroup::{Action, Decision, Demand, Planner, PlannerInput, Report};
 use jacinthpoint_types::{DeploymentId, TimeMs, VmId};
 
-use crate::engines::{Engines, LOAD_MS, OPEN_MS, WARM_MS};
+use crate::engines::{Engines, LOAD_MS, OPEN_MS, SimulatedEngine, WARM_MS};
 
 /// Length of a step; a gateway's planner runs at the same interval.
 pub const STEP_MS: u64 = 50;
@@ -68,6 +70,10 @@
     unlisted: BTreeMap<VmId, Upstream>,
     /// Engines that listen at the address of a dead engine, by the name of the dead one.
     pub successors: BTreeMap<VmId, VmId>,
+    /// Age of the state that engines report when they are probed.
+    pub report_lag_ms: u64,
+    /// State of each engine at the last steps, the oldest first. Kept for `report_lag_ms`.
+    reportable: VecDeque<(TimeMs, BTreeMap<VmId, Report>)>,
     /// Called for each order. Returns the delay in milliseconds if the order is to be carried out
     /// late and not answered.
     pub order_delay: Box<dyn FnMut() -> Option<u64>>,
@@ -86,6 +92,8 @@
             listed: BTreeMap::new(),
             unlisted: BTreeMap::new(),
             successors: BTreeMap::new(),
+            report_lag_ms: 0,
+            reportable: VecDeque::new(),
             order_delay: Box::new(|| None),
         }
     }
@@ -182,6 +190,7 @@
     fn step(&mut self) {
         self.now = self.now.plus_ms(STEP_MS);
         self.engines.advance(self.now);
+        self.record_reportable();
         let listed = self.engines.listed();
         self.update_unlisted(&listed);
         let spec = self.spec.clone();
@@ -228,11 +237,7 @@
                 }
                 Action::Probe(id, _) => {
                     let answering = self.at_address_of(&id);
-                    let answer = answering.map(|engine| Report {
-                        started_unix_ms: engine.entry.started_unix_ms,
-                        membership: engine.entry.membership.clone(),
-                        staged: engine.entry.staged.clone(),
-                    });
+                    let answer = answering.map(|engine| self.report_of(&engine.entry.id));
                     self.planner
                         .on_probe_end(&id, answer, listed.get(&id), self.now);
                 }
@@ -240,6 +245,42 @@
         }
     }
 
+    /// Records the state that engines report `report_lag_ms` later.
+    fn record_reportable(&mut self) {
+        let live = self
+            .engines
+            .by_id
+            .iter()
+            .filter(|(_, engine)| engine.is_alive);
+        let report = |engine: &SimulatedEngine| Report {
+            started_unix_ms: engine.entry.started_unix_ms,
+            membership: engine.entry.membership.clone(),
+            staged: engine.entry.staged.clone(),
+        };
+        let reports = live
+            .map(|(id, engine)| (id.clone(), report(engine)))
+            .collect();
+        self.reportable.push_back((self.now, reports));
+        let (lag_ms, now) = (self.report_lag_ms, self.now);
+        while self
+            .reportable
+            .get(1)
+            .is_some_and(|(at, _)| now.since_ms(*at) >= lag_ms)
+        {
+            self.reportable.pop_front();
+        }
+    }
+
+    /// Returns what a live engine answers to a probe. An engine that was started within
+    /// `report_lag_ms` reports its state after the start.
+    fn report_of(&self, id: &VmId) -> Report {
+        let mut reports = self.reportable.iter().map(|(_, reports)| reports);
+        let report = reports.find_map(|reports| reports.get(id));
+        report
+            .expect("the state of each live engine is recorded")
+            .clone()
+    }
+
     /// Updates the group members that are no longer listed, as a gateway's view of the fleet does.
     fn update_unlisted(&mut self, listed: &BTreeMap<VmId, Upstream>) {
         for (id, entry) in std::mem::replace(&mut self.listed, listed.clone()) {
@@ -257,8 +298,37 @@
         membership.is_some_and(|membership| membership.state == GroupState::Open)
     }
 
+    /// Returns whether an engine is a live member of a group whose leader takes requests.
+    pub fn is_in_open_group(&self, id: &VmId) -> bool {
+        let engine = &self.engines.by_id[id];
+        let membership = engine.entry.membership.as_ref();
+        let is_open = |m: &Membership| {
+            let engines = self.engines.by_id.values().filter(|engine| engine.is_alive);
+            let mut memberships = engines.filter_map(|engine| engine.entry.membership.as_ref());
+            memberships.any(|other| {
+                other.group == m.group && other.rank == 0 && other.state == GroupState::Open
+            })
+        };
+        engine.is_alive && membership.is_some_and(is_open)
+    }
+
+    /// Returns the other engines in the fabric domain of `members`, those that are alive first, then
+    /// the dead ones.
+    pub fn others_in_domain(&self, members: &[VmId]) -> (Vec<VmId>, Vec<VmId>) {
+        let domain = &self.engines.by_id[&members[0]].entry.domain;
+        let is_other = |(id, engine): &(&VmId, &SimulatedEngine)| {
+            engine.entry.domain == *domain && !members.contains(id)
+        };
+        let others = self.engines.by_id.iter().filter(is_other);
+        let (live, dead): (Vec<_>, Vec<_>) = others.partition(|(_, engine)| engine.is_alive);
+        let ids = |engines: Vec<(&VmId, &SimulatedEngine)>| {
+            engines.into_iter().map(|(id, _)| id.clone()).collect()
+        };
+        (ids(live), ids(dead))
+    }
+
     /// Returns the live engine that listens at the address of `id`.
-    fn at_address_of(&self, id: &VmId) -> Option<&crate::engines::SimulatedEngine> {
+    fn at_address_of(&self, id: &VmId) -> Option<&SimulatedEngine> {
         let id = self.successors.get(id).unwrap_or(id);
         let address = self.engines.by_id.get(id)?.entry.address;
         self.engines.by_id.get(self.engines.at_address(address)?)
