Regroup: keep the memberships that the planner ordered until an upstream publishes newer state

Cause: when a group opened, the planner dropped the formation and decided by entries and reports alone. The entry of a member that is cut off from the store is from before its join, and its reports are not used while an ended upstream is still listed at its address. The member then counted as free and was ordered into another group, while its own one served.

Change: the members of a group that was ordered to open keep this membership until their entries change, a report that is newer than the order shows another one, or they answer that they left.

--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -75,3 +75,14 @@
     /// No answer arrived; the order may still be carried out.
     Unknown,
 }
+
+impl OrderAnswer {
+    /// Returns whether this answer to an order to leave shows that the upstream is not in the group:
+    /// it left, or it was not a member.
+    pub fn shows_absence(self) -> bool {
+        matches!(
+            self,
+            OrderAnswer::Begun | OrderAnswer::Done | OrderAnswer::Unfit
+        )
+    }
+}
--- a/crates/regroup/src/formation.rs
+++ b/crates/regroup/src/formation.rs
@@ -39,6 +39,8 @@
     /// Members whose last order was not answered.
     unanswered: BTreeSet<VmId>,
     open_sent_at: Option<TimeMs>,
+    /// Whether the leader was ever ordered to open the group, so that the group may serve.
+    pub(crate) was_ordered_to_open: bool,
     /// Whether the leader answered that the group is open.
     open_done: bool,
     /// Whether an order was refused or reached another upstream.
@@ -71,6 +73,7 @@
             join_sent_at: BTreeMap::new(),
             unanswered: BTreeSet::new(),
             open_sent_at: None,
+            was_ordered_to_open: false,
             open_done: false,
             is_refused: false,
             expected_ms,
@@ -134,6 +137,7 @@
                 return Vec::new();
             }
             self.open_sent_at = Some(now);
+            self.was_ordered_to_open = true;
             let action = OrderAction::Open {
                 group: self.group.clone(),
                 epoch: self.epoch,
--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -16,13 +16,14 @@
     demand::Demand,
     failure_detector::FailureDetector,
     formation::{Formation, Progress},
-    planner::conversion::Conversion,
+    planner::{conversion::Conversion, ordered_state::OrderedState},
 };
 
 mod addresses;
 mod conversion;
 mod maintenance;
 mod new_groups;
+mod ordered_state;
 mod reported_state;
 
 /// Time since the number of listed upstreams last reached a new maximum, after which the list
@@ -96,6 +97,8 @@
     /// Membership in the list entry when the report arrived. If the entry shows another one later,
     /// the entry is newer than this report.
     entry_membership: Option<Membership>,
+    /// When the report arrived.
+    received_at: TimeMs,
 }
 
 /// Plans the groups of one service under one fencing token.
@@ -111,6 +114,8 @@
     formations: BTreeMap<GroupId, Formation>,
     /// The last report of each upstream, if it is newer than the list entry.
     reported_states: BTreeMap<VmId, ReportedState>,
+    /// Memberships in groups that this planner ordered to open.
+    ordered_states: BTreeMap<VmId, OrderedState>,
     /// Model of the last group that each upstream's current incarnation was in or was ordered to
     /// join. A member of a group that is being formed has the group's model, also after a restart.
     last_models: BTreeMap<VmId, DeploymentId>,
@@ -172,6 +177,7 @@
             detector: FailureDetector::default(),
             formations: BTreeMap::new(),
             reported_states: BTreeMap::new(),
+            ordered_states: BTreeMap::new(),
             last_models: BTreeMap::new(),
             incarnations: BTreeMap::new(),
             order_sent_at: BTreeMap::new(),
@@ -244,6 +250,7 @@
                 membership: report.membership,
                 staged: report.staged,
                 entry_membership: entry.membership.clone(),
+                received_at: now,
             };
             self.reported_states.insert(id.clone(), reported);
         }
@@ -261,13 +268,11 @@
                 self.record_others_displaced(&order.target);
             }
         }
+        self.on_ordered_answer(order, answer);
         if let OrderAction::Leave { group, epoch } = &order.action {
             let key = (group.clone(), *epoch);
-            // `Unfit` means that the upstream is not in the group, `WrongUpstream` that it ended.
-            let has_left = matches!(
-                answer,
-                OrderAnswer::Begun | OrderAnswer::Done | OrderAnswer::Unfit
-            );
+            // `WrongUpstream` means that the upstream has ended.
+            let has_left = answer.shows_absence();
             if has_left && self.leaders.get(&key) == Some(&order.target) {
                 self.leaderless.insert(key.clone());
             }
@@ -284,8 +289,9 @@
 
     /// Returns the orders, probes and health checks that are due.
     pub fn plan(&mut self, input: PlannerInput<'_>, now: TimeMs) -> Vec<Action> {
-        let upstreams = self.current_upstreams(input, now);
-        let mut orders = self.advance_formations(&upstreams, now);
+        let mut upstreams = self.current_upstreams(input, now);
+        let mut orders = self.advance_formations(&mut upstreams, now);
+        let upstreams = upstreams;
         let groups = groups_of(upstreams.values());
         let mut assigned: BTreeSet<VmId> = self.forming_members();
         for group in groups.values() {
@@ -350,10 +356,11 @@
     }
 
     /// Returns the orders that are due for groups being formed, and removes the formations that
-    /// ended. A formation fails if a member is unlisted, draining or considered dead.
+    /// ended. A formation fails if a member is unlisted, draining or considered dead. Adds the
+    /// memberships of groups that were ordered to open to `upstreams`.
     fn advance_formations(
         &mut self,
-        upstreams: &BTreeMap<VmId, Upstream>,
+        upstreams: &mut BTreeMap<VmId, Upstream>,
         now: TimeMs,
     ) -> Vec<Order> {
         let (detector, displaced) = (&self.detector, &self.displaced);
@@ -367,10 +374,7 @@
             let (progress, orders) = formation.advance(|id| upstreams.get(id), is_usable, now);
             due.extend(orders);
             if let Progress::Ended(outcome) = progress {
-                let group = formation.group.clone();
-                ended.push(group.clone());
-                self.decisions
-                    .push(Decision::FormationEnded { group, outcome });
+                ended.push((formation.group.clone(), outcome));
             }
             // `current_upstreams` removed the model of a member that restarted. It is added again,
             // since the member is assigned to this group and counts as a holder of its model.
@@ -378,8 +382,14 @@
                 self.last_models.insert(id.clone(), formation.model.clone());
             }
         }
-        for group in ended {
-            self.formations.remove(&group);
+        for (group, outcome) in ended {
+            if let Some(formation) = self.formations.remove(&group)
+                && formation.was_ordered_to_open
+            {
+                self.record_ordered(&formation, outcome, upstreams, now);
+            }
+            self.decisions
+                .push(Decision::FormationEnded { group, outcome });
         }
         due
     }
--- a/crates/regroup/src/planner/reported_state.rs
+++ b/crates/regroup/src/planner/reported_state.rs
@@ -33,6 +33,7 @@
             let upstream = upstreams.get(id);
             upstream.is_some_and(|upstream| !shared.contains(&upstream.address))
         });
+        self.retain_ordered(&upstreams);
         self.incarnations.retain(|id, _| upstreams.contains_key(id));
         for (id, upstream) in &mut upstreams {
             self.detector
@@ -43,6 +44,7 @@
                 != Some(upstream.started_unix_ms)
             {
                 self.reported_states.remove(id);
+                self.ordered_states.remove(id);
                 self.last_models.remove(id);
                 self.loading.remove(id);
             }
@@ -54,6 +56,7 @@
                     self.reported_states.remove(id);
                 }
             }
+            self.apply_ordered(upstream);
             if let (Some(model), Some(_)) = (&upstream.model, &upstream.membership) {
                 self.last_models.insert(id.clone(), model.clone());
             }
