Regroup: select as members only upstreams that answered a probe of this owner

Cause: a new owner knows the orders of its predecessors by the list alone. The entry of an upstream that is cut off from the store is from before its join, so a member of a serving group counted as free, and the new owner ordered it into another group.

Change: an upstream is selected only once its current incarnation answered a probe of this planner; those that are not assigned are probed at once. An upstream that answers an order to leave with 'not a member' has to answer a probe again. A report is used if all other upstreams at its address have ended, so that the successor of an ended upstream can be confirmed before the old entry expires; reports at the address of a displaced upstream are not stored as its own.

--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -20,6 +20,7 @@
 };
 
 mod addresses;
+mod confirmation;
 mod conversion;
 mod maintenance;
 mod new_groups;
@@ -114,6 +115,10 @@
     formations: BTreeMap<GroupId, Formation>,
     /// The last report of each upstream, if it is newer than the list entry.
     reported_states: BTreeMap<VmId, ReportedState>,
+    /// Upstreams whose current incarnations answered a probe of this planner or joined one of its
+    /// groups. Only these are selected as members: an entry may be older than the orders of an
+    /// earlier owner.
+    confirmed: BTreeSet<VmId>,
     /// Memberships in groups that this planner ordered to open.
     ordered_states: BTreeMap<VmId, OrderedState>,
     /// Model of the last group that each upstream's current incarnation was in or was ordered to
@@ -177,6 +182,7 @@
             detector: FailureDetector::default(),
             formations: BTreeMap::new(),
             reported_states: BTreeMap::new(),
+            confirmed: BTreeSet::new(),
             ordered_states: BTreeMap::new(),
             last_models: BTreeMap::new(),
             incarnations: BTreeMap::new(),
@@ -273,6 +279,11 @@
             let key = (group.clone(), *epoch);
             // `WrongUpstream` means that the upstream has ended.
             let has_left = answer.shows_absence();
+            if answer == OrderAnswer::Unfit {
+                // The upstream is in another group than its state shows.
+                self.confirmed.remove(&order.target);
+                self.reported_states.remove(&order.target);
+            }
             if has_left && self.leaders.get(&key) == Some(&order.target) {
                 self.leaderless.insert(key.clone());
             }
@@ -306,6 +317,7 @@
             }
             orders.extend(due);
         }
+        self.request_confirmations(&upstreams, &assigned);
         self.wait_started_at
             .retain(|key, _| groups.contains_key(key));
         self.closed_permanently
--- a/crates/regroup/src/planner/new_groups.rs
+++ b/crates/regroup/src/planner/new_groups.rs
@@ -246,8 +246,9 @@
         members.map(basis).collect()
     }
 
-    /// Returns the live upstreams that take new work and are not assigned to a group. Those with an
-    /// address that another live upstream has are left out, since only one of them can exist.
+    /// Returns the live upstreams that take new work, are not assigned to a group and confirmed that.
+    /// Those with an address that another live upstream has are left out, since only one of them can
+    /// exist.
     fn free_by_domain<'a>(
         &self,
         upstreams: &'a BTreeMap<VmId, Upstream>,
@@ -256,11 +257,12 @@
         let present = upstreams
             .values()
             .filter(|upstream| !self.is_gone(&upstream.id));
-        let shared = shared_addresses(present.clone());
+        let shared = self.shared_addresses_of_present(upstreams);
         let mut free = FreeByDomain::new();
         for upstream in present {
             let is_free = upstream.is_ready()
                 && !assigned.contains(&upstream.id)
+                && self.confirmed.contains(&upstream.id)
                 && !shared.contains(&upstream.address);
             if let (true, Some(domain)) = (is_free, &upstream.domain) {
                 free.entry(domain.clone()).or_default().push(upstream);
--- a/crates/regroup/src/planner/reported_state.rs
+++ b/crates/regroup/src/planner/reported_state.rs
@@ -9,7 +9,7 @@
 use jacinthpoint_fleet::{UNLISTED_MS, Upstream, UpstreamState};
 use jacinthpoint_types::{Deadline, DeploymentId, TimeMs, VmId};
 
-use crate::planner::{Action, Planner, PlannerInput, addresses::shared_addresses};
+use crate::planner::{Action, Planner, PlannerInput};
 
 /// Time between two health checks of an unlisted member.
 const HEALTH_CHECK_INTERVAL_MS: u64 = 1_000;
@@ -27,12 +27,16 @@
         self.add_unlisted(&mut upstreams, input.unlisted, now);
         self.retain_displaced(&upstreams);
         self.detector.retain(|id| upstreams.contains_key(id));
-        // A report from an address that several upstreams have may come from any of them.
-        let shared = shared_addresses(upstreams.values());
+        // A report from an address that several upstreams have may come from any of them, and one
+        // from the address of a displaced upstream comes from another one.
+        let shared = self.shared_addresses_of_present(&upstreams);
+        let displaced = &self.displaced;
         self.reported_states.retain(|id, _| {
             let upstream = upstreams.get(id);
-            upstream.is_some_and(|upstream| !shared.contains(&upstream.address))
+            let is_shared = |upstream: &Upstream| shared.contains(&upstream.address);
+            upstream.is_some_and(|upstream| !is_shared(upstream) && !displaced.contains_key(id))
         });
+        self.update_confirmed(&upstreams);
         self.retain_ordered(&upstreams);
         self.incarnations.retain(|id, _| upstreams.contains_key(id));
         for (id, upstream) in &mut upstreams {
@@ -45,6 +49,7 @@
             {
                 self.reported_states.remove(id);
                 self.ordered_states.remove(id);
+                self.confirmed.remove(id);
                 self.last_models.remove(id);
                 self.loading.remove(id);
             }
--- a/crates/regroup/tests/repair.rs
+++ b/crates/regroup/tests/repair.rs
@@ -190,9 +190,13 @@
     // member is cut off from the store, its entry is from before it joined, and its reports are not
     // used because an ended upstream is still listed at its address.
     member_with_an_old_entry_and_a_shared_address_is_in_one_group: |world, members| {
-        let (_, dead) = world.others_in_domain(&members);
+        let (spares, dead) = world.others_in_domain(&members);
         world.engines.close_ms = 500;
-        world.engines.kill(&members[2]);
+        // Four upstreams remain in the domain, so a group needs the successor.
+        let killed = [&spares[0], &members[2], &members[3]];
+        for id in killed {
+            world.engines.kill(id);
+        }
         let successor = world.engines.replace_at_address(&members[0]);
         let now = world.now;
         world.engines.cut_off(&successor, now);
@@ -200,8 +204,8 @@
         world.run_until(REPAIR_MS, |world| {
             world.engines.by_id[&successor].entry.membership.is_some()
         });
-        // With these, the other free upstreams and the successor could form one more group.
-        for id in &dead {
+        // With these three, the successor could form one more group.
+        for id in [&dead[0], &members[2], &members[3]] {
             world.engines.restart(id);
         }
         world.run_ms(6_000);
@@ -210,6 +214,35 @@
         world.run_until(20_000, |world| world.serving_group_count(LARGE) == 7);
     }
 
+    // Guards against a member of a serving group that its own owner ordered into another group: the
+    // member is cut off from the store, the answer to its order to join was lost, and its reports are
+    // almost a second old, so all that it published is from before it joined.
+    member_with_old_reports_is_in_one_group: |world, members| {
+        let (spares, dead) = world.others_in_domain(&members);
+        world.engines.close_ms = 500;
+        world.report_lag_ms = 900;
+        for id in &spares {
+            let now = world.now;
+            world.engines.cut_off(id, now);
+        }
+        world.engines.kill(&members[2]);
+        report_stall(&mut world, &members);
+        world.order_delay = Box::new(|| Some(50));
+        let old_group = world.engines.by_id[&spares[0]].entry.membership.clone();
+        world.run_until(REPAIR_MS, |world| {
+            world.engines.by_id[&spares[0]].entry.membership != old_group
+        });
+        world.order_delay = Box::new(|| None);
+        // With this one, the spares could form one more group.
+        world.engines.restart(&dead[0]);
+        world.run_until(REPAIR_MS, |world| world.is_in_open_group(&spares[0]));
+        world.run_ms(6_000);
+        for id in &spares {
+            world.engines.reconnect(id);
+        }
+        world.run_until(20_000, |world| world.serving_group_count(LARGE) == 7);
+    }
+
     // Guards against formations without a record of why their members counted as free.
     decisions_tell_why_members_counted_as_free: |world, members| {
         world.decisions.clear();
