Regroup: an entry outdates an ordered membership only if it shows a later group

Cause: any change of the entry counted as newer than the order. Entries may arrive late: the entry of a member went from its old group to no group, both from before the order, while its new group served. The member counted as free and was ordered into another group.

Change: an ordered membership ends with an entry of a higher epoch, a newer report or an answer.

The simulated list may now be old as a whole or for single engines; the random sequences do both.

--- a/crates/regroup/src/planner/ordered_state.rs
+++ b/crates/regroup/src/planner/ordered_state.rs
@@ -23,26 +23,30 @@
 pub(super) struct OrderedState {
     membership: Membership,
     model: DeploymentId,
-    /// Membership in the list entry when the formation ended. If the entry shows another one later,
-    /// the entry is newer.
-    entry_membership: Option<Membership>,
     /// When the formation ended.
     ordered_at: TimeMs,
 }
 
 impl OrderedState {
     /// Returns whether the upstream published newer state than this one.
+    ///
+    /// A changed entry alone does not show that: entries may arrive late, so an entry may go from one
+    /// state before the order to another one.
     fn is_outdated(&self, entry: &Upstream, report: Option<&ReportedState>) -> bool {
-        let shows_older = |membership: Option<&Membership>| {
-            membership.is_none_or(|shown| shown.epoch < self.membership.epoch)
-        };
+        let epoch = self.membership.epoch;
+        let has_newer_entry = entry
+            .membership
+            .as_ref()
+            .is_some_and(|shown| shown.epoch > epoch);
+        let shows_older =
+            |membership: Option<&Membership>| membership.is_none_or(|shown| shown.epoch < epoch);
         // A report that shows the group itself does not outdate this state, since that report may
         // become unusable.
         let has_newer_report = report.is_some_and(|report| {
             shows_older(report.membership.as_ref())
                 && report.received_at.since_ms(self.ordered_at) >= MAX_REPORT_AGE_MS
         });
-        entry.membership != self.entry_membership || has_newer_report
+        has_newer_entry || has_newer_report
     }
 
     /// Replaces the membership of `upstream` unless it shows a group with the same or a higher
@@ -89,7 +93,6 @@
                 continue;
             };
             let is_open = rank == 0 && outcome == FormationOutcome::Open;
-            let entry = self.listed.get(id);
             let ordered = OrderedState {
                 membership: Membership {
                     group: formation.group.clone(),
@@ -102,7 +105,6 @@
                     },
                 },
                 model: formation.model.clone(),
-                entry_membership: entry.and_then(|entry| entry.membership.clone()),
                 ordered_at: now,
             };
             ordered.apply(upstream);
--- a/crates/regroup/tests/random.rs
+++ b/crates/regroup/tests/random.rs
@@ -48,6 +48,10 @@
     Drain(u8),
     /// The next owner takes over.
     TakeOver,
+    /// The entries of the engine that the planner reads are this old, in milliseconds.
+    PublishLate(u8, u16),
+    /// All entries that the planner reads are this old, in milliseconds.
+    ListLag(u16),
     /// Simulated time that passes, in milliseconds.
     Wait(u16),
 }
@@ -55,7 +59,7 @@
 impl Arbitrary for Event {
     fn arbitrary(source: &mut Gen) -> Event {
         let index = u8::arbitrary(source) % 24;
-        match u8::arbitrary(source) % 18 {
+        match u8::arbitrary(source) % 23 {
             0..=2 => Event::Kill(index),
             3..=4 => Event::Restart(index),
             5 => Event::Unlist(index),
@@ -65,6 +69,9 @@
             9..=10 => Event::Replace(index),
             11..=13 => Event::CutOff(index),
             14 => Event::Reconnect(index),
+            18..=20 => Event::PublishLate(index, u16::arbitrary(source) % 2_500),
+            21 => Event::PublishLate(index, 0),
+            22 => Event::ListLag(u16::arbitrary(source) % 1_000),
             _ => Event::Wait(u16::arbitrary(source) % 4_000),
         }
     }
@@ -111,6 +118,10 @@
                 engine.entry.state = jacinthpoint_fleet::UpstreamState::Draining;
             }
             Event::TakeOver => world.take_over(),
+            Event::PublishLate(index, ms) => {
+                world.publish_lag_ms.insert(id(index), u64::from(ms));
+            }
+            Event::ListLag(ms) => world.list_lag_ms = u64::from(ms),
             Event::Wait(ms) => world.run_ms(u64::from(ms)),
         }
         world.run_ms(300);
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -13,6 +13,9 @@
 /// Length of a step; a gateway's planner runs at the same interval.
 pub const STEP_MS: u64 = 50;
 
+/// Maximum age of an entry that the planner reads.
+const MAX_LIST_LAG_MS: u64 = 8_000;
+
 /// The large model, in groups of four.
 pub const LARGE: &str = "large";
 /// The small model, in groups of two.
@@ -74,6 +77,15 @@
     pub report_lag_ms: u64,
     /// State of each engine at the last steps, the oldest first. Kept for `report_lag_ms`.
     reportable: VecDeque<(TimeMs, BTreeMap<VmId, Report>)>,
+    /// Age of the entries that the planner reads, of upstreams without one in `publish_lag_ms`.
+    pub list_lag_ms: u64,
+    /// Age of the entries of single upstreams. An entry never returns to an older state when this
+    /// grows.
+    pub publish_lag_ms: BTreeMap<VmId, u64>,
+    /// Entries that the store showed at the last steps, the oldest first.
+    published: VecDeque<(TimeMs, BTreeMap<VmId, Upstream>)>,
+    /// Time of the state that the planner last read of each upstream.
+    shown_at: BTreeMap<VmId, TimeMs>,
     /// Called for each order. Returns the delay in milliseconds if the order is to be carried out
     /// late and not answered.
     pub order_delay: Box<dyn FnMut() -> Option<u64>>,
@@ -94,6 +106,10 @@
             successors: BTreeMap::new(),
             report_lag_ms: 0,
             reportable: VecDeque::new(),
+            list_lag_ms: 0,
+            publish_lag_ms: BTreeMap::new(),
+            published: VecDeque::new(),
+            shown_at: BTreeMap::new(),
             order_delay: Box::new(|| None),
         }
     }
@@ -191,7 +207,7 @@
         self.now = self.now.plus_ms(STEP_MS);
         self.engines.advance(self.now);
         self.record_reportable();
-        let listed = self.engines.listed();
+        let listed = self.read_list();
         self.update_unlisted(&listed);
         let spec = self.spec.clone();
         let input = PlannerInput {
@@ -245,6 +261,32 @@
         }
     }
 
+    /// Returns the list that the planner reads, whose entries may be old.
+    fn read_list(&mut self) -> BTreeMap<VmId, Upstream> {
+        self.published.push_back((self.now, self.engines.listed()));
+        if self.published.len() > MAX_LIST_LAG_MS as usize / STEP_MS as usize {
+            self.published.pop_front();
+        }
+        let newest = self.published.len() - 1;
+        let mut listed = BTreeMap::new();
+        for id in self.engines.by_id.keys() {
+            let lag_ms = self
+                .publish_lag_ms
+                .get(id)
+                .copied()
+                .unwrap_or(self.list_lag_ms);
+            let wanted = TimeMs(self.now.0.saturating_sub(lag_ms));
+            let shown = self.shown_at.get(id).copied().unwrap_or(wanted).max(wanted);
+            self.shown_at.insert(id.clone(), shown);
+            let steps = (self.now.since_ms(shown) / STEP_MS) as usize;
+            let entries = &self.published[newest.saturating_sub(steps)].1;
+            if let Some(entry) = entries.get(id) {
+                listed.insert(id.clone(), entry.clone());
+            }
+        }
+        listed
+    }
+
     /// Records the state that engines report `report_lag_ms` later.
     fn record_reportable(&mut self) {
         let live = self
