Regroup: the members of a group whose former leader is open again stay assigned

Cause: once a leader answered the order to leave, its group counted as ended for good. A late order to join and one to open, both of the group's own epoch, may bring the leader back; the planner saw the group open and still ordered its members into another one.

Change: while the leader publishes that it is open or closing, the group is maintained as any other.

--- a/crates/regroup/src/planner/maintenance.rs
+++ b/crates/regroup/src/planner/maintenance.rs
@@ -44,7 +44,12 @@
         if let Some(leader) = group.leader() {
             self.leaders.insert(key.clone(), leader.clone());
         }
-        if self.leaderless.contains(&key) {
+        // Late orders to join and to open may bring the leader back.
+        let is_active = matches!(
+            group.leader_state,
+            Some(GroupState::Open | GroupState::Closing)
+        );
+        if self.leaderless.contains(&key) && !is_active {
             return (false, Vec::new());
         }
         let leader = group.leader().filter(|leader| !self.is_gone(leader));
