Regroup: an upstream at a shared address is not confirmed

Cause: a confirmation outlived the report that it rested on. The entry of an ended upstream was written again at the address of a confirmed member, so the member's report was dropped; when that entry expired, the member counted as free by its own old entry, while its group was closing.

Change: what shares its address with another present upstream has to answer a probe again.

Evidence: lags::member_is_confirmed_only_by_a_usable_report failed before (6 of 19 states) and passes.

--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -115,9 +115,8 @@
     formations: BTreeMap<GroupId, Formation>,
     /// The last report of each upstream, if it is newer than the list entry.
     reported_states: BTreeMap<VmId, ReportedState>,
-    /// Upstreams whose current incarnations answered a probe of this planner or joined one of its
-    /// groups. Only these are selected as members: an entry may be older than the orders of an
-    /// earlier owner.
+    /// Upstreams whose current incarnations answered a probe of this planner. Only these are
+    /// selected as members: an entry may be older than the orders of an earlier owner.
     confirmed: BTreeSet<VmId>,
     /// Memberships in groups that this planner ordered to open.
     ordered_states: BTreeMap<VmId, OrderedState>,
--- a/crates/regroup/src/planner/confirmation.rs
+++ b/crates/regroup/src/planner/confirmation.rs
@@ -16,10 +16,14 @@
 
 impl Planner {
     /// Records that the upstreams whose reports are in use are confirmed. Removes those that are
-    /// gone from `upstreams`.
+    /// gone from `upstreams`, and those at a shared address, whose reports can no longer be used.
     pub(super) fn update_confirmed(&mut self, upstreams: &BTreeMap<VmId, Upstream>) {
         self.confirmed.extend(self.reported_states.keys().cloned());
-        self.confirmed.retain(|id| upstreams.contains_key(id));
+        let shared = self.shared_addresses_of_present(upstreams);
+        self.confirmed.retain(|id| {
+            let upstream = upstreams.get(id);
+            upstream.is_some_and(|upstream| !shared.contains(&upstream.address))
+        });
     }
 
     /// Makes probes due for the upstreams that could be selected as members, but are not confirmed.
