Regroup: a report does not replace the state of an entry that just changed

Callers: streams of a new group were cut when it was closed again at once.

Cause: a report is some hundred milliseconds old on arrival, but replaced the membership of an entry that had changed since. A new group then showed its leader ready and a member joining, so it was closed for good and formed again.

Change: within a second of a change of an entry's membership, a report is used only if it shows the same membership or a later group.

Evidence: lags::one_loss_needs_one_formation failed before (6 formations after one loss if reports are 600 ms old) and passes for ages of 0 to 900 ms.

--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -27,6 +27,9 @@
 mod ordered_state;
 mod reported_state;
 
+/// Maximum age of the state in a report on its arrival.
+const MAX_REPORT_AGE_MS: u64 = 1_000;
+
 /// Time since the number of listed upstreams last reached a new maximum, after which the list
 /// counts as complete at startup. Groups formed from the first few upstreams could leave too few in
 /// each fabric domain for the groups of a larger model.
@@ -115,6 +118,8 @@
     formations: BTreeMap<GroupId, Formation>,
     /// The last report of each upstream, if it is newer than the list entry.
     reported_states: BTreeMap<VmId, ReportedState>,
+    /// When the membership in the entry of each upstream last changed.
+    entry_changed_at: BTreeMap<VmId, TimeMs>,
     /// Upstreams whose current incarnations answered a probe of this planner. Only these are
     /// selected as members: an entry may be older than the orders of an earlier owner.
     confirmed: BTreeSet<VmId>,
@@ -181,6 +186,7 @@
             detector: FailureDetector::default(),
             formations: BTreeMap::new(),
             reported_states: BTreeMap::new(),
+            entry_changed_at: BTreeMap::new(),
             confirmed: BTreeSet::new(),
             ordered_states: BTreeMap::new(),
             last_models: BTreeMap::new(),
@@ -250,7 +256,9 @@
             return self.detector.on_failed_probe(id);
         };
         self.detector.on_alive(id, now);
-        if let Some(entry) = entry {
+        if let Some(entry) = entry
+            && !self.is_report_older(&report, entry, now)
+        {
             let reported = ReportedState {
                 membership: report.membership,
                 staged: report.staged,
@@ -262,6 +270,17 @@
         false
     }
 
+    /// Returns whether a report may be older than the entry of its upstream: the entry changed less
+    /// than [`MAX_REPORT_AGE_MS`] ago, and the report shows neither the same membership nor a later
+    /// group.
+    fn is_report_older(&self, report: &Report, entry: &Upstream, now: TimeMs) -> bool {
+        let changed_at = self.entry_changed_at.get(&entry.id);
+        let is_entry_recent = changed_at.is_some_and(|at| now.since_ms(*at) < MAX_REPORT_AGE_MS);
+        let epoch = |membership: &Option<Membership>| membership.as_ref().map(|m| m.epoch);
+        let shows_later = epoch(&report.membership) > epoch(&entry.membership);
+        is_entry_recent && !shows_later && report.membership != entry.membership
+    }
+
     /// Records the answer to an order.
     pub fn on_answer(&mut self, order: &Order, answer: OrderAnswer, now: TimeMs) {
         // `Unknown` means that no answer arrived.
--- a/crates/regroup/src/planner/ordered_state.rs
+++ b/crates/regroup/src/planner/ordered_state.rs
@@ -12,12 +12,9 @@
 use crate::{
     decision::FormationOutcome,
     formation::Formation,
-    planner::{Planner, ReportedState},
+    planner::{MAX_REPORT_AGE_MS, Planner, ReportedState},
 };
 
-/// Maximum age of the state in a report on its arrival.
-const MAX_REPORT_AGE_MS: u64 = 1_000;
-
 /// Membership of an upstream in a group that this planner ordered to open.
 #[derive(Debug, Clone)]
 pub(super) struct OrderedState {
--- a/crates/regroup/src/planner/reported_state.rs
+++ b/crates/regroup/src/planner/reported_state.rs
@@ -24,6 +24,7 @@
         now: TimeMs,
     ) -> BTreeMap<VmId, Upstream> {
         let mut upstreams = input.upstreams.clone();
+        self.record_entry_changes(&upstreams, now);
         self.add_unlisted(&mut upstreams, input.unlisted, now);
         self.retain_displaced(&upstreams);
         self.detector.retain(|id| upstreams.contains_key(id));
@@ -76,6 +77,18 @@
         upstreams
     }
 
+    /// Records when the membership in an entry changed since the previous planning step.
+    fn record_entry_changes(&mut self, upstreams: &BTreeMap<VmId, Upstream>, now: TimeMs) {
+        for (id, upstream) in upstreams {
+            let previous = self.listed.get(id);
+            if previous.is_some_and(|previous| previous.membership != upstream.membership) {
+                self.entry_changed_at.insert(id.clone(), now);
+            }
+        }
+        self.entry_changed_at
+            .retain(|id, _| upstreams.contains_key(id));
+    }
+
     /// Adds group members that are no longer listed and are not known to have ended. An unlisted
     /// leader counts as draining. Any other member does not until a health check shows that it is
     /// draining, since it may still serve while it is cut off from the store.
