Regroup: keep an open group while an upstream of its domain has yet to confirm its state

Callers: a group that served was closed by the next owner and formed again.

Cause: the next owner found the group without the member whose entry is from before its join, and closed it in its first planning step, before any upstream could report.

Change: such a group is left unchanged for up to a second, as long as an upstream of its domain that may be the member has not answered a probe.

Evidence: lags::next_owner_keeps_an_open_group_with_an_old_entry failed before ("left: g20001, right: g10006") and passes.

--- a/crates/regroup/src/planner/maintenance.rs
+++ b/crates/regroup/src/planner/maintenance.rs
@@ -64,6 +64,13 @@
         // The leader is known here, so its state is known, too, and the default is never used.
         match group.leader_state.unwrap_or(GroupState::Broken) {
             GroupState::Open if may_serve => (true, Vec::new()),
+            // The entry of a member may be from before it joined; its report will show the group.
+            GroupState::Open
+                if self.may_have_unconfirmed_member(group, &leader, upstreams)
+                    && self.awaits_members(&key, !has_dead_member, now) =>
+            {
+                (true, Vec::new())
+            }
             GroupState::Open => (true, self.close(group, has_dead_member, now)),
             GroupState::Closing if has_dead_member => (true, self.close(group, true, now)),
             GroupState::Closing => (true, Vec::new()),
@@ -125,6 +132,30 @@
         may_wait && now.since_ms(since) < MEMBERS_WAIT_MS
     }
 
+    /// Returns whether an upstream that has yet to confirm its state may be a member of this open
+    /// group, which is to be closed only because it lacks one.
+    fn may_have_unconfirmed_member(
+        &self,
+        group: &Group,
+        leader: &VmId,
+        upstreams: &BTreeMap<VmId, Upstream>,
+    ) -> bool {
+        let key = (group.id.clone(), group.epoch);
+        let domain = upstreams
+            .get(leader)
+            .and_then(|leader| leader.domain.as_ref());
+        let may_be_member = |upstream: &Upstream| {
+            let membership = upstream.membership.as_ref();
+            upstream.domain.as_ref() == domain
+                && !self.confirmed.contains(&upstream.id)
+                && !self.is_gone(&upstream.id)
+                && membership.is_none_or(|membership| membership.epoch < group.epoch)
+        };
+        !group.has_draining_member
+            && !self.closed_permanently.contains(&key)
+            && upstreams.values().any(may_be_member)
+    }
+
     /// Returns whether an order to open this group may have an effect that is not visible yet.
     fn may_still_open(&self, key: &(GroupId, u64), now: TimeMs) -> bool {
         let until = self.open_pending_until.get(key);
