Gateway: drop the results of actions that were planned under an earlier fencing token

Found by reading in an independent review; no sequence of events that breaks a rule is known, and there is no test that failed before.

Cause: the answer to a probe or order of an earlier ownership of this gateway reached the planner of the new one, which could take it as a confirmation.

--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -239,6 +239,16 @@
         self.gateway.view.borrow().upstreams().get(id).cloned()
     }
 
+    /// Passes a result to the planner of the service. Results of actions that were planned under an
+    /// earlier fencing token are dropped, since a new planner must not learn from old state.
+    fn update_planner<T>(&self, update: impl FnOnce(&mut Planner) -> T) -> Option<T> {
+        let mut planners = self.planners.borrow_mut();
+        if planners.token != self.token {
+            return None;
+        }
+        planners.by_service.get_mut(&self.service).map(update)
+    }
+
     /// Requests the report of an upstream, and passes it or the failure to the planner. If the
     /// upstream is considered dead from now on, notifies all gateways.
     async fn probe(self, id: VmId, address: SocketAddr) {
@@ -260,20 +270,18 @@
             _ => None,
         };
         let entry = self.upstream(&id);
-        let mut planners = self.planners.borrow_mut();
-        let Some(planner) = planners.by_service.get_mut(&self.service) else {
-            return;
-        };
         let report = report.map(|report| Report {
             started_unix_ms: report.started_unix_ms,
             membership: report.membership,
             staged: report.staged,
         });
-        if planner.on_probe_end(&id, report, entry.as_ref(), self.gateway.now()) {
+        let now = self.gateway.now();
+        let is_dead =
+            self.update_planner(|planner| planner.on_probe_end(&id, report, entry.as_ref(), now));
+        if is_dead == Some(true) {
             self.gateway.metrics.count("upstreams_dead", "probe");
             log_event!(warn, UpstreamDead, upstream = %id,
                 "an upstream does not answer probes and is considered dead");
-            drop(planners);
             alarm::raise(&self.gateway, &Alarm::UpstreamDead(id));
         }
     }
@@ -295,9 +303,7 @@
         let is_healthy = status == 200;
         log_event!(info, StayAnswered, upstream = %id, status, stays = is_healthy,
             "an unlisted upstream answered a health check");
-        if let Some(planner) = self.planners.borrow_mut().by_service.get_mut(&self.service) {
-            planner.on_health_answer(id, is_healthy);
-        }
+        self.update_planner(|planner| planner.on_health_answer(id, is_healthy));
     }
 
     /// Sends an order to its upstream, unless the lease was lost, and passes the answer to the
@@ -336,9 +342,7 @@
             order = ?order.action, outcome = %answer,
             "an order was answered, or no answer arrived");
         let now = self.gateway.now();
-        if let Some(planner) = self.planners.borrow_mut().by_service.get_mut(&self.service) {
-            planner.on_answer(&order, answer, now);
-        }
+        self.update_planner(|planner| planner.on_answer(&order, answer, now));
     }
 
     /// Sends a request to an upstream on its idle connection or a new one, and returns the status
