Regroup: an entry that newly shows a group cancels the answer to the order to leave it

Cause: a member answered the order to leave its group. A late copy of the order to join, of the same epoch and so accepted, brought it back; its entry showed the group again, but the answer still counted, so the member was free while the leader, which was cut off from the store, still served.

Change: the answer is forgotten when the member's entry changes to that group, and the member is ordered to leave again.

Evidence: random::member_brought_back_by_a_late_join_is_in_one_group failed before ("engine d0-05 was ordered to join group g20005 while its group g20004 serves") and passes; all 52 tests of the crate pass.

--- a/crates/regroup/src/planner/reported_state.rs
+++ b/crates/regroup/src/planner/reported_state.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use jacinthpoint_fleet::{UNLISTED_MS, Upstream, UpstreamState};
+use jacinthpoint_fleet::{Membership, UNLISTED_MS, Upstream, UpstreamState};
 use jacinthpoint_types::{Deadline, DeploymentId, TimeMs, VmId};
 
 use crate::planner::{Action, Planner, PlannerInput};
@@ -78,11 +78,24 @@
     }
 
     /// Records when the membership in an entry changed since the previous planning step.
+    ///
+    /// A late order to join may bring a member back into a group that it left, so an entry that newly
+    /// shows the group cancels the answer to the order to leave.
     fn record_entry_changes(&mut self, upstreams: &BTreeMap<VmId, Upstream>, now: TimeMs) {
+        let key = |membership: &Membership| (membership.group.clone(), membership.epoch);
         for (id, upstream) in upstreams {
-            let previous = self.listed.get(id);
-            if previous.is_some_and(|previous| previous.membership != upstream.membership) {
-                self.entry_changed_at.insert(id.clone(), now);
+            let Some(previous) = self.listed.get(id) else {
+                continue;
+            };
+            if previous.membership == upstream.membership {
+                continue;
+            }
+            self.entry_changed_at.insert(id.clone(), now);
+            let shown = upstream.membership.as_ref().map(key);
+            if shown != previous.membership.as_ref().map(key)
+                && let Some(group) = shown
+            {
+                self.leave_answered.remove(&(id.clone(), group));
             }
         }
         self.entry_changed_at
--- a/crates/regroup/tests/random.rs
+++ b/crates/regroup/tests/random.rs
@@ -154,3 +154,48 @@
     random_events_cause_no_violation: 0.0;
     random_events_with_late_orders_cause_no_violation: 0.3;
 }
+
+/// Guards against a member that left its group, was brought back into it by a late order to join, and
+/// still counted as free. Found by the random sequences with late orders, seed 61.
+#[test]
+fn member_brought_back_by_a_late_join_is_in_one_group() {
+    use Event::{
+        CutOff, Drain, Kill, ListLag, PublishLate, Reconnect, Replace, Restart, TakeOver, Unlist,
+        Wait,
+    };
+    let events = vec![
+        ListLag(408),
+        Kill(23),
+        ListLag(286),
+        TakeOver,
+        Replace(17),
+        PublishLate(5, 0),
+        Unlist(13),
+        Kill(8),
+        Kill(6),
+        Kill(1),
+        CutOff(20),
+        Kill(11),
+        Wait(868),
+        Kill(0),
+        Restart(15),
+        Replace(21),
+        PublishLate(10, 65),
+        Wait(713),
+        Replace(1),
+        PublishLate(11, 2303),
+        Drain(12),
+        Replace(11),
+        Wait(1667),
+        PublishLate(21, 0),
+        CutOff(2),
+        Kill(15),
+        Kill(15),
+        PublishLate(10, 0),
+        Kill(1),
+        Reconnect(20),
+        PublishLate(16, 0),
+        Kill(3),
+    ];
+    assert!(has_no_violation(events, 5_489_255_492_476_657_084, 0.3));
+}
