--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -27,6 +27,17 @@
     pub window_ms: u64,
 }
 
+/// Use of one gateway's share of a retry budget in the current window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryUsage {
+    /// Number of requests.
+    pub requests: u32,
+    /// Number of retries.
+    pub retries: u32,
+    /// Number of retries that the share allows.
+    pub max_retries: f64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Bucket {
     begin: TimeMs,
@@ -55,16 +66,31 @@
         gateways: usize,
         now: TimeMs,
     ) -> bool {
+        let usage = self.usage(settings, gateways, now);
+        if f64::from(usage.retries + 1) > usage.max_retries {
+            return false;
+        }
+        self.advance_window(settings, now).retries += 1;
+        true
+    }
+
+    /// Returns this gateway's requests and retries in the window, and its share of the budget with
+    /// `gateways` gateways in the fleet.
+    pub fn usage(
+        &mut self,
+        settings: &FleetRetryBudgetSettings,
+        gateways: usize,
+        now: TimeMs,
+    ) -> RetryUsage {
         self.advance_window(settings, now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let slack_share = settings.slack / gateways.max(1) as f64;
-        let max_retries = USABLE_SHARE * (settings.ratio * f64::from(requests) + slack_share);
-        if f64::from(retries + 1) > max_retries {
-            return false;
+        RetryUsage {
+            requests,
+            retries,
+            max_retries: USABLE_SHARE * (settings.ratio * f64::from(requests) + slack_share),
         }
-        self.advance_window(settings, now).retries += 1;
-        true
     }
 
     /// Drops the buckets that left the window, adds a bucket that begins at `now` if the last
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -6,7 +6,10 @@
 use jacinthpoint_fleet::{Engine, Organisation, Route};
 use jacinthpoint_types::{Deadline, DeploymentId, ServiceId, TimeMs};
 
-use crate::state::{Gateway, Snapshot};
+use crate::{
+    events::log_event,
+    state::{Gateway, Snapshot},
+};
 
 /// Counts a request as open until dropped.
 #[derive(Debug)]
@@ -101,11 +104,21 @@
         work(budgets.entry(self.service.clone()).or_default())
     }
 
-    /// Spends one retry of the service's budget; returns `false` if the budget is used up.
+    /// Spends one retry of the service's budget; returns `false` if the budget is used up. Logs
+    /// either with the budget's use before.
     pub(crate) fn try_spend_retry(&self) -> bool {
         let gateway = &self.gateway;
         let settings = gateway.settings();
-        let gateway_count = gateway.gateway_count.get();
-        self.with_budget(|budget| budget.try_retry(&settings.repeats, gateway_count, gateway.now()))
+        let (gateways, now) = (gateway.gateway_count.get(), gateway.now());
+        let (usage, is_allowed) = self.with_budget(|budget| {
+            let usage = budget.usage(&settings.repeats, gateways, now);
+            (usage, budget.try_retry(&settings.repeats, gateways, now))
+        });
+        let outcome = if is_allowed { "sent" } else { "denied" };
+        gateway.metrics.count("retries", outcome);
+        log_event!(info, RetryDecided, request = self.request_id, service = %self.service, outcome,
+            retries = usage.retries, max_retries = usage.max_retries, requests = usage.requests,
+            gateways, "a retry is sent, or denied by the retry budget");
+        is_allowed
     }
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -74,6 +74,8 @@
     GroupSilent = 736,
     /// An upstream is ejected for a time, because it fails while others do not.
     UpstreamEjected = 737,
+    /// A retry is sent, or denied because the service's retry budget is used up.
+    RetryDecided = 738,
 }
 
 impl EventCode {
