Failing test: restarted gateways exceed the fleet's retry budget (BUDGET)

Test through three restarts of real gateways: 396 retries for 540 requests in 10 s, where 238 are allowed.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -16,6 +16,7 @@
 };
 
 mod caller;
+mod fleet_limits;
 mod site;
 mod soak;
 
