Retry budget: a restarted gateway uses no slack before the window has passed

Each life of a gateway began with no retries counted and used its whole share of the slack again; two restarts within the window (10 s) exceed the limit.

The ratio needs no change, since the requests of each life count. The slack of a life starts one window after the start of its process, when whatever the previous life sent has left the window.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -4,6 +4,10 @@
 //! a fixed number, the slack. No gateway gets all traffic, so each applies the ratio to its own
 //! requests and uses an equal share of the slack. The sum then stays within the limit however
 //! requests are distributed over the gateways.
+//!
+//! A gateway that restarts has no record of the retries that it sent before. Those that its earlier
+//! requests allowed are no problem, since these requests count as well. But it may have used its
+//! share of the slack already, so it uses none until the window has passed.
 
 use std::collections::VecDeque;
 
@@ -27,6 +31,15 @@
     pub window_ms: u64,
 }
 
+/// Share of one gateway in the slack.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SlackShare {
+    /// Number of gateways among which the slack is divided.
+    pub gateways: usize,
+    /// Time from which the gateway uses its share.
+    pub usable_from: TimeMs,
+}
+
 /// Use of one gateway's share of a retry budget in the current window.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryUsage {
@@ -58,15 +71,15 @@
         self.advance_window(settings, now).requests += 1;
     }
 
-    /// Records a retry and returns `true` if this gateway's share, with `gateways` gateways in the
-    /// fleet, allows one more; otherwise returns `false`.
+    /// Records a retry and returns `true` if this gateway's share of the budget allows one more;
+    /// otherwise returns `false`.
     pub fn try_retry(
         &mut self,
         settings: &FleetRetryBudgetSettings,
-        gateways: usize,
+        slack: SlackShare,
         now: TimeMs,
     ) -> bool {
-        let usage = self.usage(settings, gateways, now);
+        let usage = self.usage(settings, slack, now);
         if f64::from(usage.retries + 1) > usage.max_retries {
             return false;
         }
@@ -74,18 +87,21 @@
         true
     }
 
-    /// Returns this gateway's requests and retries in the window, and its share of the budget with
-    /// `gateways` gateways in the fleet.
+    /// Returns this gateway's requests and retries in the window, and its share of the budget.
     pub fn usage(
         &mut self,
         settings: &FleetRetryBudgetSettings,
-        gateways: usize,
+        slack: SlackShare,
         now: TimeMs,
     ) -> RetryUsage {
         self.advance_window(settings, now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let slack_share = settings.slack / gateways.max(1) as f64;
+        let slack_share = if now >= slack.usable_from {
+            settings.slack / slack.gateways.max(1) as f64
+        } else {
+            0.0
+        };
         RetryUsage {
             requests,
             retries,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,7 +5,7 @@
 //! whole fleet from these. This crate does no I/O and reads no clock.
 
 pub use crate::{
-    budget::{FleetRetryBudget, FleetRetryBudgetSettings, RetryUsage},
+    budget::{FleetRetryBudget, FleetRetryBudgetSettings, RetryUsage, SlackShare},
     demand::WorkMeter,
     directory::{Directory, Target, TargetGroup, TargetKey},
     load::{LoadTracker, Refusal, Selection, retry_after_ms},
--- a/crates/dispatch/tests/budget.rs
+++ b/crates/dispatch/tests/budget.rs
@@ -1,6 +1,6 @@
 //! Tests of the retry budget that all gateways share.
 
-use jacinthpoint_dispatch::{FleetRetryBudget, FleetRetryBudgetSettings};
+use jacinthpoint_dispatch::{FleetRetryBudget, FleetRetryBudgetSettings, SlackShare};
 use jacinthpoint_types::TimeMs;
 use quickcheck::{Gen, QuickCheck};
 
@@ -10,6 +10,14 @@
     window_ms: 10_000,
 };
 
+/// Returns the share of a gateway that has run for longer than the window.
+fn share(gateways: usize) -> SlackShare {
+    SlackShare {
+        gateways,
+        usable_from: TimeMs::default(),
+    }
+}
+
 /// Returns whether the retries of all gateways stay within the budget while a service fails all
 /// requests and each gateway retries as often as its budget allows. `spread` holds the gateway that
 /// gets each request, `pauses` the time in ms before it.
@@ -36,7 +44,7 @@
         budget.on_request(&SETTINGS, now);
         requests.push(now);
         for _ in 0..3 {
-            if budget.try_retry(&SETTINGS, GATEWAYS, now) {
+            if budget.try_retry(&SETTINGS, share(GATEWAYS), now) {
                 retries.push(now);
             }
         }
@@ -69,5 +77,31 @@
 fn gateway_with_one_request_gets_a_retry_from_the_slack() {
     let mut budget = FleetRetryBudget::default();
     budget.on_request(&SETTINGS, TimeMs(1_000_000));
-    assert!(budget.try_retry(&SETTINGS, 6, TimeMs(1_000_000)));
+    assert!(budget.try_retry(&SETTINGS, share(6), TimeMs(1_000_000)));
+}
+
+#[test]
+fn restarted_gateway_has_no_slack_before_the_window_has_passed() {
+    let mut budget = FleetRetryBudget::default();
+    let started_at = TimeMs(1_000_000);
+    let slack = SlackShare {
+        gateways: 6,
+        usable_from: started_at.plus_ms(SETTINGS.window_ms),
+    };
+    budget.on_request(&SETTINGS, started_at);
+    assert!(!budget.try_retry(&SETTINGS, slack, started_at));
+    assert!(budget.try_retry(&SETTINGS, slack, slack.usable_from));
+}
+
+#[test]
+fn restarted_gateway_retries_as_its_own_requests_allow() {
+    let mut budget = FleetRetryBudget::default();
+    let now = TimeMs(1_000_000);
+    let slack = SlackShare {
+        gateways: 6,
+        usable_from: now.plus_ms(SETTINGS.window_ms),
+    };
+    (0..100).for_each(|_| budget.on_request(&SETTINGS, now));
+    let retries = (0..100).filter(|_| budget.try_retry(&SETTINGS, slack, now));
+    assert!((10..=20).contains(&retries.count()));
 }
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -109,16 +109,17 @@
     pub(crate) fn try_spend_retry(&self) -> bool {
         let gateway = &self.gateway;
         let settings = gateway.settings();
-        let (gateways, now) = (gateway.gateway_count.get(), gateway.now());
+        let (slack, now) = (gateway.slack_share(), gateway.now());
         let (usage, is_allowed) = self.with_budget(|budget| {
-            let usage = budget.usage(&settings.repeats, gateways, now);
-            (usage, budget.try_retry(&settings.repeats, gateways, now))
+            let usage = budget.usage(&settings.repeats, slack, now);
+            (usage, budget.try_retry(&settings.repeats, slack, now))
         });
         let outcome = if is_allowed { "sent" } else { "denied" };
         gateway.metrics.count("retries", outcome);
         log_event!(info, RetryDecided, request = self.request_id, service = %self.service, outcome,
             retries = usage.retries, max_retries = usage.max_retries, requests = usage.requests,
-            gateways, "a retry is sent, or denied by the retry budget");
+            gateways = slack.gateways, has_slack = now >= slack.usable_from,
+            "a retry is sent, or denied by the retry budget");
         is_allowed
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,7 +10,9 @@
     sync::Arc,
 };
 
-use jacinthpoint_dispatch::{Directory, FleetRetryBudget, LoadTracker, Target, TargetKey};
+use jacinthpoint_dispatch::{
+    Directory, FleetRetryBudget, LoadTracker, SlackShare, Target, TargetKey,
+};
 use jacinthpoint_fleet::{FleetConfig, FleetView, ViewChange};
 use jacinthpoint_types::{ServiceId, TimeMs, VmId};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -55,6 +57,7 @@
 #[derive(Debug)]
 pub(crate) struct Gateway {
     pub(crate) clock: Clock,
+    started_at: TimeMs,
     settings: RefCell<Rc<GatewaySettings>>,
     pub(crate) view: RefCell<FleetView>,
     snapshot: RefCell<Option<Rc<Snapshot>>>,
@@ -87,8 +90,10 @@
 impl Gateway {
     /// Returns the initial state for a gateway with these settings.
     pub(crate) fn new(settings: GatewaySettings) -> Gateway {
+        let clock = Clock::new();
         Gateway {
-            clock: Clock::new(),
+            started_at: clock.now(),
+            clock,
             settings: RefCell::new(Rc::new(settings)),
             view: RefCell::default(),
             snapshot: RefCell::default(),
@@ -127,6 +132,16 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
+    /// Returns this gateway's share of the slack of each retry budget.
+    pub(crate) fn slack_share(&self) -> SlackShare {
+        let window_ms = self.settings().repeats.window_ms;
+        SlackShare {
+            gateways: self.gateway_count.get(),
+            // An earlier process of this gateway may have used the share in the same window.
+            usable_from: self.started_at.plus_ms(window_ms),
+        }
+    }
+
     /// Returns the newest snapshot; `None` before a configuration is loaded.
     pub(crate) fn snapshot(&self) -> Option<Rc<Snapshot>> {
         self.snapshot.borrow().clone()
