Retry budget: an added gateway uses no slack before all others count it

The slack is divided by the number of gateways in the roster, which each reads every 3 to 24 s. Until then an added gateway used its share while the others used theirs of the smaller fleet: up to one and a half times the slack when a fleet is doubled.

The list is now read at least every 6 s, and a new name waits for the longest age of a list before the window of the previous change begins. A fleet that starts for the first time does not wait: its gateways read the list often at first. A registration whose answer was lost counts as new.

Before: the test of random restarts with a doubled fleet failed without any restart.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -7,7 +7,8 @@
 //!
 //! A gateway that restarts has no record of the retries that it sent before. Those that its earlier
 //! requests allowed are no problem, since these requests count as well. But it may have used its
-//! share of the slack already, so it uses none until the window has passed.
+//! share of the slack already, so it uses none until the window has passed. The same holds for a
+//! gateway that was added, after the last moment at which the others divided the slack without it.
 
 use std::collections::VecDeque;
 
@@ -40,6 +41,18 @@
     pub usable_from: TimeMs,
 }
 
+impl SlackShare {
+    /// Returns the time from which a gateway uses its share, if its process started at `started_at`
+    /// and all other gateways count it from `counted_by` on.
+    pub fn usable_from(
+        started_at: TimeMs,
+        counted_by: TimeMs,
+        settings: &FleetRetryBudgetSettings,
+    ) -> TimeMs {
+        started_at.max(counted_by).plus_ms(settings.window_ms)
+    }
+}
+
 /// Use of one gateway's share of a retry budget in the current window.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryUsage {
--- a/crates/dispatch/tests/budget.rs
+++ b/crates/dispatch/tests/budget.rs
@@ -49,8 +49,12 @@
             }
         }
     }
-    // The retries in each window are compared with the requests in the same or the previous window,
-    // whichever are more.
+    is_within_budget(&requests, &retries)
+}
+
+/// Returns whether the retries in each window are within the budget for the requests in the same
+/// or the previous window, whichever are more.
+fn is_within_budget(requests: &[TimeMs], retries: &[TimeMs]) -> bool {
     let in_window = |times: &[TimeMs], end: TimeMs| {
         let begin = end.0.saturating_sub(SETTINGS.window_ms);
         times
@@ -60,11 +64,75 @@
     };
     retries.iter().all(|end| {
         let previous_window_end = TimeMs(end.0 - SETTINGS.window_ms);
-        let counted = in_window(&requests, *end).max(in_window(&requests, previous_window_end));
-        in_window(&retries, *end) <= SETTINGS.ratio * counted + SETTINGS.slack
+        let counted = in_window(requests, *end).max(in_window(requests, previous_window_end));
+        in_window(retries, *end) <= SETTINGS.ratio * counted + SETTINGS.slack
     })
 }
 
+/// Time after the start of a new gateway at which the others count it.
+const COUNTED_AFTER_MS: u64 = 9_000;
+/// Time between two requests; so few that most of the budget is slack.
+const REQUEST_INTERVAL_MS: u64 = 40;
+
+/// Returns whether the retries of all gateways stay within the budget while gateways restart and as
+/// many gateways are added as there are. `restarts` holds the gateway that restarts at each second,
+/// or none.
+fn keeps_the_budget_while_gateways_start(restarts: Vec<Option<u8>>) -> bool {
+    const GATEWAYS: usize = 6;
+    let begin = TimeMs(1_000_000);
+    let added_at = begin.plus_ms(12_000);
+    let counted_by = added_at.plus_ms(COUNTED_AFTER_MS);
+    let mut started_at = vec![begin; GATEWAYS];
+    let mut budgets: Vec<FleetRetryBudget> = Vec::new();
+    budgets.resize_with(GATEWAYS, FleetRetryBudget::default);
+    let mut requests: Vec<TimeMs> = Vec::new();
+    let mut retries: Vec<TimeMs> = Vec::new();
+    for index in 0..1_000 {
+        let now = begin.plus_ms(index * REQUEST_INTERVAL_MS);
+        if now >= added_at && budgets.len() == GATEWAYS {
+            started_at.resize(2 * GATEWAYS, now);
+            budgets.resize_with(2 * GATEWAYS, FleetRetryBudget::default);
+        }
+        let second = (now.since_ms(begin) / 1_000) as usize;
+        if now.since_ms(begin).is_multiple_of(1_000)
+            && let Some(Some(gateway)) = restarts.get(second)
+        {
+            let gateway = usize::from(*gateway) % budgets.len();
+            started_at[gateway] = now;
+            budgets[gateway] = FleetRetryBudget::default();
+        }
+        requests.push(now);
+        for (gateway, budget) in budgets.iter_mut().enumerate() {
+            if index as usize % started_at.len() == gateway {
+                budget.on_request(&SETTINGS, now);
+            }
+            let is_new = gateway >= GATEWAYS;
+            let known_by = if is_new { counted_by } else { begin };
+            let slack = SlackShare {
+                gateways: match is_new || now >= counted_by {
+                    true => 2 * GATEWAYS,
+                    false => GATEWAYS,
+                },
+                usable_from: SlackShare::usable_from(started_at[gateway], known_by, &SETTINGS),
+            };
+            while budget.try_retry(&SETTINGS, slack, now) {
+                retries.push(now);
+            }
+        }
+    }
+    is_within_budget(&requests, &retries)
+}
+
+/// Regression test for rule BUDGET: restarted gateways used their share of the slack again, and
+/// added gateways used theirs before the others counted them.
+#[test]
+fn retries_stay_within_the_budget_while_gateways_start() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, 2))
+        .tests(60)
+        .quickcheck(keeps_the_budget_while_gateways_start as fn(Vec<Option<u8>>) -> bool);
+}
+
 #[test]
 fn retries_of_all_gateways_stay_within_the_budget() {
     QuickCheck::new()
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -4,7 +4,9 @@
 //! addresses for datagrams, and an order of them that all agree on, by which a few of them are
 //! chosen as readers of the store and as candidates for the lease.
 //!
-//! Each gateway registers at its start, and registrations are never removed. That of a gateway that
+//! Each gateway registers at its start, and registrations are never removed. Other gateways count a
+//! new one only after their next read of the list, so it uses no slack of the retry budget before
+//! ([`COUNTED_AFTER_MS`]). That of a gateway that
 //! no longer exists makes each share of the retry budget smaller, can hold a place as reader or
 //! candidate, and is sent datagrams. A reader that does not answer is excluded for a time, so the
 //! next one in the order takes its place.
@@ -33,7 +35,11 @@
 /// Time between the first two reads of the list. It doubles after each read.
 const READ_INTERVAL_MS: u64 = 3_000;
 /// Maximum time between two reads of the list.
-const MAX_READ_INTERVAL_MS: u64 = 24_000;
+const MAX_READ_INTERVAL_MS: u64 = 6_000;
+/// Maximum age of the data in an answer that may be old.
+const MAX_STALE_MS: u64 = 3_000;
+/// Time after the registration of a new gateway by which the others have read a list with it.
+const COUNTED_AFTER_MS: u64 = MAX_READ_INTERVAL_MS + MAX_STALE_MS;
 /// Pause after a failed registration.
 const BACKOFF_MS: u64 = 500;
 /// Number of gateways of a data centre, first in the order, that others may watch. A gateway among
@@ -157,11 +163,19 @@
     let mut availability = Availability::default();
     let mut store = StoreClient::new(gateway.settings().store);
     let is_new_name = register(&gateway, &mut store, &mut availability).await;
+    let now = gateway.now();
+    // Gateways that start together read the list often at first.
+    let is_late = is_new_name && !gateway.settings().is_first_start;
+    gateway.counted_by.set(if is_late {
+        now.plus_ms(COUNTED_AFTER_MS)
+    } else {
+        TimeMs::default()
+    });
     if is_new_name {
         sleep_ms(FIRST_READ_DELAY_MS).await;
     }
-    // The set of gateways changes rarely, and a list that lacks one for some seconds does no harm.
-    // So reads become rare, and all but the first may return old data.
+    // The set of gateways changes rarely, so reads become rare, and all but the first may return
+    // old data.
     let mut pause_ms = READ_INTERVAL_MS;
     let mut is_first = true;
     loop {
@@ -201,7 +215,7 @@
     }
 }
 
-/// Registers this gateway, and returns whether its name is new. If its name is registered with
+/// Registers this gateway, and returns whether its name is new or may be new. If its name is registered with
 /// another address, replaces the registration. Retries until the store accepts it.
 async fn register(
     gateway: &Gateway,
@@ -214,6 +228,8 @@
         "data_centre": settings.data_centre.as_str(),
         "address": settings.peers.map(|address| address.to_string()),
     });
+    // A call without an answer may have created the registration.
+    let mut may_be_created = false;
     loop {
         let created = store.create(KIND, name, &content).await;
         let is_new = created.is_ok();
@@ -225,9 +241,14 @@
         };
         match result {
             Ok(_) => return is_new,
-            Err(StoreError::Conflict(Some(current))) if current.content == content => return false,
+            Err(StoreError::Conflict(Some(current))) if current.content == content => {
+                return may_be_created;
+            }
             Err(StoreError::Conflict(_)) => {}
-            Err(error) => availability.on_failure(KIND, &error, gateway.now()),
+            Err(error) => {
+                may_be_created = true;
+                availability.on_failure(KIND, &error, gateway.now());
+            }
         }
         sleep_ms(BACKOFF_MS).await;
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -13,6 +13,7 @@
 pub const KEYS: &[SettingsKey] = &[
     key("node", "name", Absent::Refused),
     key("node", "data_centre", Absent::Refused),
+    key("node", "first_start", Absent::Default("false")),
     key("listen", "callers", Absent::Refused),
     key("listen", "readiness", Absent::Refused),
     key("listen", "peers", Absent::Nothing),
@@ -39,6 +40,8 @@
     pub name: NodeId,
     /// Data centre of the gateway.
     pub data_centre: DataCentreId,
+    /// Whether the whole fleet starts for the first time.
+    pub is_first_start: bool,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address for the load balancer's readiness checks.
@@ -91,6 +94,7 @@
 fn read(reader: &mut Reader<'_>) -> Option<GatewaySettings> {
     let name = reader.value("node", "name");
     let data_centre = reader.value("node", "data_centre");
+    let is_first_start = reader.value("node", "first_start");
     let callers = reader.value("listen", "callers");
     let readiness = reader.value("listen", "readiness");
     let peers = reader.value("listen", "peers");
@@ -106,6 +110,7 @@
     Some(GatewaySettings {
         name: name?,
         data_centre: data_centre?,
+        is_first_start: is_first_start?,
         callers: callers?,
         readiness: readiness?,
         peers,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -27,6 +27,9 @@
 /// that the shared retry budget is not overdrawn.
 const ASSUMED_GATEWAY_COUNT: usize = 64;
 
+/// A time that no gateway reaches, from which a window can still be added.
+const NEVER: TimeMs = TimeMs(u64::MAX / 2);
+
 /// A configuration and the directory of targets, both built from the same view of the fleet.
 #[derive(Debug)]
 pub(crate) struct Snapshot {
@@ -69,6 +72,8 @@
     pub(crate) metrics: Metrics,
     /// Number of registered gateways, by which the shared retry budget is divided.
     pub(crate) gateway_count: Cell<usize>,
+    /// Time by which all other gateways count this one; in the far future until it is registered.
+    pub(crate) counted_by: Cell<TimeMs>,
     pub(crate) roster: Roster,
     pub(crate) relay: Relay,
     /// Name of the gateway that holds the lease and sends orders, as last read from the store or
@@ -103,6 +108,7 @@
             rng: RefCell::new(SmallRng::from_os_rng()),
             metrics: Metrics::default(),
             gateway_count: Cell::new(ASSUMED_GATEWAY_COUNT),
+            counted_by: Cell::new(NEVER),
             roster: Roster::default(),
             relay: Relay::default(),
             owner: RefCell::default(),
@@ -134,11 +140,14 @@
 
     /// Returns this gateway's share of the slack of each retry budget.
     pub(crate) fn slack_share(&self) -> SlackShare {
-        let window_ms = self.settings().repeats.window_ms;
+        let settings = self.settings();
         SlackShare {
             gateways: self.gateway_count.get(),
-            // An earlier process of this gateway may have used the share in the same window.
-            usable_from: self.started_at.plus_ms(window_ms),
+            usable_from: SlackShare::usable_from(
+                self.started_at,
+                self.counted_by.get(),
+                &settings.repeats,
+            ),
         }
     }
 
