Gateway: read the limit that an upstream names, and log its changes

Event 739 tells when a gateway learns of a limit, of another one, and of its end. Nothing is enforced yet. PerSecond moves from admission to types, which exports it as before.

--- a/crates/admission/src/bucket.rs
+++ b/crates/admission/src/bucket.rs
@@ -1,8 +1,6 @@
 //! Token bucket that limits a rate and allows short bursts.
 
-use jacinthpoint_types::TimeMs;
-
-use crate::rate::PerSecond;
+use jacinthpoint_types::{PerSecond, TimeMs};
 
 /// Token bucket: its level rises at `rate` up to `capacity`.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -9,6 +9,8 @@
 //! Each component consists of layers with a mode of their own: off, watch or enforce. This crate
 //! does no I/O and reads no clock: the calling code passes in the time.
 
+pub use jacinthpoint_types::PerSecond;
+
 pub use crate::{
     bucket::TokenBucket,
     fleet::{Demand, GRANT_VALID_MS, NodeCounts, ShareAllocator, ShareGrant, ShareReport, Shares},
@@ -18,7 +20,6 @@
     },
     limiter::{LimitKind, LimitRefusal, Limiter, LimiterSettings, Limits, Verdict},
     mode::LayerMode,
-    rate::PerSecond,
     retry_after::retry_after_ms,
 };
 
@@ -27,5 +28,4 @@
 mod gate;
 mod limiter;
 mod mode;
-mod rate;
 mod retry_after;
--- a/crates/admission/src/limiter.rs
+++ b/crates/admission/src/limiter.rs
@@ -6,13 +6,12 @@
 
 use std::collections::BTreeMap;
 
-use jacinthpoint_types::{Deadline, OrganisationId, TimeMs};
+use jacinthpoint_types::{Deadline, OrganisationId, PerSecond, TimeMs};
 
 use crate::{
     bucket::TokenBucket,
     fleet::{Demand, Shares},
     mode::LayerMode,
-    rate::PerSecond,
 };
 
 /// Time without requests after which the state of an organisation is removed.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
     peer_load::{LoadAggregator, PeerLoad, TargetDigest, TargetReport},
     prediction::PromptDemand,
     stall::{StallPolicy, StallState},
+    upstream_limit::UpstreamLimits,
 };
 
 mod budget;
@@ -21,3 +22,4 @@
 mod peer_load;
 mod prediction;
 mod stall;
+mod upstream_limit;
--- a/crates/gateway/src/call/answer.rs
+++ b/crates/gateway/src/call/answer.rs
@@ -1,8 +1,8 @@
 //! Classifies the head of an upstream's answer: usable, not run by the upstream, or unusable.
 
 use hyper::{HeaderMap, Response, body::Incoming, header};
-use jacinthpoint_adapter::{decode_load, headers};
-use jacinthpoint_types::VmId;
+use jacinthpoint_adapter::{decode_limit, decode_load, headers};
+use jacinthpoint_types::{PerSecond, VmId};
 
 /// Classification of an upstream's answer by its head.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -57,3 +57,27 @@
     let load = decode_load(text(fields, headers::LOAD)?)?;
     Some(load.running.saturating_add(load.queued))
 }
+
+/// Returns what an answer states about its upstream's limit: the limit, or `None` within `Some` if
+/// it states that there is none.
+///
+/// A limit is named in answers of any status, except in one of another upstream (421). Only a
+/// success without the header shows that there is no limit.
+pub(super) fn stated_limit(
+    response: &Response<Incoming>,
+    kind: &AnswerKind,
+) -> Option<Option<PerSecond>> {
+    if matches!(kind, AnswerKind::Unusable(_)) || response.status().as_u16() == 421 {
+        return None;
+    }
+    match text(response.headers(), headers::LIMIT) {
+        Some(value) => {
+            let limit = decode_limit(value);
+            if limit.is_none() {
+                tracing::debug!(value, "an answer has a malformed limit");
+            }
+            limit.map(Some)
+        }
+        None => response.status().is_success().then_some(None),
+    }
+}
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -12,12 +12,12 @@
 use hyper::{HeaderMap, Response, StatusCode, body::Incoming, http::request::Parts};
 use jacinthpoint_dispatch::{StallState, Target, TargetKey};
 use jacinthpoint_fleet::RequestKind;
-use jacinthpoint_types::{TimeMs, VmId};
+use jacinthpoint_types::{PerSecond, TimeMs, VmId};
 
 use crate::{
     alarm,
     call::{
-        answer::{AnswerKind, classify, reported_load},
+        answer::{AnswerKind, classify, reported_load, stated_limit},
         context::Context,
         request::build_request,
     },
@@ -210,7 +210,11 @@
             .borrow_mut()
             .on_load_reported(&target.key, requests, gateway.now());
     }
-    match classify(&response, &context.request_id) {
+    let kind = classify(&response, &context.request_id);
+    if let Some(limit) = stated_limit(&response, &kind) {
+        record_limit(gateway, target, limit);
+    }
+    match kind {
         AnswerKind::NotRun(faulty) => {
             gateway
                 .pool
@@ -235,6 +239,17 @@
     }
 }
 
+/// Records the limit that an upstream named in an answer, `None` if it named none, and logs a
+/// change.
+fn record_limit(gateway: &Gateway, target: &Target, limit: Option<PerSecond>) {
+    let upstream = &target.upstream;
+    let is_changed = (gateway.limits.borrow_mut()).on_answer(upstream, limit, gateway.now());
+    if is_changed {
+        log_event!(info, LimitChanged, %upstream, limit = limit.map(|limit| limit.0),
+            "an upstream changed the limit that it names");
+    }
+}
+
 /// Reads the body of an answer that is not streamed; it is passed on only once it is complete.
 async fn read_whole(context: &Context, open: OpenAnswer) -> AttemptOutcome {
     let gateway = &context.gateway;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -76,6 +76,8 @@
     UpstreamEjected = 737,
     /// A retry is sent, or denied because the service's retry budget is used up.
     RetryDecided = 738,
+    /// An upstream named a limit or another one, or named none any more.
+    LimitChanged = 739,
 }
 
 impl EventCode {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,7 +11,7 @@
 };
 
 use jacinthpoint_dispatch::{
-    Directory, FleetRetryBudget, LoadTracker, SlackShare, Target, TargetKey,
+    Directory, FleetRetryBudget, LoadTracker, SlackShare, Target, TargetKey, UpstreamLimits,
 };
 use jacinthpoint_fleet::{FleetConfig, FleetView, ViewChange};
 use jacinthpoint_types::{ServiceId, TimeMs, VmId};
@@ -65,6 +65,8 @@
     pub(crate) view: RefCell<FleetView>,
     snapshot: RefCell<Option<Rc<Snapshot>>>,
     pub(crate) loads: RefCell<LoadTracker>,
+    /// Limits that upstreams name.
+    pub(crate) limits: RefCell<UpstreamLimits>,
     /// Retry budgets by service.
     pub(crate) budgets: RefCell<BTreeMap<ServiceId, FleetRetryBudget>>,
     pub(crate) pool: Rc<Pool>,
@@ -103,6 +105,7 @@
             view: RefCell::default(),
             snapshot: RefCell::default(),
             loads: RefCell::default(),
+            limits: RefCell::default(),
             budgets: RefCell::default(),
             pool: Rc::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,6 +14,7 @@
     model::ModelRef,
     outcome::{Outcome, ResultCode},
     priority::Priority,
+    rate::PerSecond,
     rendezvous::{rendezvous_order, rendezvous_weight},
     suggestion::suggestion,
     time::{Deadline, TimeMs},
@@ -25,6 +26,7 @@
 mod model;
 mod outcome;
 mod priority;
+mod rate;
 mod rendezvous;
 mod suggestion;
 mod time;
--- a/crates/admission/src/rate.rs
+++ b/crates/types/src/rate.rs
@@ -1,12 +1,28 @@
 //! Rate of requests or tokens.
 
+use serde::{Deserialize, Serialize};
+
 /// Rate per second, of requests or of tokens.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, PartialOrd, derive_more::Display, derive_more::FromStr,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+    derive_more::FromStr,
 )]
 pub struct PerSecond(pub f64);
 
 impl PerSecond {
+    /// Returns whether the rate is a finite number and not negative.
+    pub fn is_valid(self) -> bool {
+        self.0.is_finite() && self.0 >= 0.0
+    }
+
     /// Returns the amount that accrues at this rate in `ms` milliseconds.
     pub fn accrued_in_ms(self, ms: u64) -> f64 {
         self.0 * ms as f64 / 1_000.0
