Retry budget: a starting gateway uses a small part of its slack at once

A caller's stream was cut that was resumed before.

Each life now uses a twentieth of its part of the slack at once, and the rest after the window. Four starts of all gateways within a window stay within the limit. A fleet that starts for the first time has sent nothing before, so its gateways use all of it at once.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -7,8 +7,9 @@
 //!
 //! A gateway that restarts has no record of the retries that it sent before. Those that its earlier
 //! requests allowed are no problem, since these requests count as well. But it may have used its
-//! share of the slack already, so it uses none until the window has passed. The same holds for a
-//! gateway that was added, after the last moment at which the others divided the slack without it.
+//! share of the slack already, so it uses only a small part until the window has passed. The same
+//! holds for a gateway that was added, after the last moment at which the others divided the slack
+//! without it.
 
 use std::collections::VecDeque;
 
@@ -21,6 +22,11 @@
 /// they were sent in.
 const USABLE_SHARE: f64 = 0.8;
 
+/// Share of the slack that gateways use before [`SlackShare::usable_from`]. Without it, a gateway
+/// that just started could retry none of its first requests. Up to four starts of all gateways
+/// within a window stay within the budget.
+const STARTING_SHARE: f64 = 0.05;
+
 /// Limit on the retries to one service, for all gateways together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetRetryBudgetSettings {
@@ -37,12 +43,12 @@
 pub struct SlackShare {
     /// Number of gateways among which the slack is divided.
     pub gateways: usize,
-    /// Time from which the gateway uses its share.
+    /// Time from which the gateway uses its whole share.
     pub usable_from: TimeMs,
 }
 
 impl SlackShare {
-    /// Returns the time from which a gateway uses its share, if its process started at `started_at`
+    /// Returns the time from which a gateway uses its whole share, if its process started at `started_at`
     /// and all other gateways count it from `counted_by` on.
     pub fn usable_from(
         started_at: TimeMs,
@@ -111,14 +117,15 @@
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let slack_share = if now >= slack.usable_from {
-            settings.slack / slack.gateways.max(1) as f64
+            USABLE_SHARE
         } else {
-            0.0
+            STARTING_SHARE
         };
+        let max_slack = slack_share * settings.slack / slack.gateways.max(1) as f64;
         RetryUsage {
             requests,
             retries,
-            max_retries: USABLE_SHARE * (settings.ratio * f64::from(requests) + slack_share),
+            max_retries: USABLE_SHARE * settings.ratio * f64::from(requests) + max_slack,
         }
     }
 
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -163,11 +163,11 @@
     let mut availability = Availability::default();
     let mut store = StoreClient::new(gateway.settings().store);
     let is_new_name = register(&gateway, &mut store, &mut availability).await;
-    let now = gateway.now();
     // Gateways that start together read the list often at first.
-    let is_late = is_new_name && !gateway.settings().is_first_start;
-    gateway.counted_by.set(if is_late {
-        now.plus_ms(COUNTED_AFTER_MS)
+    let is_first_life = is_new_name && gateway.settings().is_first_start;
+    gateway.is_first_life.set(is_first_life);
+    gateway.counted_by.set(if is_new_name && !is_first_life {
+        gateway.now().plus_ms(COUNTED_AFTER_MS)
     } else {
         TimeMs::default()
     });
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -76,6 +76,8 @@
     pub(crate) gateway_count: Cell<usize>,
     /// Time by which all other gateways count this one; in the far future until it is registered.
     pub(crate) counted_by: Cell<TimeMs>,
+    /// Set if the whole fleet starts for the first time and this is the gateway's first process.
+    pub(crate) is_first_life: Cell<bool>,
     pub(crate) roster: Roster,
     pub(crate) relay: Relay,
     /// Name of the gateway that holds the lease and sends orders, as last read from the store or
@@ -112,6 +114,7 @@
             metrics: Metrics::default(),
             gateway_count: Cell::new(ASSUMED_GATEWAY_COUNT),
             counted_by: Cell::new(NEVER),
+            is_first_life: Cell::new(false),
             roster: Roster::default(),
             relay: Relay::default(),
             owner: RefCell::default(),
@@ -144,13 +147,15 @@
     /// Returns this gateway's share of the slack of each retry budget.
     pub(crate) fn slack_share(&self) -> SlackShare {
         let settings = self.settings();
+        let usable_from = match self.is_first_life.get() {
+            true => TimeMs::default(),
+            false => {
+                SlackShare::usable_from(self.started_at, self.counted_by.get(), &settings.repeats)
+            }
+        };
         SlackShare {
             gateways: self.gateway_count.get(),
-            usable_from: SlackShare::usable_from(
-                self.started_at,
-                self.counted_by.get(),
-                &settings.repeats,
-            ),
+            usable_from,
         }
     }
 
