Gateway: requests to an upstream with a limit need a permit of the hub

The limit is for all gateways together, and no gateway knows what the others send. The hub of the load exchange issues permits, each for one request, at the named rate. Each hub issues the part that corresponds to the gateways that report to it, so several hubs together stay within the limit. Without a permit a request goes to another upstream or is refused at once (why: limited).

Before: the test sent 52 requests in 4 s, 17 allowed. Now: it passes, and all its requests are served by other groups. With the whole limit issued by each hub, with 25 s of saved permits, with permits that do not expire, and with permits for gateways that are not counted yet, it fails. It found that several hubs saved up a whole burst each; a hub now saves up in proportion.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,9 +10,10 @@
     directory::{Directory, Target, TargetGroup, TargetKey},
     load::{LoadTracker, Refusal, Selection, retry_after_ms},
     peer_load::{LoadAggregator, PeerLoad, TargetDigest, TargetReport},
+    permit_issuer::{LIMIT_SYNC_MS, PermitIssuer},
     prediction::PromptDemand,
     stall::{StallPolicy, StallState},
-    upstream_limit::UpstreamLimits,
+    upstream_limit::{LimitAnswer, LimitReport, MAX_LIMIT_REPORTS, UpstreamLimits},
 };
 
 mod budget;
@@ -20,6 +21,7 @@
 mod directory;
 mod load;
 mod peer_load;
+mod permit_issuer;
 mod prediction;
 mod stall;
 mod upstream_limit;
--- a/crates/dispatch/src/load/choice.rs
+++ b/crates/dispatch/src/load/choice.rs
@@ -13,6 +13,7 @@
     load::LoadTracker,
     prediction::PromptDemand,
     stall::StallPolicy,
+    upstream_limit::UpstreamLimits,
 };
 
 /// Factor by which a target in another data centre counts as more loaded, because traffic to it
@@ -34,6 +35,8 @@
     NoTarget,
     /// All usable targets shed load, or have no free slot and a full queue.
     NoRoom,
+    /// All usable targets with room have a limit, and this gateway has no permit.
+    Limited,
     /// No usable target with room is predicted to send the first event in time.
     TooLate,
 }
@@ -55,6 +58,8 @@
     /// Limit after which a group without events is considered stalled and is not chosen; `None` for
     /// plain services, whose targets are not checked for stalls.
     pub stall_policy: Option<StallPolicy>,
+    /// Limits of the targets' upstreams; `None` if there are none.
+    pub limits: Option<&'a UpstreamLimits>,
 }
 
 impl LoadTracker {
@@ -92,6 +97,7 @@
             prompt,
             is_wait_limited,
             stall_policy,
+            limits,
         } = *selection;
         let keys: Vec<TargetKey> = targets.iter().map(|target| target.key.clone()).collect();
         let usable = self.ejector.usable(&keys, now);
@@ -100,15 +106,22 @@
                 && !self.is_suspended_or_stalled(&target.key, stall_policy, now)
                 && usable.contains(&target.key)
         };
-        let mut has_usable = false;
+        let may_send =
+            |target: &Target| limits.is_none_or(|limits| limits.may_send(&target.upstream, now));
+        let (mut has_usable, mut has_limited) = (false, false);
         let mut with_room: Vec<(f64, &Arc<Target>)> = Vec::new();
         for target in targets.iter().filter(is_usable) {
             has_usable = true;
             let load = self.loads.get(&target.key).copied().unwrap_or_default();
             let requests = self.load(&target.key, now);
             let is_shedding = load.shed_until.is_some_and(|until| !until.has_passed(now));
-            if !is_shedding && requests < f64::from(target.slots) * (1.0 + queue_share) {
+            if is_shedding || requests >= f64::from(target.slots) * (1.0 + queue_share) {
+                continue;
+            }
+            if may_send(target) {
                 with_room.push((requests, target));
+            } else {
+                has_limited = true;
             }
         }
         let chosen = match &prompt {
@@ -121,6 +134,7 @@
         match chosen {
             Some(target) => Ok(target.clone()),
             None if !with_room.is_empty() => Err(Refusal::TooLate),
+            None if has_limited => Err(Refusal::Limited),
             None if has_usable => Err(Refusal::NoRoom),
             None => Err(Refusal::NoTarget),
         }
--- a/crates/dispatch/tests/passes.rs
+++ b/crates/dispatch/tests/passes.rs
@@ -144,6 +144,7 @@
         prompt: load.uses_prompts.then_some(demand),
         is_wait_limited: true,
         stall_policy: None,
+        limits: None,
     }
 }
 
--- a/crates/dispatch/tests/support.rs
+++ b/crates/dispatch/tests/support.rs
@@ -93,5 +93,6 @@
         prompt: None,
         is_wait_limited: false,
         stall_policy: None,
+        limits: None,
     }
 }
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -1,4 +1,5 @@
-//! Tests of the choice of a target, load exchange, stall detection and retry budget.
+//! Tests of the choice of a target, load exchange, stall detection, retry budget and limits of
+//! upstreams.
 
 mod budget;
 mod many_gateways;
@@ -6,3 +7,4 @@
 mod passes;
 mod stall;
 mod support;
+mod upstream_limits;
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -53,9 +53,10 @@
 }
 
 impl InFlightGuard {
-    fn new(context: &Context, key: &TargetKey) -> InFlightGuard {
-        let gateway = &context.gateway;
+    fn new(context: &Context, target: &Target) -> InFlightGuard {
+        let (gateway, key) = (&context.gateway, &target.key);
         let now = gateway.now();
+        gateway.limits.borrow_mut().on_sent(&target.upstream, now);
         let mut loads = gateway.loads.borrow_mut();
         let predicted_wait_ms = context.prompt_demand().map_or(0.0, |prompt| {
             prompt.wait_ms(loads.unread_tokens(key, now), loads.load(key, now))
@@ -150,7 +151,7 @@
     keep_if_stalled: bool,
 ) -> AttemptOutcome {
     let gateway = &context.gateway;
-    let in_flight = InFlightGuard::new(context, &target.key);
+    let in_flight = InFlightGuard::new(context, target);
     let connect_timeout_ms = CONNECT_TIMEOUT_MS.min(context.remaining_ms());
     // A request that may not be retried gets a new connection or one that was idle only briefly,
     // since the upstream may close a connection that was idle for longer.
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -109,7 +109,7 @@
         None => PLAIN_QUEUE_SHARE,
     };
     let mut rng = gateway.rng.borrow_mut();
-    let loads = gateway.loads.borrow();
+    let (loads, limits) = (gateway.loads.borrow(), gateway.limits.borrow());
     let now = gateway.now();
     let selection = Selection {
         targets: targets(context, &snapshot.directory),
@@ -119,6 +119,7 @@
         // A request that may have run is late already, and refusing it would be worse.
         is_wait_limited: history.runs == 0,
         stall_policy: context.stall_policy(),
+        limits: Some(&limits),
     };
     loads.choose(&selection, now, &mut *rng)
 }
@@ -277,6 +278,11 @@
             "the queues of all upstreams are full",
             Some(EXPECTED_SLOT_WAIT_MS),
         ),
+        StopReason::NothingSelected(Refusal::Limited) => (
+            ResultCode::NoCapacity,
+            "all upstreams get as many requests as the limits that they name allow",
+            Some(EXPECTED_SLOT_WAIT_MS),
+        ),
         StopReason::NothingSelected(Refusal::TooLate) => (
             ResultCode::NoCapacity,
             "no upstream would send the first event in time",
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use jacinthpoint_dispatch::TargetReport;
+use jacinthpoint_dispatch::{LimitAnswer, LimitReport, TargetReport};
 use jacinthpoint_types::VmId;
 use serde::{Deserialize, Serialize};
 
@@ -27,8 +27,9 @@
     UpstreamDead(VmId),
 }
 
-/// A message between gateways.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// A message between gateways. New kinds are added at the end: a gateway drops those that it does
+/// not know.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Datagram {
     /// Notification of a fault.
     Alarm(Alarm),
@@ -37,6 +38,15 @@
     /// The hub's answer to a report, or a part of it: the load that all other gateways have at each
     /// of these targets.
     AggregatedLoad(Vec<TargetReport>),
+    /// Report of upstreams' limits to the hub, with requests for permits.
+    LimitReport {
+        /// The reports that are due.
+        reports: Vec<LimitReport>,
+        /// Whether the hub answers with all limits that it knows.
+        is_sync: bool,
+    },
+    /// The hub's answer to a report of limits, or a part of it.
+    LimitAnswer(Vec<LimitAnswer>),
 }
 
 /// Encodes a datagram; returns `None` if it is longer than [`MAX_BYTES`].
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod events;
 mod excluded_peers;
 mod lease;
+mod limit_exchange;
 mod load_exchange;
 mod load_reports;
 mod metrics;
--- /dev/null
+++ b/crates/gateway/src/limit_exchange.rs
@@ -0,0 +1,118 @@
+//! Exchange of upstreams' limits and of permits with the hub.
+//!
+//! Each gateway reports the limits that upstreams named to it to the hub of the load exchange, and
+//! asks there for permits. A gateway without an address for other gateways issues permits itself,
+//! at an even share of each limit.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use jacinthpoint_dispatch::{
+    LIMIT_SYNC_MS, LimitAnswer, LimitReport, MAX_LIMIT_REPORTS, PermitIssuer,
+};
+use jacinthpoint_types::TimeMs;
+
+use crate::{
+    clock::sleep_ms,
+    datagram::{Datagram, send_to},
+    events::log_event,
+    state::Gateway,
+};
+
+/// Time between two reports of a gateway that issues its permits itself.
+const ALONE_INTERVAL_MS: u64 = 100;
+
+/// One gateway's state in the exchange of limits.
+#[derive(Debug, Default)]
+pub(crate) struct LimitExchange {
+    /// Limits and permits for the gateways that use this one as their hub.
+    issuer: RefCell<PermitIssuer<SocketAddr>>,
+    /// Time of the last report with an update of all limits.
+    synced_at: Cell<TimeMs>,
+}
+
+/// Sends the due reports to `hub`, which may be this gateway itself, and applies its answer. Every
+/// [`LIMIT_SYNC_MS`], a report is sent even if none is due, and the hub answers with all limits.
+pub(crate) fn exchange(gateway: &Gateway, hub: SocketAddr, ranking: &[SocketAddr]) {
+    let now = gateway.now();
+    let state = &gateway.limit_exchange;
+    state
+        .issuer
+        .borrow_mut()
+        .on_known(ranking.iter().copied(), now);
+    let reports = due_reports(gateway, now);
+    let is_sync = now.since_ms(state.synced_at.get()) >= LIMIT_SYNC_MS;
+    if is_sync {
+        state.synced_at.set(now);
+        state.issuer.borrow_mut().drop_old(now);
+    }
+    if reports.is_empty() && !is_sync {
+        return;
+    }
+    if Some(hub) == gateway.settings().peers {
+        let answers = state.issuer.borrow_mut().on_report(hub, &reports, now);
+        apply(gateway, &answers, now);
+    } else {
+        send_to(gateway, &Datagram::LimitReport { reports, is_sync }, hub);
+    }
+}
+
+fn due_reports(gateway: &Gateway, now: TimeMs) -> Vec<LimitReport> {
+    let is_counted = now >= gateway.counted_by.get();
+    gateway.limits.borrow_mut().due_reports(is_counted, now)
+}
+
+/// Answers another gateway's report as its hub.
+pub(crate) fn handle_report(
+    gateway: &Gateway,
+    from: SocketAddr,
+    reports: &[LimitReport],
+    is_sync: bool,
+) {
+    let now = gateway.now();
+    let mut issuer = gateway.limit_exchange.issuer.borrow_mut();
+    let mut answers = issuer.on_report(from, reports, now);
+    if is_sync {
+        answers.extend(issuer.limited(now));
+    }
+    drop(issuer);
+    for part in answers.chunks(MAX_LIMIT_REPORTS) {
+        send_to(gateway, &Datagram::LimitAnswer(part.to_vec()), from);
+    }
+}
+
+/// Applies an answer, unless it comes from another gateway than the hub.
+pub(crate) fn handle_answer(gateway: &Gateway, from: SocketAddr, answers: &[LimitAnswer]) {
+    if gateway.load_exchange.is_hub(from) {
+        apply(gateway, answers, gateway.now());
+    }
+}
+
+/// Applies the hub's answer and logs the limits that changed.
+fn apply(gateway: &Gateway, answers: &[LimitAnswer], now: TimeMs) {
+    let mut limits = gateway.limits.borrow_mut();
+    for upstream in limits.on_hub_answer(answers, now) {
+        let limit = limits.limit(&upstream).map(|limit| limit.0);
+        log_event!(info, LimitChanged, %upstream, limit,
+            "another gateway learned that an upstream changed the limit that it names");
+    }
+}
+
+/// Issues this gateway's permits for ever, at an even share of each limit. For a gateway without an
+/// address for other gateways.
+pub(crate) async fn issue_alone(gateway: Rc<Gateway>) {
+    loop {
+        sleep_ms(ALONE_INTERVAL_MS).await;
+        let now = gateway.now();
+        let reports = due_reports(&gateway, now);
+        let mut issuer = gateway.limit_exchange.issuer.borrow_mut();
+        issuer.drop_old(now);
+        let share = 1.0 / gateway.gateway_count.get() as f64;
+        let answers = issuer.on_report_alone(&reports, share, now);
+        drop(issuer);
+        apply(&gateway, &answers, now);
+    }
+}
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -67,9 +67,14 @@
         aggregator.load_of_others(&from, now)
     }
 
+    /// Returns whether `address` is the current hub.
+    pub(crate) fn is_hub(&self, address: SocketAddr) -> bool {
+        self.hub.get() == Some(address)
+    }
+
     /// Records the time of an answer if `from` is the current hub; returns whether it is.
     pub(crate) fn on_hub_answer(&self, from: SocketAddr, now: TimeMs) -> bool {
-        let is_hub = self.hub.get() == Some(from);
+        let is_hub = self.is_hub(from);
         if is_hub {
             self.last_answer_at.set(now);
         }
--- a/crates/gateway/src/load_reports.rs
+++ b/crates/gateway/src/load_reports.rs
@@ -11,6 +11,7 @@
     clock::sleep_ms,
     datagram::{Datagram, MAX_TARGET_REPORTS, send_to},
     events::log_event,
+    limit_exchange,
     state::Gateway,
 };
 
@@ -60,6 +61,7 @@
             let reports = reports.into_iter().take(MAX_TARGET_REPORTS).collect();
             send_to(&gateway, &Datagram::LoadReport(reports), hub);
         }
+        limit_exchange::exchange(&gateway, hub, &ranking);
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,7 +8,7 @@
     alarm,
     clock::sleep_ms,
     datagram::{Datagram, MAX_BYTES, decode},
-    load_reports,
+    limit_exchange, load_reports,
     state::Gateway,
 };
 
@@ -40,6 +40,10 @@
     match datagram {
         Datagram::Alarm(alarm) => alarm::apply(gateway, &alarm),
         Datagram::LoadReport(reports) => load_reports::handle_report(gateway, from, reports),
+        Datagram::LimitReport { reports, is_sync } => {
+            limit_exchange::handle_report(gateway, from, &reports, is_sync);
+        }
+        Datagram::LimitAnswer(answers) => limit_exchange::handle_answer(gateway, from, &answers),
         Datagram::AggregatedLoad(loads) => load_reports::handle_aggregate(gateway, from, &loads),
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,7 +14,7 @@
     edge::{serve_callers, serve_metrics, serve_readiness},
     events::log_event,
     lease::{Lease, maintain_lease},
-    load_reports,
+    limit_exchange, load_reports,
     owner::manage_groups,
     peers,
     relay::serve_gateways,
@@ -114,6 +114,8 @@
         spawn_local(serve_gateways(gateway.clone(), listener));
         spawn_local(peers::receive(gateway.clone(), socket));
         spawn_local(load_reports::send_reports(gateway.clone()));
+    } else {
+        spawn_local(limit_exchange::issue_alone(gateway.clone()));
     }
     if let Some(address) = metrics {
         spawn_local(serve_metrics(gateway.clone(), address));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,8 +19,8 @@
 use tokio::{net::UdpSocket, sync::watch};
 
 use crate::{
-    clock::Clock, events::log_event, load_exchange::LoadExchange, metrics::Metrics, pool::Pool,
-    relay::Relay, roster::Roster, settings::GatewaySettings,
+    clock::Clock, events::log_event, limit_exchange::LimitExchange, load_exchange::LoadExchange,
+    metrics::Metrics, pool::Pool, relay::Relay, roster::Roster, settings::GatewaySettings,
 };
 
 /// Number of gateways that is assumed until the roster is known. It exceeds the real number, so
@@ -88,6 +88,7 @@
     /// Socket for datagrams; `None` if the settings configure no address for other gateways.
     pub(crate) peers_socket: RefCell<Option<Rc<UdpSocket>>>,
     pub(crate) load_exchange: LoadExchange,
+    pub(crate) limit_exchange: LimitExchange,
     /// Set once the gateway has received a request.
     pub(crate) has_traffic: Cell<bool>,
     pub(crate) fault_reports: RefCell<FaultReports>,
@@ -121,6 +122,7 @@
             stall_reported_at: RefCell::default(),
             peers_socket: RefCell::default(),
             load_exchange: LoadExchange::default(),
+            limit_exchange: LimitExchange::default(),
             has_traffic: Cell::new(false),
             fault_reports: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
@@ -193,6 +195,10 @@
             .targets()
             .map(|target| target.key.clone())
             .collect();
+        self.limits.borrow_mut().retain(
+            |upstream| view.upstreams().contains_key(upstream),
+            self.now(),
+        );
         self.stall_reported_at
             .borrow_mut()
             .retain(|key, _| listed.contains(key));
