--- a/tests/gateway/fleet_limits.rs
+++ b/tests/gateway/fleet_limits.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeSet,
+    net::SocketAddr,
     thread,
     time::{Duration, Instant},
 };
@@ -70,17 +71,18 @@
     }
 }
 
-/// Sends streams to each of `gateways` gateways for `time`, one every `pause`, and returns the
-/// statuses of the answers.
-fn send_steadily(site: &Site, gateways: usize, time: Duration, pause: Duration) -> Vec<u16> {
+/// Sends streams to each gateway for `time`, one every `pause`, and returns the statuses of the
+/// answers.
+fn send_steadily(gateways: &[SocketAddr], time: Duration, pause: Duration) -> Vec<u16> {
     let end = Instant::now() + time;
-    let senders: Vec<_> = (0..gateways)
-        .map(|gateway| {
-            let address = site.gateway(gateway);
+    let senders: Vec<_> = gateways
+        .iter()
+        .map(|address| {
+            let address = *address;
             thread::spawn(move || {
                 let mut callers = Vec::new();
                 while Instant::now() < end {
-                    let id = format!("{gateway}-{}", callers.len());
+                    let id = format!("{address}-{}", callers.len());
                     callers.push(thread::spawn(move || {
                         Request::stream(&id).send(address).status
                     }));
@@ -125,8 +127,82 @@
     site.platform.engines.set_limit(&leader, Some(limit));
     let named_at = Instant::now();
     let time = LIMIT_STABLE + LIMIT_WINDOW + Duration::from_secs(1);
-    let statuses = send_steadily(&site, gateways, time, Duration::from_millis(60));
+    let addresses: Vec<_> = (0..gateways).map(|index| site.gateway(index)).collect();
+    let statuses = send_steadily(&addresses, time, Duration::from_millis(60));
     check_limit(&site, &leader, limit, named_at);
     // The other groups have room for what the limited one does not take.
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
+
+#[test]
+fn limits_of_many_upstreams_hold_while_gateways_stop_and_restart() {
+    let gateways = 3;
+    let limits = [1.0, 2.0, 3.0];
+    let mut site = Site::start(gateways);
+    let groups = site.platform.engines.open_groups();
+    for (members, limit) in groups.iter().zip(limits) {
+        site.platform.engines.set_limit(&members[0], Some(limit));
+    }
+    let named_at = Instant::now();
+    let callers = {
+        let addresses: Vec<_> = (0..gateways).map(|index| site.gateway(index)).collect();
+        let time = LIMIT_STABLE + LIMIT_WINDOW * 2;
+        thread::spawn(move || send_steadily(&addresses, time, Duration::from_millis(40)))
+    };
+    thread::sleep(Duration::from_secs(4));
+    // Any of the gateways may be the hub.
+    site.signal(0, "STOP");
+    thread::sleep(Duration::from_secs(2));
+    site.signal(0, "CONT");
+    site.restart(1);
+    thread::sleep(Duration::from_secs(2));
+    site.restart(2);
+    callers.join().expect("it does not panic");
+    for (members, limit) in groups.iter().zip(limits) {
+        check_limit(&site, &members[0], limit, named_at);
+    }
+}
+
+#[test]
+fn upstream_whose_limit_ended_gets_more_requests_again() {
+    let limit = 1.0;
+    let site = Site::start(2);
+    let leader = site.platform.engines.open_groups()[0][0].clone();
+    let addresses = [site.gateway(0), site.gateway(1)];
+    let pause = Duration::from_millis(60);
+    site.platform.engines.set_limit(&leader, Some(limit));
+    send_steadily(&addresses, LIMIT_STABLE, pause);
+    site.platform.engines.set_limit(&leader, None);
+    send_steadily(&addresses, LIMIT_WINDOW, pause);
+    let ended_at = Instant::now();
+    send_steadily(&addresses, LIMIT_WINDOW, pause);
+    let runs = site.platform.runs.all();
+    let count = runs
+        .iter()
+        .filter(|run| run.upstream == leader && run.at >= ended_at)
+        .count();
+    // A quarter of two gateways' requests go to each of the four groups.
+    let max_limited = 1.5 * limit * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+    assert!(count as f64 > max_limited, "{count} requests");
+}
+
+#[test]
+fn request_beyond_the_limits_of_all_upstreams_is_refused_at_once() {
+    let site = Site::start(1);
+    for members in site.platform.engines.open_groups() {
+        site.platform.engines.set_limit(&members[0], Some(0.5));
+    }
+    let mut refused = 0;
+    for index in 0..60 {
+        let id = format!("limited-{index}");
+        let began = Instant::now();
+        let answer = Request::stream(&id).send(site.gateway(0));
+        if answer.status == 503 {
+            refused += 1;
+            assert!(began.elapsed() < Duration::from_millis(500));
+            assert!(answer.header("retry-after").is_some());
+            assert!(site.platform.runs.of(&id).is_empty());
+        }
+    }
+    assert!(refused > 0, "no request was refused");
+}
