Failing tests: answers of upstreams that do not end

An upstream may send bytes that are no answer without end. The gateway reads interim answers and bodies without end until the caller leaves (status 0, where 502 is due). A head without end is refused already.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -300,6 +300,46 @@
     answer_to_another_request_is_no_success: AnswersAnother,
 }
 
+/// Time in which a gateway gives up an answer without end, long before the request's deadline.
+const ENDLESS_ANSWER_MS: u64 = 3_000;
+/// Memory of a gateway's VM.
+const MAX_MEMORY_KB: u64 = 260_000;
+
+/// Defines tests in which the plain service sends bytes without end until its caller closes the
+/// connection: name, fault. The gateway must give the answer up, stay within its memory and serve
+/// other requests meanwhile.
+macro_rules! endless_answer {
+    ($($name:ident: $fault:ident,)+) => {
+        gateways! {
+            $($name(1): |site| {
+                site.platform.plain.set_fault(PlainFault::$fault);
+                let began = Instant::now();
+                let address = site.gateway(0);
+                let callers: Vec<_> = (0..10).map(|index| {
+                    let id = format!("endless-{index}");
+                    std::thread::spawn(move || Request::once(&id).send(address).status)
+                }).collect();
+                let stream = Request::stream("beside").send(address);
+                assert_eq!((stream.status, stream.end), (200, End::Whole));
+                for caller in callers {
+                    let status = caller.join().expect("the caller thread does not panic");
+                    assert_eq!(status, 502);
+                }
+                assert!(began.elapsed() < Duration::from_millis(ENDLESS_ANSWER_MS));
+                let memory_kb = site.peak_memory_kb(0);
+                assert!(memory_kb < MAX_MEMORY_KB, "{memory_kb} kB");
+            })+
+        }
+    };
+}
+
+endless_answer! {
+    endless_head_is_given_up: EndlessHead,
+    endless_interim_answers_are_given_up: EndlessInterimAnswers,
+    endless_chunks_are_given_up: EndlessChunks,
+    endless_body_is_given_up: EndlessBody,
+}
+
 /// Time after which no request may reach an upstream whose store entry was removed.
 const DRAIN_MS: u64 = 2_000;
 
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -200,6 +200,12 @@
         }
     }
 
+    /// Returns the most memory that a running gateway used so far, in kilobytes.
+    pub fn peak_memory_kb(&self, index: usize) -> u64 {
+        let process = self.gateways[index].process.as_ref();
+        process.expect("the gateway runs").peak_memory_kb()
+    }
+
     /// Waits until a gateway process has ended; returns whether it ended within the timeout.
     /// Returns `true` at once if the gateway has been killed.
     pub fn wait_for_end(&mut self, index: usize, timeout_ms: u64) -> bool {
--- a/tests/util/process.rs
+++ b/tests/util/process.rs
@@ -68,6 +68,16 @@
         !self.first_line.is_empty()
     }
 
+    /// Returns the most memory that the process used so far, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process runs");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let value = line.and_then(|line| line.split_whitespace().nth(1));
+        let value = value.expect("the status has the peak memory");
+        value.parse().expect("the peak memory is a number")
+    }
+
     /// Sends a signal, such as `TERM`, `STOP`, `CONT` or `KILL`.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
