Gateway: give up an answer whose head does not arrive within 256 KiB

An upstream that sends interim answers without end kept its caller waiting until it left, and the gateway busy. The HTTP library skips interim answers and limits only the length of each. A connection now fails once it has read 256 KiB before the head of an answer; a single head may have 64 KiB.

--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -180,7 +180,7 @@
         "a request is being sent to an upstream");
     let sent_at = gateway.now();
     let response = {
-        let mut response = std::pin::pin!(connection.sender.try_send_request(request));
+        let mut response = std::pin::pin!(connection.send(request));
         let mut check_at = first_check_at(context, sent_at, keep_if_stalled);
         loop {
             tokio::select! {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,13 +1,33 @@
 //! HTTP/1.1 client connections to upstreams, the store and other gateways.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    cell::Cell,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
+};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    task::AbortHandle,
+    time::timeout,
+};
 
 /// Idle time after which TCP sends the first keepalive probe.
 const KEEPALIVE_IDLE_MS: u64 = 1_000;
@@ -18,6 +38,12 @@
 /// Time for which sent bytes may stay unacknowledged before the connection fails.
 const MAX_UNACKNOWLEDGED_MS: u64 = 4_000;
 
+/// Maximum length of one head of an answer, and of the part of a body that is read ahead.
+const MAX_HEAD_BYTES: usize = 64 * 1_024;
+/// Number of bytes that a peer may send until the head of its answer has arrived. Interim answers
+/// (status 1xx) before it count; a peer may send them without end.
+const MAX_BYTES_BEFORE_HEAD: usize = 4 * MAX_HEAD_BYTES;
+
 /// Body of a request.
 pub(crate) type RequestBody = Full<Bytes>;
 
@@ -35,6 +61,62 @@
     Http(hyper::Error),
 }
 
+/// Stream that fails once more bytes were read than allowed.
+struct MeteredStream {
+    stream: TcpStream,
+    /// Number of bytes that may still be read.
+    allowance_bytes: Rc<Cell<usize>>,
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.allowance_bytes.get() == 0 {
+            let error = "no head within the first bytes of the answer";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
+        }
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let count = buffer.filled().len() - before;
+        let rest = self.allowance_bytes.get().saturating_sub(count);
+        self.allowance_bytes.set(rest);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
 /// Aborts the task of a connection when dropped.
 #[derive(Debug)]
 struct AbortOnDrop(AbortHandle);
@@ -50,6 +132,8 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<RequestBody>,
+    /// Number of bytes that may still be read; unlimited except while a head is awaited.
+    allowance_bytes: Rc<Cell<usize>>,
     _task: AbortOnDrop,
 }
 
@@ -68,7 +152,13 @@
             Err(_) => return Err(ConnectError::TimedOut),
         };
         set_options(&stream);
+        let allowance_bytes = Rc::new(Cell::new(usize::MAX));
+        let stream = MeteredStream {
+            stream,
+            allowance_bytes: allowance_bytes.clone(),
+        };
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(ConnectError::Http)?;
@@ -79,10 +169,24 @@
         });
         Ok(Connection {
             sender,
+            allowance_bytes,
             _task: AbortOnDrop(task.abort_handle()),
         })
     }
 
+    /// Sends a request and waits for the head of the answer, within [`MAX_BYTES_BEFORE_HEAD`].
+    ///
+    /// The error holds the request if no byte of it was sent.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
+        self.allowance_bytes.set(MAX_BYTES_BEFORE_HEAD);
+        let response = self.sender.try_send_request(request).await?;
+        self.allowance_bytes.set(usize::MAX);
+        Ok(response)
+    }
+
     /// Returns whether a request can be sent now.
     pub(crate) fn is_ready(&self) -> bool {
         self.sender.is_ready() && !self.sender.is_closed()
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -370,7 +370,7 @@
                 request = request.header(header::CONTENT_TYPE, "application/json");
             }
             let request = request.body(Full::new(body)).ok()?;
-            let response = connection.sender.send_request(request).await.ok()?;
+            let response = connection.send(request).await.ok()?;
             let status = response.status().as_u16();
             let body = response.into_body().collect().await.ok()?.to_bytes();
             Some((status, body, connection))
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -279,7 +279,8 @@
             .body(Full::new(body))
             .map_err(|error| StoreError::NotReached(error.to_string()))?;
         let exchange = async {
-            let response = connection.sender.send_request(request).await?;
+            let response = connection.send(request).await;
+            let response = response.map_err(|error| error.into_error())?;
             let status = response.status().as_u16();
             let body = response.into_body().collect().await?.to_bytes();
             Ok::<_, hyper::Error>((status, body))
