Gateway: limit the length of upstreams' bodies

An upstream that sends a body without end kept its caller waiting until it left, while the gateway stored all of it: ten such answers at once exhaust the memory of a VM. Whole answers are now given up beyond 8 MiB each, and beyond 48 MiB for all that are being read unless they are short; the rest of a refusal beyond 64 KiB, and the report of an engine beyond 256 KiB.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -27,6 +27,7 @@
 mod request;
 mod retry;
 mod stream;
+mod whole_body;
 
 /// `Retry-After` for requests that arrive before the gateway has a complete view of the fleet.
 const START_RETRY_AFTER_MS: u64 = 500;
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -8,7 +8,6 @@
 use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::{HeaderMap, Response, StatusCode, body::Incoming, http::request::Parts};
 use jacinthpoint_dispatch::{StallState, Target, TargetKey};
 use jacinthpoint_fleet::RequestKind;
@@ -20,6 +19,7 @@
         answer::{AnswerKind, classify, reported_load, stated_limit},
         context::Context,
         request::build_request,
+        whole_body,
     },
     connection::Connection,
     datagram::Alarm,
@@ -263,8 +263,8 @@
     let _in_flight = in_flight;
     let (head, body) = response.into_parts();
     let deadline = gateway.clock.instant(context.deadline.0);
-    let body = match tokio::time::timeout_at(deadline, body.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
+    let body = match tokio::time::timeout_at(deadline, whole_body::read(gateway, body)).await {
+        Ok(Ok(body)) => body,
         Ok(Err(error)) => return AttemptOutcome::Unknown(error.to_string()),
         Err(_) => return AttemptOutcome::DeadlinePassed,
     };
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -4,7 +4,7 @@
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, header};
 use jacinthpoint_adapter::{
     EngineReport, decode_report, encode_order, headers, is_fencing_token_refusal, order_answer,
@@ -29,6 +29,8 @@
 /// dead only after two failed probes in a row, so that one lost packet has no effect.
 const PROBE_TIMEOUT_MS: u64 = 250;
 
+/// Maximum length of the body of a report or of the answer to an order.
+const MAX_REPORT_BYTES: usize = 256 * 1_024;
 /// Time after which an event that another gateway received is known to the owner: the interval of
 /// the load exchange, and half of it for delays on the way.
 const MAX_EXCHANGE_DELAY_MS: u64 = 150;
@@ -372,7 +374,8 @@
             let request = request.body(Full::new(body)).ok()?;
             let response = connection.send(request).await.ok()?;
             let status = response.status().as_u16();
-            let body = response.into_body().collect().await.ok()?.to_bytes();
+            let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
+            let body = body.collect().await.ok()?.to_bytes();
             Some((status, body, connection))
         };
         let answer = timeout(Duration::from_millis(timeout_ms), exchange).await;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::{HeaderMap, Response, body::Incoming, header};
 use jacinthpoint_dispatch::{Target, TargetKey};
 use jacinthpoint_types::{Deadline, TimeMs};
@@ -22,6 +22,8 @@
 /// Time for reading the rest of a short response, such as an upstream's refusal, before its
 /// connection is closed.
 const REMAINING_BODY_TIMEOUT_MS: u64 = 200;
+/// Maximum length of that rest.
+const MAX_REMAINING_BODY_BYTES: usize = 64 * 1_024;
 /// Maximum number of idle connections to each target.
 const MAX_IDLE_PER_TARGET: usize = 16;
 
@@ -131,7 +133,7 @@
             let (head, body) = response.into_parts();
             let body = timeout(
                 Duration::from_millis(REMAINING_BODY_TIMEOUT_MS),
-                body.collect(),
+                Limited::new(body, MAX_REMAINING_BODY_BYTES).collect(),
             )
             .await;
             if matches!(body, Ok(Ok(_))) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -95,6 +95,8 @@
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) open_requests: Cell<usize>,
     pub(crate) open_connections: Cell<usize>,
+    /// Length of the upstreams' bodies that are being read, in bytes.
+    pub(crate) buffered_bytes: Cell<usize>,
 }
 
 impl Gateway {
@@ -128,6 +130,7 @@
             phase: watch::Sender::new(Phase::Serving),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
+            buffered_bytes: Cell::new(0),
         }
     }
 
