--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -85,6 +85,23 @@
         assert_eq!(site.platform.runs.of("resumed").len(), 2);
     }
 
+    stream_that_an_upstream_fills_without_end_is_resumed(1): |site| {
+        let leader = site.platform.engines.open_groups()[0][0].clone();
+        site.platform.engines.set_endless(&leader, true);
+        let address = site.gateway(0);
+        let callers: Vec<_> = (0..12).map(|index| {
+            let request = Request::stream(&format!("endless-{index}"));
+            std::thread::spawn(move || request.send(address))
+        }).collect();
+        for caller in callers {
+            let answer = caller.join().expect("the caller thread does not panic");
+            assert_eq!((answer.status, answer.end), (200, End::Whole));
+            assert_eq!(answer.events(), all_event_ids(20));
+        }
+        let runs = site.platform.runs.all();
+        assert!(runs.iter().any(|run| run.upstream == leader));
+    }
+
     dead_leader_cuts_no_stream(1): |site| {
         site.platform.engines.set_stream(60, 30);
         let address = site.gateway(0);
