--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -17,9 +17,8 @@
 
 /// Length of the buckets in which requests and retries are counted.
 const BUCKET_MS: u64 = 250;
-/// Share of the budget that gateways use. The rest covers gateways that started since the number of
-/// gateways was last counted, and retries that reach the service in a later window than the one
-/// they were sent in.
+/// Share of the budget that gateways use. The rest covers the retries of gateways that just started,
+/// and retries that reach the service in a later window than the one they were sent in.
 const USABLE_SHARE: f64 = 0.8;
 
 /// Share of the slack that gateways use before [`SlackShare::usable_from`]. Without it, a gateway
