Node: record the token gaps before the end of the answer

A caller that read the metrics page right after its answer missed the last gaps of that answer (token_gap_us 0 of 19), a known red test. The buffered gaps were written to the histogram when the call was dropped, after the last byte. They are written before it now.

Trial with a delay of 50 ms before the write on drop: the test failed before (0 of 19) and passes now.

--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -79,6 +79,8 @@
     };
     let ending = run.run_attempts();
     run.record_metrics(&ending);
+    // Before the end of the answer, after which the caller may read the metrics.
+    run.token_gaps.flush();
     admitted.record_generated(run.received_tokens.len());
     if let Some(claim) = claim {
         claim.settle(
--- a/crates/node/src/metrics/token_gaps.rs
+++ b/crates/node/src/metrics/token_gaps.rs
@@ -51,7 +51,8 @@
         }
     }
 
-    fn flush(&mut self) {
+    /// Records the buffered times in the histogram.
+    pub(crate) fn flush(&mut self) {
         let gaps_us = std::mem::take(&mut self.gaps_us);
         if !gaps_us.is_empty() {
             self.metrics
