Limits of upstreams: an answer that is read late ends no newer limit

A frozen gateway woke and read an answer from before the upstream named the limit again. Answers were dated by the reading, so this one counted as the newest, and the hub told all gateways that there was no limit; they sent at will until their next answers.

A statement now has the times of the request and of the reading. A higher limit or none replaces a lower one only if its request was sent after the lower one was read, by any gateway; a lower one replaces a higher one unless it is certainly older.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,7 +13,7 @@
     permit_issuer::{LIMIT_SYNC_MS, PermitIssuer},
     prediction::PromptDemand,
     stall::{StallPolicy, StallState},
-    upstream_limit::{LimitAnswer, LimitReport, MAX_LIMIT_REPORTS, UpstreamLimits},
+    upstream_limit::{LimitAnswer, LimitReport, MAX_LIMIT_REPORTS, StatementAges, UpstreamLimits},
 };
 
 mod budget;
--- a/crates/dispatch/src/permit_issuer.rs
+++ b/crates/dispatch/src/permit_issuer.rs
@@ -9,7 +9,7 @@
 
 use jacinthpoint_types::{PerSecond, TimeMs, VmId};
 
-use crate::upstream_limit::{LimitAnswer, LimitReport, Statement, age_ms, is_kept, is_valid};
+use crate::upstream_limit::{LimitAnswer, LimitReport, Statement, is_kept, is_valid};
 
 /// Time after its last report for which a gateway counts as reporting to this hub. Gateways report
 /// at least every [`LIMIT_SYNC_MS`].
@@ -136,10 +136,7 @@
     }
 
     fn answer(&mut self, report: &LimitReport, share: f64, now: TimeMs) -> LimitAnswer {
-        let statement = Statement {
-            limit: report.limit,
-            stated_at: TimeMs(now.0.saturating_sub(u64::from(report.age_ms))),
-        };
+        let statement = Statement::with_ages(report.limit, report.ages, now);
         let issue = self
             .issues
             .entry(report.upstream.clone())
@@ -151,9 +148,7 @@
             });
         issue.accrue(share, now);
         issue.reported_at = now;
-        if statement.stated_at >= issue.statement.stated_at {
-            issue.statement = statement;
-        }
+        issue.statement.update(statement);
         let is_issued = report.wants_permit && issue.permits >= 1.0;
         if is_issued {
             issue.permits -= 1.0;
@@ -181,7 +176,7 @@
         LimitAnswer {
             upstream: upstream.clone(),
             limit: self.statement.limit,
-            age_ms: age_ms(self.statement.stated_at, now),
+            ages: self.statement.ages(now),
             permits,
         }
     }
--- a/crates/dispatch/src/upstream_limit.rs
+++ b/crates/dispatch/src/upstream_limit.rs
@@ -13,6 +13,8 @@
 use jacinthpoint_types::{Deadline, PerSecond, TimeMs, VmId};
 use serde::{Deserialize, Serialize};
 
+/// Largest difference between the ages of two statements that the delays of datagrams can cause.
+const MAX_AGE_ERROR_MS: u64 = 100;
 /// Time for which a permit may be used. It is short, since the requests of all valid permits may
 /// arrive at once.
 const PERMIT_VALID_MS: u64 = 500;
@@ -25,15 +27,75 @@
 /// Time between two requests for a permit of the same upstream.
 const ASK_INTERVAL_MS: u64 = 50;
 /// Maximum number of upstreams in one report or answer, so that it fits into a datagram: each takes
-/// up to 85 bytes with the longest name.
+/// up to 90 bytes with the longest name.
 pub const MAX_LIMIT_REPORTS: usize = 16;
 
-/// What an upstream stated about its limit, and when.
+/// What an upstream stated about its limit in an answer. It was true at some time between
+/// `asked_at` and `heard_at`.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Statement {
     /// `None` after the limit ended.
     pub(crate) limit: Option<PerSecond>,
-    pub(crate) stated_at: TimeMs,
+    /// Time at which the request was sent.
+    pub(crate) asked_at: TimeMs,
+    /// Time at which the answer was read. A gateway that was frozen reads answers late.
+    pub(crate) heard_at: TimeMs,
+}
+
+impl Statement {
+    /// Returns the statement of a gateway or hub with the ages that it has at `now`.
+    pub(crate) fn with_ages(
+        limit: Option<PerSecond>,
+        ages: StatementAges,
+        now: TimeMs,
+    ) -> Statement {
+        let at = |age_ms: u32| TimeMs(now.0.saturating_sub(u64::from(age_ms)));
+        Statement {
+            limit,
+            asked_at: at(ages.asked_ms),
+            heard_at: at(ages.heard_ms),
+        }
+    }
+
+    /// Returns the ages at `now`.
+    pub(crate) fn ages(&self, now: TimeMs) -> StatementAges {
+        let age_ms = |at: TimeMs| u32::try_from(now.since_ms(at)).unwrap_or(u32::MAX);
+        StatementAges {
+            asked_ms: age_ms(self.asked_at),
+            heard_ms: age_ms(self.heard_at),
+        }
+    }
+
+    /// Replaces this statement with `next`, unless `next` may be older. If it cannot be told which
+    /// of the two is the newer one, the lower limit stays.
+    pub(crate) fn update(&mut self, next: Statement) {
+        let per_s = |limit: Option<PerSecond>| limit.map_or(f64::INFINITY, |limit| limit.0);
+        let (before, after) = (per_s(self.limit), per_s(next.limit));
+        if after == before {
+            self.asked_at = self.asked_at.max(next.asked_at);
+            self.heard_at = self.heard_at.max(next.heard_at);
+            return;
+        }
+        let is_newer = if after < before {
+            next.heard_at >= self.asked_at
+        } else {
+            next.asked_at > self.heard_at.plus_ms(MAX_AGE_ERROR_MS)
+        };
+        if is_newer {
+            *self = next;
+        }
+    }
+}
+
+/// Ages of a statement on the wire.
+///
+/// The order and types of the fields must not change.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatementAges {
+    /// Time in ms since the request was sent.
+    pub asked_ms: u32,
+    /// Time in ms since the answer was read.
+    pub heard_ms: u32,
 }
 
 /// Statement of an upstream as one gateway reports it to the hub, which may ask for a permit.
@@ -45,8 +107,8 @@
     pub upstream: VmId,
     /// Limit that it named; `None` after the limit ended.
     pub limit: Option<PerSecond>,
-    /// Time in ms since it was stated.
-    pub age_ms: u32,
+    /// Ages of the statement.
+    pub ages: StatementAges,
     /// Whether the gateway asks for a permit.
     pub wants_permit: bool,
 }
@@ -60,8 +122,8 @@
     pub upstream: VmId,
     /// Limit that it named; `None` after the limit ended.
     pub limit: Option<PerSecond>,
-    /// Time in ms since it was stated.
-    pub age_ms: u32,
+    /// Ages of the statement.
+    pub ages: StatementAges,
     /// Number of permits.
     pub permits: u8,
 }
@@ -99,14 +161,22 @@
 
 impl UpstreamLimits {
     /// Records the limit that an upstream names in an answer, or `None` for an answer without one.
-    /// Returns whether the limit differs from the one known before.
-    pub fn on_answer(&mut self, upstream: &VmId, limit: Option<PerSecond>, now: TimeMs) -> bool {
+    /// The request was sent at `asked_at`. Returns whether the limit differs from the one known
+    /// before.
+    pub fn on_answer(
+        &mut self,
+        upstream: &VmId,
+        limit: Option<PerSecond>,
+        asked_at: TimeMs,
+        now: TimeMs,
+    ) -> bool {
         if limit.is_none() && !self.states.contains_key(upstream) {
             return false;
         }
         let statement = Statement {
             limit,
-            stated_at: now,
+            asked_at,
+            heard_at: now,
         };
         self.record(upstream, statement)
     }
@@ -120,10 +190,7 @@
             if !is_valid(answer.limit) || (answer.limit.is_none() && !is_known) {
                 continue;
             }
-            let statement = Statement {
-                limit: answer.limit,
-                stated_at: TimeMs(now.0.saturating_sub(u64::from(answer.age_ms))),
-            };
+            let statement = Statement::with_ages(answer.limit, answer.ages, now);
             // The hub's times are later by the delay of its datagrams. Without a change, the time
             // stays, or statements would grow younger as they go back and forth.
             let is_new = self.limit(&answer.upstream) != answer.limit;
@@ -151,11 +218,9 @@
             self.states.insert(upstream.clone(), state);
             return statement.limit.is_some();
         };
-        if statement.stated_at < state.statement.stated_at {
-            return false;
-        }
-        let before = std::mem::replace(&mut state.statement, statement);
-        before.limit != statement.limit
+        let before = state.statement.limit;
+        state.statement.update(statement);
+        before != state.statement.limit
     }
 
     /// Returns the limit of an upstream; `None` if it has none.
@@ -196,7 +261,7 @@
         let wants_permit = |state: &State| is_counted && state.wants_permit(now);
         let is_due = |state: &State| {
             let may_ask = now.since_ms(state.reported_at) >= ASK_INTERVAL_MS;
-            state.statement.stated_at > state.reported_at || (may_ask && wants_permit(state))
+            state.statement.heard_at > state.reported_at || (may_ask && wants_permit(state))
         };
         let mut due: Vec<_> = self
             .states
@@ -212,7 +277,7 @@
                 LimitReport {
                     upstream: upstream.clone(),
                     limit: state.statement.limit,
-                    age_ms: age_ms(state.statement.stated_at, now),
+                    ages: state.statement.ages(now),
                     wants_permit: wants_permit(state),
                 }
             })
@@ -224,7 +289,7 @@
     /// last statement.
     pub fn retain(&mut self, is_listed: impl Fn(&VmId) -> bool, now: TimeMs) {
         self.states.retain(|upstream, state| {
-            let is_recent = now.since_ms(state.statement.stated_at) < UNLISTED_KEPT_MS;
+            let is_recent = now.since_ms(state.statement.heard_at) < UNLISTED_KEPT_MS;
             is_kept(&state.statement, now) && (is_recent || is_listed(upstream))
         });
     }
@@ -232,15 +297,10 @@
 
 /// Returns whether a statement still matters: it names a limit, or the limit ended recently.
 pub(crate) fn is_kept(statement: &Statement, now: TimeMs) -> bool {
-    statement.limit.is_some() || now.since_ms(statement.stated_at) < END_KEPT_MS
+    statement.limit.is_some() || now.since_ms(statement.heard_at) < END_KEPT_MS
 }
 
 /// Returns whether a limit from another gateway can be used.
 pub(crate) fn is_valid(limit: Option<PerSecond>) -> bool {
     limit.is_none_or(PerSecond::is_valid)
 }
-
-/// Returns the time in ms from `at` to `now`.
-pub(crate) fn age_ms(at: TimeMs, now: TimeMs) -> u32 {
-    u32::try_from(now.since_ms(at)).unwrap_or(u32::MAX)
-}
--- a/crates/dispatch/tests/upstream_limits.rs
+++ b/crates/dispatch/tests/upstream_limits.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use jacinthpoint_dispatch::{
-    LIMIT_SYNC_MS, LimitAnswer, LimitReport, PermitIssuer, UpstreamLimits,
+    LIMIT_SYNC_MS, LimitAnswer, LimitReport, PermitIssuer, StatementAges, UpstreamLimits,
 };
 use jacinthpoint_types::{PerSecond, TimeMs, VmId};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -102,8 +102,8 @@
 enum Message {
     Report(usize, Vec<LimitReport>, bool),
     Answer(usize, Vec<LimitAnswer>),
-    /// Answer of an upstream to a request: the upstream and its limit.
-    Served(usize, Option<f64>),
+    /// Answer of an upstream to a request: the upstream, its limit and when the request was sent.
+    Served(usize, Option<f64>, TimeMs),
 }
 
 struct Fleet {
@@ -233,10 +233,10 @@
                         self.nodes[to].limits.on_hub_answer(&answers, now);
                     }
                 }
-                Message::Served(index, limit) => {
+                Message::Served(index, limit, asked_at) => {
                     let node = &mut self.nodes[to];
                     node.limits
-                        .on_answer(&upstream(index), limit.map(PerSecond), now);
+                        .on_answer(&upstream(index), limit.map(PerSecond), asked_at, now);
                     if limit.is_some() {
                         node.told_at.entry(index).or_insert(now);
                     }
@@ -289,7 +289,7 @@
         self.sent_messages += 1;
         let key = (now.plus_ms(2 * WAY_MS), self.sent_messages);
         self.messages
-            .insert(key, (gateway, Message::Served(index, limit)));
+            .insert(key, (gateway, Message::Served(index, limit, now)));
     }
 
     /// Plays the events, one a second from 4 s on, with `per_s` requests a second at each gateway.
@@ -446,12 +446,12 @@
 fn permit_is_for_one_request_and_expires() {
     let mut limits = UpstreamLimits::default();
     let (id, now) = (upstream(0), begin());
-    limits.on_answer(&id, Some(PerSecond(2.0)), now);
+    limits.on_answer(&id, Some(PerSecond(2.0)), now, now);
     assert!(!limits.may_send(&id, now));
     let answer = |permits| LimitAnswer {
         upstream: upstream(0),
         limit: Some(PerSecond(2.0)),
-        age_ms: 0,
+        ages: StatementAges::default(),
         permits,
     };
     limits.on_hub_answer(&[answer(1)], now);
@@ -469,10 +469,84 @@
         let answer = LimitAnswer {
             upstream: upstream(0),
             limit: Some(PerSecond(limit)),
-            age_ms: 0,
+            ages: StatementAges::default(),
             permits: 1,
         };
         assert!(limits.on_hub_answer(&[answer], begin()).is_empty());
         assert!(limits.may_send(&upstream(0), begin()));
     }
 }
+
+/// Regression test for rule LIMIT: a gateway that was frozen read an answer from before the limit
+/// was named, and ended the limit for the whole fleet.
+#[test]
+fn answer_that_is_read_late_does_not_end_a_newer_limit() {
+    let at = |ms: u64| begin().plus_ms(ms);
+    let (id, limit) = (upstream(0), Some(PerSecond(2.0)));
+    let (mut frozen, mut other) = (UpstreamLimits::default(), UpstreamLimits::default());
+    let mut hub = PermitIssuer::default();
+    frozen.on_answer(&id, limit, at(0), at(5));
+    frozen.on_answer(&id, None, at(1_000), at(1_005));
+    other.on_answer(&id, limit, at(3_000), at(3_005));
+    let reports = other.due_reports(true, at(3_010));
+    hub.on_report(1, &reports, at(3_020));
+    // The request was sent before the limit was named again.
+    frozen.on_answer(&id, None, at(2_000), at(5_000));
+    let reports = frozen.due_reports(true, at(5_010));
+    let answers = hub.on_report(2, &reports, at(5_020));
+    frozen.on_hub_answer(&answers, at(5_030));
+    other.on_hub_answer(&hub.limited(at(5_040)), at(5_050));
+    assert_eq!((frozen.limit(&id), other.limit(&id)), (limit, limit));
+}
+
+#[test]
+fn end_of_a_limit_reaches_the_other_gateways() {
+    let at = |ms: u64| begin().plus_ms(ms);
+    let (id, limit) = (upstream(0), Some(PerSecond(2.0)));
+    let mut gateways = [UpstreamLimits::default(), UpstreamLimits::default()];
+    let mut hub = PermitIssuer::default();
+    for (index, gateway) in gateways.iter_mut().enumerate() {
+        gateway.on_answer(&id, limit, at(0), at(5));
+        let reports = gateway.due_reports(true, at(10));
+        hub.on_report(index, &reports, at(20));
+    }
+    gateways[0].on_answer(&id, None, at(1_000), at(1_005));
+    let reports = gateways[0].due_reports(true, at(1_010));
+    hub.on_report(0, &reports, at(1_020));
+    assert!(!gateways[1].may_send(&id, at(1_030)));
+    let reports = gateways[1].due_reports(true, at(1_100));
+    let answers = hub.on_report(1, &reports, at(1_110));
+    gateways[1].on_hub_answer(&answers, at(1_120));
+    assert!(gateways[1].may_send(&id, at(1_120)));
+}
+
+/// Case of seed 5 that failed for the same reason: a gateway wakes after a limit was named again,
+/// and no gateway gets a request for the next seconds.
+#[test]
+fn limits_hold_after_a_frozen_gateway_reads_old_answers() {
+    use Event::{Add, Freeze, Hub, Loss, Quiet, Restart};
+    let events = [
+        Hub { of: 0, hub: 27 },
+        Quiet,
+        Add,
+        Restart { gateway: 40 },
+        Freeze { gateway: 0 },
+        Hub { of: 1, hub: 50 },
+        Freeze { gateway: 40 },
+        Loss,
+        Add,
+        Hub { of: 1, hub: 56 },
+        Freeze { gateway: 48 },
+        Hub { of: 2, hub: 0 },
+        Quiet,
+        Add,
+        Hub { of: 0, hub: 2 },
+        Restart { gateway: 42 },
+        Freeze { gateway: 24 },
+        Freeze { gateway: 23 },
+        Freeze { gateway: 63 },
+        Quiet,
+    ];
+    assert!(small_fleet_holds(events.to_vec()));
+    assert!(large_fleet_holds(events.to_vec()));
+}
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -213,7 +213,7 @@
     }
     let kind = classify(&response, &context.request_id);
     if let Some(limit) = stated_limit(&response, &kind) {
-        record_limit(gateway, target, limit);
+        record_limit(gateway, target, limit, sent_at);
     }
     match kind {
         AnswerKind::NotRun(faulty) => {
@@ -240,11 +240,12 @@
     }
 }
 
-/// Records the limit that an upstream named in an answer, `None` if it named none, and logs a
-/// change.
-fn record_limit(gateway: &Gateway, target: &Target, limit: Option<PerSecond>) {
+/// Records the limit that an upstream named in the answer to a request sent at `sent_at`, `None` if
+/// it named none, and logs a change.
+fn record_limit(gateway: &Gateway, target: &Target, limit: Option<PerSecond>, sent_at: TimeMs) {
     let upstream = &target.upstream;
-    let is_changed = (gateway.limits.borrow_mut()).on_answer(upstream, limit, gateway.now());
+    let is_changed =
+        (gateway.limits.borrow_mut()).on_answer(upstream, limit, sent_at, gateway.now());
     if is_changed {
         log_event!(info, LimitChanged, %upstream, limit = limit.map(|limit| limit.0),
             "an upstream changed the limit that it names");
