Limits of upstreams: the hub itself hears of the limits that others report to it

Found by reading: the hub answered the other gateways with all limits, but not itself, and sent at will to a limited upstream until its own first answer from there. The simulated hub applies its own answer in the same way.

--- a/crates/dispatch/tests/upstream_limits.rs
+++ b/crates/dispatch/tests/upstream_limits.rs
@@ -262,7 +262,10 @@
             node.synced_at = now;
         }
         if hub == gateway {
-            let answers = node.issuer.on_report(gateway, &reports, now);
+            let mut answers = node.issuer.on_report(gateway, &reports, now);
+            if is_sync {
+                answers.extend(node.issuer.limited(now));
+            }
             node.limits.on_hub_answer(&answers, now);
         } else {
             self.send(hub, Message::Report(gateway, reports, is_sync), now);
--- a/crates/gateway/src/limit_exchange.rs
+++ b/crates/gateway/src/limit_exchange.rs
@@ -53,13 +53,14 @@
         return;
     }
     if Some(hub) == gateway.settings().peers {
-        let answers = state.issuer.borrow_mut().on_report(hub, &reports, now);
+        let answers = answers_to(gateway, hub, &reports, is_sync);
         apply(gateway, &answers, now);
     } else {
         send_to(gateway, &Datagram::LimitReport { reports, is_sync }, hub);
     }
 }
 
+/// Returns the reports that are due. They ask for no permit until all other gateways count this one.
 fn due_reports(gateway: &Gateway, now: TimeMs) -> Vec<LimitReport> {
     let is_counted = now >= gateway.counted_by.get();
     gateway.limits.borrow_mut().due_reports(is_counted, now)
@@ -72,16 +73,25 @@
     reports: &[LimitReport],
     is_sync: bool,
 ) {
+    for part in answers_to(gateway, from, reports, is_sync).chunks(MAX_LIMIT_REPORTS) {
+        send_to(gateway, &Datagram::LimitAnswer(part.to_vec()), from);
+    }
+}
+
+/// Returns this gateway's answers, as the hub, to a report of `from`.
+fn answers_to(
+    gateway: &Gateway,
+    from: SocketAddr,
+    reports: &[LimitReport],
+    is_sync: bool,
+) -> Vec<LimitAnswer> {
     let now = gateway.now();
     let mut issuer = gateway.limit_exchange.issuer.borrow_mut();
     let mut answers = issuer.on_report(from, reports, now);
     if is_sync {
         answers.extend(issuer.limited(now));
     }
-    drop(issuer);
-    for part in answers.chunks(MAX_LIMIT_REPORTS) {
-        send_to(gateway, &Datagram::LimitAnswer(part.to_vec()), from);
-    }
+    answers
 }
 
 /// Applies an answer, unless it comes from another gateway than the hub.
