--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -4,12 +4,14 @@
 //! addresses for datagrams, and an order of them that all agree on, by which a few of them are
 //! chosen as readers of the store and as candidates for the lease.
 //!
-//! Each gateway registers at its start, and registrations are never removed. Other gateways count a
-//! new one only after their next read of the list, so it uses no slack of the retry budget before
-//! ([`COUNTED_AFTER_MS`]). That of a gateway that
+//! Each gateway registers at its start, and registrations are never removed. That of a gateway that
 //! no longer exists makes each share of the retry budget smaller, can hold a place as reader or
 //! candidate, and is sent datagrams. A reader that does not answer is excluded for a time, so the
 //! next one in the order takes its place.
+//!
+//! The others count a new gateway only after their next read of the list. Until
+//! [`COUNTED_AFTER_MS`] have passed, it uses little slack of the retry budget and no upstream that
+//! names a limit.
 
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -215,8 +217,8 @@
     }
 }
 
-/// Registers this gateway, and returns whether its name is new or may be new. If its name is registered with
-/// another address, replaces the registration. Retries until the store accepts it.
+/// Registers this gateway, and returns whether its name is new or may be new. If its name is
+/// registered with another address, replaces the registration. Retries until the store accepts it.
 async fn register(
     gateway: &Gateway,
     store: &mut StoreClient,
