--- a/crates/dispatch/src/upstream_limit.rs
+++ b/crates/dispatch/src/upstream_limit.rs
@@ -200,6 +200,7 @@
             if let Some(state) = self.states.get_mut(&answer.upstream) {
                 let until = Deadline::after_ms(now, PERMIT_VALID_MS);
                 let permits = std::iter::repeat_n(until, usize::from(answer.permits));
+                state.permits.retain(|until| !until.has_passed(now));
                 state.permits.extend(permits);
             }
         }
--- a/crates/dispatch/tests/upstream_limits.rs
+++ b/crates/dispatch/tests/upstream_limits.rs
@@ -553,3 +553,23 @@
     assert!(small_fleet_holds(events.to_vec()));
     assert!(large_fleet_holds(events.to_vec()));
 }
+
+/// A gateway may get permits again and again and never choose the upstream.
+#[test]
+fn permits_that_are_not_used_do_not_pile_up() {
+    let mut limits = UpstreamLimits::default();
+    let (id, now) = (upstream(0), begin());
+    limits.on_answer(&id, Some(PerSecond(2.0)), now, now);
+    let mut sizes = Vec::new();
+    for index in 0..100 {
+        let answer = LimitAnswer {
+            upstream: upstream(0),
+            limit: Some(PerSecond(2.0)),
+            ages: StatementAges::default(),
+            permits: 1,
+        };
+        limits.on_hub_answer(&[answer], now.plus_ms(1_000 * index));
+        sizes.push(format!("{limits:?}").len());
+    }
+    assert_eq!(sizes[0], sizes[99]);
+}
