--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -47,8 +47,8 @@
 }
 
 impl SlackShare {
-    /// Returns the time from which a gateway uses its whole share, if its process started at `started_at`
-    /// and all other gateways count it from `counted_by` on.
+    /// Returns the time from which a gateway uses its whole share, if its process started at
+    /// `started_at` and all other gateways count it from `counted_by` on.
     pub fn usable_from(
         started_at: TimeMs,
         counted_by: TimeMs,
--- a/crates/dispatch/tests/upstream_limits.rs
+++ b/crates/dispatch/tests/upstream_limits.rs
@@ -414,6 +414,7 @@
     check(6, large_fleet_holds);
 }
 
+/// Guards against permits that are issued too rarely or expire unused.
 #[test]
 fn limited_upstream_gets_what_it_takes() {
     let limit = 4.0;
@@ -427,6 +428,7 @@
     assert_eq!(fleet.refused, 0);
 }
 
+/// Guards against a limit that never ends, since no request is sent whose answer would show it.
 #[test]
 fn end_of_a_limit_is_noticed_even_if_the_limit_was_zero() {
     let mut fleet = Fleet::new(6, vec![vec![(0, Some(0.0)), (10_000, None)]]);
@@ -445,6 +447,7 @@
     assert_eq!(fleet.excess(), None);
 }
 
+/// Guards against one permit that is used twice, or late.
 #[test]
 fn permit_is_for_one_request_and_expires() {
     let mut limits = UpstreamLimits::default();
@@ -502,6 +505,7 @@
     assert_eq!((frozen.limit(&id), other.limit(&id)), (limit, limit));
 }
 
+/// Guards against gateways that keep a limit whose end another gateway noticed.
 #[test]
 fn end_of_a_limit_reaches_the_other_gateways() {
     let at = |ms: u64| begin().plus_ms(ms);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -85,6 +85,7 @@
         assert_eq!(site.platform.runs.of("resumed").len(), 2);
     }
 
+    // Guards against a stream that waits for an event until its deadline while bytes arrive.
     stream_that_an_upstream_fills_without_end_is_resumed(1): |site| {
         let leader = site.platform.engines.open_groups()[0][0].clone();
         site.platform.engines.set_endless(&leader, true);
--- a/tests/gateway/fleet_limits.rs
+++ b/tests/gateway/fleet_limits.rs
@@ -134,6 +134,8 @@
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
 
+/// Guards against limits that hold only while the same gateways run: a frozen or restarted one, which
+/// may be the issuer of permits, must not let the others exceed any of several limits.
 #[test]
 fn limits_of_many_upstreams_hold_while_gateways_stop_and_restart() {
     let gateways = 3;
@@ -163,6 +165,7 @@
     }
 }
 
+/// Guards against a limit that is kept after its upstream stopped naming it.
 #[test]
 fn upstream_whose_limit_ended_gets_more_requests_again() {
     let limit = 1.0;
@@ -186,6 +189,7 @@
     assert!(count as f64 > max_limited, "{count} requests");
 }
 
+/// Guards against requests that wait for a permit until their deadline.
 #[test]
 fn request_beyond_the_limits_of_all_upstreams_is_refused_at_once() {
     let site = Site::start(1);
