Gateway: log the history of the store that an answer is from, and lists that are not used

Event 740 has the era and revision of the first answer and of each one from another era, event 741 the revisions of a list that is not used. No change of logic.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
         Route, RouteMatch, Service, WeightedService,
     },
     group::{Group, groups_of},
+    history::{HistoryPosition, StoreEra},
     order::{Order, OrderAction, OrderAnswer},
     source::{MAX_RELAYED_AGE_MS, SourceTracker, StoreUnavailability},
     upstream::{GroupState, Membership, Upstream, UpstreamState},
@@ -19,6 +20,7 @@
 
 mod config;
 mod group;
+mod history;
 mod order;
 mod source;
 mod upstream;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -78,6 +78,10 @@
     RetryDecided = 738,
     /// An upstream named a limit or another one, or named none any more.
     LimitChanged = 739,
+    /// The store named an era of its history for the first time, or another one than before.
+    StoreHistory = 740,
+    /// A list of objects is older than what the gateway has read, and is not used.
+    ListRefused = 741,
 }
 
 impl EventCode {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -6,11 +6,11 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, header};
 use jacinthpoint_adapter::{
-    DecodeError, Events, List, StoredObject, decode_events, decode_list, decode_object,
-    encode_object,
+    DecodeError, Events, List, StoredObject, decode_era, decode_events, decode_list, decode_object,
+    encode_object, headers,
     paths::{self, Freshness},
 };
-use jacinthpoint_fleet::SourceTracker;
+use jacinthpoint_fleet::{SourceTracker, StoreEra};
 use jacinthpoint_types::TimeMs;
 use serde_json::Value;
 use tokio::time::timeout;
@@ -54,6 +54,14 @@
     Unreadable(DecodeError),
 }
 
+/// Answer to a call.
+struct Answer {
+    status: u16,
+    /// Era of the store's history; `None` if the answer names none that can be read.
+    era: Option<StoreEra>,
+    body: Bytes,
+}
+
 /// A client with one connection, which carries one call at a time. Tasks that call at the same time
 /// need a client each.
 #[derive(Debug)]
@@ -126,8 +134,8 @@
         freshness: Freshness,
     ) -> Result<List, StoreError> {
         let path = paths::list_after(kind, after, freshness);
-        let body = self.read(&path, 0).await?;
-        decode_list(&body).map_err(StoreError::Unreadable)
+        let Answer { body, era, .. } = self.read(&path, 0).await?;
+        decode_list(&body, era).map_err(StoreError::Unreadable)
     }
 
     /// Returns all objects of a kind, with the revision from which a watch continues.
@@ -158,10 +166,10 @@
         revision: u64,
         wait_ms: u64,
     ) -> Result<Events, StoreError> {
-        let body = self
+        let Answer { body, era, .. } = self
             .read(&paths::watch(kind, revision, wait_ms), wait_ms)
             .await?;
-        decode_events(&body).map_err(StoreError::Unreadable)
+        decode_events(&body, era).map_err(StoreError::Unreadable)
     }
 
     /// Returns one object, in a state that may be seconds old; `None` if it does not exist.
@@ -171,7 +179,7 @@
         name: &str,
     ) -> Result<Option<StoredObject>, StoreError> {
         match self.read(&paths::stale_object(kind, name), 0).await {
-            Ok(body) => decode_object(&body)
+            Ok(answer) => decode_object(&answer.body)
                 .map(Some)
                 .map_err(StoreError::Unreadable),
             Err(StoreError::Refused(404)) => Ok(None),
@@ -204,25 +212,21 @@
             .await
     }
 
-    /// Sends a read that waits up to `wait_ms` at the store, and returns the body of the answer.
-    async fn read(&mut self, path: &str, wait_ms: u64) -> Result<Bytes, StoreError> {
+    /// Sends a read that waits up to `wait_ms` at the store, and returns the answer.
+    async fn read(&mut self, path: &str, wait_ms: u64) -> Result<Answer, StoreError> {
         if let Some(calls) = self.calls {
             calls
                 .reads
                 .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         }
-        match self
-            .call(
-                Method::GET,
-                path,
-                Bytes::new(),
-                wait_ms + self.answer_timeout_ms,
-            )
-            .await?
-        {
-            (200, body) => Ok(body),
-            (410, _) => Err(StoreError::HistoryGone),
-            (status, _) => Err(StoreError::Refused(status)),
+        let timeout_ms = wait_ms + self.answer_timeout_ms;
+        let answer = self
+            .call(Method::GET, path, Bytes::new(), timeout_ms)
+            .await?;
+        match answer.status {
+            200 => Ok(answer),
+            410 => Err(StoreError::HistoryGone),
+            status => Err(StoreError::Refused(status)),
         }
     }
 
@@ -238,20 +242,20 @@
                 .writes
                 .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         }
-        match self
+        let Answer { status, body, .. } = self
             .call(method, path, body.into(), self.answer_timeout_ms)
-            .await?
-        {
-            (200..=299, body) => decode_object(&body).map_err(StoreError::Unreadable),
-            (409, body) => {
+            .await?;
+        match status {
+            200..=299 => decode_object(&body).map_err(StoreError::Unreadable),
+            409 => {
                 let current = decode_object(&body).ok().map(Box::new);
                 Err(StoreError::Conflict(current))
             }
-            (status, _) => Err(StoreError::Refused(status)),
+            status => Err(StoreError::Refused(status)),
         }
     }
 
-    /// Sends one call and returns the status and body of the answer.
+    /// Sends one call and returns the answer.
     ///
     /// The connection is closed after any failure, because a connection whose answer was lost may
     /// not return any more answers.
@@ -261,7 +265,7 @@
         path: &str,
         body: Bytes,
         timeout_ms: u64,
-    ) -> Result<(u16, Bytes), StoreError> {
+    ) -> Result<Answer, StoreError> {
         let mut connection = match self.connection.take().filter(Connection::is_ready) {
             Some(connection) => connection,
             None => Connection::open(self.address, self.connect_timeout_ms)
@@ -282,8 +286,10 @@
             let response = connection.send(request).await;
             let response = response.map_err(|error| error.into_error())?;
             let status = response.status().as_u16();
+            let era = response.headers().get(headers::STORE_ERA);
+            let era = era.and_then(|era| decode_era(era.to_str().ok()?));
             let body = response.into_body().collect().await?.to_bytes();
-            Ok::<_, hyper::Error>((status, body))
+            Ok::<_, hyper::Error>(Answer { status, era, body })
         };
         match timeout(Duration::from_millis(timeout_ms), exchange).await {
             Ok(Ok(answer)) => {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -11,7 +11,7 @@
     Events, List, StoredObject,
     paths::{self, Freshness},
 };
-use jacinthpoint_fleet::ViewChange;
+use jacinthpoint_fleet::{HistoryPosition, ViewChange};
 
 use crate::{
     clock::sleep_ms,
@@ -101,8 +101,8 @@
 /// State of the task that reads one kind.
 #[derive(Debug, Default)]
 struct Progress {
-    /// Revision of the newest list or change; `None` before the first list.
-    revision: Option<u64>,
+    /// Position of the newest list or change; `None` before the first list.
+    position: Option<HistoryPosition>,
     /// Whether the list has to be read again because changes were missed.
     must_list: bool,
     availability: Availability,
@@ -118,7 +118,7 @@
         // From the store, the whole list is always read first, because `Relay` serves a kind to
         // other gateways only after it received a list.
         let can_continue =
-            progress.revision.is_some() && !progress.must_list && source.is_relayed();
+            progress.position.is_some() && !progress.must_list && source.is_relayed();
         let listed = if can_continue {
             Ok(())
         } else {
@@ -138,7 +138,7 @@
                     info,
                     HistoryLost,
                     kind = feed.kind,
-                    revision = progress.revision,
+                    revision = progress.position.map(|position| position.revision),
                     relayed = source.is_relayed(),
                     "the source no longer has the changes; the list is read again"
                 );
@@ -200,7 +200,19 @@
     progress: &mut Progress,
 ) -> Result<(), StoreError> {
     let list = source.list_all(feed.kind, Freshness::Newest).await?;
-    if progress.revision.is_some_and(|known| known > list.revision) {
+    log_history(feed, source, progress.position, list.position);
+    if let Some(known) = progress.position
+        && known.revision > list.position.revision
+    {
+        log_event!(
+            warn,
+            ListRefused,
+            kind = feed.kind,
+            relayed = source.is_relayed(),
+            revision = list.position.revision,
+            known_revision = known.revision,
+            "a list is older than what was read before and is not used"
+        );
         return Err(StoreError::Refused(503));
     }
     let now = gateway.now();
@@ -210,13 +222,39 @@
     if !source.is_relayed() {
         gateway
             .relay
-            .on_list(feed.kind, &list.objects, list.revision, now);
+            .on_list(feed.kind, &list.objects, list.position.revision, now);
     }
-    progress.revision = Some(list.revision);
+    progress.position = Some(list.position);
     (feed.on_list)(gateway, list, is_after_outage);
     Ok(())
 }
 
+/// Logs the first position that is read of a kind, and each one in another era than the one before.
+fn log_history(
+    feed: &Feed,
+    source: &StoreClient,
+    known: Option<HistoryPosition>,
+    position: HistoryPosition,
+) {
+    if known.is_some_and(|known| position.era.is_none() || known.era == position.era) {
+        return;
+    }
+    let is_restored = known.is_some_and(|known| position.is_restored_after(&known));
+    let era = |position: HistoryPosition| position.era.map(|era| era.0);
+    log_event!(
+        info,
+        StoreHistory,
+        kind = feed.kind,
+        relayed = source.is_relayed(),
+        is_restored,
+        era = era(position),
+        revision = position.revision,
+        known_era = known.and_then(era),
+        known_revision = known.map(|known| known.revision),
+        "an answer is from another history of the store than the one before, or is the first"
+    );
+}
+
 /// Applies changes from one source, from the known revision on.
 ///
 /// Returns when this gateway should change between the store and a relay. Fails when a call fails.
@@ -226,7 +264,7 @@
     source: &mut StoreClient,
     progress: &mut Progress,
 ) -> Result<(), StoreError> {
-    let mut after = progress.revision.unwrap_or(0);
+    let mut after = progress.position.map_or(0, |position| position.revision);
     loop {
         let is_relayed = source.is_relayed();
         let wait_ms = if is_relayed {
@@ -234,16 +272,22 @@
         } else {
             STORE_WAIT_MS
         };
-        let Events { changes, revision } = source.watch(feed.kind, after, wait_ms).await?;
+        let Events { changes, position } = source.watch(feed.kind, after, wait_ms).await?;
+        log_history(feed, source, progress.position, position);
         let now = gateway.now();
         let is_after_outage = progress
             .availability
             .on_answer(feed.kind, source.is_relayed(), now);
         if !is_relayed {
-            gateway.relay.on_events(feed.kind, &changes, revision, now);
+            gateway
+                .relay
+                .on_events(feed.kind, &changes, position.revision, now);
         }
-        after = after.max(revision);
-        progress.revision = Some(after);
+        after = after.max(position.revision);
+        progress.position = Some(HistoryPosition {
+            revision: after,
+            ..position
+        });
         for (object, is_removed) in &changes {
             (feed.on_change)(gateway, object, *is_removed, is_after_outage);
         }
--- a/crates/gateway/src/watch/entries.rs
+++ b/crates/gateway/src/watch/entries.rs
@@ -46,7 +46,7 @@
     log_event!(
         info,
         UpstreamChanged,
-        revision = list.revision,
+        revision = list.position.revision,
         before = count_before,
         after = count_after,
         was_away = is_after_outage,
