--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -17,6 +17,7 @@
 
 mod caller;
 mod fleet_limits;
+mod restored_store;
 mod site;
 mod soak;
 
--- /dev/null
+++ b/tests/gateway/restored_store.rs
@@ -0,0 +1,140 @@
+//! The store comes back from an older copy of itself. What it acknowledges from then on must be in
+//! force like before, and what it acknowledged earlier must stay in force.
+
+use std::time::{Duration, Instant};
+
+use jacinthpoint_platform_standins::{LostWrites, PlainService, StoreFault};
+use serde_json::json;
+
+use crate::gateway::{
+    CONFIG_APPLY_MS, DRAIN_MS,
+    caller::Request,
+    pause_ms,
+    site::{KEY, OTHER_KEY, Site},
+};
+
+/// Gateways of each test: one reads the store, the others read from it.
+const GATEWAYS: usize = 3;
+/// Changes between the copy and the restore.
+const LOST_REVISIONS: u64 = 400;
+/// Time within which all gateways have read the newest revision.
+const READ_MS: u64 = 1_200;
+/// Time after a restore from which the store counts as stable.
+const STABLE_MS: u64 = 3_000;
+/// Time after a restore within which upstreams write their entries again.
+const REWRITE_MS: u64 = 1_500;
+
+/// Defines tests that each start [`GATEWAYS`] gateways: name, body.
+macro_rules! restored_store {
+    ($($name:ident: |$site:ident| $body:block)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let $site = Site::start(GATEWAYS);
+                $body
+            }
+        )+
+    };
+}
+
+/// Checks that each gateway accepts only [`OTHER_KEY`].
+fn check_other_key_is_in_force(site: &Site) {
+    for index in 0..GATEWAYS {
+        let answer = Request::stream("old-key").send(site.gateway(index));
+        assert_eq!(answer.status, 401, "{KEY} at gateway {index}");
+        let request = Request {
+            key: OTHER_KEY,
+            ..Request::stream("new-key")
+        };
+        let answer = request.send(site.gateway(index));
+        assert_eq!(answer.status, 200, "{OTHER_KEY} at gateway {index}");
+    }
+}
+
+/// Entry of the plain service in this state.
+fn plain_entry(site: &Site, state: &str) -> serde_json::Value {
+    json!({ "service": "plain", "addr": site.platform.plain.address.to_string(), "zone": "dc-1",
+        "version": "v1", "slots": 6, "state": state, "cold_left_ms": 0, "seq": 2, "born": 1 })
+}
+
+/// Restores the store from a copy that does not have what `leave` writes, and checks that no request
+/// reaches the plain service, whose entry changes back after [`REWRITE_MS`].
+fn check_left_upstream_gets_no_request(site: &Site, leave: impl Fn(&Site)) {
+    let copy = site.platform.store.copy();
+    leave(site);
+    pause_ms(DRAIN_MS);
+    let store = &site.platform.store;
+    store.set_fault(StoreFault::Busy);
+    pause_ms(300);
+    let lost = store.restore(&copy);
+    store.raise_revision(LOST_REVISIONS);
+    store.set_fault(StoreFault::None);
+    let restored_at = Instant::now();
+    let mut lost: Option<LostWrites> = Some(lost);
+    let mut sent = 0;
+    while restored_at.elapsed() < Duration::from_millis(REWRITE_MS + DRAIN_MS) {
+        if restored_at.elapsed() >= Duration::from_millis(REWRITE_MS)
+            && let Some(lost) = lost.take()
+        {
+            store.write_again(lost);
+        }
+        for index in 0..GATEWAYS {
+            let id = format!("left-{sent}");
+            let answer = Request::once(&id).send(site.gateway(index));
+            assert_eq!(answer.status, 503, "gateway {index}, request {sent}");
+            let runs = site.platform.runs.of(&id);
+            assert!(runs.is_empty(), "gateway {index}, request {sent}");
+            sent += 1;
+        }
+        pause_ms(50);
+    }
+}
+
+restored_store! {
+    // Guards against a gateway that refuses all lists until the revisions have passed those of
+    // before the restore.
+    configuration_is_in_force_while_revisions_are_lower: |site| {
+        let store = &site.platform.store;
+        let copy = store.copy();
+        store.raise_revision(LOST_REVISIONS);
+        pause_ms(READ_MS);
+        let lost = store.restore(&copy);
+        store.write_again(lost);
+        pause_ms(STABLE_MS);
+        site.put_config(&[OTHER_KEY]);
+        pause_ms(CONFIG_APPLY_MS);
+        check_other_key_is_in_force(&site);
+    }
+
+    // Guards against a watch that goes on at a revision of another history, and misses the changes
+    // that were given the revisions before.
+    configuration_is_in_force_under_a_revision_that_was_given_out_before: |site| {
+        let store = &site.platform.store;
+        let copy = store.copy();
+        store.raise_revision(LOST_REVISIONS);
+        pause_ms(READ_MS);
+        store.set_fault(StoreFault::Paused);
+        let lost = store.restore(&copy);
+        store.write_again(lost);
+        site.put_config(&[OTHER_KEY]);
+        store.raise_revision(2 * LOST_REVISIONS);
+        store.set_fault(StoreFault::None);
+        pause_ms(STABLE_MS + CONFIG_APPLY_MS);
+        check_other_key_is_in_force(&site);
+    }
+
+    // Guards against an entry of the copy that makes a draining upstream ready again.
+    draining_upstream_gets_no_request_after_a_restore: |site| {
+        check_left_upstream_gets_no_request(&site, |site| {
+            let entry = plain_entry(site, "draining");
+            site.platform.store.put("servers", PlainService::ID, entry);
+        });
+    }
+
+    // Guards against an entry of the copy that brings back an upstream that is gone.
+    removed_upstream_gets_no_request_after_a_restore: |site| {
+        check_left_upstream_gets_no_request(&site, |site| {
+            site.platform.store.remove("servers", PlainService::ID);
+        });
+    }
+}
