Gateway: compare positions in the store's history only within one era

Cause: a watch goes on from the revision that it has reached, and a restore lowers the revisions and gives them out again. While they were lower, each list was refused as older than the view, until they had passed the old revision. If they had passed it before the watch called again, the changes up to it were missed without an error, by the readers and by all that read from them.

A position now has the era that the store names in each answer. A watch whose answer is from a later era reads the list again, whose revision may be lower; an answer from an earlier era is not used. A relay names its era and is told that of its caller, so no history is composed of two. A list whose parts are of two eras is read again. Without eras, revisions compare as before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,7 +11,7 @@
         Route, RouteMatch, Service, WeightedService,
     },
     group::{Group, groups_of},
-    history::{HistoryPosition, StoreEra},
+    history::{Continuity, HistoryPosition, StoreEra},
     order::{Order, OrderAction, OrderAnswer},
     source::{MAX_RELAYED_AGE_MS, SourceTracker, StoreUnavailability},
     upstream::{GroupState, Membership, Upstream, UpstreamState},
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,14 +17,15 @@
 
 use bytes::Bytes;
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    Request, Response, StatusCode, body::Incoming, header::HeaderValue, server::conn::http1,
+    service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use jacinthpoint_adapter::{
-    StoredObject, encode_events, encode_list,
+    StoredObject, encode_events, encode_list, headers,
     paths::{ObjectsCall, parse_objects_call},
 };
-use jacinthpoint_fleet::MAX_RELAYED_AGE_MS;
+use jacinthpoint_fleet::{HistoryPosition, MAX_RELAYED_AGE_MS, StoreEra};
 use jacinthpoint_types::TimeMs;
 use tokio::{net::TcpListener, sync::Notify};
 
@@ -41,18 +42,37 @@
 const ACCEPT_PAUSE_MS: u64 = 20;
 
 /// Objects of one kind and their latest changes, as read from the store.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct KindCache {
     objects: BTreeMap<String, StoredObject>,
     /// Changes since `history_floor`, oldest first; `true` marks a removed object.
     changes: VecDeque<(StoredObject, bool)>,
-    /// Revision after which all changes are kept. A watch from an earlier revision is answered with
-    /// `GONE`, and the calling gateway lists the objects again.
+    /// Revision after which all changes are kept. A watch from an earlier revision, or from another
+    /// history, is answered with `GONE`, and the calling gateway lists the objects again.
     history_floor: u64,
-    /// Revision of the store up to which the cache is complete.
-    revision: u64,
+    /// Position in the store's history up to which the cache is complete.
+    position: HistoryPosition,
     /// Time of the store's last answer.
-    answered_at: Option<TimeMs>,
+    answered_at: TimeMs,
+}
+
+/// Answer to a call of another gateway.
+struct RelayAnswer {
+    status: StatusCode,
+    /// Era of the store's history that the body is from; `None` without a body, or if the store
+    /// named none.
+    era: Option<StoreEra>,
+    body: Vec<u8>,
+}
+
+impl RelayAnswer {
+    fn without_body(status: StatusCode) -> RelayAnswer {
+        RelayAnswer {
+            status,
+            era: None,
+            body: Vec::new(),
+        }
+    }
 }
 
 /// Objects read from the store, by kind.
@@ -69,7 +89,7 @@
         &self,
         kind: &'static str,
         objects: &[StoredObject],
-        revision: u64,
+        position: HistoryPosition,
         now: TimeMs,
     ) {
         let objects = objects
@@ -78,9 +98,9 @@
         let cache = KindCache {
             objects: objects.collect(),
             changes: VecDeque::new(),
-            history_floor: revision,
-            revision,
-            answered_at: Some(now),
+            history_floor: position.revision,
+            position,
+            answered_at: now,
         };
         self.caches.borrow_mut().insert(kind, cache);
         self.changed.notify_waiters();
@@ -93,15 +113,15 @@
         &self,
         kind: &'static str,
         changes: &[(StoredObject, bool)],
-        revision: u64,
+        position: HistoryPosition,
         now: TimeMs,
     ) {
         let mut caches = self.caches.borrow_mut();
         let Some(cache) = caches.get_mut(kind) else {
             return;
         };
-        cache.answered_at = Some(now);
-        cache.revision = revision;
+        cache.answered_at = now;
+        cache.position = position;
         for (object, is_gone) in changes {
             if *is_gone {
                 cache.objects.remove(&object.name);
@@ -125,48 +145,56 @@
     }
 
     /// Answers a call; returns `None` if a watch has to wait for a change.
-    fn try_answer(&self, call: &ObjectsCall, now: TimeMs) -> Option<(StatusCode, Vec<u8>)> {
-        let refused = Some((StatusCode::SERVICE_UNAVAILABLE, Vec::new()));
+    fn try_answer(&self, call: &ObjectsCall, now: TimeMs) -> Option<RelayAnswer> {
+        let refused = Some(RelayAnswer::without_body(StatusCode::SERVICE_UNAVAILABLE));
         let caches = self.caches.borrow();
         let (ObjectsCall::List(kind) | ObjectsCall::Watch(kind, ..)) = call;
         let Some(cache) = caches.get(kind.as_str()) else {
             return refused;
         };
-        let is_fresh = cache
-            .answered_at
-            .is_some_and(|at| now.since_ms(at) <= MAX_RELAYED_AGE_MS);
-        if !is_fresh {
+        if now.since_ms(cache.answered_at) > MAX_RELAYED_AGE_MS {
             return refused;
         }
-        match call {
-            ObjectsCall::List(_) => {
-                let list = encode_list(cache.objects.values(), cache.revision);
-                Some((StatusCode::OK, list))
-            }
-            ObjectsCall::Watch(_, after, _) if *after < cache.history_floor => {
-                Some((StatusCode::GONE, Vec::new()))
-            }
-            ObjectsCall::Watch(_, after, _) => {
-                let is_newer = |(object, _): &&(StoredObject, bool)| object.revision > *after;
-                let mut newer = cache.changes.iter().filter(is_newer).peekable();
-                newer.peek()?;
-                Some((StatusCode::OK, encode_events(newer, cache.revision)))
-            }
+        let ObjectsCall::Watch(_, after, _) = call else {
+            let list = encode_list(cache.objects.values(), cache.position.revision);
+            return Some(cache.answer(list));
+        };
+        let has_era = after.era.is_some() && cache.position.era.is_some();
+        if has_era && after.era > cache.position.era {
+            return refused;
         }
+        if after.revision < cache.history_floor || (has_era && after.era < cache.position.era) {
+            return Some(RelayAnswer::without_body(StatusCode::GONE));
+        }
+        let is_newer = |(object, _): &&(StoredObject, bool)| object.revision > after.revision;
+        let mut newer = cache.changes.iter().filter(is_newer).peekable();
+        newer.peek()?;
+        Some(cache.answer(encode_events(newer, cache.position.revision)))
     }
 
     /// Returns an answer without changes for a watch whose waiting time is over, or a refusal if
     /// the kind is not cached.
-    fn answer_empty(&self, call: &ObjectsCall) -> (StatusCode, Vec<u8>) {
+    fn answer_empty(&self, call: &ObjectsCall) -> RelayAnswer {
         let caches = self.caches.borrow();
         let (ObjectsCall::List(kind) | ObjectsCall::Watch(kind, ..)) = call;
         match (call, caches.get(kind.as_str())) {
             (ObjectsCall::Watch(_, after, _), Some(cache)) => {
                 // The calling gateway may have read a later revision elsewhere.
-                let revision = cache.revision.max(*after);
-                (StatusCode::OK, encode_events([], revision))
+                let revision = cache.position.revision.max(after.revision);
+                cache.answer(encode_events([], revision))
             }
-            _ => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+            _ => RelayAnswer::without_body(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+}
+
+impl KindCache {
+    /// Returns a successful answer, which is from the cache's history.
+    fn answer(&self, body: Vec<u8>) -> RelayAnswer {
+        RelayAnswer {
+            status: StatusCode::OK,
+            era: self.position.era,
+            body,
         }
     }
 }
@@ -174,17 +202,21 @@
 /// Parses and answers a request of another gateway.
 async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Response<AnswerBody> {
     let call = parse_objects_call(request.uri().path(), request.uri().query());
-    let (status, body) = match call {
+    let answer = match call {
         Some(call) => answer_call(gateway, &call).await,
-        None => (StatusCode::NOT_FOUND, Vec::new()),
+        None => RelayAnswer::without_body(StatusCode::NOT_FOUND),
     };
-    let mut response = Response::new(full_body(Bytes::from(body)));
-    *response.status_mut() = status;
+    let mut response = Response::new(full_body(Bytes::from(answer.body)));
+    *response.status_mut() = answer.status;
+    if let Some(era) = answer.era {
+        let fields = response.headers_mut();
+        fields.insert(headers::STORE_ERA, HeaderValue::from(era.0));
+    }
     response
 }
 
 /// Answers a call; a watch waits until there is a change or its waiting time is over.
-async fn answer_call(gateway: &Gateway, call: &ObjectsCall) -> (StatusCode, Vec<u8>) {
+async fn answer_call(gateway: &Gateway, call: &ObjectsCall) -> RelayAnswer {
     let wait_ms = match call {
         ObjectsCall::List(_) => 0,
         ObjectsCall::Watch(_, _, wait_ms) => *wait_ms,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -10,7 +10,7 @@
     encode_object, headers,
     paths::{self, Freshness},
 };
-use jacinthpoint_fleet::{SourceTracker, StoreEra};
+use jacinthpoint_fleet::{HistoryPosition, SourceTracker, StoreEra};
 use jacinthpoint_types::TimeMs;
 use serde_json::Value;
 use tokio::time::timeout;
@@ -49,6 +49,9 @@
     /// if the answer had it.
     #[display("the object has another revision or exists already")]
     Conflict(Option<Box<StoredObject>>),
+    /// The answer is older than what was read before.
+    #[display("the answer is older than what was read before")]
+    Older,
     /// The answer could not be decoded.
     #[display("{_0}")]
     Unreadable(DecodeError),
@@ -138,7 +141,8 @@
         decode_list(&body, era).map_err(StoreError::Unreadable)
     }
 
-    /// Returns all objects of a kind, with the revision from which a watch continues.
+    /// Returns all objects of a kind, with the position from which a watch continues. Fails with
+    /// [`StoreError::HistoryGone`] if the store was restored while the parts were read.
     pub(crate) async fn list_all(
         &mut self,
         kind: &str,
@@ -150,6 +154,9 @@
                 break;
             };
             let part = self.list(kind, Some(&last), freshness).await?;
+            if part.position.era != all.position.era {
+                return Err(StoreError::HistoryGone);
+            }
             all.objects.extend(part.objects);
             all.has_more = part.has_more;
             // The revision stays that of the first part. Changes made while the other parts were
@@ -158,17 +165,20 @@
         Ok(all)
     }
 
-    /// Returns the changes of a kind after `revision`. Waits for one for up to `wait_ms`; the
-    /// result is empty if there is none by then.
+    /// Returns the changes of a kind after a position. Waits for one for up to `wait_ms`; the result
+    /// is empty if there is none by then.
     pub(crate) async fn watch(
         &mut self,
         kind: &str,
-        revision: u64,
+        after: HistoryPosition,
         wait_ms: u64,
     ) -> Result<Events, StoreError> {
-        let Answer { body, era, .. } = self
-            .read(&paths::watch(kind, revision, wait_ms), wait_ms)
-            .await?;
+        let path = if self.is_relayed() {
+            paths::relayed_watch(kind, after, wait_ms)
+        } else {
+            paths::watch(kind, after.revision, wait_ms)
+        };
+        let Answer { body, era, .. } = self.read(&path, wait_ms).await?;
         decode_events(&body, era).map_err(StoreError::Unreadable)
     }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -11,7 +11,7 @@
     Events, List, StoredObject,
     paths::{self, Freshness},
 };
-use jacinthpoint_fleet::{HistoryPosition, ViewChange};
+use jacinthpoint_fleet::{Continuity, HistoryPosition, ViewChange};
 
 use crate::{
     clock::sleep_ms,
@@ -144,7 +144,7 @@
                 );
                 progress.must_list = true;
             }
-            Err(StoreError::Refused(503)) if source.is_relayed() => {
+            Err(StoreError::Refused(503) | StoreError::Older) if source.is_relayed() => {
                 // After enough refusals, uses another source; before, calls the same relay again.
                 if progress.availability.tracker.on_relay_refusal() {
                     gateway.roster.exclude_stale_reader(source.address(), now);
@@ -191,8 +191,8 @@
 
 /// Reads the whole list and applies it.
 ///
-/// If the list is older than what this gateway already has, fails as if the source had refused with
-/// status 503. The log then names this status, although the source answered.
+/// Fails with [`StoreError::Older`] if the list is older than what this gateway already has. The list
+/// of a store that was restored since is not older, whatever its revision.
 async fn read_list(
     gateway: &Gateway,
     feed: &Feed,
@@ -202,7 +202,10 @@
     let list = source.list_all(feed.kind, Freshness::Newest).await?;
     log_history(feed, source, progress.position, list.position);
     if let Some(known) = progress.position
-        && known.revision > list.position.revision
+        && matches!(
+            list.position.continuity(&known),
+            Continuity::Older | Continuity::Lost
+        )
     {
         log_event!(
             warn,
@@ -213,7 +216,7 @@
             known_revision = known.revision,
             "a list is older than what was read before and is not used"
         );
-        return Err(StoreError::Refused(503));
+        return Err(StoreError::Older);
     }
     let now = gateway.now();
     let is_after_outage = progress
@@ -222,9 +225,13 @@
     if !source.is_relayed() {
         gateway
             .relay
-            .on_list(feed.kind, &list.objects, list.position.revision, now);
+            .on_list(feed.kind, &list.objects, list.position, now);
     }
-    progress.position = Some(list.position);
+    let known_era = progress.position.and_then(|known| known.era);
+    progress.position = Some(HistoryPosition {
+        era: list.position.era.or(known_era),
+        ..list.position
+    });
     (feed.on_list)(gateway, list, is_after_outage);
     Ok(())
 }
@@ -239,7 +246,8 @@
     if known.is_some_and(|known| position.era.is_none() || known.era == position.era) {
         return;
     }
-    let is_restored = known.is_some_and(|known| position.is_restored_after(&known));
+    let is_restored =
+        known.is_some_and(|known| position.continuity(&known) == Continuity::Restored);
     let era = |position: HistoryPosition| position.era.map(|era| era.0);
     log_event!(
         info,
@@ -264,7 +272,7 @@
     source: &mut StoreClient,
     progress: &mut Progress,
 ) -> Result<(), StoreError> {
-    let mut after = progress.position.map_or(0, |position| position.revision);
+    let mut after = progress.position.unwrap_or_default();
     loop {
         let is_relayed = source.is_relayed();
         let wait_ms = if is_relayed {
@@ -274,20 +282,20 @@
         };
         let Events { changes, position } = source.watch(feed.kind, after, wait_ms).await?;
         log_history(feed, source, progress.position, position);
+        match position.continuity(&after) {
+            // The answer lacks the changes of the other history up to `after`.
+            Continuity::Restored => return Err(StoreError::HistoryGone),
+            Continuity::Lost => return Err(StoreError::Older),
+            Continuity::Continues | Continuity::Older => after = after.later(&position),
+        }
         let now = gateway.now();
         let is_after_outage = progress
             .availability
             .on_answer(feed.kind, source.is_relayed(), now);
         if !is_relayed {
-            gateway
-                .relay
-                .on_events(feed.kind, &changes, position.revision, now);
+            gateway.relay.on_events(feed.kind, &changes, after, now);
         }
-        after = after.max(position.revision);
-        progress.position = Some(HistoryPosition {
-            revision: after,
-            ..position
-        });
+        progress.position = Some(after);
         for (object, is_removed) in &changes {
             (feed.on_change)(gateway, object, *is_removed, is_after_outage);
         }
