View: keep what is known until upstreams have written to a restored store again

Upstreams write their entries again within about two seconds. Until then, the view keeps what it knows of an upstream, unless the listed entry is of a later incarnation or drains, and keeps upstreams that the list lacks. The entry of an upstream that was removed is not used until it would have expired. An entry that is seen to be written is used at once. A list that is read again meanwhile changes nothing of this, since it has the same entry.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,7 +15,7 @@
     order::{Order, OrderAction, OrderAnswer},
     source::{MAX_RELAYED_AGE_MS, SourceTracker, StoreUnavailability},
     upstream::{GroupState, Membership, Upstream, UpstreamState},
-    view::{EXPIRY_GRACE_MS, FleetView, MIN_OUTAGE_MS, UNLISTED_MS, ViewChange},
+    view::{EXPIRY_GRACE_MS, FleetView, MIN_OUTAGE_MS, REMOVED_HOLD_MS, UNLISTED_MS, ViewChange},
 };
 
 mod config;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -6,8 +6,13 @@
 //! other time is removed at once. If it belongs to a group member that may serve without an entry,
 //! the member is kept separately for [`UNLISTED_MS`]: it still counts as a member of its group, but
 //! gets no requests of callers.
+//!
+//! The store can also be restored from an older copy. Its list then has entries that are older than
+//! those in the view, until the upstreams write theirs again, within about 2 s. Until then, the view
+//! keeps what it knows, unless an entry shows by itself that it is newer.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
@@ -31,6 +36,13 @@
 /// has left, the gateway that sends orders to the engines has closed the group by then.
 pub const UNLISTED_MS: u64 = 20_000;
 
+/// Time after a restore of the store for which the entry of an upstream that was removed before is
+/// not used. If the upstream has ended, its entry expires by then, after three missed heartbeats.
+pub const REMOVED_HOLD_MS: u64 = 5_000;
+/// Time for which the removal of an upstream is remembered. It is longer than a copy from which the
+/// store is restored is old.
+const REMOVAL_KEPT_MS: u64 = 60_000;
+
 /// Effect of an update on the view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -55,6 +67,11 @@
     unlisted: BTreeMap<VmId, Upstream>,
     /// Time at which each unlisted member is dropped.
     unlisted_until: BTreeMap<VmId, Deadline>,
+    /// Entries of a restored store that are not used yet, because they may be older than what was
+    /// known before, each with the time from which it is.
+    held: BTreeMap<VmId, (Upstream, Deadline)>,
+    /// Start time and time of removal of the upstreams that were removed.
+    removed: BTreeMap<VmId, (u64, TimeMs)>,
     /// Whether a list of upstreams has been read.
     has_upstream_list: bool,
 }
@@ -110,8 +127,8 @@
         is_after_outage: bool,
         now: TimeMs,
     ) -> ViewChange {
-        let listed: BTreeMap<VmId, Upstream> = list
-            .into_iter()
+        let listed: BTreeMap<VmId, Upstream> = self
+            .replace_held(list)
             .map(|entry| (entry.id.clone(), entry))
             .collect();
         let mut next = listed.clone();
@@ -142,6 +159,7 @@
             .cloned()
             .collect();
         for known in removed {
+            self.record_removal(&known, now);
             self.keep_unlisted(known, now);
         }
         // Another upstream at the address of an unlisted member means that the member's process no
@@ -152,9 +170,70 @@
         self.replace_upstreams(next)
     }
 
+    /// Like [`FleetView::apply_list`], for the first list of a store that was restored from an older
+    /// copy. Entries that may be older than those in the view are used only after
+    /// [`EXPIRY_GRACE_MS`], those of removed upstreams after [`REMOVED_HOLD_MS`], unless they are
+    /// written again before.
+    pub fn apply_restored_list(&mut self, list: Vec<Upstream>, now: TimeMs) -> ViewChange {
+        self.held.clear();
+        for listed in &list {
+            let hold_ms = match self.upstreams.get(&listed.id) {
+                Some(known) if may_be_older(listed, known) => EXPIRY_GRACE_MS,
+                None if self.was_removed(listed, now) => REMOVED_HOLD_MS,
+                _ => continue,
+            };
+            let until = Deadline::after_ms(now, hold_ms);
+            self.held.insert(listed.id.clone(), (listed.clone(), until));
+        }
+        self.apply_list(list, true, now)
+    }
+
+    /// Replaces each entry of a list that is held by what is known of its upstream, if anything. An
+    /// entry that differs from the held one was written again.
+    fn replace_held(&mut self, list: Vec<Upstream>) -> impl Iterator<Item = Upstream> {
+        let is_held = |entry: &Upstream| {
+            let held = self.held.get(&entry.id);
+            held.is_some_and(|(held, _)| held == entry)
+        };
+        let (held, mut list): (Vec<_>, Vec<_>) = list.into_iter().partition(is_held);
+        self.held
+            .retain(|id, _| held.iter().any(|entry| entry.id == *id));
+        let known = held
+            .iter()
+            .filter_map(|entry| self.upstreams.get(&entry.id));
+        list.extend(known.cloned());
+        list.into_iter()
+    }
+
+    /// Returns whether this incarnation of an upstream was removed.
+    fn was_removed(&self, listed: &Upstream, now: TimeMs) -> bool {
+        let removal = self.removed.get(&listed.id);
+        removal.is_some_and(|(started_unix_ms, at)| {
+            *started_unix_ms >= listed.started_unix_ms && now.since_ms(*at) < REMOVAL_KEPT_MS
+        })
+    }
+
+    /// Puts the held entries of a restored store in force that were not written again in time.
+    pub fn release_held(&mut self, now: TimeMs) -> ViewChange {
+        let is_due = |_: &VmId, (_, until): &mut (Upstream, Deadline)| until.has_passed(now);
+        let due: Vec<_> = self.held.extract_if(.., is_due).collect();
+        let mut change = ViewChange::Same;
+        for (id, (entry, _)) in due {
+            // An upstream that drains does not become ready again in the same incarnation.
+            let is_draining = self.upstreams.get(&id).is_some_and(|known| {
+                known.is_draining() && known.started_unix_ms == entry.started_unix_ms
+            });
+            if !is_draining && self.apply_upstream(entry) == ViewChange::Changed {
+                change = ViewChange::Changed;
+            }
+        }
+        change
+    }
+
     /// Adds or replaces one upstream.
     pub fn apply_upstream(&mut self, entry: Upstream) -> ViewChange {
         self.grace_until.remove(&entry.id);
+        self.held.remove(&entry.id);
         // A new entry with the address of an unlisted member means that the member's process no
         // longer runs.
         self.unlisted
@@ -172,8 +251,10 @@
     /// without an entry is kept as unlisted.
     pub fn remove_upstream(&mut self, id: &VmId, now: TimeMs) -> ViewChange {
         self.grace_until.remove(id);
+        self.held.remove(id);
         match self.upstreams.remove(id) {
             Some(known) => {
+                self.record_removal(&known, now);
                 self.keep_unlisted(known, now);
                 ViewChange::Changed
             }
@@ -181,10 +262,19 @@
         }
     }
 
+    /// Records that an upstream was removed, and forgets removals of long ago.
+    fn record_removal(&mut self, known: &Upstream, now: TimeMs) {
+        self.removed
+            .retain(|_, (_, at)| now.since_ms(*at) < REMOVAL_KEPT_MS);
+        let removal = (known.started_unix_ms, now);
+        self.removed.insert(known.id.clone(), removal);
+    }
+
     /// Removes an upstream whose entry cannot be decoded, and does not keep it as unlisted: such an
     /// entry describes no upstream that can be used.
     pub fn discard_unreadable(&mut self, id: &VmId) -> ViewChange {
         self.grace_until.remove(id);
+        self.held.remove(id);
         // Not `||`: the upstream is removed from both maps.
         let is_known = self.upstreams.remove(id).is_some() | self.unlisted.remove(id).is_some();
         if is_known {
@@ -257,3 +347,14 @@
         ViewChange::Changed
     }
 }
+
+/// Returns whether an entry of a restored store may be older than the known one: it is of an earlier
+/// incarnation, or it differs and is of the same one. An upstream that drains stays so, hence the
+/// entry of one is not older.
+fn may_be_older(listed: &Upstream, known: &Upstream) -> bool {
+    match listed.started_unix_ms.cmp(&known.started_unix_ms) {
+        Ordering::Less => true,
+        Ordering::Equal => listed != known && !listed.is_draining(),
+        Ordering::Greater => false,
+    }
+}
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -1,10 +1,10 @@
-//! Tests [`FleetView`] with changed entries, store outages, and lists read again.
+//! Tests [`FleetView`] with changed entries, outages and restores of the store, and lists read again.
 
 use std::net::SocketAddr;
 
 use jacinthpoint_fleet::{
     CallerLimits, ConfigVersion, EXPIRY_GRACE_MS, FleetConfig, FleetView, GroupState, Membership,
-    UNLISTED_MS, Upstream, UpstreamState, ViewChange,
+    REMOVED_HOLD_MS, UNLISTED_MS, Upstream, UpstreamState, ViewChange,
 };
 use jacinthpoint_types::{TimeMs, VmId};
 
@@ -44,6 +44,23 @@
     SocketAddr::from(([127, 0, 0, 1], u16::from(id.as_bytes()[0])))
 }
 
+/// Returns an upstream that drains.
+fn draining(id: &str) -> Upstream {
+    Upstream {
+        state: UpstreamState::Draining,
+        ..upstream(id)
+    }
+}
+
+/// Returns an upstream that started again, at another address.
+fn restarted(id: &str) -> Upstream {
+    Upstream {
+        started_unix_ms: 2,
+        address: SocketAddr::from(([127, 0, 0, 2], 1)),
+        ..upstream(id)
+    }
+}
+
 /// Returns an upstream that is a member of a group.
 fn member(id: &str, rank: usize) -> Upstream {
     Upstream {
@@ -189,4 +206,74 @@
         view.apply_list(vec![upstream("a"), successor], false, TimeMs(20_000));
         assert!(view.unlisted().is_empty());
     }
+    // Guards against a copy of the store that makes a draining upstream ready again.
+    restored_entry_does_not_end_a_drain: |view| {
+        view.apply_upstream(draining("b"));
+        view.apply_restored_list(vec![upstream("a"), upstream("b")], TimeMs(20_000));
+        view.apply_list(vec![upstream("a"), upstream("b")], false, TimeMs(20_500));
+        view.release_held(TimeMs(30_000));
+        assert!(view.upstreams()[&id("b")].is_draining());
+    }
+
+    restored_entry_that_drains_is_used_at_once: |view| {
+        view.apply_restored_list(vec![upstream("a"), draining("b")], TimeMs(20_000));
+        assert!(view.upstreams()[&id("b")].is_draining());
+    }
+
+    // Guards against a copy of the store that brings back an upstream that is gone.
+    restored_entry_of_a_removed_upstream_is_held_until_it_would_have_expired: |view| {
+        view.remove_upstream(&id("b"), TimeMs(19_000));
+        view.apply_restored_list(vec![upstream("a"), upstream("b")], TimeMs(20_000));
+        view.apply_list(vec![upstream("a"), upstream("b")], false, TimeMs(21_000));
+        view.release_held(TimeMs(20_000 + REMOVED_HOLD_MS - 1));
+        assert!(!view.upstreams().contains_key(&id("b")));
+        assert_eq!(view.release_held(TimeMs(20_000 + REMOVED_HOLD_MS)), ViewChange::Changed);
+        assert!(view.upstreams().contains_key(&id("b")));
+    }
+
+    restored_entry_that_expires_stays_away: |view| {
+        view.remove_upstream(&id("b"), TimeMs(19_000));
+        view.apply_restored_list(vec![upstream("a"), upstream("b")], TimeMs(20_000));
+        view.remove_upstream(&id("b"), TimeMs(23_000));
+        assert_eq!(view.release_held(TimeMs(30_000)), ViewChange::Same);
+        assert!(!view.upstreams().contains_key(&id("b")));
+    }
+
+    // Guards against requests to an address that the upstream had before it started again.
+    restored_entry_of_an_earlier_incarnation_is_held: |view| {
+        view.apply_upstream(restarted("b"));
+        view.apply_restored_list(vec![upstream("a"), upstream("b")], TimeMs(20_000));
+        assert_eq!(view.upstreams()[&id("b")], restarted("b"));
+    }
+
+    restored_entry_of_a_later_incarnation_is_used_at_once: |view| {
+        view.remove_upstream(&id("a"), TimeMs(19_000));
+        view.apply_restored_list(vec![restarted("a"), restarted("b")], TimeMs(20_000));
+        assert_eq!(view.upstreams()[&id("a")], restarted("a"));
+        assert_eq!(view.upstreams()[&id("b")], restarted("b"));
+    }
+
+    // Guards against a group that takes no requests until its leader writes its entry again.
+    restored_membership_is_used_only_after_the_grace_period: |view| {
+        view.apply_upstream(member("b", 0));
+        view.apply_restored_list(vec![upstream("a"), upstream("b")], TimeMs(20_000));
+        assert_eq!(view.upstreams()[&id("b")], member("b", 0));
+        view.release_held(TimeMs(20_000 + EXPIRY_GRACE_MS));
+        assert_eq!(view.upstreams()[&id("b")], upstream("b"));
+    }
+
+    entry_that_is_written_again_after_a_restore_is_used_at_once: |view| {
+        view.apply_upstream(draining("b"));
+        view.apply_restored_list(vec![upstream("a"), upstream("b")], TimeMs(20_000));
+        view.apply_upstream(restarted("b"));
+        assert_eq!(view.upstreams()[&id("b")], restarted("b"));
+        assert_eq!(view.release_held(TimeMs(30_000)), ViewChange::Same);
+    }
+
+    // Guards against live upstreams that are dropped since they are newer than the copy.
+    upstream_that_the_restored_list_lacks_is_kept_for_the_grace_period: |view| {
+        view.apply_restored_list(vec![upstream("a")], TimeMs(20_000));
+        assert!(view.upstreams().contains_key(&id("b")));
+        assert_eq!(view.remove_after_expiry_grace(TimeMs(20_000 + AFTER_GRACE_MS)), vec![id("b")]);
+    }
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -41,11 +41,22 @@
 /// Time between two checks for entries that have expired.
 const EXPIRY_INTERVAL_MS: u64 = 100;
 
+/// What happened to the store before a list was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+enum Interruption {
+    None,
+    /// The store was unavailable.
+    Outage,
+    /// The store was restored from an older copy.
+    Restore,
+}
+
 /// A kind of objects and the functions that apply its lists and changes.
 struct Feed {
     kind: &'static str,
-    /// Applies a whole list. The flag says whether it was read after an outage of the store.
-    on_list: fn(&Gateway, List, bool),
+    /// Applies a whole list.
+    on_list: fn(&Gateway, List, Interruption),
     /// Applies a change. The flags say whether the object was removed, and whether the change was
     /// read after an outage of the store.
     on_change: fn(&Gateway, &StoredObject, bool, bool),
@@ -80,13 +91,16 @@
 }
 
 /// Runs for ever: removes upstreams whose entries were not written again in time after an outage of
-/// the store, and group members that have been unlisted for too long.
+/// the store, and group members that have been unlisted for too long; and puts entries in force that
+/// were not written again after a restore of the store.
 pub(crate) async fn expire_entries(gateway: Rc<Gateway>) {
     loop {
         sleep_ms(EXPIRY_INTERVAL_MS).await;
         let now = gateway.now();
         let change = gateway.view.borrow_mut().expire_unlisted(now);
         gateway.on_view_change(change);
+        let change = gateway.view.borrow_mut().release_held(now);
+        gateway.on_view_change(change);
         let expired = gateway.view.borrow_mut().remove_after_expiry_grace(now);
         for id in &expired {
             let why = "its entry was not written again after an outage";
@@ -201,11 +215,10 @@
 ) -> Result<(), StoreError> {
     let list = source.list_all(feed.kind, Freshness::Newest).await?;
     log_history(feed, source, progress.position, list.position);
-    if let Some(known) = progress.position
-        && matches!(
-            list.position.continuity(&known),
-            Continuity::Older | Continuity::Lost
-        )
+    let known = progress.position;
+    let continuity = known.map(|known| list.position.continuity(&known));
+    if let Some(known) = known
+        && matches!(continuity, Some(Continuity::Older | Continuity::Lost))
     {
         log_event!(
             warn,
@@ -227,12 +240,17 @@
             .relay
             .on_list(feed.kind, &list.objects, list.position, now);
     }
-    let known_era = progress.position.and_then(|known| known.era);
+    let known_era = known.and_then(|known| known.era);
     progress.position = Some(HistoryPosition {
         era: list.position.era.or(known_era),
         ..list.position
     });
-    (feed.on_list)(gateway, list, is_after_outage);
+    let interruption = match continuity {
+        Some(Continuity::Restored) => Interruption::Restore,
+        _ if is_after_outage => Interruption::Outage,
+        _ => Interruption::None,
+    };
+    (feed.on_list)(gateway, list, interruption);
     Ok(())
 }
 
--- a/crates/gateway/src/watch/entries.rs
+++ b/crates/gateway/src/watch/entries.rs
@@ -6,7 +6,7 @@
 };
 use jacinthpoint_fleet::ViewChange;
 
-use crate::{events::log_event, state::Gateway};
+use crate::{events::log_event, state::Gateway, watch::Interruption};
 
 /// Applies a configuration. One that cannot be decoded is logged, and the one in force stays.
 pub(super) fn apply_config(gateway: &Gateway, object: &StoredObject) {
@@ -29,7 +29,7 @@
 }
 
 /// Applies the whole list of upstreams. Entries that cannot be decoded are logged and left out.
-pub(super) fn apply_list(gateway: &Gateway, list: List, is_after_outage: bool) {
+pub(super) fn apply_list(gateway: &Gateway, list: List, interruption: Interruption) {
     let entries = list.objects.iter().filter_map(|object| {
         decode_upstream(&object.name, &object.content)
             .map_err(|error| log_refused(object, &error))
@@ -38,10 +38,13 @@
     let entries: Vec<_> = entries.collect();
     let now = gateway.now();
     let count_before = gateway.view.borrow().upstreams().len();
-    let change = gateway
-        .view
-        .borrow_mut()
-        .apply_list(entries, is_after_outage, now);
+    let mut view = gateway.view.borrow_mut();
+    let change = match interruption {
+        Interruption::None => view.apply_list(entries, false, now),
+        Interruption::Outage => view.apply_list(entries, true, now),
+        Interruption::Restore => view.apply_restored_list(entries, now),
+    };
+    drop(view);
     let count_after = gateway.view.borrow().upstreams().len();
     log_event!(
         info,
@@ -49,7 +52,8 @@
         revision = list.position.revision,
         before = count_before,
         after = count_after,
-        was_away = is_after_outage,
+        was_away = interruption != Interruption::None,
+        %interruption,
         "the list of upstreams was read"
     );
     gateway.on_view_change(change);
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -3,12 +3,12 @@
 
 use std::time::{Duration, Instant};
 
-use jacinthpoint_platform_standins::{LostWrites, PlainService, StoreFault};
+use jacinthpoint_platform_standins::{EngineFault, LostWrites, PlainService, StoreFault};
 use serde_json::json;
 
 use crate::gateway::{
     CONFIG_APPLY_MS, DRAIN_MS,
-    caller::Request,
+    caller::{End, Request},
     pause_ms,
     site::{KEY, OTHER_KEY, Site},
 };
@@ -137,4 +137,35 @@
             site.platform.store.remove("servers", PlainService::ID);
         });
     }
+
+    // Guards against streams that are cut or refused while the view has older groups.
+    streams_are_served_while_the_store_is_restored: |site| {
+        let before = site.platform.engines.open_groups();
+        let copy = site.platform.store.copy();
+        let dead_member = &before[0][1];
+        site.platform.engines.set_fault(dead_member, EngineFault::Dead);
+        site.wait_until("no open group has the dead member", 10_000, |site| {
+            let groups = site.platform.engines.open_groups();
+            groups.iter().all(|members| !members.contains(dead_member))
+        });
+        site.platform.engines.set_fault(dead_member, EngineFault::None);
+        site.wait_for_groups(before.len());
+        pause_ms(READ_MS);
+        let mut lost = Some(site.platform.store.restore(&copy));
+        let restored_at = Instant::now();
+        let mut sent = 0;
+        while restored_at.elapsed() < Duration::from_millis(2 * REWRITE_MS) {
+            if restored_at.elapsed() >= Duration::from_millis(REWRITE_MS)
+                && let Some(lost) = lost.take()
+            {
+                site.platform.store.write_again(lost);
+            }
+            for index in 0..GATEWAYS {
+                let id = format!("restored-{sent}");
+                let answer = Request::stream(&id).send(site.gateway(index));
+                assert_eq!((answer.status, answer.end), (200, End::Whole), "request {sent}");
+                sent += 1;
+            }
+        }
+    }
 }
