Gateway: log the parts of the prompt of requests whose upstream broke off early

The adapter decodes the header with the parts of a prompt, and event 742 has them for each request whose connection broke before its second event. No change of logic.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use hyper::{Request, Response, body::Incoming, header};
-use jacinthpoint_adapter::{decode_prompt_tokens, headers};
+use jacinthpoint_adapter::{decode_prompt_parts, decode_prompt_tokens, headers};
 use jacinthpoint_fleet::RouteMatch;
 use jacinthpoint_types::{Deadline, ResultCode};
 use rand::seq::IndexedRandom;
@@ -130,6 +130,7 @@
         .min(route.timeout_ms);
     let model = text(request, headers::MODEL).and_then(|name| name.parse().ok());
     let prompt_tokens = text(request, headers::TOKENS).and_then(decode_prompt_tokens);
+    let prompt_parts = text(request, headers::PROMPT_PARTS).and_then(decode_prompt_parts);
     Ok(Context {
         gateway: gateway.clone(),
         snapshot: snapshot.clone(),
@@ -139,6 +140,7 @@
         service,
         model,
         prompt_tokens: prompt_tokens.unwrap_or(0),
+        prompt_parts,
         started,
         deadline: Deadline::after_ms(started, timeout_ms),
         _open_guard: open_guard,
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -18,8 +18,9 @@
     call::{
         answer::{AnswerKind, classify, reported_load, stated_limit},
         context::Context,
+        outcome::record_suspected_crash,
         request::build_request,
-        whole_body,
+        whole_body::{self, BodyError},
     },
     connection::Connection,
     datagram::Alarm,
@@ -201,7 +202,13 @@
             return match error.take_message() {
                 // hyper returns the message only if no byte of it was sent.
                 Some(_) => AttemptOutcome::NotSent("the connection was closed".to_owned()),
-                None => AttemptOutcome::Unknown(error.error().to_string()),
+                None => {
+                    // An idle connection may also break because the upstream closed it meanwhile.
+                    if is_new {
+                        record_suspected_crash(context, target, false);
+                    }
+                    AttemptOutcome::Unknown(error.error().to_string())
+                }
             };
         }
     };
@@ -266,7 +273,12 @@
     let deadline = gateway.clock.instant(context.deadline.0);
     let body = match tokio::time::timeout_at(deadline, whole_body::read(gateway, body)).await {
         Ok(Ok(body)) => body,
-        Ok(Err(error)) => return AttemptOutcome::Unknown(error.to_string()),
+        Ok(Err(error)) => {
+            if matches!(error, BodyError::Broken(_)) {
+                record_suspected_crash(context, &target, true);
+            }
+            return AttemptOutcome::Unknown(error.to_string());
+        }
         Err(_) => return AttemptOutcome::DeadlinePassed,
     };
     gateway
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -4,7 +4,7 @@
 
 use jacinthpoint_dispatch::{FleetRetryBudget, PromptDemand, StallPolicy};
 use jacinthpoint_fleet::{Engine, Organisation, Route};
-use jacinthpoint_types::{Deadline, DeploymentId, ServiceId, TimeMs};
+use jacinthpoint_types::{Deadline, DeploymentId, PromptParts, ServiceId, TimeMs};
 
 use crate::{
     events::log_event,
@@ -47,6 +47,8 @@
     pub(crate) model: Option<DeploymentId>,
     /// Length of the prompt in tokens; 0 if the caller gave none.
     pub(crate) prompt_tokens: u32,
+    /// Parts of the prompt; `None` if the caller named none.
+    pub(crate) prompt_parts: Option<PromptParts>,
     pub(crate) started: TimeMs,
     pub(crate) deadline: Deadline,
     pub(crate) _open_guard: OpenRequestGuard,
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -27,6 +27,21 @@
     }
 }
 
+/// Records that the connection of a request broke before its second event. `has_head` says whether
+/// the head of the answer had arrived.
+pub(super) fn record_suspected_crash(context: &Context, target: &Target, has_head: bool) {
+    let Some(parts) = &context.prompt_parts else {
+        return;
+    };
+    let view = context.gateway.view.borrow();
+    let upstream = view.upstreams().get(&target.upstream);
+    let started_unix_ms = upstream.map_or(0, |upstream| upstream.started_unix_ms);
+    let shared_parts: Vec<String> = parts.shared.iter().map(ToString::to_string).collect();
+    log_event!(info, CrashSuspected, request = context.request_id, upstream = %target.upstream,
+        started_unix_ms, has_head, ?shared_parts, last_part = %parts.last,
+        "the connection of a request broke before its second event");
+}
+
 /// Records that an upstream did not run a request.
 ///
 /// `faulty` is the group member that the upstream named as the cause, if any. The group is then
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -20,7 +20,8 @@
         context::Context,
         event_splitter::EventSplitter,
         outcome::{
-            StreamTimes, record_end, record_failure, record_not_run, remove_connection_headers,
+            StreamTimes, record_end, record_failure, record_not_run, record_suspected_crash,
+            remove_connection_headers,
         },
         retry::{AttemptHistory, choose},
     },
@@ -140,6 +141,8 @@
         self.last_progress_at = gateway.now();
         let mut check_at = self.first_check_at(stall_policy);
         let mut last_event_in_attempt_at = None;
+        // Number of pieces with whole events that this target has sent.
+        let mut pieces = 0_u32;
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
@@ -189,8 +192,16 @@
                     Ok(bytes) => bytes,
                     Err(_) => continue,
                 },
-                Some(Err(error)) => return StreamEnd::Broken(error.to_string()),
+                Some(Err(error)) => {
+                    if pieces < 2 {
+                        record_suspected_crash(&self.context, &target, true);
+                    }
+                    return StreamEnd::Broken(error.to_string());
+                }
                 None if self.splitter.has_incomplete_event() && !is_framed => {
+                    if pieces < 2 {
+                        record_suspected_crash(&self.context, &target, true);
+                    }
                     return StreamEnd::Broken("the connection ended within an event".to_owned());
                 }
                 None => {
@@ -208,6 +219,7 @@
                 return StreamEnd::Broken("an event is too long".to_owned());
             };
             let Some(events) = events else { continue };
+            pieces += 1;
             in_flight.on_event();
             self.record_events(&target, &mut last_event_in_attempt_at);
             if self.parts.send(Ok(events)).await.is_err() {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -82,6 +82,9 @@
     StoreHistory = 740,
     /// A list of objects is older than what the gateway has read, and is not used.
     ListRefused = 741,
+    /// An upstream closed its connection before a request had its second event, as it does when it
+    /// crashes.
+    CrashSuspected = 742,
 }
 
 impl EventCode {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,6 +14,7 @@
     model::ModelRef,
     outcome::{Outcome, ResultCode},
     priority::Priority,
+    prompt::{ParsePartIdError, PromptPartId, PromptParts},
     rate::PerSecond,
     rendezvous::{rendezvous_order, rendezvous_weight},
     suggestion::suggestion,
@@ -26,6 +27,7 @@
 mod model;
 mod outcome;
 mod priority;
+mod prompt;
 mod rate;
 mod rendezvous;
 mod suggestion;
