--- a/tests/gateway/caller.rs
+++ b/tests/gateway/caller.rs
@@ -34,6 +34,8 @@
     /// API key.
     pub key: &'a str,
     pub body: &'a str,
+    /// Parts of the prompt; not sent if empty.
+    pub prompt: String,
     /// Time after which the caller leaves, in milliseconds.
     pub timeout_ms: u64,
 }
@@ -56,6 +58,7 @@
             path: "/stream/",
             key: KEY,
             body: "prompt",
+            prompt: String::new(),
             timeout_ms: DEADLINE_MS,
         }
     }
@@ -82,9 +85,13 @@
     fn try_send(&self, address: SocketAddr) -> std::io::Result<Answer> {
         let leave_at = Instant::now() + Duration::from_millis(self.timeout_ms);
         let mut stream = TcpStream::connect(address)?;
+        let prompt = match self.prompt.as_str() {
+            "" => String::new(),
+            parts => format!("Jacinthpoint-Prompt-Prefix: {parts}\r\n"),
+        };
         let request = format!(
             "POST {} HTTP/1.1\r\nHost: model.example\r\nJacinthpoint-Attempt-Id: {}\r\n\
-             Jacinthpoint-Model: model-a\r\nJacinthpoint-Token-Usage: 500,100\r\n\
+             Jacinthpoint-Model: model-a\r\n{prompt}Jacinthpoint-Token-Usage: 500,100\r\n\
              Jacinthpoint-Deadline-Ms: {DEADLINE_MS}\r\nApi-Key: {}\r\nContent-Length: {}\r\n\r\n{}",
             self.path,
             self.id,
