Gateway tests: each gateway listens at a loopback address of its own

Seven tests at once beside six busy processes failed in 4 of 6 runs: a gateway did not start, since its port was taken by a connection or by another test between the choice of the port and its start ("cannot bind the peers address ...: Address already in use"; also seen once beside a release build). Each gateway now has an address within 127.0.0.0/8.

--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -3,8 +3,11 @@
 //! `Site` starts them, starts and stops single gateways, and waits for states of the system.
 
 use std::{
-    net::{SocketAddr, TcpListener},
-    sync::Arc,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -54,9 +57,23 @@
     format!("gateway-{index}")
 }
 
-/// Returns an address on the loopback interface with a port that is free now.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+/// Returns a loopback address that no other gateway of the tests has. A port that was free there stays
+/// so, while one at 127.0.0.1 may be given to a connection or to another test.
+fn own_loopback_address() -> Ipv4Addr {
+    static GATEWAYS: AtomicU32 = AtomicU32::new(0);
+    let number = GATEWAYS.fetch_add(1, Ordering::Relaxed);
+    let octet = |number: u32| u8::try_from(1 + number % 250).expect("it is below 251");
+    Ipv4Addr::new(
+        127,
+        octet(std::process::id()),
+        octet(number / 250),
+        octet(number),
+    )
+}
+
+/// Returns a free port at an address of [`own_loopback_address`].
+fn free_address(address: Ipv4Addr) -> SocketAddr {
+    let listener = TcpListener::bind((address, 0)).expect("a loopback port is free");
     listener
         .local_addr()
         .expect("a bound listener has an address")
@@ -97,7 +114,8 @@
         };
         site.put_config(&[KEY]);
         for index in 0..gateways {
-            let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
+            let own = own_loopback_address();
+            let [callers, readiness, metrics, peers] = [(); 4].map(|()| free_address(own));
             let store = site.platform.store.address;
             let name = gateway_name(index);
             let store = match &site.links {
@@ -107,10 +125,8 @@
             let settings = format!(
                 "[node]\nname = {name}\ndata_centre = dc-1\nfirst_start = true\n[listen]\n\
                  callers = {callers}\nreadiness = {readiness}\nmetrics = {metrics}\n\
-                 peers = {}\n[store]\naddress = {}\n[stop]\ngrace_ms = 8000\n\
+                 peers = {peers}\n[store]\naddress = {store}\n[stop]\ngrace_ms = 8000\n\
                  [repeats]\nratio = 0.2\nslack = 130\n",
-                free_address(),
-                store
             );
             let file = format!("gateway-{index}.ini");
             site.folder.write(&file, &settings);
