Gateway: keep parts of prompts that crash upstreams in quarantine

A request whose connection to an upstream breaks before its second event puts the shared parts of its prompt under suspicion. Gateways record suspicions in the store, watch them like the configuration, and draw the same conclusion: a part at three crashes, with two prompts, is in quarantine for an hour. Requests with it are refused at once (2007) or, if an attempt may have run, end with 502. A part that an upstream writes an answer on is sound, which removes its record. A crash has one cause: crashes at which a quarantined part was count for no other part, or the sound parts that were at the same upstreams would follow.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
     peer_load::{LoadAggregator, PeerLoad, TargetDigest, TargetReport},
     permit_issuer::{LIMIT_SYNC_MS, PermitIssuer},
     prediction::PromptDemand,
+    quarantine::{CrashId, PartRecord, PromptQuarantine, QuarantineChange, RecordWrite, Suspicion},
     stall::{StallPolicy, StallState},
     upstream_limit::{LimitAnswer, LimitReport, MAX_LIMIT_REPORTS, StatementAges, UpstreamLimits},
 };
@@ -23,5 +24,6 @@
 mod peer_load;
 mod permit_issuer;
 mod prediction;
+mod quarantine;
 mod stall;
 mod upstream_limit;
--- /dev/null
+++ b/crates/dispatch/tests/quarantine.rs
@@ -0,0 +1,637 @@
+//! Tests of the quarantine of parts of prompts, of single decisions and in a simulated fleet.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use jacinthpoint_dispatch::{CrashId, PartRecord, PromptQuarantine, RecordWrite, Suspicion};
+use jacinthpoint_types::{PromptPartId, PromptParts, TimeMs};
+use quickcheck::{Arbitrary, Gen};
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+
+/// Time after which a part that fulfils the conditions is in quarantine in any case.
+const CONFIRMED_MS: u64 = 1_000;
+
+fn part(id: u128) -> PromptPartId {
+    PromptPartId(id)
+}
+
+fn prompt(shared: &[u128], last: u128) -> PromptParts {
+    PromptParts {
+        shared: shared.iter().copied().map(PromptPartId).collect(),
+        last: part(last),
+    }
+}
+
+fn crash(upstream: usize, started_unix_ms: u64) -> CrashId {
+    CrashId {
+        upstream: format!("i-{upstream}").parse().expect("valid VM name"),
+        started_unix_ms,
+    }
+}
+
+/// Parts of the cases: one that crashes upstreams, and others.
+const DEADLY: u128 = 0xdead;
+const FIRST: u128 = 1;
+const OTHER: u128 = 2;
+
+/// Records the crashes of these requests, each at another upstream, and returns the parts in
+/// quarantine after the time of confirmation.
+fn quarantined_after(
+    quarantine: &mut PromptQuarantine,
+    crashes: &[(usize, &[u128], u128)],
+) -> Vec<u128> {
+    for (upstream, shared, last) in crashes {
+        quarantine.on_crash(&prompt(shared, *last), &crash(*upstream, 1), TimeMs(10_000));
+    }
+    quarantine.update(TimeMs(10_000));
+    quarantine.update(TimeMs(10_000 + CONFIRMED_MS));
+    [FIRST, OTHER, DEADLY]
+        .into_iter()
+        .filter(|id| quarantine.quarantined(&prompt(&[*id], 99)).is_some())
+        .collect()
+}
+
+/// Defines tests of which parts are in quarantine after crashes: name, crashes as upstream, shared
+/// parts and last part, parts in quarantine.
+macro_rules! crashes {
+    ($($name:ident: [$(($upstream:expr, $shared:expr, $last:expr)),*] => $expected:expr,)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut quarantine = PromptQuarantine::default();
+                let crashes: &[(usize, &[u128], u128)] = &[$(($upstream, &$shared, $last)),*];
+                assert_eq!(quarantined_after(&mut quarantine, crashes), $expected);
+            }
+        )+
+    };
+}
+
+crashes! {
+    part_at_three_crashes_is_quarantined:
+        [(0, [DEADLY], 10), (1, [DEADLY], 10), (2, [DEADLY], 11)] => [DEADLY],
+    // Guards against a caller whose one request meets several crashes by chance.
+    part_of_one_prompt_is_not_quarantined:
+        [(0, [DEADLY], 10), (1, [DEADLY], 10), (2, [DEADLY], 10)] => [0; 0],
+    part_at_two_crashes_is_not_quarantined:
+        [(0, [DEADLY], 10), (0, [DEADLY], 11), (1, [DEADLY], 12)] => [0; 0],
+    // Guards against sound requests that are refused because of the part before the deadly one.
+    part_before_the_deadly_one_is_not_quarantined:
+        [(0, [FIRST, DEADLY], 10), (1, [FIRST, DEADLY], 10), (2, [FIRST, DEADLY], 11)] => [DEADLY],
+    // Guards against sound requests that are refused because they were at the same upstreams.
+    part_at_the_same_crashes_is_not_quarantined:
+        [(0, [FIRST, DEADLY], 10), (1, [FIRST, DEADLY], 10), (2, [FIRST, DEADLY], 11),
+         (0, [FIRST], 20), (1, [FIRST], 21), (2, [FIRST], 22), (0, [OTHER], 30), (1, [OTHER], 31),
+         (2, [OTHER], 32)] => [DEADLY],
+    first_part_with_changing_later_parts_is_quarantined:
+        [(0, [FIRST, OTHER], 10), (1, [FIRST], 11), (2, [FIRST, DEADLY], 12)] => [FIRST],
+    // The later part is taken first, until there are crashes without it.
+    first_part_replaces_a_later_one_that_does_not_explain_all:
+        [(0, [FIRST, OTHER], 10), (1, [FIRST, OTHER], 11), (2, [FIRST, OTHER], 12),
+         (3, [FIRST], 13), (4, [FIRST], 14), (5, [FIRST], 15)] => [FIRST],
+    two_deadly_parts_are_both_quarantined:
+        [(0, [OTHER], 10), (1, [OTHER], 11), (2, [OTHER], 12),
+         (3, [DEADLY], 13), (4, [DEADLY], 14), (5, [DEADLY], 15)] => [OTHER, DEADLY],
+}
+
+#[test]
+fn sound_part_needs_one_crash_more_and_is_cleared_by_an_answer() {
+    let mut quarantine = PromptQuarantine::default();
+    quarantine.on_sound(&prompt(&[OTHER], 5), TimeMs(9_000));
+    let crashes: &[(usize, &[u128], u128)] =
+        &[(0, &[OTHER], 10), (1, &[OTHER], 11), (2, &[OTHER], 12)];
+    assert_eq!(quarantined_after(&mut quarantine, crashes), [0; 0]);
+    quarantine.on_sound(&prompt(&[OTHER], 6), TimeMs(12_000));
+    assert_eq!(quarantined_after(&mut quarantine, &crashes[1..]), [0; 0]);
+}
+
+/// Guards against a quarantine that ends for a moment when many upstreams crash at once, since the
+/// part before the deadly one then seems to explain all crashes.
+#[test]
+fn quarantine_stays_while_many_upstreams_crash_for_another_reason() {
+    let mut quarantine = PromptQuarantine::default();
+    let crashes: &[(usize, &[u128], u128)] = &[
+        (0, &[FIRST, DEADLY], 10),
+        (1, &[FIRST, DEADLY], 11),
+        (2, &[FIRST, DEADLY], 12),
+    ];
+    assert_eq!(quarantined_after(&mut quarantine, crashes), [DEADLY]);
+    for upstream in 3..8 {
+        let crash = crash(upstream, 1);
+        quarantine.on_crash(
+            &prompt(&[FIRST], 20 + upstream as u128),
+            &crash,
+            TimeMs(12_000),
+        );
+    }
+    assert!(quarantine.update(TimeMs(12_000)).is_empty());
+    quarantine.on_sound(&prompt(&[FIRST], 30), TimeMs(12_200));
+    assert!(quarantine.update(TimeMs(12_200)).is_empty());
+    assert!(quarantine.update(TimeMs(14_000)).is_empty());
+    assert_eq!(quarantine.len(), 1);
+}
+
+#[test]
+fn restarted_upstream_counts_as_another_crash() {
+    let mut quarantine = PromptQuarantine::default();
+    for (started_unix_ms, last) in [(1, 10), (2, 11), (3, 12)] {
+        let crash = crash(0, started_unix_ms);
+        quarantine.on_crash(&prompt(&[DEADLY], last), &crash, TimeMs(10_000));
+    }
+    assert_eq!(quarantined_after(&mut quarantine, &[]), [DEADLY]);
+}
+
+/// Returns the record of a deadly part.
+fn record() -> PartRecord {
+    let suspicion = |index: usize| Suspicion {
+        crash: crash(index, 1),
+        prompt: part(index as u128),
+        position: 0,
+        beside: Vec::new(),
+    };
+    PartRecord {
+        suspicions: (0..3).map(suspicion).collect(),
+    }
+}
+
+#[test]
+fn records_of_other_gateways_count() {
+    let mut quarantine = PromptQuarantine::default();
+    quarantine.on_list(vec![(part(DEADLY), record(), 7)], false, TimeMs(9_000));
+    assert_eq!(quarantined_after(&mut quarantine, &[]), [DEADLY]);
+    assert!(quarantine.due_writes(true, TimeMs(11_000)).is_empty());
+}
+
+#[test]
+fn removed_record_ends_the_quarantine() {
+    let mut quarantine = PromptQuarantine::default();
+    quarantine.on_record(part(DEADLY), record(), 7, TimeMs(9_000));
+    assert_eq!(quarantined_after(&mut quarantine, &[]), [DEADLY]);
+    quarantine.on_list(Vec::new(), false, TimeMs(11_000));
+    quarantine.update(TimeMs(11_000));
+    assert!(quarantine.is_empty());
+}
+
+/// Guards against a store that was restored from a copy without the record.
+#[test]
+fn record_that_a_restored_store_lacks_is_written_again() {
+    let mut quarantine = PromptQuarantine::default();
+    quarantine.on_record(part(DEADLY), record(), 7, TimeMs(9_000));
+    assert_eq!(quarantined_after(&mut quarantine, &[]), [DEADLY]);
+    quarantine.on_list(Vec::new(), true, TimeMs(11_000));
+    quarantine.update(TimeMs(11_000));
+    assert_eq!(quarantine.len(), 1);
+    let due = quarantine.due_writes(false, TimeMs(11_000));
+    assert_eq!(due, [(part(DEADLY), RecordWrite::Create(record()))]);
+}
+
+#[test]
+fn record_is_removed_by_one_gateway_when_its_time_is_over() {
+    let mut quarantine = PromptQuarantine::default();
+    quarantine.on_record(part(DEADLY), record(), 7, TimeMs(9_000));
+    assert_eq!(quarantined_after(&mut quarantine, &[]), [DEADLY]);
+    let later = TimeMs(10_000 + 3_700_000);
+    assert!(quarantine.due_writes(false, later).is_empty());
+    let due = quarantine.due_writes(true, later);
+    assert_eq!(due, [(part(DEADLY), RecordWrite::Remove(7))]);
+}
+
+/// Guards against a record that is written on and on because it is full.
+#[test]
+fn full_record_takes_the_newest_suspicions() {
+    let mut quarantine = PromptQuarantine::default();
+    quarantine.on_record(part(DEADLY), record(), 7, TimeMs(9_000));
+    for index in 10..60 {
+        let crash = crash(index, 1);
+        quarantine.on_crash(&prompt(&[DEADLY], index as u128), &crash, TimeMs(10_000));
+    }
+    let due = quarantine.due_writes(false, TimeMs(10_000));
+    let [(id, RecordWrite::Replace(7, record))] = due.as_slice() else {
+        panic!("one record is written: {due:?}");
+    };
+    assert_eq!(record.suspicions.len(), 16);
+    assert_eq!(
+        record.suspicions.last().map(|last| &last.crash),
+        Some(&crash(59, 1))
+    );
+    quarantine.on_record(*id, record.clone(), 8, TimeMs(10_000));
+    assert!(quarantine.due_writes(false, TimeMs(10_000)).is_empty());
+}
+
+/// Guards against requests that crash upstreams while a gateway that starts waits.
+#[test]
+fn listed_part_is_quarantined_at_once() {
+    let mut quarantine = PromptQuarantine::default();
+    quarantine.on_list(vec![(part(DEADLY), record(), 7)], false, TimeMs(9_000));
+    quarantine.update(TimeMs(9_000));
+    assert_eq!(quarantine.len(), 1);
+}
+
+/// Time after the fifth crash from which the requests with the deadly part count.
+const STABLE_MS: u64 = 3_000;
+const MAX_ARRIVALS: usize = 3;
+const COUNTED_CRASHES: usize = 5;
+const STEP_MS: u64 = 10;
+const END_MS: u64 = 24_000;
+/// Time from which requests with the deadly part come.
+const DEADLY_FROM_MS: u64 = 3_000;
+const UPSTREAMS: usize = 24;
+/// Number of first parts of sound prompts.
+const FIRST_PARTS: u128 = 40;
+/// Time for which an upstream reads a prompt at most, then writes until the second event.
+const MAX_READ_MS: u64 = 400;
+const WRITE_MS: u64 = 150;
+const RESTART_MS: u64 = 3_000;
+/// Attempts of a request.
+const ATTEMPTS: u32 = 2;
+/// Probability of a request with the deadly part in each step: two a second.
+const DEADLY_RATE: f64 = 0.02;
+/// Maximum time until a change of the store reaches a gateway.
+const MAX_LAG_MS: u64 = 500;
+
+/// Disturbance of the fleet.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    /// A gateway does nothing for some seconds.
+    Freeze { gateway: usize, for_ms: u64 },
+    /// A gateway loses its state.
+    Restart { gateway: usize },
+    /// All gateways lose their state.
+    RestartAll,
+    /// A gateway is added.
+    Add,
+    /// The answers of the store to writes are lost for a time.
+    LostAnswers { for_ms: u64 },
+    /// Several upstreams crash without a request as the cause.
+    Crashes { count: usize },
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(gen_: &mut Gen) -> Event {
+        let gateway = usize::arbitrary(gen_) % 64;
+        let for_ms = 500 + u64::arbitrary(gen_) % 4_000;
+        match u8::arbitrary(gen_) % 10 {
+            0..=2 => Event::Freeze { gateway, for_ms },
+            3 | 4 => Event::Restart { gateway },
+            5 => Event::RestartAll,
+            6 => Event::Add,
+            7 => Event::LostAnswers { for_ms },
+            _ => Event::Crashes {
+                count: 1 + gateway % 8,
+            },
+        }
+    }
+}
+
+/// One gateway.
+struct Node {
+    quarantine: PromptQuarantine,
+    /// Number of changes of the store that it has read.
+    read: usize,
+    has_listed: bool,
+    frozen_until: u64,
+    /// Time since which nothing has disturbed it.
+    calm_since: u64,
+    lag_ms: u64,
+    /// Events that it has not handled, because it was frozen: crashes and answers.
+    missed: Vec<(bool, PromptParts, CrashId)>,
+}
+
+/// A request at an upstream.
+struct Attempt {
+    node: usize,
+    parts: PromptParts,
+    upstream: usize,
+    /// Time at which the upstream begins to write.
+    writes_at: u64,
+    attempts: u32,
+}
+
+/// Change of the store: its time, the part, and its record and revision, `None` if it was removed.
+type StoreChange = (u64, PromptPartId, Option<(PartRecord, u64)>);
+
+struct Fleet {
+    nodes: Vec<Node>,
+    store: BTreeMap<PromptPartId, (PartRecord, u64)>,
+    changes: Vec<StoreChange>,
+    lost_until: u64,
+    /// Start of each upstream's incarnation; it is away until then.
+    started: Vec<u64>,
+    attempts: Vec<Attempt>,
+    last_part: u128,
+    crashes: Vec<u64>,
+    /// Times of arrivals with the deadly part, from gateways that nothing disturbed.
+    arrivals: Vec<u64>,
+    /// Probability of a sound request in each step.
+    sound_rate: f64,
+    rng: SmallRng,
+}
+
+impl Fleet {
+    fn new(gateways: usize, sound_rate: f64, seed: u64) -> Fleet {
+        let mut fleet = Fleet {
+            nodes: Vec::new(),
+            store: BTreeMap::new(),
+            changes: Vec::new(),
+            lost_until: 0,
+            started: vec![0; UPSTREAMS],
+            attempts: Vec::new(),
+            last_part: 1_000_000,
+            crashes: Vec::new(),
+            arrivals: Vec::new(),
+            sound_rate,
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        for _ in 0..gateways {
+            let node = fleet.new_node(0);
+            fleet.nodes.push(node);
+        }
+        fleet
+    }
+
+    fn new_node(&mut self, now: u64) -> Node {
+        Node {
+            quarantine: PromptQuarantine::default(),
+            read: 0,
+            has_listed: false,
+            frozen_until: now,
+            calm_since: now,
+            lag_ms: self.rng.random_range(20..MAX_LAG_MS),
+            missed: Vec::new(),
+        }
+    }
+
+    fn apply(&mut self, event: Event, now: u64) {
+        match event {
+            Event::Freeze { gateway, for_ms } => {
+                let index = gateway % self.nodes.len();
+                self.nodes[index].frozen_until = now + for_ms;
+                self.nodes[index].calm_since = now + for_ms;
+            }
+            Event::Restart { gateway } => {
+                let index = gateway % self.nodes.len();
+                self.restart(index, now);
+            }
+            Event::RestartAll => (0..self.nodes.len()).for_each(|index| self.restart(index, now)),
+            Event::Add => {
+                let node = self.new_node(now);
+                self.nodes.push(node);
+            }
+            Event::LostAnswers { for_ms } => self.lost_until = now + for_ms,
+            Event::Crashes { count } => {
+                for _ in 0..count {
+                    let upstream = self.rng.random_range(0..UPSTREAMS);
+                    self.crash(upstream, now);
+                }
+            }
+        }
+    }
+
+    fn restart(&mut self, index: usize, now: u64) {
+        self.nodes[index] = self.new_node(now);
+        self.attempts.retain(|attempt| attempt.node != index);
+    }
+
+    /// Sends a request unless its prompt is in quarantine at the gateway.
+    fn send(&mut self, node: usize, parts: PromptParts, attempts: u32, now: u64) {
+        let gateway = &self.nodes[node];
+        let is_frozen = now < gateway.frozen_until;
+        if is_frozen || gateway.quarantine.quarantined(&parts).is_some() {
+            return;
+        }
+        let up: Vec<usize> = (0..UPSTREAMS)
+            .filter(|upstream| self.started[*upstream] <= now)
+            .collect();
+        let Some(upstream) = up.choose(&mut self.rng).copied() else {
+            return;
+        };
+        if parts.shared.contains(&part(DEADLY)) && now >= gateway.calm_since + STABLE_MS {
+            self.arrivals.push(now);
+        }
+        self.attempts.push(Attempt {
+            node,
+            parts,
+            upstream,
+            writes_at: now + self.rng.random_range(20..MAX_READ_MS),
+            attempts: attempts + 1,
+        });
+    }
+
+    /// Crashes an upstream with all requests that it has not answered.
+    fn crash(&mut self, upstream: usize, now: u64) {
+        if self.started[upstream] > now {
+            return;
+        }
+        let crash = crash(upstream, self.started[upstream]);
+        self.started[upstream] = now + RESTART_MS;
+        let (lost, kept) = std::mem::take(&mut self.attempts)
+            .into_iter()
+            .partition::<Vec<_>, _>(|attempt| attempt.upstream == upstream);
+        self.attempts = kept;
+        for attempt in lost {
+            self.notify(attempt.node, true, &attempt.parts, &crash, now);
+            if attempt.attempts < ATTEMPTS {
+                self.send(attempt.node, attempt.parts, attempt.attempts, now);
+            }
+        }
+    }
+
+    /// Tells a gateway of a crash, or else of an answer.
+    fn notify(
+        &mut self,
+        node: usize,
+        is_crash: bool,
+        parts: &PromptParts,
+        crash: &CrashId,
+        now: u64,
+    ) {
+        let node = &mut self.nodes[node];
+        if now < node.frozen_until {
+            node.missed.push((is_crash, parts.clone(), crash.clone()));
+        } else if is_crash {
+            node.quarantine.on_crash(parts, crash, TimeMs(now));
+        } else {
+            node.quarantine.on_sound(parts, TimeMs(now));
+        }
+    }
+
+    fn serve(&mut self, now: u64) {
+        while let Some(index) = self.attempts.iter().position(|attempt| {
+            let is_deadly = attempt.parts.shared.contains(&part(DEADLY));
+            now >= attempt.writes_at + if is_deadly { 0 } else { WRITE_MS }
+        }) {
+            let upstream = self.attempts[index].upstream;
+            if self.attempts[index].parts.shared.contains(&part(DEADLY)) {
+                self.crash(upstream, now);
+                self.crashes.push(now);
+            } else {
+                let attempt = self.attempts.swap_remove(index);
+                let crash = crash(upstream, 0);
+                self.notify(attempt.node, false, &attempt.parts, &crash, now);
+            }
+        }
+    }
+
+    /// Writes a change to the store, and returns what the gateway is told.
+    fn write(
+        &mut self,
+        id: PromptPartId,
+        write: RecordWrite,
+        now: u64,
+    ) -> Option<(PartRecord, u64)> {
+        let current = self.store.get(&id).cloned();
+        let next = match (&current, write) {
+            (None, RecordWrite::Create(record)) => Some(record),
+            (Some((_, revision)), RecordWrite::Replace(expected, record))
+                if *revision == expected =>
+            {
+                Some(record)
+            }
+            (Some((_, revision)), RecordWrite::Remove(expected)) if *revision == expected => {
+                self.store.remove(&id);
+                self.changes.push((now, id, None));
+                return None;
+            }
+            _ => return current,
+        };
+        let next = next.map(|record| (record, self.changes.len() as u64 + 1));
+        self.changes.push((now, id, next.clone()));
+        self.store.extend(next.clone().map(|next| (id, next)));
+        next
+    }
+
+    fn step(&mut self, now: u64) {
+        self.serve(now);
+        for index in 0..self.nodes.len() {
+            let node = &mut self.nodes[index];
+            if now < node.frozen_until {
+                continue;
+            }
+            for (is_crash, parts, crash) in std::mem::take(&mut node.missed) {
+                self.notify(index, is_crash, &parts, &crash, now);
+            }
+            let node = &mut self.nodes[index];
+            if !node.has_listed && now >= node.calm_since + node.lag_ms {
+                let list = self.store.iter();
+                let list = list.map(|(id, (record, revision))| (*id, record.clone(), *revision));
+                node.quarantine.on_list(list.collect(), false, TimeMs(now));
+                node.read = self.changes.len();
+                node.has_listed = true;
+            }
+            while node.has_listed
+                && let Some((at, id, record)) = self.changes.get(node.read)
+                && now >= at + node.lag_ms
+            {
+                node.read += 1;
+                match record.clone() {
+                    Some((record, revision)) => {
+                        node.quarantine
+                            .on_record(*id, record, revision, TimeMs(now));
+                    }
+                    None => node.quarantine.on_removed(*id),
+                }
+            }
+            node.quarantine.update(TimeMs(now));
+            if now.is_multiple_of(50) {
+                for (id, write) in node.quarantine.due_writes(index == 0, TimeMs(now)) {
+                    let answer = self.write(id, write, now);
+                    let quarantine = &mut self.nodes[index].quarantine;
+                    match answer {
+                        _ if now < self.lost_until => {}
+                        Some((record, revision)) => {
+                            quarantine.on_record(id, record, revision, TimeMs(now));
+                        }
+                        None => quarantine.on_removed(id),
+                    }
+                }
+            }
+        }
+        self.add_requests(now);
+    }
+
+    fn add_requests(&mut self, now: u64) {
+        let draws = [(self.sound_rate, false), (DEADLY_RATE, true)];
+        for (probability, is_deadly) in draws {
+            if !self.rng.random_bool(probability) || (is_deadly && now < DEADLY_FROM_MS) {
+                continue;
+            }
+            self.last_part += 1;
+            // A few first parts are in most requests; the deadly part comes after one of these.
+            let first = self.rng.random_range(0.0..1.0_f64).powi(2) * FIRST_PARTS as f64;
+            let shared = match is_deadly {
+                true => vec![0x100, DEADLY],
+                false => vec![0x100 + first as u128],
+            };
+            let node = self.rng.random_range(0..self.nodes.len());
+            self.send(node, prompt(&shared, self.last_part), 0, now);
+        }
+    }
+}
+
+/// Plays a fleet and returns the fault that it found.
+fn play(
+    gateways: usize,
+    sound_rate: f64,
+    seed: u64,
+    events: &[(u64, Event)],
+) -> Result<(), String> {
+    let mut fleet = Fleet::new(gateways, sound_rate, seed);
+    let mut events: Vec<_> = events.to_vec();
+    events.sort_by_key(|(at, _)| *at);
+    let mut now = 0;
+    while now < END_MS {
+        while events.first().is_some_and(|(at, _)| *at <= now) {
+            let (_, event) = events.remove(0);
+            fleet.apply(event, now);
+        }
+        fleet.step(now);
+        now += STEP_MS;
+    }
+    let Some(counted_from) = fleet.crashes.get(COUNTED_CRASHES - 1) else {
+        return Ok(());
+    };
+    let counted = fleet.arrivals.iter();
+    let arrivals = counted.filter(|at| **at > counted_from + STABLE_MS).count();
+    if arrivals > MAX_ARRIVALS {
+        return Err(format!("{arrivals} requests with the deadly part"));
+    }
+    let sound = (0..FIRST_PARTS).map(|index| 0x100 + index);
+    let refused: BTreeSet<u128> = sound
+        .filter(|id| {
+            let parts = prompt(&[*id], 0);
+            let mut nodes = fleet.nodes.iter();
+            nodes.any(|node| node.quarantine.quarantined(&parts).is_some())
+        })
+        .collect();
+    if !refused.is_empty() {
+        return Err(format!("sound parts in quarantine: {refused:x?}"));
+    }
+    Ok(())
+}
+
+/// Number of cases, from the environment for runs by hand.
+fn cases(variable: &str, default: u64) -> u64 {
+    let cases = std::env::var(variable).ok();
+    cases.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// Plays fleets of this size with random disturbances, with many sound requests and with few.
+fn check_fleets(gateways: usize, count: u64) {
+    let seed = cases("JACINTHPOINT_QUARANTINE_SEED", 1);
+    let mut gen_ = Gen::from_size_and_seed(12, seed);
+    for index in 0..count {
+        let events: Vec<(u64, Event)> = Vec::<(u64, Event)>::arbitrary(&mut gen_)
+            .into_iter()
+            .map(|(at, event)| (at % END_MS, event))
+            .collect();
+        let sound_rate = if index.is_multiple_of(2) { 1.0 } else { 0.1 };
+        let result = play(gateways, sound_rate, seed * 1_000_000 + index, &events);
+        assert_eq!(result, Ok(()), "seed {seed}, case {index}: {events:?}");
+    }
+}
+
+/// Guards against rule BUDGET in fleets whose gateways come, go, freeze and learn late, and against
+/// sound parts that stay refused.
+#[test]
+fn deadly_part_is_kept_away_while_gateways_come_go_freeze_and_learn_late() {
+    check_fleets(6, cases("JACINTHPOINT_QUARANTINE_CASES", 40));
+    check_fleets(60, cases("JACINTHPOINT_QUARANTINE_CASES", 40) / 8);
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -12,7 +12,7 @@
     body::AnswerBody,
     call::{
         context::{Context, OpenRequestGuard},
-        refusal::refuse,
+        refusal::{refuse, refuse_quarantined},
         retry::run,
     },
     state::{Gateway, Phase, Snapshot},
@@ -71,6 +71,9 @@
         Ok(context) => context,
         Err((code, why, request_id)) => return refuse(&gateway, &request_id, code, why, None),
     };
+    if context.is_quarantined() {
+        return refuse_quarantined(&context);
+    }
     gateway.has_traffic.set(true);
     let (head, body) = request.into_parts();
     let max_bytes = snapshot.config.limits.max_body_bytes;
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -100,6 +100,21 @@
             .map_or("none", |organisation| organisation.id.as_str())
     }
 
+    /// Returns whether the prompt has a part in quarantine.
+    pub(crate) fn is_quarantined(&self) -> bool {
+        let quarantine = self.gateway.quarantine.borrow();
+        let parts = self.prompt_parts.as_ref();
+        parts.is_some_and(|parts| quarantine.quarantined(parts).is_some())
+    }
+
+    /// Records that an upstream writes an answer to the request.
+    pub(crate) fn record_sound(&self) {
+        if let Some(parts) = &self.prompt_parts {
+            let now = self.gateway.now();
+            self.gateway.quarantine.borrow_mut().on_sound(parts, now);
+        }
+    }
+
     /// Calls `work` with the retry budget of the request's service.
     pub(crate) fn with_budget<R>(&self, work: impl FnOnce(&mut FleetRetryBudget) -> R) -> R {
         let mut budgets = self.gateway.budgets.borrow_mut();
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -2,7 +2,7 @@
 //! answers on to the caller.
 
 use hyper::{HeaderMap, Response, StatusCode, header};
-use jacinthpoint_dispatch::Target;
+use jacinthpoint_dispatch::{CrashId, Target};
 use jacinthpoint_types::VmId;
 
 use crate::{
@@ -40,6 +40,13 @@
     log_event!(info, CrashSuspected, request = context.request_id, upstream = %target.upstream,
         started_unix_ms, has_head, ?shared_parts, last_part = %parts.last,
         "the connection of a request broke before its second event");
+    let crash = CrashId {
+        upstream: target.upstream.clone(),
+        started_unix_ms,
+    };
+    let now = context.gateway.now();
+    let mut quarantine = context.gateway.quarantine.borrow_mut();
+    quarantine.on_crash(parts, &crash, now);
 }
 
 /// Records that an upstream did not run a request.
--- a/crates/gateway/src/call/refusal.rs
+++ b/crates/gateway/src/call/refusal.rs
@@ -3,14 +3,33 @@
 use bytes::Bytes;
 use hyper::{Response, StatusCode, header};
 use jacinthpoint_adapter::headers;
+use jacinthpoint_dispatch::retry_after_ms;
 use jacinthpoint_types::ResultCode;
 
 use crate::{
     body::{AnswerBody, full_body},
+    call::context::Context,
     events::log_event,
     state::Gateway,
 };
 
+/// Time from which `Retry-After` is drawn for a part in quarantine. Callers that still have the part
+/// should not come back soon.
+const QUARANTINED_RETRY_MS: u64 = 10_000;
+
+/// Refuses a request that has not run, because its prompt has a part in quarantine.
+pub(super) fn refuse_quarantined(context: &Context) -> Response<AnswerBody> {
+    let gateway = &context.gateway;
+    let retry_after = retry_after_ms(QUARANTINED_RETRY_MS, &mut *gateway.rng.borrow_mut());
+    refuse(
+        gateway,
+        &context.request_id,
+        ResultCode::PromptQuarantined,
+        "the prompt has a part that crashes upstreams",
+        Some(retry_after),
+    )
+}
+
 /// Returns a response with the status and JSON body for `code`, and records it in metrics and the
 /// log.
 ///
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -18,7 +18,7 @@
         attempt::{AttemptOutcome, OutgoingRequest, WholeAnswer, send},
         context::Context,
         outcome::{pass_on, record_failure, record_not_run},
-        refusal::refuse,
+        refusal::{refuse, refuse_quarantined},
         request::shared_headers,
         stream,
     },
@@ -66,6 +66,8 @@
     NothingSelected(Refusal),
     /// The service's retry budget is used up.
     RetryBudgetExhausted,
+    /// The prompt has a part in quarantine.
+    Quarantined,
     /// A limit on the number of attempts was reached, or the request must not be retried.
     AttemptsExhausted,
     DeadlinePassed,
@@ -191,6 +193,7 @@
                     continue;
                 }
                 gateway.loads.borrow_mut().on_success(&target.key);
+                context.record_sound();
                 return pass_on(&context, answer);
             }
             AttemptOutcome::Stream(open) => {
@@ -238,6 +241,9 @@
     if context.deadline.has_passed(context.gateway.now()) {
         return Err(StopReason::DeadlinePassed);
     }
+    if context.is_quarantined() {
+        return Err(StopReason::Quarantined);
+    }
     if history.runs >= context.route.max_attempts
         || history.not_sent >= MAX_NOT_SENT
         || history.not_run >= MAX_NOT_RUN
@@ -267,7 +273,13 @@
             "no answer before the deadline",
             None,
         ),
+        StopReason::Quarantined if may_have_run => (
+            ResultCode::UpstreamFailed,
+            "the prompt has a part that crashes upstreams",
+            None,
+        ),
         _ if may_have_run => (ResultCode::UpstreamFailed, "all attempts failed", None),
+        StopReason::Quarantined => return refuse_quarantined(context),
         StopReason::NothingSelected(Refusal::NoTarget) => (
             ResultCode::NoCapacity,
             "no upstream is available",
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -100,6 +100,7 @@
             match end {
                 StreamEnd::Complete => {
                     context.gateway.loads.borrow_mut().on_success(&target.key);
+                    context.record_sound();
                     return self.record_end("answered");
                 }
                 StreamEnd::CallerLeft => {
@@ -220,6 +221,9 @@
             };
             let Some(events) = events else { continue };
             pieces += 1;
+            if pieces == 2 {
+                self.context.record_sound();
+            }
             in_flight.on_event();
             self.record_events(&target, &mut last_event_in_attempt_at);
             if self.parts.send(Ok(events)).await.is_err() {
@@ -273,6 +277,17 @@
         self.splitter.drop_incomplete_event();
         let context = self.context.clone();
         while self.can_resume() && !context.deadline.has_passed(context.gateway.now()) {
+            if context.is_quarantined() {
+                log_event!(
+                    warn,
+                    AttemptFailed,
+                    request = context.request_id,
+                    what = "resume",
+                    why = "the prompt has a part that crashes upstreams",
+                    "a stream cannot be resumed"
+                );
+                return None;
+            }
             let target = match choose(&context, &self.history) {
                 Ok(target) => target,
                 Err(refusal) => {
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -188,6 +188,10 @@
         ("upstreams", view.upstreams().len() as f64),
         ("groups_open", groups as f64),
         ("gateways", gateway.gateway_count.get() as f64),
+        (
+            "prompt_parts_quarantined",
+            gateway.quarantine.borrow().len() as f64,
+        ),
         ("requests_open", gateway.open_requests.get() as f64),
         ("connections_open", gateway.open_connections.get() as f64),
         ("store_reads", reads as f64),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -85,6 +85,8 @@
     /// An upstream closed its connection before a request had its second event, as it does when it
     /// crashes.
     CrashSuspected = 742,
+    /// A part of prompts is in quarantine, because requests with it crash upstreams, or is released.
+    QuarantineChanged = 743,
 }
 
 impl EventCode {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod owner;
 mod peers;
 mod pool;
+mod quarantine;
 mod relay;
 mod roster;
 mod run;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,11 +17,12 @@
     limit_exchange, load_reports,
     owner::manage_groups,
     peers,
+    quarantine::maintain_quarantine,
     relay::serve_gateways,
     roster::maintain_roster,
     settings::{GatewaySettings, parse_settings},
     state::{Gateway, Phase},
-    watch::{expire_entries, watch_config, watch_upstreams},
+    watch::{expire_entries, watch_config, watch_suspicions, watch_upstreams},
 };
 
 /// Time between two checks for open connections while the gateway stops.
@@ -103,6 +104,8 @@
     let lease = Rc::new(Lease::default());
     spawn_local(watch_config(gateway.clone()));
     spawn_local(watch_upstreams(gateway.clone()));
+    spawn_local(watch_suspicions(gateway.clone()));
+    spawn_local(maintain_quarantine(gateway.clone()));
     spawn_local(expire_entries(gateway.clone()));
     spawn_local(maintain_roster(gateway.clone()));
     spawn_local(maintain_lease(gateway.clone(), lease.clone()));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,7 +11,8 @@
 };
 
 use jacinthpoint_dispatch::{
-    Directory, FleetRetryBudget, LoadTracker, SlackShare, Target, TargetKey, UpstreamLimits,
+    Directory, FleetRetryBudget, LoadTracker, PromptQuarantine, SlackShare, Target, TargetKey,
+    UpstreamLimits,
 };
 use jacinthpoint_fleet::{FleetConfig, FleetView, ViewChange};
 use jacinthpoint_types::{ServiceId, TimeMs, VmId};
@@ -67,6 +68,8 @@
     pub(crate) loads: RefCell<LoadTracker>,
     /// Limits that upstreams name.
     pub(crate) limits: RefCell<UpstreamLimits>,
+    /// Parts of prompts that crash upstreams.
+    pub(crate) quarantine: RefCell<PromptQuarantine>,
     /// Retry budgets by service.
     pub(crate) budgets: RefCell<BTreeMap<ServiceId, FleetRetryBudget>>,
     pub(crate) pool: Rc<Pool>,
@@ -111,6 +114,7 @@
             snapshot: RefCell::default(),
             loads: RefCell::default(),
             limits: RefCell::default(),
+            quarantine: RefCell::default(),
             budgets: RefCell::default(),
             pool: Rc::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -222,6 +222,19 @@
             .await
     }
 
+    /// Removes an object if its revision is `expected`; fails with [`StoreError::Conflict`]
+    /// otherwise.
+    pub(crate) async fn remove(
+        &mut self,
+        kind: &str,
+        name: &str,
+        expected: u64,
+    ) -> Result<(), StoreError> {
+        let path = paths::object_at(kind, name, expected);
+        self.send_write(Method::DELETE, &path, Vec::new()).await?;
+        Ok(())
+    }
+
     /// Sends a read that waits up to `wait_ms` at the store, and returns the answer.
     async fn read(&mut self, path: &str, wait_ms: u64) -> Result<Answer, StoreError> {
         if let Some(calls) = self.calls {
@@ -247,6 +260,17 @@
         path: &str,
         body: Vec<u8>,
     ) -> Result<StoredObject, StoreError> {
+        let body = self.send_write(method, path, body).await?;
+        decode_object(&body).map_err(StoreError::Unreadable)
+    }
+
+    /// Sends a write and returns the body of the answer to a successful one.
+    async fn send_write(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Bytes, StoreError> {
         if let Some(calls) = self.calls {
             calls
                 .writes
@@ -256,7 +280,7 @@
             .call(method, path, body.into(), self.answer_timeout_ms)
             .await?;
         match status {
-            200..=299 => decode_object(&body).map_err(StoreError::Unreadable),
+            200..=299 => Ok(body),
             409 => {
                 let current = decode_object(&body).ok().map(Box::new);
                 Err(StoreError::Conflict(current))
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,6 +1,7 @@
 //! Keeps the view of the fleet up to date by watches on the platform's store or on a relay.
 //!
-//! The configuration and the entries of upstreams are two kinds of objects. One task per kind reads
+//! The configuration, the entries of upstreams and the records of suspected parts of prompts are three
+//! kinds of objects. One task per kind reads
 //! the list, then watches for changes from the list's revision on. A gateway that is not a reader
 //! of the store watches another gateway, the relay, and uses the next relay or the store itself if
 //! that one fails.
@@ -16,6 +17,7 @@
 use crate::{
     clock::sleep_ms,
     events::log_event,
+    quarantine,
     state::Gateway,
     store::{Availability, StoreClient, StoreError},
     watch::entries::{apply_config, apply_entry, apply_list},
@@ -27,8 +29,11 @@
 /// after this wait and the timeout for the answer, and a configuration must be in force within
 /// seconds. The wait also limits the age of objects that are served to other gateways.
 const STORE_WAIT_MS: u64 = 800;
-/// Maximum wait of one watch on a relay.
+/// Maximum wait of one watch on a relay for the configuration and the upstreams.
 const RELAY_WAIT_MS: u64 = 400;
+/// The same for suspected parts of prompts, which rarely change. A relay that fails is noticed after
+/// this wait, and a part has to be known within seconds.
+const SUSPICIONS_RELAY_WAIT_MS: u64 = 1_000;
 /// Pause after changes from the store, so that the next answer has several at once: upstreams
 /// publish in bursts, and the store charges and limits each answer of a watch. Gateways that watch
 /// a relay do not pause, since the relay already did.
@@ -55,6 +60,8 @@
 /// A kind of objects and the functions that apply its lists and changes.
 struct Feed {
     kind: &'static str,
+    /// Maximum wait of one watch on a relay.
+    relay_wait_ms: u64,
     /// Applies a whole list.
     on_list: fn(&Gateway, List, Interruption),
     /// Applies a change. The flags say whether the object was removed, and whether the change was
@@ -66,6 +73,7 @@
 pub(crate) async fn watch_config(gateway: Rc<Gateway>) {
     let feed = Feed {
         kind: paths::CONFIG_KIND,
+        relay_wait_ms: RELAY_WAIT_MS,
         on_list: |gateway, list, _| {
             for object in &list.objects {
                 apply_config(gateway, object);
@@ -84,12 +92,28 @@
 pub(crate) async fn watch_upstreams(gateway: Rc<Gateway>) {
     let feed = Feed {
         kind: paths::UPSTREAM_KIND,
+        relay_wait_ms: RELAY_WAIT_MS,
         on_list: apply_list,
         on_change: apply_entry,
     };
     run(&gateway, &feed).await;
 }
 
+/// Watches the records of suspected parts of prompts for ever.
+pub(crate) async fn watch_suspicions(gateway: Rc<Gateway>) {
+    let feed = Feed {
+        kind: quarantine::KIND,
+        relay_wait_ms: SUSPICIONS_RELAY_WAIT_MS,
+        on_list: |gateway, list, interruption| {
+            quarantine::apply_list(gateway, &list, interruption == Interruption::Restore);
+        },
+        on_change: |gateway, object, is_removed, _| {
+            quarantine::apply_record(gateway, object, is_removed);
+        },
+    };
+    run(&gateway, &feed).await;
+}
+
 /// Runs for ever: removes upstreams whose entries were not written again in time after an outage of
 /// the store, and group members that have been unlisted for too long; and puts entries in force that
 /// were not written again after a restore of the store.
@@ -294,7 +318,7 @@
     loop {
         let is_relayed = source.is_relayed();
         let wait_ms = if is_relayed {
-            RELAY_WAIT_MS
+            feed.relay_wait_ms
         } else {
             STORE_WAIT_MS
         };
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -69,6 +69,8 @@
     Draining = 2005,
     /// The ledger record that prevents the request from running twice cannot be written now.
     LedgerUnavailable = 2006,
+    /// The prompt has a part that crashed several upstreams.
+    PromptQuarantined = 2007,
     /// An upstream refused the request before running it.
     UpstreamRefused = 3001,
     /// An upstream failed after it may have started the request.
@@ -104,6 +106,7 @@
             | ResultCode::NoCapacity
             | ResultCode::Draining
             | ResultCode::LedgerUnavailable
+            | ResultCode::PromptQuarantined
             | ResultCode::UpstreamRefused => 503,
             ResultCode::UpstreamFailed | ResultCode::AnswerNotKept => 502,
             ResultCode::DeadlinePassed => 504,
