Lease: see renewals in a store that was restored from an older copy

For up to 1.4 s there were two owners. The last change of the lease is now a position with its era.

lease_stays_with_its_holder fails without the change (the holder changes) and passes.

--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -13,6 +13,7 @@
 };
 
 use jacinthpoint_adapter::StoredObject;
+use jacinthpoint_fleet::{Continuity, HistoryPosition};
 use jacinthpoint_types::{Deadline, TimeMs};
 use rand::Rng;
 use serde_json::{Value, json};
@@ -48,8 +49,9 @@
     held_token: Cell<Option<u64>>,
     /// Time at which the right to send orders ends, unless the lease is renewed before.
     valid_until: Cell<Option<Deadline>>,
-    /// Revision of another gateway's lease, and the time at which this gateway first saw it.
-    last_change: RefCell<Option<(u64, TimeMs)>>,
+    /// Position in the store's history of the last change of another gateway's lease, and the time at
+    /// which this gateway first saw it.
+    last_change: RefCell<Option<(HistoryPosition, TimeMs)>>,
 }
 
 impl Lease {
@@ -142,11 +144,8 @@
                 } else {
                     lease.give_up("another gateway holds the lease");
                     revision = None;
-                    record_revision(
-                        &lease,
-                        current.as_deref().map(|object| object.revision),
-                        sent_at,
-                    );
+                    let position = current.as_deref().map(|object| store.position_of(object));
+                    record_change(&lease, position, sent_at);
                 }
             }
             // The lease was removed from the store. The next pass creates it if it is still absent.
@@ -181,18 +180,26 @@
     json!({ "holder": holder, "life": incarnation, "renewals": attempts })
 }
 
-/// Records the revision of another gateway's lease, and returns the milliseconds for which this
+/// Records the last change of another gateway's lease, and returns the milliseconds for which this
 /// gateway has seen no newer one.
-fn record_revision(lease: &Lease, revision: Option<u64>, now: TimeMs) -> u64 {
+fn record_change(lease: &Lease, position: Option<HistoryPosition>, now: TimeMs) -> u64 {
     let mut last_change = lease.last_change.borrow_mut();
-    match (*last_change, revision) {
-        (Some((known, since)), Some(revision)) if known >= revision => now.since_ms(since),
-        (_, Some(revision)) => {
-            *last_change = Some((revision, now));
-            0
+    let Some(position) = position else {
+        return 0;
+    };
+    if let Some((known, since)) = *last_change {
+        let is_newer = match position.continuity(&known) {
+            Continuity::Continues => position.revision > known.revision,
+            // The holder writes in the restored store, too, under lower revisions.
+            Continuity::Restored => true,
+            Continuity::Older | Continuity::Lost => false,
+        };
+        if !is_newer {
+            return now.since_ms(since);
         }
-        (_, None) => 0,
     }
+    *last_change = Some((position, now));
+    0
 }
 
 /// Acquires the lease if it does not exist, was released, or was not changed for [`TAKEOVER_MS`].
@@ -210,7 +217,8 @@
     let holder = current.content.get("holder").and_then(Value::as_str);
     *gateway.owner.borrow_mut() = holder.map(str::to_owned);
     let is_released = current.content.get("holder") == Some(&Value::Null);
-    let unchanged_ms = record_revision(lease, Some(current.revision), gateway.now());
+    let position = store.position_of(&current);
+    let unchanged_ms = record_change(lease, Some(position), gateway.now());
     if is_released || unchanged_ms >= TAKEOVER_MS {
         return store.replace(KIND, NAME, current.revision, content).await;
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -75,6 +75,8 @@
     answer_timeout_ms: u64,
     /// Counter of calls for the metrics; `None` for calls to a relay, which are not counted.
     calls: Option<&'static CallCounts>,
+    /// Era of the store's history that the last answer named.
+    era: Option<StoreEra>,
 }
 
 /// Number of calls to the store.
@@ -105,6 +107,7 @@
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
             answer_timeout_ms: ANSWER_TIMEOUT_MS,
             calls: Some(&CALLS),
+            era: None,
         }
     }
 
@@ -116,6 +119,7 @@
             connect_timeout_ms: RELAY_CONNECT_TIMEOUT_MS,
             answer_timeout_ms: RELAY_ANSWER_TIMEOUT_MS,
             calls: None,
+            era: None,
         }
     }
 
@@ -124,6 +128,14 @@
         self.address
     }
 
+    /// Returns the position of the last change of an object that the last answer held.
+    pub(crate) fn position_of(&self, object: &StoredObject) -> HistoryPosition {
+        HistoryPosition {
+            era: self.era,
+            revision: object.revision,
+        }
+    }
+
     /// Returns whether the calls go to a relay instead of the store.
     pub(crate) fn is_relayed(&self) -> bool {
         self.calls.is_none()
@@ -328,6 +340,7 @@
         match timeout(Duration::from_millis(timeout_ms), exchange).await {
             Ok(Ok(answer)) => {
                 self.connection = Some(connection);
+                self.era = answer.era;
                 Ok(answer)
             }
             Ok(Err(error)) => Err(StoreError::NoAnswer(error.to_string())),
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -168,4 +168,22 @@
             }
         }
     }
+
+    // Guards against two owners: the others took the renewals under lower revisions for silence.
+    lease_stays_with_its_holder: |site| {
+        let holder = |site: &Site| {
+            let lease = site.platform.store.get_content("leases", "groups").expect("there is a lease");
+            lease["holder"].clone()
+        };
+        let before = holder(&site);
+        let copy = site.platform.store.copy();
+        site.platform.store.raise_revision(LOST_REVISIONS);
+        pause_ms(READ_MS);
+        site.platform.store.restore(&copy);
+        let restored_at = Instant::now();
+        while restored_at.elapsed() < Duration::from_millis(2 * STABLE_MS) {
+            assert_eq!(holder(&site), before);
+            pause_ms(50);
+        }
+    }
 }
