Roster: register again if the registration is missing

After the store was restored from a copy without its registration, gateways that started later did not count it, so their shares of the retry budget were too large, and did not know it as a reader or candidate.

gateways_register_again fails without the change and passes.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -4,7 +4,8 @@
 //! addresses for datagrams, and an order of them that all agree on, by which a few of them are
 //! chosen as readers of the store and as candidates for the lease.
 //!
-//! Each gateway registers at its start, and registrations are never removed. That of a gateway that
+//! Each gateway registers at its start, and again if its registration is missing later, as it may be
+//! after the store was restored from an older copy. Registrations are never removed. That of a gateway that
 //! no longer exists makes each share of the retry budget smaller, can hold a place as reader or
 //! candidate, and is sent datagrams. A reader that does not answer is excluded for a time, so the
 //! next one in the order takes its place.
@@ -187,6 +188,7 @@
             Freshness::MayBeOld
         };
         is_first = false;
+        let mut is_missing = false;
         match store.list_all(KIND, freshness).await {
             Ok(list) => {
                 // `false`: the answer is from the store, not from a relay.
@@ -208,10 +210,17 @@
                 }
                 gateway.gateway_count.set(all.len().max(1));
                 drop((members, all));
+                let own = gateway.settings().name.to_string();
+                is_missing = list.objects.iter().all(|object| object.name != own);
                 gateway.roster.is_known.send_replace(true);
             }
             Err(error) => availability.on_failure(KIND, &error, gateway.now()),
         }
+        if is_missing {
+            // An old list may lack the registration of a gateway that started a moment ago; then it
+            // exists already.
+            register(&gateway, &mut store, &mut availability).await;
+        }
         sleep_ms(pause_ms).await;
         pause_ms = (pause_ms * 2).min(MAX_READ_INTERVAL_MS);
     }
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -10,7 +10,7 @@
     CONFIG_APPLY_MS, DRAIN_MS,
     caller::{End, Request},
     pause_ms,
-    site::{KEY, OTHER_KEY, Site},
+    site::{KEY, OTHER_KEY, Site, gateway_name},
 };
 
 /// Gateways of each test: one reads the store, the others read from it.
@@ -24,6 +24,10 @@
 /// Time after a restore within which upstreams write their entries again.
 const REWRITE_MS: u64 = 1_500;
 
+/// Time within which a gateway that lost its registration has another: the time between two reads of
+/// the list, and some for the write.
+const REGISTER_MS: u64 = 8_000;
+
 /// Defines tests that each start [`GATEWAYS`] gateways: name, body.
 macro_rules! restored_store {
     ($($name:ident: |$site:ident| $body:block)+) => {
@@ -186,4 +190,17 @@
             pause_ms(50);
         }
     }
+
+    // Guards against gateways that start later and count too few, so that each uses too large a share
+    // of the retry budget.
+    gateways_register_again: |site| {
+        let store = &site.platform.store;
+        let is_registered = |site: &Site, index| {
+            site.platform.store.get_content("gateways", &gateway_name(index)).is_some()
+        };
+        (0..GATEWAYS).for_each(|index| store.remove("gateways", &gateway_name(index)));
+        site.wait_until("all gateways are registered", REGISTER_MS, |site| {
+            (0..GATEWAYS).all(|index| is_registered(site, index))
+        });
+    }
 }
