Gateway: a stream that ends inside an event has broken off, however it is framed

Callers saw a stream as whole although its last event was cut, if the upstream ended the answer itself, by a length or a last chunk. Such a stream is now resumed, or ends without the last chunk. Streams without length or chunks were handled so already; both have tests now.

--- a/crates/gateway/src/call/event_splitter.rs
+++ b/crates/gateway/src/call/event_splitter.rs
@@ -59,11 +59,6 @@
     pub(super) fn drop_incomplete_event(&mut self) {
         self.incomplete.clear();
     }
-
-    /// Returns and clears the incomplete event, at the end of a stream that ended regularly.
-    pub(super) fn take_incomplete_event(&mut self) -> Bytes {
-        self.incomplete.split().freeze()
-    }
 }
 
 fn ends_event(bytes: &[u8]) -> bool {
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -199,20 +199,17 @@
                     }
                     return StreamEnd::Broken(error.to_string());
                 }
-                None if self.splitter.has_incomplete_event() && !is_framed => {
-                    if pieces < 2 {
+                None if self.splitter.has_incomplete_event() => {
+                    // With a length or chunks, the upstream has ended the answer itself.
+                    if pieces < 2 && !is_framed {
                         record_suspected_crash(&self.context, &target, true);
                     }
-                    return StreamEnd::Broken("the connection ended within an event".to_owned());
+                    return StreamEnd::Broken("the stream ended within an event".to_owned());
                 }
                 None => {
                     gateway
                         .pool
                         .put_back(&target.key, connection, &head.headers, gateway.now());
-                    let rest = self.splitter.take_incomplete_event();
-                    if !rest.is_empty() && self.parts.send(Ok(rest)).await.is_err() {
-                        return StreamEnd::CallerLeft;
-                    }
                     return StreamEnd::Complete;
                 }
             };
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -320,6 +320,29 @@
     answer_to_another_request_is_no_success: AnswersAnother,
 }
 
+/// Defines tests of a stream of the plain service, which cannot be resumed: name, fault, whether its
+/// caller gets it as whole.
+macro_rules! stream_end {
+    ($($name:ident: $fault:ident => $end:ident,)+) => {
+        gateways! {
+            $($name(1): |site| {
+                site.platform.plain.set_fault(PlainFault::$fault);
+                let request = Request { path: "/events/", ..Request::stream("events") };
+                let answer = request.send(site.gateway(0));
+                assert_eq!((answer.status, answer.end), (200, End::$end));
+                assert!(!answer.text().contains("id: 2"), "{}", answer.text());
+            })+
+        }
+    };
+}
+
+stream_end! {
+    unframed_stream_is_whole: Events => Whole,
+    unframed_stream_that_ends_inside_an_event_is_broken: EventsCutUnframed => Broken,
+    // Guards against a stream that looks complete although its last event is cut.
+    framed_stream_that_ends_inside_an_event_is_broken: EventsCutFramed => Broken,
+}
+
 /// Time in which a gateway gives up an answer without end, long before the request's deadline.
 const ENDLESS_ANSWER_MS: u64 = 3_000;
 /// Memory of a gateway's VM.
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -158,12 +158,13 @@
             json!({ "name": name, "host": "model.example", "path_prefix": format!("/{name}/"),
                 "kind": kind, "timeout_ms": 8_000, "slo_ms": 500, "priority": 1,
                 "service": service, "attempts": 3, "public": false, "sticky": kind == "stream",
-                "resumable": kind == "stream", "gap_target_ms": 300 })
+                "resumable": name == "stream", "gap_target_ms": 300 })
         };
         self.platform.store.put_config(
             json!([
                 route("stream", "stream", "engines"),
                 route("once", "non_idempotent", "plain"),
+                route("events", "stream", "plain"),
                 // No test sends requests on this route.
                 route("again", "idempotent", "plain"),
             ]),
