Gateway: a stream without length, chunks and events has broken off

A crash of the upstream after its head looks like the end of such an answer, so callers got an empty stream as whole. It is now resumed, or ends without the last chunk; a request to go on after an event may still get no more. Only attempts with an event count as a sign that the prompt is sound.

unframed_stream_without_events_is_broken failed before (Whole) and passes.

--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -100,7 +100,6 @@
             match end {
                 StreamEnd::Complete => {
                     context.gateway.loads.borrow_mut().on_success(&target.key);
-                    context.record_sound();
                     return self.record_end("answered");
                 }
                 StreamEnd::CallerLeft => {
@@ -206,7 +205,14 @@
                     }
                     return StreamEnd::Broken("the stream ended within an event".to_owned());
                 }
+                None if !is_framed && pieces == 0 && self.has_no_event() => {
+                    record_suspected_crash(&self.context, &target, true);
+                    return StreamEnd::Broken("the connection ended before an event".to_owned());
+                }
                 None => {
+                    if pieces == 1 {
+                        self.context.record_sound();
+                    }
                     gateway
                         .pool
                         .put_back(&target.key, connection, &head.headers, gateway.now());
@@ -260,6 +266,11 @@
         self.last_progress_at = now;
     }
 
+    /// Returns whether the caller has no event of the stream, from this request or an earlier one.
+    fn has_no_event(&self) -> bool {
+        self.splitter.last_id().is_none() && self.caller_last_id.is_none()
+    }
+
     /// Returns whether the route allows another attempt to resume the stream.
     fn can_resume(&self) -> bool {
         self.context.route.may_retry_executed()
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -339,6 +339,8 @@
 stream_end! {
     unframed_stream_is_whole: Events => Whole,
     unframed_stream_that_ends_inside_an_event_is_broken: EventsCutUnframed => Broken,
+    // Guards against a stream that looks complete although the upstream crashed after its head.
+    unframed_stream_without_events_is_broken: NoEvents => Broken,
     // Guards against a stream that looks complete although its last event is cut.
     framed_stream_that_ends_inside_an_event_is_broken: EventsCutFramed => Broken,
 }
