--- a/tests/gateway/deadly_prompts.rs
+++ b/tests/gateway/deadly_prompts.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use serde_json::{Value, json};
+
 use crate::gateway::{
     caller::{End, Request},
     site::Site,
@@ -133,3 +135,40 @@
     let arrivals = deadly_arrivals(&site, begin);
     assert!(arrivals <= MAX_ARRIVALS, "{arrivals} requests arrived");
 }
+
+/// Returns the record of a part in the store, with crashes of as many upstreams.
+fn record(crashes: usize) -> Value {
+    let suspicion = |index: usize| {
+        json!({ "crash": { "upstream": format!("i-{index}"), "started_unix_ms": 1 },
+            "prompt": format!("{:x}", 0x20_0000 + index), "position": 1, "beside": [COMMON_PART] })
+    };
+    json!({ "suspicions": (0..crashes).map(suspicion).collect::<Vec<_>>() })
+}
+
+/// An operator can end a quarantine, and a request that is refused has not run.
+#[test]
+fn requests_are_refused_at_once_until_the_record_is_removed() {
+    let gateways = 2;
+    let site = Site::start(gateways);
+    site.platform
+        .store
+        .put("prompt-suspicions", DEADLY_PART, record(3));
+    thread::sleep(Duration::from_secs(2));
+    for index in 0..gateways {
+        let began = Instant::now();
+        let answer = request(index, true).send(site.gateway(index));
+        assert_eq!(answer.status, 503);
+        assert!(answer.text().contains("2007"), "{}", answer.text());
+        assert!(answer.header("retry-after").is_some());
+        assert!(began.elapsed() < Duration::from_millis(500));
+        let answer = request(10 + index, false).send(site.gateway(index));
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(deadly_arrivals(&site, Instant::now() - STABLE), 0);
+    site.platform.store.remove("prompt-suspicions", DEADLY_PART);
+    thread::sleep(Duration::from_secs(1));
+    for index in 0..gateways {
+        let answer = request(20 + index, true).send(site.gateway(index));
+        assert_eq!(answer.status, 200, "gateway {index}");
+    }
+}
