--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -249,7 +249,9 @@
             ListRefused,
             kind = feed.kind,
             relayed = source.is_relayed(),
+            era = list.position.era.map(|era| era.0),
             revision = list.position.revision,
+            known_era = known.era.map(|era| era.0),
             known_revision = known.revision,
             "a list is older than what was read before and is not used"
         );
