--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,10 +1,9 @@
 //! Keeps the view of the fleet up to date by watches on the platform's store or on a relay.
 //!
-//! The configuration, the entries of upstreams and the records of suspected parts of prompts are three
-//! kinds of objects. One task per kind reads
-//! the list, then watches for changes from the list's revision on. A gateway that is not a reader
-//! of the store watches another gateway, the relay, and uses the next relay or the store itself if
-//! that one fails.
+//! The configuration, the entries of upstreams and the records of suspected parts of prompts are
+//! three kinds of objects. One task per kind reads the list, then watches for changes from the
+//! list's revision on. A gateway that is not a reader of the store watches another gateway, the
+//! relay, and uses the next relay or the store itself if that one fails.
 
 use std::rc::Rc;
 
