Quarantine: ask an unavailable store for the records less often

The third watch called as often as the other two, for which the bound was made. It now waits at least 1.5 s after a failure, and the test passes in three runs, with its bound as it was.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -33,6 +33,9 @@
 /// The same for suspected parts of prompts, which rarely change. A relay that fails is noticed after
 /// this wait, and a part has to be known within seconds.
 const SUSPICIONS_RELAY_WAIT_MS: u64 = 1_000;
+/// Minimum pause after a failure of the store for suspected parts of prompts. Nothing else depends on
+/// them, so an unavailable store is asked for them less often.
+const SUSPICIONS_BACKOFF_MS: u64 = 1_500;
 /// Pause after changes from the store, so that the next answer has several at once: upstreams
 /// publish in bursts, and the store charges and limits each answer of a watch. Gateways that watch
 /// a relay do not pause, since the relay already did.
@@ -61,6 +64,8 @@
     kind: &'static str,
     /// Maximum wait of one watch on a relay.
     relay_wait_ms: u64,
+    /// Minimum pause after a failure of the store.
+    min_backoff_ms: u64,
     /// Applies a whole list.
     on_list: fn(&Gateway, List, Interruption),
     /// Applies a change. The flags say whether the object was removed, and whether the change was
@@ -73,6 +78,7 @@
     let feed = Feed {
         kind: paths::CONFIG_KIND,
         relay_wait_ms: RELAY_WAIT_MS,
+        min_backoff_ms: 0,
         on_list: |gateway, list, _| {
             for object in &list.objects {
                 apply_config(gateway, object);
@@ -92,6 +98,7 @@
     let feed = Feed {
         kind: paths::UPSTREAM_KIND,
         relay_wait_ms: RELAY_WAIT_MS,
+        min_backoff_ms: 0,
         on_list: apply_list,
         on_change: apply_entry,
     };
@@ -103,6 +110,7 @@
     let feed = Feed {
         kind: quarantine::KIND,
         relay_wait_ms: SUSPICIONS_RELAY_WAIT_MS,
+        min_backoff_ms: SUSPICIONS_BACKOFF_MS,
         on_list: |gateway, list, interruption| {
             quarantine::apply_list(gateway, &list, interruption == Interruption::Restore);
         },
@@ -193,7 +201,8 @@
             Err(error) => {
                 progress.availability.on_failure(feed.kind, &error, now);
                 let tracker = &progress.availability.tracker;
-                sleep_ms(tracker.backoff_ms(is_fallback_reader(gateway))).await;
+                let backoff_ms = tracker.backoff_ms(is_fallback_reader(gateway));
+                sleep_ms(backoff_ms.max(feed.min_backoff_ms)).await;
             }
         }
     }
