Gateway: log suspected crashes of any request, with the digest of its content

Event 742 named only the parts of prompts, and a connection that had been idle left no event. So the logs could not tell one request that comes again from different ones. It now has the digest of the request's content, the route, and the point at which the connection broke. No change of logic.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -67,7 +67,7 @@
             Some(START_RETRY_AFTER_MS),
         );
     };
-    let context = match build_context(&gateway, &snapshot, &request, request_id, open_guard) {
+    let mut context = match build_context(&gateway, &snapshot, &request, request_id, open_guard) {
         Ok(context) => context,
         Err((code, why, request_id)) => return refuse(&gateway, &request_id, code, why, None),
     };
@@ -78,7 +78,10 @@
     let (head, body) = request.into_parts();
     let max_bytes = snapshot.config.limits.max_body_bytes;
     match request::read_body(body, max_bytes).await {
-        Ok(body) => run(Rc::new(context), head, body).await,
+        Ok(body) => {
+            context.digest = Some(request::digest(&context, &head, &body));
+            run(Rc::new(context), head, body).await
+        }
         Err(code) => refuse(
             &gateway,
             &context.request_id,
@@ -144,6 +147,7 @@
         model,
         prompt_tokens: prompt_tokens.unwrap_or(0),
         prompt_parts,
+        digest: None,
         started,
         deadline: Deadline::after_ms(started, timeout_ms),
         _open_guard: open_guard,
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -18,7 +18,7 @@
     call::{
         answer::{AnswerKind, classify, reported_load, stated_limit},
         context::Context,
-        outcome::record_suspected_crash,
+        outcome::{BreakPoint, record_suspected_crash},
         request::build_request,
         whole_body::{self, BodyError},
     },
@@ -203,10 +203,11 @@
                 // hyper returns the message only if no byte of it was sent.
                 Some(_) => AttemptOutcome::NotSent("the connection was closed".to_owned()),
                 None => {
-                    // An idle connection may also break because the upstream closed it meanwhile.
-                    if is_new {
-                        record_suspected_crash(context, target, false);
-                    }
+                    let broke_at = match is_new {
+                        true => BreakPoint::NewConnection,
+                        false => BreakPoint::ReusedConnection,
+                    };
+                    record_suspected_crash(context, target, broke_at);
                     AttemptOutcome::Unknown(error.error().to_string())
                 }
             };
@@ -275,7 +276,7 @@
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             if matches!(error, BodyError::Broken(_)) {
-                record_suspected_crash(context, &target, true);
+                record_suspected_crash(context, &target, BreakPoint::AfterHead);
             }
             return AttemptOutcome::Unknown(error.to_string());
         }
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -4,7 +4,7 @@
 
 use jacinthpoint_dispatch::{FleetRetryBudget, PromptDemand, StallPolicy};
 use jacinthpoint_fleet::{Engine, Organisation, Route};
-use jacinthpoint_types::{Deadline, DeploymentId, PromptParts, ServiceId, TimeMs};
+use jacinthpoint_types::{Deadline, DeploymentId, PromptParts, RequestDigest, ServiceId, TimeMs};
 
 use crate::{
     events::log_event,
@@ -49,6 +49,8 @@
     pub(crate) prompt_tokens: u32,
     /// Parts of the prompt; `None` if the caller named none.
     pub(crate) prompt_parts: Option<PromptParts>,
+    /// Digest of the request's content; `None` until its body has been read.
+    pub(crate) digest: Option<RequestDigest>,
     pub(crate) started: TimeMs,
     pub(crate) deadline: Deadline,
     pub(crate) _open_guard: OpenRequestGuard,
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -27,19 +27,34 @@
     }
 }
 
-/// Records that the connection of a request broke before its second event. `has_head` says whether
-/// the head of the answer had arrived.
-pub(super) fn record_suspected_crash(context: &Context, target: &Target, has_head: bool) {
-    let Some(parts) = &context.prompt_parts else {
-        return;
-    };
+/// Point at which the connection of a request broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(super) enum BreakPoint {
+    /// Before the head of the answer, on a connection that was opened for the request.
+    NewConnection,
+    /// Before the head of the answer, on a connection that had been idle.
+    ReusedConnection,
+    /// After the head of the answer.
+    AfterHead,
+}
+
+/// Records that the connection of a request broke before its second event.
+pub(super) fn record_suspected_crash(context: &Context, target: &Target, at: BreakPoint) {
     let view = context.gateway.view.borrow();
     let upstream = view.upstreams().get(&target.upstream);
     let started_unix_ms = upstream.map_or(0, |upstream| upstream.started_unix_ms);
-    let shared_parts: Vec<String> = parts.shared.iter().map(ToString::to_string).collect();
+    let parts = context.prompt_parts.as_ref();
+    let shared_parts = parts.map_or(&[][..], |parts| &parts.shared);
+    let shared_parts: Vec<String> = shared_parts.iter().map(ToString::to_string).collect();
     log_event!(info, CrashSuspected, request = context.request_id, upstream = %target.upstream,
-        started_unix_ms, has_head, ?shared_parts, last_part = %parts.last,
+        started_unix_ms, broke_at = %at, ?shared_parts, last_part = parts.map(|parts| parts.last.to_string()),
+        elapsed_ms = context.elapsed_ms(), digest = context.digest.map(|digest| digest.to_string()), route = context.route.name,
         "the connection of a request broke before its second event");
+    // An idle connection may also break because the upstream closed it meanwhile.
+    let Some(parts) = parts.filter(|_| at != BreakPoint::ReusedConnection) else {
+        return;
+    };
     let crash = CrashId {
         upstream: target.upstream.clone(),
         started_unix_ms,
--- a/crates/gateway/src/call/request.rs
+++ b/crates/gateway/src/call/request.rs
@@ -10,7 +10,7 @@
 };
 use jacinthpoint_adapter::headers;
 use jacinthpoint_dispatch::Target;
-use jacinthpoint_types::ResultCode;
+use jacinthpoint_types::{RequestDigest, ResultCode};
 
 use crate::{call::context::Context, connection::RequestBody};
 
@@ -65,6 +65,23 @@
     }
 }
 
+/// Returns the digest by which a request is known when the same caller sends it again. Of the headers it
+/// holds only the host, since ids and deadlines differ each time.
+pub(super) fn digest(context: &Context, head: &Parts, body: &[u8]) -> RequestDigest {
+    let host = head.headers.get(header::HOST);
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or("", |target| target.as_str());
+    RequestDigest::of(&[
+        context.organisation_name().as_bytes(),
+        host.map_or(b"", |host| host.as_bytes()),
+        head.method.as_str().as_bytes(),
+        target.as_bytes(),
+        body,
+    ])
+}
+
 /// Returns the headers that are the same in all attempts.
 ///
 /// Engines also get the priority of the organisation, or else of the route, as the urgency header.
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -20,8 +20,8 @@
         context::Context,
         event_splitter::EventSplitter,
         outcome::{
-            StreamTimes, record_end, record_failure, record_not_run, record_suspected_crash,
-            remove_connection_headers,
+            BreakPoint, StreamTimes, record_end, record_failure, record_not_run,
+            record_suspected_crash, remove_connection_headers,
         },
         retry::{AttemptHistory, choose},
     },
@@ -194,19 +194,19 @@
                 },
                 Some(Err(error)) => {
                     if pieces < 2 {
-                        record_suspected_crash(&self.context, &target, true);
+                        record_suspected_crash(&self.context, &target, BreakPoint::AfterHead);
                     }
                     return StreamEnd::Broken(error.to_string());
                 }
                 None if self.splitter.has_incomplete_event() => {
                     // With a length or chunks, the upstream has ended the answer itself.
                     if pieces < 2 && !is_framed {
-                        record_suspected_crash(&self.context, &target, true);
+                        record_suspected_crash(&self.context, &target, BreakPoint::AfterHead);
                     }
                     return StreamEnd::Broken("the stream ended within an event".to_owned());
                 }
                 None if !is_framed && pieces == 0 && self.has_no_event() => {
-                    record_suspected_crash(&self.context, &target, true);
+                    record_suspected_crash(&self.context, &target, BreakPoint::AfterHead);
                     return StreamEnd::Broken("the connection ended before an event".to_owned());
                 }
                 None => {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub use crate::{
     assignment::{Assignment, MemberAddress},
+    digest::{ParseDigestError, RequestDigest},
     epoch::{Epoch, Revision},
     id::{
         AttemptId, DataCentreId, DeploymentId, FabricDomainId, GroupId, IdempotencyKey, NodeId,
@@ -22,6 +23,7 @@
 };
 
 mod assignment;
+mod digest;
 mod epoch;
 mod id;
 mod model;
