--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -17,6 +17,7 @@
 
 mod caller;
 mod crashing_prompts;
+mod crashing_requests;
 mod fleet_limits;
 mod restored_store;
 mod site;
