--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,8 +12,9 @@
     peer_load::{LoadAggregator, PeerLoad, TargetDigest, TargetReport},
     permit_issuer::{LIMIT_SYNC_MS, PermitIssuer},
     prediction::PromptDemand,
-    quarantine::{CrashId, PartRecord, PromptQuarantine, QuarantineChange, RecordWrite, Suspicion},
+    quarantine::{CrashId, Quarantine, QuarantineChange, RecordWrite, SuspectRecord, Suspicion},
     stall::{StallPolicy, StallState},
+    suspect::{ParseSuspectError, RequestContent, SuspectId},
     upstream_limit::{LimitAnswer, LimitReport, MAX_LIMIT_REPORTS, StatementAges, UpstreamLimits},
 };
 
@@ -26,4 +27,5 @@
 mod prediction;
 mod quarantine;
 mod stall;
+mod suspect;
 mod upstream_limit;
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -1,28 +1,33 @@
-//! Quarantine of parts of prompts that crash upstreams.
+//! Quarantine of requests, and of parts of prompts, that crash upstreams.
 //!
-//! A request can crash the upstream that begins to write its answer. Each retry, and each further
-//! request with the same content, then crashes another upstream, until none is left. A gateway cannot
-//! look into a request, but callers name the parts of its prompt, and the part that causes the
-//! crashes is in all of these requests. No gateway sees more than some of them, and gateways restart.
-//! So each gateway records in the store which parts were in requests without an answer at an upstream
-//! that crashed, and all gateways draw the same conclusion from these records.
+//! A request can crash the upstream that begins to run it. Each retry, and each further request with
+//! the same content, then crashes another upstream, until none is left. A gateway cannot look into a
+//! request, but the same request has the same digest each time, and callers name the parts of their
+//! prompts, of which one may be in all requests that crash upstreams. No gateway sees more than some of
+//! them, and gateways restart. So each gateway records in the store which requests and parts had no
+//! answer at an upstream that crashed, and all gateways draw the same conclusion from these records.
 //!
-//! An upstream that crashes takes other requests with it, whose parts are under suspicion, too. They
-//! are told apart in two ways. A part that an upstream writes an answer on is harmless, which removes
-//! what is recorded of it. And a crash has one cause: once a part is in quarantine, the crashes that
-//! it was at count for no other part.
+//! An upstream that crashes takes other requests with it, which are under suspicion, too. They are told
+//! apart in two ways. What an upstream writes an answer on is harmless, which removes what is recorded
+//! of it. And a crash has one cause: once a request or a part is in quarantine, the crashes that it was
+//! at count for no other.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use jacinthpoint_types::{PromptPartId, PromptParts, TimeMs, VmId};
+use jacinthpoint_types::{PromptPartId, RequestDigest, TimeMs, VmId};
 use serde::{Deserialize, Serialize};
 
-/// Number of crashes, each without another explanation, after which a part is put in quarantine.
+use crate::{RequestContent, SuspectId};
+
+/// Number of crashes, each without another explanation, after which a suspect is put in quarantine.
 const MIN_CRASHES: usize = 3;
 /// Number of different prompts with the part at these crashes. A request that is retried has the
 /// same prompt and may meet several crashes by chance.
 const MIN_PROMPTS: usize = 2;
-/// Time for which a part has to fulfil these conditions. Other gateways that know that the part is
+/// Number of further crashes that a part must explain to be the cause in place of a request. Prompts with
+/// a crashing part bring two with their next request and its retry; a harmless part meets one by chance.
+const MIN_FURTHER_CRASHES: usize = 2;
+/// Time for which a suspect has to fulfil these conditions. Other gateways that know that the part is
 /// harmless remove its record meanwhile, and records of the same crash arrive.
 const CONFIRM_MS: u64 = 600;
 /// Time for which a suspicion counts, unless the part is in quarantine by then.
@@ -30,7 +35,9 @@
 /// Time for which an answer shows that a part is harmless.
 const ANSWER_VALID_MS: u64 = 60_000;
 /// Time after which a part is released from quarantine.
-const QUARANTINE_MS: u64 = 3_600_000;
+const PART_QUARANTINE_MS: u64 = 3_600_000;
+/// The same for a request. It is shorter, since one request may meet three crashes by chance.
+const REQUEST_QUARANTINE_MS: u64 = 600_000;
 /// Maximum number of suspicions in the record of one part. The newest ones are needed to explain the
 /// crashes, and the oldest ones for the case that these turn out to have another cause.
 const MAX_SUSPICIONS: usize = 16;
@@ -38,6 +45,9 @@
 const KEPT_SUSPICIONS: usize = 8;
 /// Maximum number of parts with a record. Further parts do not come under suspicion.
 const MAX_RECORDS: usize = 256;
+/// Pause before the first record of a request. Most requests that were at a crash by chance are answered
+/// by their retry meanwhile and need none.
+const FIRST_RECORD_DELAY_MS: u64 = 500;
 /// Number of parts known as harmless above which old ones are dropped.
 const MAX_ANSWERED_PARTS: usize = 4_096;
 
@@ -50,22 +60,25 @@
     pub started_unix_ms: u64,
 }
 
-/// A request with a part that had no answer yet when its upstream crashed.
+/// A request that had no answer yet when its upstream crashed.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Suspicion {
     /// The crash.
     pub crash: CrashId,
-    /// Last part of the request's prompt, which identifies the prompt.
-    pub prompt: PromptPartId,
-    /// Position of the suspected part in the prompt.
+    /// Last part of the request's prompt, which identifies the prompt; `None` if it named no parts.
+    pub prompt: Option<PromptPartId>,
+    /// Digest of the request; `None` in records of gateways that know no digests.
+    #[serde(default)]
+    pub digest: Option<RequestDigest>,
+    /// Position of the suspected part in the prompt; for a request, the number of its parts.
     pub position: usize,
-    /// The other parts of the prompt that other prompts may have, too.
+    /// The parts of the prompt that other prompts may have, too, without the suspected one.
     pub beside: Vec<PromptPartId>,
 }
 
-/// What the store has of one part.
+/// What the store has of one suspect.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartRecord {
+pub struct SuspectRecord {
     /// The suspicions, in the order in which they were added.
     pub suspicions: Vec<Suspicion>,
 }
@@ -74,27 +87,27 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RecordWrite {
     /// Creates the record.
-    Create(PartRecord),
+    Create(SuspectRecord),
     /// Replaces the record if it still has this revision.
-    Replace(u64, PartRecord),
+    Replace(u64, SuspectRecord),
     /// Removes the record if it still has this revision.
     Remove(u64),
 }
 
-/// A part that was put in quarantine or released from it.
+/// A suspect that was put in quarantine or released from it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuarantineChange {
-    /// The part.
-    pub part: PromptPartId,
+    /// The suspect.
+    pub suspect: SuspectId,
     /// Whether it is in quarantine now.
     pub is_quarantined: bool,
     /// Crashes at which it was.
     pub crashes: Vec<CrashId>,
 }
 
-/// One part at one gateway.
+/// One suspect at one gateway.
 #[derive(Debug, Default)]
-struct Part {
+struct Suspect {
     /// Revision of the record in the store; `None` if there is none.
     revision: Option<u64>,
     /// Suspicions of the record, with the time at which this gateway first saw each.
@@ -108,7 +121,7 @@
     quarantined_at: Option<TimeMs>,
 }
 
-impl Part {
+impl Suspect {
     /// Returns the suspicions that count at `now`.
     fn valid(&self, now: TimeMs) -> impl Iterator<Item = &Suspicion> {
         let is_kept = self.quarantined_at.is_some();
@@ -136,49 +149,61 @@
     }
 }
 
-/// Parts under suspicion and in quarantine, as one gateway knows them.
+/// Requests and parts under suspicion and in quarantine, as one gateway knows them.
 #[derive(Debug, Default)]
-pub struct PromptQuarantine {
-    parts: BTreeMap<PromptPartId, Part>,
-    /// Time of the last sign that a part is harmless, unless it was used up.
+pub struct Quarantine {
+    suspects: BTreeMap<SuspectId, Suspect>,
+    /// Time of the last sign that a part is harmless, unless it was used up. Requests are too many to
+    /// remember those without a record.
     answered_at: BTreeMap<PromptPartId, TimeMs>,
 }
 
-impl PromptQuarantine {
-    /// Records that an upstream crashed while a request with these parts had no answer there.
-    pub fn on_crash(&mut self, parts: &PromptParts, crash: &CrashId, now: TimeMs) {
-        for (position, part) in parts.shared.iter().enumerate() {
+impl Quarantine {
+    /// Records that an upstream crashed while a request with this content had no answer there.
+    pub fn on_crash(&mut self, content: &RequestContent, crash: &CrashId, now: TimeMs) {
+        let (shared, prompt) = content.split_prompt();
+        let suspicion = |position: usize| Suspicion {
+            crash: crash.clone(),
+            prompt,
+            digest: content.digest,
+            position,
+            beside: shared
+                .iter()
+                .filter(|part| shared.get(position) != Some(part))
+                .copied()
+                .collect(),
+        };
+        for (position, part) in shared.iter().enumerate() {
             // A part that was harmless may crash upstreams from now on, so each sign is used up by one
             // crash.
             let answered_at = self.answered_at.remove(part);
-            if answered_at.is_some_and(|at| now.since_ms(at) < ANSWER_VALID_MS) {
-                continue;
-            }
-            if self.parts.len() >= MAX_RECORDS && !self.parts.contains_key(part) {
-                continue;
+            if answered_at.is_none_or(|at| now.since_ms(at) >= ANSWER_VALID_MS) {
+                self.suspect(SuspectId::Part(*part), suspicion(position), now);
             }
-            let suspicion = Suspicion {
-                crash: crash.clone(),
-                prompt: parts.last,
-                position,
-                beside: parts
-                    .shared
-                    .iter()
-                    .filter(|other| *other != part)
-                    .copied()
-                    .collect(),
-            };
-            let part = self.parts.entry(*part).or_default();
-            if !part.has(&suspicion) {
-                part.pending.push((suspicion, now));
-                limit(&mut part.pending);
+        }
+        if let Some(digest) = content.digest {
+            self.suspect(SuspectId::Request(digest), suspicion(shared.len()), now);
+        }
+    }
+
+    /// Adds a suspicion, unless it is known or there are too many suspects of this kind.
+    fn suspect(&mut self, id: SuspectId, suspicion: Suspicion, now: TimeMs) {
+        if !self.suspects.contains_key(&id) {
+            let same_kind = |other: &&SuspectId| other.is_request() == id.is_request();
+            if self.suspects.keys().filter(same_kind).count() >= MAX_RECORDS {
+                return;
             }
         }
+        let suspect = self.suspects.entry(id).or_default();
+        if !suspect.has(&suspicion) {
+            suspect.pending.push((suspicion, now));
+            limit(&mut suspect.pending);
+        }
     }
 
-    /// Records that an upstream writes an answer to a request with these parts.
-    pub fn on_answer(&mut self, parts: &PromptParts, now: TimeMs) {
-        for part in &parts.shared {
+    /// Records that an upstream writes an answer to a request with this content.
+    pub fn on_answer(&mut self, content: &RequestContent, now: TimeMs) {
+        for part in content.split_prompt().0 {
             if self.answered_at.len() >= MAX_ANSWERED_PARTS {
                 self.answered_at
                     .retain(|_, at| now.since_ms(*at) < ANSWER_VALID_MS);
@@ -186,16 +211,18 @@
             if self.answered_at.len() < MAX_ANSWERED_PARTS {
                 self.answered_at.insert(*part, now);
             }
-            if let Some(part) = self.parts.get_mut(part) {
-                part.pending.clear();
-                part.is_cleared = part.revision.is_some();
+        }
+        for id in content.suspects() {
+            if let Some(suspect) = self.suspects.get_mut(&id) {
+                suspect.pending.clear();
+                suspect.is_cleared = suspect.revision.is_some();
             }
         }
     }
 
     /// Applies the record of a part, as the store has it.
-    pub fn on_record(&mut self, id: PromptPartId, record: PartRecord, revision: u64, now: TimeMs) {
-        let part = self.parts.entry(id).or_default();
+    pub fn on_record(&mut self, id: SuspectId, record: SuspectRecord, revision: u64, now: TimeMs) {
+        let part = self.suspects.entry(id).or_default();
         if part.revision.is_some_and(|known| known > revision) {
             return;
         }
@@ -213,17 +240,19 @@
         let stored = &part.stored;
         let is_stored = |pending: &Suspicion| stored.iter().any(|(known, _)| known == pending);
         part.pending.retain(|(pending, _)| !is_stored(pending));
-        let answered_at = self.answered_at.remove(&id);
+        let answered_at = id.part().and_then(|part| self.answered_at.remove(&part));
         if answered_at.is_some_and(|at| now.since_ms(at) < ANSWER_VALID_MS) {
             part.is_cleared = true;
         }
     }
 
     /// Applies the removal of a part's record: the part was found harmless, or its time is over.
-    pub fn on_removed(&mut self, id: PromptPartId) {
+    pub fn on_removed(&mut self, id: SuspectId) {
         // What this gateway knew before was the reason, or is as old.
-        self.answered_at.remove(&id);
-        if let Some(part) = self.parts.get_mut(&id) {
+        if let Some(part) = id.part() {
+            self.answered_at.remove(&part);
+        }
+        if let Some(part) = self.suspects.get_mut(&id) {
             part.revision = None;
             part.stored.clear();
             part.is_cleared = false;
@@ -234,50 +263,50 @@
     /// suspicions that it lacks are written again; otherwise they were removed.
     pub fn on_list(
         &mut self,
-        records: Vec<(PromptPartId, PartRecord, u64)>,
+        records: Vec<(SuspectId, SuspectRecord, u64)>,
         is_restored: bool,
         now: TimeMs,
     ) {
-        let listed: BTreeSet<PromptPartId> = records.iter().map(|(id, ..)| *id).collect();
+        let listed: BTreeSet<SuspectId> = records.iter().map(|(id, ..)| *id).collect();
         if is_restored {
-            for part in self.parts.values_mut() {
+            for part in self.suspects.values_mut() {
                 part.revision = None;
                 let lost = std::mem::take(&mut part.stored);
                 part.pending.extend(lost);
             }
         } else {
-            let is_removed = |(id, part): &(&PromptPartId, &Part)| {
-                part.revision.is_some() && !listed.contains(id)
+            let is_removed = |(id, suspect): &(&SuspectId, &Suspect)| {
+                suspect.revision.is_some() && !listed.contains(id)
             };
-            let removed: Vec<_> = self.parts.iter().filter(is_removed).collect();
-            let removed: Vec<PromptPartId> = removed.into_iter().map(|(id, _)| *id).collect();
+            let removed: Vec<_> = self.suspects.iter().filter(is_removed).collect();
+            let removed: Vec<SuspectId> = removed.into_iter().map(|(id, _)| *id).collect();
             removed.into_iter().for_each(|id| self.on_removed(id));
         }
         for (id, record, revision) in records {
-            let is_new = !self.parts.contains_key(&id);
+            let is_new = !self.suspects.contains_key(&id);
             self.on_record(id, record, revision, now);
-            if let Some(part) = self.parts.get_mut(&id).filter(|_| is_new) {
+            if let Some(part) = self.suspects.get_mut(&id).filter(|_| is_new) {
                 // A gateway that starts does not wait for what it can no longer learn.
                 part.fulfilled_since = Some(TimeMs(now.0.saturating_sub(CONFIRM_MS)));
             }
         }
     }
 
-    /// Returns a part of a prompt that is in quarantine, if there is one.
-    pub fn quarantined(&self, parts: &PromptParts) -> Option<PromptPartId> {
-        if self.parts.is_empty() {
+    /// Returns what of a request is in quarantine, if anything is.
+    pub fn quarantined(&self, content: &RequestContent) -> Option<SuspectId> {
+        if self.suspects.is_empty() {
             return None;
         }
-        let is_quarantined = |id: &&PromptPartId| {
-            let part = self.parts.get(id);
-            part.is_some_and(|part| part.quarantined_at.is_some())
+        let is_quarantined = |id: &SuspectId| {
+            let suspect = self.suspects.get(id);
+            suspect.is_some_and(|suspect| suspect.quarantined_at.is_some())
         };
-        parts.shared.iter().find(is_quarantined).copied()
+        content.suspects().find(is_quarantined)
     }
 
     /// Returns the number of parts in quarantine.
     pub fn len(&self) -> usize {
-        let parts = self.parts.values();
+        let parts = self.suspects.values();
         parts.filter(|part| part.quarantined_at.is_some()).count()
     }
 
@@ -290,25 +319,26 @@
     /// each change and at least every 100 ms.
     pub fn update(&mut self, now: TimeMs) -> Vec<QuarantineChange> {
         let causes = self.causes(now);
-        for (id, part) in &mut self.parts {
+        for (id, part) in &mut self.suspects {
             part.fulfilled_since = match causes.contains(id) {
                 true => part.fulfilled_since.or(Some(now)),
                 false => None,
             };
         }
-        let is_confirmed = |part: &Part| {
-            part.fulfilled_since
+        let is_confirmed = |suspect: &Suspect| {
+            suspect
+                .fulfilled_since
                 .is_some_and(|since| now.since_ms(since) >= CONFIRM_MS)
         };
-        let confirmed: Vec<PromptPartId> = self
-            .parts
+        let confirmed: Vec<SuspectId> = self
+            .suspects
             .iter()
             .filter(|(_, part)| is_confirmed(part))
             .map(|(id, _)| *id)
             .collect();
         // A part that has another explanation now is released only once that is confirmed.
-        let kept: Vec<PromptPartId> = self
-            .parts
+        let kept: Vec<SuspectId> = self
+            .suspects
             .iter()
             .filter(|(id, part)| {
                 part.quarantined_at.is_some() && self.is_cause(**id, &confirmed, now)
@@ -316,33 +346,39 @@
             .map(|(id, _)| *id)
             .collect();
         let mut changes = Vec::new();
-        for (id, part) in &mut self.parts {
+        for (id, part) in &mut self.suspects {
             let is_quarantined = confirmed.contains(id) || kept.contains(id);
             if is_quarantined != part.quarantined_at.is_some() {
                 let crashes = part.crashes(now).into_iter().cloned().collect();
                 part.quarantined_at = is_quarantined.then_some(now);
                 changes.push(QuarantineChange {
-                    part: *id,
+                    suspect: *id,
                     is_quarantined,
                     crashes,
                 });
             }
         }
-        self.parts
+        self.suspects
             .retain(|_, part| part.revision.is_some() || part.valid(now).next().is_some());
         changes
     }
 
-    /// Returns the parts that explain the crashes.
+    /// Returns the requests and parts that explain the crashes.
     ///
-    /// Of several parts that fulfil the conditions, the one that comes latest in its prompts is
-    /// taken first, since the fewest requests have it. If one that was taken earlier is not needed
+    /// Of several parts that fulfil the conditions, the one that comes latest in its prompts is taken
+    /// first, since the fewest requests have it. Requests are taken before parts, those with the most
+    /// crashes first, unless a part explains further crashes. If one that was taken earlier is not needed
     /// beside the others in the end, it is left out again.
-    fn causes(&self, now: TimeMs) -> BTreeSet<PromptPartId> {
-        let mut candidates: Vec<_> = self.parts.iter().collect();
-        candidates.sort_by_key(|(_, part)| std::cmp::Reverse(part.position()));
-        let mut causes: Vec<PromptPartId> = Vec::new();
-        for (id, _) in candidates {
+    fn causes(&self, now: TimeMs) -> BTreeSet<SuspectId> {
+        let (mut requests, mut parts): (Vec<_>, Vec<_>) =
+            self.suspects.iter().partition(|(id, _)| id.is_request());
+        requests.sort_by_key(|(_, request)| std::cmp::Reverse(request.crashes(now).len()));
+        parts.sort_by_key(|(_, part)| std::cmp::Reverse(part.position()));
+        let (outdone, requests): (Vec<_>, Vec<_>) = requests
+            .into_iter()
+            .partition(|(id, request)| self.is_outdone(**id, request, now));
+        let mut causes: Vec<SuspectId> = Vec::new();
+        for (id, _) in requests.into_iter().chain(parts).chain(outdone) {
             if self.is_cause(*id, &causes, now) {
                 causes.push(*id);
             }
@@ -358,67 +394,97 @@
         causes.into_iter().collect()
     }
 
-    /// Returns whether a part was at enough crashes that the parts of `others`, besides itself, do
-    /// not explain.
-    fn is_cause(&self, id: PromptPartId, others: &[PromptPartId], now: TimeMs) -> bool {
+    /// Returns whether a part explains the crashes of the request, and further ones.
+    fn is_outdone(&self, id: SuspectId, request: &Suspect, now: TimeMs) -> bool {
+        let crashes = request.crashes(now);
+        self.suspects.iter().any(|(part_id, part)| {
+            let further = || {
+                let of_others = part
+                    .valid(now)
+                    .filter(|suspicion| suspicion.digest.map(SuspectId::Request) != Some(id))
+                    .map(|suspicion| &suspicion.crash)
+                    .filter(|crash| !crashes.contains(crash));
+                of_others.collect::<BTreeSet<&CrashId>>().len()
+            };
+            !part_id.is_request()
+                && further() >= MIN_FURTHER_CRASHES
+                && self.is_cause(*part_id, &[], now)
+                && !self.is_cause(id, &[*part_id], now)
+        })
+    }
+
+    /// Returns whether a suspect was at enough crashes that `others`, besides itself, do not explain.
+    fn is_cause(&self, id: SuspectId, others: &[SuspectId], now: TimeMs) -> bool {
         let others = others.iter().filter(|other| **other != id);
-        let others: BTreeSet<PromptPartId> = others.copied().collect();
+        let others: BTreeSet<SuspectId> = others.copied().collect();
         let explained: BTreeSet<&CrashId> = others
             .iter()
-            .filter_map(|other| self.parts.get(other))
+            .filter_map(|other| self.suspects.get(other))
             .flat_map(|other| other.crashes(now))
             .collect();
-        let Some(part) = self.parts.get(&id) else {
+        let Some(suspect) = self.suspects.get(&id) else {
             return false;
         };
-        let unexplained = part.valid(now).filter(|suspicion| {
-            let mut beside = suspicion.beside.iter();
-            !explained.contains(&suspicion.crash) && !beside.any(|part| others.contains(part))
+        let unexplained = suspect.valid(now).filter(|suspicion| {
+            let beside = suspicion.beside.iter().map(|part| SuspectId::Part(*part));
+            let digest = suspicion.digest.map(SuspectId::Request);
+            !explained.contains(&suspicion.crash)
+                && !beside.chain(digest).any(|other| others.contains(&other))
         });
         let (crashes, prompts): (BTreeSet<_>, BTreeSet<_>) = unexplained
             .map(|suspicion| (&suspicion.crash, suspicion.prompt))
             .unzip();
-        crashes.len() >= MIN_CRASHES && prompts.len() >= MIN_PROMPTS
+        crashes.len() >= MIN_CRASHES && (id.is_request() || prompts.len() >= MIN_PROMPTS)
     }
 
-    /// Returns the changes of records that are due, the parts that come latest in their prompts
-    /// first. `may_expire` is set at the one gateway that removes records whose time is over.
-    pub fn due_writes(
-        &mut self,
-        may_expire: bool,
-        now: TimeMs,
-    ) -> Vec<(PromptPartId, RecordWrite)> {
+    /// Returns the changes of records that are due, first those of parts, the parts that come latest in
+    /// their prompts before others: they are fewer than the requests. `may_expire` is set at the one
+    /// gateway that removes records whose time is over.
+    pub fn due_writes(&mut self, may_expire: bool, now: TimeMs) -> Vec<(SuspectId, RecordWrite)> {
         let mut due: Vec<_> = self
-            .parts
+            .suspects
             .iter_mut()
-            .filter_map(|(id, part)| {
-                let write = part.due_write(may_expire, now)?;
-                Some((part.position(), *id, write))
+            .filter_map(|(id, suspect)| {
+                let write = suspect.due_write(id.is_request(), may_expire, now)?;
+                let order = (id.is_request(), std::cmp::Reverse(suspect.position()));
+                Some((order, *id, write))
             })
             .collect();
-        due.sort_by_key(|(position, ..)| std::cmp::Reverse(*position));
+        due.sort_by_key(|(order, ..)| *order);
         due.into_iter().map(|(_, id, write)| (id, write)).collect()
     }
 }
 
-impl Part {
-    fn due_write(&mut self, may_expire: bool, now: TimeMs) -> Option<RecordWrite> {
+impl Suspect {
+    fn due_write(
+        &mut self,
+        is_request: bool,
+        may_expire: bool,
+        now: TimeMs,
+    ) -> Option<RecordWrite> {
+        let is_delayed = is_request
+            && self.revision.is_none()
+            && self
+                .pending
+                .iter()
+                .all(|(_, at)| now.since_ms(*at) < FIRST_RECORD_DELAY_MS);
         let is_over = match self.quarantined_at {
-            Some(at) => now.since_ms(at) >= QUARANTINE_MS,
+            Some(at) if is_request => now.since_ms(at) >= REQUEST_QUARANTINE_MS,
+            Some(at) => now.since_ms(at) >= PART_QUARANTINE_MS,
             None => self.valid(now).next().is_none(),
         };
         match self.revision {
             Some(revision) if self.is_cleared || (may_expire && is_over) => {
                 Some(RecordWrite::Remove(revision))
             }
-            _ if self.pending.is_empty() => None,
+            _ if self.pending.is_empty() || is_delayed => None,
             revision => {
                 let all = self.stored.iter().chain(&self.pending);
                 let mut suspicions: Vec<_> = all.map(|(suspicion, _)| suspicion.clone()).collect();
                 limit(&mut suspicions);
                 self.pending
                     .retain(|(pending, _)| suspicions.contains(pending));
-                let record = PartRecord { suspicions };
+                let record = SuspectRecord { suspicions };
                 Some(match revision {
                     Some(revision) => RecordWrite::Replace(revision, record),
                     None => RecordWrite::Create(record),
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -1,9 +1,11 @@
-//! Tests of the quarantine of parts of prompts, of single decisions and in a simulated fleet.
+//! Tests of the quarantine of requests and parts of prompts, of single decisions and in a simulated fleet.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use jacinthpoint_dispatch::{CrashId, PartRecord, PromptQuarantine, RecordWrite, Suspicion};
-use jacinthpoint_types::{PromptPartId, PromptParts, TimeMs};
+use jacinthpoint_dispatch::{
+    CrashId, Quarantine, RecordWrite, RequestContent, SuspectId, SuspectRecord, Suspicion,
+};
+use jacinthpoint_types::{PromptPartId, PromptParts, RequestDigest, TimeMs};
 use quickcheck::{Arbitrary, Gen};
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 
@@ -14,10 +16,26 @@
     PromptPartId(id)
 }
 
-fn prompt(shared: &[u128], last: u128) -> PromptParts {
-    PromptParts {
-        shared: shared.iter().copied().map(PromptPartId).collect(),
-        last: part(last),
+fn part_suspect(id: u128) -> SuspectId {
+    SuspectId::Part(part(id))
+}
+
+/// Returns a request whose prompt has these parts, of which the last one tells its content apart.
+fn prompt(shared: &[u128], last: u128) -> RequestContent {
+    RequestContent {
+        parts: Some(PromptParts {
+            shared: shared.iter().copied().map(PromptPartId).collect(),
+            last: part(last),
+        }),
+        digest: Some(RequestDigest(last)),
+    }
+}
+
+/// Returns a request that names no parts.
+fn plain(digest: u128) -> RequestContent {
+    RequestContent {
+        parts: None,
+        digest: Some(RequestDigest(digest)),
     }
 }
 
@@ -35,10 +53,7 @@
 
 /// Records the crashes of these requests, each at another upstream, and returns the parts in
 /// quarantine after the time of confirmation.
-fn quarantined_after(
-    quarantine: &mut PromptQuarantine,
-    crashes: &[(usize, &[u128], u128)],
-) -> Vec<u128> {
+fn quarantined_after(quarantine: &mut Quarantine, crashes: &[(usize, &[u128], u128)]) -> Vec<u128> {
     for (upstream, shared, last) in crashes {
         quarantine.on_crash(&prompt(shared, *last), &crash(*upstream, 1), TimeMs(10_000));
     }
@@ -57,7 +72,7 @@
         $(
             #[test]
             fn $name() {
-                let mut quarantine = PromptQuarantine::default();
+                let mut quarantine = Quarantine::default();
                 let crashes: &[(usize, &[u128], u128)] = &[$(($upstream, &$shared, $last)),*];
                 assert_eq!(quarantined_after(&mut quarantine, crashes), $expected);
             }
@@ -92,9 +107,112 @@
          (3, [CRASHING], 13), (4, [CRASHING], 14), (5, [CRASHING], 15)] => [OTHER, CRASHING],
 }
 
+/// Records the crashes of these requests, each at another upstream, and returns the digests in quarantine
+/// after the time of confirmation.
+fn quarantined_requests(crashes: &[(usize, RequestContent)]) -> Vec<u128> {
+    let mut quarantine = Quarantine::default();
+    for (upstream, content) in crashes {
+        quarantine.on_crash(content, &crash(*upstream, 1), TimeMs(10_000));
+    }
+    quarantine.update(TimeMs(10_000));
+    quarantine.update(TimeMs(10_000 + CONFIRMED_MS));
+    [10, 11, 12, CRASHING]
+        .into_iter()
+        .filter(|digest| quarantine.quarantined(&plain(*digest)).is_some())
+        .collect()
+}
+
+/// Defines tests of which requests are in quarantine after crashes: name, crashes as upstream and
+/// content, digests in quarantine.
+macro_rules! request_crashes {
+    ($($name:ident: [$(($upstream:expr, $content:expr)),*] => $expected:expr,)+) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(quarantined_requests(&[$(($upstream, $content)),*]), $expected);
+            }
+        )+
+    };
+}
+
+request_crashes! {
+    request_at_three_crashes_is_quarantined:
+        [(0, plain(CRASHING)), (1, plain(CRASHING)), (2, plain(CRASHING))] => [CRASHING],
+    request_at_two_crashes_is_not_quarantined:
+        [(0, plain(CRASHING)), (0, plain(CRASHING)), (1, plain(CRASHING))] => [0; 0],
+    // Guards against harmless requests that are refused because they were at the same upstreams.
+    request_at_some_of_the_crashes_is_not_quarantined:
+        [(0, plain(10)), (1, plain(10)), (2, plain(10)), (0, plain(CRASHING)), (1, plain(CRASHING)),
+         (2, plain(CRASHING)), (3, plain(CRASHING))] => [CRASHING],
+    // Guards against many requests that are refused because upstreams crash for another reason.
+    requests_at_the_same_crashes_are_quarantined_only_as_needed:
+        [(0, plain(10)), (1, plain(10)), (2, plain(10)), (0, plain(11)), (1, plain(11)), (2, plain(11)),
+         (0, plain(12)), (1, plain(12)), (2, plain(12))] => [10],
+    // A caller that retries a request with the crashing part meets several crashes with it.
+    request_with_a_crashing_part_is_left_out:
+        [(0, prompt(&[CRASHING], 10)), (1, prompt(&[CRASHING], 10)), (2, prompt(&[CRASHING], 10)),
+         (3, prompt(&[CRASHING], 11)), (4, prompt(&[CRASHING], 11))] => [0; 0],
+}
+
+/// Guards against sound requests that are refused for a part that they share with a crashing request.
+#[test]
+fn part_of_a_crashing_request_is_not_quarantined() {
+    let mut quarantine = Quarantine::default();
+    let crashes: &[(usize, &[u128], u128)] = &[
+        (0, &[FIRST], 10),
+        (1, &[FIRST], 10),
+        (2, &[FIRST], 10),
+        (1, &[FIRST], 20),
+        (3, &[FIRST], 21),
+    ];
+    assert_eq!(quarantined_after(&mut quarantine, crashes), [0; 0]);
+    assert!(quarantine.quarantined(&plain(10)).is_some());
+}
+
+/// Guards against harmless requests that take the blame from a part, each for some of its crashes.
+#[test]
+fn requests_at_some_crashes_of_a_part_are_not_quarantined() {
+    let mut quarantine = Quarantine::default();
+    for upstream in 0..6 {
+        let crash = crash(upstream, 1);
+        let crashing = prompt(&[CRASHING], 30 + upstream as u128);
+        quarantine.on_crash(&crashing, &crash, TimeMs(10_000));
+        let harmless = plain(10 + upstream as u128 / 3);
+        quarantine.on_crash(&harmless, &crash, TimeMs(10_000));
+    }
+    assert_eq!(quarantined_after(&mut quarantine, &[]), [CRASHING]);
+    assert_eq!(quarantine.len(), 1);
+}
+
+/// Guards against a request that is refused although it is answered in between.
+#[test]
+fn answered_request_needs_three_crashes_again() {
+    let mut quarantine = Quarantine::default();
+    let request = plain(10);
+    for upstream in 0..4 {
+        if upstream == 2 {
+            quarantine.on_answer(&request, TimeMs(10_000));
+        }
+        quarantine.on_crash(&request, &crash(upstream, 1), TimeMs(10_000));
+    }
+    assert_eq!(quarantined_after(&mut quarantine, &[]), [0; 0]);
+    assert!(quarantine.is_empty());
+}
+
+/// A request that is answered soon after its crash costs no call to the store.
+#[test]
+fn request_is_recorded_only_after_a_pause() {
+    let mut quarantine = Quarantine::default();
+    quarantine.on_crash(&plain(10), &crash(0, 1), TimeMs(10_000));
+    assert!(quarantine.due_writes(false, TimeMs(10_300)).is_empty());
+    assert_eq!(quarantine.due_writes(false, TimeMs(10_500)).len(), 1);
+    quarantine.on_answer(&plain(10), TimeMs(10_600));
+    assert!(quarantine.due_writes(false, TimeMs(10_600)).is_empty());
+}
+
 #[test]
 fn harmless_part_needs_one_crash_more_and_is_cleared_by_an_answer() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = Quarantine::default();
     quarantine.on_answer(&prompt(&[OTHER], 5), TimeMs(9_000));
     let crashes: &[(usize, &[u128], u128)] =
         &[(0, &[OTHER], 10), (1, &[OTHER], 11), (2, &[OTHER], 12)];
@@ -107,7 +225,7 @@
 /// part before the crashing one then seems to explain all crashes.
 #[test]
 fn quarantine_stays_while_many_upstreams_crash_for_another_reason() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = Quarantine::default();
     let crashes: &[(usize, &[u128], u128)] = &[
         (0, &[FIRST, CRASHING], 10),
         (1, &[FIRST, CRASHING], 11),
@@ -131,7 +249,7 @@
 
 #[test]
 fn restarted_upstream_counts_as_another_crash() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = Quarantine::default();
     for (started_unix_ms, last) in [(1, 10), (2, 11), (3, 12)] {
         let crash = crash(0, started_unix_ms);
         quarantine.on_crash(&prompt(&[CRASHING], last), &crash, TimeMs(10_000));
@@ -140,30 +258,35 @@
 }
 
 /// Returns the record of a crashing part.
-fn record() -> PartRecord {
+fn record() -> SuspectRecord {
     let suspicion = |index: usize| Suspicion {
         crash: crash(index, 1),
-        prompt: part(index as u128),
+        prompt: Some(part(index as u128)),
+        digest: None,
         position: 0,
         beside: Vec::new(),
     };
-    PartRecord {
+    SuspectRecord {
         suspicions: (0..3).map(suspicion).collect(),
     }
 }
 
 #[test]
 fn records_of_other_gateways_count() {
-    let mut quarantine = PromptQuarantine::default();
-    quarantine.on_list(vec![(part(CRASHING), record(), 7)], false, TimeMs(9_000));
+    let mut quarantine = Quarantine::default();
+    quarantine.on_list(
+        vec![(part_suspect(CRASHING), record(), 7)],
+        false,
+        TimeMs(9_000),
+    );
     assert_eq!(quarantined_after(&mut quarantine, &[]), [CRASHING]);
     assert!(quarantine.due_writes(true, TimeMs(11_000)).is_empty());
 }
 
 #[test]
 fn removed_record_ends_the_quarantine() {
-    let mut quarantine = PromptQuarantine::default();
-    quarantine.on_record(part(CRASHING), record(), 7, TimeMs(9_000));
+    let mut quarantine = Quarantine::default();
+    quarantine.on_record(part_suspect(CRASHING), record(), 7, TimeMs(9_000));
     assert_eq!(quarantined_after(&mut quarantine, &[]), [CRASHING]);
     quarantine.on_list(Vec::new(), false, TimeMs(11_000));
     quarantine.update(TimeMs(11_000));
@@ -173,32 +296,35 @@
 /// Guards against a store that was restored from a copy without the record.
 #[test]
 fn record_that_a_restored_store_lacks_is_written_again() {
-    let mut quarantine = PromptQuarantine::default();
-    quarantine.on_record(part(CRASHING), record(), 7, TimeMs(9_000));
+    let mut quarantine = Quarantine::default();
+    quarantine.on_record(part_suspect(CRASHING), record(), 7, TimeMs(9_000));
     assert_eq!(quarantined_after(&mut quarantine, &[]), [CRASHING]);
     quarantine.on_list(Vec::new(), true, TimeMs(11_000));
     quarantine.update(TimeMs(11_000));
     assert_eq!(quarantine.len(), 1);
     let due = quarantine.due_writes(false, TimeMs(11_000));
-    assert_eq!(due, [(part(CRASHING), RecordWrite::Create(record()))]);
+    assert_eq!(
+        due,
+        [(part_suspect(CRASHING), RecordWrite::Create(record()))]
+    );
 }
 
 #[test]
 fn record_is_removed_by_one_gateway_when_its_time_is_over() {
-    let mut quarantine = PromptQuarantine::default();
-    quarantine.on_record(part(CRASHING), record(), 7, TimeMs(9_000));
+    let mut quarantine = Quarantine::default();
+    quarantine.on_record(part_suspect(CRASHING), record(), 7, TimeMs(9_000));
     assert_eq!(quarantined_after(&mut quarantine, &[]), [CRASHING]);
     let later = TimeMs(10_000 + 3_700_000);
     assert!(quarantine.due_writes(false, later).is_empty());
     let due = quarantine.due_writes(true, later);
-    assert_eq!(due, [(part(CRASHING), RecordWrite::Remove(7))]);
+    assert_eq!(due, [(part_suspect(CRASHING), RecordWrite::Remove(7))]);
 }
 
 /// Guards against a record that is written on and on because it is full.
 #[test]
 fn full_record_takes_the_newest_suspicions() {
-    let mut quarantine = PromptQuarantine::default();
-    quarantine.on_record(part(CRASHING), record(), 7, TimeMs(9_000));
+    let mut quarantine = Quarantine::default();
+    quarantine.on_record(part_suspect(CRASHING), record(), 7, TimeMs(9_000));
     for index in 10..60 {
         let crash = crash(index, 1);
         quarantine.on_crash(&prompt(&[CRASHING], index as u128), &crash, TimeMs(10_000));
@@ -219,16 +345,19 @@
 /// Guards against requests that crash upstreams while a gateway that starts waits.
 #[test]
 fn listed_part_is_quarantined_at_once() {
-    let mut quarantine = PromptQuarantine::default();
-    quarantine.on_list(vec![(part(CRASHING), record(), 7)], false, TimeMs(9_000));
+    let mut quarantine = Quarantine::default();
+    quarantine.on_list(
+        vec![(part_suspect(CRASHING), record(), 7)],
+        false,
+        TimeMs(9_000),
+    );
     quarantine.update(TimeMs(9_000));
     assert_eq!(quarantine.len(), 1);
 }
 
-/// Time after the fifth crash from which the requests with the crashing part count.
+/// Time after the counted crashes from which the crashing requests count.
 const STABLE_MS: u64 = 3_000;
 const MAX_ARRIVALS: usize = 3;
-const COUNTED_CRASHES: usize = 5;
 const STEP_MS: u64 = 10;
 const END_MS: u64 = 24_000;
 /// Time from which requests with the crashing part come.
@@ -281,9 +410,37 @@
     }
 }
 
+/// What crashes upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// A part of prompts, which differ otherwise.
+    Part,
+    /// One request that comes again and names parts of its prompt.
+    Request,
+    /// One request that comes again and names no parts.
+    PlainRequest,
+}
+
+impl Cause {
+    /// Returns the number of crashes after which arrivals count.
+    fn counted_crashes(self) -> usize {
+        match self {
+            Cause::Part => 5,
+            Cause::Request | Cause::PlainRequest => 3,
+        }
+    }
+}
+
+/// Returns whether a request crashes upstreams.
+fn is_crashing(content: &RequestContent) -> bool {
+    let parts = content.parts.as_ref();
+    content.digest == Some(RequestDigest(CRASHING))
+        || parts.is_some_and(|parts| parts.shared.contains(&part(CRASHING)))
+}
+
 /// One gateway.
 struct Node {
-    quarantine: PromptQuarantine,
+    quarantine: Quarantine,
     /// Number of changes of the store that it has read.
     read: usize,
     has_listed: bool,
@@ -292,13 +449,13 @@
     calm_since: u64,
     lag_ms: u64,
     /// Events that it has not handled, because it was frozen: crashes and answers.
-    missed: Vec<(bool, PromptParts, CrashId)>,
+    missed: Vec<(bool, RequestContent, CrashId)>,
 }
 
 /// A request at an upstream.
 struct Attempt {
     node: usize,
-    parts: PromptParts,
+    content: RequestContent,
     upstream: usize,
     /// Time at which the upstream begins to write.
     writes_at: u64,
@@ -306,11 +463,11 @@
 }
 
 /// Change of the store: its time, the part, and its record and revision, `None` if it was removed.
-type StoreChange = (u64, PromptPartId, Option<(PartRecord, u64)>);
+type StoreChange = (u64, SuspectId, Option<(SuspectRecord, u64)>);
 
 struct Fleet {
     nodes: Vec<Node>,
-    store: BTreeMap<PromptPartId, (PartRecord, u64)>,
+    store: BTreeMap<SuspectId, (SuspectRecord, u64)>,
     changes: Vec<StoreChange>,
     lost_until: u64,
     /// Start of each upstream's incarnation; it is away until then.
@@ -320,13 +477,14 @@
     crashes: Vec<u64>,
     /// Times of arrivals with the crashing part, from gateways that nothing disturbed.
     arrivals: Vec<u64>,
+    cause: Cause,
     /// Probability of a harmless request in each step.
     harmless_rate: f64,
     rng: SmallRng,
 }
 
 impl Fleet {
-    fn new(gateways: usize, harmless_rate: f64, seed: u64) -> Fleet {
+    fn new(gateways: usize, cause: Cause, harmless_rate: f64, seed: u64) -> Fleet {
         let mut fleet = Fleet {
             nodes: Vec::new(),
             store: BTreeMap::new(),
@@ -337,6 +495,7 @@
             last_part: 1_000_000,
             crashes: Vec::new(),
             arrivals: Vec::new(),
+            cause,
             harmless_rate,
             rng: SmallRng::seed_from_u64(seed),
         };
@@ -349,7 +508,7 @@
 
     fn new_node(&mut self, now: u64) -> Node {
         Node {
-            quarantine: PromptQuarantine::default(),
+            quarantine: Quarantine::default(),
             read: 0,
             has_listed: false,
             frozen_until: now,
@@ -391,10 +550,10 @@
     }
 
     /// Sends a request unless its prompt is in quarantine at the gateway.
-    fn send(&mut self, node: usize, parts: PromptParts, attempts: u32, now: u64) {
+    fn send(&mut self, node: usize, content: RequestContent, attempts: u32, now: u64) {
         let gateway = &self.nodes[node];
         let is_frozen = now < gateway.frozen_until;
-        if is_frozen || gateway.quarantine.quarantined(&parts).is_some() {
+        if is_frozen || gateway.quarantine.quarantined(&content).is_some() {
             return;
         }
         let up: Vec<usize> = (0..UPSTREAMS)
@@ -403,12 +562,12 @@
         let Some(upstream) = up.choose(&mut self.rng).copied() else {
             return;
         };
-        if parts.shared.contains(&part(CRASHING)) && now >= gateway.calm_since + STABLE_MS {
+        if is_crashing(&content) && now >= gateway.calm_since + STABLE_MS {
             self.arrivals.push(now);
         }
         self.attempts.push(Attempt {
             node,
-            parts,
+            content,
             upstream,
             writes_at: now + self.rng.random_range(20..MAX_READ_MS),
             attempts: attempts + 1,
@@ -427,9 +586,9 @@
             .partition::<Vec<_>, _>(|attempt| attempt.upstream == upstream);
         self.attempts = kept;
         for attempt in lost {
-            self.notify(attempt.node, true, &attempt.parts, &crash, now);
+            self.notify(attempt.node, true, &attempt.content, &crash, now);
             if attempt.attempts < ATTEMPTS {
-                self.send(attempt.node, attempt.parts, attempt.attempts, now);
+                self.send(attempt.node, attempt.content, attempt.attempts, now);
             }
         }
     }
@@ -439,33 +598,37 @@
         &mut self,
         node: usize,
         is_crash: bool,
-        parts: &PromptParts,
+        content: &RequestContent,
         crash: &CrashId,
         now: u64,
     ) {
         let node = &mut self.nodes[node];
         if now < node.frozen_until {
-            node.missed.push((is_crash, parts.clone(), crash.clone()));
+            node.missed.push((is_crash, content.clone(), crash.clone()));
         } else if is_crash {
-            node.quarantine.on_crash(parts, crash, TimeMs(now));
+            node.quarantine.on_crash(content, crash, TimeMs(now));
         } else {
-            node.quarantine.on_answer(parts, TimeMs(now));
+            node.quarantine.on_answer(content, TimeMs(now));
         }
     }
 
     fn serve(&mut self, now: u64) {
         while let Some(index) = self.attempts.iter().position(|attempt| {
-            let is_crashing = attempt.parts.shared.contains(&part(CRASHING));
-            now >= attempt.writes_at + if is_crashing { 0 } else { WRITE_MS }
+            now >= attempt.writes_at
+                + if is_crashing(&attempt.content) {
+                    0
+                } else {
+                    WRITE_MS
+                }
         }) {
             let upstream = self.attempts[index].upstream;
-            if self.attempts[index].parts.shared.contains(&part(CRASHING)) {
+            if is_crashing(&self.attempts[index].content) {
                 self.crash(upstream, now);
                 self.crashes.push(now);
             } else {
                 let attempt = self.attempts.swap_remove(index);
                 let crash = crash(upstream, 0);
-                self.notify(attempt.node, false, &attempt.parts, &crash, now);
+                self.notify(attempt.node, false, &attempt.content, &crash, now);
             }
         }
     }
@@ -473,10 +636,10 @@
     /// Writes a change to the store, and returns what the gateway is told.
     fn write(
         &mut self,
-        id: PromptPartId,
+        id: SuspectId,
         write: RecordWrite,
         now: u64,
-    ) -> Option<(PartRecord, u64)> {
+    ) -> Option<(SuspectRecord, u64)> {
         let current = self.store.get(&id).cloned();
         let next = match (&current, write) {
             (None, RecordWrite::Create(record)) => Some(record),
@@ -505,8 +668,8 @@
             if now < node.frozen_until {
                 continue;
             }
-            for (is_crash, parts, crash) in std::mem::take(&mut node.missed) {
-                self.notify(index, is_crash, &parts, &crash, now);
+            for (is_crash, content, crash) in std::mem::take(&mut node.missed) {
+                self.notify(index, is_crash, &content, &crash, now);
             }
             let node = &mut self.nodes[index];
             if !node.has_listed && now >= node.calm_since + node.lag_ms {
@@ -555,13 +718,18 @@
             }
             self.last_part += 1;
             // A few first parts are in most requests; the crashing part comes after one of these.
+            // Likewise, a few plain requests come again and again.
             let first = self.rng.random_range(0.0..1.0_f64).powi(2) * FIRST_PARTS as f64;
-            let shared = match is_crashing {
-                true => vec![0x100, CRASHING],
-                false => vec![0x100 + first as u128],
+            let first = 0x100 + first as u128;
+            let content = match (is_crashing, self.cause) {
+                (true, Cause::Part) => prompt(&[0x100, CRASHING], self.last_part),
+                (true, Cause::Request) => prompt(&[0x100], CRASHING),
+                (true, Cause::PlainRequest) => plain(CRASHING),
+                (false, Cause::PlainRequest) => plain(first),
+                (false, _) => prompt(&[first], self.last_part),
             };
             let node = self.rng.random_range(0..self.nodes.len());
-            self.send(node, prompt(&shared, self.last_part), 0, now);
+            self.send(node, content, 0, now);
         }
     }
 }
@@ -569,11 +737,12 @@
 /// Plays a fleet and returns the fault that it found.
 fn play(
     gateways: usize,
+    cause: Cause,
     harmless_rate: f64,
     seed: u64,
     events: &[(u64, Event)],
 ) -> Result<(), String> {
-    let mut fleet = Fleet::new(gateways, harmless_rate, seed);
+    let mut fleet = Fleet::new(gateways, cause, harmless_rate, seed);
     let mut events: Vec<_> = events.to_vec();
     events.sort_by_key(|(at, _)| *at);
     let mut now = 0;
@@ -585,24 +754,27 @@
         fleet.step(now);
         now += STEP_MS;
     }
-    let Some(counted_from) = fleet.crashes.get(COUNTED_CRASHES - 1) else {
+    let Some(counted_from) = fleet.crashes.get(cause.counted_crashes() - 1) else {
         return Ok(());
     };
     let counted = fleet.arrivals.iter();
     let arrivals = counted.filter(|at| **at > counted_from + STABLE_MS).count();
     if arrivals > MAX_ARRIVALS {
-        return Err(format!("{arrivals} requests with the crashing part"));
+        return Err(format!("{arrivals} requests that crash upstreams"));
     }
     let harmless = (0..FIRST_PARTS).map(|index| 0x100 + index);
     let refused: BTreeSet<u128> = harmless
         .filter(|id| {
-            let parts = prompt(&[*id], 0);
+            let contents = [prompt(&[*id], 0), plain(*id)];
             let mut nodes = fleet.nodes.iter();
-            nodes.any(|node| node.quarantine.quarantined(&parts).is_some())
+            nodes.any(|node| {
+                let mut contents = contents.iter();
+                contents.any(|content| node.quarantine.quarantined(content).is_some())
+            })
         })
         .collect();
     if !refused.is_empty() {
-        return Err(format!("harmless parts in quarantine: {refused:x?}"));
+        return Err(format!("harmless requests in quarantine: {refused:x?}"));
     }
     Ok(())
 }
@@ -614,7 +786,7 @@
 }
 
 /// Plays fleets of this size with random disturbances, with many harmless requests and with few.
-fn check_fleets(gateways: usize, count: u64) {
+fn check_fleets(gateways: usize, cause: Cause, count: u64) {
     let seed = cases("JACINTHPOINT_QUARANTINE_SEED", 1);
     let mut gen_ = Gen::from_size_and_seed(12, seed);
     for index in 0..count {
@@ -623,15 +795,37 @@
             .map(|(at, event)| (at % END_MS, event))
             .collect();
         let harmless_rate = if index.is_multiple_of(2) { 1.0 } else { 0.1 };
-        let result = play(gateways, harmless_rate, seed * 1_000_000 + index, &events);
+        let result = play(
+            gateways,
+            cause,
+            harmless_rate,
+            seed * 1_000_000 + index,
+            &events,
+        );
         assert_eq!(result, Ok(()), "seed {seed}, case {index}: {events:?}");
     }
 }
 
-/// Guards against rule BUDGET in fleets whose gateways come, go, freeze and learn late, and against
-/// harmless parts that stay refused.
-#[test]
-fn crashing_part_is_kept_away_while_gateways_come_go_freeze_and_learn_late() {
-    check_fleets(6, cases("JACINTHPOINT_QUARANTINE_CASES", 40));
-    check_fleets(60, cases("JACINTHPOINT_QUARANTINE_CASES", 40) / 8);
+/// Defines tests of fleets whose gateways come, go, freeze and learn late: name, what crashes upstreams.
+macro_rules! fleets {
+    ($($(#[$meta:meta])* $name:ident: $cause:expr,)+) => {
+        $(
+            $(#[$meta])*
+            #[test]
+            fn $name() {
+                check_fleets(6, $cause, cases("JACINTHPOINT_QUARANTINE_CASES", 40));
+                check_fleets(60, $cause, cases("JACINTHPOINT_QUARANTINE_CASES", 40) / 8);
+            }
+        )+
+    };
+}
+
+fleets! {
+    /// Guards against rule BUDGET in such fleets, and against harmless parts that stay refused.
+    crashing_part_is_kept_away_while_gateways_come_go_freeze_and_learn_late: Cause::Part,
+    /// Guards against rule BUDGET in such fleets, and against a refused part of a crashing request.
+    crashing_request_is_kept_away_while_gateways_come_go_freeze_and_learn_late: Cause::Request,
+    /// Guards against rule BUDGET in such fleets, and against harmless requests that stay refused.
+    crashing_plain_request_is_kept_away_while_gateways_come_go_freeze_and_learn_late:
+        Cause::PlainRequest,
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,6 +4,7 @@
 
 use hyper::{Request, Response, body::Incoming, header};
 use jacinthpoint_adapter::{decode_prompt_parts, decode_prompt_tokens, headers};
+use jacinthpoint_dispatch::RequestContent;
 use jacinthpoint_fleet::RouteMatch;
 use jacinthpoint_types::{Deadline, ResultCode};
 use rand::seq::IndexedRandom;
@@ -71,15 +72,15 @@
         Ok(context) => context,
         Err((code, why, request_id)) => return refuse(&gateway, &request_id, code, why, None),
     };
-    if context.is_quarantined() {
-        return refuse_quarantined(&context);
+    if let Some(suspect) = context.quarantined() {
+        return refuse_quarantined(&context, suspect);
     }
     gateway.has_traffic.set(true);
     let (head, body) = request.into_parts();
     let max_bytes = snapshot.config.limits.max_body_bytes;
     match request::read_body(body, max_bytes).await {
         Ok(body) => {
-            context.digest = Some(request::digest(&context, &head, &body));
+            context.content.digest = Some(request::digest(&context, &head, &body));
             run(Rc::new(context), head, body).await
         }
         Err(code) => refuse(
@@ -136,7 +137,7 @@
         .min(route.timeout_ms);
     let model = text(request, headers::MODEL).and_then(|name| name.parse().ok());
     let prompt_tokens = text(request, headers::TOKENS).and_then(decode_prompt_tokens);
-    let prompt_parts = text(request, headers::PROMPT_PARTS).and_then(decode_prompt_parts);
+    let parts = text(request, headers::PROMPT_PARTS).and_then(decode_prompt_parts);
     Ok(Context {
         gateway: gateway.clone(),
         snapshot: snapshot.clone(),
@@ -146,8 +147,10 @@
         service,
         model,
         prompt_tokens: prompt_tokens.unwrap_or(0),
-        prompt_parts,
-        digest: None,
+        content: RequestContent {
+            parts,
+            digest: None,
+        },
         started,
         deadline: Deadline::after_ms(started, timeout_ms),
         _open_guard: open_guard,
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -2,9 +2,11 @@
 
 use std::rc::Rc;
 
-use jacinthpoint_dispatch::{FleetRetryBudget, PromptDemand, StallPolicy};
+use jacinthpoint_dispatch::{
+    FleetRetryBudget, PromptDemand, RequestContent, StallPolicy, SuspectId,
+};
 use jacinthpoint_fleet::{Engine, Organisation, Route};
-use jacinthpoint_types::{Deadline, DeploymentId, PromptParts, RequestDigest, ServiceId, TimeMs};
+use jacinthpoint_types::{Deadline, DeploymentId, ServiceId, TimeMs};
 
 use crate::{
     events::log_event,
@@ -47,10 +49,8 @@
     pub(crate) model: Option<DeploymentId>,
     /// Length of the prompt in tokens; 0 if the caller gave none.
     pub(crate) prompt_tokens: u32,
-    /// Parts of the prompt; `None` if the caller named none.
-    pub(crate) prompt_parts: Option<PromptParts>,
-    /// Digest of the request's content; `None` until its body has been read.
-    pub(crate) digest: Option<RequestDigest>,
+    /// What tells whether the request is in quarantine.
+    pub(crate) content: RequestContent,
     pub(crate) started: TimeMs,
     pub(crate) deadline: Deadline,
     pub(crate) _open_guard: OpenRequestGuard,
@@ -102,19 +102,16 @@
             .map_or("none", |organisation| organisation.id.as_str())
     }
 
-    /// Returns whether the prompt has a part in quarantine.
-    pub(crate) fn is_quarantined(&self) -> bool {
-        let quarantine = self.gateway.quarantine.borrow();
-        let parts = self.prompt_parts.as_ref();
-        parts.is_some_and(|parts| quarantine.quarantined(parts).is_some())
+    /// Returns what of the request is in quarantine, if anything is.
+    pub(crate) fn quarantined(&self) -> Option<SuspectId> {
+        self.gateway.quarantine.borrow().quarantined(&self.content)
     }
 
     /// Records that an upstream writes an answer to the request.
     pub(crate) fn record_answer(&self) {
-        if let Some(parts) = &self.prompt_parts {
-            let now = self.gateway.now();
-            self.gateway.quarantine.borrow_mut().on_answer(parts, now);
-        }
+        let now = self.gateway.now();
+        let mut quarantine = self.gateway.quarantine.borrow_mut();
+        quarantine.on_answer(&self.content, now);
     }
 
     /// Calls `work` with the retry budget of the request's service.
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -44,24 +44,24 @@
     let view = context.gateway.view.borrow();
     let upstream = view.upstreams().get(&target.upstream);
     let started_unix_ms = upstream.map_or(0, |upstream| upstream.started_unix_ms);
-    let parts = context.prompt_parts.as_ref();
+    let parts = context.content.parts.as_ref();
     let shared_parts = parts.map_or(&[][..], |parts| &parts.shared);
     let shared_parts: Vec<String> = shared_parts.iter().map(ToString::to_string).collect();
     log_event!(info, CrashSuspected, request = context.request_id, upstream = %target.upstream,
         started_unix_ms, broke_at = %at, ?shared_parts, last_part = parts.map(|parts| parts.last.to_string()),
-        elapsed_ms = context.elapsed_ms(), digest = context.digest.map(|digest| digest.to_string()), route = context.route.name,
+        elapsed_ms = context.elapsed_ms(), digest = context.content.digest.map(|digest| digest.to_string()), route = context.route.name,
         "the connection of a request broke before its second event");
     // An idle connection may also break because the upstream closed it meanwhile.
-    let Some(parts) = parts.filter(|_| at != BreakPoint::ReusedConnection) else {
+    if at == BreakPoint::ReusedConnection {
         return;
-    };
+    }
     let crash = CrashId {
         upstream: target.upstream.clone(),
         started_unix_ms,
     };
     let now = context.gateway.now();
     let mut quarantine = context.gateway.quarantine.borrow_mut();
-    quarantine.on_crash(parts, &crash, now);
+    quarantine.on_crash(&context.content, &crash, now);
 }
 
 /// Records that an upstream did not run a request.
--- a/crates/gateway/src/call/refusal.rs
+++ b/crates/gateway/src/call/refusal.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use hyper::{Response, StatusCode, header};
 use jacinthpoint_adapter::headers;
-use jacinthpoint_dispatch::retry_after_ms;
+use jacinthpoint_dispatch::{SuspectId, retry_after_ms};
 use jacinthpoint_types::ResultCode;
 
 use crate::{
@@ -13,19 +13,30 @@
     state::Gateway,
 };
 
-/// Time from which `Retry-After` is drawn for a part in quarantine. A quarantine lasts longer than any
+/// Time from which `Retry-After` is drawn for a request in quarantine. A quarantine lasts longer than any
 /// request, so it is the longest that is drawn from.
 const QUARANTINED_RETRY_MS: u64 = 2_500;
 
-/// Refuses a request that has not run, because its prompt has a part in quarantine.
-pub(super) fn refuse_quarantined(context: &Context) -> Response<AnswerBody> {
+/// Returns why a request with this suspect in quarantine is not sent.
+pub(super) fn quarantine_reason(suspect: SuspectId) -> &'static str {
+    match suspect {
+        SuspectId::Part(_) => "the prompt has a part that crashes upstreams",
+        SuspectId::Request(_) => "the request crashes upstreams",
+    }
+}
+
+/// Refuses a request that has not run, because it or a part of its prompt is in quarantine.
+pub(super) fn refuse_quarantined(context: &Context, suspect: SuspectId) -> Response<AnswerBody> {
     let gateway = &context.gateway;
     let retry_after = retry_after_ms(QUARANTINED_RETRY_MS, &mut *gateway.rng.borrow_mut());
     refuse(
         gateway,
         &context.request_id,
-        ResultCode::PromptQuarantined,
-        "the prompt has a part that crashes upstreams",
+        match suspect {
+            SuspectId::Part(_) => ResultCode::PromptQuarantined,
+            SuspectId::Request(_) => ResultCode::RequestQuarantined,
+        },
+        quarantine_reason(suspect),
         Some(retry_after),
     )
 }
--- a/crates/gateway/src/call/request.rs
+++ b/crates/gateway/src/call/request.rs
@@ -66,18 +66,23 @@
 }
 
 /// Returns the digest by which a request is known when the same caller sends it again. Of the headers it
-/// holds only the host, since ids and deadlines differ each time.
+/// holds those that say what is asked; ids and deadlines differ each time.
 pub(super) fn digest(context: &Context, head: &Parts, body: &[u8]) -> RequestDigest {
-    let host = head.headers.get(header::HOST);
+    let field = |name: &str| {
+        let value = head.headers.get(name);
+        value.map_or(&b""[..], |value| value.as_bytes())
+    };
     let target = head
         .uri
         .path_and_query()
         .map_or("", |target| target.as_str());
     RequestDigest::of(&[
         context.organisation_name().as_bytes(),
-        host.map_or(b"", |host| host.as_bytes()),
+        field(header::HOST.as_str()),
         head.method.as_str().as_bytes(),
         target.as_bytes(),
+        field(headers::MODEL),
+        field(headers::PROMPT_PARTS),
         body,
     ])
 }
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -9,7 +9,9 @@
 
 use bytes::Bytes;
 use hyper::{Response, http::request::Parts};
-use jacinthpoint_dispatch::{Directory, Refusal, Selection, Target, TargetKey, retry_after_ms};
+use jacinthpoint_dispatch::{
+    Directory, Refusal, Selection, SuspectId, Target, TargetKey, retry_after_ms,
+};
 use jacinthpoint_types::ResultCode;
 
 use crate::{
@@ -18,7 +20,7 @@
         attempt::{AttemptOutcome, OutgoingRequest, WholeAnswer, send},
         context::Context,
         outcome::{pass_on, record_failure, record_not_run},
-        refusal::{refuse, refuse_quarantined},
+        refusal::{quarantine_reason, refuse, refuse_quarantined},
         request::shared_headers,
         stream,
     },
@@ -66,8 +68,8 @@
     NothingSelected(Refusal),
     /// The service's retry budget is used up.
     RetryBudgetExhausted,
-    /// The prompt has a part in quarantine.
-    Quarantined,
+    /// The request or a part of its prompt is in quarantine.
+    Quarantined(SuspectId),
     /// A limit on the number of attempts was reached, or the request must not be retried.
     AttemptsExhausted,
     DeadlinePassed,
@@ -241,8 +243,8 @@
     if context.deadline.has_passed(context.gateway.now()) {
         return Err(StopReason::DeadlinePassed);
     }
-    if context.is_quarantined() {
-        return Err(StopReason::Quarantined);
+    if let Some(suspect) = context.quarantined() {
+        return Err(StopReason::Quarantined(suspect));
     }
     if history.runs >= context.route.max_attempts
         || history.not_sent >= MAX_NOT_SENT
@@ -273,13 +275,13 @@
             "no answer before the deadline",
             None,
         ),
-        StopReason::Quarantined if may_have_run => (
+        StopReason::Quarantined(suspect) if may_have_run => (
             ResultCode::UpstreamFailed,
-            "the prompt has a part that crashes upstreams",
+            quarantine_reason(*suspect),
             None,
         ),
         _ if may_have_run => (ResultCode::UpstreamFailed, "all attempts failed", None),
-        StopReason::Quarantined => return refuse_quarantined(context),
+        StopReason::Quarantined(suspect) => return refuse_quarantined(context, *suspect),
         StopReason::NothingSelected(Refusal::NoTarget) => (
             ResultCode::NoCapacity,
             "no upstream is available",
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -23,6 +23,7 @@
             BreakPoint, StreamTimes, record_end, record_failure, record_not_run,
             record_suspected_crash, remove_connection_headers,
         },
+        refusal::quarantine_reason,
         retry::{AttemptHistory, choose},
     },
     events::log_event,
@@ -285,13 +286,13 @@
         self.splitter.drop_incomplete_event();
         let context = self.context.clone();
         while self.can_resume() && !context.deadline.has_passed(context.gateway.now()) {
-            if context.is_quarantined() {
+            if let Some(suspect) = context.quarantined() {
                 log_event!(
                     warn,
                     AttemptFailed,
                     request = context.request_id,
                     what = "resume",
-                    why = "the prompt has a part that crashes upstreams",
+                    why = quarantine_reason(suspect),
                     "a stream cannot be resumed"
                 );
                 return None;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -85,9 +85,9 @@
     /// An upstream closed its connection before a request had its second event, as it does when it
     /// crashes.
     CrashSuspected = 742,
-    /// A part of prompts is in quarantine, because requests with it crash upstreams, or is released.
+    /// A request or a part of prompts is in quarantine, because it crashes upstreams, or is released.
     QuarantineChanged = 743,
-    /// The record of a suspected part of prompts could not be decoded; it is not used.
+    /// The record of a suspect could not be decoded; it is not used.
     RecordRefused = 744,
 }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Exchanges records of suspected parts of prompts with the other gateways, through the store.
+//! Exchanges records of suspected requests and parts of prompts with the other gateways, through the store.
 //!
 //! Records are few: only a crash of an upstream adds to them. They are in the store because a
 //! gateway that starts has to know them, and one that the other gateways cannot reach, too.
@@ -6,8 +6,7 @@
 use std::rc::Rc;
 
 use jacinthpoint_adapter::{List, StoredObject};
-use jacinthpoint_dispatch::{PartRecord, RecordWrite};
-use jacinthpoint_types::PromptPartId;
+use jacinthpoint_dispatch::{RecordWrite, SuspectId, SuspectRecord};
 use serde_json::json;
 
 use crate::{
@@ -17,10 +16,13 @@
     store::{Availability, StoreClient, StoreError},
 };
 
-/// Kind of the records in the store. The name of a record is the id of the part.
+/// Kind of the records in the store. The name of a record is the id of the part, or `request-` and the
+/// digest of the request.
 pub(crate) const KIND: &str = "prompt-suspicions";
-/// Time between two decisions on the parts in quarantine.
+/// Time between two decisions on what is in quarantine.
 const UPDATE_INTERVAL_MS: u64 = 50;
+/// Maximum number of writes between two decisions. Many requests may come under suspicion at once.
+const MAX_WRITES_PER_UPDATE: usize = 2;
 /// Pause after each write, which limits the rate of a gateway's writes.
 const WRITE_PAUSE_MS: u64 = 20;
 /// Pause after a failed write.
@@ -50,21 +52,21 @@
 }
 
 /// Decodes a record; logs one that cannot be decoded and returns `None`.
-fn decode(object: &StoredObject) -> Option<(PromptPartId, PartRecord)> {
-    let part = object.name.parse::<PromptPartId>();
+fn decode(object: &StoredObject) -> Option<(SuspectId, SuspectRecord)> {
+    let part = object.name.parse::<SuspectId>();
     let part = part.map_err(|error| error.to_string());
-    let record = serde_json::from_value::<PartRecord>(object.content.clone());
+    let record = serde_json::from_value::<SuspectRecord>(object.content.clone());
     match (part, record.map_err(|error| error.to_string())) {
         (Ok(part), Ok(record)) => Some((part, record)),
         (Err(error), _) | (_, Err(error)) => {
-            log_event!(warn, RecordRefused, part = object.name, revision = object.revision,
-                %error, "the record of a suspected part cannot be decoded");
+            log_event!(warn, RecordRefused, suspect = object.name, revision = object.revision,
+                %error, "the record of a suspect cannot be decoded");
             None
         }
     }
 }
 
-/// Decides for ever which parts are in quarantine, and writes this gateway's suspicions to the
+/// Decides for ever what is in quarantine, and writes this gateway's suspicions to the
 /// store.
 pub(crate) async fn maintain_quarantine(gateway: Rc<Gateway>) {
     let mut availability = Availability::default();
@@ -76,7 +78,7 @@
             .quarantine
             .borrow_mut()
             .due_writes(gateway.is_owner(), gateway.now());
-        for (part, write) in due {
+        for (part, write) in due.into_iter().take(MAX_WRITES_PER_UPDATE) {
             let result = write_record(&gateway, &mut store, part, write).await;
             let now = gateway.now();
             if let Err(error) = result {
@@ -91,7 +93,7 @@
     }
 }
 
-/// Decides which parts are in quarantine, and logs the changes.
+/// Decides what is in quarantine, and logs the changes.
 fn update(gateway: &Gateway) {
     let changes = gateway.quarantine.borrow_mut().update(gateway.now());
     for change in changes {
@@ -101,8 +103,8 @@
         if is_quarantined {
             gateway.metrics.count("quarantines", "begun");
         }
-        log_event!(warn, QuarantineChanged, part = %change.part, is_quarantined, ?crashes,
-            "requests whose prompt has this part crash upstreams, or no longer do");
+        log_event!(warn, QuarantineChanged, suspect = %change.suspect, is_quarantined, ?crashes,
+            "requests with this content crash upstreams, or no longer do");
     }
 }
 
@@ -110,7 +112,7 @@
 async fn write_record(
     gateway: &Gateway,
     store: &mut StoreClient,
-    part: PromptPartId,
+    part: SuspectId,
     write: RecordWrite,
 ) -> Result<(), StoreError> {
     let name = part.to_string();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,7 +11,7 @@
 };
 
 use jacinthpoint_dispatch::{
-    Directory, FleetRetryBudget, LoadTracker, PromptQuarantine, SlackShare, Target, TargetKey,
+    Directory, FleetRetryBudget, LoadTracker, Quarantine, SlackShare, Target, TargetKey,
     UpstreamLimits,
 };
 use jacinthpoint_fleet::{FleetConfig, FleetView, ViewChange};
@@ -68,8 +68,8 @@
     pub(crate) loads: RefCell<LoadTracker>,
     /// Limits that upstreams name.
     pub(crate) limits: RefCell<UpstreamLimits>,
-    /// Parts of prompts that crash upstreams.
-    pub(crate) quarantine: RefCell<PromptQuarantine>,
+    /// Requests, and parts of prompts, that crash upstreams.
+    pub(crate) quarantine: RefCell<Quarantine>,
     /// Retry budgets by service.
     pub(crate) budgets: RefCell<BTreeMap<ServiceId, FleetRetryBudget>>,
     pub(crate) pool: Rc<Pool>,
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -71,6 +71,8 @@
     LedgerUnavailable = 2006,
     /// The prompt has a part that crashed several upstreams.
     PromptQuarantined = 2007,
+    /// The same request crashed several upstreams.
+    RequestQuarantined = 2008,
     /// An upstream refused the request before running it.
     UpstreamRefused = 3001,
     /// An upstream failed after it may have started the request.
@@ -107,6 +109,7 @@
             | ResultCode::Draining
             | ResultCode::LedgerUnavailable
             | ResultCode::PromptQuarantined
+            | ResultCode::RequestQuarantined
             | ResultCode::UpstreamRefused => 503,
             ResultCode::UpstreamFailed | ResultCode::AnswerNotKept => 502,
             ResultCode::DeadlinePassed => 504,
