Gateway: a reused connection that breaks while the upstream runs the request is a sign of a crash

A connection that broke on reuse counted for nothing, since the upstream may have closed it while it was idle. That race is over within a round trip; a request that ran for longer was at a crash.

Now only breaks within 20 ms of sending count as that race.

--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -203,10 +203,8 @@
                 // hyper returns the message only if no byte of it was sent.
                 Some(_) => AttemptOutcome::NotSent("the connection was closed".to_owned()),
                 None => {
-                    let broke_at = match is_new {
-                        true => BreakPoint::NewConnection,
-                        false => BreakPoint::ReusedConnection,
-                    };
+                    let elapsed_ms = gateway.now().since_ms(sent_at);
+                    let broke_at = BreakPoint::without_head(is_new, elapsed_ms);
                     record_suspected_crash(context, target, broke_at);
                     AttemptOutcome::Unknown(error.error().to_string())
                 }
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -27,18 +27,35 @@
     }
 }
 
+/// Time in which the close of an idle connection reaches the gateway. Within a region, a round trip takes
+/// a few milliseconds.
+const CLOSE_RACE_MS: u64 = 20;
+
 /// Point at which the connection of a request broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
 pub(super) enum BreakPoint {
-    /// Before the head of the answer, on a connection that was opened for the request.
-    NewConnection,
-    /// Before the head of the answer, on a connection that had been idle.
-    ReusedConnection,
+    /// Before the head of the answer.
+    BeforeHead,
+    /// Before the head of the answer, within [`CLOSE_RACE_MS`] on a connection that had been idle. The
+    /// upstream may have closed it before the request arrived.
+    CloseRace,
     /// After the head of the answer.
     AfterHead,
 }
 
+impl BreakPoint {
+    /// Returns the point for a connection that broke without a head, `elapsed_ms` after the request was
+    /// sent.
+    pub(super) fn without_head(is_new: bool, elapsed_ms: u64) -> BreakPoint {
+        if is_new || elapsed_ms > CLOSE_RACE_MS {
+            BreakPoint::BeforeHead
+        } else {
+            BreakPoint::CloseRace
+        }
+    }
+}
+
 /// Records that the connection of a request broke before its second event.
 pub(super) fn record_suspected_crash(context: &Context, target: &Target, at: BreakPoint) {
     let view = context.gateway.view.borrow();
@@ -51,8 +68,7 @@
         started_unix_ms, broke_at = %at, ?shared_parts, last_part = parts.map(|parts| parts.last.to_string()),
         elapsed_ms = context.elapsed_ms(), digest = context.content.digest.map(|digest| digest.to_string()), route = context.route.name,
         "the connection of a request broke before its second event");
-    // An idle connection may also break because the upstream closed it meanwhile.
-    if at == BreakPoint::ReusedConnection {
+    if at == BreakPoint::CloseRace {
         return;
     }
     let crash = CrashId {
