--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -22,6 +22,8 @@
 mod restored_store;
 mod site;
 mod soak;
+mod store_view;
+mod unreachable_upstreams;
 
 /// Time within which a written configuration must be in force on every gateway.
 const CONFIG_APPLY_MS: u64 = 2_000;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -12,10 +12,14 @@
     time::{Duration, Instant},
 };
 
+use jacinthpoint_adapter::paths;
 use jacinthpoint_platform_standins::{EngineSpec, Engines, PlainService, Platform};
 use serde_json::{Value, json};
 
-use crate::util::{Folder, Links, Process, get_status};
+use crate::{
+    gateway::store_view::StoreView,
+    util::{Folder, Links, Process, get_status},
+};
 
 /// API key in the configuration with which a site starts.
 pub const KEY: &str = "key-1";
@@ -48,6 +52,8 @@
     pub platform: Platform,
     /// Fault proxy between the gateways and the store and engines, if the site has one.
     links: Option<Arc<Links>>,
+    /// The store as each gateway sees it, if the site has these.
+    store_views: Vec<StoreView>,
     gateways: Vec<GatewayProcess>,
     folder: Folder,
 }
@@ -82,17 +88,41 @@
 impl Site {
     /// Starts stand-ins and gateways and waits until the gateways are ready and all groups open.
     pub fn start(gateways: usize) -> Site {
-        Site::start_with(gateways, None)
+        Site::start_with(gateways, None, false)
     }
 
     /// Like [`Site::start`], with a fault proxy between the gateways and the store and engines. On
     /// the proxy, gateways are named by [`gateway_name`], the store [`STORE`], and engines by their
     /// id.
     pub fn start_behind_links(gateways: usize, seed: u64) -> Site {
-        Site::start_with(gateways, Some(Arc::new(Links::start(seed))))
+        Site::start_with(gateways, Some(Arc::new(Links::start(seed))), false)
+    }
+
+    /// Like [`Site::start`], but each gateway can be partitioned from all upstreams. Each is in a data
+    /// centre of its own, so that none reads the store through another one.
+    pub fn start_with_store_views(gateways: usize) -> Site {
+        Site::start_with(gateways, None, true)
     }
 
-    fn start_with(gateways: usize, links: Option<Arc<Links>>) -> Site {
+    /// Partitions a gateway from all upstreams, or ends that: new connections are refused while open ones
+    /// live on.
+    pub fn partition_from_upstreams(&self, index: usize, is_partitioned: bool) {
+        self.store_views[index].partition(is_partitioned);
+        // Makes the gateways read the entries again.
+        let store = &self.platform.store;
+        let plain = PlainService::ID.to_owned();
+        for id in self.platform.engines.ids().into_iter().chain([plain]) {
+            let entry = store.get_content(paths::UPSTREAM_KIND, &id);
+            store.put(paths::UPSTREAM_KIND, &id, entry.expect("it is registered"));
+        }
+    }
+
+    /// Returns whether a gateway sends orders to engines.
+    pub fn is_owner(&self, index: usize) -> bool {
+        self.metrics(index).contains("orders_total")
+    }
+
+    fn start_with(gateways: usize, links: Option<Arc<Links>>, has_store_views: bool) -> Site {
         let specs = (0..2 * ENGINES_PER_DOMAIN).map(|index| EngineSpec {
             id: format!("i-{index}"),
             domain: format!("domain-{}", index / ENGINES_PER_DOMAIN),
@@ -109,6 +139,7 @@
         let mut site = Site {
             platform,
             links,
+            store_views: Vec::new(),
             gateways: Vec::new(),
             folder,
         };
@@ -122,8 +153,16 @@
                 Some(links) => links.route(Some(&name), STORE, "tcp", Some(store)),
                 None => store,
             };
+            let (store, data_centre) = if has_store_views {
+                let view = StoreView::start(store);
+                let address = view.address;
+                site.store_views.push(view);
+                (address, index + 1)
+            } else {
+                (store, 1)
+            };
             let settings = format!(
-                "[node]\nname = {name}\ndata_centre = dc-1\nfirst_start = true\n[listen]\n\
+                "[node]\nname = {name}\ndata_centre = dc-{data_centre}\nfirst_start = true\n[listen]\n\
                  callers = {callers}\nreadiness = {readiness}\nmetrics = {metrics}\n\
                  peers = {peers}\n[store]\naddress = {store}\n[stop]\ngrace_ms = 8000\n\
                  [repeats]\nratio = 0.2\nslack = 130\n",
--- /dev/null
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -0,0 +1,96 @@
+//! Gateways that reach the store, callers and other gateways, but no upstream.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::gateway::{
+    caller::{Answer, End, Request},
+    site::Site,
+};
+
+/// Time from which requests at a partitioned gateway have to be served.
+const STABLE: Duration = Duration::from_secs(3);
+const GATEWAYS: usize = 3;
+const REQUESTS: usize = 30;
+/// Time within which a request that cannot be served is refused.
+const MAX_REFUSAL: Duration = Duration::from_secs(2);
+
+/// Returns a request: every third must not run twice.
+fn request(id: usize) -> Request<'static> {
+    let name = format!("request-{id}");
+    match id % 3 {
+        0 => Request::once(&name),
+        _ => Request::stream(&name),
+    }
+}
+
+/// Sends requests to a gateway at intervals, and returns their answers.
+fn send(site: &Site, gateway: usize) -> Vec<(usize, Answer, Duration)> {
+    let address = site.gateway(gateway);
+    let senders = (0..REQUESTS).map(|id| {
+        thread::sleep(Duration::from_millis(60));
+        thread::spawn(move || {
+            let began = Instant::now();
+            (id, request(id).send(address), began.elapsed())
+        })
+    });
+    let senders: Vec<_> = senders.collect();
+    let answers = senders.into_iter();
+    answers
+        .map(|sender| sender.join().expect("the sender does not panic"))
+        .collect()
+}
+
+/// Returns whether the answer is a whole success, with all events in order if it is a stream.
+fn is_served(id: usize, answer: &Answer) -> bool {
+    let events: Vec<u64> = (1..=20).collect();
+    (answer.status, answer.end) == (200, End::Whole) && (id % 3 == 0 || answer.events() == events)
+}
+
+/// Guards against rule RECOVER: callers of a gateway that reaches no upstream are refused, though other
+/// gateways serve the same requests.
+#[test]
+fn callers_of_a_gateway_without_upstreams_are_served() {
+    let site = Site::start_with_store_views(GATEWAYS);
+    let partitioned = (0..GATEWAYS).find(|index| !site.is_owner(*index));
+    let partitioned = partitioned.expect("a gateway is not the owner");
+    site.partition_from_upstreams(partitioned, true);
+    thread::sleep(STABLE);
+    let answers = send(&site, partitioned);
+    let served = answers
+        .iter()
+        .filter(|(id, answer, _)| is_served(*id, answer));
+    let served = served.count();
+    assert!(3 * served >= 2 * REQUESTS, "{served} of {REQUESTS} served");
+    for (id, answer, _) in &answers {
+        let runs = site.platform.runs.of(&format!("request-{id}")).len();
+        let may_run = usize::from(answer.status != 503);
+        assert!(
+            runs <= may_run,
+            "request {id} ran {runs} times, {}",
+            answer.status
+        );
+    }
+    // The gateway finds out itself that it reaches upstreams again.
+    site.partition_from_upstreams(partitioned, false);
+    thread::sleep(STABLE);
+    site.wait_until("requests are not passed on any more", 5_000, |site| {
+        site.metrics(partitioned).contains("upstreams_reachable 1")
+    });
+}
+
+/// Guards against requests that gateways without upstreams pass on to each other until their deadline.
+#[test]
+fn requests_are_refused_if_no_gateway_reaches_upstreams() {
+    let site = Site::start_with_store_views(GATEWAYS);
+    (0..GATEWAYS).for_each(|index| site.partition_from_upstreams(index, true));
+    thread::sleep(STABLE);
+    for (id, answer, elapsed) in send(&site, 0) {
+        assert_eq!(answer.status, 503, "request {id}");
+        assert!(elapsed <= MAX_REFUSAL, "request {id} waited {elapsed:?}");
+        assert!(answer.header("retry-after").is_some(), "request {id}");
+        assert!(site.platform.runs.of(&format!("request-{id}")).is_empty());
+    }
+}
