Lease: the owner of the groups releases the lease while it reaches no upstream

A gateway that reaches no upstream kept renewing the lease, so nobody formed or repaired groups until the cut ended.

Now it releases the lease after a second without a path, and does not compete for it until it has one again.

--- a/crates/dispatch/src/reach.rs
+++ b/crates/dispatch/src/reach.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeSet;
 
-use jacinthpoint_types::VmId;
+use jacinthpoint_types::{TimeMs, VmId};
 
 /// Number of upstreams to which connections failed, with none established in between, after which the
 /// path is checked.
@@ -18,7 +18,8 @@
 pub struct UpstreamReach {
     /// Upstreams to which connections failed since one was established.
     failed: BTreeSet<VmId>,
-    is_cut: bool,
+    /// Time of the first of the checks since which no upstream was reached.
+    cut_since: Option<TimeMs>,
 }
 
 impl UpstreamReach {
@@ -36,18 +37,28 @@
 
     /// Returns whether the path has to be checked, if there are this many upstreams.
     pub fn needs_check(&self, upstreams: usize) -> bool {
-        self.is_cut || (upstreams > 0 && self.failed.len() >= MIN_FAILED_UPSTREAMS.min(upstreams))
+        self.is_cut() || (upstreams > 0 && self.failed.len() >= MIN_FAILED_UPSTREAMS.min(upstreams))
     }
 
     /// Applies the result of a check: whether any of several upstreams could be reached. Returns whether
     /// the state changed.
-    pub fn on_checked(&mut self, is_reached: bool) -> bool {
+    pub fn on_checked(&mut self, is_reached: bool, now: TimeMs) -> bool {
         self.failed.clear();
-        std::mem::replace(&mut self.is_cut, !is_reached) == is_reached
+        let was_cut = self.is_cut();
+        self.cut_since = match is_reached {
+            true => None,
+            false => self.cut_since.or(Some(now)),
+        };
+        self.is_cut() != was_cut
     }
 
     /// Returns whether no upstream can be reached.
     pub fn is_cut(&self) -> bool {
-        self.is_cut
+        self.cut_since.is_some()
+    }
+
+    /// Returns the milliseconds for which no upstream could be reached.
+    pub fn cut_ms(&self, now: TimeMs) -> u64 {
+        self.cut_since.map_or(0, |since| now.since_ms(since))
     }
 }
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -37,6 +37,9 @@
 const NON_CANDIDATE_INTERVAL_MS: u64 = 2_500;
 /// Time without a change of the lease after which it is taken over: three missed renewals.
 const TAKEOVER_MS: u64 = 1_600;
+/// Time without a path to any upstream after which the owner releases the lease: another gateway may
+/// reach them.
+const MAX_CUT_MS: u64 = 1_000;
 /// Time after a renewal for which the owner may send orders. It is shorter than [`TAKEOVER_MS`], so
 /// that the owner stops before another gateway takes over.
 const VALID_MS: u64 = 1_400;
@@ -111,9 +114,15 @@
     }
     loop {
         if *gateway.phase.borrow() != Phase::Serving {
-            release(&gateway, &lease, &mut store, revision).await;
+            release(&gateway, &lease, &mut store, revision, "planned stop").await;
             return;
         }
+        if gateway.reach.borrow().cut_ms(gateway.now()) >= MAX_CUT_MS {
+            let why = "this gateway reaches no upstream";
+            release(&gateway, &lease, &mut store, revision.take(), why).await;
+            sleep_ms(RENEWAL_INTERVAL_MS).await;
+            continue;
+        }
         let sent_at = gateway.now();
         attempts += 1;
         let content = content(gateway.settings().name.as_str(), incarnation, attempts);
@@ -227,11 +236,17 @@
 
 /// Releases the lease, so that another gateway can acquire it at once instead of after
 /// [`TAKEOVER_MS`].
-async fn release(gateway: &Gateway, lease: &Lease, store: &mut StoreClient, revision: Option<u64>) {
+async fn release(
+    gateway: &Gateway,
+    lease: &Lease,
+    store: &mut StoreClient,
+    revision: Option<u64>,
+    why: &'static str,
+) {
     if lease.held_token.get().is_none() {
         return;
     }
-    lease.give_up("planned stop");
+    lease.give_up(why);
     let Some(revision) = revision else {
         return;
     };
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -27,7 +27,8 @@
             continue;
         }
         let is_reached = is_any_reached(&gateway).await;
-        if gateway.reach.borrow_mut().on_checked(is_reached) {
+        let now = gateway.now();
+        if gateway.reach.borrow_mut().on_checked(is_reached, now) {
             gateway.metrics.count("reach_changes", "checked");
             log_event!(
                 warn,
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -117,6 +117,12 @@
         }
     }
 
+    /// Returns the name of the gateway that holds the lease; `None` if it is free.
+    pub fn lease_holder(&self) -> Option<String> {
+        let lease = self.platform.store.get_content("leases", "groups")?;
+        lease["holder"].as_str().map(str::to_owned)
+    }
+
     /// Returns whether a gateway sends orders to engines.
     pub fn is_owner(&self, index: usize) -> bool {
         self.metrics(index).contains("orders_total")
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -7,7 +7,7 @@
 
 use crate::gateway::{
     caller::{Answer, End, Request},
-    site::Site,
+    site::{Site, gateway_name},
 };
 
 /// Time from which requests at a partitioned gateway have to be served.
@@ -82,6 +82,23 @@
     });
 }
 
+/// Guards against groups that nobody repairs: the gateway that sends the orders reaches no upstream, but
+/// holds the lease.
+#[test]
+fn gateway_without_upstreams_sends_no_orders() {
+    let site = Site::start_with_store_views(GATEWAYS);
+    let owner = (0..GATEWAYS).find(|index| site.is_owner(*index));
+    let owner = owner.expect("a gateway is the owner");
+    site.partition_from_upstreams(owner, true);
+    // A path is checked only when requests fail.
+    let is_taken_over = |site: &Site| {
+        Request::stream("probe").send(site.gateway(owner));
+        let holder = site.lease_holder();
+        holder.is_some_and(|holder| holder != gateway_name(owner))
+    };
+    site.wait_until("another gateway holds the lease", 10_000, is_taken_over);
+}
+
 /// Guards against requests that gateways without upstreams pass on to each other until their deadline.
 #[test]
 fn requests_are_refused_if_no_gateway_reaches_upstreams() {
