--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -22,6 +22,7 @@
 mod restored_store;
 mod site;
 mod soak;
+mod statements;
 mod store_view;
 mod unreachable_upstreams;
 
--- /dev/null
+++ b/tests/gateway/statements.rs
@@ -0,0 +1,93 @@
+//! Upstreams that state in their answers that they leave, or want no requests for a time.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use jacinthpoint_adapter::paths;
+use jacinthpoint_platform_standins::{PlainFault, PlainService};
+use serde_json::json;
+
+use crate::gateway::{
+    caller::{Answer, Request},
+    site::Site,
+};
+
+/// Time from which a statement holds.
+const HOLDS_AFTER: Duration = Duration::from_millis(500);
+const PAUSE_MS: u64 = 3_000;
+/// Maximum number of arrivals while the upstream wants none.
+const MAX_ARRIVALS: usize = 2;
+
+/// Sends requests to the plain service for `time`, one every 50 ms, and returns their answers.
+fn send(site: &Site, name: &str, time: Duration) -> Vec<Answer> {
+    let end = Instant::now() + time;
+    let mut answers = Vec::new();
+    while Instant::now() < end {
+        let request = Request::once(&format!("{name}-{}", answers.len()));
+        answers.push(request.send(site.gateway(0)));
+        thread::sleep(Duration::from_millis(50));
+    }
+    answers
+}
+
+/// Returns the number of requests that arrived at the plain service from `begin` on.
+fn arrivals(site: &Site, begin: Instant) -> usize {
+    let arrivals = site.platform.plain.arrivals();
+    arrivals.iter().filter(|at| **at >= begin).count()
+}
+
+/// Guards against rule BUDGET: an upstream that wants no requests for a time gets them on and on.
+#[test]
+fn upstream_that_pauses_gets_no_requests() {
+    let site = Site::start(1);
+    let plain = &site.platform.plain;
+    plain.set_fault(PlainFault::Pauses(PAUSE_MS));
+    let first = Request::once("first").send(site.gateway(0));
+    assert_eq!(first.status, 503);
+    let said_at = Instant::now();
+    plain.set_fault(PlainFault::None);
+    thread::sleep(HOLDS_AFTER);
+    let rest = Duration::from_millis(PAUSE_MS) - HOLDS_AFTER - Duration::from_millis(200);
+    let answers = send(&site, "paused", rest);
+    let arrived = arrivals(&site, said_at + HOLDS_AFTER);
+    assert!(arrived <= MAX_ARRIVALS, "{arrived} requests arrived");
+    for answer in &answers {
+        assert_eq!(answer.status, 503);
+        assert!(answer.header("retry-after").is_some());
+    }
+    thread::sleep(Duration::from_millis(400));
+    assert_eq!(Request::once("after").send(site.gateway(0)).status, 200);
+}
+
+/// Guards against rule DRAIN: an upstream that states that it leaves gets requests until the store says
+/// so, too.
+#[test]
+fn upstream_that_leaves_gets_no_requests() {
+    let site = Site::start(1);
+    let plain = &site.platform.plain;
+    plain.set_fault(PlainFault::Leaves);
+    let first = Request::once("first").send(site.gateway(0));
+    assert_eq!(first.status, 200);
+    let said_at = Instant::now();
+    thread::sleep(HOLDS_AFTER);
+    // Its entry is listed again, which says nothing new.
+    let store = &site.platform.store;
+    let entry = store.get_content(paths::UPSTREAM_KIND, PlainService::ID);
+    let mut entry = entry.expect("it is registered");
+    store.remove(paths::UPSTREAM_KIND, PlainService::ID);
+    thread::sleep(HOLDS_AFTER);
+    store.put(paths::UPSTREAM_KIND, PlainService::ID, entry.clone());
+    thread::sleep(HOLDS_AFTER);
+    for answer in send(&site, "leaving", Duration::from_secs(2)) {
+        assert_eq!(answer.status, 503);
+    }
+    assert_eq!(arrivals(&site, said_at + HOLDS_AFTER), 0);
+    // Its next life takes requests.
+    plain.set_fault(PlainFault::None);
+    entry["born"] = json!(2);
+    store.put(paths::UPSTREAM_KIND, PlainService::ID, entry);
+    thread::sleep(HOLDS_AFTER);
+    assert_eq!(Request::once("next").send(site.gateway(0)).status, 200);
+}
