Gateway: keep to what upstreams state of themselves in their answers

An upstream that states that it leaves (Server-Leaving), or wants no requests for a time (Retry-After with 503), got requests as before: neither header was read, and a refusal excluded a target for 150 ms.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
     quarantine::{CrashId, Quarantine, QuarantineChange, RecordWrite, SuspectRecord, Suspicion},
     reach::UpstreamReach,
     stall::{StallPolicy, StallState},
+    statement::UpstreamStatements,
     suspect::{ParseSuspectError, RequestContent, SuspectId},
     upstream_limit::{LimitAnswer, LimitReport, MAX_LIMIT_REPORTS, StatementAges, UpstreamLimits},
 };
@@ -29,5 +30,6 @@
 mod quarantine;
 mod reach;
 mod stall;
+mod statement;
 mod suspect;
 mod upstream_limit;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -18,6 +18,7 @@
     directory::{Target, TargetKey},
     peer_load::{PeerLoad, TargetDigest, TargetReport},
     stall::StallPolicy,
+    statement::UpstreamStatements,
 };
 
 pub use crate::load::choice::{Refusal, Selection};
@@ -74,6 +75,8 @@
     loads: BTreeMap<TargetKey, Load>,
     peers: PeerLoad,
     ejector: Ejector<TargetKey>,
+    /// What upstreams stated of themselves.
+    pub statements: UpstreamStatements,
 }
 
 impl LoadTracker {
--- a/crates/dispatch/src/load/choice.rs
+++ b/crates/dispatch/src/load/choice.rs
@@ -33,6 +33,8 @@
 pub enum Refusal {
     /// There is no target, or each has failed this request, is suspended, stalled or ejected.
     NoTarget,
+    /// All usable targets want no requests for a time.
+    Paused,
     /// All usable targets shed load, or have no free slot and a full queue.
     NoRoom,
     /// All usable targets with room have a limit, and this gateway has no permit.
@@ -108,9 +110,15 @@
         };
         let may_send =
             |target: &Target| limits.is_none_or(|limits| limits.may_send(&target.upstream, now));
-        let (mut has_usable, mut has_limited) = (false, false);
+        let takes_requests =
+            |target: &Target| self.statements.takes_requests(&target.upstream, now);
+        let (mut has_usable, mut has_limited, mut has_paused) = (false, false, false);
         let mut with_room: Vec<(f64, &Arc<Target>)> = Vec::new();
         for target in targets.iter().filter(is_usable) {
+            if !takes_requests(target) {
+                has_paused |= self.statements.pause_ms(&target.upstream, now).is_some();
+                continue;
+            }
             has_usable = true;
             let load = self.loads.get(&target.key).copied().unwrap_or_default();
             let requests = self.load(&target.key, now);
@@ -136,6 +144,7 @@
             None if !with_room.is_empty() => Err(Refusal::TooLate),
             None if has_limited => Err(Refusal::Limited),
             None if has_usable => Err(Refusal::NoRoom),
+            None if has_paused => Err(Refusal::Paused),
             None => Err(Refusal::NoTarget),
         }
     }
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -8,5 +8,6 @@
 mod quarantine;
 mod reach;
 mod stall;
+mod statement;
 mod support;
 mod upstream_limits;
--- a/crates/gateway/src/call/answer.rs
+++ b/crates/gateway/src/call/answer.rs
@@ -1,7 +1,7 @@
 //! Classifies the head of an upstream's answer: usable, not run by the upstream, or unusable.
 
 use hyper::{HeaderMap, Response, body::Incoming, header};
-use jacinthpoint_adapter::{decode_limit, decode_load, headers};
+use jacinthpoint_adapter::{decode_limit, decode_load, decode_pause_ms, headers};
 use jacinthpoint_types::{PerSecond, VmId};
 
 /// Classification of an upstream's answer by its head.
@@ -58,6 +58,31 @@
     Some(load.running.saturating_add(load.queued))
 }
 
+/// Returns whether the upstream that answers is leaving. An answer to another request, or of another
+/// upstream (421), says nothing.
+pub(super) fn states_leaving(response: &Response<Incoming>, kind: &AnswerKind) -> bool {
+    is_own(response, kind) && text(response.headers(), headers::LEAVING).map(str::trim) == Some("1")
+}
+
+/// Returns the time for which the upstream that refused a request with 503 wants no others, in
+/// milliseconds.
+pub(super) fn stated_pause_ms(response: &Response<Incoming>, kind: &AnswerKind) -> Option<u64> {
+    if response.status().as_u16() != 503 || !is_own(response, kind) {
+        return None;
+    }
+    let value = text(response.headers(), headers::PAUSE)?;
+    let pause_ms = decode_pause_ms(value);
+    if pause_ms.is_none() {
+        tracing::debug!(value, "an answer has a malformed pause");
+    }
+    pause_ms
+}
+
+/// Returns whether an answer is to this request and of the upstream that it was sent to.
+fn is_own(response: &Response<Incoming>, kind: &AnswerKind) -> bool {
+    !matches!(kind, AnswerKind::Unusable(_)) && response.status().as_u16() != 421
+}
+
 /// Returns what an answer states about its upstream's limit: the limit, or `None` within `Some` if
 /// it states that there is none.
 ///
@@ -67,7 +92,7 @@
     response: &Response<Incoming>,
     kind: &AnswerKind,
 ) -> Option<Option<PerSecond>> {
-    if matches!(kind, AnswerKind::Unusable(_)) || response.status().as_u16() == 421 {
+    if !is_own(response, kind) {
         return None;
     }
     match text(response.headers(), headers::LIMIT) {
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -16,7 +16,9 @@
 use crate::{
     alarm,
     call::{
-        answer::{AnswerKind, classify, reported_load, stated_limit},
+        answer::{
+            AnswerKind, classify, reported_load, stated_limit, stated_pause_ms, states_leaving,
+        },
         context::Context,
         outcome::{BreakPoint, record_suspected_crash},
         request::build_request,
@@ -228,6 +230,13 @@
     if let Some(limit) = stated_limit(&response, &kind) {
         record_limit(gateway, target, limit, sent_at);
     }
+    let is_leaving = states_leaving(&response, &kind);
+    record_statement(
+        context,
+        target,
+        is_leaving,
+        stated_pause_ms(&response, &kind),
+    );
     match kind {
         AnswerKind::NotRun(faulty) => {
             gateway
@@ -253,6 +262,31 @@
     }
 }
 
+/// Records what an upstream stated of itself in an answer, and logs what is new.
+fn record_statement(context: &Context, target: &Target, is_leaving: bool, pause_ms: Option<u64>) {
+    let gateway = &context.gateway;
+    let upstream = &target.upstream;
+    let started_unix_ms = {
+        let view = gateway.view.borrow();
+        let known = view.upstreams().get(upstream);
+        known.map_or(0, |known| known.started_unix_ms)
+    };
+    let now = gateway.now();
+    let statements = &mut gateway.loads.borrow_mut().statements;
+    if is_leaving && statements.on_leaving(upstream, started_unix_ms) {
+        gateway.metrics.count("upstream_statements", "leaving");
+        log_event!(info, UpstreamStated, request = context.request_id, %upstream, what = "leaving",
+            "an upstream stated that it leaves: it gets no more requests");
+    }
+    let until =
+        pause_ms.and_then(|pause_ms| statements.on_pause(upstream, started_unix_ms, pause_ms, now));
+    if let Some(until) = until {
+        gateway.metrics.count("upstream_statements", "pause");
+        log_event!(info, UpstreamStated, request = context.request_id, %upstream, what = "pause",
+            pause_ms = until.remaining_ms(now), "an upstream wants no requests for a time");
+    }
+}
+
 /// Records the limit that an upstream named in the answer to a request sent at `sent_at`, `None` if
 /// it named none, and logs a change.
 fn record_limit(gateway: &Gateway, target: &Target, limit: Option<PerSecond>, sent_at: TimeMs) {
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -274,6 +274,17 @@
     Ok(target)
 }
 
+/// Returns the time until the first upstream of the request's service and model that wants no requests
+/// takes them again; `None` if none states a time.
+fn earliest_pause_end_ms(context: &Context) -> Option<u64> {
+    let gateway = &context.gateway;
+    let snapshot = gateway.snapshot()?;
+    let (loads, now) = (gateway.loads.borrow(), gateway.now());
+    let targets = targets(context, &snapshot.directory).iter();
+    let pauses = targets.filter_map(|target| loads.statements.pause_ms(&target.upstream, now));
+    pauses.min()
+}
+
 /// Returns the response to a request that gets no further attempt: the last server error of an
 /// upstream, or a refusal by the gateway.
 fn finish(context: &Context, history: AttemptHistory, reason: &StopReason) -> Response<AnswerBody> {
@@ -305,6 +316,11 @@
             "no upstream is available",
             Some(EXPECTED_REPAIR_MS),
         ),
+        StopReason::NothingSelected(Refusal::Paused) => (
+            ResultCode::NoCapacity,
+            "all upstreams want no requests for a time",
+            earliest_pause_end_ms(context),
+        ),
         StopReason::NothingSelected(Refusal::NoRoom) => (
             ResultCode::NoCapacity,
             "the queues of all upstreams are full",
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -93,6 +93,8 @@
     ReachChanged = 745,
     /// A request was offered to another gateway, because this one reaches no upstream.
     RequestForwarded = 746,
+    /// An upstream stated in an answer that it leaves, or that it wants no requests for a time.
+    UpstreamStated = 747,
 }
 
 impl EventCode {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -204,7 +204,16 @@
         let data_centre = settings.data_centre.as_str();
         let directory = Directory::new(config, view.upstreams(), view.unlisted(), data_centre);
         self.log_group_changes(&directory);
-        self.loads.borrow_mut().retain(directory.targets());
+        let mut loads = self.loads.borrow_mut();
+        loads.retain(directory.targets());
+        if !loads.statements.is_empty() {
+            for (id, upstream) in view.upstreams() {
+                loads.statements.on_life(id, upstream.started_unix_ms);
+            }
+            let is_known = |id: &VmId| view.upstreams().contains_key(id);
+            loads.statements.limit(is_known);
+        }
+        drop(loads);
         let listed: BTreeSet<_> = directory
             .targets()
             .map(|target| target.key.clone())
