Quarantine: compare requests only with parts that fulfil the conditions themselves

Each decision compared each request with each part, which is up to 256 times 256 comparisons every 50 ms.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -114,9 +114,9 @@
     stored: Vec<(Suspicion, TimeMs)>,
     /// Suspicions of this gateway that are not in the record yet.
     pending: Vec<(Suspicion, TimeMs)>,
-    /// Whether the record is to be removed because the part is harmless.
+    /// Whether the record is to be removed because the suspect is harmless.
     is_cleared: bool,
-    /// Time since which the part fulfils the conditions of a quarantine.
+    /// Time since which the suspect fulfils the conditions of a quarantine.
     fulfilled_since: Option<TimeMs>,
     quarantined_at: Option<TimeMs>,
 }
@@ -336,7 +336,7 @@
             .filter(|(_, part)| is_confirmed(part))
             .map(|(id, _)| *id)
             .collect();
-        // A part that has another explanation now is released only once that is confirmed.
+        // A suspect that has another explanation now is released only once that is confirmed.
         let kept: Vec<SuspectId> = self
             .suspects
             .iter()
@@ -370,13 +370,15 @@
     /// crashes first, unless a part explains further crashes. If one that was taken earlier is not needed
     /// beside the others in the end, it is left out again.
     fn causes(&self, now: TimeMs) -> BTreeSet<SuspectId> {
+        let candidates = self.suspects.iter();
+        let candidates = candidates.filter(|(id, _)| self.is_cause(**id, &[], now));
         let (mut requests, mut parts): (Vec<_>, Vec<_>) =
-            self.suspects.iter().partition(|(id, _)| id.is_request());
+            candidates.partition(|(id, _)| id.is_request());
         requests.sort_by_key(|(_, request)| std::cmp::Reverse(request.crashes(now).len()));
         parts.sort_by_key(|(_, part)| std::cmp::Reverse(part.position()));
         let (outdone, requests): (Vec<_>, Vec<_>) = requests
             .into_iter()
-            .partition(|(id, request)| self.is_outdone(**id, request, now));
+            .partition(|(id, request)| self.is_outdone(**id, request, &parts, now));
         let mut causes: Vec<SuspectId> = Vec::new();
         for (id, _) in requests.into_iter().chain(parts).chain(outdone) {
             if self.is_cause(*id, &causes, now) {
@@ -394,22 +396,23 @@
         causes.into_iter().collect()
     }
 
-    /// Returns whether a part explains the crashes of the request, and further ones.
-    fn is_outdone(&self, id: SuspectId, request: &Suspect, now: TimeMs) -> bool {
+    /// Returns whether one of these parts explains the crashes of the request, and further ones.
+    fn is_outdone(
+        &self,
+        id: SuspectId,
+        request: &Suspect,
+        parts: &[(&SuspectId, &Suspect)],
+        now: TimeMs,
+    ) -> bool {
         let crashes = request.crashes(now);
-        self.suspects.iter().any(|(part_id, part)| {
-            let further = || {
-                let of_others = part
-                    .valid(now)
-                    .filter(|suspicion| suspicion.digest.map(SuspectId::Request) != Some(id))
-                    .map(|suspicion| &suspicion.crash)
-                    .filter(|crash| !crashes.contains(crash));
-                of_others.collect::<BTreeSet<&CrashId>>().len()
-            };
-            !part_id.is_request()
-                && further() >= MIN_FURTHER_CRASHES
-                && self.is_cause(*part_id, &[], now)
-                && !self.is_cause(id, &[*part_id], now)
+        parts.iter().any(|(part_id, part)| {
+            let further: BTreeSet<&CrashId> = part
+                .valid(now)
+                .filter(|suspicion| suspicion.digest.map(SuspectId::Request) != Some(id))
+                .map(|suspicion| &suspicion.crash)
+                .filter(|crash| !crashes.contains(crash))
+                .collect();
+            further.len() >= MIN_FURTHER_CRASHES && !self.is_cause(id, &[**part_id], now)
         })
     }
 
--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -23,7 +23,7 @@
     },
     connection::{Connection, RequestBody},
     events::log_event,
-    state::{Gateway, Phase},
+    state::Gateway,
 };
 
 /// Header of a forwarded request: the name of the gateway that forwards it.
@@ -51,9 +51,7 @@
 
 /// Returns whether a gateway in this state takes forwarded requests.
 pub(crate) fn takes_forwarded(gateway: &Gateway) -> bool {
-    gateway.is_ready()
-        && !gateway.reach.borrow().is_cut()
-        && *gateway.phase.borrow() == Phase::Serving
+    gateway.is_ready() && !gateway.reach.borrow().is_cut()
 }
 
 /// Returns the answer to a forwarded request that this gateway does not take.
