Gateway: callers of upstreams that pause come back after the pause

Retry-After was drawn from half of the time until the first pause ends, so callers came back too early and were refused again. The test of the pause checks the last refusal.

--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -275,14 +275,16 @@
 }
 
 /// Returns the time until the first upstream of the request's service and model that wants no requests
-/// takes them again; `None` if none states a time.
-fn earliest_pause_end_ms(context: &Context) -> Option<u64> {
+/// takes them again; 0 if one has taken them meanwhile.
+fn earliest_pause_end_ms(context: &Context) -> u64 {
     let gateway = &context.gateway;
-    let snapshot = gateway.snapshot()?;
+    let snapshot = gateway
+        .snapshot()
+        .unwrap_or_else(|| context.snapshot.clone());
     let (loads, now) = (gateway.loads.borrow(), gateway.now());
     let targets = targets(context, &snapshot.directory).iter();
     let pauses = targets.filter_map(|target| loads.statements.pause_ms(&target.upstream, now));
-    pauses.min()
+    pauses.min().unwrap_or(0)
 }
 
 /// Returns the response to a request that gets no further attempt: the last server error of an
@@ -319,7 +321,8 @@
         StopReason::NothingSelected(Refusal::Paused) => (
             ResultCode::NoCapacity,
             "all upstreams want no requests for a time",
-            earliest_pause_end_ms(context),
+            // At least half of the time is drawn, so callers return after the end of the pause.
+            Some(2 * earliest_pause_end_ms(context)),
         ),
         StopReason::NothingSelected(Refusal::NoRoom) => (
             ResultCode::NoCapacity,
--- a/tests/gateway/statements.rs
+++ b/tests/gateway/statements.rs
@@ -57,6 +57,12 @@
         assert_eq!(answer.status, 503);
         assert!(answer.header("retry-after").is_some());
     }
+    // Guards against callers that come back before the pause ends.
+    let last = answers
+        .last()
+        .and_then(|answer| answer.header("retry-after"));
+    let last_s: f64 = last.expect("one was refused").parse().expect("a number");
+    assert!(last_s >= 0.15, "{last_s} s");
     thread::sleep(Duration::from_millis(400));
     assert_eq!(Request::once("after").send(site.gateway(0)).status, 200);
 }
