--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -220,42 +220,42 @@
         }
     }
 
-    /// Applies the record of a part, as the store has it.
+    /// Applies the record of a suspect, as the store has it.
     pub fn on_record(&mut self, id: SuspectId, record: SuspectRecord, revision: u64, now: TimeMs) {
-        let part = self.suspects.entry(id).or_default();
-        if part.revision.is_some_and(|known| known > revision) {
+        let suspect = self.suspects.entry(id).or_default();
+        if suspect.revision.is_some_and(|known| known > revision) {
             return;
         }
-        part.revision = Some(revision);
-        let known = std::mem::take(&mut part.stored);
+        suspect.revision = Some(revision);
+        let known = std::mem::take(&mut suspect.stored);
         let stored = record.suspicions.into_iter().take(MAX_SUSPICIONS);
-        part.stored = stored
+        suspect.stored = stored
             .map(|suspicion| {
-                let mut seen = known.iter().chain(&part.pending);
+                let mut seen = known.iter().chain(&suspect.pending);
                 let seen = seen.find(|(known, _)| *known == suspicion);
                 let seen_at = seen.map_or(now, |(_, at)| *at);
                 (suspicion, seen_at)
             })
             .collect();
-        let stored = &part.stored;
+        let stored = &suspect.stored;
         let is_stored = |pending: &Suspicion| stored.iter().any(|(known, _)| known == pending);
-        part.pending.retain(|(pending, _)| !is_stored(pending));
+        suspect.pending.retain(|(pending, _)| !is_stored(pending));
         let answered_at = id.part().and_then(|part| self.answered_at.remove(&part));
         if answered_at.is_some_and(|at| now.since_ms(at) < ANSWER_VALID_MS) {
-            part.is_cleared = true;
+            suspect.is_cleared = true;
         }
     }
 
-    /// Applies the removal of a part's record: the part was found harmless, or its time is over.
+    /// Applies the removal of a suspect's record: it was found harmless, or its time is over.
     pub fn on_removed(&mut self, id: SuspectId) {
         // What this gateway knew before was the reason, or is as old.
         if let Some(part) = id.part() {
             self.answered_at.remove(&part);
         }
-        if let Some(part) = self.suspects.get_mut(&id) {
-            part.revision = None;
-            part.stored.clear();
-            part.is_cleared = false;
+        if let Some(suspect) = self.suspects.get_mut(&id) {
+            suspect.revision = None;
+            suspect.stored.clear();
+            suspect.is_cleared = false;
         }
     }
 
@@ -269,10 +269,10 @@
     ) {
         let listed: BTreeSet<SuspectId> = records.iter().map(|(id, ..)| *id).collect();
         if is_restored {
-            for part in self.suspects.values_mut() {
-                part.revision = None;
-                let lost = std::mem::take(&mut part.stored);
-                part.pending.extend(lost);
+            for suspect in self.suspects.values_mut() {
+                suspect.revision = None;
+                let lost = std::mem::take(&mut suspect.stored);
+                suspect.pending.extend(lost);
             }
         } else {
             let is_removed = |(id, suspect): &(&SuspectId, &Suspect)| {
@@ -285,9 +285,9 @@
         for (id, record, revision) in records {
             let is_new = !self.suspects.contains_key(&id);
             self.on_record(id, record, revision, now);
-            if let Some(part) = self.suspects.get_mut(&id).filter(|_| is_new) {
+            if let Some(suspect) = self.suspects.get_mut(&id).filter(|_| is_new) {
                 // A gateway that starts does not wait for what it can no longer learn.
-                part.fulfilled_since = Some(TimeMs(now.0.saturating_sub(CONFIRM_MS)));
+                suspect.fulfilled_since = Some(TimeMs(now.0.saturating_sub(CONFIRM_MS)));
             }
         }
     }
@@ -304,24 +304,24 @@
         content.suspects().find(is_quarantined)
     }
 
-    /// Returns the number of parts in quarantine.
+    /// Returns the number of suspects in quarantine.
     pub fn len(&self) -> usize {
         let parts = self.suspects.values();
         parts.filter(|part| part.quarantined_at.is_some()).count()
     }
 
-    /// Returns whether no part is in quarantine.
+    /// Returns whether nothing is in quarantine.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
 
-    /// Decides which parts are in quarantine, and returns those that changed. To be called after
+    /// Decides what is in quarantine, and returns what changed. To be called after
     /// each change and at least every 100 ms.
     pub fn update(&mut self, now: TimeMs) -> Vec<QuarantineChange> {
         let causes = self.causes(now);
-        for (id, part) in &mut self.suspects {
-            part.fulfilled_since = match causes.contains(id) {
-                true => part.fulfilled_since.or(Some(now)),
+        for (id, suspect) in &mut self.suspects {
+            suspect.fulfilled_since = match causes.contains(id) {
+                true => suspect.fulfilled_since.or(Some(now)),
                 false => None,
             };
         }
@@ -333,24 +333,24 @@
         let confirmed: Vec<SuspectId> = self
             .suspects
             .iter()
-            .filter(|(_, part)| is_confirmed(part))
+            .filter(|(_, suspect)| is_confirmed(suspect))
             .map(|(id, _)| *id)
             .collect();
         // A suspect that has another explanation now is released only once that is confirmed.
         let kept: Vec<SuspectId> = self
             .suspects
             .iter()
-            .filter(|(id, part)| {
-                part.quarantined_at.is_some() && self.is_cause(**id, &confirmed, now)
+            .filter(|(id, suspect)| {
+                suspect.quarantined_at.is_some() && self.is_cause(**id, &confirmed, now)
             })
             .map(|(id, _)| *id)
             .collect();
         let mut changes = Vec::new();
-        for (id, part) in &mut self.suspects {
+        for (id, suspect) in &mut self.suspects {
             let is_quarantined = confirmed.contains(id) || kept.contains(id);
-            if is_quarantined != part.quarantined_at.is_some() {
-                let crashes = part.crashes(now).into_iter().cloned().collect();
-                part.quarantined_at = is_quarantined.then_some(now);
+            if is_quarantined != suspect.quarantined_at.is_some() {
+                let crashes = suspect.crashes(now).into_iter().cloned().collect();
+                suspect.quarantined_at = is_quarantined.then_some(now);
                 changes.push(QuarantineChange {
                     suspect: *id,
                     is_quarantined,
@@ -359,7 +359,7 @@
             }
         }
         self.suspects
-            .retain(|_, part| part.revision.is_some() || part.valid(now).next().is_some());
+            .retain(|_, suspect| suspect.revision.is_some() || suspect.valid(now).next().is_some());
         changes
     }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! Exchanges records of suspected requests and parts of prompts with the other gateways, through the store.
+//! Exchanges records of suspected requests and parts of prompts with the other gateways, through the
+//! store.
 //!
 //! Records are few: only a crash of an upstream adds to them. They are in the store because a
 //! gateway that starts has to know them, and one that the other gateways cannot reach, too.
@@ -31,8 +32,8 @@
 /// Applies the whole list of records.
 pub(crate) fn apply_list(gateway: &Gateway, list: &List, is_restored: bool) {
     let records = list.objects.iter().filter_map(|object| {
-        let (part, record) = decode(object)?;
-        Some((part, record, object.revision))
+        let (suspect, record) = decode(object)?;
+        Some((suspect, record, object.revision))
     });
     let mut quarantine = gateway.quarantine.borrow_mut();
     quarantine.on_list(records.collect(), is_restored, gateway.now());
@@ -40,24 +41,24 @@
 
 /// Applies a change of one record.
 pub(crate) fn apply_record(gateway: &Gateway, object: &StoredObject, is_removed: bool) {
-    let Some((part, record)) = decode(object) else {
+    let Some((suspect, record)) = decode(object) else {
         return;
     };
     let mut quarantine = gateway.quarantine.borrow_mut();
     if is_removed {
-        quarantine.on_removed(part);
+        quarantine.on_removed(suspect);
     } else {
-        quarantine.on_record(part, record, object.revision, gateway.now());
+        quarantine.on_record(suspect, record, object.revision, gateway.now());
     }
 }
 
 /// Decodes a record; logs one that cannot be decoded and returns `None`.
 fn decode(object: &StoredObject) -> Option<(SuspectId, SuspectRecord)> {
-    let part = object.name.parse::<SuspectId>();
-    let part = part.map_err(|error| error.to_string());
+    let suspect = object.name.parse::<SuspectId>();
+    let suspect = suspect.map_err(|error| error.to_string());
     let record = serde_json::from_value::<SuspectRecord>(object.content.clone());
-    match (part, record.map_err(|error| error.to_string())) {
-        (Ok(part), Ok(record)) => Some((part, record)),
+    match (suspect, record.map_err(|error| error.to_string())) {
+        (Ok(suspect), Ok(record)) => Some((suspect, record)),
         (Err(error), _) | (_, Err(error)) => {
             log_event!(warn, RecordRefused, suspect = object.name, revision = object.revision,
                 %error, "the record of a suspect cannot be decoded");
@@ -78,8 +79,8 @@
             .quarantine
             .borrow_mut()
             .due_writes(gateway.is_owner(), gateway.now());
-        for (part, write) in due.into_iter().take(MAX_WRITES_PER_UPDATE) {
-            let result = write_record(&gateway, &mut store, part, write).await;
+        for (suspect, write) in due.into_iter().take(MAX_WRITES_PER_UPDATE) {
+            let result = write_record(&gateway, &mut store, suspect, write).await;
             let now = gateway.now();
             if let Err(error) = result {
                 availability.on_failure(KIND, &error, now);
@@ -112,10 +113,10 @@
 async fn write_record(
     gateway: &Gateway,
     store: &mut StoreClient,
-    part: SuspectId,
+    suspect: SuspectId,
     write: RecordWrite,
 ) -> Result<(), StoreError> {
-    let name = part.to_string();
+    let name = suspect.to_string();
     let result = match &write {
         RecordWrite::Create(record) => store.create(KIND, &name, &json!(record)).await,
         RecordWrite::Replace(revision, record) => {
@@ -123,7 +124,7 @@
         }
         RecordWrite::Remove(revision) => match store.remove(KIND, &name, *revision).await {
             Ok(()) => {
-                gateway.quarantine.borrow_mut().on_removed(part);
+                gateway.quarantine.borrow_mut().on_removed(suspect);
                 return Ok(());
             }
             Err(error) => Err(error),
@@ -133,7 +134,7 @@
         Ok(object) => apply_record(gateway, &object, false),
         // Another gateway wrote meanwhile. The next pass adds to its record.
         Err(StoreError::Conflict(Some(current))) => apply_record(gateway, &current, false),
-        Err(StoreError::Refused(404)) => gateway.quarantine.borrow_mut().on_removed(part),
+        Err(StoreError::Refused(404)) => gateway.quarantine.borrow_mut().on_removed(suspect),
         Err(error) => return Err(error),
     }
     Ok(())
