Test: the address where nobody listens stays free while the test runs

The port for that address was freed before the test, so another test's listener could get it, and the gateway passed on what it answered. Now a bound socket that does not listen keeps the port.

--- a/tests/gateway/store_view.rs
+++ b/tests/gateway/store_view.rs
@@ -14,6 +14,8 @@
     thread,
 };
 
+use socket2::{Domain, Socket, Type};
+
 /// Begin of an upstream's address in a store entry. The port follows.
 const ADDRESS: &[u8] = b"\"addr\":\"127.0.0.1:";
 
@@ -21,6 +23,7 @@
 pub struct StoreView {
     pub address: SocketAddr,
     is_partitioned: Arc<AtomicBool>,
+    _closed: Socket,
 }
 
 impl StoreView {
@@ -30,7 +33,7 @@
         let address = listener.local_addr().expect("it is bound");
         let is_partitioned = Arc::new(AtomicBool::new(false));
         let flag = is_partitioned.clone();
-        let closed_port = closed_port();
+        let (closed, closed_port) = closed_port();
         thread::spawn(move || {
             while let Ok((gateway, _)) = listener.accept() {
                 let Ok(store) = TcpStream::connect(store) else {
@@ -54,6 +57,7 @@
         StoreView {
             address,
             is_partitioned,
+            _closed: closed,
         }
     }
 
@@ -63,13 +67,19 @@
     }
 }
 
-/// Returns a port of five digits where nobody listens, as text.
-fn closed_port() -> String {
+/// Returns a socket that is bound and does not listen, and its port of five digits as text. While the
+/// socket exists, no other test gets the port.
+fn closed_port() -> (Socket, String) {
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-        let port = listener.local_addr().expect("it is bound").port();
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is available");
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket
+            .bind(&any_port.into())
+            .expect("a loopback port is free");
+        let address = socket.local_addr().expect("it is bound");
+        let port = address.as_socket().expect("it is an IP address").port();
         if port >= 10_000 {
-            return port.to_string();
+            return (socket, port.to_string());
         }
     }
 }
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -106,7 +106,7 @@
     (0..GATEWAYS).for_each(|index| site.partition_from_upstreams(index, true));
     thread::sleep(STABLE);
     for (id, answer, elapsed) in send(&site, 0) {
-        assert_eq!(answer.status, 503, "request {id}");
+        assert_eq!(answer.status, 503, "request {id}: {}", answer.text());
         assert!(elapsed <= MAX_REFUSAL, "request {id} waited {elapsed:?}");
         assert!(answer.header("retry-after").is_some(), "request {id}");
         assert!(site.platform.runs.of(&format!("request-{id}")).is_empty());
