Gateway: an upstream's answer does not count as another gateway's refusal of a forwarded request

A gateway that takes no forwarded request says so by a header. An upstream that sent the same header in its answer made the forwarding gateway offer the request to the next one, so a request that must not run twice did. Now the gateway that serves a forwarded request removes the header.

Two more tests that passed before: a forwarded request keeps its key, and a forwarded stream ends when its caller leaves.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,7 +9,7 @@
 use jacinthpoint_types::{Deadline, ResultCode};
 use rand::seq::IndexedRandom;
 
-pub(crate) use crate::call::forward::{FORWARDED_BY, not_taken, takes_forwarded};
+pub(crate) use crate::call::forward::{FORWARDED_BY, answer_forwarded};
 use crate::{
     body::AnswerBody,
     call::{
--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -4,6 +4,8 @@
 //! the key and makes all attempts. So only a request of which nothing was sent to an upstream may be
 //! forwarded, and only once: a gateway that gets a forwarded request does not forward it again.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -18,7 +20,7 @@
 use crate::{
     body::{AbortedBody, AnswerBody, channel, full_body},
     call::{
-        attempt::OutgoingRequest, context::Context, outcome::remove_connection_headers,
+        answer, attempt::OutgoingRequest, context::Context, outcome::remove_connection_headers,
         refusal::refuse, request::strip_hop_by_hop, whole_body,
     },
     connection::{Connection, RequestBody},
@@ -49,17 +51,22 @@
     Answered(Response<AnswerBody>),
 }
 
-/// Returns whether a gateway in this state takes forwarded requests.
-pub(crate) fn takes_forwarded(gateway: &Gateway) -> bool {
-    gateway.is_ready() && !gateway.reach.borrow().is_cut()
-}
-
-/// Returns the answer to a forwarded request that this gateway does not take.
-pub(crate) fn not_taken() -> Response<AnswerBody> {
-    let mut response = Response::new(full_body(Bytes::new()));
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    let fields = response.headers_mut();
-    fields.insert(NOT_TAKEN, HeaderValue::from_static("1"));
+/// Answers a request that another gateway forwards, or refuses it if this gateway cannot serve it, either.
+pub(crate) async fn answer_forwarded(
+    gateway: Rc<Gateway>,
+    mut request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    if !gateway.is_ready() || gateway.reach.borrow().is_cut() {
+        let mut response = Response::new(full_body(Bytes::new()));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        let fields = response.headers_mut();
+        fields.insert(NOT_TAKEN, HeaderValue::from_static("1"));
+        return response;
+    }
+    request.headers_mut().remove(FORWARDED_BY);
+    let mut response = answer(gateway, request, true).await;
+    // An upstream may send the header, too, but has run the request.
+    response.headers_mut().remove(NOT_TAKEN);
     response
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -200,18 +200,6 @@
     }
 }
 
-/// Answers a request that another gateway forwards.
-async fn answer_forwarded(
-    gateway: Rc<Gateway>,
-    mut request: Request<Incoming>,
-) -> Response<AnswerBody> {
-    if !call::takes_forwarded(&gateway) {
-        return call::not_taken();
-    }
-    request.headers_mut().remove(call::FORWARDED_BY);
-    call::answer(gateway, request, true).await
-}
-
 /// Parses and answers a call of another gateway.
 async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Response<AnswerBody> {
     let call = parse_objects_call(request.uri().path(), request.uri().query());
@@ -264,7 +252,7 @@
                 let gateway = gateway.clone();
                 async move {
                     Ok::<_, Infallible>(match request.headers().contains_key(call::FORWARDED_BY) {
-                        true => answer_forwarded(gateway, request).await,
+                        true => call::answer_forwarded(gateway, request).await,
                         false => answer(&gateway, request).await,
                     })
                 }
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use jacinthpoint_platform_standins::PlainFault;
+
 use crate::gateway::{
     caller::{Answer, End, Request},
     site::{Site, gateway_name},
@@ -82,6 +84,69 @@
     });
 }
 
+/// Returns a site in which one gateway, which does not send the orders, reaches no upstream, and its
+/// index.
+fn partitioned_site() -> (Site, usize) {
+    let site = Site::start_with_store_views(GATEWAYS);
+    let partitioned = (0..GATEWAYS).find(|index| !site.is_owner(*index));
+    let partitioned = partitioned.expect("a gateway is not the owner");
+    site.partition_from_upstreams(partitioned, true);
+    thread::sleep(STABLE);
+    // The path is checked only when requests fail.
+    let began = Instant::now();
+    while !site.metrics(partitioned).contains("upstreams_reachable 0") {
+        assert!(began.elapsed() < STABLE, "the gateway does not notice");
+        Request::stream("probe").send(site.gateway(partitioned));
+    }
+    (site, partitioned)
+}
+
+/// Guards against forwarded requests that run for another organisation than the caller's, or without a
+/// valid key.
+#[test]
+fn forwarded_request_keeps_its_key() {
+    let (site, partitioned) = partitioned_site();
+    let address = site.gateway(partitioned);
+    assert_eq!(Request::once("known").send(address).status, 200);
+    let runs = site.platform.runs.of("known");
+    let organisations: Vec<_> = runs.iter().map(|run| run.organisation.as_deref()).collect();
+    assert_eq!(organisations, [Some("customer-1")]);
+    let unknown = Request {
+        key: "unknown",
+        ..Request::once("unknown")
+    };
+    assert_eq!(unknown.send(address).status, 401);
+    assert!(site.platform.runs.of("unknown").is_empty());
+}
+
+/// Guards against rule GONE: a stream that is forwarded goes on after its caller has left.
+#[test]
+fn forwarded_stream_ends_when_its_caller_leaves() {
+    let (site, partitioned) = partitioned_site();
+    site.platform.engines.set_stream(20, 1_000);
+    let leaving = Request {
+        timeout_ms: 2_500,
+        ..Request::stream("leaving")
+    };
+    let answer = leaving.send(site.gateway(partitioned));
+    assert_eq!((answer.status, answer.end), (200, End::Left));
+    site.wait_until("no gateway has an open request", 1_000, |site| {
+        (0..GATEWAYS).all(|index| site.metrics(index).contains("requests_open 0"))
+    });
+}
+
+/// Guards against rule TWICE: an upstream's answer that looks like a gateway's refusal makes the request
+/// go to one more gateway.
+#[test]
+fn answer_of_an_upstream_is_no_refusal_of_a_gateway() {
+    let (site, partitioned) = partitioned_site();
+    let plain = &site.platform.plain;
+    plain.set_fault(PlainFault::CopiesRefusalHeader);
+    let answer = Request::once("answered").send(site.gateway(partitioned));
+    assert_eq!(site.platform.runs.of("answered").len(), 1);
+    assert_eq!(answer.status, 200);
+}
+
 /// Guards against groups that nobody repairs: the gateway that sends the orders reaches no upstream, but
 /// holds the lease.
 #[test]
