Gateway: a forwarded request counts for the retry budget of one gateway

Both gateways counted it, so the fleet could retry more than its requests allow once the cut had ended. Retry tests pass as before.

--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -170,7 +170,6 @@
 pub(super) async fn run(context: Rc<Context>, head: Parts, body: Bytes) -> Response<AnswerBody> {
     let gateway = context.gateway.clone();
     let settings = gateway.settings();
-    context.with_budget(|budget| budget.on_request(&settings.repeats, gateway.now()));
     let headers = shared_headers(&context, &head);
     let outgoing = Rc::new(OutgoingRequest {
         head,
@@ -178,6 +177,7 @@
         body,
     });
     let mut history = AttemptHistory::default();
+    let mut is_counted = false;
     loop {
         if history.is_unsent() && context.is_to_forward() {
             return match forward(&context, &outgoing).await {
@@ -185,6 +185,10 @@
                 None => finish(&context, history, &StopReason::Unreachable),
             };
         }
+        // A request that is forwarded counts for the retry budget where its attempts are made.
+        if !std::mem::replace(&mut is_counted, true) {
+            context.with_budget(|budget| budget.on_request(&settings.repeats, gateway.now()));
+        }
         let target = match choose_next_target(&context, &history) {
             Ok(target) => target,
             Err(reason) => {
