Test: the four ports of a gateway differ

A run of eleven gateway tests failed once, "the gateway is ready" not within 15 s at the start of a site; its output was not kept, and 6 further runs passed. A possible cause: each port was closed before the next was asked for, and the system returns the same one again in 12 of 20,000 tries of four ports. Then a gateway does not start. Not shown to be the cause of that run. Now all four are bound before they are closed.

--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -77,12 +77,15 @@
     )
 }
 
-/// Returns a free port at an address of [`own_loopback_address`].
-fn free_address(address: Ipv4Addr) -> SocketAddr {
-    let listener = TcpListener::bind((address, 0)).expect("a loopback port is free");
-    listener
-        .local_addr()
-        .expect("a bound listener has an address")
+/// Returns free ports at an address of [`own_loopback_address`], all different: the system may return a
+/// port again as soon as it is closed.
+fn free_addresses<const COUNT: usize>(address: Ipv4Addr) -> [SocketAddr; COUNT] {
+    let listeners =
+        [(); COUNT].map(|()| TcpListener::bind((address, 0)).expect("a loopback port is free"));
+    listeners.each_ref().map(|listener| {
+        let bound = listener.local_addr();
+        bound.expect("a bound listener has an address")
+    })
 }
 
 impl Site {
@@ -152,7 +155,7 @@
         site.put_config(&[KEY]);
         for index in 0..gateways {
             let own = own_loopback_address();
-            let [callers, readiness, metrics, peers] = [(); 4].map(|()| free_address(own));
+            let [callers, readiness, metrics, peers] = free_addresses(own);
             let store = site.platform.store.address;
             let name = gateway_name(index);
             let store = match &site.links {
