Test: a gateway can bind its ports while another test starts a process

Traced: "cannot bind the callers address 127.208.1.17:35215 for TCP: Address already in use" in a run of eleven gateway tests on eight threads (2 of 9 runs, one of them with the four ports held together). The port was found by a listening socket; a process that another test forks at this moment has a copy of it until it executes its program, and a listening port cannot be bound again meanwhile. The copy itself was not observed.

--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -3,7 +3,7 @@
 //! `Site` starts them, starts and stops single gateways, and waits for states of the system.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -15,6 +15,7 @@
 use jacinthpoint_adapter::paths;
 use jacinthpoint_platform_standins::{EngineSpec, Engines, PlainService, Platform};
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 
 use crate::{
     gateway::store_view::StoreView,
@@ -77,14 +78,23 @@
     )
 }
 
-/// Returns free ports at an address of [`own_loopback_address`], all different: the system may return a
-/// port again as soon as it is closed.
+/// Returns free ports at an address of [`own_loopback_address`], all different.
+///
+/// The sockets that find them do not listen, and share their ports: a process that another test starts
+/// at this moment has copies of them for a while, and a gateway must be able to bind the ports meanwhile.
 fn free_addresses<const COUNT: usize>(address: Ipv4Addr) -> [SocketAddr; COUNT] {
-    let listeners =
-        [(); COUNT].map(|()| TcpListener::bind((address, 0)).expect("a loopback port is free"));
-    listeners.each_ref().map(|listener| {
-        let bound = listener.local_addr();
-        bound.expect("a bound listener has an address")
+    let sockets = [(); COUNT].map(|()| {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is available");
+        let any_port = SocketAddr::from((address, 0));
+        socket.set_reuse_address(true).expect("it can be set");
+        socket
+            .bind(&any_port.into())
+            .expect("a loopback port is free");
+        socket
+    });
+    sockets.each_ref().map(|socket| {
+        let bound = socket.local_addr().expect("it is bound");
+        bound.as_socket().expect("it is an IP address")
     })
 }
 
