--- a/tests/gateway/caller.rs
+++ b/tests/gateway/caller.rs
@@ -6,6 +6,7 @@
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
+    thread::JoinHandle,
     time::{Duration, Instant},
 };
 
@@ -50,6 +51,34 @@
     pub end: End,
 }
 
+/// Whether a request that harms nothing was served.
+#[derive(Debug)]
+pub struct HarmlessAnswer {
+    pub sent_at: Instant,
+    pub is_served: bool,
+}
+
+/// Waits for the threads that send requests, and returns what they return.
+pub fn join_all<T>(senders: impl IntoIterator<Item = JoinHandle<T>>) -> Vec<T> {
+    let senders = senders.into_iter();
+    senders
+        .map(|sender| sender.join().expect("the sender does not panic"))
+        .collect()
+}
+
+/// Checks that at least half of the requests that were sent from `begin` on were served, of 20 or more.
+pub fn assert_half_served(answers: &[HarmlessAnswer], begin: Instant) {
+    let later = answers.iter().filter(|answer| answer.sent_at >= begin);
+    let (served, all) = later.fold((0, 0), |(served, all), answer| {
+        (served + usize::from(answer.is_served), all + 1)
+    });
+    assert!(all >= 20, "{all} harmless requests are too few");
+    assert!(
+        2 * served >= all,
+        "{served} of {all} harmless requests served"
+    );
+}
+
 impl<'a> Request<'a> {
     /// Returns a request for a resumable stream from an engine.
     pub fn stream(id: &str) -> Request<'a> {
@@ -82,6 +111,16 @@
         })
     }
 
+    /// Sends the request and returns whether it was served.
+    pub fn send_harmless(&self, address: SocketAddr) -> HarmlessAnswer {
+        let sent_at = Instant::now();
+        let answer = self.send(address);
+        HarmlessAnswer {
+            sent_at,
+            is_served: (answer.status, answer.end) == (200, End::Whole),
+        }
+    }
+
     fn try_send(&self, address: SocketAddr) -> std::io::Result<Answer> {
         let leave_at = Instant::now() + Duration::from_millis(self.timeout_ms);
         let mut stream = TcpStream::connect(address)?;
--- a/tests/gateway/crashing_prompts.rs
+++ b/tests/gateway/crashing_prompts.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 
 use crate::gateway::{
-    caller::{End, Request},
+    caller::{HarmlessAnswer, Request, assert_half_served, join_all},
     site::Site,
 };
 
@@ -24,12 +24,6 @@
 const CRASHING_INTERVAL: Duration = Duration::from_millis(150);
 const HARMLESS_INTERVAL: Duration = Duration::from_millis(40);
 
-/// A harmless request and its answer.
-struct HarmlessAnswer {
-    sent_at: Instant,
-    is_served: bool,
-}
-
 /// Returns a request whose prompt has a last part of its own.
 fn request(id: usize, is_crashing: bool) -> Request<'static> {
     let crashing = if is_crashing {
@@ -62,22 +56,13 @@
             }));
         } else {
             harmless.push(thread::spawn(move || {
-                let answer = request(id, false).send(address);
-                HarmlessAnswer {
-                    sent_at: now,
-                    is_served: (answer.status, answer.end) == (200, End::Whole),
-                }
+                request(id, false).send_harmless(address)
             }));
         }
         thread::sleep(HARMLESS_INTERVAL);
     }
-    for sender in crashing {
-        sender.join().expect("the sender does not panic");
-    }
-    let harmless = harmless.into_iter();
-    harmless
-        .map(|sender| sender.join().expect("the sender does not panic"))
-        .collect()
+    join_all(crashing);
+    join_all(harmless)
 }
 
 /// Returns the number of requests with the crashing part that arrived at engines from `begin` on.
@@ -108,16 +93,7 @@
     let (counted_from, answers) = crash_engines(&site, gateways);
     let arrivals = crashing_arrivals(&site, counted_from + STABLE);
     assert!(arrivals <= MAX_ARRIVALS, "{arrivals} requests arrived");
-    let later = answers.iter();
-    let later = later.filter(|answer| answer.sent_at >= counted_from + 2 * STABLE);
-    let (served, all) = later.fold((0, 0), |(served, all), answer| {
-        (served + usize::from(answer.is_served), all + 1)
-    });
-    assert!(all >= 20, "{all} harmless requests are too few");
-    assert!(
-        2 * served >= all,
-        "{served} of {all} harmless requests served"
-    );
+    assert_half_served(&answers, counted_from + 2 * STABLE);
 }
 
 /// Guards against rule BUDGET: gateways that start again do not know the parts that crash engines.
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -8,7 +8,7 @@
 use jacinthpoint_platform_standins::CrashAt;
 
 use crate::gateway::{
-    caller::{End, Request},
+    caller::{HarmlessAnswer, Request, assert_half_served, join_all},
     site::Site,
 };
 
@@ -25,12 +25,6 @@
 /// Time between two requests of the test, every fourth of which crashes engines.
 const INTERVAL: Duration = Duration::from_millis(40);
 
-/// A harmless request and its answer.
-struct HarmlessAnswer {
-    sent_at: Instant,
-    is_served: bool,
-}
-
 /// Returns a harmless request, by turns with the path, the body or only the key of the crashing one.
 fn harmless(id: usize) -> Request<'static> {
     let base = Request::stream(&format!("harmless-{id}"));
@@ -54,8 +48,7 @@
     let end = Instant::now() + time;
     let (mut harmless_answers, mut crashing) = (Vec::new(), Vec::new());
     for id in first_id.. {
-        let sent_at = Instant::now();
-        if sent_at >= end {
+        if Instant::now() >= end {
             break;
         }
         let address = site.gateway(id % GATEWAYS);
@@ -69,23 +62,12 @@
                 request.send(address);
             }));
         } else {
-            harmless_answers.push(thread::spawn(move || {
-                let answer = harmless(id).send(address);
-                HarmlessAnswer {
-                    sent_at,
-                    is_served: (answer.status, answer.end) == (200, End::Whole),
-                }
-            }));
+            harmless_answers.push(thread::spawn(move || harmless(id).send_harmless(address)));
         }
         thread::sleep(INTERVAL);
     }
-    for sender in crashing {
-        sender.join().expect("the sender does not panic");
-    }
-    let answers = harmless_answers.into_iter();
-    answers
-        .map(|sender| sender.join().expect("the sender does not panic"))
-        .collect()
+    join_all(crashing);
+    join_all(harmless_answers)
 }
 
 /// Returns the number of arrivals of the crashing request at engines from `begin` on.
@@ -111,16 +93,7 @@
         "{arrivals} arrivals, {} crashes",
         crashes.len()
     );
-    let later = answers.iter();
-    let later = later.filter(|answer| answer.sent_at >= third_crash + 2 * STABLE);
-    let (served, all) = later.fold((0, 0), |(served, all), answer| {
-        (served + usize::from(answer.is_served), all + 1)
-    });
-    assert!(all >= 20, "{all} harmless requests are too few");
-    assert!(
-        2 * served >= all,
-        "{served} of {all} harmless requests served"
-    );
+    assert_half_served(&answers, third_crash + 2 * STABLE);
     site
 }
 
--- a/tests/gateway/statements.rs
+++ b/tests/gateway/statements.rs
@@ -17,17 +17,20 @@
 /// Time from which a statement holds.
 const HOLDS_AFTER: Duration = Duration::from_millis(500);
 const PAUSE_MS: u64 = 3_000;
+const INTERVAL_MS: u64 = 50;
+/// Time between the last request of the test and the end of the pause.
+const BEFORE_END_MS: u64 = 200;
 /// Maximum number of arrivals while the upstream wants none.
 const MAX_ARRIVALS: usize = 2;
 
-/// Sends requests to the plain service for `time`, one every 50 ms, and returns their answers.
+/// Sends requests to the plain service for `time`, one every [`INTERVAL_MS`], and returns their answers.
 fn send(site: &Site, name: &str, time: Duration) -> Vec<Answer> {
     let end = Instant::now() + time;
     let mut answers = Vec::new();
     while Instant::now() < end {
         let request = Request::once(&format!("{name}-{}", answers.len()));
         answers.push(request.send(site.gateway(0)));
-        thread::sleep(Duration::from_millis(50));
+        thread::sleep(Duration::from_millis(INTERVAL_MS));
     }
     answers
 }
@@ -44,12 +47,13 @@
     let site = Site::start(1);
     let plain = &site.platform.plain;
     plain.set_fault(PlainFault::Pauses(PAUSE_MS));
+    let first_sent_at = Instant::now();
     let first = Request::once("first").send(site.gateway(0));
     assert_eq!(first.status, 503);
     let said_at = Instant::now();
     plain.set_fault(PlainFault::None);
     thread::sleep(HOLDS_AFTER);
-    let rest = Duration::from_millis(PAUSE_MS) - HOLDS_AFTER - Duration::from_millis(200);
+    let rest = Duration::from_millis(PAUSE_MS - BEFORE_END_MS) - HOLDS_AFTER;
     let answers = send(&site, "paused", rest);
     let arrived = arrivals(&site, said_at + HOLDS_AFTER);
     assert!(arrived <= MAX_ARRIVALS, "{arrived} requests arrived");
@@ -58,11 +62,16 @@
         assert!(answer.header("retry-after").is_some());
     }
     // Guards against callers that come back before the pause ends.
-    let last = answers
-        .last()
-        .and_then(|answer| answer.header("retry-after"));
-    let last_s: f64 = last.expect("one was refused").parse().expect("a number");
-    assert!(last_s >= 0.15, "{last_s} s");
+    let last = Request::once("last").send(site.gateway(0));
+    let retry_after = last.header("retry-after").expect("it is refused");
+    let retry_after_s: f64 = retry_after.parse().expect("a number");
+    // The pause begins after the first request is sent, and the refusal ends before now.
+    let pause_end = first_sent_at + Duration::from_millis(PAUSE_MS);
+    let rest = pause_end.saturating_duration_since(Instant::now());
+    assert!(
+        retry_after_s >= rest.as_secs_f64(),
+        "{retry_after_s} s, {rest:?} left"
+    );
     thread::sleep(Duration::from_millis(400));
     assert_eq!(Request::once("after").send(site.gateway(0)).status, 200);
 }
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -8,7 +8,7 @@
 use jacinthpoint_platform_standins::PlainFault;
 
 use crate::gateway::{
-    caller::{Answer, End, Request},
+    caller::{Answer, End, Request, join_all},
     site::{Site, gateway_name},
 };
 
@@ -39,10 +39,7 @@
         })
     });
     let senders: Vec<_> = senders.collect();
-    let answers = senders.into_iter();
-    answers
-        .map(|sender| sender.join().expect("the sender does not panic"))
-        .collect()
+    join_all(senders)
 }
 
 /// Returns whether the answer is a whole success, with all events in order if it is a stream.
