Gateway: calls to the store are counted by kind of objects and type of call

The totals of reads and writes did not tell who calls the store for what. Event 748 has the numbers of each five seconds; the metrics keep their totals.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -18,7 +18,7 @@
     events::log_event,
     metrics::Metrics,
     state::{Gateway, Phase},
-    store::call_counts,
+    store::{CallType, call_counts},
 };
 
 /// Number of file descriptors that are reserved for listeners, the store and files. The rest is
@@ -173,7 +173,13 @@
 
 /// Returns all metrics as text, with gauges of the gateway's current state.
 fn render(metrics: &Metrics, gateway: &Gateway) -> String {
-    let (reads, writes) = call_counts();
+    let calls = call_counts();
+    let calls_where = |is_write: bool| {
+        let of_type = calls
+            .iter()
+            .filter(|((_, call), _)| (*call == CallType::Write) == is_write);
+        of_type.map(|(_, count)| *count as f64).sum()
+    };
     let view = gateway.view.borrow();
     let snapshot = gateway.snapshot();
     let groups = snapshot.map_or(0, |snapshot| {
@@ -198,7 +204,7 @@
         ),
         ("requests_open", gateway.open_requests.get() as f64),
         ("connections_open", gateway.open_connections.get() as f64),
-        ("store_reads", reads as f64),
-        ("store_writes", writes as f64),
+        ("store_reads", calls_where(false)),
+        ("store_writes", calls_where(true)),
     ])
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -95,6 +95,8 @@
     RequestForwarded = 746,
     /// An upstream stated in an answer that it leaves, or that it wants no requests for a time.
     UpstreamStated = 747,
+    /// The gateway called the store since the event before.
+    StoreCalled = 748,
 }
 
 impl EventCode {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,6 +23,7 @@
     roster::maintain_roster,
     settings::{GatewaySettings, parse_settings},
     state::{Gateway, Phase},
+    store::{CallCounts, call_counts},
     watch::{expire_entries, watch_config, watch_suspicions, watch_upstreams},
 };
 
@@ -32,6 +33,8 @@
 const STOP_MARGIN_MS: u64 = 300;
 /// Time between two checks for expired idle connections and for dropped log lines.
 const MAINTENANCE_INTERVAL_MS: u64 = 1_000;
+/// Time between two log events on the calls to the store.
+const CALLS_LOG_INTERVAL_MS: u64 = 5_000;
 
 /// Error that prevents a gateway from starting.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
@@ -126,6 +129,7 @@
         spawn_local(serve_metrics(gateway.clone(), address));
     }
     spawn_local(log_drops_and_close_idle(gateway.clone(), dropped_lines));
+    spawn_local(log_store_calls());
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -210,6 +214,23 @@
     }
 }
 
+/// Logs the numbers of calls to the store for ever, whenever there were any.
+async fn log_store_calls() {
+    let mut logged = CallCounts::new();
+    loop {
+        sleep_ms(CALLS_LOG_INTERVAL_MS).await;
+        let counts = call_counts();
+        for ((kind, call), count) in &counts {
+            let calls = count - logged.get(&(*kind, *call)).copied().unwrap_or_default();
+            if calls > 0 {
+                let call: &'static str = call.into();
+                log_event!(info, StoreCalled, kind, call, calls, "the store was called");
+            }
+        }
+        logged = counts;
+    }
+}
+
 /// Stops the gateway as planned, and returns the number of requests that were cut.
 ///
 /// The gateway reports itself as not ready at once. After the announcement time it refuses new
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's store, and of gateways that serve the same calls as relays.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -73,29 +73,37 @@
     connection: Option<Connection>,
     connect_timeout_ms: u64,
     answer_timeout_ms: u64,
-    /// Counter of calls for the metrics; `None` for calls to a relay, which are not counted.
-    calls: Option<&'static CallCounts>,
+    /// Whether the calls go to a relay instead of the store.
+    is_relayed: bool,
     /// Era of the store's history that the last answer named.
     era: Option<StoreEra>,
 }
 
-/// Number of calls to the store.
-#[derive(Debug, Default)]
-pub(crate) struct CallCounts {
-    reads: std::sync::atomic::AtomicU64,
-    writes: std::sync::atomic::AtomicU64,
+/// Kind of a call to the store, by which calls are counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum CallType {
+    /// A part of a list.
+    List,
+    /// A part of a list, or one object, that may be old. The store charges less for it.
+    OldRead,
+    /// A watch for changes.
+    Watch,
+    /// A creation, replacement or removal.
+    Write,
 }
 
-/// Calls of all clients of the process so far.
-static CALLS: CallCounts = CallCounts {
-    reads: std::sync::atomic::AtomicU64::new(0),
-    writes: std::sync::atomic::AtomicU64::new(0),
-};
+/// Numbers of calls, by the kind of objects and the type of the call.
+pub(crate) type CallCounts = BTreeMap<(&'static str, CallType), u64>;
 
-/// Returns the number of reads and of writes that this process has sent to the store so far.
-pub(crate) fn call_counts() -> (u64, u64) {
-    use std::sync::atomic::Ordering::Relaxed;
-    (CALLS.reads.load(Relaxed), CALLS.writes.load(Relaxed))
+thread_local! {
+    /// Calls to the store by all clients of this thread so far. Calls to relays are not counted.
+    static CALLS: RefCell<CallCounts> = RefCell::default();
+}
+
+/// Returns the number of calls that this thread has sent to the store so far.
+pub(crate) fn call_counts() -> CallCounts {
+    CALLS.with_borrow(Clone::clone)
 }
 
 impl StoreClient {
@@ -106,7 +114,7 @@
             connection: None,
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
             answer_timeout_ms: ANSWER_TIMEOUT_MS,
-            calls: Some(&CALLS),
+            is_relayed: false,
             era: None,
         }
     }
@@ -118,7 +126,7 @@
             connection: None,
             connect_timeout_ms: RELAY_CONNECT_TIMEOUT_MS,
             answer_timeout_ms: RELAY_ANSWER_TIMEOUT_MS,
-            calls: None,
+            is_relayed: true,
             era: None,
         }
     }
@@ -138,17 +146,24 @@
 
     /// Returns whether the calls go to a relay instead of the store.
     pub(crate) fn is_relayed(&self) -> bool {
-        self.calls.is_none()
+        self.is_relayed
     }
 
     /// Returns one part of the list of a kind: the objects after the name `after`.
     pub(crate) async fn list(
         &mut self,
-        kind: &str,
+        kind: &'static str,
         after: Option<&str>,
         freshness: Freshness,
     ) -> Result<List, StoreError> {
         let path = paths::list_after(kind, after, freshness);
+        self.count(
+            kind,
+            match freshness {
+                Freshness::Newest => CallType::List,
+                Freshness::MayBeOld => CallType::OldRead,
+            },
+        );
         let Answer { body, era, .. } = self.read(&path, 0).await?;
         decode_list(&body, era).map_err(StoreError::Unreadable)
     }
@@ -157,7 +172,7 @@
     /// [`StoreError::HistoryGone`] if the store was restored while the parts were read.
     pub(crate) async fn list_all(
         &mut self,
-        kind: &str,
+        kind: &'static str,
         freshness: Freshness,
     ) -> Result<List, StoreError> {
         let mut all = self.list(kind, None, freshness).await?;
@@ -181,7 +196,7 @@
     /// is empty if there is none by then.
     pub(crate) async fn watch(
         &mut self,
-        kind: &str,
+        kind: &'static str,
         after: HistoryPosition,
         wait_ms: u64,
     ) -> Result<Events, StoreError> {
@@ -190,6 +205,7 @@
         } else {
             paths::watch(kind, after.revision, wait_ms)
         };
+        self.count(kind, CallType::Watch);
         let Answer { body, era, .. } = self.read(&path, wait_ms).await?;
         decode_events(&body, era).map_err(StoreError::Unreadable)
     }
@@ -197,9 +213,10 @@
     /// Returns one object, in a state that may be seconds old; `None` if it does not exist.
     pub(crate) async fn get_stale(
         &mut self,
-        kind: &str,
+        kind: &'static str,
         name: &str,
     ) -> Result<Option<StoredObject>, StoreError> {
+        self.count(kind, CallType::OldRead);
         match self.read(&paths::stale_object(kind, name), 0).await {
             Ok(answer) => decode_object(&answer.body)
                 .map(Some)
@@ -212,11 +229,12 @@
     /// Creates an object; fails with [`StoreError::Conflict`] if it exists.
     pub(crate) async fn create(
         &mut self,
-        kind: &str,
+        kind: &'static str,
         name: &str,
         content: &Value,
     ) -> Result<StoredObject, StoreError> {
         let body = encode_object(name, None, content);
+        self.count(kind, CallType::Write);
         self.write(Method::POST, &paths::kind(kind), body).await
     }
 
@@ -224,12 +242,13 @@
     /// otherwise.
     pub(crate) async fn replace(
         &mut self,
-        kind: &str,
+        kind: &'static str,
         name: &str,
         expected: u64,
         content: &Value,
     ) -> Result<StoredObject, StoreError> {
         let body = encode_object(name, Some(expected), content);
+        self.count(kind, CallType::Write);
         self.write(Method::PUT, &paths::object(kind, name), body)
             .await
     }
@@ -238,22 +257,25 @@
     /// otherwise.
     pub(crate) async fn remove(
         &mut self,
-        kind: &str,
+        kind: &'static str,
         name: &str,
         expected: u64,
     ) -> Result<(), StoreError> {
         let path = paths::object_at(kind, name, expected);
+        self.count(kind, CallType::Write);
         self.send_write(Method::DELETE, &path, Vec::new()).await?;
         Ok(())
     }
 
+    /// Counts a call, unless it goes to a relay.
+    fn count(&self, kind: &'static str, call: CallType) {
+        if !self.is_relayed {
+            CALLS.with_borrow_mut(|calls| *calls.entry((kind, call)).or_default() += 1);
+        }
+    }
+
     /// Sends a read that waits up to `wait_ms` at the store, and returns the answer.
     async fn read(&mut self, path: &str, wait_ms: u64) -> Result<Answer, StoreError> {
-        if let Some(calls) = self.calls {
-            calls
-                .reads
-                .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        }
         let timeout_ms = wait_ms + self.answer_timeout_ms;
         let answer = self
             .call(Method::GET, path, Bytes::new(), timeout_ms)
@@ -283,11 +305,6 @@
         path: &str,
         body: Vec<u8>,
     ) -> Result<Bytes, StoreError> {
-        if let Some(calls) = self.calls {
-            calls
-                .writes
-                .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        }
         let Answer { status, body, .. } = self
             .call(method, path, body.into(), self.answer_timeout_ms)
             .await?;
