Gateway: readers of the store are dealt by the size of the VM, and registrations are relayed

Now a pure module deals the reading: one reader for each 20 gateways of a data centre, the largest VMs first, and each has a part of the others in proportion to its size. A relay that has not read the list yet holds calls for it, encodes each answer once, and an answer is given up only if no part of it arrives. Registrations are watched like the other kinds, through relays, instead of being listed by each gateway every six seconds. Watches that wait for what is rarely written wait longer.

--- /dev/null
+++ b/crates/fleet/src/roles.rs
@@ -0,0 +1,157 @@
+//! Deals out the work that a few gateways do for all others.
+//!
+//! If each gateway read the store for itself, the number of calls would grow with the number of
+//! gateways; if one gateway served all others, its link and processor would have to. So the gateways
+//! of a data centre have one server for each [`GATEWAYS_PER_SERVER`] of them, and the others, its
+//! clients, are divided among the servers. A server has about that many clients, however many
+//! gateways there are.
+//!
+//! VMs differ: one may have ten times the link of another. Servers are the gateways on the largest
+//! VMs, and a server gets clients in proportion to its VM's size. Gateways that know the same fleet
+//! deal alike, without an election. Those that differ for a moment do no harm: any gateway serves any
+//! client that comes.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use jacinthpoint_types::{rendezvous_order, rendezvous_weight};
+
+/// Number of gateways of a data centre per server, rounded up. The servers' calls to the store and
+/// each server's work for its clients are weighed against each other by it.
+const GATEWAYS_PER_SERVER: usize = 20;
+/// Number of gateways of a data centre that serve others when all servers fail.
+const SUBSTITUTES: usize = 2;
+
+/// What the VM of a gateway can carry. Neither value is 0.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VmCapacity {
+    /// Part of a core that the gateway may use, in thousandths.
+    pub core_permille: u32,
+    /// Rate of the VM's link in kbit/s.
+    pub link_kbps: u32,
+}
+
+impl VmCapacity {
+    /// Returns how many times larger this VM is than `least`, by the resource that it has least of.
+    fn times(self, least: VmCapacity) -> f64 {
+        let core = f64::from(self.core_permille) / f64::from(least.core_permille);
+        core.min(f64::from(self.link_kbps) / f64::from(least.link_kbps))
+    }
+
+    /// Returns the smaller values of both.
+    fn least(self, other: VmCapacity) -> VmCapacity {
+        VmCapacity {
+            core_permille: self.core_permille.min(other.core_permille),
+            link_kbps: self.link_kbps.min(other.link_kbps),
+        }
+    }
+}
+
+/// What a gateway's registration says.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RegisteredGateway {
+    /// Name of its data centre; `None` if the registration has none.
+    pub data_centre: Option<String>,
+    /// Address for calls and datagrams of other gateways; `None` if it takes none.
+    pub address: Option<SocketAddr>,
+    /// What its VM can carry; `None` if the registration is of a build that does not say it.
+    pub capacity: Option<VmCapacity>,
+}
+
+/// The part of one gateway in reading the store.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct StoreReading {
+    /// Whether the gateway reads the store at all times.
+    pub is_server: bool,
+    /// Gateways that read the store for this one, in the order in which it asks them. If it is a
+    /// substitute, those before it in the order.
+    pub sources: Vec<SocketAddr>,
+}
+
+/// Deals the reading of the store for the gateway `own` among the gateways of its data centre.
+///
+/// A gateway that is not among `all` yet reads the store itself.
+pub fn deal_store_reading(all: &BTreeMap<String, RegisteredGateway>, own: &str) -> StoreReading {
+    let data_centre = all
+        .get(own)
+        .and_then(|gateway| gateway.data_centre.as_deref());
+    let Some(data_centre) = data_centre else {
+        return StoreReading::default();
+    };
+    let members: BTreeMap<&str, &RegisteredGateway> = all
+        .iter()
+        .filter(|(_, gateway)| gateway.data_centre.as_deref() == Some(data_centre))
+        .filter(|(_, gateway)| gateway.address.is_some())
+        .map(|(name, gateway)| (name.as_str(), gateway))
+        .collect();
+    if !members.contains_key(own) {
+        return StoreReading::default();
+    }
+    let sizes = vm_sizes(&members);
+    let order = by_size("readers", &sizes);
+    let (servers, others) = order.split_at(order.len().div_ceil(GATEWAYS_PER_SERVER));
+    if servers.contains(&own) {
+        return StoreReading {
+            is_server: true,
+            sources: Vec::new(),
+        };
+    }
+    // Weighted rendezvous hashing: each server is first for a part of the clients in proportion to
+    // its size.
+    let mut sources = servers.to_vec();
+    sources.sort_by(|a, b| {
+        let score = |server: &str| weighted_score(server, own, sizes[server]);
+        score(b).total_cmp(&score(a))
+    });
+    let substitutes = others.iter().take(SUBSTITUTES);
+    sources.extend(substitutes.take_while(|name| **name != own));
+    let addresses = sources
+        .iter()
+        .filter_map(|name| members.get(name)?.address)
+        .collect();
+    StoreReading {
+        is_server: false,
+        sources: addresses,
+    }
+}
+
+/// Returns the names of all gateways in the order in which they take the role `role`, which is for the
+/// whole fleet: those on larger VMs first, and those on equal ones in an order that differs from role
+/// to role.
+pub fn role_order<'a>(all: &'a BTreeMap<String, RegisteredGateway>, role: &str) -> Vec<&'a str> {
+    let members = all.iter().map(|(name, gateway)| (name.as_str(), gateway));
+    by_size(role, &vm_sizes(&members.collect()))
+}
+
+/// Returns the gateways by the size of their VMs, the largest first, and those of equal size in
+/// rendezvous order.
+fn by_size<'a>(role: &str, sizes: &BTreeMap<&'a str, f64>) -> Vec<&'a str> {
+    let mut order: Vec<&str> = rendezvous_order(role, sizes.keys())
+        .into_iter()
+        .copied()
+        .collect();
+    // The sort is stable.
+    order.sort_by(|a, b| sizes[b].total_cmp(&sizes[a]));
+    order
+}
+
+/// Returns how many times larger each gateway's VM is than the least. All count as equal if one
+/// registration does not say it: gateways of that build order them by their hashes alone.
+fn vm_sizes<'a>(members: &BTreeMap<&'a str, &RegisteredGateway>) -> BTreeMap<&'a str, f64> {
+    let capacities: Option<Vec<VmCapacity>> =
+        members.values().map(|gateway| gateway.capacity).collect();
+    let least = capacities.and_then(|capacities| capacities.into_iter().reduce(|a, b| a.least(b)));
+    let size = |gateway: &RegisteredGateway| match (gateway.capacity, least) {
+        (Some(capacity), Some(least)) => capacity.times(least),
+        _ => 1.0,
+    };
+    let sizes = members.iter();
+    sizes
+        .map(|(name, gateway)| (*name, size(gateway)))
+        .collect()
+}
+
+/// Returns the score of a server for a client. The server with the highest score is the client's first.
+fn weighted_score(server: &str, client: &str, size: f64) -> f64 {
+    let uniform = (rendezvous_weight(client, server) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    size / -uniform.ln()
+}
--- /dev/null
+++ b/crates/fleet/tests/roles.rs
@@ -0,0 +1,140 @@
+//! Dealing of the work that few gateways do for all, over fleets of many sizes.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use jacinthpoint_fleet::{RegisteredGateway, VmCapacity, deal_store_reading, role_order};
+use jacinthpoint_types::rendezvous_order;
+
+/// Target for the clients of one server on equal VMs: twice the gateways per server, since hashes do
+/// not divide them evenly.
+const MAX_CLIENTS: usize = 40;
+const SMALL: VmCapacity = VmCapacity {
+    core_permille: 100,
+    link_kbps: 10_000,
+};
+const LARGE: VmCapacity = VmCapacity {
+    core_permille: 400,
+    link_kbps: 100_000,
+};
+
+type Fleet = BTreeMap<String, RegisteredGateway>;
+
+fn address(index: usize) -> SocketAddr {
+    let [.., high, low] = index.to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7_000))
+}
+
+/// Returns `count` gateways that are spread over `data_centres`. The first `large` of them are on large
+/// VMs.
+fn fleet(count: usize, data_centres: usize, large: usize) -> Fleet {
+    let gateway = |index: usize| RegisteredGateway {
+        data_centre: Some(format!("dc-{}", index % data_centres)),
+        address: Some(address(index)),
+        capacity: Some(if index < large { LARGE } else { SMALL }),
+    };
+    (0..count)
+        .map(|index| (format!("gateway-{index}"), gateway(index)))
+        .collect()
+}
+
+/// Returns the number of clients that each server has first, by the server's address.
+fn clients(fleet: &Fleet) -> BTreeMap<SocketAddr, usize> {
+    let mut clients = BTreeMap::new();
+    for name in fleet.keys() {
+        let reading = deal_store_reading(fleet, name);
+        match reading.sources.first() {
+            Some(server) => *clients.entry(*server).or_default() += 1,
+            None => assert!(reading.is_server, "{name} has neither server nor clients"),
+        }
+    }
+    clients
+}
+
+/// Defines tests of a fleet on equal VMs: name, number of gateways and of data centres.
+macro_rules! bounded {
+    ($($name:ident: $count:expr, $data_centres:expr;)+) => {
+        $(
+            /// Guards against one server that has to serve its whole data centre.
+            #[test]
+            fn $name() {
+                let clients = clients(&fleet($count, $data_centres, 0));
+                let most = clients.values().max().copied().unwrap_or_default();
+                assert!(most <= MAX_CLIENTS, "{most} clients of one server");
+            }
+        )+
+    };
+}
+
+bounded! {
+    clients_of_a_server_are_bounded_in_a_fleet_of_6: 6, 3;
+    clients_of_a_server_are_bounded_in_a_fleet_of_81: 81, 3;
+    clients_of_a_server_are_bounded_in_a_fleet_of_295: 295, 5;
+    clients_of_a_server_are_bounded_in_a_fleet_of_420: 420, 8;
+    clients_of_a_server_are_bounded_in_a_data_centre_of_900: 900, 1;
+}
+
+/// Guards against a server whose link is too slow for its clients, while larger VMs are there.
+#[test]
+fn servers_are_on_the_largest_vms_and_have_clients_by_their_size() {
+    let fleet = fleet(300, 5, 15);
+    let small: BTreeSet<SocketAddr> = (15..300).map(address).collect();
+    let clients = clients(&fleet);
+    // Each data centre of 60 has three servers, as many as there are large VMs.
+    assert!(clients.keys().all(|server| !small.contains(server)));
+    let fleet = self::fleet(400, 5, 15);
+    let clients = self::clients(&fleet);
+    for (server, clients) in clients.iter().filter(|(server, _)| small.contains(server)) {
+        // The fourth server of a data centre of 80 is small; its part is 1 of 13.
+        assert!(*clients <= 15, "{server} has {clients} clients");
+    }
+}
+
+/// Guards against a herd: the clients of a failed server must not all ask the same one next.
+#[test]
+fn clients_of_a_failed_server_are_divided_among_the_others() {
+    let fleet = fleet(100, 1, 0);
+    let failed = *clients(&fleet).keys().next().expect("there are servers");
+    let mut next: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for name in fleet.keys() {
+        let sources = deal_store_reading(&fleet, name).sources;
+        if sources.first() == Some(&failed) {
+            *next.entry(sources[1]).or_default() += 1;
+        }
+    }
+    assert_eq!(next.len(), 4, "five servers, one failed: {next:?}");
+}
+
+/// Guards against a fleet in which gateways of the earlier build, which order all by their hashes,
+/// choose other ones for a role than those of this build.
+#[test]
+fn order_is_by_hash_while_a_registration_does_not_say_the_capacity() {
+    let mut fleet = fleet(30, 3, 5);
+    let by_size = role_order(&fleet, "loads").join(" ");
+    fleet.get_mut("gateway-29").expect("it was added").capacity = None;
+    let by_hash: Vec<&String> = rendezvous_order("loads", fleet.keys());
+    assert_eq!(role_order(&fleet, "loads"), by_hash);
+    assert_ne!(role_order(&fleet, "loads").join(" "), by_size);
+}
+
+#[test]
+fn gateway_that_is_not_registered_yet_reads_the_store_itself() {
+    let reading = deal_store_reading(&fleet(30, 3, 0), "gateway-30");
+    assert!(!reading.is_server && reading.sources.is_empty());
+}
+
+/// Guards against a gateway that asks itself.
+#[test]
+fn substitute_asks_only_those_before_it() {
+    let fleet = fleet(30, 1, 0);
+    for (name, gateway) in &fleet {
+        let reading = deal_store_reading(&fleet, name);
+        assert!(
+            !reading
+                .sources
+                .contains(&gateway.address.expect("it has one"))
+        );
+    }
+}
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -178,9 +178,7 @@
 
 /// Returns whether this gateway is a candidate for the lease.
 fn is_candidate(gateway: &Gateway) -> bool {
-    gateway
-        .roster
-        .is_candidate(gateway.settings().name.as_str())
+    gateway.roster.is_candidate()
 }
 
 /// Returns the content of the lease. The number of attempts makes each write a change. By the
--- a/crates/gateway/src/load_reports.rs
+++ b/crates/gateway/src/load_reports.rs
@@ -38,8 +38,7 @@
             continue;
         }
         let now = gateway.now();
-        // Ranks the gateways by hashes of their names and of this key.
-        let ranking = gateway.roster.ranked_addresses("loads");
+        let ranking = gateway.roster.hub_ranking();
         let (hub, is_new) = gateway.load_exchange.choose_hub(&ranking, now);
         if is_new {
             log_event!(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,13 +3,15 @@
 //! Each call to the store has a price, and the rate of calls is limited. If every gateway watched
 //! the store, the number of calls would be the number of gateways times the number of changes. So
 //! only some gateways of each data centre read the store; the others watch one of these with the
-//! same calls. Served objects are never older than [`MAX_RELAYED_AGE_MS`]: a gateway whose last
+//! same calls. Served objects are never older than a maximum age of their kind: a gateway whose last
 //! answer from the store is older refuses the call. The calling gateway then calls it again, and
 //! after several refusals uses the next relay or the store itself.
+//!
+//! Many gateways ask for the same at the same time. Each answer is encoded once for all of them.
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     convert::Infallible,
     rc::Rc,
     time::Duration,
@@ -25,7 +27,7 @@
     StoredObject, encode_events, encode_list, headers,
     paths::{ObjectsCall, parse_objects_call},
 };
-use jacinthpoint_fleet::{HistoryPosition, MAX_RELAYED_AGE_MS, StoreEra};
+use jacinthpoint_fleet::{HistoryPosition, StoreEra};
 use jacinthpoint_types::TimeMs;
 use tokio::{net::TcpListener, sync::Notify};
 
@@ -35,10 +37,16 @@
     clock::sleep_ms,
     connection::set_options,
     state::Gateway,
+    watch,
 };
 
 /// Number of changes of each kind that are kept for watches that lag behind.
 const MAX_CHANGES: usize = 2_000;
+/// Time for which a call is held if this gateway reads the kind from the store, but has not read the
+/// list yet. Gateways that start together all ask their relays before these have read anything.
+pub(crate) const MAX_LIST_HOLD_MS: u64 = 600;
+/// Time between two checks of whether the objects for a waiting watch are too old.
+const AGE_CHECK_INTERVAL_MS: u64 = 275;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
@@ -55,6 +63,12 @@
     position: HistoryPosition,
     /// Time of the store's last answer.
     answered_at: TimeMs,
+    /// Age of the store's last answer from which calls are refused.
+    max_age_ms: u64,
+    /// The whole list at `position`, once it was asked for.
+    encoded_list: Option<Bytes>,
+    /// The changes from a revision on to `position`, as they were last asked for.
+    encoded_changes: Option<(u64, Bytes)>,
 }
 
 /// Answer to a call of another gateway.
@@ -63,7 +77,7 @@
     /// Era of the store's history that the body is from; `None` without a body, or if the store
     /// named none.
     era: Option<StoreEra>,
-    body: Vec<u8>,
+    body: Bytes,
 }
 
 impl RelayAnswer {
@@ -71,7 +85,7 @@
         RelayAnswer {
             status,
             era: None,
-            body: Vec::new(),
+            body: Bytes::new(),
         }
     }
 }
@@ -80,17 +94,21 @@
 #[derive(Debug, Default)]
 pub(crate) struct Relay {
     caches: RefCell<BTreeMap<&'static str, KindCache>>,
+    /// Kinds that this gateway reads from another gateway.
+    relayed: RefCell<BTreeSet<&'static str>>,
     /// Wakes waiting watches after every change.
     changed: Notify,
 }
 
 impl Relay {
-    /// Replaces the objects of a kind by a whole list from the store.
+    /// Replaces the objects of a kind by a whole list from the store. They are served until the
+    /// store's last answer is `max_age_ms` old.
     pub(crate) fn on_list(
         &self,
         kind: &'static str,
         objects: &[StoredObject],
         position: HistoryPosition,
+        max_age_ms: u64,
         now: TimeMs,
     ) {
         let objects = objects
@@ -102,6 +120,9 @@
             history_floor: position.revision,
             position,
             answered_at: now,
+            max_age_ms,
+            encoded_list: None,
+            encoded_changes: None,
         };
         self.caches.borrow_mut().insert(kind, cache);
         self.changed.notify_waiters();
@@ -122,6 +143,10 @@
             return;
         };
         cache.answered_at = now;
+        if cache.position != position || !changes.is_empty() {
+            cache.encoded_list = None;
+            cache.encoded_changes = None;
+        }
         cache.position = position;
         for (object, is_gone) in changes {
             if *is_gone {
@@ -142,22 +167,37 @@
     /// Removes the objects of a kind that this gateway now reads from another gateway.
     pub(crate) fn remove_kind(&self, kind: &'static str) {
         self.caches.borrow_mut().remove(kind);
+        self.relayed.borrow_mut().insert(kind);
         self.changed.notify_waiters();
     }
 
-    /// Answers a call; returns `None` if a watch has to wait for a change.
+    /// Begins to serve a kind that this gateway now reads from the store. Until its list was read,
+    /// calls are held.
+    pub(crate) fn add_kind(&self, kind: &'static str) {
+        self.relayed.borrow_mut().remove(kind);
+    }
+
+    /// Answers a call; returns `None` if a watch has to wait for a change, or a call for the first
+    /// list.
     fn try_answer(&self, call: &ObjectsCall, now: TimeMs) -> Option<RelayAnswer> {
         let refused = Some(RelayAnswer::without_body(StatusCode::SERVICE_UNAVAILABLE));
-        let caches = self.caches.borrow();
+        let mut caches = self.caches.borrow_mut();
         let (ObjectsCall::List(kind) | ObjectsCall::Watch(kind, ..)) = call;
-        let Some(cache) = caches.get(kind.as_str()) else {
-            return refused;
+        let is_served =
+            watch::KINDS.contains(&kind.as_str()) && !self.relayed.borrow().contains(kind.as_str());
+        let Some(cache) = caches.get_mut(kind.as_str()) else {
+            return if is_served { None } else { refused };
         };
-        if now.since_ms(cache.answered_at) > MAX_RELAYED_AGE_MS {
+        if now.since_ms(cache.answered_at) > cache.max_age_ms {
             return refused;
         }
         let ObjectsCall::Watch(_, after, _) = call else {
-            let list = encode_list(cache.objects.values(), cache.position.revision);
+            let list = cache
+                .encoded_list
+                .get_or_insert_with(|| {
+                    encode_list(cache.objects.values(), cache.position.revision).into()
+                })
+                .clone();
             return Some(cache.answer(list));
         };
         let has_era = after.era.is_some() && cache.position.era.is_some();
@@ -167,10 +207,16 @@
         if after.revision < cache.history_floor || (has_era && after.era < cache.position.era) {
             return Some(RelayAnswer::without_body(StatusCode::GONE));
         }
+        let known = cache.encoded_changes.as_ref();
+        if let Some((_, changes)) = known.filter(|(from, _)| *from == after.revision) {
+            return Some(cache.answer(changes.clone()));
+        }
         let is_newer = |(object, _): &&(StoredObject, bool)| object.revision > after.revision;
         let mut newer = cache.changes.iter().filter(is_newer).peekable();
         newer.peek()?;
-        Some(cache.answer(encode_events(newer, cache.position.revision)))
+        let changes = Bytes::from(encode_events(newer, cache.position.revision));
+        cache.encoded_changes = Some((after.revision, changes.clone()));
+        Some(cache.answer(changes))
     }
 
     /// Returns an answer without changes for a watch whose waiting time is over, or a refusal if
@@ -182,7 +228,7 @@
             (ObjectsCall::Watch(_, after, _), Some(cache)) => {
                 // The calling gateway may have read a later revision elsewhere.
                 let revision = cache.position.revision.max(after.revision);
-                cache.answer(encode_events([], revision))
+                cache.answer(encode_events([], revision).into())
             }
             _ => RelayAnswer::without_body(StatusCode::SERVICE_UNAVAILABLE),
         }
@@ -191,7 +237,7 @@
 
 impl KindCache {
     /// Returns a successful answer, which is from the cache's history.
-    fn answer(&self, body: Vec<u8>) -> RelayAnswer {
+    fn answer(&self, body: Bytes) -> RelayAnswer {
         RelayAnswer {
             status: StatusCode::OK,
             era: self.position.era,
@@ -207,7 +253,7 @@
         Some(call) => answer_call(gateway, &call).await,
         None => RelayAnswer::without_body(StatusCode::NOT_FOUND),
     };
-    let mut response = Response::new(full_body(Bytes::from(answer.body)));
+    let mut response = Response::new(full_body(answer.body));
     *response.status_mut() = answer.status;
     if let Some(era) = answer.era {
         let fields = response.headers_mut();
@@ -219,7 +265,7 @@
 /// Answers a call; a watch waits until there is a change or its waiting time is over.
 async fn answer_call(gateway: &Gateway, call: &ObjectsCall) -> RelayAnswer {
     let wait_ms = match call {
-        ObjectsCall::List(_) => 0,
+        ObjectsCall::List(_) => MAX_LIST_HOLD_MS,
         ObjectsCall::Watch(_, _, wait_ms) => *wait_ms,
     };
     let until = gateway.now().plus_ms(wait_ms);
@@ -233,7 +279,7 @@
             return gateway.relay.answer_empty(call);
         }
         // Wakes without a change, too, to refuse the call once the cache is too old.
-        let wait = Duration::from_millis(until.since_ms(now).min(MAX_RELAYED_AGE_MS / 4));
+        let wait = Duration::from_millis(until.since_ms(now).min(AGE_CHECK_INTERVAL_MS));
         let _ = tokio::time::timeout(wait, changed).await;
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use jacinthpoint_dispatch::FleetRetryBudgetSettings;
+use jacinthpoint_fleet::VmCapacity;
 use jacinthpoint_settings::{Absent, Reader, SettingsError, SettingsKey, key, number};
 use jacinthpoint_types::{DataCentreId, NodeId};
 
@@ -20,6 +21,9 @@
     key("listen", "metrics", Absent::Nothing),
     key("store", "address", Absent::Refused),
     number("limits", "descriptors", "1024", 300..=10_000_000),
+    // What the VM can carry. Gateways on larger VMs serve the others.
+    key("limits", "core_share", Absent::Default("1")),
+    key("limits", "link_mbps", Absent::Default("1000")),
     // The platform kills a process that still runs this long after the signal to stop.
     number("stop", "grace_ms", "8000", 1_000..=MAX_MS),
     // The load balancer checks readiness once a second and removes a gateway after two failed
@@ -55,6 +59,8 @@
     pub store: SocketAddr,
     /// Number of file descriptors that the process may have open.
     pub descriptors: usize,
+    /// What the VM can carry.
+    pub capacity: VmCapacity,
     /// Time between the signal to stop and the kill by the platform.
     pub grace_ms: u64,
     /// Time after the signal to stop in which new requests are still accepted, while the load
@@ -101,6 +107,8 @@
     let metrics = reader.value("listen", "metrics");
     let store = reader.value("store", "address");
     let descriptors = reader.value("limits", "descriptors");
+    let core_share: Option<f64> = reader.value("limits", "core_share");
+    let link_mbps: Option<f64> = reader.value("limits", "link_mbps");
     let grace_ms = reader.value("stop", "grace_ms");
     let announce_ms = reader.value("stop", "announce_ms");
     let ratio: Option<f64> = reader.value("repeats", "ratio");
@@ -117,6 +125,11 @@
         metrics,
         store: store?,
         descriptors: descriptors?,
+        // The conversion takes values out of range, such as NaN, to the nearest valid one.
+        capacity: VmCapacity {
+            core_permille: ((core_share? * 1_000.0) as u32).max(1),
+            link_kbps: ((link_mbps? * 1_000.0) as u32).max(1),
+        },
         grace_ms: grace_ms?,
         announce_ms: announce_ms?,
         repeats: FleetRetryBudgetSettings {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -2,9 +2,9 @@
 
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, header};
+use hyper::{Method, Request, body::Incoming, header};
 use jacinthpoint_adapter::{
     DecodeError, Events, List, StoredObject, decode_era, decode_events, decode_list, decode_object,
     encode_object, headers,
@@ -15,19 +15,21 @@
 use serde_json::Value;
 use tokio::time::timeout;
 
-use crate::{connection::Connection, events::log_event};
+use crate::{connection::Connection, events::log_event, relay::MAX_LIST_HOLD_MS};
 
 /// Time for connecting to the store, which is a few milliseconds away.
 const CONNECT_TIMEOUT_MS: u64 = 500;
-/// Time for an answer of the store, in addition to the wait that a watch requests. A slow store
-/// takes a few hundred milliseconds.
+/// Time for the head of the store's answer, in addition to the wait that a watch requests, and between
+/// two parts of its body. A slow store takes a few hundred milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 800;
 
 /// Time for connecting to a relay, which is in the same data centre.
 const RELAY_CONNECT_TIMEOUT_MS: u64 = 200;
-/// Time for an answer of a relay, in addition to the wait that a watch requests. Relays answer from
-/// memory.
+/// Time for the head of a relay's answer, in addition to the wait that the call requests, and between
+/// two parts of its body. Relays answer from memory.
 const RELAY_ANSWER_TIMEOUT_MS: u64 = 250;
+/// Time for the whole body of an answer.
+const MAX_BODY_MS: u64 = 3_000;
 
 /// Error of a call.
 #[derive(Debug, derive_more::Display)]
@@ -164,7 +166,9 @@
                 Freshness::MayBeOld => CallType::OldRead,
             },
         );
-        let Answer { body, era, .. } = self.read(&path, 0).await?;
+        // A relay that has just started answers when it has read the list.
+        let wait_ms = if self.is_relayed { MAX_LIST_HOLD_MS } else { 0 };
+        let Answer { body, era, .. } = self.read(&path, wait_ms).await?;
         decode_list(&body, era).map_err(StoreError::Unreadable)
     }
 
@@ -345,25 +349,50 @@
         let request = request
             .body(Full::new(body))
             .map_err(|error| StoreError::NotReached(error.to_string()))?;
-        let exchange = async {
-            let response = connection.send(request).await;
-            let response = response.map_err(|error| error.into_error())?;
-            let status = response.status().as_u16();
-            let era = response.headers().get(headers::STORE_ERA);
-            let era = era.and_then(|era| decode_era(era.to_str().ok()?));
-            let body = response.into_body().collect().await?.to_bytes();
-            Ok::<_, hyper::Error>(Answer { status, era, body })
+        let failed = |error: hyper::Error| StoreError::NoAnswer(error.to_string());
+        let response = match timeout(ms(timeout_ms), connection.send(request)).await {
+            Ok(response) => response.map_err(|error| failed(error.into_error()))?,
+            Err(_) => return Err(timed_out()),
         };
-        match timeout(Duration::from_millis(timeout_ms), exchange).await {
-            Ok(Ok(answer)) => {
-                self.connection = Some(connection);
-                self.era = answer.era;
-                Ok(answer)
+        let status = response.status().as_u16();
+        let era = response.headers().get(headers::STORE_ERA);
+        let era = era.and_then(|era| decode_era(era.to_str().ok()?));
+        let body = read_body(response.into_body(), self.answer_timeout_ms).await?;
+        self.connection = Some(connection);
+        self.era = era;
+        Ok(Answer { status, era, body })
+    }
+}
+
+/// Reads a whole body. Fails if no part of it arrives for `pause_ms`, or if it takes longer than
+/// [`MAX_BODY_MS`]: a long list takes its time on a slow link, and only silence shows a fault.
+async fn read_body(mut body: Incoming, pause_ms: u64) -> Result<Bytes, StoreError> {
+    let read = async {
+        let mut bytes = BytesMut::new();
+        loop {
+            match timeout(ms(pause_ms), body.frame()).await {
+                Ok(None) => return Ok(bytes.freeze()),
+                Ok(Some(Ok(frame))) => {
+                    if let Some(part) = frame.data_ref() {
+                        bytes.extend_from_slice(part);
+                    }
+                }
+                Ok(Some(Err(error))) => return Err(StoreError::NoAnswer(error.to_string())),
+                Err(_) => return Err(timed_out()),
             }
-            Ok(Err(error)) => Err(StoreError::NoAnswer(error.to_string())),
-            Err(_) => Err(StoreError::NoAnswer("timed out".to_owned())),
         }
-    }
+    };
+    timeout(ms(MAX_BODY_MS), read)
+        .await
+        .unwrap_or_else(|_| Err(timed_out()))
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn timed_out() -> StoreError {
+    StoreError::NoAnswer("timed out".to_owned())
 }
 
 /// Tracks for one task whether the store is available, and logs when this changes.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,7 +1,7 @@
 //! Keeps the view of the fleet up to date by watches on the platform's store or on a relay.
 //!
-//! The configuration, the entries of upstreams and the records of suspected parts of prompts are
-//! three kinds of objects. One task per kind reads the list, then watches for changes from the
+//! The configuration, the entries of upstreams, the records of suspected parts of prompts and the
+//! registrations of gateways are four kinds of objects. One task per kind reads the list, then watches for changes from the
 //! list's revision on. A gateway that is not a reader of the store watches another gateway, the
 //! relay, and uses the next relay or the store itself if that one fails.
 
@@ -11,12 +11,12 @@
     Events, List, StoredObject,
     paths::{self, Freshness},
 };
-use jacinthpoint_fleet::{Continuity, HistoryPosition, ViewChange};
+use jacinthpoint_fleet::{Continuity, HistoryPosition, MAX_RELAYED_AGE_MS, ViewChange};
 
 use crate::{
     clock::sleep_ms,
     events::log_event,
-    quarantine,
+    quarantine, roster,
     state::Gateway,
     store::{Availability, StoreClient, StoreError},
     watch::entries::{apply_config, apply_entry, apply_list},
@@ -24,15 +24,35 @@
 
 mod entries;
 
-/// Maximum wait of one watch on the store. If a connection stalls for good, this is detected only
-/// after this wait and the timeout for the answer, and a configuration must be in force within
-/// seconds. The wait also limits the age of objects that are served to other gateways.
-const STORE_WAIT_MS: u64 = 800;
-/// Maximum wait of one watch on a relay for the configuration and the upstreams.
-const RELAY_WAIT_MS: u64 = 400;
-/// The same for suspected parts of prompts, which rarely change. A relay that fails is noticed after
-/// this wait, and a part has to be known within seconds.
-const SUSPICIONS_RELAY_WAIT_MS: u64 = 1_000;
+/// All kinds that gateways read for each other.
+pub(crate) const KINDS: [&str; 4] = [
+    paths::CONFIG_KIND,
+    paths::UPSTREAM_KIND,
+    quarantine::KIND,
+    roster::KIND,
+];
+
+/// Maximum waits of one watch on the configuration or on the upstreams. If a connection stalls for
+/// good, this is detected only after this wait and the timeout for the answer, and a configuration
+/// must be in force within seconds.
+const WAITS: Waits = Waits {
+    store_ms: 800,
+    relay_ms: 400,
+    max_relayed_age_ms: MAX_RELAYED_AGE_MS,
+};
+/// The same for suspected parts of prompts, which rarely change and have to be known within seconds.
+const SUSPICIONS_WAITS: Waits = Waits {
+    store_ms: 2_000,
+    relay_ms: 1_000,
+    max_relayed_age_ms: 3_000,
+};
+/// The same for registrations. Nothing waits for them but the retry budget of a new gateway; see
+/// `roster::COUNTED_AFTER_MS`.
+const ROSTER_WAITS: Waits = Waits {
+    store_ms: 3_000,
+    relay_ms: 1_000,
+    max_relayed_age_ms: 4_500,
+};
 /// Minimum pause after a failure of the store for suspected parts of prompts. Nothing else depends on
 /// them, so an unavailable store is asked for them less often.
 const SUSPICIONS_BACKOFF_MS: u64 = 1_500;
@@ -59,11 +79,23 @@
     Restore,
 }
 
+/// How long the watches of one kind wait for a change.
+struct Waits {
+    /// Maximum wait of one watch on the store.
+    store_ms: u64,
+    /// Maximum wait of one watch on a relay.
+    relay_ms: u64,
+    /// Age of the store's last answer from which a relay refuses calls. Longer than the wait of a
+    /// watch on the store, which answers by then even without a change.
+    max_relayed_age_ms: u64,
+}
+
 /// A kind of objects and the functions that apply its lists and changes.
 struct Feed {
     kind: &'static str,
-    /// Maximum wait of one watch on a relay.
-    relay_wait_ms: u64,
+    waits: Waits,
+    /// Whether the first list may be seconds old.
+    first_list: Freshness,
     /// Minimum pause after a failure of the store.
     min_backoff_ms: u64,
     /// Applies a whole list.
@@ -77,7 +109,8 @@
 pub(crate) async fn watch_config(gateway: Rc<Gateway>) {
     let feed = Feed {
         kind: paths::CONFIG_KIND,
-        relay_wait_ms: RELAY_WAIT_MS,
+        waits: WAITS,
+        first_list: Freshness::Newest,
         min_backoff_ms: 0,
         on_list: |gateway, list, _| {
             for object in &list.objects {
@@ -97,7 +130,8 @@
 pub(crate) async fn watch_upstreams(gateway: Rc<Gateway>) {
     let feed = Feed {
         kind: paths::UPSTREAM_KIND,
-        relay_wait_ms: RELAY_WAIT_MS,
+        waits: WAITS,
+        first_list: Freshness::Newest,
         min_backoff_ms: 0,
         on_list: apply_list,
         on_change: apply_entry,
@@ -109,7 +143,8 @@
 pub(crate) async fn watch_suspicions(gateway: Rc<Gateway>) {
     let feed = Feed {
         kind: quarantine::KIND,
-        relay_wait_ms: SUSPICIONS_RELAY_WAIT_MS,
+        waits: SUSPICIONS_WAITS,
+        first_list: Freshness::Newest,
         min_backoff_ms: SUSPICIONS_BACKOFF_MS,
         on_list: |gateway, list, interruption| {
             quarantine::apply_list(gateway, &list, interruption == Interruption::Restore);
@@ -121,6 +156,23 @@
     run(&gateway, &feed).await;
 }
 
+/// Watches the registrations of gateways for ever. Unlike the other kinds, their first list is always
+/// read from the store: it tells which gateways there are to read from. `first_list` says whether it
+/// may be seconds old.
+pub(crate) async fn watch_gateways(gateway: Rc<Gateway>, first_list: Freshness) {
+    let feed = Feed {
+        kind: roster::KIND,
+        waits: ROSTER_WAITS,
+        first_list,
+        min_backoff_ms: 0,
+        on_list: |gateway, list, _| roster::apply_list(gateway, &list),
+        on_change: |gateway, object, is_removed, _| {
+            roster::apply_registration(gateway, object, is_removed);
+        },
+    };
+    run(&gateway, &feed).await;
+}
+
 /// Runs for ever: removes upstreams whose entries were not written again in time after an outage of
 /// the store, and group members that have been unlisted for too long; and puts entries in force that
 /// were not written again after a restore of the store.
@@ -157,7 +209,9 @@
 /// whenever a call fails or [`follow`] returns.
 async fn run(gateway: &Gateway, feed: &Feed) {
     let mut progress = Progress::default();
-    gateway.roster.wait_until_known().await;
+    if feed.kind != roster::KIND {
+        gateway.roster.wait_until_known().await;
+    }
     loop {
         let mut source = open_source(gateway, feed.kind);
         // From the store, the whole list is always read first, because `Relay` serves a kind to
@@ -190,8 +244,10 @@
                 progress.must_list = true;
             }
             Err(StoreError::Refused(503) | StoreError::Older) if source.is_relayed() => {
-                // After enough refusals, uses another source; before, calls the same relay again.
-                if progress.availability.tracker.on_relay_refusal() {
+                // After enough refusals, uses another source; before, calls the same relay again. A
+                // call for the list was held for a while before it was refused.
+                let is_list = progress.position.is_none() || progress.must_list;
+                if progress.availability.tracker.on_relay_refusal() || is_list {
                     gateway.roster.exclude_stale_reader(source.address(), now);
                 } else {
                     sleep_ms(RELAY_RETRY_PAUSE_MS).await;
@@ -212,15 +268,13 @@
 /// store only because its relays refuse or do not answer, because it has no address for other
 /// gateways, or because its roster does not list it yet.
 fn is_fallback_reader(gateway: &Gateway) -> bool {
-    let own = gateway.settings().name.clone();
-    !gateway.is_owner() && !gateway.roster.is_permanent_reader(own.as_str())
+    !gateway.is_owner() && !gateway.roster.is_permanent_reader()
 }
 
 /// Returns the address of the relay to watch; `None` if this gateway reads the store itself. The
 /// owner of the groups always does.
 fn relay_address(gateway: &Gateway) -> Option<std::net::SocketAddr> {
-    let own = gateway.settings().name.clone();
-    let reader = gateway.roster.reader(own.as_str(), gateway.now());
+    let reader = gateway.roster.reader(gateway.now());
     reader.filter(|_| !gateway.is_owner())
 }
 
@@ -231,7 +285,10 @@
             gateway.relay.remove_kind(kind);
             StoreClient::for_relay(address)
         }
-        None => StoreClient::new(gateway.settings().store),
+        None => {
+            gateway.relay.add_kind(kind);
+            StoreClient::new(gateway.settings().store)
+        }
     }
 }
 
@@ -245,7 +302,11 @@
     source: &mut StoreClient,
     progress: &mut Progress,
 ) -> Result<(), StoreError> {
-    let list = source.list_all(feed.kind, Freshness::Newest).await?;
+    let freshness = match progress.position {
+        None => feed.first_list,
+        Some(_) => Freshness::Newest,
+    };
+    let list = source.list_all(feed.kind, freshness).await?;
     log_history(feed, source, progress.position, list.position);
     let known = progress.position;
     let continuity = known.map(|known| list.position.continuity(&known));
@@ -270,9 +331,10 @@
         .availability
         .on_answer(feed.kind, source.is_relayed(), now);
     if !source.is_relayed() {
+        let max_age_ms = feed.waits.max_relayed_age_ms;
         gateway
             .relay
-            .on_list(feed.kind, &list.objects, list.position, now);
+            .on_list(feed.kind, &list.objects, list.position, max_age_ms, now);
     }
     let known_era = known.and_then(|known| known.era);
     progress.position = Some(HistoryPosition {
@@ -325,13 +387,13 @@
     progress: &mut Progress,
 ) -> Result<(), StoreError> {
     let mut after = progress.position.unwrap_or_default();
-    loop {
-        let is_relayed = source.is_relayed();
-        let wait_ms = if is_relayed {
-            feed.relay_wait_ms
-        } else {
-            STORE_WAIT_MS
-        };
+    let is_relayed = source.is_relayed();
+    let wait_ms = if is_relayed {
+        feed.waits.relay_ms
+    } else {
+        feed.waits.store_ms
+    };
+    while relay_address(gateway).is_some() == is_relayed {
         let Events { changes, position } = source.watch(feed.kind, after, wait_ms).await?;
         log_history(feed, source, progress.position, position);
         match position.continuity(&after) {
@@ -360,8 +422,6 @@
             };
             sleep_ms(pause_ms).await;
         }
-        if relay_address(gateway).is_some() != is_relayed {
-            return Ok(());
-        }
     }
+    Ok(())
 }
