Gateway: loads are exchanged through cells with a hub each, and a root

One hub got the reports of all gateways: at 295 of them 2,950 a second, each answered with two datagrams, about 40 Mbit/s. Now a hub has 20 gateways, and the root adds up the hubs; both are on the largest VMs if all registrations say their sizes. A simulated fleet of 1 to 1,000 gateways shows that each knows the loads of all others within 400 ms.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
     demand::WorkMeter,
     directory::{Directory, Target, TargetGroup, TargetKey},
     load::{LoadTracker, Refusal, Selection, retry_after_ms},
+    load_cell::{LoadCell, cell_count, cell_interval_ms, member_interval_ms},
     peer_load::{LoadAggregator, PeerLoad, TargetDigest, TargetReport},
     permit_issuer::{LIMIT_SYNC_MS, PermitIssuer},
     prediction::PromptDemand,
@@ -24,6 +25,7 @@
 mod demand;
 mod directory;
 mod load;
+mod load_cell;
 mod peer_load;
 mod permit_issuer;
 mod prediction;
--- a/crates/dispatch/src/peer_load.rs
+++ b/crates/dispatch/src/peer_load.rs
@@ -7,9 +7,9 @@
 //! that rarely answers them.
 //!
 //! So each gateway reports its requests at each target to one of the gateways, the hub, which
-//! aggregates the reports and answers each gateway with the load of all others. Any gateway can be
-//! the hub. Without a hub, each gateway uses only its own requests and the loads that targets
-//! report in their answers.
+//! aggregates the reports and answers each gateway with the load of all others; in a large fleet,
+//! several hubs share this work ([`crate::LoadCell`]). Any gateway can be a hub. Without a hub, each
+//! gateway uses only its own requests and the loads that targets report in their answers.
 
 use std::collections::BTreeMap;
 
@@ -73,7 +73,7 @@
 
 impl TargetReport {
     /// Combines the report with another gateway's report on the same target.
-    fn merge(&mut self, other: &TargetReport) {
+    pub(crate) fn merge(&mut self, other: &TargetReport) {
         let latest_event = |a: Option<u32>, b: Option<u32>| a.into_iter().chain(b).min();
         self.in_flight = self.in_flight.saturating_add(other.in_flight);
         self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
@@ -139,6 +139,16 @@
     /// Returns the load of each target without the requests of `gateway` itself. `heard_ms` and
     /// `waited_ms` include those that `gateway` reported.
     pub fn load_of_others(&mut self, gateway: &K, now: TimeMs) -> Vec<TargetReport> {
+        self.load_without(|key| key == gateway, now)
+    }
+
+    /// Like [`LoadAggregator::load_of_others`], without the requests of all reports whose key is left
+    /// out.
+    pub fn load_without(
+        &mut self,
+        is_left_out: impl Fn(&K) -> bool,
+        now: TimeMs,
+    ) -> Vec<TargetReport> {
         let is_old =
             |aggregate: &Aggregate<K>| now.since_ms(aggregate.computed_at) >= AGGREGATE_VALID_MS;
         if self.aggregate.as_ref().is_none_or(is_old) {
@@ -147,17 +157,29 @@
         let Some(aggregate) = &self.aggregate else {
             return Vec::new();
         };
-        let own_reports = aggregate.reported.get(gateway);
-        let without_gateway = |report: &TargetReport| {
-            let own = own_reports.and_then(|reports| reports.get(&report.target));
-            let (in_flight, unread_tokens) = own.copied().unwrap_or_default();
-            TargetReport {
-                in_flight: report.in_flight.saturating_sub(in_flight),
-                unread_tokens: report.unread_tokens.saturating_sub(unread_tokens),
-                ..*report
+        let left_out: Vec<&BTreeMap<TargetDigest, (u32, u32)>> = aggregate
+            .reported
+            .iter()
+            .filter(|(key, _)| is_left_out(key))
+            .map(|(_, reports)| reports)
+            .collect();
+        let without = |report: &TargetReport| {
+            let mut report = *report;
+            for reports in &left_out {
+                let own = reports.get(&report.target).copied();
+                let (in_flight, unread_tokens) = own.unwrap_or_default();
+                report.in_flight = report.in_flight.saturating_sub(in_flight);
+                report.unread_tokens = report.unread_tokens.saturating_sub(unread_tokens);
             }
+            report
         };
-        aggregate.targets.iter().map(without_gateway).collect()
+        aggregate.targets.iter().map(without).collect()
+    }
+
+    /// Returns whether there is a report that has not expired.
+    pub fn has_reports(&self, now: TimeMs) -> bool {
+        let mut reports = self.reports.values();
+        reports.any(|report| now.since_ms(report.reported_at) < REPORT_VALID_MS)
     }
 
     /// Drops expired reports and aggregates the others.
@@ -205,6 +227,14 @@
         }
     }
 
+    /// Returns all valid reports with their times advanced to `now`.
+    pub fn reports(&self, now: TimeMs) -> Vec<TargetReport> {
+        let reports = self.reports.values();
+        let aged = reports.map(|(report, at)| (report, now.since_ms(*at)));
+        let valid = aged.filter(|(_, age_ms)| *age_ms < ANSWER_VALID_MS);
+        valid.map(|(report, age_ms)| report.aged(age_ms)).collect()
+    }
+
     /// Returns whether the last answer of the hub is still valid.
     pub fn is_fresh(&self, now: TimeMs) -> bool {
         let at = self.answered_at;
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -2,6 +2,7 @@
 //! upstreams, quarantine, and reach of upstreams.
 
 mod budget;
+mod load_cells;
 mod many_gateways;
 mod new_group;
 mod passes;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,7 +13,9 @@
     group::{Group, groups_of},
     history::{Continuity, HistoryPosition, StoreEra},
     order::{Order, OrderAction, OrderAnswer},
-    roles::{RegisteredGateway, StoreReading, VmCapacity, deal_store_reading, role_order},
+    roles::{
+        RegisteredGateway, StoreReading, VmCapacity, deal_load_hubs, deal_store_reading, role_order,
+    },
     source::{MAX_RELAYED_AGE_MS, SourceTracker, StoreUnavailability},
     upstream::{GroupState, Membership, Upstream, UpstreamState},
     view::{EXPIRY_GRACE_MS, FleetView, MIN_OUTAGE_MS, REMOVED_HOLD_MS, UNLISTED_MS, ViewChange},
--- a/crates/fleet/src/roles.rs
+++ b/crates/fleet/src/roles.rs
@@ -95,13 +95,7 @@
             sources: Vec::new(),
         };
     }
-    // Weighted rendezvous hashing: each server is first for a part of the clients in proportion to
-    // its size.
-    let mut sources = servers.to_vec();
-    sources.sort_by(|a, b| {
-        let score = |server: &str| weighted_score(server, own, sizes[server]);
-        score(b).total_cmp(&score(a))
-    });
+    let mut sources = ranked_for_client(servers, own, &sizes);
     let substitutes = others.iter().take(SUBSTITUTES);
     sources.extend(substitutes.take_while(|name| **name != own));
     let addresses = sources
@@ -114,6 +108,47 @@
     }
 }
 
+/// Returns the addresses of the hubs of the fleet's `cells` cells, in the order in which the gateway
+/// `own` reports its loads to them; only its own address if it is a hub itself. Gateways of a build
+/// that does not know cells are no hubs.
+pub fn deal_load_hubs(
+    all: &BTreeMap<String, RegisteredGateway>,
+    own: &str,
+    cells: usize,
+) -> Vec<SocketAddr> {
+    let members: BTreeMap<&str, &RegisteredGateway> = all
+        .iter()
+        .filter(|(_, gateway)| gateway.address.is_some() && gateway.capacity.is_some())
+        .map(|(name, gateway)| (name.as_str(), gateway))
+        .collect();
+    let sizes = vm_sizes(&members);
+    let mut hubs = by_size("loads", &sizes);
+    hubs.truncate(cells);
+    if hubs.contains(&own) {
+        hubs = vec![own];
+    }
+    let ranked = ranked_for_client(&hubs, own, &sizes);
+    ranked
+        .iter()
+        .filter_map(|name| members.get(name)?.address)
+        .collect()
+}
+
+/// Returns the servers in the order in which the gateway `client` uses them. By weighted rendezvous
+/// hashing, each server is first for a part of the clients in proportion to its size.
+fn ranked_for_client<'a>(
+    servers: &[&'a str],
+    client: &str,
+    sizes: &BTreeMap<&str, f64>,
+) -> Vec<&'a str> {
+    let mut ranked = servers.to_vec();
+    ranked.sort_by(|a, b| {
+        let score = |server: &str| weighted_score(server, client, sizes[server]);
+        score(b).total_cmp(&score(a))
+    });
+    ranked
+}
+
 /// Returns the names of all gateways in the order in which they take the role `role`, which is for the
 /// whole fleet: those on larger VMs first, and those on equal ones in an order that differs from role
 /// to role.
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -33,10 +33,11 @@
 pub(crate) enum Datagram {
     /// Notification of a fault.
     Alarm(Alarm),
-    /// Report of the sender's requests at each target, sent to the hub.
+    /// Report of the sender's requests at each target, sent to the root by gateways of builds that do
+    /// not know [`Datagram::Cell`], and to roots of such builds.
     LoadReport(Vec<TargetReport>),
-    /// The hub's answer to a report, or a part of it: the load that all other gateways have at each
-    /// of these targets.
+    /// The answer to such a report, or a part of it: the load that all other gateways have at each of
+    /// these targets.
     AggregatedLoad(Vec<TargetReport>),
     /// Report of upstreams' limits to the hub, with requests for permits.
     LimitReport {
@@ -47,6 +48,31 @@
     },
     /// The hub's answer to a report of limits, or a part of it.
     LimitAnswer(Vec<LimitAnswer>),
+    /// Message of the exchange of loads.
+    Cell(CellMessage),
+}
+
+/// A message between a member and the hub of its cell, or between a hub and the root.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum CellMessage {
+    /// A member's requests at each target, sent to its hub.
+    Member(Vec<TargetReport>),
+    /// One part of the sum of a cell, sent by its hub to the root.
+    Cell {
+        /// Number of the part, from 0 on.
+        part: u8,
+        /// Load of the cell at these targets.
+        reports: Vec<TargetReport>,
+    },
+    /// The hub's answer to a member, or a part of it.
+    ToMember {
+        /// The root, which issues permits; `None` if the hub knows none.
+        root: Option<SocketAddr>,
+        /// Load of all other gateways at these targets.
+        loads: Vec<TargetReport>,
+    },
+    /// The root's answer to a hub, or a part of it: the load of all other cells.
+    ToHub(Vec<TargetReport>),
 }
 
 /// Encodes a datagram; returns `None` if it is longer than [`MAX_BYTES`].
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -37,7 +37,7 @@
     /// The source of a watch no longer has the changes that the watch needs; the list is read
     /// again.
     HistoryLost = 716,
-    /// The gateway reports its loads to another hub than before.
+    /// The gateway reports its loads to another hub than before, or its cell's to another root.
     HubChanged = 717,
     /// This gateway acquired the lease and sends orders from now on.
     OwnershipGained = 720,
--- a/crates/gateway/src/limit_exchange.rs
+++ b/crates/gateway/src/limit_exchange.rs
@@ -1,7 +1,7 @@
 //! Exchange of upstreams' limits and of permits with the hub.
 //!
-//! Each gateway reports the limits that upstreams named to it to the hub of the load exchange, and
-//! asks there for permits. A gateway without an address for other gateways issues permits itself,
+//! Each gateway reports the limits that upstreams named to it to the root of the load exchange, and
+//! asks there for permits: one gateway issues all permits, since each that did could save one up. A gateway without an address for other gateways issues permits itself,
 //! at an even share of each limit.
 
 use std::{
@@ -96,7 +96,7 @@
 
 /// Applies an answer, unless it comes from another gateway than the hub.
 pub(crate) fn handle_answer(gateway: &Gateway, from: SocketAddr, answers: &[LimitAnswer]) {
-    if gateway.load_exchange.is_hub(from) {
+    if gateway.load_exchange.permit_issuer.get() == Some(from) {
         apply(gateway, answers, gateway.now());
     }
 }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -17,11 +17,18 @@
 //! [`COUNTED_AFTER_MS`] have passed, it uses little slack of the retry budget and no upstream that
 //! names a limit.
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use jacinthpoint_adapter::{List, StoredObject, paths::Freshness};
+use jacinthpoint_dispatch::cell_count;
 use jacinthpoint_fleet::{
-    RegisteredGateway, StoreReading, VmCapacity, deal_store_reading, role_order,
+    RegisteredGateway, StoreReading, VmCapacity, deal_load_hubs, deal_store_reading, role_order,
 };
 use jacinthpoint_types::TimeMs;
 use serde_json::{Value, json};
@@ -76,8 +83,12 @@
 struct Dealt {
     /// Who reads the store for this gateway.
     reading: StoreReading,
-    /// Addresses of all gateways in the order in which they become the hub for load reports.
-    hub_ranking: Rc<[SocketAddr]>,
+    /// Addresses of the hubs of load reports, in the order in which this gateway uses them.
+    load_hubs: Rc<[SocketAddr]>,
+    /// Addresses of all gateways in the order in which they become the root of load reports.
+    root_ranking: Rc<[SocketAddr]>,
+    /// Addresses of gateways of builds that do not know cells.
+    without_cells: BTreeSet<SocketAddr>,
     /// Position of this gateway in the order in which they become candidates for the lease; `None` if
     /// it is not registered.
     candidate_position: Option<usize>,
@@ -131,10 +142,20 @@
         others.filter_map(|(_, gateway)| gateway.address).collect()
     }
 
-    /// Returns the addresses of all gateways in the order in which they become the hub for load
+    /// Returns the addresses of the hubs of load reports, in the order in which this gateway uses them.
+    pub(crate) fn load_hubs(&self) -> Rc<[SocketAddr]> {
+        self.dealt.borrow().load_hubs.clone()
+    }
+
+    /// Returns the addresses of all gateways in the order in which they become the root of load
     /// reports.
-    pub(crate) fn hub_ranking(&self) -> Rc<[SocketAddr]> {
-        self.dealt.borrow().hub_ranking.clone()
+    pub(crate) fn root_ranking(&self) -> Rc<[SocketAddr]> {
+        self.dealt.borrow().root_ranking.clone()
+    }
+
+    /// Returns whether the gateway at `address` is of a build that knows cells.
+    pub(crate) fn knows_cells(&self, address: SocketAddr) -> bool {
+        !self.dealt.borrow().without_cells.contains(&address)
     }
 
     /// Returns whether this gateway is a candidate for the lease, or is not registered yet.
@@ -157,11 +178,17 @@
         }
         let settings = gateway.settings();
         let own = settings.name.as_str();
-        let hubs = role_order(&all, "loads").into_iter();
+        let cells = cell_count(all.len());
+        let roots = role_order(&all, "loads").into_iter();
+        let without_cells = all.values().filter(|gateway| gateway.capacity.is_none());
         let candidates = role_order(&all, "owner");
         *self.dealt.borrow_mut() = Dealt {
             reading: deal_store_reading(&all, own),
-            hub_ranking: hubs.filter_map(|name| all[name].address).collect(),
+            load_hubs: deal_load_hubs(&all, own, cells).into(),
+            root_ranking: roots.filter_map(|name| all[name].address).collect(),
+            without_cells: without_cells
+                .filter_map(|gateway| gateway.address)
+                .collect(),
             candidate_position: candidates.iter().position(|name| *name == own),
         };
         gateway.gateway_count.set(all.len().max(1));
