Lease: gateways take it over in steps by their position, and roles are dealt when they are needed

Now four at a time try, the next ones 0.8 s later. The roles of all gateways were dealt again for each registration; now once they are used.

--- a/crates/fleet/src/roles.rs
+++ b/crates/fleet/src/roles.rs
@@ -20,6 +20,15 @@
 const GATEWAYS_PER_SERVER: usize = 20;
 /// Number of gateways of a data centre that serve others when all servers fail.
 const SUBSTITUTES: usize = 2;
+/// Number of gateways that compete for the lease at the same time.
+const CANDIDATES: usize = 4;
+/// Time without a change of the lease after which the first candidates take it over: three missed
+/// renewals.
+const TAKEOVER_MS: u64 = 1_600;
+/// Time by which the next candidates wait longer, and the number of steps after which all others do not
+/// wait longer than those before.
+const TAKEOVER_STEP_MS: u64 = 800;
+const TAKEOVER_STEPS: usize = 5;
 
 /// What the VM of a gateway can carry. Neither value is 0.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,6 +76,19 @@
     pub sources: Vec<SocketAddr>,
 }
 
+/// Returns whether the gateway at this position of the order for the lease checks it often.
+pub fn is_lease_candidate(position: usize) -> bool {
+    position < CANDIDATES
+}
+
+/// Returns the time without a change of the lease after which the gateway at this position of the order
+/// takes it over. Were it the same for all, all of a large fleet would try when an owner is lost, by a
+/// write each.
+pub fn takeover_ms(position: usize) -> u64 {
+    let step = (position / CANDIDATES).min(TAKEOVER_STEPS);
+    TAKEOVER_MS + step as u64 * TAKEOVER_STEP_MS
+}
+
 /// Deals the reading of the store for the gateway `own` among the gateways of its data centre.
 ///
 /// A gateway that is not among `all` yet reads the store itself.
--- a/crates/fleet/tests/roles.rs
+++ b/crates/fleet/tests/roles.rs
@@ -5,7 +5,10 @@
     net::SocketAddr,
 };
 
-use jacinthpoint_fleet::{RegisteredGateway, VmCapacity, deal_store_reading, role_order};
+use jacinthpoint_fleet::{
+    RegisteredGateway, VmCapacity, deal_load_hubs, deal_store_reading, is_lease_candidate,
+    role_order, takeover_ms,
+};
 use jacinthpoint_types::rendezvous_order;
 
 /// Target for the clients of one server on equal VMs: twice the gateways per server, since hashes do
@@ -138,3 +141,53 @@
         );
     }
 }
+
+/// Guards against a fleet in which all write to the store when the owner of the lease is lost.
+#[test]
+fn few_gateways_of_a_large_fleet_take_the_lease_over_at_the_same_time() {
+    let first = (0..295).filter(|position| takeover_ms(*position) == takeover_ms(0));
+    assert_eq!(first.clone().count(), 4);
+    assert!(first.into_iter().all(is_lease_candidate));
+    // Some gateway takes over within six seconds, whichever are lost.
+    assert!((0..295).all(|position| takeover_ms(position) <= 6_000));
+}
+
+/// Guards against a hub or a member that reports to a gateway that does not know cells, or to nobody.
+#[test]
+fn hubs_are_of_builds_that_know_cells() {
+    let mut fleet = fleet(60, 3, 0);
+    for (index, gateway) in fleet.values_mut().enumerate() {
+        if index % 2 == 0 {
+            gateway.capacity = None;
+        }
+    }
+    for own in fleet.keys() {
+        let hubs = deal_load_hubs(&fleet, own, 3);
+        let of_build = |hub: &SocketAddr| {
+            let mut gateways = fleet.values();
+            gateways.any(|gateway| gateway.address == Some(*hub) && gateway.capacity.is_some())
+        };
+        assert!(
+            !hubs.is_empty() && hubs.iter().all(of_build),
+            "{own}: {hubs:?}"
+        );
+    }
+}
+
+/// Guards against a hub that reports to another one instead of to the root.
+#[test]
+fn hub_is_its_own_and_members_are_divided() {
+    let fleet = fleet(100, 5, 5);
+    let mut members: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for (name, gateway) in &fleet {
+        let hubs = deal_load_hubs(&fleet, name, 5);
+        let is_hub = gateway.capacity == Some(LARGE);
+        assert_eq!(hubs.len(), if is_hub { 1 } else { 5 }, "{name}");
+        assert_eq!(is_hub, hubs[0] == gateway.address.expect("it has one"));
+        *members.entry(hubs[0]).or_default() += 1;
+    }
+    assert!(
+        members.values().all(|count| *count <= MAX_CLIENTS),
+        "{members:?}"
+    );
+}
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -1,7 +1,7 @@
 //! Holds or watches the lease, so that only one gateway at a time sends orders to the upstreams.
 //!
 //! The lease is an object in the store that names its holder, the owner. The owner rewrites it
-//! every [`RENEWAL_INTERVAL_MS`]. A gateway that sees no change for [`TAKEOVER_MS`] on its own
+//! every [`RENEWAL_INTERVAL_MS`]. A gateway that sees no change for [`takeover_ms`] on its own
 //! clock replaces it by a conditional write. The revision of the write that acquired the lease is
 //! the fencing token of all orders that the owner sends. Upstreams refuse orders with a lower token
 //! than they have seen, so a former owner that was paused cannot send orders after its lease was
@@ -13,6 +13,8 @@
 };
 
 use jacinthpoint_adapter::StoredObject;
+#[cfg(doc)]
+use jacinthpoint_fleet::takeover_ms;
 use jacinthpoint_fleet::{Continuity, HistoryPosition};
 use jacinthpoint_types::{Deadline, TimeMs};
 use rand::Rng;
@@ -35,13 +37,11 @@
 /// Time between two checks of the lease by a gateway that is not a candidate. Candidates check more
 /// often, so such a gateway normally takes over only if all candidates are gone.
 const NON_CANDIDATE_INTERVAL_MS: u64 = 2_500;
-/// Time without a change of the lease after which it is taken over: three missed renewals.
-const TAKEOVER_MS: u64 = 1_600;
 /// Time without a path to any upstream after which the owner releases the lease: another gateway may
 /// reach them.
 const MAX_CUT_MS: u64 = 1_000;
-/// Time after a renewal for which the owner may send orders. It is shorter than [`TAKEOVER_MS`], so
-/// that the owner stops before another gateway takes over.
+/// Time after a renewal for which the owner may send orders. It is shorter than any [`takeover_ms`],
+/// so that the owner stops before another gateway takes over.
 const VALID_MS: u64 = 1_400;
 
 /// The state of the lease at this gateway.
@@ -209,7 +209,7 @@
     0
 }
 
-/// Acquires the lease if it does not exist, was released, or was not changed for [`TAKEOVER_MS`].
+/// Acquires the lease if it does not exist, was released, or was not changed for [`takeover_ms`].
 ///
 /// Fails with [`StoreError::Conflict`] if another gateway holds it.
 async fn try_acquire(
@@ -226,14 +226,14 @@
     let is_released = current.content.get("holder") == Some(&Value::Null);
     let position = store.position_of(&current);
     let unchanged_ms = record_change(lease, Some(position), gateway.now());
-    if is_released || unchanged_ms >= TAKEOVER_MS {
+    if is_released || unchanged_ms >= gateway.roster.takeover_ms() {
         return store.replace(KIND, NAME, current.revision, content).await;
     }
     Err(StoreError::Conflict(Some(Box::new(current))))
 }
 
 /// Releases the lease, so that another gateway can acquire it at once instead of after
-/// [`TAKEOVER_MS`].
+/// [`takeover_ms`].
 async fn release(
     gateway: &Gateway,
     lease: &Lease,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -28,7 +28,8 @@
 use jacinthpoint_adapter::{List, StoredObject, paths::Freshness};
 use jacinthpoint_dispatch::cell_count;
 use jacinthpoint_fleet::{
-    RegisteredGateway, StoreReading, VmCapacity, deal_load_hubs, deal_store_reading, role_order,
+    RegisteredGateway, StoreReading, VmCapacity, deal_load_hubs, deal_store_reading,
+    is_lease_candidate, role_order, takeover_ms,
 };
 use jacinthpoint_types::TimeMs;
 use serde_json::{Value, json};
@@ -54,8 +55,6 @@
 const COUNTED_AFTER_MS: u64 = 9_000;
 /// Pause after a failed registration.
 const BACKOFF_MS: u64 = 500;
-/// Number of gateways of the fleet, first in the order, that check the lease often.
-const CANDIDATE_COUNT: usize = 4;
 /// Time for which a reader that failed is excluded.
 const EXCLUSION_MS: u64 = 4_000;
 /// Time for which a reader is excluded that answers but has no recent data from the store. It is
@@ -64,12 +63,14 @@
 const STALE_EXCLUSION_MS: u64 = 1_000;
 
 /// The registered gateways.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Roster {
+    /// Name of this gateway.
+    own: String,
     /// All gateways of the fleet, by name.
     all: RefCell<BTreeMap<String, RegisteredGateway>>,
-    /// What follows from `all` for this gateway.
-    dealt: RefCell<Dealt>,
+    /// What follows from `all` for this gateway; `None` after a change until it is used.
+    dealt: RefCell<Option<Rc<Dealt>>>,
     /// Readers that failed or had no recent data.
     excluded: ExcludedPeers,
     /// Whether the list was read at least once.
@@ -78,8 +79,8 @@
     is_missing: Notify,
 }
 
-/// Roles of the gateways, computed again whenever a registration changes.
-#[derive(Debug, Default)]
+/// Roles of the gateways.
+#[derive(Debug)]
 struct Dealt {
     /// Who reads the store for this gateway.
     reading: StoreReading,
@@ -95,12 +96,46 @@
 }
 
 impl Roster {
+    /// Returns an empty roster for the gateway named `own`.
+    pub(crate) fn new(own: &str) -> Roster {
+        Roster {
+            own: own.to_owned(),
+            all: RefCell::default(),
+            dealt: RefCell::default(),
+            excluded: ExcludedPeers::default(),
+            is_known: watch::Sender::default(),
+            is_missing: Notify::default(),
+        }
+    }
+
+    /// Returns the roles of the gateways that are known now.
+    fn dealt(&self) -> Rc<Dealt> {
+        let mut dealt = self.dealt.borrow_mut();
+        let dealt = dealt.get_or_insert_with(|| {
+            let all = self.all.borrow();
+            let cells = cell_count(all.len());
+            let roots = role_order(&all, "loads").into_iter();
+            let without_cells = all.values().filter(|gateway| gateway.capacity.is_none());
+            let candidates = role_order(&all, "owner");
+            Rc::new(Dealt {
+                reading: deal_store_reading(&all, &self.own),
+                load_hubs: deal_load_hubs(&all, &self.own, cells).into(),
+                root_ranking: roots.filter_map(|name| all[name].address).collect(),
+                without_cells: without_cells
+                    .filter_map(|gateway| gateway.address)
+                    .collect(),
+                candidate_position: candidates.iter().position(|name| *name == self.own),
+            })
+        });
+        dealt.clone()
+    }
+
     /// Returns the address of the gateway to watch instead of the store; `None` if this gateway
     /// reads the store itself.
     ///
     /// If all gateways that read for this one are excluded, it reads the store itself.
     pub(crate) fn reader(&self, now: TimeMs) -> Option<SocketAddr> {
-        let dealt = self.dealt.borrow();
+        let dealt = self.dealt();
         let sources = dealt.reading.sources.iter();
         let mut usable = sources.filter(|address| !self.excluded.is_excluded(address, now));
         usable.next().copied()
@@ -117,7 +152,7 @@
 
     /// Returns whether this gateway reads the store at all times.
     pub(crate) fn is_permanent_reader(&self) -> bool {
-        self.dealt.borrow().reading.is_server
+        self.dealt().reading.is_server
     }
 
     /// Excludes a reader that did not answer.
@@ -144,24 +179,34 @@
 
     /// Returns the addresses of the hubs of load reports, in the order in which this gateway uses them.
     pub(crate) fn load_hubs(&self) -> Rc<[SocketAddr]> {
-        self.dealt.borrow().load_hubs.clone()
+        self.dealt().load_hubs.clone()
     }
 
     /// Returns the addresses of all gateways in the order in which they become the root of load
     /// reports.
     pub(crate) fn root_ranking(&self) -> Rc<[SocketAddr]> {
-        self.dealt.borrow().root_ranking.clone()
+        self.dealt().root_ranking.clone()
     }
 
     /// Returns whether the gateway at `address` is of a build that knows cells.
     pub(crate) fn knows_cells(&self, address: SocketAddr) -> bool {
-        !self.dealt.borrow().without_cells.contains(&address)
+        !self.dealt().without_cells.contains(&address)
     }
 
     /// Returns whether this gateway is a candidate for the lease, or is not registered yet.
     pub(crate) fn is_candidate(&self) -> bool {
-        let position = self.dealt.borrow().candidate_position;
-        position.is_none_or(|position| position < CANDIDATE_COUNT)
+        is_lease_candidate(self.candidate_position())
+    }
+
+    /// Returns the time without a change of the lease after which this gateway takes it over.
+    pub(crate) fn takeover_ms(&self) -> u64 {
+        takeover_ms(self.candidate_position())
+    }
+
+    /// Returns the position of this gateway in the order for the lease; the first one if it is not
+    /// registered yet.
+    fn candidate_position(&self) -> usize {
+        self.dealt().candidate_position.unwrap_or(0)
     }
 
     /// Adds or replaces registrations. None is removed, because an old list may lack some.
@@ -176,21 +221,7 @@
         if !is_changed {
             return;
         }
-        let settings = gateway.settings();
-        let own = settings.name.as_str();
-        let cells = cell_count(all.len());
-        let roots = role_order(&all, "loads").into_iter();
-        let without_cells = all.values().filter(|gateway| gateway.capacity.is_none());
-        let candidates = role_order(&all, "owner");
-        *self.dealt.borrow_mut() = Dealt {
-            reading: deal_store_reading(&all, own),
-            load_hubs: deal_load_hubs(&all, own, cells).into(),
-            root_ranking: roots.filter_map(|name| all[name].address).collect(),
-            without_cells: without_cells
-                .filter_map(|gateway| gateway.address)
-                .collect(),
-            candidate_position: candidates.iter().position(|name| *name == own),
-        };
+        *self.dealt.borrow_mut() = None;
         gateway.gateway_count.set(all.len().max(1));
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -111,6 +111,7 @@
     /// Returns the initial state for a gateway with these settings.
     pub(crate) fn new(settings: GatewaySettings) -> Gateway {
         let clock = Clock::new();
+        let roster = Roster::new(settings.name.as_str());
         Gateway {
             started_at: clock.now(),
             clock,
@@ -129,7 +130,7 @@
             gateway_count: Cell::new(ASSUMED_GATEWAY_COUNT),
             counted_by: Cell::new(NEVER),
             is_first_life: Cell::new(false),
-            roster: Roster::default(),
+            roster,
             relay: Relay::default(),
             owner: RefCell::default(),
             stall_reported_at: RefCell::default(),
@@ -230,6 +231,7 @@
             directory,
         };
         *self.snapshot.borrow_mut() = Some(Rc::new(snapshot));
+        self.metrics.count("snapshots", "built");
     }
 
     /// Logs the groups that are only in `next`, and those that are only in the snapshot that it
