--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -100,9 +100,9 @@
     min_backoff_ms: u64,
     /// Applies a whole list.
     on_list: fn(&Gateway, List, Interruption),
-    /// Applies a change. The flags say whether the object was removed, and whether the change was
-    /// read after an outage of the store.
-    on_change: fn(&Gateway, &StoredObject, bool, bool),
+    /// Applies a change to the view. The flags say whether the object was removed, and whether the
+    /// change was read after an outage of the store.
+    on_change: fn(&Gateway, &StoredObject, bool, bool) -> ViewChange,
 }
 
 /// Watches the configuration for ever.
@@ -114,13 +114,13 @@
         min_backoff_ms: 0,
         on_list: |gateway, list, _| {
             for object in &list.objects {
-                apply_config(gateway, object);
+                let change = apply_config(gateway, object);
+                gateway.on_view_change(change);
             }
         },
-        on_change: |gateway, object, is_removed, _| {
-            if !is_removed {
-                apply_config(gateway, object);
-            }
+        on_change: |gateway, object, is_removed, _| match is_removed {
+            true => ViewChange::Same,
+            false => apply_config(gateway, object),
         },
     };
     run(&gateway, &feed).await;
@@ -151,6 +151,7 @@
         },
         on_change: |gateway, object, is_removed, _| {
             quarantine::apply_record(gateway, object, is_removed);
+            ViewChange::Same
         },
     };
     run(&gateway, &feed).await;
@@ -168,6 +169,7 @@
         on_list: |gateway, list, _| roster::apply_list(gateway, &list),
         on_change: |gateway, object, is_removed, _| {
             roster::apply_registration(gateway, object, is_removed);
+            ViewChange::Same
         },
     };
     run(&gateway, &feed).await;
@@ -410,9 +412,17 @@
             gateway.relay.on_events(feed.kind, &changes, after, now);
         }
         progress.position = Some(after);
+        // The snapshot is built from the whole view, so once for all changes of an answer: with many
+        // upstreams, one for each change would leave no time for requests.
+        let mut change = ViewChange::Same;
         for (object, is_removed) in &changes {
-            (feed.on_change)(gateway, object, *is_removed, is_after_outage);
+            if (feed.on_change)(gateway, object, *is_removed, is_after_outage)
+                == ViewChange::Changed
+            {
+                change = ViewChange::Changed;
+            }
         }
+        gateway.on_view_change(change);
         if !changes.is_empty() && !is_relayed {
             let is_owner = gateway.is_owner();
             let pause_ms = if is_owner {
--- a/crates/gateway/src/watch/entries.rs
+++ b/crates/gateway/src/watch/entries.rs
@@ -8,24 +8,25 @@
 
 use crate::{events::log_event, state::Gateway, watch::Interruption};
 
-/// Applies a configuration. One that cannot be decoded is logged, and the one in force stays.
-pub(super) fn apply_config(gateway: &Gateway, object: &StoredObject) {
+/// Applies a configuration to the view. One that cannot be decoded is logged, and the one in force
+/// stays.
+pub(super) fn apply_config(gateway: &Gateway, object: &StoredObject) -> ViewChange {
     if object.name != paths::CONFIG_NAME {
-        return;
+        return ViewChange::Same;
     }
     let config = match decode_config(&object.content) {
         Ok(config) => config,
         Err(error) => {
             log_event!(error, ConfigRefused, revision = object.revision, %error,
                 "a configuration cannot be decoded; the one in force stays");
-            return;
+            return ViewChange::Same;
         }
     };
     let version = config.version;
     let change = gateway.view.borrow_mut().apply_config(config);
     log_event!(info, ConfigInForce, %version, revision = object.revision, outcome = %change,
         "a configuration was read");
-    gateway.on_view_change(change);
+    change
 }
 
 /// Applies the whole list of upstreams. Entries that cannot be decoded are logged and left out.
@@ -59,37 +60,35 @@
     gateway.on_view_change(change);
 }
 
-/// Applies the change of one entry.
+/// Applies the change of one entry to the view.
 pub(super) fn apply_entry(
     gateway: &Gateway,
     object: &StoredObject,
     is_removed: bool,
     is_after_outage: bool,
-) {
-    let change = if is_removed {
-        apply_removal(gateway, object, is_after_outage)
-    } else {
-        match decode_upstream(&object.name, &object.content) {
-            Ok(entry) => {
-                let id = entry.id.clone();
-                let state = entry.state;
-                let membership = entry.membership.clone();
-                let change = gateway.view.borrow_mut().apply_upstream(entry);
-                if change == ViewChange::Changed {
-                    let group = membership.as_ref().map(|m| m.group.to_string());
-                    let group_state = membership.as_ref().map(|m| m.state.to_string());
-                    log_event!(info, UpstreamChanged, upstream = %id, revision = object.revision,
-                        %state, group, group_state, "an upstream changed");
-                }
-                change
-            }
-            Err(error) => {
-                log_refused(object, &error);
-                discard_unreadable(gateway, object)
+) -> ViewChange {
+    if is_removed {
+        return apply_removal(gateway, object, is_after_outage);
+    }
+    match decode_upstream(&object.name, &object.content) {
+        Ok(entry) => {
+            let id = entry.id.clone();
+            let state = entry.state;
+            let membership = entry.membership.clone();
+            let change = gateway.view.borrow_mut().apply_upstream(entry);
+            if change == ViewChange::Changed {
+                let group = membership.as_ref().map(|m| m.group.to_string());
+                let group_state = membership.as_ref().map(|m| m.state.to_string());
+                log_event!(info, UpstreamChanged, upstream = %id, revision = object.revision,
+                    %state, group, group_state, "an upstream changed");
             }
+            change
         }
-    };
-    gateway.on_view_change(change);
+        Err(error) => {
+            log_refused(object, &error);
+            discard_unreadable(gateway, object)
+        }
+    }
 }
 
 /// Removes an upstream whose entry was removed. After an outage of the store, only starts the time
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -19,6 +19,7 @@
 mod crashing_prompts;
 mod crashing_requests;
 mod fleet_limits;
+mod joining_upstreams;
 mod restored_store;
 mod site;
 mod soak;
