--- a/crates/fleet/src/roles.rs
+++ b/crates/fleet/src/roles.rs
@@ -1,13 +1,12 @@
 //! Deals out the work that a few gateways do for all others.
 //!
 //! If each gateway read the store for itself, the number of calls would grow with the number of
-//! gateways; if one gateway served all others, its link and processor would have to. So the gateways
-//! of a data centre have one server for each [`GATEWAYS_PER_SERVER`] of them, and the others, its
-//! clients, are divided among the servers. A server has about that many clients, however many
-//! gateways there are.
+//! gateways; if one gateway served all others, its link and processor would have to. So a few gateways
+//! of a data centre are servers, and the others, their clients, are divided among them. A server has
+//! about as many clients as its VM can serve, however many gateways there are.
 //!
 //! VMs differ: one may have ten times the link of another. Servers are the gateways on the largest
-//! VMs, and a server gets clients in proportion to its VM's size. Gateways that know the same fleet
+//! VMs, and each gets clients in proportion to what it can serve. Gateways that know the same fleet
 //! deal alike, without an election. Those that differ for a moment do no harm: any gateway serves any
 //! client that comes.
 
@@ -15,9 +14,17 @@
 
 use jacinthpoint_types::{rendezvous_order, rendezvous_weight};
 
-/// Number of gateways of a data centre per server, rounded up. The servers' calls to the store and
-/// each server's work for its clients are weighed against each other by it.
-const GATEWAYS_PER_SERVER: usize = 20;
+/// Maximum number of clients that a server is dealt. More would save few calls to the store, and all
+/// of them have to find another server when one fails.
+const MAX_CLIENTS: f64 = 40.0;
+/// Part of a server's link that it needs for each client: when all its clients start, each gets the list
+/// of a thousand upstreams (300 kB) within three seconds.
+const CLIENT_LINK_KBPS: f64 = 1_000.0;
+/// Part of a core that a server needs for each client, in thousandths: up to ten answers a second of
+/// about half a millisecond.
+const CLIENT_CORE_PERMILLE: f64 = 5.0;
+/// Number of clients of a server whose registration does not say what its VM can carry.
+const DEFAULT_CLIENTS: f64 = 20.0;
 /// Number of gateways of a data centre that serve others when all servers fail.
 const SUBSTITUTES: usize = 2;
 /// Number of gateways that compete for the lease at the same time.
@@ -46,6 +53,13 @@
         core.min(f64::from(self.link_kbps) / f64::from(least.link_kbps))
     }
 
+    /// Returns the number of clients that a gateway on this VM can serve; at least 1.
+    fn clients(self) -> f64 {
+        let link = f64::from(self.link_kbps) / CLIENT_LINK_KBPS;
+        let core = f64::from(self.core_permille) / CLIENT_CORE_PERMILLE;
+        link.min(core).clamp(1.0, MAX_CLIENTS)
+    }
+
     /// Returns the smaller values of both.
     fn least(self, other: VmCapacity) -> VmCapacity {
         VmCapacity {
@@ -71,6 +85,8 @@
 pub struct StoreReading {
     /// Whether the gateway reads the store at all times.
     pub is_server: bool,
+    /// Whether the gateway is a substitute, which reads the store as soon as all servers fail.
+    pub is_substitute: bool,
     /// Gateways that read the store for this one, in the order in which it asks them. If it is a
     /// substitute, those before it in the order.
     pub sources: Vec<SocketAddr>,
@@ -108,17 +124,18 @@
     if !members.contains_key(own) {
         return StoreReading::default();
     }
-    let sizes = vm_sizes(&members);
-    let order = by_size("readers", &sizes);
-    let (servers, others) = order.split_at(order.len().div_ceil(GATEWAYS_PER_SERVER));
+    let clients = client_counts(&members);
+    let order = by_size("readers", &clients);
+    let (servers, others) = order.split_at(server_count(&order, &clients));
     if servers.contains(&own) {
         return StoreReading {
             is_server: true,
-            sources: Vec::new(),
+            ..StoreReading::default()
         };
     }
-    let mut sources = ranked_for_client(servers, own, &sizes);
+    let mut sources = ranked_for_client(servers, own, &clients);
     let substitutes = others.iter().take(SUBSTITUTES);
+    let is_substitute = substitutes.clone().any(|name| *name == own);
     sources.extend(substitutes.take_while(|name| **name != own));
     let addresses = sources
         .iter()
@@ -126,6 +143,7 @@
         .collect();
     StoreReading {
         is_server: false,
+        is_substitute,
         sources: addresses,
     }
 }
@@ -191,6 +209,31 @@
     order
 }
 
+/// Returns the number of clients that each gateway can serve. All count as equal if one registration does
+/// not say what its VM can carry.
+fn client_counts<'a>(members: &BTreeMap<&'a str, &RegisteredGateway>) -> BTreeMap<&'a str, f64> {
+    let is_known = members.values().all(|gateway| gateway.capacity.is_some());
+    let clients = |gateway: &RegisteredGateway| {
+        let capacity = gateway.capacity.filter(|_| is_known);
+        capacity.map_or(DEFAULT_CLIENTS, VmCapacity::clients)
+    };
+    let members = members.iter();
+    members
+        .map(|(name, gateway)| (*name, clients(gateway)))
+        .collect()
+}
+
+/// Returns how many of the gateways, in this order, it takes to serve all of them.
+fn server_count(order: &[&str], clients: &BTreeMap<&str, f64>) -> usize {
+    let mut served = 0.0;
+    let needed = order.iter().take_while(|name| {
+        let is_needed = served < order.len() as f64;
+        served += clients[**name];
+        is_needed
+    });
+    needed.count()
+}
+
 /// Returns how many times larger each gateway's VM is than the least. All count as equal if one
 /// registration does not say it: gateways of that build order them by their hashes alone.
 fn vm_sizes<'a>(members: &BTreeMap<&'a str, &RegisteredGateway>) -> BTreeMap<&'a str, f64> {
