Watch: clients ask their relays again before they call the store

Now clients other than substitutes ask again for a second, a call for a list is held while the relay reads, and event 749 says why a relay is left. An outage that follows counts from the first refusal. A gateway that restarts reads its registration, in a state that may be old, instead of writing it.

--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -22,6 +22,8 @@
 /// Consecutive refusals of a relay after which another source is asked. More than one, because a
 /// relay also refuses when it has only just begun to read the store.
 const MAX_RELAY_REFUSALS: u32 = 3;
+/// Time after the first refusal of a relay for which relays are asked again.
+const PATIENCE_MS: u64 = 1_000;
 /// Pause after the first failure of the store. Each further failure doubles it, up to
 /// [`MAX_BACKOFF_MS`].
 const INITIAL_BACKOFF_MS: u64 = 150;
@@ -37,8 +39,8 @@
     /// Consecutive refusals of relays; [`MAX_RELAY_REFUSALS`] after an answer of the store itself,
     /// so that the next refusal is not retried.
     relay_refusals: u32,
-    /// Whether a relay has refused since the last answer.
-    has_relay_refused: bool,
+    /// Time of the first refusal of a relay since the last answer.
+    refused_since: Option<TimeMs>,
     /// Consecutive failures of the store.
     store_failures: u32,
     /// Start of the store's unavailability; `None` while it answers.
@@ -71,7 +73,7 @@
     /// read this data from the store yet.
     pub fn on_answer(&mut self, is_relayed: bool, now: TimeMs) -> StoreUnavailability {
         self.relay_refusals = if is_relayed { 0 } else { MAX_RELAY_REFUSALS };
-        self.has_relay_refused = false;
+        self.refused_since = None;
         self.store_failures = 0;
         let unavailable_since = self.unavailable_since.take();
         StoreUnavailability {
@@ -84,12 +86,22 @@
     ///
     /// Refusals do not count as unavailability of the store. Only a request to the store itself
     /// shows that it does not answer.
-    pub fn on_relay_refusal(&mut self) -> bool {
-        self.has_relay_refused = true;
+    pub fn on_relay_refusal(&mut self, now: TimeMs) -> bool {
+        self.refused_since.get_or_insert(now);
         self.relay_refusals += 1;
         self.relay_refusals >= MAX_RELAY_REFUSALS
     }
 
+    /// Returns whether the relays began to refuse calls only a moment ago, so that a gateway that others
+    /// do not depend on asks them again.
+    ///
+    /// If a connection to the store stalls, a relay finds out half a second after its data became too
+    /// old. If all its clients called the store by then, it would get as many calls as there are gateways.
+    pub fn is_patient(&self, now: TimeMs) -> bool {
+        let since = self.refused_since;
+        since.is_some_and(|since| now.since_ms(since) < PATIENCE_MS)
+    }
+
     /// Records a failure of the store itself and returns whether it is the first since the last
     /// answer.
     pub fn on_store_failure(&mut self, now: TimeMs) -> bool {
@@ -98,12 +110,8 @@
         if is_first {
             // A relay that refuses has usually had no answer from the store for
             // `MAX_RELAYED_AGE_MS`, so the unavailability is taken to have begun that much earlier.
-            let unanswered_ms = if self.has_relay_refused {
-                MAX_RELAYED_AGE_MS
-            } else {
-                0
-            };
-            self.unavailable_since = Some(TimeMs(now.0.saturating_sub(unanswered_ms)));
+            let before_refusal = |since: TimeMs| TimeMs(since.0.saturating_sub(MAX_RELAYED_AGE_MS));
+            self.unavailable_since = Some(self.refused_since.map_or(now, before_refusal));
         }
         is_first
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -97,6 +97,8 @@
     UpstreamStated = 747,
     /// The gateway called the store since the event before.
     StoreCalled = 748,
+    /// A relay failed or has no recent data, and the gateway does not use it for a time.
+    SourceLeft = 749,
 }
 
 impl EventCode {
--- a/crates/gateway/src/excluded_peers.rs
+++ b/crates/gateway/src/excluded_peers.rs
@@ -16,6 +16,11 @@
         self.0.borrow_mut().insert(address, until);
     }
 
+    /// Ends the exclusion of an address.
+    pub(crate) fn admit(&self, address: &SocketAddr) {
+        self.0.borrow_mut().remove(address);
+    }
+
     /// Returns whether an address is excluded at `now`.
     pub(crate) fn is_excluded(&self, address: &SocketAddr, now: TimeMs) -> bool {
         let excluded = self.0.borrow();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -43,7 +43,8 @@
 /// Number of changes of each kind that are kept for watches that lag behind.
 const MAX_CHANGES: usize = 2_000;
 /// Time for which a call is held if this gateway reads the kind from the store, but has not read the
-/// list yet. Gateways that start together all ask their relays before these have read anything.
+/// list yet, and a call for the list if what it has is too old. Gateways that start together, or lost
+/// the same changes, all ask their relays before these have read anything.
 pub(crate) const MAX_LIST_HOLD_MS: u64 = 600;
 /// Time between two checks of whether the objects for a waiting watch are too old.
 const AGE_CHECK_INTERVAL_MS: u64 = 275;
@@ -177,7 +178,7 @@
         self.relayed.borrow_mut().remove(kind);
     }
 
-    /// Answers a call; returns `None` if a watch has to wait for a change, or a call for the first
+    /// Answers a call; returns `None` if a watch has to wait for a change, or a call for a recent
     /// list.
     fn try_answer(&self, call: &ObjectsCall, now: TimeMs) -> Option<RelayAnswer> {
         let refused = Some(RelayAnswer::without_body(StatusCode::SERVICE_UNAVAILABLE));
@@ -188,10 +189,11 @@
         let Some(cache) = caches.get_mut(kind.as_str()) else {
             return if is_served { None } else { refused };
         };
-        if now.since_ms(cache.answered_at) > cache.max_age_ms {
-            return refused;
-        }
+        let is_old = now.since_ms(cache.answered_at) > cache.max_age_ms;
         let ObjectsCall::Watch(_, after, _) = call else {
+            if is_old {
+                return None;
+            }
             let list = cache
                 .encoded_list
                 .get_or_insert_with(|| {
@@ -201,7 +203,7 @@
             return Some(cache.answer(list));
         };
         let has_era = after.era.is_some() && cache.position.era.is_some();
-        if has_era && after.era > cache.position.era {
+        if is_old || (has_era && after.era > cache.position.era) {
             return refused;
         }
         if after.revision < cache.history_floor || (has_era && after.era < cache.position.era) {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -38,6 +38,7 @@
 use crate::{
     clock::sleep_ms,
     excluded_peers::ExcludedPeers,
+    settings::GatewaySettings,
     state::Gateway,
     store::{Availability, StoreClient, StoreError},
     watch::watch_gateways,
@@ -141,6 +142,15 @@
         usable.next().copied()
     }
 
+    /// Returns the gateway that a client asks again although all its sources are excluded; `None` if it
+    /// reads the store itself then, as servers and substitutes do at once.
+    pub(crate) fn patient_reader(&self) -> Option<SocketAddr> {
+        let dealt = self.dealt();
+        let is_client = !dealt.reading.is_server && !dealt.reading.is_substitute;
+        let first = dealt.reading.sources.first().copied();
+        first.filter(|_| is_client)
+    }
+
     /// Waits until the list was read once, or for [`MAX_FIRST_WAIT_MS`] if the store is
     /// unavailable.
     pub(crate) async fn wait_until_known(&self) {
@@ -165,6 +175,11 @@
         self.excluded.exclude(address, STALE_EXCLUSION_MS, now);
     }
 
+    /// Ends the exclusion of a reader that answered.
+    pub(crate) fn admit_reader(&self, address: SocketAddr) {
+        self.excluded.admit(&address);
+    }
+
     /// Returns the address of a gateway; `None` if it is not registered or has no address.
     pub(crate) fn address(&self, name: &str) -> Option<SocketAddr> {
         self.all.borrow().get(name)?.address
@@ -272,7 +287,8 @@
 pub(crate) async fn maintain_roster(gateway: Rc<Gateway>) {
     let mut availability = Availability::default();
     let mut store = StoreClient::new(gateway.settings().store);
-    let is_new_name = register(&gateway, &mut store, &mut availability).await;
+    let is_new_name = !is_registered(&gateway, &mut store).await
+        && register(&gateway, &mut store, &mut availability).await;
     // Gateways that start together all register new names; the list has to have them.
     let is_first_life = is_new_name && gateway.settings().is_first_start;
     gateway.is_first_life.set(is_first_life);
@@ -296,8 +312,30 @@
     }
 }
 
+/// Returns the content of the registration of a gateway with these settings.
+fn registration(settings: &GatewaySettings) -> Value {
+    json!({
+        "data_centre": settings.data_centre.as_str(),
+        "address": settings.peers.map(|address| address.to_string()),
+        "core_permille": settings.capacity.core_permille,
+        "link_kbps": settings.capacity.link_kbps,
+    })
+}
+
+/// Returns whether this gateway was registered before it started. A gateway that restarts is, and reading
+/// it costs a tenth of a write.
+async fn is_registered(gateway: &Gateway, store: &mut StoreClient) -> bool {
+    let settings = gateway.settings();
+    if settings.is_first_start {
+        return false;
+    }
+    let current = store.get_stale(KIND, settings.name.as_str()).await;
+    matches!(current, Ok(Some(current)) if current.content == registration(&settings))
+}
+
 /// Registers this gateway, and returns whether its name is new or may be new. If its name is
-/// registered with another address, replaces the registration. Retries until the store accepts it.
+/// registered with another address or capacity, replaces the registration. Retries until the store
+/// accepts it.
 async fn register(
     gateway: &Gateway,
     store: &mut StoreClient,
@@ -305,12 +343,7 @@
 ) -> bool {
     let settings = gateway.settings();
     let name = settings.name.as_str();
-    let content = json!({
-        "data_centre": settings.data_centre.as_str(),
-        "address": settings.peers.map(|address| address.to_string()),
-        "core_permille": settings.capacity.core_permille,
-        "link_kbps": settings.capacity.link_kbps,
-    });
+    let content = registration(&settings);
     // A call without an answer may have created the registration.
     let mut may_be_created = false;
     loop {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -56,6 +56,8 @@
 /// Minimum pause after a failure of the store for suspected parts of prompts. Nothing else depends on
 /// them, so an unavailable store is asked for them less often.
 const SUSPICIONS_BACKOFF_MS: u64 = 1_500;
+/// The same for registrations.
+const ROSTER_BACKOFF_MS: u64 = 3_000;
 /// Pause after changes from the store, so that the next answer has several at once: upstreams
 /// publish in bursts, and the store charges and limits each answer of a watch. Gateways that watch
 /// a relay do not pause, since the relay already did.
@@ -165,7 +167,7 @@
         kind: roster::KIND,
         waits: ROSTER_WAITS,
         first_list,
-        min_backoff_ms: 0,
+        min_backoff_ms: ROSTER_BACKOFF_MS,
         on_list: |gateway, list, _| roster::apply_list(gateway, &list),
         on_change: |gateway, object, is_removed, _| {
             roster::apply_registration(gateway, object, is_removed);
@@ -207,6 +209,19 @@
     availability: Availability,
 }
 
+impl Progress {
+    /// Records an answer of `source`. Returns whether the store was unavailable before it for so long
+    /// that entries of live upstreams may have expired.
+    fn on_answer(&mut self, gateway: &Gateway, feed: &Feed, source: &StoreClient) -> bool {
+        let now = gateway.now();
+        if source.is_relayed() && self.availability.tracker.is_patient(now) {
+            gateway.roster.admit_reader(source.address());
+        }
+        self.availability
+            .on_answer(feed.kind, source.is_relayed(), now)
+    }
+}
+
 /// Reads a kind for ever: the list if necessary, then its changes. Chooses the source again
 /// whenever a call fails or [`follow`] returns.
 async fn run(gateway: &Gateway, feed: &Feed) {
@@ -215,7 +230,7 @@
         gateway.roster.wait_until_known().await;
     }
     loop {
-        let mut source = open_source(gateway, feed.kind);
+        let mut source = open_source(gateway, feed.kind, &progress);
         // From the store, the whole list is always read first, because `Relay` serves a kind to
         // other gateways only after it received a list.
         let can_continue =
@@ -246,16 +261,19 @@
                 progress.must_list = true;
             }
             Err(StoreError::Refused(503) | StoreError::Older) if source.is_relayed() => {
-                // After enough refusals, uses another source; before, calls the same relay again. A
-                // call for the list was held for a while before it was refused.
-                let is_list = progress.position.is_none() || progress.must_list;
-                if progress.availability.tracker.on_relay_refusal() || is_list {
+                // After enough refusals, uses another source; before, calls the same relay again.
+                let is_repeated = progress.availability.tracker.on_relay_refusal(now);
+                if is_repeated && gateway.roster.reader(now).is_some() {
+                    log_source_left(feed, &source, "it has no recent data");
                     gateway.roster.exclude_stale_reader(source.address(), now);
                 } else {
                     sleep_ms(RELAY_RETRY_PAUSE_MS).await;
                 }
             }
-            Err(_) if source.is_relayed() => gateway.roster.exclude_reader(source.address(), now),
+            Err(error) if source.is_relayed() => {
+                log_source_left(feed, &source, &error.to_string());
+                gateway.roster.exclude_reader(source.address(), now);
+            }
             Err(error) => {
                 progress.availability.on_failure(feed.kind, &error, now);
                 let tracker = &progress.availability.tracker;
@@ -266,6 +284,12 @@
     }
 }
 
+/// Logs that this gateway does not use a relay for a time.
+fn log_source_left(feed: &Feed, source: &StoreClient, why: &str) {
+    log_event!(info, SourceLeft, kind = feed.kind, relay = %source.address(), why,
+        "this gateway reads from another source for a time");
+}
+
 /// Returns whether this gateway is neither the owner nor a permanent reader. It then reads the
 /// store only because its relays refuse or do not answer, because it has no address for other
 /// gateways, or because its roster does not list it yet.
@@ -275,14 +299,21 @@
 
 /// Returns the address of the relay to watch; `None` if this gateway reads the store itself. The
 /// owner of the groups always does.
-fn relay_address(gateway: &Gateway) -> Option<std::net::SocketAddr> {
-    let reader = gateway.roster.reader(gateway.now());
-    reader.filter(|_| !gateway.is_owner())
+fn relay_address(gateway: &Gateway, progress: &Progress) -> Option<std::net::SocketAddr> {
+    if gateway.is_owner() {
+        return None;
+    }
+    let now = gateway.now();
+    let patient_reader = || {
+        let reader = gateway.roster.patient_reader();
+        reader.filter(|_| progress.availability.tracker.is_patient(now))
+    };
+    gateway.roster.reader(now).or_else(patient_reader)
 }
 
 /// Returns a client of the store or of a relay. With a relay, this gateway stops serving the kind.
-fn open_source(gateway: &Gateway, kind: &'static str) -> StoreClient {
-    match relay_address(gateway) {
+fn open_source(gateway: &Gateway, kind: &'static str, progress: &Progress) -> StoreClient {
+    match relay_address(gateway, progress) {
         Some(address) => {
             gateway.relay.remove_kind(kind);
             StoreClient::for_relay(address)
@@ -329,9 +360,7 @@
         return Err(StoreError::Older);
     }
     let now = gateway.now();
-    let is_after_outage = progress
-        .availability
-        .on_answer(feed.kind, source.is_relayed(), now);
+    let is_after_outage = progress.on_answer(gateway, feed, source);
     if !source.is_relayed() {
         let max_age_ms = feed.waits.max_relayed_age_ms;
         gateway
@@ -395,7 +424,7 @@
     } else {
         feed.waits.store_ms
     };
-    while relay_address(gateway).is_some() == is_relayed {
+    while relay_address(gateway, progress).is_some() == is_relayed {
         let Events { changes, position } = source.watch(feed.kind, after, wait_ms).await?;
         log_history(feed, source, progress.position, position);
         match position.continuity(&after) {
@@ -405,9 +434,7 @@
             Continuity::Continues | Continuity::Older => after = after.later(&position),
         }
         let now = gateway.now();
-        let is_after_outage = progress
-            .availability
-            .on_answer(feed.kind, source.is_relayed(), now);
+        let is_after_outage = progress.on_answer(gateway, feed, source);
         if !is_relayed {
             gateway.relay.on_events(feed.kind, &changes, after, now);
         }
