--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -1,11 +1,15 @@
 //! Gateways that reach the store, callers and other gateways, but no upstream.
 
 use std::{
+    io::Read,
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
 
 use jacinthpoint_platform_standins::PlainFault;
+use serde_json::json;
 
 use crate::gateway::{
     caller::{Answer, End, Request, join_all},
@@ -144,6 +148,67 @@
     assert_eq!(answer.status, 200);
 }
 
+/// Starts a gateway that reads the head of each forwarded request and closes the connection. Returns its
+/// address and the heads.
+fn start_breaking_gateway() -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let heads: Arc<Mutex<Vec<String>>> = Arc::default();
+    let read_heads = heads.clone();
+    thread::spawn(move || {
+        while let Ok((mut connection, _)) = listener.accept() {
+            let read_heads = read_heads.clone();
+            thread::spawn(move || {
+                let mut head = Vec::new();
+                let mut byte = [0];
+                while !head.ends_with(b"\r\n\r\n") && connection.read(&mut byte).unwrap_or(0) > 0 {
+                    head.push(byte[0]);
+                }
+                let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+                if head.contains("gateway-forwarded-by") {
+                    read_heads.lock().expect("no reader panics").push(head);
+                }
+            });
+        }
+    });
+    (address, heads)
+}
+
+/// Guards against a forwarded request that runs twice, since it is offered to a second gateway after the
+/// first one may have taken it, and against one that runs on after its caller's deadline.
+#[test]
+fn forwarded_request_whose_connection_breaks_is_not_offered_again() {
+    let (mut site, partitioned) = partitioned_site();
+    (0..GATEWAYS)
+        .filter(|index| *index != partitioned)
+        .for_each(|index| site.kill(index));
+    let breaking = [start_breaking_gateway(), start_breaking_gateway()];
+    for (index, (address, _)) in breaking.iter().enumerate() {
+        let registration = json!({ "data_centre": "dc-9", "address": address.to_string(),
+            "core_permille": 1, "link_kbps": 1 });
+        let store = &site.platform.store;
+        store.put("gateways", &format!("breaking-{index}"), registration);
+    }
+    thread::sleep(STABLE);
+    for id in 0..6 {
+        let request = Request::once(&format!("broken-{id}"));
+        let answer = request.send(site.gateway(partitioned));
+        assert_eq!(answer.status, 502, "request {id} may have run");
+        let heads = breaking.iter().flat_map(|(_, heads)| {
+            let heads = heads.lock().expect("no reader panics");
+            heads.clone()
+        });
+        let of_request = heads.filter(|head| head.contains(&format!(": broken-{id}\r\n")));
+        let of_request: Vec<String> = of_request.collect();
+        assert_eq!(of_request.len(), 1, "request {id}: {of_request:?}");
+        let deadline = of_request[0]
+            .lines()
+            .find_map(|line| line.strip_prefix("jacinthpoint-deadline-ms: "));
+        let deadline_ms: u64 = deadline.expect("it has one").parse().expect("a number");
+        assert!((1..=8_000).contains(&deadline_ms), "{deadline_ms} ms");
+    }
+}
+
 /// Guards against groups that nobody repairs: the gateway that sends the orders reaches no upstream, but
 /// holds the lease.
 #[test]
