Tests: gateways answer what earlier builds send

The bytes of a load report, a relay's calls and a registration without capacity, as builds before the cells send them. A rolling upgrade itself was not played.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -18,6 +18,7 @@
 mod caller;
 mod crashing_prompts;
 mod crashing_requests;
+mod earlier_builds;
 mod fleet_limits;
 mod joining_upstreams;
 mod reported_faults;
