--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -21,6 +21,7 @@
 mod earlier_builds;
 mod fleet_limits;
 mod joining_upstreams;
+mod mixed_builds;
 mod reported_faults;
 mod restored_store;
 mod site;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -257,6 +257,15 @@
         ));
     }
 
+    /// Like [`Site::restart`], with the executable of another build.
+    pub fn restart_as(&mut self, index: usize, program: &str) {
+        let gateway = &mut self.gateways[index];
+        gateway.process = None;
+        gateway.incarnation += 1;
+        let args = ["gateway", &gateway.settings_path];
+        gateway.process = Some(Process::other_build(program, &args));
+    }
+
     /// Kills a gateway without a graceful stop.
     pub fn kill(&mut self, index: usize) {
         self.gateways[index].process = None;
--- a/tests/util/process.rs
+++ b/tests/util/process.rs
@@ -36,6 +36,11 @@
         Process::start(env!("CARGO_BIN_EXE_jacinthpoint"), proxy, args)
     }
 
+    /// Starts the program under test as another build: the executable at this path.
+    pub fn other_build(path: &str, args: &[&str]) -> Process {
+        Process::start(path, None, args)
+    }
+
     fn start(program: &str, proxy: Option<SocketAddr>, args: &[&str]) -> Process {
         let proxy = proxy.map(|proxy| ("http_proxy", format!("http://{proxy}")));
         let mut child = Command::new(program)
