--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,7 +14,7 @@
     history::{Continuity, HistoryPosition, StoreEra},
     order::{Order, OrderAction, OrderAnswer},
     roles::{
-        RegisteredGateway, StoreReading, VmCapacity, deal_load_hubs, deal_store_reading,
+        RegisteredGateway, StoreReading, VmCapacity, assign_load_hubs, assign_store_reading,
         is_lease_candidate, role_order, takeover_ms,
     },
     source::{MAX_RELAYED_AGE_MS, SourceTracker, StoreUnavailability},
--- a/crates/fleet/src/roles.rs
+++ b/crates/fleet/src/roles.rs
@@ -1,31 +1,31 @@
-//! Deals out the work that a few gateways do for all others.
+//! Assigns the work that a few gateways do for all others.
 //!
 //! If each gateway read the store for itself, the number of calls would grow with the number of
 //! gateways; if one gateway served all others, its link and processor would have to. So a few gateways
-//! of a data centre are servers, and the others, their clients, are divided among them. A server has
+//! of a data centre are readers of the store, and the others, their clients, are divided among them. A reader has
 //! about as many clients as its VM can serve, however many gateways there are.
 //!
-//! VMs differ: one may have ten times the link of another. Servers are the gateways on the largest
+//! VMs differ: one may have ten times the link of another. Readers are the gateways on the largest
 //! VMs, and each gets clients in proportion to what it can serve. Gateways that know the same fleet
-//! deal alike, without an election. Those that differ for a moment do no harm: any gateway serves any
+//! assign alike, without an election. Those that differ for a moment do no harm: any gateway serves any
 //! client that comes.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use jacinthpoint_types::{rendezvous_order, rendezvous_weight};
 
-/// Maximum number of clients that a server is dealt. More would save few calls to the store, and all
-/// of them have to find another server when one fails.
+/// Maximum number of clients that a reader is assigned. More would save few calls to the store, and all
+/// of them have to find another reader when one fails.
 const MAX_CLIENTS: f64 = 40.0;
-/// Part of a server's link that it needs for each client: when all its clients start, each gets the list
+/// Part of a reader's link that it needs for each client: when all its clients start, each gets the list
 /// of a thousand upstreams (300 kB) within three seconds.
 const CLIENT_LINK_KBPS: f64 = 1_000.0;
-/// Part of a core that a server needs for each client, in thousandths: up to ten answers a second of
+/// Part of a core that a reader needs for each client, in thousandths: up to ten answers a second of
 /// about half a millisecond.
 const CLIENT_CORE_PERMILLE: f64 = 5.0;
-/// Number of clients of a server whose registration does not say what its VM can carry.
+/// Number of clients of a reader whose registration does not say what its VM can carry.
 const DEFAULT_CLIENTS: f64 = 20.0;
-/// Number of gateways of a data centre that serve others when all servers fail.
+/// Number of gateways of a data centre that serve others when all readers fail.
 const SUBSTITUTES: usize = 2;
 /// Number of gateways that compete for the lease at the same time.
 const CANDIDATES: usize = 4;
@@ -84,8 +84,8 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct StoreReading {
     /// Whether the gateway reads the store at all times.
-    pub is_server: bool,
-    /// Whether the gateway is a substitute, which reads the store as soon as all servers fail.
+    pub is_reader: bool,
+    /// Whether the gateway is a substitute, which reads the store as soon as all readers fail.
     pub is_substitute: bool,
     /// Gateways that read the store for this one, in the order in which it asks them. If it is a
     /// substitute, those before it in the order.
@@ -105,10 +105,10 @@
     TAKEOVER_MS + step as u64 * TAKEOVER_STEP_MS
 }
 
-/// Deals the reading of the store for the gateway `own` among the gateways of its data centre.
+/// Assigns the reading of the store for the gateway `own` among the gateways of its data centre.
 ///
 /// A gateway that is not among `all` yet reads the store itself.
-pub fn deal_store_reading(all: &BTreeMap<String, RegisteredGateway>, own: &str) -> StoreReading {
+pub fn assign_store_reading(all: &BTreeMap<String, RegisteredGateway>, own: &str) -> StoreReading {
     let data_centre = all
         .get(own)
         .and_then(|gateway| gateway.data_centre.as_deref());
@@ -126,14 +126,14 @@
     }
     let clients = client_counts(&members);
     let order = by_size("readers", &clients);
-    let (servers, others) = order.split_at(server_count(&order, &clients));
-    if servers.contains(&own) {
+    let (readers, others) = order.split_at(reader_count(&order, &clients));
+    if readers.contains(&own) {
         return StoreReading {
-            is_server: true,
+            is_reader: true,
             ..StoreReading::default()
         };
     }
-    let mut sources = ranked_for_client(servers, own, &clients);
+    let mut sources = ranked_for_client(readers, own, &clients);
     let substitutes = others.iter().take(SUBSTITUTES);
     let is_substitute = substitutes.clone().any(|name| *name == own);
     sources.extend(substitutes.take_while(|name| **name != own));
@@ -142,7 +142,7 @@
         .filter_map(|name| members.get(name)?.address)
         .collect();
     StoreReading {
-        is_server: false,
+        is_reader: false,
         is_substitute,
         sources: addresses,
     }
@@ -151,7 +151,7 @@
 /// Returns the addresses of the hubs of the fleet's `cells` cells, in the order in which the gateway
 /// `own` reports its loads to them; only its own address if it is a hub itself. Gateways of a build
 /// that does not know cells are no hubs.
-pub fn deal_load_hubs(
+pub fn assign_load_hubs(
     all: &BTreeMap<String, RegisteredGateway>,
     own: &str,
     cells: usize,
@@ -224,7 +224,7 @@
 }
 
 /// Returns how many of the gateways, in this order, it takes to serve all of them.
-fn server_count(order: &[&str], clients: &BTreeMap<&str, f64>) -> usize {
+fn reader_count(order: &[&str], clients: &BTreeMap<&str, f64>) -> usize {
     let mut served = 0.0;
     let needed = order.iter().take_while(|name| {
         let is_needed = served < order.len() as f64;
--- a/crates/fleet/tests/roles.rs
+++ b/crates/fleet/tests/roles.rs
@@ -1,4 +1,4 @@
-//! Dealing of the work that few gateways do for all, over fleets of many sizes.
+//! Assignment of the work that few gateways do for all, in fleets of many sizes.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -6,7 +6,7 @@
 };
 
 use jacinthpoint_fleet::{
-    RegisteredGateway, VmCapacity, deal_load_hubs, deal_store_reading, is_lease_candidate,
+    RegisteredGateway, VmCapacity, assign_load_hubs, assign_store_reading, is_lease_candidate,
     role_order, takeover_ms,
 };
 use jacinthpoint_types::rendezvous_order;
@@ -21,7 +21,7 @@
     core_permille: 400,
     link_kbps: 200_000,
 };
-/// Target for the clients of one server on a small VM: twice what it can serve, since hashes do not
+/// Target for the clients of one reader on a small VM: twice what it can serve, since hashes do not
 /// divide them evenly.
 const MAX_CLIENTS: usize = 40;
 
@@ -45,14 +45,14 @@
         .collect()
 }
 
-/// Returns the number of clients that each server has first, by the server's address.
+/// Returns the number of clients that each reader has first, by the reader's address.
 fn clients(fleet: &Fleet) -> BTreeMap<SocketAddr, usize> {
     let mut clients = BTreeMap::new();
     for name in fleet.keys() {
-        let reading = deal_store_reading(fleet, name);
+        let reading = assign_store_reading(fleet, name);
         match reading.sources.first() {
-            Some(server) => *clients.entry(*server).or_default() += 1,
-            None => assert!(reading.is_server, "{name} has neither server nor clients"),
+            Some(reader) => *clients.entry(*reader).or_default() += 1,
+            None => assert!(reading.is_reader, "{name} has neither reader nor clients"),
         }
     }
     clients
@@ -62,57 +62,57 @@
 macro_rules! bounded {
     ($($name:ident: $count:expr, $data_centres:expr;)+) => {
         $(
-            /// Guards against one server that has to serve its whole data centre.
+            /// Guards against one reader that has to serve its whole data centre.
             #[test]
             fn $name() {
                 let clients = clients(&fleet($count, $data_centres, 0));
                 let most = clients.values().max().copied().unwrap_or_default();
-                assert!(most <= MAX_CLIENTS, "{most} clients of one server");
+                assert!(most <= MAX_CLIENTS, "{most} clients of one reader");
             }
         )+
     };
 }
 
 bounded! {
-    clients_of_a_server_are_bounded_in_a_fleet_of_6: 6, 3;
-    clients_of_a_server_are_bounded_in_a_fleet_of_81: 81, 3;
-    clients_of_a_server_are_bounded_in_a_fleet_of_295: 295, 5;
-    clients_of_a_server_are_bounded_in_a_fleet_of_420: 420, 8;
-    clients_of_a_server_are_bounded_in_a_data_centre_of_900: 900, 1;
+    clients_of_a_reader_are_bounded_in_a_fleet_of_6: 6, 3;
+    clients_of_a_reader_are_bounded_in_a_fleet_of_81: 81, 3;
+    clients_of_a_reader_are_bounded_in_a_fleet_of_295: 295, 5;
+    clients_of_a_reader_are_bounded_in_a_fleet_of_420: 420, 8;
+    clients_of_a_reader_are_bounded_in_a_data_centre_of_900: 900, 1;
 }
 
-/// Guards against a server whose link is too slow for its clients, while larger VMs are there.
+/// Guards against a reader whose link is too slow for its clients, while larger VMs are there.
 #[test]
-fn servers_are_on_the_largest_vms_and_have_clients_by_their_size() {
+fn readers_are_on_the_largest_vms_and_have_clients_by_their_size() {
     let fleet = fleet(300, 5, 15);
     let small: BTreeSet<SocketAddr> = (15..700).map(address).collect();
     let clients = clients(&fleet);
     // Each data centre of 60 needs two of its three large VMs.
     assert_eq!(clients.len(), 10);
-    assert!(clients.keys().all(|server| !small.contains(server)));
+    assert!(clients.keys().all(|reader| !small.contains(reader)));
     let fleet = self::fleet(700, 5, 15);
     let clients = self::clients(&fleet);
-    let of_small = clients.iter().filter(|(server, _)| small.contains(server));
-    // The fourth server of a data centre of 140 is small; its part is 20 of 140.
+    let of_small = clients.iter().filter(|(reader, _)| small.contains(reader));
+    // The fourth reader of a data centre of 140 is small; its part is 20 of 140.
     assert_eq!(of_small.clone().count(), 5);
-    for (server, clients) in of_small {
-        assert!(*clients <= MAX_CLIENTS, "{server} has {clients} clients");
+    for (reader, clients) in of_small {
+        assert!(*clients <= MAX_CLIENTS, "{reader} has {clients} clients");
     }
 }
 
-/// Guards against a herd: the clients of a failed server must not all ask the same one next.
+/// Guards against a herd: the clients of a failed reader must not all ask the same one next.
 #[test]
-fn clients_of_a_failed_server_are_divided_among_the_others() {
+fn clients_of_a_failed_reader_are_divided_among_the_others() {
     let fleet = fleet(100, 1, 0);
-    let failed = *clients(&fleet).keys().next().expect("there are servers");
+    let failed = *clients(&fleet).keys().next().expect("there are readers");
     let mut next: BTreeMap<SocketAddr, usize> = BTreeMap::new();
     for name in fleet.keys() {
-        let sources = deal_store_reading(&fleet, name).sources;
+        let sources = assign_store_reading(&fleet, name).sources;
         if sources.first() == Some(&failed) {
             *next.entry(sources[1]).or_default() += 1;
         }
     }
-    assert_eq!(next.len(), 4, "five servers, one failed: {next:?}");
+    assert_eq!(next.len(), 4, "five readers, one failed: {next:?}");
 }
 
 /// Guards against a fleet in which gateways of the earlier build, which order all by their hashes,
@@ -129,15 +129,15 @@
 
 #[test]
 fn gateway_that_is_not_registered_yet_reads_the_store_itself() {
-    let reading = deal_store_reading(&fleet(30, 3, 0), "gateway-30");
-    assert!(!reading.is_server && reading.sources.is_empty());
+    let reading = assign_store_reading(&fleet(30, 3, 0), "gateway-30");
+    assert!(!reading.is_reader && reading.sources.is_empty());
 }
 
-/// Guards against a data centre in which nobody steps in for its servers at once, or all do.
+/// Guards against a data centre in which nobody steps in for its readers at once, or all do.
 #[test]
 fn two_gateways_of_a_data_centre_are_substitutes() {
     let fleet = fleet(300, 5, 15);
-    let readings = fleet.keys().map(|name| deal_store_reading(&fleet, name));
+    let readings = fleet.keys().map(|name| assign_store_reading(&fleet, name));
     let substitutes = readings.filter(|reading| reading.is_substitute);
     assert_eq!(substitutes.count(), 2 * 5);
 }
@@ -147,7 +147,7 @@
 fn substitute_asks_only_those_before_it() {
     let fleet = fleet(30, 1, 0);
     for (name, gateway) in &fleet {
-        let reading = deal_store_reading(&fleet, name);
+        let reading = assign_store_reading(&fleet, name);
         assert!(
             !reading
                 .sources
@@ -176,7 +176,7 @@
         }
     }
     for own in fleet.keys() {
-        let hubs = deal_load_hubs(&fleet, own, 3);
+        let hubs = assign_load_hubs(&fleet, own, 3);
         let of_build = |hub: &SocketAddr| {
             let mut gateways = fleet.values();
             gateways.any(|gateway| gateway.address == Some(*hub) && gateway.capacity.is_some())
@@ -194,7 +194,7 @@
     let fleet = fleet(100, 5, 5);
     let mut members: BTreeMap<SocketAddr, usize> = BTreeMap::new();
     for (name, gateway) in &fleet {
-        let hubs = deal_load_hubs(&fleet, name, 5);
+        let hubs = assign_load_hubs(&fleet, name, 5);
         let is_hub = gateway.capacity == Some(LARGE);
         assert_eq!(hubs.len(), if is_hub { 1 } else { 5 }, "{name}");
         assert_eq!(is_hub, hubs[0] == gateway.address.expect("it has one"));
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -28,7 +28,7 @@
 use jacinthpoint_adapter::{List, StoredObject, paths::Freshness};
 use jacinthpoint_dispatch::cell_count;
 use jacinthpoint_fleet::{
-    RegisteredGateway, StoreReading, VmCapacity, deal_load_hubs, deal_store_reading,
+    RegisteredGateway, StoreReading, VmCapacity, assign_load_hubs, assign_store_reading,
     is_lease_candidate, role_order, takeover_ms,
 };
 use jacinthpoint_types::TimeMs;
@@ -71,7 +71,7 @@
     /// All gateways of the fleet, by name.
     all: RefCell<BTreeMap<String, RegisteredGateway>>,
     /// What follows from `all` for this gateway; `None` after a change until it is used.
-    dealt: RefCell<Option<Rc<Dealt>>>,
+    roles: RefCell<Option<Rc<Roles>>>,
     /// Readers that failed or had no recent data.
     excluded: ExcludedPeers,
     /// Whether the list was read at least once.
@@ -82,7 +82,7 @@
 
 /// Roles of the gateways.
 #[derive(Debug)]
-struct Dealt {
+struct Roles {
     /// Who reads the store for this gateway.
     reading: StoreReading,
     /// Addresses of the hubs of load reports, in the order in which this gateway uses them.
@@ -102,7 +102,7 @@
         Roster {
             own: own.to_owned(),
             all: RefCell::default(),
-            dealt: RefCell::default(),
+            roles: RefCell::default(),
             excluded: ExcludedPeers::default(),
             is_known: watch::Sender::default(),
             is_missing: Notify::default(),
@@ -110,17 +110,17 @@
     }
 
     /// Returns the roles of the gateways that are known now.
-    fn dealt(&self) -> Rc<Dealt> {
-        let mut dealt = self.dealt.borrow_mut();
-        let dealt = dealt.get_or_insert_with(|| {
+    fn roles(&self) -> Rc<Roles> {
+        let mut roles = self.roles.borrow_mut();
+        let roles = roles.get_or_insert_with(|| {
             let all = self.all.borrow();
             let cells = cell_count(all.len());
             let roots = role_order(&all, "loads").into_iter();
             let without_cells = all.values().filter(|gateway| gateway.capacity.is_none());
             let candidates = role_order(&all, "owner");
-            Rc::new(Dealt {
-                reading: deal_store_reading(&all, &self.own),
-                load_hubs: deal_load_hubs(&all, &self.own, cells).into(),
+            Rc::new(Roles {
+                reading: assign_store_reading(&all, &self.own),
+                load_hubs: assign_load_hubs(&all, &self.own, cells).into(),
                 root_ranking: roots.filter_map(|name| all[name].address).collect(),
                 without_cells: without_cells
                     .filter_map(|gateway| gateway.address)
@@ -128,7 +128,7 @@
                 candidate_position: candidates.iter().position(|name| *name == self.own),
             })
         });
-        dealt.clone()
+        roles.clone()
     }
 
     /// Returns the address of the gateway to watch instead of the store; `None` if this gateway
@@ -136,8 +136,8 @@
     ///
     /// If all gateways that read for this one are excluded, it reads the store itself.
     pub(crate) fn reader(&self, now: TimeMs) -> Option<SocketAddr> {
-        let dealt = self.dealt();
-        let sources = dealt.reading.sources.iter();
+        let roles = self.roles();
+        let sources = roles.reading.sources.iter();
         let mut usable = sources.filter(|address| !self.excluded.is_excluded(address, now));
         usable.next().copied()
     }
@@ -145,9 +145,9 @@
     /// Returns the gateway that a client asks again although all its sources are excluded; `None` if it
     /// reads the store itself then, as servers and substitutes do at once.
     pub(crate) fn patient_reader(&self) -> Option<SocketAddr> {
-        let dealt = self.dealt();
-        let is_client = !dealt.reading.is_server && !dealt.reading.is_substitute;
-        let first = dealt.reading.sources.first().copied();
+        let roles = self.roles();
+        let is_client = !roles.reading.is_reader && !roles.reading.is_substitute;
+        let first = roles.reading.sources.first().copied();
         first.filter(|_| is_client)
     }
 
@@ -162,7 +162,7 @@
 
     /// Returns whether this gateway reads the store at all times.
     pub(crate) fn is_permanent_reader(&self) -> bool {
-        self.dealt().reading.is_server
+        self.roles().reading.is_reader
     }
 
     /// Excludes a reader that did not answer.
@@ -194,18 +194,18 @@
 
     /// Returns the addresses of the hubs of load reports, in the order in which this gateway uses them.
     pub(crate) fn load_hubs(&self) -> Rc<[SocketAddr]> {
-        self.dealt().load_hubs.clone()
+        self.roles().load_hubs.clone()
     }
 
     /// Returns the addresses of all gateways in the order in which they become the root of load
     /// reports.
     pub(crate) fn root_ranking(&self) -> Rc<[SocketAddr]> {
-        self.dealt().root_ranking.clone()
+        self.roles().root_ranking.clone()
     }
 
     /// Returns whether the gateway at `address` is of a build that knows cells.
     pub(crate) fn knows_cells(&self, address: SocketAddr) -> bool {
-        !self.dealt().without_cells.contains(&address)
+        !self.roles().without_cells.contains(&address)
     }
 
     /// Returns whether this gateway is a candidate for the lease, or is not registered yet.
@@ -221,7 +221,7 @@
     /// Returns the position of this gateway in the order for the lease; the first one if it is not
     /// registered yet.
     fn candidate_position(&self) -> usize {
-        self.dealt().candidate_position.unwrap_or(0)
+        self.roles().candidate_position.unwrap_or(0)
     }
 
     /// Adds or replaces registrations. None is removed, because an old list may lack some.
@@ -236,7 +236,7 @@
         if !is_changed {
             return;
         }
-        *self.dealt.borrow_mut() = None;
+        *self.roles.borrow_mut() = None;
         gateway.gateway_count.set(all.len().max(1));
     }
 }
