--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -103,7 +103,9 @@
     };
     let metrics = settings.metrics;
     log_event!(info, GatewayStarted, node = %settings.name, data_centre = %settings.data_centre,
-        store = %settings.store, version = env!("CARGO_PKG_VERSION"), "the gateway started");
+        store = %settings.store, core_permille = settings.capacity.core_permille,
+        link_kbps = settings.capacity.link_kbps, version = env!("CARGO_PKG_VERSION"),
+        "the gateway started");
     let gateway = Rc::new(Gateway::new(settings));
     let lease = Rc::new(Lease::default());
     spawn_local(watch_config(gateway.clone()));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -21,7 +21,7 @@
     key("listen", "metrics", Absent::Nothing),
     key("store", "address", Absent::Refused),
     number("limits", "descriptors", "1024", 300..=10_000_000),
-    // What the VM can carry. Gateways on larger VMs serve the others.
+    // What the VM can carry; 0 stands for no limit. Gateways on larger VMs serve the others.
     key("limits", "core_share", Absent::Default("1")),
     key("limits", "link_mbps", Absent::Default("1000")),
     // The platform kills a process that still runs this long after the signal to stop.
@@ -125,10 +125,10 @@
         metrics,
         store: store?,
         descriptors: descriptors?,
-        // The conversion takes values out of range, such as NaN, to the nearest valid one.
+        // Values that are no positive numbers become 0, which `check` refuses.
         capacity: VmCapacity {
-            core_permille: ((core_share? * 1_000.0) as u32).max(1),
-            link_kbps: ((link_mbps? * 1_000.0) as u32).max(1),
+            core_permille: thousandths(core_share?),
+            link_kbps: thousandths(link_mbps?),
         },
         grace_ms: grace_ms?,
         announce_ms: announce_ms?,
@@ -141,12 +141,31 @@
     })
 }
 
+/// Returns a limit in thousandths of its unit; the largest value for 0, which stands for no limit.
+fn thousandths(limit: f64) -> u32 {
+    if limit == 0.0 {
+        u32::MAX
+    } else {
+        (limit * 1_000.0) as u32
+    }
+}
+
 /// Adds an error for each value that is invalid by itself or together with another one.
 fn check(settings: &GatewaySettings, reader: &mut Reader<'_>) {
     if !(0.0..=10.0).contains(&settings.repeats.ratio) {
         let message = format!("`ratio = {}` is not within 0 to 10", settings.repeats.ratio);
         reader.add_error("repeats", Some("ratio"), message);
     }
+    let capacity = settings.capacity;
+    for (key, value) in [
+        ("core_share", capacity.core_permille),
+        ("link_mbps", capacity.link_kbps),
+    ] {
+        if value == 0 {
+            let message = format!("`{key}` is neither 0 nor a number of 0.001 or more");
+            reader.add_error("limits", Some(key), message);
+        }
+    }
     if settings.announce_ms >= settings.grace_ms {
         let message = format!(
             "`announce_ms = {}` is not below `grace_ms = {}`, so no time is left for open requests",
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -13,6 +13,27 @@
     assert_eq!((settings.grace_ms, settings.peers), (8_000, None));
 }
 
+/// Guards against roles that go to small VMs because fractions of a core or of a link rate are lost.
+#[test]
+fn capacity_is_read_in_fractions() {
+    let text = MINIMAL.to_owned() + "[limits]\ncore_share = 0.12\nlink_mbps = 20.5\n";
+    let capacity = parse_settings(&text)
+        .expect("the settings are valid")
+        .capacity;
+    assert_eq!((capacity.core_permille, capacity.link_kbps), (120, 20_500));
+}
+
+/// Guards against a gateway that does not start where the platform sets no limit.
+#[test]
+fn capacity_of_zero_stands_for_no_limit() {
+    let text = MINIMAL.to_owned() + "[limits]\ncore_share = 0\nlink_mbps = 0\n";
+    let capacity = parse_settings(&text)
+        .expect("the settings are valid")
+        .capacity;
+    assert_eq!(capacity.core_permille, u32::MAX);
+    assert_eq!(capacity.link_kbps, u32::MAX);
+}
+
 /// Defines tests that add lines to the minimal settings and expect exactly these errors.
 macro_rules! refused {
     ($($name:ident: $more:expr => $errors:expr;)+) => {
@@ -40,6 +61,12 @@
     ratio_out_of_range_is_refused: "[repeats]\nratio = 11\n" => [
         "line 10: `ratio = 11` is not within 0 to 10"
     ];
+    core_share_that_is_no_number_is_refused: "[limits]\ncore_share = NaN\n" => [
+        "line 10: `core_share` is neither 0 nor a number of 0.001 or more"
+    ];
+    negative_link_rate_is_refused: "[limits]\nlink_mbps = -20\n" => [
+        "line 10: `link_mbps` is neither 0 nor a number of 0.001 or more"
+    ];
     unknown_log_level_is_refused: "[logs]\nlevel = loud\n" => [
         "line 10: `level = loud` is not a level"
     ];
