Watch: a relay that fails at once is not called again without a pause

Found in the last reading: a client whose relays had refused, and all but the first of which were excluded, called that one in a loop for up to a second if its connections were refused at once. No test; by reading.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -60,7 +60,7 @@
 const EXCLUSION_MS: u64 = 4_000;
 /// Time for which a reader is excluded that answers but has no recent data from the store. It is
 /// short: if the store itself is unavailable, all readers are excluded, and then every gateway
-/// calls the store.
+/// calls the store after a while.
 const STALE_EXCLUSION_MS: u64 = 1_000;
 
 /// The registered gateways.
@@ -143,7 +143,7 @@
     }
 
     /// Returns the gateway that a client asks again although all its sources are excluded; `None` if it
-    /// reads the store itself then, as servers and substitutes do at once.
+    /// reads the store itself then, as readers and substitutes do at once.
     pub(crate) fn patient_reader(&self) -> Option<SocketAddr> {
         let roles = self.roles();
         let is_client = !roles.reading.is_reader && !roles.reading.is_substitute;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -273,6 +273,10 @@
             Err(error) if source.is_relayed() => {
                 log_source_left(feed, &source, &error.to_string());
                 gateway.roster.exclude_reader(source.address(), now);
+                // A relay that fails at once must not be called without a pause.
+                if relay_address(gateway, &progress) == Some(source.address()) {
+                    sleep_ms(RELAY_RETRY_PAUSE_MS).await;
+                }
             }
             Err(error) => {
                 progress.availability.on_failure(feed.kind, &error, now);
