Gateway: the end of a caller's connection, with its reason, and panics of tasks are logged

No event or metric said that a caller's connection had ended, why, or after how many requests, and a panic in a connection's task left no event and the count of open connections too high.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -61,14 +61,22 @@
             .set(gateway.open_connections.get() + 1);
         let gateway = gateway.clone();
         tokio::task::spawn_local(async move {
+            let _guard = OpenConnectionGuard(gateway.clone());
             serve_connection(&gateway, stream).await;
-            gateway
-                .open_connections
-                .set(gateway.open_connections.get() - 1);
         });
     }
 }
 
+/// Decrements the number of open connections when dropped, also if the connection's task panics.
+struct OpenConnectionGuard(Rc<Gateway>);
+
+impl Drop for OpenConnectionGuard {
+    fn drop(&mut self) {
+        let open = &self.0.open_connections;
+        open.set(open.get() - 1);
+    }
+}
+
 /// Serves one caller's connection until it ends, or until its current request ends if the gateway
 /// is closing.
 async fn serve_connection(gateway: &Rc<Gateway>, stream: TcpStream) {
@@ -77,7 +85,9 @@
         .snapshot()
         .map_or_else(Default::default, |s| s.config.limits);
     let head_bytes = limits.max_header_bytes.max(MIN_HEAD_BYTES) + HEAD_SLACK_BYTES;
+    let requests = Cell::new(0_u64);
     let service = service_fn(|request| {
+        requests.set(requests.get() + 1);
         let gateway = gateway.clone();
         async move { Ok::<_, Infallible>(call::answer(gateway, request, false).await) }
     });
@@ -98,9 +108,22 @@
             connection.await
         }
     };
-    if let Err(error) = result {
-        tracing::debug!(%error, "a caller's connection failed");
-    }
+    let why = match &result {
+        Ok(()) if requests.get() == 0 => "unused",
+        Ok(()) => "done",
+        Err(error) if error.is_timeout() => "idle",
+        Err(_) => "failed",
+    };
+    gateway.metrics.count("connections_ended", why);
+    log_event!(
+        debug,
+        ConnectionEnded,
+        why,
+        requests = requests.get(),
+        is_stopping = *gateway.phase.borrow() != Phase::Serving,
+        error = result.err().map(|error| error.to_string()),
+        "a caller's connection ended"
+    );
 }
 
 /// Answers all requests on `listener` for ever with the status and text that `respond` returns for
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -99,6 +99,10 @@
     StoreCalled = 748,
     /// A relay failed or has no recent data, and the gateway does not use it for a time.
     SourceLeft = 749,
+    /// A caller's connection ended. The event says why, and how many requests it carried.
+    ConnectionEnded = 750,
+    /// A task of the gateway panicked; what it did has ended.
+    TaskPanicked = 751,
 }
 
 impl EventCode {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts a gateway's tasks and stops them after a signal.
 
-use std::{io, path::PathBuf, rc::Rc};
+use std::{io, panic, path::PathBuf, rc::Rc};
 
 use jacinthpoint_settings::SettingsError;
 use tokio::{
@@ -71,6 +71,7 @@
     path: PathBuf,
     dropped_lines: impl Fn() -> usize + 'static,
 ) -> Result<usize, GatewayError> {
+    log_panics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -78,6 +79,17 @@
     LocalSet::new().block_on(&runtime, serve(settings, path, dropped_lines))
 }
 
+/// Logs each panic as an event, besides its usual output.
+fn log_panics() {
+    let default_hook = panic::take_hook();
+    panic::set_hook(Box::new(move |panic| {
+        let location = panic.location().map(ToString::to_string);
+        let message = panic.payload_as_str();
+        log_event!(error, TaskPanicked, location, message, "a task panicked");
+        default_hook(panic);
+    }));
+}
+
 /// Binds the addresses, starts all tasks, and handles signals.
 async fn serve(
     settings: GatewaySettings,
