Gateway: socket options of callers' connections are set apart from those of its own

Callers' connections keep TCP_NODELAY and keepalive, and no longer get TCP_USER_TIMEOUT. Linux applies that option to a closed receive window too, so a caller that paused reading for over 4 s within its deadline got a reset. Connections to upstreams, the store and other gateways are unchanged.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -151,7 +151,7 @@
             Ok(Err(error)) => return Err(ConnectError::Io(error)),
             Err(_) => return Err(ConnectError::TimedOut),
         };
-        set_options(&stream);
+        set_peer_options(&stream);
         let allowance_bytes = Rc::new(Cell::new(usize::MAX));
         let stream = MeteredStream {
             stream,
@@ -193,28 +193,39 @@
     }
 }
 
-/// Disables Nagle's algorithm and sets the TCP options that detect a peer that no longer answers.
+/// Sets the options of a caller's connection: no Nagle's algorithm, and keepalive probes.
 ///
-/// An option that the operating system lacks is skipped, because the timeouts of requests apply in
-/// any case.
-pub(crate) fn set_options(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
+/// There is no limit on unacknowledged bytes, because Linux applies it to a closed receive window
+/// too: a caller that pauses reading is not gone.
+pub(crate) fn set_caller_options(stream: &TcpStream) {
+    log_unavailable("TCP_NODELAY", stream.set_nodelay(true));
+    log_unavailable("SO_KEEPALIVE", set_keepalive(stream));
+}
+
+/// Sets the options of a connection between the gateway and an upstream, the store or another
+/// gateway: those of a caller's connection, and a limit on unacknowledged bytes.
+pub(crate) fn set_peer_options(stream: &TcpStream) {
+    set_caller_options(stream);
+    let unacknowledged = Some(Duration::from_millis(MAX_UNACKNOWLEDGED_MS));
+    log_unavailable(
+        "TCP_USER_TIMEOUT",
+        SockRef::from(stream).set_tcp_user_timeout(unacknowledged),
+    );
+}
+
+/// Enables keepalive probes, which detect a peer that no longer answers.
+fn set_keepalive(stream: &TcpStream) -> io::Result<()> {
     let keepalive = TcpKeepalive::new()
         .with_time(Duration::from_millis(KEEPALIVE_IDLE_MS))
         .with_interval(Duration::from_millis(KEEPALIVE_INTERVAL_MS))
         .with_retries(MAX_KEEPALIVE_PROBES);
-    let unacknowledged = Some(Duration::from_millis(MAX_UNACKNOWLEDGED_MS));
-    let results = [
-        ("TCP_NODELAY", stream.set_nodelay(true)),
-        ("SO_KEEPALIVE", socket.set_tcp_keepalive(&keepalive)),
-        (
-            "TCP_USER_TIMEOUT",
-            socket.set_tcp_user_timeout(unacknowledged),
-        ),
-    ];
-    for (option, result) in results {
-        if let Err(error) = result {
-            tracing::debug!(option, %error, "a socket option is not available");
-        }
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
+
+/// Logs an option that the operating system lacks. It is not needed, because the timeouts of
+/// requests apply in any case.
+fn log_unavailable(option: &str, result: io::Result<()>) {
+    if let Err(error) = result {
+        tracing::debug!(option, %error, "a socket option is not available");
     }
 }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -14,7 +14,7 @@
     body::{AnswerBody, full_body},
     call,
     clock::sleep_ms,
-    connection::set_options,
+    connection::set_caller_options,
     events::log_event,
     metrics::Metrics,
     state::{Gateway, Phase},
@@ -72,7 +72,7 @@
 /// Serves one caller's connection until it ends, or until its current request ends if the gateway
 /// is closing.
 async fn serve_connection(gateway: &Rc<Gateway>, stream: TcpStream) {
-    set_options(&stream);
+    set_caller_options(&stream);
     let limits = gateway
         .snapshot()
         .map_or_else(Default::default, |s| s.config.limits);
