Test: callers that keep their connections across planned stops

Every caller of the gateway tests opened a connection for each request, so no test could see what becomes of a kept one. `KeptCaller` uses its connection until an answer says `Connection: close` or the connection ends, and tells apart a whole answer, a cut one, a connection that was accepted and ended without a byte, and one that was not accepted.

Requests of tests state their own deadline now, which a caller that leaves early has apart from its own timeout. The end of an answer in chunks needs the empty line after the last chunk, so that the first byte of a next answer is never taken for it.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -21,6 +21,8 @@
 mod earlier_builds;
 mod fleet_limits;
 mod joining_upstreams;
+mod kept_caller;
+mod kept_connections;
 mod mixed_builds;
 mod reported_faults;
 mod restored_store;
--- a/tests/gateway/caller.rs
+++ b/tests/gateway/caller.rs
@@ -12,7 +12,7 @@
 
 use crate::gateway::site::KEY;
 
-/// Default time after which a caller leaves; also the deadline that every request states.
+/// Default time after which a caller leaves; also the default of the deadline that a request states.
 const DEADLINE_MS: u64 = 8_000;
 
 /// End of a response.
@@ -39,6 +39,8 @@
     pub prompt: String,
     /// Time after which the caller leaves, in milliseconds.
     pub timeout_ms: u64,
+    /// Deadline that the request states, in milliseconds from its arrival.
+    pub deadline_ms: u64,
 }
 
 /// Response as received by a caller.
@@ -49,6 +51,8 @@
     head: String,
     body: Vec<u8>,
     pub end: End,
+    /// Number of bytes of the whole response with its head, once it is known.
+    pub total_bytes: Option<usize>,
 }
 
 /// Whether a request that harms nothing was served.
@@ -89,6 +93,7 @@
             body: "prompt",
             prompt: String::new(),
             timeout_ms: DEADLINE_MS,
+            deadline_ms: DEADLINE_MS,
         }
     }
 
@@ -108,6 +113,7 @@
             head: String::new(),
             body: Vec::new(),
             end: End::Broken,
+            total_bytes: None,
         })
     }
 
@@ -121,24 +127,29 @@
         }
     }
 
-    fn try_send(&self, address: SocketAddr) -> std::io::Result<Answer> {
-        let leave_at = Instant::now() + Duration::from_millis(self.timeout_ms);
-        let mut stream = TcpStream::connect(address)?;
+    /// Returns the request as it is sent.
+    pub fn to_text(&self) -> String {
         let prompt = match self.prompt.as_str() {
             "" => String::new(),
             parts => format!("Jacinthpoint-Prompt-Prefix: {parts}\r\n"),
         };
-        let request = format!(
+        format!(
             "POST {} HTTP/1.1\r\nHost: model.example\r\nJacinthpoint-Attempt-Id: {}\r\n\
              Jacinthpoint-Model: model-a\r\n{prompt}Jacinthpoint-Token-Usage: 500,100\r\n\
-             Jacinthpoint-Deadline-Ms: {DEADLINE_MS}\r\nApi-Key: {}\r\nContent-Length: {}\r\n\r\n{}",
+             Jacinthpoint-Deadline-Ms: {}\r\nApi-Key: {}\r\nContent-Length: {}\r\n\r\n{}",
             self.path,
             self.id,
+            self.deadline_ms,
             self.key,
             self.body.len(),
             self.body
-        );
-        stream.write_all(request.as_bytes())?;
+        )
+    }
+
+    fn try_send(&self, address: SocketAddr) -> std::io::Result<Answer> {
+        let leave_at = Instant::now() + Duration::from_millis(self.timeout_ms);
+        let mut stream = TcpStream::connect(address)?;
+        stream.write_all(self.to_text().as_bytes())?;
         stream.set_read_timeout(Some(Duration::from_millis(20)))?;
         let mut received = Vec::new();
         let mut buffer = [0; 4_096];
@@ -161,12 +172,13 @@
 
 /// Parses the bytes received so far; the end is `end_if_incomplete` unless the response is
 /// complete.
-fn parse(received: &[u8], end_if_incomplete: End) -> Answer {
+pub fn parse(received: &[u8], end_if_incomplete: End) -> Answer {
     let incomplete_so_far = |head: &str, body| Answer {
         status: 0,
         head: head.to_owned(),
         body,
         end: end_if_incomplete,
+        total_bytes: None,
     };
     let Some(head_end) = received.windows(4).position(|window| window == b"\r\n\r\n") else {
         return incomplete_so_far("", Vec::new());
@@ -184,6 +196,7 @@
         .and_then(|text| text.parse().ok())
     {
         answer.body = rest[..rest.len().min(length)].to_vec();
+        answer.total_bytes = Some(head_end + 4 + length);
         if rest.len() >= length {
             answer.end = End::Whole;
         }
@@ -196,7 +209,11 @@
         let Some(size) = size else { break };
         let begin = line_end + 2;
         if size == 0 {
-            answer.end = End::Whole;
+            // No trailers are sent, so an empty line ends the body.
+            if rest.get(begin..begin + 2) == Some(b"\r\n") {
+                answer.end = End::Whole;
+                answer.total_bytes = Some(received.len() - rest.len() + begin + 2);
+            }
             break;
         }
         if rest.len() < begin + size + 2 {
@@ -216,6 +233,12 @@
         named.next().map(|(_, value)| value.trim())
     }
 
+    /// Returns whether the gateway announces that it closes the connection after this answer.
+    pub fn announces_close(&self) -> bool {
+        self.header("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+
     /// Returns the body as text.
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
--- /dev/null
+++ b/tests/gateway/kept_caller.rs
@@ -0,0 +1,140 @@
+//! HTTP client of the gateway tests that keeps its connection for many requests.
+//!
+//! Uses a connection until an answer says `Connection: close` or the connection ends, and records what
+//! became of each request: a whole answer, a cut one, or none.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::{Duration, Instant},
+};
+
+use crate::gateway::caller::{Answer, End, Request, parse};
+
+/// What became of a request.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The answer arrived whole.
+    Whole(Answer),
+    /// The answer began and did not arrive whole, or bytes followed that belong to no request.
+    Cut(Answer, String),
+    /// The connection was accepted and ended without a byte of an answer.
+    Unanswered(String),
+    /// The caller left before the answer was whole.
+    Left(Answer),
+    /// No connection was accepted, so the request was not sent.
+    NotConnected,
+}
+
+/// A caller and its connection, if one is open.
+#[derive(Debug)]
+pub struct KeptCaller {
+    address: SocketAddr,
+    stream: Option<TcpStream>,
+}
+
+impl KeptCaller {
+    pub fn new(address: SocketAddr) -> KeptCaller {
+        KeptCaller {
+            address,
+            stream: None,
+        }
+    }
+
+    /// Returns the connection, opened now if there is none.
+    pub fn connect(&mut self) -> Option<&mut TcpStream> {
+        if self.stream.is_none() {
+            self.stream = TcpStream::connect(self.address).ok();
+        }
+        let stream = self.stream.as_mut()?;
+        stream.set_nodelay(true).expect("it can be set");
+        Some(stream)
+    }
+
+    /// Sends a request and reads its answer.
+    pub fn send(&mut self, request: &Request<'_>) -> Outcome {
+        let text = request.to_text();
+        self.send_parts(request, std::iter::once(text.as_bytes()))
+    }
+
+    /// Like [`KeptCaller::send`], for a request that is written in parts. Reads the answer also if the
+    /// request cannot be written to its end.
+    pub fn send_parts<'a>(
+        &mut self,
+        request: &Request<'_>,
+        parts: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Outcome {
+        match self.write_parts(parts) {
+            None => Outcome::NotConnected,
+            Some(written) => match (self.read_answer(request.timeout_ms), written) {
+                (Outcome::Unanswered(why), Err(error)) => {
+                    Outcome::Unanswered(format!("{why}, after {error} while writing"))
+                }
+                (outcome, _) => outcome,
+            },
+        }
+    }
+
+    /// Writes parts of a request; `None` if no connection is accepted.
+    pub fn write_parts<'a>(
+        &mut self,
+        parts: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Option<std::io::Result<()>> {
+        let stream = self.connect()?;
+        let written = parts
+            .into_iter()
+            .try_for_each(|part| stream.write_all(part));
+        Some(written)
+    }
+
+    /// Reads the answer to the request that was sent last. The connection is closed unless another
+    /// request may follow on it.
+    pub fn read_answer(&mut self, timeout_ms: u64) -> Outcome {
+        let leave_at = Instant::now() + Duration::from_millis(timeout_ms);
+        let mut stream = self.stream.take().expect("a request was sent");
+        let outcome = read_answer(&mut stream, leave_at);
+        if let Outcome::Whole(answer) = &outcome
+            && !answer.announces_close()
+        {
+            self.stream = Some(stream);
+        }
+        outcome
+    }
+}
+
+fn read_answer(stream: &mut TcpStream, leave_at: Instant) -> Outcome {
+    let mut received = Vec::new();
+    let mut buffer = [0; 65_536];
+    let mut expected_bytes = None;
+    loop {
+        let left = leave_at.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Outcome::Left(parse(&received, End::Left));
+        }
+        stream.set_read_timeout(Some(left)).expect("it can be set");
+        let why = match stream.read(&mut buffer) {
+            Ok(0) => Some("the connection ended".to_owned()),
+            Ok(count) => {
+                received.extend_from_slice(&buffer[..count]);
+                None
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => continue,
+            Err(error) => Some(error.to_string()),
+        };
+        match why {
+            Some(why) if received.is_empty() => return Outcome::Unanswered(why),
+            Some(why) => return Outcome::Cut(parse(&received, End::Broken), why),
+            // Spares a large answer from being parsed again and again.
+            None if expected_bytes.is_some_and(|bytes| received.len() < bytes) => continue,
+            None => {}
+        }
+        let answer = parse(&received, End::Broken);
+        if answer.end == End::Whole {
+            return match received.len() - answer.total_bytes.unwrap_or(received.len()) {
+                0 => Outcome::Whole(answer),
+                bytes => Outcome::Cut(answer, format!("{bytes} bytes follow the answer")),
+            };
+        }
+        expected_bytes = answer.total_bytes;
+    }
+}
