Test: answers during a planned stop and at its end

Callers saw connections that ended without a byte of an answer: kept and new ones after the announcement of a stop, and those of requests that were still at work when the grace time ended. A request that another gateway had forwarded was lost if the stopping gateway had no callers of its own. Configurations of tests may state limits on requests and another timeout of the routes.

--- a/tests/gateway/kept_caller.rs
+++ b/tests/gateway/kept_caller.rs
@@ -26,6 +26,27 @@
     NotConnected,
 }
 
+impl Outcome {
+    /// Returns the answer; panics if it is not whole.
+    pub fn whole(self) -> Answer {
+        match self {
+            Outcome::Whole(answer) => answer,
+            other => panic!("no whole answer, but {}", other.describe()),
+        }
+    }
+
+    /// Returns a short description for messages.
+    pub fn describe(&self) -> String {
+        match self {
+            Outcome::Whole(answer) => format!("status {}", answer.status),
+            Outcome::Cut(answer, why) => format!("status {}, cut: {why}", answer.status),
+            Outcome::Unanswered(why) => format!("no byte of an answer: {why}"),
+            Outcome::Left(answer) => format!("status {}, not whole in time", answer.status),
+            Outcome::NotConnected => "no connection".to_owned(),
+        }
+    }
+}
+
 /// A caller and its connection, if one is open.
 #[derive(Debug)]
 pub struct KeptCaller {
@@ -51,20 +72,10 @@
         Some(stream)
     }
 
-    /// Sends a request and reads its answer.
+    /// Sends a request and reads its answer, also if the request cannot be written to its end.
     pub fn send(&mut self, request: &Request<'_>) -> Outcome {
         let text = request.to_text();
-        self.send_parts(request, std::iter::once(text.as_bytes()))
-    }
-
-    /// Like [`KeptCaller::send`], for a request that is written in parts. Reads the answer also if the
-    /// request cannot be written to its end.
-    pub fn send_parts<'a>(
-        &mut self,
-        request: &Request<'_>,
-        parts: impl IntoIterator<Item = &'a [u8]>,
-    ) -> Outcome {
-        match self.write_parts(parts) {
+        match self.write(std::iter::once(text.as_bytes())) {
             None => Outcome::NotConnected,
             Some(written) => match (self.read_answer(request.timeout_ms), written) {
                 (Outcome::Unanswered(why), Err(error)) => {
@@ -75,8 +86,8 @@
         }
     }
 
-    /// Writes parts of a request; `None` if no connection is accepted.
-    pub fn write_parts<'a>(
+    /// Writes a request in parts; `None` if no connection is accepted.
+    pub fn write<'a>(
         &mut self,
         parts: impl IntoIterator<Item = &'a [u8]>,
     ) -> Option<std::io::Result<()>> {
--- a/tests/gateway/kept_connections.rs
+++ b/tests/gateway/kept_connections.rs
@@ -10,7 +10,10 @@
     thread,
 };
 
+use jacinthpoint_platform_standins::{PlainFault, RequestLimits};
+
 use crate::gateway::{
+    CONFIG_APPLY_MS,
     caller::{Request, join_all},
     kept_caller::{KeptCaller, Outcome},
     pause_ms,
@@ -19,6 +22,8 @@
 
 /// Time within which a gateway ends after SIGTERM.
 const GRACE_MS: u64 = 8_000;
+/// Time after SIGTERM at which a gateway takes no new requests, and some time to act on it.
+const ANNOUNCED_MS: u64 = 2_300 + 300;
 /// Pause of a caller that was answered, and of one that was not connected.
 const CALLER_PAUSE_MS: u64 = 3;
 const CONNECT_PAUSE_MS: u64 = 20;
@@ -52,16 +57,8 @@
     match outcome {
         Outcome::Whole(answer) if answer.status == 200 => None,
         Outcome::Whole(answer) if answer.status == 503 && runs == 0 => None,
-        Outcome::Whole(answer) => Some(format!("status {}, {runs} runs", answer.status)),
-        Outcome::Unanswered(why) => Some(format!("no byte of an answer, {runs} runs: {why}")),
-        Outcome::Cut(answer, why) => {
-            Some(format!("status {}, cut, {runs} runs: {why}", answer.status))
-        }
-        Outcome::Left(answer) => Some(format!(
-            "status {}, not whole in time, {runs} runs",
-            answer.status
-        )),
         Outcome::NotConnected => None,
+        other => Some(format!("{}, {runs} runs", other.describe())),
     }
 }
 
@@ -110,3 +107,65 @@
     let requests = outcomes.len();
     assert!(requests > 4 * CALLERS, "{requests} requests are too few");
 }
+
+/// Sends a request that works until `until_ms` after SIGTERM, which the gateway gets now. Returns the
+/// thread that waits for the outcome.
+fn stop_beside_a_request(site: &Site, until_ms: u64) -> thread::JoinHandle<Outcome> {
+    site.platform.plain.set_fault(PlainFault::Slow(until_ms));
+    let mut caller = KeptCaller::new(site.gateway(0));
+    let working = thread::spawn(move || caller.send(&Request::once("working")));
+    site.wait_for_run("working");
+    site.signal(0, "TERM");
+    working
+}
+
+/// Guards against callers that send their next request on a connection that the gateway closes.
+#[test]
+fn last_answer_before_a_stop_announces_the_close() {
+    let site = Site::start(1);
+    let working = stop_beside_a_request(&site, ANNOUNCED_MS + 400);
+    let answer = working.join().expect("the caller does not panic").whole();
+    assert_eq!(answer.status, 200);
+    assert!(answer.announces_close());
+}
+
+/// Guards against connections that are closed unread during a planned stop: a kept one and a new one.
+#[test]
+fn refusal_during_a_stop_is_sent_and_announces_the_close() {
+    let site = Site::start(1);
+    let mut kept = KeptCaller::new(site.gateway(0));
+    assert_eq!(kept.send(&Request::once("before")).whole().status, 200);
+    let working = stop_beside_a_request(&site, ANNOUNCED_MS + 1_000);
+    pause_ms(ANNOUNCED_MS);
+    let callers = [("kept", kept), ("new", KeptCaller::new(site.gateway(0)))];
+    for (id, mut caller) in callers {
+        let answer = caller.send(&Request::once(id)).whole();
+        assert_eq!(answer.status, 503, "{id}");
+        assert!(answer.announces_close(), "{id}");
+        assert!(site.platform.runs.of(id).is_empty(), "{id}");
+    }
+    let answer = working.join().expect("the caller does not panic").whole();
+    assert_eq!(answer.status, 200);
+}
+
+/// Guards against a request that ends without an answer because it outlasts the grace time. It may have
+/// run, so the answer must not say otherwise.
+#[test]
+fn request_at_work_at_the_end_of_the_grace_time_is_answered() {
+    let mut site = Site::start(1);
+    site.put_config_with(&[KEY], 30_000, RequestLimits::default());
+    pause_ms(CONFIG_APPLY_MS);
+    let request = Request {
+        timeout_ms: 30_000,
+        deadline_ms: 30_000,
+        ..Request::once("long")
+    };
+    site.platform.plain.set_fault(PlainFault::Slow(20_000));
+    let mut caller = KeptCaller::new(site.gateway(0));
+    let working = thread::spawn(move || caller.send(&request));
+    site.wait_for_run("long");
+    site.signal(0, "TERM");
+    assert!(site.wait_for_end(0, GRACE_MS));
+    let answer = working.join().expect("the caller does not panic").whole();
+    assert_eq!(answer.status, 502);
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -13,7 +13,7 @@
 };
 
 use jacinthpoint_adapter::paths;
-use jacinthpoint_platform_standins::{EngineSpec, Engines, PlainService, Platform};
+use jacinthpoint_platform_standins::{EngineSpec, Engines, PlainService, Platform, RequestLimits};
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
 
@@ -32,6 +32,8 @@
 const GROUP_SIZE: usize = 2;
 /// Number of engines in each of the two fabric domains.
 const ENGINES_PER_DOMAIN: usize = 4;
+/// Timeout of all routes, unless a test sets another one.
+pub const ROUTE_TIMEOUT_MS: u64 = 8_000;
 /// Time within which gateways must be ready, groups open and requests running.
 const WAIT_LIMIT_MS: u64 = 15_000;
 
@@ -212,9 +214,14 @@
 
     /// Writes a configuration that accepts only these API keys.
     pub fn put_config(&self, keys: &[&str]) {
+        self.put_config_with(keys, ROUTE_TIMEOUT_MS, RequestLimits::default());
+    }
+
+    /// Like [`Site::put_config`], with this timeout on all routes and these limits.
+    pub fn put_config_with(&self, keys: &[&str], timeout_ms: u64, limits: RequestLimits) {
         let route = |name: &str, kind: &str, service: &str| -> Value {
             json!({ "name": name, "host": "model.example", "path_prefix": format!("/{name}/"),
-                "kind": kind, "timeout_ms": 8_000, "slo_ms": 500, "priority": 1,
+                "kind": kind, "timeout_ms": timeout_ms, "slo_ms": 500, "priority": 1,
                 "service": service, "attempts": 3, "public": false, "sticky": kind == "stream",
                 "resumable": name == "stream", "gap_target_ms": 300 })
         };
@@ -231,6 +238,7 @@
                 PlainService::service("plain")
             ]),
             json!([{ "name": "customer-1", "api_keys": keys, "priority": 1 }]),
+            limits,
         );
     }
 
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -85,11 +85,16 @@
     });
 }
 
-/// Returns a site in which one gateway, which does not send the orders, reaches no upstream, and its
-/// index.
+/// Returns a site of [`GATEWAYS`] in which one gateway, which does not send the orders, reaches no
+/// upstream, and its index.
 fn partitioned_site() -> (Site, usize) {
-    let site = Site::start_with_store_views(GATEWAYS);
-    let partitioned = (0..GATEWAYS).find(|index| !site.is_owner(*index));
+    partitioned_site_of(GATEWAYS)
+}
+
+/// Like [`partitioned_site`], with another number of gateways.
+fn partitioned_site_of(gateways: usize) -> (Site, usize) {
+    let site = Site::start_with_store_views(gateways);
+    let partitioned = (0..gateways).find(|index| !site.is_owner(*index));
     let partitioned = partitioned.expect("a gateway is not the owner");
     site.partition_from_upstreams(partitioned, true);
     thread::sleep(STABLE);
@@ -239,3 +244,17 @@
         assert!(site.platform.runs.of(&format!("request-{id}")).is_empty());
     }
 }
+
+/// Guards against rule LOST: a gateway that has no callers of its own ends its planned stop while it serves
+/// a request that another gateway forwarded.
+#[test]
+fn forwarded_request_outlasts_the_announcement_of_a_stop() {
+    let (site, partitioned) = partitioned_site_of(2);
+    site.platform.plain.set_fault(PlainFault::Slow(4_000));
+    let address = site.gateway(partitioned);
+    let caller = thread::spawn(move || Request::once("working").send(address));
+    site.wait_for_run("working");
+    site.signal(1 - partitioned, "TERM");
+    let answer = caller.join().expect("the caller does not panic");
+    assert_eq!((answer.status, answer.end), (200, End::Whole));
+}
