Test: callers that end their sending side, leave, or read late

A caller that ended its sending side after its request got no answer: its connection ended without a byte, on new and on kept connections, for plain answers and for streams.

--- a/tests/gateway/kept_caller.rs
+++ b/tests/gateway/kept_caller.rs
@@ -5,10 +5,12 @@
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     time::{Duration, Instant},
 };
 
+use socket2::{Domain, Socket, Type};
+
 use crate::gateway::caller::{Answer, End, Request, parse};
 
 /// What became of a request.
@@ -62,6 +64,17 @@
         }
     }
 
+    /// Opens a connection whose receive buffer has this size.
+    pub fn with_receive_buffer(address: SocketAddr, bytes: usize) -> KeptCaller {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is available");
+        socket.set_recv_buffer_size(bytes).expect("it can be set");
+        socket.connect(&address.into()).expect("it is accepted");
+        KeptCaller {
+            address,
+            stream: Some(socket.into()),
+        }
+    }
+
     /// Returns the connection, opened now if there is none.
     pub fn connect(&mut self) -> Option<&mut TcpStream> {
         if self.stream.is_none() {
@@ -72,6 +85,12 @@
         Some(stream)
     }
 
+    /// Ends the sending side of the connection.
+    pub fn end_sending(&mut self) {
+        let stream = self.stream.as_ref().expect("a connection is open");
+        stream.shutdown(Shutdown::Write).expect("it is connected");
+    }
+
     /// Sends a request and reads its answer, also if the request cannot be written to its end.
     pub fn send(&mut self, request: &Request<'_>) -> Outcome {
         let text = request.to_text();
--- a/tests/gateway/kept_connections.rs
+++ b/tests/gateway/kept_connections.rs
@@ -8,12 +8,13 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
+    time::{Duration, Instant},
 };
 
 use jacinthpoint_platform_standins::{PlainFault, RequestLimits};
 
 use crate::gateway::{
-    CONFIG_APPLY_MS,
+    CONFIG_APPLY_MS, all_event_ids,
     caller::{Request, join_all},
     kept_caller::{KeptCaller, Outcome},
     pause_ms,
@@ -169,3 +170,82 @@
     let answer = working.join().expect("the caller does not panic").whole();
     assert_eq!(answer.status, 502);
 }
+
+/// Defines tests of a caller that ends its sending side after its request: name, whether a request was
+/// answered on the connection before, the request.
+///
+/// They guard against rule LOST: the end of the caller's bytes is taken for its leaving.
+macro_rules! half_closed {
+    ($($name:ident: $is_kept:expr, $request:expr,)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let site = Site::start(1);
+                let mut caller = KeptCaller::new(site.gateway(0));
+                if $is_kept {
+                    assert_eq!(caller.send(&Request::once("before")).whole().status, 200);
+                }
+                site.platform.plain.set_fault(PlainFault::Slow(800));
+                site.platform.engines.set_stream(10, 150);
+                let request: Request<'_> = $request;
+                let text = request.to_text();
+                let written = caller.write([text.as_bytes()]).expect("it is connected");
+                written.expect("the request can be written");
+                caller.end_sending();
+                let answer = caller.read_answer(request.timeout_ms).whole();
+                assert_eq!(answer.status, 200);
+                if request.path == "/stream/" {
+                    assert_eq!(answer.events(), all_event_ids(10));
+                }
+                assert_eq!(site.platform.runs.of(&request.id).len(), 1);
+            }
+        )+
+    };
+}
+
+half_closed! {
+    half_closed_caller_is_answered: false, Request::once("half"),
+    half_closed_caller_that_was_kept_is_answered: true, Request::once("half"),
+    half_closed_caller_gets_its_stream: false, Request::stream("half"),
+    half_closed_caller_that_was_kept_gets_its_stream: true, Request::stream("half"),
+}
+
+/// Guards against rule GONE: an upstream works on for a caller that closed its connection, since a caller
+/// that only ended its sending side is to be answered.
+#[test]
+fn stream_of_a_caller_that_left_ends() {
+    let site = Site::start(1);
+    site.platform.engines.set_stream(50, 100);
+    let leaving = Request {
+        timeout_ms: 550,
+        ..Request::stream("leaving")
+    };
+    let outcome = KeptCaller::new(site.gateway(0)).send(&leaving);
+    assert!(
+        matches!(outcome, Outcome::Left(_)),
+        "{}",
+        outcome.describe()
+    );
+    site.wait_until("no upstream works on the stream", 500, |site| {
+        site.platform.engines.open_streams() == 0
+    });
+}
+
+/// Guards against an answer that is cut because its caller does not read for a while, within its deadline.
+#[test]
+fn slow_reader_gets_its_whole_answer() {
+    const BODY_BYTES: usize = 6_000_000;
+    let site = Site::start(1);
+    site.platform.plain.set_body("b".repeat(BODY_BYTES));
+    let request = Request::once("slow");
+    let began = Instant::now();
+    let mut caller = KeptCaller::with_receive_buffer(site.gateway(0), 64 * 1_024);
+    let text = request.to_text();
+    let written = caller.write([text.as_bytes()]).expect("it is connected");
+    written.expect("the request can be written");
+    pause_ms(5_500);
+    let left = Duration::from_millis(request.deadline_ms).saturating_sub(began.elapsed());
+    let left_ms = u64::try_from(left.as_millis()).expect("it is below the deadline");
+    let answer = caller.read_answer(left_ms).whole();
+    assert_eq!((answer.status, answer.text().len()), (200, BODY_BYTES));
+}
