Test: early refusals, idle times that change, connections beyond the limit

Failing runs on:

refusal_of_a_head_reaches_a_caller_that_still_writes: request 0: BrokenPipe longer_idle_time_applies_to_open_connections: no byte of an answer: the connection ended shorter_idle_time_applies_to_open_connections: still open after 3.5 s request_on_a_connection_beyond_the_limit_is_refused: no byte of an answer: Connection reset by peer

A site takes more lines for the settings file of its gateways.

--- a/tests/gateway/kept_caller.rs
+++ b/tests/gateway/kept_caller.rs
@@ -91,6 +91,18 @@
         stream.shutdown(Shutdown::Write).expect("it is connected");
     }
 
+    /// Waits for the gateway to end an idle connection. Returns whether it ended in order, by an end of
+    /// stream, or `None` if it is still open after `timeout_ms`.
+    pub fn wait_for_close(&mut self, timeout_ms: u64) -> Option<bool> {
+        let timeout = Some(Duration::from_millis(timeout_ms));
+        let stream = self.stream.as_mut().expect("a connection is open");
+        stream.set_read_timeout(timeout).expect("it can be set");
+        match stream.read(&mut [0]) {
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => None,
+            read => Some(matches!(read, Ok(0))),
+        }
+    }
+
     /// Sends a request and reads its answer, also if the request cannot be written to its end.
     pub fn send(&mut self, request: &Request<'_>) -> Outcome {
         let text = request.to_text();
--- a/tests/gateway/kept_connections.rs
+++ b/tests/gateway/kept_connections.rs
@@ -18,7 +18,7 @@
     caller::{Request, join_all},
     kept_caller::{KeptCaller, Outcome},
     pause_ms,
-    site::{KEY, OTHER_KEY, Site},
+    site::{KEY, OTHER_KEY, ROUTE_TIMEOUT_MS, Site},
 };
 
 /// Time within which a gateway ends after SIGTERM.
@@ -249,3 +249,94 @@
     let answer = caller.read_answer(left_ms).whole();
     assert_eq!((answer.status, answer.text().len()), (200, BODY_BYTES));
 }
+
+/// Guards against a refusal that a caller cannot read because the connection is reset while it still
+/// writes the body.
+#[test]
+fn refusal_of_a_head_reaches_a_caller_that_still_writes() {
+    const PART_BYTES: usize = 1_500;
+    let site = Site::start(1);
+    let limits = RequestLimits {
+        max_body_bytes: 1_000_000,
+        ..RequestLimits::default()
+    };
+    site.put_config_with(&[KEY], ROUTE_TIMEOUT_MS, limits);
+    pause_ms(CONFIG_APPLY_MS);
+    let body = "b".repeat(200_000);
+    for index in 0..10 {
+        let request = Request {
+            key: "no-such-key",
+            body: &body,
+            ..Request::once(&format!("refused-{index}"))
+        };
+        let text = request.to_text();
+        let mut caller = KeptCaller::new(site.gateway(0));
+        let parts = text.as_bytes().chunks(PART_BYTES);
+        let written = caller.write(parts.inspect(|_| pause_ms(1)));
+        let written = written.expect("it is connected");
+        assert!(written.is_ok(), "request {index}: {written:?}");
+        assert_eq!(caller.read_answer(request.timeout_ms).whole().status, 401);
+        assert!(site.platform.runs.of(&request.id).is_empty());
+    }
+}
+
+/// Writes a configuration with this idle time of connections.
+fn put_idle_timeout(site: &Site, idle_timeout_ms: u64) {
+    let limits = RequestLimits {
+        idle_timeout_ms,
+        ..RequestLimits::default()
+    };
+    site.put_config_with(&[KEY], ROUTE_TIMEOUT_MS, limits);
+}
+
+/// Guards against a connection that keeps the idle time of the configuration under which it was accepted,
+/// and is closed as its next request comes.
+#[test]
+fn longer_idle_time_applies_to_open_connections() {
+    let site = Site::start(1);
+    put_idle_timeout(&site, 1_500);
+    pause_ms(CONFIG_APPLY_MS);
+    let mut caller = KeptCaller::new(site.gateway(0));
+    assert_eq!(caller.send(&Request::once("before")).whole().status, 200);
+    put_idle_timeout(&site, 10_000);
+    pause_ms(3_000);
+    assert_eq!(caller.send(&Request::once("after")).whole().status, 200);
+}
+
+/// Guards against a connection that keeps an idle time that is longer than the configuration allows.
+#[test]
+fn shorter_idle_time_applies_to_open_connections() {
+    const IDLE_MS: u64 = 1_500;
+    let site = Site::start(1);
+    put_idle_timeout(&site, 10_000);
+    pause_ms(CONFIG_APPLY_MS);
+    let mut caller = KeptCaller::new(site.gateway(0));
+    assert_eq!(caller.send(&Request::once("before")).whole().status, 200);
+    put_idle_timeout(&site, IDLE_MS);
+    let closed = caller.wait_for_close(CONFIG_APPLY_MS + IDLE_MS);
+    assert_eq!(closed, Some(true), "it is closed in order");
+}
+
+/// Guards against connections beyond the limit that are closed with their request unread.
+#[test]
+fn request_on_a_connection_beyond_the_limit_is_refused() {
+    const CONNECTIONS: usize = 120;
+    // The smallest number; some of them are reserved.
+    let site = Site::start_with_settings(1, "[limits]\ndescriptors = 300\n");
+    let mut callers: Vec<_> = Vec::new();
+    let mut refused = 0;
+    for index in 0..CONNECTIONS {
+        let id = format!("open-{index}");
+        let mut caller = KeptCaller::new(site.gateway(0));
+        let answer = caller.send(&Request::once(&id)).whole();
+        if answer.status == 503 {
+            refused += 1;
+            assert!(answer.announces_close(), "{id}");
+            assert!(site.platform.runs.of(&id).is_empty(), "{id}");
+        } else {
+            assert_eq!(answer.status, 200, "{id}");
+        }
+        callers.push(caller);
+    }
+    assert!((1..CONNECTIONS - 4).contains(&refused), "{refused} refused");
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -103,20 +103,25 @@
 impl Site {
     /// Starts stand-ins and gateways and waits until the gateways are ready and all groups open.
     pub fn start(gateways: usize) -> Site {
-        Site::start_with(gateways, None, false)
+        Site::start_with(gateways, None, false, "")
+    }
+
+    /// Like [`Site::start`], with more lines in the settings file of each gateway.
+    pub fn start_with_settings(gateways: usize, more_settings: &str) -> Site {
+        Site::start_with(gateways, None, false, more_settings)
     }
 
     /// Like [`Site::start`], with a fault proxy between the gateways and the store and engines. On
     /// the proxy, gateways are named by [`gateway_name`], the store [`STORE`], and engines by their
     /// id.
     pub fn start_behind_links(gateways: usize, seed: u64) -> Site {
-        Site::start_with(gateways, Some(Arc::new(Links::start(seed))), false)
+        Site::start_with(gateways, Some(Arc::new(Links::start(seed))), false, "")
     }
 
     /// Like [`Site::start`], but each gateway can be partitioned from all upstreams. Each is in a data
     /// centre of its own, so that none reads the store through another one.
     pub fn start_with_store_views(gateways: usize) -> Site {
-        Site::start_with(gateways, None, true)
+        Site::start_with(gateways, None, true, "")
     }
 
     /// Partitions a gateway from all upstreams, or ends that: new connections are refused while open ones
@@ -143,7 +148,12 @@
         self.metrics(index).contains("orders_total")
     }
 
-    fn start_with(gateways: usize, links: Option<Arc<Links>>, has_store_views: bool) -> Site {
+    fn start_with(
+        gateways: usize,
+        links: Option<Arc<Links>>,
+        has_store_views: bool,
+        more_settings: &str,
+    ) -> Site {
         let specs = (0..2 * ENGINES_PER_DOMAIN).map(|index| EngineSpec {
             id: format!("i-{index}"),
             domain: format!("domain-{}", index / ENGINES_PER_DOMAIN),
@@ -186,7 +196,7 @@
                 "[node]\nname = {name}\ndata_centre = dc-{data_centre}\nfirst_start = true\n[listen]\n\
                  callers = {callers}\nreadiness = {readiness}\nmetrics = {metrics}\n\
                  peers = {peers}\n[store]\naddress = {store}\n[stop]\ngrace_ms = 8000\n\
-                 [repeats]\nratio = 0.2\nslack = 130\n",
+                 [repeats]\nratio = 0.2\nslack = 130\n{more_settings}",
             );
             let file = format!("gateway-{index}.ini");
             site.folder.write(&file, &settings);
