Test: logs of the tested processes are kept on request

A test that failed once left nothing to look at, since the output of its gateways was dropped. With JACINTHPOINT_TEST_LOGS=FOLDER the output of each process goes to a file there, named after the test, the settings file and the process id.

--- a/tests/util/process.rs
+++ b/tests/util/process.rs
@@ -1,13 +1,18 @@
 //! A child process that is ended, by its id, when dropped.
 
 use std::{
-    io::{BufRead, BufReader},
+    fs::File,
+    io::{BufRead, BufReader, Write},
     net::SocketAddr,
+    path::Path,
     process::{Child, Command, ExitStatus, Stdio},
     thread,
     time::{Duration, Instant},
 };
 
+/// Environment variable with an existing folder for the standard output of all processes.
+const LOGS_VARIABLE: &str = "JACINTHPOINT_TEST_LOGS";
+
 /// A running program.
 pub struct Process {
     child: Child,
@@ -55,8 +60,11 @@
         output
             .read_line(&mut first_line)
             .expect("the program prints a line");
+        let mut log = create_log(child.id(), args);
+        log.write_all(first_line.as_bytes())
+            .expect("the log can be written");
         // Keeps reading, so that the program never waits for room in the pipe.
-        thread::spawn(move || std::io::copy(&mut output, &mut std::io::sink()));
+        thread::spawn(move || std::io::copy(&mut output, &mut log));
         Process {
             child,
             first_line: first_line.trim().to_owned(),
@@ -112,3 +120,19 @@
         let _ = self.child.wait();
     }
 }
+
+/// Creates the file for a process's output in the folder of [`LOGS_VARIABLE`]. Its name has those of the
+/// test and of the last argument, and the process id. The output is dropped if there is no such folder.
+fn create_log(process_id: u32, args: &[&str]) -> Box<dyn Write + Send> {
+    let Some(folder) = std::env::var_os(LOGS_VARIABLE) else {
+        return Box::new(std::io::sink());
+    };
+    let thread = thread::current();
+    let test = thread.name().unwrap_or("unnamed").replace("::", ".");
+    let argument = args
+        .last()
+        .and_then(|argument| Path::new(argument).file_stem());
+    let argument = argument.unwrap_or_default().to_string_lossy();
+    let path = Path::new(&folder).join(format!("{test}-{argument}-{process_id}.log"));
+    Box::new(File::create(path).expect("the folder for logs exists"))
+}
