Gateway: a caller's connection ends only when nothing is left to answer

Callers that kept their connections, or opened new ones, got no byte of an answer around planned stops, and after their connection had been idle for as long as an older configuration allowed.

The end of a connection followed from the gateway's own state: the phase of the stop was chosen against the connection in a `select!`, which closed whatever had no parsed request, also with a request in the socket's buffer or on its way; a connection that was accepted later was closed before its request was read; no answer told the caller that its connection would close; connections in the listener's queue were reset at the exit; a refusal was followed by a close with unread bytes, and a reset overtook it; the idle time was fixed when the connection was accepted; a forwarded request did not count as open, so that the process exited beside it.

Now each connection has a stage. The gateway ends it only while it is idle, and only after a read found no bytes, by which the HTTP library sees the end of the stream. The sending side ends first, and the rest is read for up to a second. After the announcement, requests are still served for 0.7 s with answers that say `Connection: close`; then they are refused with the same. Connections stay open until no request is; the listener's queue is accepted before it closes, and a connection without a request yet gets half a second. Limits come from the configuration in force.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,14 +2,17 @@
 
 use std::rc::Rc;
 
-use hyper::{Request, Response, body::Incoming, header};
+use hyper::{Request, Response, body::Incoming, header, http::request::Parts};
 use jacinthpoint_adapter::{decode_prompt_parts, decode_prompt_tokens, headers};
 use jacinthpoint_dispatch::RequestContent;
 use jacinthpoint_fleet::RouteMatch;
 use jacinthpoint_types::{Deadline, ResultCode};
 use rand::seq::IndexedRandom;
 
-pub(crate) use crate::call::forward::{FORWARDED_BY, answer_forwarded};
+pub(crate) use crate::call::{
+    context::Origin,
+    forward::{FORWARDED_BY, answer_forwarded},
+};
 use crate::{
     body::AnswerBody,
     call::{
@@ -35,66 +38,85 @@
 /// `Retry-After` for requests that arrive before the gateway has a complete view of the fleet.
 const START_RETRY_AFTER_MS: u64 = 500;
 
-/// `Retry-After` for requests that arrive in [`Phase::Closing`]. It is short because another
-/// gateway can serve the retry at once.
+/// `Retry-After` for requests that a stop refuses. It is short because another gateway can serve the
+/// retry at once.
 const STOP_RETRY_AFTER_MS: u64 = 50;
 
 /// Handles a request and returns the response, which may be a stream that is still open.
 ///
-/// Refuses the request without sending it if the gateway is closing, has no complete view of the
+/// Refuses the request without sending it if the gateway is stopping, has no complete view of the
 /// fleet, finds no route, gets no valid API key for the route, finds no service to send it to, or
-/// cannot read the whole body. `is_forwarded` says that another gateway forwards the request.
+/// cannot read the whole body.
 pub(crate) async fn answer(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
-    is_forwarded: bool,
+    origin: Origin,
 ) -> Response<AnswerBody> {
+    let (head, body) = request.into_parts();
+    let context = match admit(&gateway, &head, &origin) {
+        Ok(context) => context,
+        Err(refusal) => {
+            return *refusal;
+        }
+    };
+    gateway.has_traffic.set(true);
+    read_and_run(context, head, body).await
+}
+
+/// Reads a request's body and runs the request.
+async fn read_and_run(mut context: Context, head: Parts, body: Incoming) -> Response<AnswerBody> {
+    let gateway = context.gateway.clone();
+    let max_bytes = context.snapshot.config.limits.max_body_bytes;
+    let code = match request::read_body(body, max_bytes).await {
+        Ok(body) => {
+            context.content.digest = Some(request::digest(&context, &head, &body));
+            return run(Rc::new(context), head, body).await;
+        }
+        Err(code) => code,
+    };
+    let why = "the request body is too large or could not be read";
+    refuse(&gateway, &context.request_id, code, why, None)
+}
+
+/// Decides by a request's head whether it is served; returns its context, or the refusal.
+fn admit(
+    gateway: &Rc<Gateway>,
+    head: &Parts,
+    origin: &Origin,
+) -> Result<Context, Box<Response<AnswerBody>>> {
     let open_guard = OpenRequestGuard::new(gateway.clone());
     // Despite its name, the header holds one id for all attempts of the request.
-    let request_id = text(&request, headers::ATTEMPT_ID)
+    let request_id = text(head, headers::ATTEMPT_ID)
         .unwrap_or_default()
         .to_owned();
-    if *gateway.phase.borrow() >= Phase::Closing {
+    if *gateway.phase.borrow() >= Phase::Refusing {
         let why = "this gateway is stopping";
         let retry = Some(STOP_RETRY_AFTER_MS);
-        return refuse(&gateway, &request_id, ResultCode::Draining, why, retry);
+        let code = ResultCode::Draining;
+        return Err(refuse(gateway, &request_id, code, why, retry).into());
     }
     let Some(snapshot) = gateway
         .snapshot()
         .filter(|_| gateway.view.borrow().is_complete())
     else {
-        return refuse(
-            &gateway,
+        return Err(refuse(
+            gateway,
             &request_id,
             ResultCode::NoCapacity,
             "the gateway has no complete view of the fleet yet",
             Some(START_RETRY_AFTER_MS),
-        );
+        )
+        .into());
     };
-    let mut context = match build_context(&gateway, &snapshot, &request, request_id, open_guard) {
-        Ok(context) => context,
-        Err((code, why, request_id)) => return refuse(&gateway, &request_id, code, why, None),
-    };
-    if let Some(suspect) = context.quarantined() {
-        return refuse_quarantined(&context, suspect);
+    let context = build_context(gateway, &snapshot, head, origin, request_id, open_guard)
+        .map_err(|(code, why, request_id)| refuse(gateway, &request_id, code, why, None))?;
+    if let Origin::Caller(caller) = origin {
+        caller.on_deadline_known(context.deadline);
     }
-    gateway.has_traffic.set(true);
-    let (head, body) = request.into_parts();
-    let max_bytes = snapshot.config.limits.max_body_bytes;
-    match request::read_body(body, max_bytes).await {
-        Ok(body) => {
-            context.is_forwarded = is_forwarded;
-            context.content.digest = Some(request::digest(&context, &head, &body));
-            run(Rc::new(context), head, body).await
-        }
-        Err(code) => refuse(
-            &gateway,
-            &context.request_id,
-            code,
-            "the request body is too large or could not be read",
-            None,
-        ),
+    if let Some(suspect) = context.quarantined() {
+        return Err(refuse_quarantined(&context, suspect).into());
     }
+    Ok(context)
 }
 
 /// Determines a request's route, organisation, service, model and deadline from its head.
@@ -103,14 +125,15 @@
 fn build_context(
     gateway: &Rc<Gateway>,
     snapshot: &Rc<Snapshot>,
-    request: &Request<Incoming>,
+    head: &Parts,
+    origin: &Origin,
     request_id: String,
     open_guard: OpenRequestGuard,
 ) -> Result<Context, (ResultCode, &'static str, String)> {
-    let host = text(request, header::HOST.as_str()).unwrap_or_default();
-    let key = text(request, headers::KEY);
+    let host = text(head, header::HOST.as_str()).unwrap_or_default();
+    let key = text(head, headers::KEY);
     let refused = |code, why| Err((code, why, request_id.clone()));
-    let (route, organisation) = match snapshot.config.match_route(host, request.uri().path(), key) {
+    let (route, organisation) = match snapshot.config.match_route(host, head.uri.path(), key) {
         RouteMatch::Found(route, organisation) => (route.clone(), organisation.cloned()),
         RouteMatch::NoRoute => {
             return refused(ResultCode::NotFound, "no route matches the host and path");
@@ -135,13 +158,13 @@
     };
     let started = gateway.now();
     let caller_timeout_ms =
-        text(request, headers::DEADLINE_MS).and_then(|text| text.trim().parse().ok());
+        text(head, headers::DEADLINE_MS).and_then(|text| text.trim().parse().ok());
     let timeout_ms = caller_timeout_ms
         .unwrap_or(route.timeout_ms)
         .min(route.timeout_ms);
-    let model = text(request, headers::MODEL).and_then(|name| name.parse().ok());
-    let prompt_tokens = text(request, headers::TOKENS).and_then(decode_prompt_tokens);
-    let parts = text(request, headers::PROMPT_PARTS).and_then(decode_prompt_parts);
+    let model = text(head, headers::MODEL).and_then(|name| name.parse().ok());
+    let prompt_tokens = text(head, headers::TOKENS).and_then(decode_prompt_tokens);
+    let parts = text(head, headers::PROMPT_PARTS).and_then(decode_prompt_parts);
     Ok(Context {
         gateway: gateway.clone(),
         snapshot: snapshot.clone(),
@@ -156,16 +179,13 @@
             digest: None,
         },
         started,
-        is_forwarded: false,
+        origin: origin.clone(),
         deadline: Deadline::after_ms(started, timeout_ms),
         _open_guard: open_guard,
     })
 }
 
 /// Returns the value of a header if it is visible ASCII text.
-fn text<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
-    request
-        .headers()
-        .get(name)
-        .and_then(|value| value.to_str().ok())
+fn text<'a>(head: &'a Parts, name: &str) -> Option<&'a str> {
+    head.headers.get(name).and_then(|value| value.to_str().ok())
 }
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -9,6 +9,7 @@
 use jacinthpoint_types::{Deadline, DeploymentId, ServiceId, TimeMs};
 
 use crate::{
+    edge::CallerConnection,
     events::log_event,
     state::{Gateway, Snapshot},
 };
@@ -34,6 +35,15 @@
     }
 }
 
+/// Where a request comes from.
+#[derive(Debug, Clone)]
+pub(crate) enum Origin {
+    /// A caller, on this connection.
+    Caller(Rc<CallerConnection>),
+    /// Another gateway, which forwards it.
+    Gateway,
+}
+
 /// A request's route, organisation, target service and deadline, with the configuration in force
 /// when it arrived.
 #[derive(Debug)]
@@ -52,8 +62,7 @@
     /// What tells whether the request is in quarantine.
     pub(crate) content: RequestContent,
     pub(crate) started: TimeMs,
-    /// Whether another gateway forwarded the request.
-    pub(crate) is_forwarded: bool,
+    pub(crate) origin: Origin,
     pub(crate) deadline: Deadline,
     pub(crate) _open_guard: OpenRequestGuard,
 }
@@ -106,7 +115,7 @@
 
     /// Returns whether this gateway reaches no upstream and may forward the request.
     pub(crate) fn is_to_forward(&self) -> bool {
-        !self.is_forwarded && self.gateway.reach.borrow().is_cut()
+        matches!(self.origin, Origin::Caller(_)) && self.gateway.reach.borrow().is_cut()
     }
 
     /// Returns what of the request is in quarantine, if anything is.
--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -20,8 +20,13 @@
 use crate::{
     body::{AbortedBody, AnswerBody, channel, full_body},
     call::{
-        answer, attempt::OutgoingRequest, context::Context, outcome::remove_connection_headers,
-        refusal::refuse, request::strip_hop_by_hop, whole_body,
+        answer,
+        attempt::OutgoingRequest,
+        context::{Context, Origin},
+        outcome::remove_connection_headers,
+        refusal::refuse,
+        request::strip_hop_by_hop,
+        whole_body,
     },
     connection::{Connection, RequestBody},
     events::log_event,
@@ -64,7 +69,7 @@
         return response;
     }
     request.headers_mut().remove(FORWARDED_BY);
-    let mut response = answer(gateway, request, true).await;
+    let mut response = answer(gateway, request, Origin::Gateway).await;
     // An upstream may send the header, too, but has run the request.
     response.headers_mut().remove(NOT_TAKEN);
     response
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -1,6 +1,6 @@
 //! Accepts connections of callers, of the load balancer's readiness checks, and of metrics readers.
 
-use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, io, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
 use hyper::{
@@ -12,59 +12,95 @@
 
 use crate::{
     body::{AnswerBody, full_body},
-    call,
     clock::sleep_ms,
-    connection::set_caller_options,
     events::log_event,
     metrics::Metrics,
     state::{Gateway, Phase},
     store::{CallType, call_counts},
 };
 
+pub(crate) use crate::edge::caller::CallerConnection;
+
+mod caller;
+mod caller_io;
+
 /// Number of file descriptors that are reserved for listeners, the store and files. The rest is
 /// divided equally between callers and upstreams.
 const RESERVED_DESCRIPTORS: usize = 250;
 /// Pause after a failed accept, so that a lack of descriptors does not cause a busy loop.
 const ACCEPT_PAUSE_MS: u64 = 20;
-/// Minimum of the limit on the size of a request head. Before a configuration is loaded, the
-/// default limit applies, but at least this.
-const MIN_HEAD_BYTES: usize = 8 * 1_024;
-/// Extra space in the read buffer for body bytes that arrive together with the head.
-const HEAD_SLACK_BYTES: usize = 1_024;
 
-/// Accepts connections of callers for ever, and closes those beyond the limit that follows from the
-/// number of descriptors.
+/// Accepts connections of callers until the gateway ends them all, and closes those beyond the limit that
+/// follows from the number of descriptors.
 pub(crate) async fn serve_callers(gateway: Rc<Gateway>, listener: TcpListener) {
     let descriptors = gateway.settings().descriptors;
     let max_connections = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(2) / 2;
+    let mut phase = gateway.phase.subscribe();
+    let ending = phase.wait_for(|phase| *phase >= Phase::Ending);
+    let mut ending = std::pin::pin!(ending);
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let accepted = tokio::select! {
+            biased;
+            _ = ending.as_mut() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => begin_serving(&gateway, stream, max_connections),
             Err(error) => {
                 log_event!(warn, AcceptFailed, %error, "a connection could not be accepted");
                 sleep_ms(ACCEPT_PAUSE_MS).await;
-                continue;
             }
-        };
-        if gateway.open_connections.get() >= max_connections {
-            gateway.metrics.count("connections_refused", "too-many");
-            log_event!(
-                warn,
-                AcceptFailed,
-                open = max_connections,
-                "a caller's new connection is closed, because the maximum number is open"
-            );
-            continue;
         }
-        gateway
-            .open_connections
-            .set(gateway.open_connections.get() + 1);
-        let gateway = gateway.clone();
-        tokio::task::spawn_local(async move {
-            let _guard = OpenConnectionGuard(gateway.clone());
-            serve_connection(&gateway, stream).await;
-        });
     }
+    match accept_queued(listener) {
+        Ok(queued) => {
+            for stream in queued {
+                begin_serving(&gateway, stream, max_connections);
+            }
+        }
+        Err(error) => {
+            log_event!(warn, AcceptFailed, %error, "queued connections could not be accepted");
+        }
+    }
+}
+
+/// Closes a listener after it has accepted the connections that wait in its queue, which would be reset
+/// otherwise.
+fn accept_queued(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+    let listener = listener.into_std()?;
+    let mut queued = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                queued.push(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(queued),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// Serves a new connection in a task of its own.
+fn begin_serving(gateway: &Rc<Gateway>, stream: TcpStream, max_connections: usize) {
+    let open = gateway.open_connections.get();
+    if open >= max_connections {
+        gateway.metrics.count("connections_refused", "too-many");
+        log_event!(
+            warn,
+            AcceptFailed,
+            open,
+            "a caller's new connection is closed, because the maximum number is open"
+        );
+        return;
+    }
+    gateway.open_connections.set(open + 1);
+    let gateway = gateway.clone();
+    tokio::task::spawn_local(async move {
+        let _guard = OpenConnectionGuard(gateway.clone());
+        caller::serve_caller(&gateway, stream).await;
+    });
 }
 
 /// Decrements the number of open connections when dropped, also if the connection's task panics.
@@ -77,55 +113,6 @@
     }
 }
 
-/// Serves one caller's connection until it ends, or until its current request ends if the gateway
-/// is closing.
-async fn serve_connection(gateway: &Rc<Gateway>, stream: TcpStream) {
-    set_caller_options(&stream);
-    let limits = gateway
-        .snapshot()
-        .map_or_else(Default::default, |s| s.config.limits);
-    let head_bytes = limits.max_header_bytes.max(MIN_HEAD_BYTES) + HEAD_SLACK_BYTES;
-    let requests = Cell::new(0_u64);
-    let service = service_fn(|request| {
-        requests.set(requests.get() + 1);
-        let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(call::answer(gateway, request, false).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // This timeout also limits the idle time between two requests, which is why it is as long
-        // as the idle timeout.
-        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
-        .max_buf_size(head_bytes)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let mut phase = gateway.phase.subscribe();
-    let is_closing = phase.wait_for(|phase| *phase >= Phase::Closing);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        _ = is_closing => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    let why = match &result {
-        Ok(()) if requests.get() == 0 => "unused",
-        Ok(()) => "done",
-        Err(error) if error.is_timeout() => "idle",
-        Err(_) => "failed",
-    };
-    gateway.metrics.count("connections_ended", why);
-    log_event!(
-        debug,
-        ConnectionEnded,
-        why,
-        requests = requests.get(),
-        is_stopping = *gateway.phase.borrow() != Phase::Serving,
-        error = result.err().map(|error| error.to_string()),
-        "a caller's connection ended"
-    );
-}
-
 /// Answers all requests on `listener` for ever with the status and text that `respond` returns for
 /// the path.
 async fn serve_text(
--- /dev/null
+++ b/crates/gateway/src/edge/caller.rs
@@ -0,0 +1,368 @@
+//! Serves one caller's connection.
+//!
+//! A connection that ends at the wrong moment loses a request: one that lies unread in the socket, one
+//! whose answer is on its way, or one whose caller is slow to read. So the stage of each connection is
+//! tracked, and it ends only between an answer and the next request, with the sending side first. As
+//! HTTP cannot exclude that a request crosses the end of an idle connection, callers are told
+//! beforehand, by `Connection: close` in the answers of a gateway that stops.
+
+use std::{
+    cell::Cell,
+    convert::Infallible,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use hyper::{
+    Request, Response,
+    body::{Body, Frame, Incoming, SizeHint},
+    header::{self, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use jacinthpoint_fleet::CallerLimits;
+use jacinthpoint_types::{Deadline, TimeMs};
+use tokio::{net::TcpStream, sync::Notify};
+
+use crate::{
+    body::{AbortedBody, AnswerBody},
+    call::{self, Origin},
+    connection::set_caller_options,
+    edge::caller_io::CallerIo,
+    events::log_event,
+    state::{Gateway, Phase},
+};
+
+/// Minimum of the limit on the size of a request head. Before a configuration is loaded, the
+/// default limit applies, but at least this.
+const MIN_HEAD_BYTES: usize = 8 * 1_024;
+/// Extra space in the read buffer for body bytes that arrive together with the head.
+const HEAD_SLACK_BYTES: usize = 1_024;
+/// Time for which a new connection is kept for its first request while the gateway ends all others. The
+/// request was sent with the connection, or follows within a round trip.
+const FIRST_REQUEST_WAIT_MS: u64 = 500;
+/// Maximum time for which a connection that has ended is read, so that it is not reset.
+const LINGER_MS: u64 = 1_000;
+/// Time between two checks of a connection that is due to end but has not ended.
+const RECHECK_INTERVAL_MS: u64 = 50;
+
+/// What a caller's connection waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// For the first byte of a request.
+    Idle,
+    /// For the rest of a head, whose first byte arrived at this time.
+    Head(TimeMs),
+    /// For the body of a request, or for its answer to be sent.
+    Request,
+}
+
+/// State of a caller's connection, shared by its I/O and its requests.
+#[derive(Debug)]
+pub(crate) struct CallerConnection {
+    gateway: Rc<Gateway>,
+    accepted_at: TimeMs,
+    requests: Cell<u64>,
+    stage: Cell<Stage>,
+    /// Whether bytes were read since the head of the current request.
+    has_read_ahead: Cell<bool>,
+    /// Deadline of the current or last request.
+    deadline: Cell<Option<Deadline>>,
+    /// Time of the last byte that was read or written.
+    progress_at: Cell<TimeMs>,
+    /// Whether bytes wait for the caller to read.
+    is_write_blocked: Cell<bool>,
+    /// Time at which the caller ended its sending side.
+    ended_at: Cell<Option<TimeMs>>,
+    /// Time at which the connection's task checks it next.
+    check_at: Cell<TimeMs>,
+    /// Deadline for which that time was chosen.
+    checked_due_at: Cell<Option<TimeMs>>,
+    /// Wakes the task if it has to check sooner.
+    recheck: Notify,
+}
+
+impl CallerConnection {
+    fn new(gateway: Rc<Gateway>) -> CallerConnection {
+        let now = gateway.now();
+        CallerConnection {
+            gateway,
+            accepted_at: now,
+            requests: Cell::new(0),
+            stage: Cell::new(Stage::Idle),
+            has_read_ahead: Cell::new(false),
+            deadline: Cell::new(None),
+            progress_at: Cell::new(now),
+            is_write_blocked: Cell::new(false),
+            ended_at: Cell::new(None),
+            check_at: Cell::new(now),
+            checked_due_at: Cell::new(None),
+            recheck: Notify::new(),
+        }
+    }
+
+    /// Returns the limits in force, which change while a connection is open.
+    fn limits(&self) -> CallerLimits {
+        *self.gateway.caller_limits.borrow()
+    }
+
+    fn phase(&self) -> Phase {
+        *self.gateway.phase.borrow()
+    }
+
+    /// Records until when the caller waits for the answer to the current request.
+    pub(crate) fn on_deadline_known(&self, deadline: Deadline) {
+        self.deadline.set(Some(deadline));
+    }
+
+    /// Records that bytes were read.
+    pub(super) fn on_read(&self) {
+        let now = self.gateway.now();
+        self.progress_at.set(now);
+        match self.stage.get() {
+            Stage::Idle => self.stage.set(Stage::Head(now)),
+            Stage::Head(_) => {}
+            Stage::Request => self.has_read_ahead.set(true),
+        }
+    }
+
+    /// Records that bytes were written.
+    pub(super) fn on_written(&self) {
+        let now = self.gateway.now();
+        self.progress_at.set(now);
+        self.is_write_blocked.set(false);
+    }
+
+    /// Records that the caller does not read what is written.
+    pub(super) fn on_write_blocked(&self) {
+        self.is_write_blocked.set(true);
+    }
+
+    /// Records that the caller has ended its sending side.
+    pub(super) fn on_end_of_bytes(&self) {
+        self.ended_at.set(Some(self.gateway.now()));
+    }
+
+    /// Returns whether the caller has ended its sending side.
+    pub(super) fn has_caller_ended(&self) -> bool {
+        self.ended_at.get().is_some()
+    }
+
+    /// Returns the time from which a caller that reads nothing of its answer is given up: after the
+    /// request's deadline, and once it was idle for the configured time.
+    fn stalled_from(&self) -> TimeMs {
+        let idle_until = self
+            .progress_at
+            .get()
+            .plus_ms(self.limits().idle_timeout_ms);
+        let deadline = self.deadline.get();
+        deadline.map_or(idle_until, |deadline| deadline.0.max(idle_until))
+    }
+
+    /// Returns whether the caller has read nothing of its answer for too long.
+    pub(super) fn has_stalled(&self) -> bool {
+        self.gateway.now() >= self.stalled_from()
+    }
+
+    /// Returns the time from which the gateway may end the connection, as long as nothing changes.
+    fn end_at(&self) -> Option<TimeMs> {
+        if self.is_write_blocked.get() {
+            return None;
+        }
+        match self.stage.get() {
+            Stage::Idle if self.phase() == Phase::Ending => {
+                let is_unused = self.requests.get() == 0;
+                let wait_ms = if is_unused { FIRST_REQUEST_WAIT_MS } else { 0 };
+                Some(self.accepted_at.plus_ms(wait_ms))
+            }
+            Stage::Idle => {
+                let idle_ms = self.limits().idle_timeout_ms;
+                Some(self.progress_at.get().plus_ms(idle_ms))
+            }
+            Stage::Head(since) => Some(since.plus_ms(self.limits().header_timeout_ms)),
+            Stage::Request => None,
+        }
+    }
+
+    /// Returns whether the gateway ends the connection now, if no bytes wait in the socket.
+    pub(super) fn is_to_end(&self) -> bool {
+        let now = self.gateway.now();
+        self.end_at().is_some_and(|end_at| now >= end_at)
+    }
+
+    /// Returns the time at which the connection has to be checked, if nothing changes.
+    fn due_at(&self) -> Option<TimeMs> {
+        let stalled_from = self.is_write_blocked.get().then(|| self.stalled_from());
+        let times = [self.end_at(), stalled_from];
+        times.into_iter().flatten().min()
+    }
+
+    /// Sets and returns the time of the next check. Without a deadline, it is not after any that may
+    /// begin meanwhile.
+    fn next_check_at(&self) -> TimeMs {
+        let now = self.gateway.now();
+        let due_at = self.due_at();
+        let latest = now.plus_ms(self.limits().idle_timeout_ms);
+        let check_at = match due_at {
+            Some(due_at) if due_at > now => due_at.min(latest),
+            // The connection has not ended yet, although it may.
+            Some(_) => now.plus_ms(RECHECK_INTERVAL_MS),
+            None => latest,
+        };
+        self.check_at.set(check_at);
+        self.checked_due_at.set(due_at);
+        check_at
+    }
+
+    /// Wakes the connection's task if it has to check sooner than it will.
+    fn update_check(&self) {
+        let due_at = self.due_at();
+        let is_sooner = due_at.is_some_and(|due_at| due_at < self.check_at.get());
+        if is_sooner && due_at != self.checked_due_at.get() {
+            self.recheck.notify_one();
+        }
+    }
+
+    /// Records that the head of a request has arrived. The request ends when the guard is dropped.
+    fn begin_request(self: &Rc<Self>) -> RequestGuard {
+        self.requests.set(self.requests.get() + 1);
+        self.stage.set(Stage::Request);
+        self.has_read_ahead.set(false);
+        RequestGuard(self.clone())
+    }
+
+    /// Answers a request. The connection ends after the answer if this gateway stops.
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        guard: RequestGuard,
+    ) -> Response<TrackedBody> {
+        let origin = Origin::Caller(self.clone());
+        let mut response = call::answer(self.gateway.clone(), request, origin).await;
+        if self.phase() >= Phase::Closing {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response.map(|body| TrackedBody {
+            body,
+            _guard: guard,
+        })
+    }
+
+    /// Records that a request's answer has been handed to the HTTP library, or that it gets none.
+    fn on_request_ended(&self) {
+        let now = self.gateway.now();
+        self.progress_at.set(now);
+        let has_read_ahead = self.has_read_ahead.get();
+        self.stage.set(if has_read_ahead {
+            Stage::Head(now)
+        } else {
+            Stage::Idle
+        });
+    }
+}
+
+/// Marks the connection as waiting for the next request when dropped.
+struct RequestGuard(Rc<CallerConnection>);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.0.on_request_ended();
+    }
+}
+
+/// Body of an answer, until whose end the connection belongs to its request.
+struct TrackedBody {
+    body: AnswerBody,
+    _guard: RequestGuard,
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = AbortedBody;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AbortedBody>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Serves one caller's connection until it ends.
+pub(super) async fn serve_caller(gateway: &Rc<Gateway>, stream: TcpStream) {
+    set_caller_options(&stream);
+    let connection = Rc::new(CallerConnection::new(gateway.clone()));
+    let head_bytes = connection.limits().max_header_bytes.max(MIN_HEAD_BYTES) + HEAD_SLACK_BYTES;
+    let service = service_fn(|request| {
+        let connection = connection.clone();
+        // Begins at once, since the HTTP library reads on before it polls the future.
+        let guard = connection.begin_request();
+        async move { Ok::<_, Infallible>(connection.answer(request, guard).await) }
+    });
+    // Timeouts are those of `CallerConnection`; the HTTP library's do not follow the configuration.
+    let mut http = http1::Builder::new()
+        .max_buf_size(head_bytes)
+        .serve_connection(
+            TokioIo::new(CallerIo::new(stream, connection.clone())),
+            service,
+        );
+    let mut phase = gateway.phase.subscribe();
+    let mut limits = gateway.caller_limits.subscribe();
+    let result = loop {
+        let polled = std::future::poll_fn(|context| {
+            let result = Pin::new(&mut http).poll(context);
+            if result.is_pending() {
+                connection.update_check();
+            }
+            result
+        });
+        let check_at = connection.next_check_at();
+        tokio::select! {
+            biased;
+            result = polled => break result,
+            () = connection.recheck.notified() => {}
+            _ = phase.changed() => {}
+            _ = limits.changed() => {}
+            () = gateway.clock.sleep_until(check_at) => {}
+        }
+    };
+    let why = end_reason(&connection, &result);
+    gateway.metrics.count("connections_ended", why);
+    log_event!(
+        debug,
+        ConnectionEnded,
+        why,
+        requests = connection.requests.get(),
+        is_stopping = connection.phase() != Phase::Serving,
+        error = result.err().map(|error| error.to_string()),
+        "a caller's connection ended"
+    );
+    let io = http.into_parts().io.into_inner();
+    let until = gateway.now().plus_ms(LINGER_MS);
+    io.linger(until, gateway.clock).await;
+}
+
+/// Returns why a connection ended, for metrics and the log.
+fn end_reason(connection: &CallerConnection, result: &hyper::Result<()>) -> &'static str {
+    match result {
+        Err(_) if connection.stage.get() == Stage::Request => "cut",
+        Err(_) if connection.has_caller_ended() => "caller",
+        Err(_) => "failed",
+        Ok(()) if connection.has_caller_ended() => "caller",
+        Ok(()) if connection.requests.get() == 0 => "unused",
+        Ok(()) if connection.phase() >= Phase::Closing => "stop",
+        Ok(()) => "idle",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge/caller_io.rs
@@ -0,0 +1,141 @@
+//! I/O of a caller's connection.
+//!
+//! The HTTP library ends a connection when a read returns the end of the stream. A gateway that ends a
+//! connection for a reason of its own, such as a planned stop, must not do so while bytes of a request
+//! wait in the socket, since that request would get no answer. So the gateway's own ends come in as an
+//! end of the stream, too, but only after a read that found nothing.
+
+use std::{
+    io,
+    mem::MaybeUninit,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
+
+use jacinthpoint_types::TimeMs;
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+use crate::{clock::Clock, edge::caller::CallerConnection};
+
+/// Size of the buffer into which bytes are read that nobody uses.
+const DISCARD_BYTES: usize = 8 * 1_024;
+
+/// Byte stream of a caller's connection, as the HTTP library sees it.
+#[derive(Debug)]
+pub(crate) struct CallerIo {
+    stream: TcpStream,
+    connection: Rc<CallerConnection>,
+}
+
+impl CallerIo {
+    /// Returns the I/O of `connection` on `stream`.
+    pub(crate) fn new(stream: TcpStream, connection: Rc<CallerConnection>) -> CallerIo {
+        CallerIo { stream, connection }
+    }
+
+    /// Ends the sending side, then reads and discards what the caller still sends, until it ends its side
+    /// or `until`. A socket that is closed with unread bytes resets the connection, and a reset may
+    /// destroy an answer that the caller has not read yet.
+    pub(crate) async fn linger(mut self, until: TimeMs, clock: Clock) {
+        if self.connection.has_caller_ended() || self.shut_down_sending().is_err() {
+            return;
+        }
+        let mut discarded = [0; DISCARD_BYTES];
+        let read_to_end =
+            async { while matches!(self.stream.read(&mut discarded).await, Ok(1..)) {} };
+        tokio::select! {
+            () = read_to_end => {}
+            () = clock.sleep_until(until) => {}
+        }
+    }
+
+    fn shut_down_sending(&self) -> io::Result<()> {
+        SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write)
+    }
+
+    /// Returns whether bytes, or the end of the stream, can be read now. Asks the operating system, since
+    /// the runtime may not know yet.
+    fn is_readable(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(&self.stream).peek(&mut byte).is_ok()
+    }
+
+    fn on_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        match &written {
+            Poll::Ready(Ok(_)) => self.connection.on_written(),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => {
+                self.connection.on_write_blocked();
+                if self.connection.has_stalled() {
+                    let error = "the caller reads nothing of its answer";
+                    return Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, error)));
+                }
+            }
+        }
+        written
+    }
+}
+
+impl AsyncRead for CallerIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        match Pin::new(&mut self.stream).poll_read(context, buffer) {
+            Poll::Ready(Ok(())) if buffer.filled().len() > before => {
+                self.connection.on_read();
+                Poll::Ready(Ok(()))
+            }
+            Poll::Ready(Ok(())) => {
+                self.connection.on_end_of_bytes();
+                Poll::Ready(Ok(()))
+            }
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Pending if !self.connection.is_to_end() => Poll::Pending,
+            Poll::Pending if self.is_readable() => {
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Poll::Pending => Poll::Ready(Ok(())),
+        }
+    }
+}
+
+impl AsyncWrite for CallerIo {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.on_write(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.on_write(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -29,8 +29,11 @@
 
 /// Time between two checks for open connections while the gateway stops.
 const STOP_POLL_INTERVAL_MS: u64 = 20;
+/// Time for which requests are still served on connections that close after their answer. Callers whose
+/// connection is in use learn of the stop by an answer in this time.
+const CLOSING_MS: u64 = 700;
 /// Time before the end of the grace time at which the process exits, so that it is not killed.
-const STOP_MARGIN_MS: u64 = 300;
+const EXIT_MARGIN_MS: u64 = 300;
 /// Time between two checks for expired idle connections and for dropped log lines.
 const MAINTENANCE_INTERVAL_MS: u64 = 1_000;
 /// Time between two log events on the calls to the store.
@@ -247,9 +250,9 @@
 
 /// Stops the gateway as planned, and returns the number of requests that were cut.
 ///
-/// The gateway reports itself as not ready at once. After the announcement time it refuses new
-/// requests and closes idle connections. It stops when no connection is left, or shortly before the
-/// end of the grace time.
+/// The gateway reports itself as not ready at once. After the announcement time, connections close after
+/// their next answer; [`CLOSING_MS`] later, new requests are refused. Once no request is open, or
+/// [`EXIT_MARGIN_MS`] before the end of the grace time, no connections are accepted and all others end.
 async fn stop(gateway: &Gateway) -> usize {
     let settings = gateway.settings();
     let began = gateway.now();
@@ -260,14 +263,32 @@
         "the planned stop began"
     );
     gateway.phase.send_replace(Phase::Leaving);
-    let end = began.plus_ms(settings.grace_ms.saturating_sub(STOP_MARGIN_MS));
+    let end = began.plus_ms(settings.grace_ms.saturating_sub(EXIT_MARGIN_MS));
     let announced = began.plus_ms(settings.announce_ms).min(end);
     gateway.clock.sleep_until(announced).await;
     gateway.phase.send_replace(Phase::Closing);
-    while gateway.now() < end && gateway.open_connections.get() > 0 {
+    let refuse_at = announced.plus_ms(CLOSING_MS).min(end);
+    let has_work = || gateway.open_connections.get() + gateway.open_requests.get() > 0;
+    while gateway.now() < refuse_at && has_work() {
+        sleep_ms(STOP_POLL_INTERVAL_MS).await;
+    }
+    gateway.phase.send_replace(Phase::Refusing);
+    while gateway.now() < end && gateway.open_requests.get() > 0 {
+        sleep_ms(STOP_POLL_INTERVAL_MS).await;
+    }
+    gateway.phase.send_replace(Phase::Ending);
+    // The listener accepts what waits in its queue first.
+    sleep_ms(STOP_POLL_INTERVAL_MS).await;
+    while gateway.now() < end && has_work() {
         sleep_ms(STOP_POLL_INTERVAL_MS).await;
     }
     let cut = gateway.open_requests.get();
-    log_event!(info, GatewayStopped, cut, "the gateway stopped");
+    log_event!(
+        info,
+        GatewayStopped,
+        cut,
+        connections = gateway.open_connections.get(),
+        "the gateway stopped"
+    );
     cut
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,7 +14,7 @@
     Directory, FleetRetryBudget, LoadTracker, Quarantine, SlackShare, Target, TargetKey,
     UpstreamLimits, UpstreamReach,
 };
-use jacinthpoint_fleet::{FleetConfig, FleetView, ViewChange};
+use jacinthpoint_fleet::{CallerLimits, FleetConfig, FleetView, ViewChange};
 use jacinthpoint_types::{ServiceId, TimeMs, VmId};
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::{net::UdpSocket, sync::watch};
@@ -46,8 +46,12 @@
     Serving,
     /// The gateway is stopping and reports itself as not ready, but still accepts requests.
     Leaving,
-    /// The gateway refuses new requests, and connections close as soon as they have no request.
+    /// The same, and each connection closes after its next answer, which says so.
     Closing,
+    /// The gateway refuses new requests.
+    Refusing,
+    /// The gateway accepts no connections, and ends each connection that has no request.
+    Ending,
 }
 
 /// Suspected faults found by requests and alarms. A gateway that holds the lease checks them by
@@ -101,6 +105,8 @@
     pub(crate) has_traffic: Cell<bool>,
     pub(crate) fault_reports: RefCell<FaultReports>,
     pub(crate) phase: watch::Sender<Phase>,
+    /// Limits on callers' requests and connections in force.
+    pub(crate) caller_limits: watch::Sender<CallerLimits>,
     pub(crate) open_requests: Cell<usize>,
     pub(crate) open_connections: Cell<usize>,
     /// Length of the upstreams' bodies that are being read, in bytes.
@@ -140,6 +146,7 @@
             has_traffic: Cell::new(false),
             fault_reports: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
+            caller_limits: watch::Sender::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             buffered_bytes: Cell::new(0),
@@ -226,6 +233,11 @@
         self.stall_reported_at
             .borrow_mut()
             .retain(|key, _| listed.contains(key));
+        self.caller_limits.send_if_modified(|limits| {
+            let is_changed = *limits != config.limits;
+            *limits = config.limits;
+            is_changed
+        });
         let snapshot = Snapshot {
             config: config.clone(),
             directory,
