Gateway: requests that outlast the grace time of a stop are answered

A caller whose request was still at work at the end of the grace time got the end of its connection without a byte. Its request had been passed on, and the process exited beside it.

Now, 0.8 s before the end of the grace time, each open request without an answer gets one: 502 if a byte of it may have been sent, since it may have run, and 503 otherwise. The process has half a second to deliver these answers.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,6 +1,6 @@
 //! Handles one caller's request, from reading its head to the end of the response.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use hyper::{Request, Response, body::Incoming, header, http::request::Parts};
 use jacinthpoint_adapter::{decode_prompt_parts, decode_prompt_tokens, headers};
@@ -46,7 +46,8 @@
 ///
 /// Refuses the request without sending it if the gateway is stopping, has no complete view of the
 /// fleet, finds no route, gets no valid API key for the route, finds no service to send it to, or
-/// cannot read the whole body.
+/// cannot read the whole body. A request without a response at the end of the stop is answered as
+/// failed.
 pub(crate) async fn answer(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
@@ -60,7 +61,20 @@
         }
     };
     gateway.has_traffic.set(true);
-    read_and_run(context, head, body).await
+    let (request_id, is_sent) = (context.request_id.clone(), context.is_sent.clone());
+    tokio::select! {
+        biased;
+        response = read_and_run(context, head, body) => response,
+        () = gateway.wait_for_ending() => {
+            gateway.cut_requests.set(gateway.cut_requests.get() + 1);
+            let why = "this gateway stops before the request has ended";
+            let (code, retry) = match is_sent.get() {
+                true => (ResultCode::UpstreamFailed, None),
+                false => (ResultCode::Draining, Some(STOP_RETRY_AFTER_MS)),
+            };
+            refuse(&gateway, &request_id, code, why, retry)
+        }
+    }
 }
 
 /// Reads a request's body and runs the request.
@@ -180,6 +194,7 @@
         },
         started,
         origin: origin.clone(),
+        is_sent: Rc::new(Cell::new(false)),
         deadline: Deadline::after_ms(started, timeout_ms),
         _open_guard: open_guard,
     })
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -188,6 +188,7 @@
     log_event!(debug, RequestSent, request = context.request_id, upstream = %target.upstream,
         target = %target.key, is_new, elapsed_ms = context.elapsed_ms(),
         "a request is being sent to an upstream");
+    context.on_sending();
     let sent_at = gateway.now();
     let response = {
         let mut response = std::pin::pin!(connection.send(request));
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -1,6 +1,6 @@
 //! Data of one request that all its attempts share, determined from its head.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use jacinthpoint_dispatch::{
     FleetRetryBudget, PromptDemand, RequestContent, StallPolicy, SuspectId,
@@ -63,6 +63,8 @@
     pub(crate) content: RequestContent,
     pub(crate) started: TimeMs,
     pub(crate) origin: Origin,
+    /// Whether a byte of the request may have been sent to an upstream or another gateway.
+    pub(crate) is_sent: Rc<Cell<bool>>,
     pub(crate) deadline: Deadline,
     pub(crate) _open_guard: OpenRequestGuard,
 }
@@ -118,6 +120,11 @@
         matches!(self.origin, Origin::Caller(_)) && self.gateway.reach.borrow().is_cut()
     }
 
+    /// Records that the request is being sent to an upstream or another gateway.
+    pub(crate) fn on_sending(&self) {
+        self.is_sent.set(true);
+    }
+
     /// Returns what of the request is in quarantine, if anything is.
     pub(crate) fn quarantined(&self) -> Option<SuspectId> {
         self.gateway.quarantine.borrow().quarantined(&self.content)
--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -138,6 +138,7 @@
     };
     let deadline = gateway.clock.instant(context.deadline.0);
     let request = build_request(context, outgoing);
+    context.on_sending();
     let response = match tokio::time::timeout_at(deadline, connection.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -32,6 +32,8 @@
 /// Time for which requests are still served on connections that close after their answer. Callers whose
 /// connection is in use learn of the stop by an answer in this time.
 const CLOSING_MS: u64 = 700;
+/// Time before the end of the grace time at which requests that are still open are answered as failed.
+const STOP_MARGIN_MS: u64 = 800;
 /// Time before the end of the grace time at which the process exits, so that it is not killed.
 const EXIT_MARGIN_MS: u64 = 300;
 /// Time between two checks for expired idle connections and for dropped log lines.
@@ -252,7 +254,7 @@
 ///
 /// The gateway reports itself as not ready at once. After the announcement time, connections close after
 /// their next answer; [`CLOSING_MS`] later, new requests are refused. Once no request is open, or
-/// [`EXIT_MARGIN_MS`] before the end of the grace time, no connections are accepted and all others end.
+/// [`STOP_MARGIN_MS`] before the end of the grace time, no connections are accepted and all others end.
 async fn stop(gateway: &Gateway) -> usize {
     let settings = gateway.settings();
     let began = gateway.now();
@@ -264,16 +266,17 @@
     );
     gateway.phase.send_replace(Phase::Leaving);
     let end = began.plus_ms(settings.grace_ms.saturating_sub(EXIT_MARGIN_MS));
-    let announced = began.plus_ms(settings.announce_ms).min(end);
+    let last_answers = began.plus_ms(settings.grace_ms.saturating_sub(STOP_MARGIN_MS));
+    let announced = began.plus_ms(settings.announce_ms).min(last_answers);
     gateway.clock.sleep_until(announced).await;
     gateway.phase.send_replace(Phase::Closing);
-    let refuse_at = announced.plus_ms(CLOSING_MS).min(end);
+    let refuse_at = announced.plus_ms(CLOSING_MS).min(last_answers);
     let has_work = || gateway.open_connections.get() + gateway.open_requests.get() > 0;
     while gateway.now() < refuse_at && has_work() {
         sleep_ms(STOP_POLL_INTERVAL_MS).await;
     }
     gateway.phase.send_replace(Phase::Refusing);
-    while gateway.now() < end && gateway.open_requests.get() > 0 {
+    while gateway.now() < last_answers && gateway.open_requests.get() > 0 {
         sleep_ms(STOP_POLL_INTERVAL_MS).await;
     }
     gateway.phase.send_replace(Phase::Ending);
@@ -282,7 +285,7 @@
     while gateway.now() < end && has_work() {
         sleep_ms(STOP_POLL_INTERVAL_MS).await;
     }
-    let cut = gateway.open_requests.get();
+    let cut = gateway.cut_requests.get() + gateway.open_requests.get();
     log_event!(
         info,
         GatewayStopped,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -50,7 +50,8 @@
     Closing,
     /// The gateway refuses new requests.
     Refusing,
-    /// The gateway accepts no connections, and ends each connection that has no request.
+    /// The gateway accepts no connections, answers all requests that are still open as failed, and ends
+    /// each connection that has none.
     Ending,
 }
 
@@ -109,6 +110,8 @@
     pub(crate) caller_limits: watch::Sender<CallerLimits>,
     pub(crate) open_requests: Cell<usize>,
     pub(crate) open_connections: Cell<usize>,
+    /// Number of requests that the planned stop has cut.
+    pub(crate) cut_requests: Cell<usize>,
     /// Length of the upstreams' bodies that are being read, in bytes.
     pub(crate) buffered_bytes: Cell<usize>,
 }
@@ -149,6 +152,7 @@
             caller_limits: watch::Sender::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
+            cut_requests: Cell::new(0),
             buffered_bytes: Cell::new(0),
         }
     }
@@ -163,6 +167,13 @@
         self.settings.borrow().clone()
     }
 
+    /// Waits until the gateway ends all requests that are still open.
+    pub(crate) async fn wait_for_ending(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the gateway.
+        let _ = phase.wait_for(|phase| *phase >= Phase::Ending).await;
+    }
+
     /// Replaces the settings in force.
     pub(crate) fn replace_settings(&self, settings: GatewaySettings) {
         *self.settings.borrow_mut() = Rc::new(settings);
