Gateway: requests on connections beyond the limit are refused

A caller whose connection was beyond the limit that follows from the number of descriptors got a reset or the end of its connection without a byte.

Now the requests of up to 32 connections above the limit are refused with 503 and `Connection: close`; further ones wait in the listener's queue.

Before: request_on_a_connection_beyond_the_limit_is_refused failed with "the connection was reset without a byte of an answer".

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Request, Response, body::Incoming, header, http::request::Parts};
 use jacinthpoint_adapter::{decode_prompt_parts, decode_prompt_tokens, headers};
-use jacinthpoint_dispatch::RequestContent;
+use jacinthpoint_dispatch::{RequestContent, retry_after_ms};
 use jacinthpoint_fleet::RouteMatch;
 use jacinthpoint_types::{Deadline, ResultCode};
 use rand::seq::IndexedRandom;
@@ -41,6 +41,8 @@
 /// `Retry-After` for requests that a stop refuses. It is short because another gateway can serve the
 /// retry at once.
 const STOP_RETRY_AFTER_MS: u64 = 50;
+/// `Retry-After` for requests on a connection above the maximum number.
+const SURPLUS_RETRY_AFTER_MS: u64 = 200;
 
 /// Handles a request and returns the response, which may be a stream that is still open.
 ///
@@ -109,6 +111,12 @@
         let code = ResultCode::Draining;
         return Err(refuse(gateway, &request_id, code, why, retry).into());
     }
+    if matches!(origin, Origin::Caller(caller) if caller.is_surplus) {
+        let why = "the maximum number of callers' connections is open";
+        let retry = retry_after_ms(SURPLUS_RETRY_AFTER_MS, &mut *gateway.rng.borrow_mut());
+        let code = ResultCode::NoCapacity;
+        return Err(refuse(gateway, &request_id, code, why, Some(retry)).into());
+    }
     let Some(snapshot) = gateway
         .snapshot()
         .filter(|_| gateway.view.borrow().is_complete())
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -24,14 +24,18 @@
 mod caller;
 mod caller_io;
 
-/// Number of file descriptors that are reserved for listeners, the store and files. The rest is
-/// divided equally between callers and upstreams.
+/// Number of file descriptors that are reserved for listeners, the store, files and
+/// [`SURPLUS_CONNECTIONS`]. The rest is divided equally between callers and upstreams.
 const RESERVED_DESCRIPTORS: usize = 250;
 /// Pause after a failed accept, so that a lack of descriptors does not cause a busy loop.
 const ACCEPT_PAUSE_MS: u64 = 20;
+/// Number of connections above the limit whose requests are refused.
+const SURPLUS_CONNECTIONS: usize = 32;
 
-/// Accepts connections of callers until the gateway ends them all, and closes those beyond the limit that
-/// follows from the number of descriptors.
+/// Accepts connections of callers until the gateway ends them all.
+///
+/// Above the limit that follows from the number of descriptors, requests are refused, and well above it
+/// connections wait until others end.
 pub(crate) async fn serve_callers(gateway: Rc<Gateway>, listener: TcpListener) {
     let descriptors = gateway.settings().descriptors;
     let max_connections = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(2) / 2;
@@ -39,10 +43,12 @@
     let ending = phase.wait_for(|phase| *phase >= Phase::Ending);
     let mut ending = std::pin::pin!(ending);
     loop {
+        let is_full = gateway.open_connections.get() >= max_connections + SURPLUS_CONNECTIONS;
         let accepted = tokio::select! {
             biased;
             _ = ending.as_mut() => break,
-            accepted = listener.accept() => accepted,
+            () = sleep_ms(ACCEPT_PAUSE_MS), if is_full => continue,
+            accepted = listener.accept(), if !is_full => accepted,
         };
         match accepted {
             Ok((stream, _)) => begin_serving(&gateway, stream, max_connections),
@@ -85,21 +91,21 @@
 /// Serves a new connection in a task of its own.
 fn begin_serving(gateway: &Rc<Gateway>, stream: TcpStream, max_connections: usize) {
     let open = gateway.open_connections.get();
-    if open >= max_connections {
+    gateway.open_connections.set(open + 1);
+    let is_surplus = open >= max_connections;
+    if is_surplus {
         gateway.metrics.count("connections_refused", "too-many");
         log_event!(
             warn,
             AcceptFailed,
             open,
-            "a caller's new connection is closed, because the maximum number is open"
+            "the requests of a caller's new connection are refused, because the maximum number is open"
         );
-        return;
     }
-    gateway.open_connections.set(open + 1);
     let gateway = gateway.clone();
     tokio::task::spawn_local(async move {
         let _guard = OpenConnectionGuard(gateway.clone());
-        caller::serve_caller(&gateway, stream).await;
+        caller::serve_caller(&gateway, stream, is_surplus).await;
     });
 }
 
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -65,6 +65,8 @@
 pub(crate) struct CallerConnection {
     gateway: Rc<Gateway>,
     accepted_at: TimeMs,
+    /// Whether the maximum number of connections was open before, so that requests are refused.
+    pub(crate) is_surplus: bool,
     requests: Cell<u64>,
     stage: Cell<Stage>,
     /// Whether bytes were read since the head of the current request.
@@ -86,11 +88,12 @@
 }
 
 impl CallerConnection {
-    fn new(gateway: Rc<Gateway>) -> CallerConnection {
+    fn new(gateway: Rc<Gateway>, is_surplus: bool) -> CallerConnection {
         let now = gateway.now();
         CallerConnection {
             gateway,
             accepted_at: now,
+            is_surplus,
             requests: Cell::new(0),
             stage: Cell::new(Stage::Idle),
             has_read_ahead: Cell::new(false),
@@ -234,7 +237,8 @@
         RequestGuard(self.clone())
     }
 
-    /// Answers a request. The connection ends after the answer if this gateway stops.
+    /// Answers a request. The connection ends after the answer if this gateway stops or has too many
+    /// connections.
     async fn answer(
         self: Rc<Self>,
         request: Request<Incoming>,
@@ -242,7 +246,7 @@
     ) -> Response<TrackedBody> {
         let origin = Origin::Caller(self.clone());
         let mut response = call::answer(self.gateway.clone(), request, origin).await;
-        if self.phase() >= Phase::Closing {
+        if self.phase() >= Phase::Closing || self.is_surplus {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
@@ -300,10 +304,10 @@
     }
 }
 
-/// Serves one caller's connection until it ends.
-pub(super) async fn serve_caller(gateway: &Rc<Gateway>, stream: TcpStream) {
+/// Serves one caller's connection until it ends. `is_surplus` says that its requests are refused.
+pub(super) async fn serve_caller(gateway: &Rc<Gateway>, stream: TcpStream, is_surplus: bool) {
     set_caller_options(&stream);
-    let connection = Rc::new(CallerConnection::new(gateway.clone()));
+    let connection = Rc::new(CallerConnection::new(gateway.clone(), is_surplus));
     let head_bytes = connection.limits().max_header_bytes.max(MIN_HEAD_BYTES) + HEAD_SLACK_BYTES;
     let service = service_fn(|request| {
         let connection = connection.clone();
