Gateway: a refusal says that the connection closes if the body is still coming

A request that is refused by its head was answered without `Connection: close`, and the connection was closed if the rest of the body had not arrived. The caller could send its next request there. Now the body is read for up to 10 ms; if there is more, the answer says that the connection closes. The body of a request that is served must arrive before the deadline; otherwise it is answered with 408, since it has not run.

The 408 has no test.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -59,6 +59,10 @@
     let context = match admit(&gateway, &head, &origin) {
         Ok(context) => context,
         Err(refusal) => {
+            if let Origin::Caller(caller) = &origin {
+                let has_expectation = head.headers.contains_key(header::EXPECT);
+                caller.discard_body(has_expectation, body).await;
+            }
             return *refusal;
         }
     };
@@ -83,14 +87,22 @@
 async fn read_and_run(mut context: Context, head: Parts, body: Incoming) -> Response<AnswerBody> {
     let gateway = context.gateway.clone();
     let max_bytes = context.snapshot.config.limits.max_body_bytes;
-    let code = match request::read_body(body, max_bytes).await {
-        Ok(body) => {
+    let deadline = gateway.clock.instant(context.deadline.0);
+    let body = tokio::time::timeout_at(deadline, request::read_body(body, max_bytes)).await;
+    let (code, why) = match body {
+        Ok(Ok(body)) => {
             context.content.digest = Some(request::digest(&context, &head, &body));
             return run(Rc::new(context), head, body).await;
         }
-        Err(code) => code,
+        Ok(Err(code)) => (code, "the request body is too large or could not be read"),
+        Err(_) => (
+            ResultCode::RequestTimeout,
+            "the request body did not arrive before the deadline",
+        ),
     };
-    let why = "the request body is too large or could not be read";
+    if let Origin::Caller(caller) = &context.origin {
+        caller.on_body_unread();
+    }
     refuse(&gateway, &context.request_id, code, why, None)
 }
 
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -12,9 +12,11 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::{
     Request, Response,
     body::{Body, Frame, Incoming, SizeHint},
@@ -25,7 +27,7 @@
 use hyper_util::rt::TokioIo;
 use jacinthpoint_fleet::CallerLimits;
 use jacinthpoint_types::{Deadline, TimeMs};
-use tokio::{net::TcpStream, sync::Notify};
+use tokio::{net::TcpStream, sync::Notify, time::timeout};
 
 use crate::{
     body::{AbortedBody, AnswerBody},
@@ -48,6 +50,8 @@
 const LINGER_MS: u64 = 1_000;
 /// Time between two checks of a connection that is due to end but has not ended.
 const RECHECK_INTERVAL_MS: u64 = 50;
+/// Time in which the body of a refused request must arrive for its connection to be kept.
+const REFUSED_BODY_WAIT_MS: u64 = 10;
 
 /// What a caller's connection waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -71,6 +75,8 @@
     stage: Cell<Stage>,
     /// Whether bytes were read since the head of the current request.
     has_read_ahead: Cell<bool>,
+    /// Whether the body of the current request was not read to its end.
+    is_body_unread: Cell<bool>,
     /// Deadline of the current or last request.
     deadline: Cell<Option<Deadline>>,
     /// Time of the last byte that was read or written.
@@ -97,6 +103,7 @@
             requests: Cell::new(0),
             stage: Cell::new(Stage::Idle),
             has_read_ahead: Cell::new(false),
+            is_body_unread: Cell::new(false),
             deadline: Cell::new(None),
             progress_at: Cell::new(now),
             is_write_blocked: Cell::new(false),
@@ -121,6 +128,21 @@
         self.deadline.set(Some(deadline));
     }
 
+    /// Reads the body of a request that is refused, as far as it has arrived. The connection is closed
+    /// after the refusal if there is more, since the caller may send the rest or not.
+    pub(crate) async fn discard_body(&self, has_expectation: bool, mut body: Incoming) {
+        let read_to_end = async { while let Some(Ok(_)) = body.frame().await {} };
+        let wait = Duration::from_millis(REFUSED_BODY_WAIT_MS);
+        // Reading would make the HTTP library ask a caller for the body that waits to be asked.
+        let is_unread = has_expectation || timeout(wait, read_to_end).await.is_err();
+        self.is_body_unread.set(is_unread);
+    }
+
+    /// Records that the body of the current request was not read to its end.
+    pub(crate) fn on_body_unread(&self) {
+        self.is_body_unread.set(true);
+    }
+
     /// Records that bytes were read.
     pub(super) fn on_read(&self) {
         let now = self.gateway.now();
@@ -234,11 +256,12 @@
         self.requests.set(self.requests.get() + 1);
         self.stage.set(Stage::Request);
         self.has_read_ahead.set(false);
+        self.is_body_unread.set(false);
         RequestGuard(self.clone())
     }
 
-    /// Answers a request. The connection ends after the answer if this gateway stops or has too many
-    /// connections.
+    /// Answers a request. The connection ends after the answer if this gateway stops, has too many
+    /// connections, or has not read the whole request.
     async fn answer(
         self: Rc<Self>,
         request: Request<Incoming>,
@@ -246,7 +269,7 @@
     ) -> Response<TrackedBody> {
         let origin = Origin::Caller(self.clone());
         let mut response = call::answer(self.gateway.clone(), request, origin).await;
-        if self.phase() >= Phase::Closing || self.is_surplus {
+        if self.phase() >= Phase::Closing || self.is_surplus || self.is_body_unread.get() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
