Gateway: a caller that ends its sending side gets its answer

A caller that ended its sending side after its request got the end of its connection without a byte, although the request was passed on and ran. The HTTP library takes the end of a caller's bytes for its leaving.

A caller that has left looks the same until something is sent to it, and its work at an upstream should end within half a second. So the end of the caller's bytes is held back: for 0.4 s; until the deadline for a request that was sent and must not run twice; and until the deadline for a stream of which parts went out 0.1 s apart after that, since the first would have been answered by a reset.

Before: the four tests half_closed_caller_* failed with "no byte of an answer".

--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -5,7 +5,7 @@
 use jacinthpoint_dispatch::{
     FleetRetryBudget, PromptDemand, RequestContent, StallPolicy, SuspectId,
 };
-use jacinthpoint_fleet::{Engine, Organisation, Route};
+use jacinthpoint_fleet::{Engine, Organisation, RequestKind, Route};
 use jacinthpoint_types::{Deadline, DeploymentId, ServiceId, TimeMs};
 
 use crate::{
@@ -123,6 +123,11 @@
     /// Records that the request is being sent to an upstream or another gateway.
     pub(crate) fn on_sending(&self) {
         self.is_sent.set(true);
+        if let Origin::Caller(caller) = &self.origin
+            && self.route.kind == RequestKind::NonIdempotent
+        {
+            caller.on_only_run();
+        }
     }
 
     /// Returns what of the request is in quarantine, if anything is.
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -46,6 +46,12 @@
 /// Time for which a new connection is kept for its first request while the gateway ends all others. The
 /// request was sent with the connection, or follows within a round trip.
 const FIRST_REQUEST_WAIT_MS: u64 = 500;
+/// Time for which an answer is still awaited after the caller has ended its sending side. A caller that has
+/// left looks the same until something is sent to it, and its work at the upstream should end.
+const HALF_CLOSE_WAIT_MS: u64 = 400;
+/// Time between two parts of a stream, both sent after the caller has ended its sending side, from which
+/// on it is known to read: otherwise the first would have been answered by a reset.
+const RESET_WAIT_MS: u64 = 100;
 /// Maximum time for which a connection that has ended is read, so that it is not reset.
 const LINGER_MS: u64 = 1_000;
 /// Time between two checks of a connection that is due to end but has not ended.
@@ -77,6 +83,8 @@
     has_read_ahead: Cell<bool>,
     /// Whether the body of the current request was not read to its end.
     is_body_unread: Cell<bool>,
+    /// Whether the answer is awaited until the deadline, even if the caller seems to have left.
+    is_kept_without_caller: Cell<bool>,
     /// Deadline of the current or last request.
     deadline: Cell<Option<Deadline>>,
     /// Time of the last byte that was read or written.
@@ -85,6 +93,10 @@
     is_write_blocked: Cell<bool>,
     /// Time at which the caller ended its sending side.
     ended_at: Cell<Option<TimeMs>>,
+    /// Time of the first write after that.
+    first_write_after_end_at: Cell<Option<TimeMs>>,
+    /// Whether writes after that showed that the caller still reads.
+    is_reading_after_end: Cell<bool>,
     /// Time at which the connection's task checks it next.
     check_at: Cell<TimeMs>,
     /// Deadline for which that time was chosen.
@@ -104,10 +116,13 @@
             stage: Cell::new(Stage::Idle),
             has_read_ahead: Cell::new(false),
             is_body_unread: Cell::new(false),
+            is_kept_without_caller: Cell::new(false),
             deadline: Cell::new(None),
             progress_at: Cell::new(now),
             is_write_blocked: Cell::new(false),
             ended_at: Cell::new(None),
+            first_write_after_end_at: Cell::new(None),
+            is_reading_after_end: Cell::new(false),
             check_at: Cell::new(now),
             checked_due_at: Cell::new(None),
             recheck: Notify::new(),
@@ -128,6 +143,12 @@
         self.deadline.set(Some(deadline));
     }
 
+    /// Records that the current request was sent to an upstream and must not run twice. Its answer is
+    /// awaited even if the caller seems to have left.
+    pub(crate) fn on_only_run(&self) {
+        self.is_kept_without_caller.set(true);
+    }
+
     /// Reads the body of a request that is refused, as far as it has arrived. The connection is closed
     /// after the refusal if there is more, since the caller may send the rest or not.
     pub(crate) async fn discard_body(&self, has_expectation: bool, mut body: Incoming) {
@@ -159,6 +180,13 @@
         let now = self.gateway.now();
         self.progress_at.set(now);
         self.is_write_blocked.set(false);
+        if self.ended_at.get().is_some() {
+            let first_at = self.first_write_after_end_at.get().unwrap_or(now);
+            self.first_write_after_end_at.set(Some(first_at));
+            if now.since_ms(first_at) >= RESET_WAIT_MS {
+                self.is_reading_after_end.set(true);
+            }
+        }
     }
 
     /// Records that the caller does not read what is written.
@@ -166,9 +194,31 @@
         self.is_write_blocked.set(true);
     }
 
-    /// Records that the caller has ended its sending side.
-    pub(super) fn on_end_of_bytes(&self) {
-        self.ended_at.set(Some(self.gateway.now()));
+    /// Records that the caller has ended its sending side; returns whether its answer is still awaited.
+    pub(super) fn on_end_of_bytes(&self) -> bool {
+        let now = self.gateway.now();
+        if self.ended_at.get().is_none() {
+            self.ended_at.set(Some(now));
+        }
+        self.answer_awaited_until().is_some_and(|until| now < until)
+    }
+
+    /// Returns the time until which an answer is awaited although the caller has ended its sending side;
+    /// `None` if it has not, or awaits none.
+    fn answer_awaited_until(&self) -> Option<TimeMs> {
+        let ended_at = self.ended_at.get()?;
+        if self.is_write_blocked.get() {
+            return Some(self.stalled_from());
+        }
+        if self.stage.get() != Stage::Request {
+            return None;
+        }
+        let is_kept = self.is_kept_without_caller.get() || self.is_reading_after_end.get();
+        let deadline = self.deadline.get().filter(|_| is_kept);
+        let short = ended_at.plus_ms(HALF_CLOSE_WAIT_MS);
+        Some(deadline.map_or(short, |deadline| {
+            deadline.0.plus_ms(HALF_CLOSE_WAIT_MS).max(short)
+        }))
     }
 
     /// Returns whether the caller has ended its sending side.
@@ -221,7 +271,7 @@
     /// Returns the time at which the connection has to be checked, if nothing changes.
     fn due_at(&self) -> Option<TimeMs> {
         let stalled_from = self.is_write_blocked.get().then(|| self.stalled_from());
-        let times = [self.end_at(), stalled_from];
+        let times = [self.end_at(), self.answer_awaited_until(), stalled_from];
         times.into_iter().flatten().min()
     }
 
@@ -283,6 +333,7 @@
     fn on_request_ended(&self) {
         let now = self.gateway.now();
         self.progress_at.set(now);
+        self.is_kept_without_caller.set(false);
         let has_read_ahead = self.has_read_ahead.get();
         self.stage.set(if has_read_ahead {
             Stage::Head(now)
--- a/crates/gateway/src/edge/caller_io.rs
+++ b/crates/gateway/src/edge/caller_io.rs
@@ -3,7 +3,9 @@
 //! The HTTP library ends a connection when a read returns the end of the stream. A gateway that ends a
 //! connection for a reason of its own, such as a planned stop, must not do so while bytes of a request
 //! wait in the socket, since that request would get no answer. So the gateway's own ends come in as an
-//! end of the stream, too, but only after a read that found nothing.
+//! end of the stream, too, but only after a read that found nothing. The end of the caller's bytes, in
+//! turn, is held back for a time while an answer is awaited: a caller may end its sending side and still
+//! read.
 
 use std::{
     io,
@@ -94,8 +96,12 @@
                 Poll::Ready(Ok(()))
             }
             Poll::Ready(Ok(())) => {
-                self.connection.on_end_of_bytes();
-                Poll::Ready(Ok(()))
+                // The connection's task checks again when the wait is over.
+                if self.connection.on_end_of_bytes() {
+                    Poll::Pending
+                } else {
+                    Poll::Ready(Ok(()))
+                }
             }
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
             Poll::Pending if !self.connection.is_to_end() => Poll::Pending,
