Gateway: an answer without an id on a kept connection is not taken for the present one

Callers of requests that must not run twice were told 429 or 503 ("not run") although the request ran, or it ran at two upstreams. An upstream that writes an earlier refusal once more on a kept connection, without the id of its request, answered the next request with it: `classify` took `Jacinthpoint-Not-Executed`, 421, and any failure without an echoed id for the answer to the request at hand.

Without an id, only the first answer on a connection can be attributed. On a connection that was used before, such an answer is now unusable: the request may have run (502, or a retry where the route allows it), and the connection is closed. After a first answer without an id the connection is not used again, since the answer that belongs to the request may still come. An id that is no visible ASCII counted as absent; it now counts as that of another request. A final answer with a status of 1xx is unusable, too (by reading; no test).

Each attempt of a request has the same id, but no two of them can meet on one connection: a target that refused a request is not chosen for it again (`dispatch::load::choice`).

--- a/crates/gateway/src/call/answer.rs
+++ b/crates/gateway/src/call/answer.rs
@@ -1,6 +1,9 @@
 //! Classifies the head of an upstream's answer: usable, not run by the upstream, or unusable.
+//!
+//! An upstream may write an answer once more, at the point where the next one is expected. Only the id in
+//! it, or its place as the first answer on its connection, shows that it belongs to the request at hand.
 
-use hyper::{HeaderMap, Response, body::Incoming, header};
+use hyper::{HeaderMap, Response, StatusCode, body::Incoming, header};
 use jacinthpoint_adapter::{decode_limit, decode_load, decode_pause_ms, headers};
 use jacinthpoint_types::{PerSecond, VmId};
 
@@ -20,21 +23,32 @@
     fields.get(name).and_then(|value| value.to_str().ok())
 }
 
-/// Classifies the head of an answer to the request with the id `request_id`.
+/// Classifies the head of an answer to the request with the id `request_id`. `is_first` says that it is the
+/// first answer on its connection.
 ///
 /// A successful answer must echo the id and have a seal header ([`headers::SEAL`]). The seal is the
 /// upstream's signature over the answer: the gateway passes it on unchanged, and the caller
 /// verifies it. A successful answer must not have a content encoding.
-pub(super) fn classify(response: &Response<Incoming>, request_id: &str) -> AnswerKind {
+pub(super) fn classify(
+    response: &Response<Incoming>,
+    request_id: &str,
+    is_first: bool,
+) -> AnswerKind {
     let fields = response.headers();
     let status = response.status();
-    let echoed = text(fields, headers::ATTEMPT_ID);
+    let echoed = fields.get(headers::ATTEMPT_ID);
     if echoed.is_some_and(|echoed| echoed != request_id) {
         return AnswerKind::Unusable("the answer belongs to another request");
     }
+    if echoed.is_none() && !is_first {
+        return AnswerKind::Unusable("the answer has no id and may belong to an earlier request");
+    }
+    if status.is_informational() {
+        return AnswerKind::Unusable("the answer is an interim one");
+    }
     // An upstream answers 421 (Misdirected Request) if it is not the one that the request names in
     // `headers::EXPECTED_UPSTREAM`.
-    if fields.contains_key(headers::NOT_RUN) || status.as_u16() == 421 {
+    if fields.contains_key(headers::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST {
         let faulty = text(fields, headers::FAULTY_UPSTREAM).and_then(|id| id.parse().ok());
         return AnswerKind::NotRun(faulty);
     }
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -226,7 +226,7 @@
             .borrow_mut()
             .on_load_reported(&target.key, requests, gateway.now());
     }
-    let kind = classify(&response, &context.request_id);
+    let kind = classify(&response, &context.request_id, is_new);
     if let Some(limit) = stated_limit(&response, &kind) {
         record_limit(gateway, target, limit, sent_at);
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -4,6 +4,7 @@
 
 use http_body_util::{BodyExt, Limited};
 use hyper::{HeaderMap, Response, body::Incoming, header};
+use jacinthpoint_adapter::headers;
 use jacinthpoint_dispatch::{Target, TargetKey};
 use jacinthpoint_types::{Deadline, TimeMs};
 use tokio::time::timeout;
@@ -91,15 +92,15 @@
     }
 
     /// Adds a connection whose last response was read to its end, as soon as it is ready for
-    /// another request. `headers` are those of the last response, which limit the idle time.
+    /// another request. `fields` are the headers of the last response, which limit the idle time.
     pub(crate) fn put_back(
         self: &Rc<Pool>,
         key: &TargetKey,
         mut connection: Connection,
-        headers: &HeaderMap,
+        fields: &HeaderMap,
         now: TimeMs,
     ) {
-        let Some(keep_ms) = keep_ms(headers) else {
+        let Some(keep_ms) = keep_ms(fields) else {
             return;
         };
         let (pool, key) = (self.clone(), key.clone());
@@ -155,9 +156,13 @@
 }
 
 /// Returns the time for which a connection is kept idle after a response with these headers; `None`
-/// if the upstream closes the connection.
-fn keep_ms(headers: &HeaderMap) -> Option<u64> {
-    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+/// if the upstream closes the connection, or if the response has no request id: it may belong to
+/// another request, and that to this one may still come.
+fn keep_ms(fields: &HeaderMap) -> Option<u64> {
+    if !fields.contains_key(headers::ATTEMPT_ID) {
+        return None;
+    }
+    let text = |name| fields.get(name).and_then(|value| value.to_str().ok());
     let closes = text(header::CONNECTION).is_some_and(|value| {
         value
             .split(',')
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -213,17 +213,18 @@
     /// Writes a configuration that accepts only these API keys.
     pub fn put_config(&self, keys: &[&str]) {
         let route = |name: &str, kind: &str, service: &str| -> Value {
+            let is_resumable = ["stream", "resumed"].contains(&name);
             json!({ "name": name, "host": "model.example", "path_prefix": format!("/{name}/"),
                 "kind": kind, "timeout_ms": 8_000, "slo_ms": 500, "priority": 1,
                 "service": service, "attempts": 3, "public": false, "sticky": kind == "stream",
-                "resumable": name == "stream", "gap_target_ms": 300 })
+                "resumable": is_resumable, "gap_target_ms": 300 })
         };
         self.platform.store.put_config(
             json!([
                 route("stream", "stream", "engines"),
                 route("once", "non_idempotent", "plain"),
                 route("events", "stream", "plain"),
-                // No test sends requests on this route.
+                route("resumed", "stream", "plain"),
                 route("again", "idempotent", "plain"),
             ]),
             json!([
