Gateway: only what goes on after the last event is passed on as the rest of a stream

Callers of streams that may be resumed found the text of an error, at times its whole head, events of another run, or an end that looked complete in the middle of their stream. A stream had broken off, and the gateway passed on whatever the next upstream answered with 200 and a seal: any content type, bytes that are no events, the stream from its start, the last event once more. An answer without length and chunks whose connection ended before its first event counted as the complete rest, if the caller had an event already.

An attempt that is to go on after an event must now begin with an event that has a greater id; comments and `retry` may come before it. It may end without an event only if its answer has a length or chunks and says that it is `text/event-stream`. Anything else counts as broken: nothing of it reaches the caller, and the stream is resumed at a third upstream or broken off. The same holds for a `Last-Event-Id` of the caller's own.

The same cause elsewhere: - a stream is not resumed after an event without an id, since what follows it cannot be named; it was resumed after the last event that had one, and events came twice; - an id is found although another byte of the same piece is not UTF-8 (by reading; no test); - a 200 that says that it is no event stream is read whole and passed on as such, also on stream routes. It was split at its empty lines, and another upstream's events followed its first part.

A rest that skips events cannot be told from one that does not, since ids need not be consecutive.

--- a/crates/gateway/src/call/answer.rs
+++ b/crates/gateway/src/call/answer.rs
@@ -7,6 +7,9 @@
 use jacinthpoint_adapter::{decode_limit, decode_load, decode_pause_ms, headers};
 use jacinthpoint_types::{PerSecond, VmId};
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Classification of an upstream's answer by its head.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum AnswerKind {
@@ -77,6 +80,25 @@
     AnswerKind::Usable
 }
 
+/// Returns the media type of an answer without its parameters, if it has one.
+fn media_type(fields: &HeaderMap) -> Option<&str> {
+    let value = text(fields, header::CONTENT_TYPE.as_str())?;
+    value.split(';').next().map(str::trim)
+}
+
+/// Returns whether an answer says that its body is a stream of events.
+pub(super) fn states_event_stream(fields: &HeaderMap) -> bool {
+    media_type(fields).is_some_and(|name| name.eq_ignore_ascii_case(EVENT_STREAM))
+}
+
+/// Returns whether the body of an answer on a stream route is a stream of events, that is, unless the
+/// answer says that it is something else.
+pub(super) fn is_event_stream(response: &Response<Incoming>) -> bool {
+    let fields = response.headers();
+    response.status() == StatusCode::OK
+        && (!fields.contains_key(header::CONTENT_TYPE) || states_event_stream(fields))
+}
+
 /// Returns the number of requests that run or wait at the upstream, if the answer reports it.
 pub(super) fn reported_load(fields: &HeaderMap) -> Option<u32> {
     let load = decode_load(text(fields, headers::LOAD)?)?;
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -17,7 +17,8 @@
     alarm,
     call::{
         answer::{
-            AnswerKind, classify, reported_load, stated_limit, stated_pause_ms, states_leaving,
+            AnswerKind, classify, is_event_stream, reported_load, stated_limit, stated_pause_ms,
+            states_leaving,
         },
         context::Context,
         outcome::{BreakPoint, record_suspected_crash},
@@ -127,7 +128,7 @@
     DeadlinePassed,
     /// The upstream answered, with any status.
     Answered(WholeAnswer),
-    /// The upstream started a stream with status 200.
+    /// The upstream started a stream of events with status 200.
     Stream(Box<OpenAnswer>),
 }
 
@@ -256,7 +257,7 @@
                 in_flight,
             };
             let is_stream = context.route.kind == RequestKind::Stream;
-            if is_stream && open.response.status() == StatusCode::OK {
+            if is_stream && is_event_stream(&open.response) {
                 AttemptOutcome::Stream(Box::new(open))
             } else {
                 read_whole(context, open).await
--- a/crates/gateway/src/call/event_splitter.rs
+++ b/crates/gateway/src/call/event_splitter.rs
@@ -8,10 +8,17 @@
 /// Maximum length of an incomplete event that is buffered.
 const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
 
-/// Error: an incomplete event is longer than [`MAX_EVENT_BYTES`]. Upstreams that work correctly
-/// send no such event.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct EventTooLong;
+/// Error of a part of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(super) enum EventError {
+    /// An incomplete event is longer than [`MAX_EVENT_BYTES`]. Upstreams that work correctly send no
+    /// such event.
+    #[display("an event is too long")]
+    TooLong,
+    /// The attempt does not go on after the event that it was asked to go on after.
+    #[display("the stream does not go on after the last event")]
+    NoContinuation,
+}
 
 /// Buffers the event that has not arrived completely, and the id of the last whole event that had
 /// one.
@@ -19,12 +26,27 @@
 pub(super) struct EventSplitter {
     incomplete: BytesMut,
     last_id: Option<String>,
+    /// Whether an event without an id came after the last one with an id.
+    has_unnumbered_end: bool,
+    /// Event that the attempt must go on after, until its first event.
+    must_follow: Option<String>,
+    /// Whether the attempt has sent an event.
+    has_event: bool,
 }
 
 impl EventSplitter {
+    /// Begins with the bytes of another attempt, and drops the incomplete event of the one before.
+    ///
+    /// If the attempt is to go on after an event, its first event must have a greater id.
+    pub(super) fn begin_attempt(&mut self, must_follow: Option<String>) {
+        self.incomplete.clear();
+        self.must_follow = must_follow;
+        self.has_event = false;
+    }
+
     /// Appends bytes and returns all events that are now complete as one piece; `None` if there is
     /// none.
-    pub(super) fn push(&mut self, bytes: Bytes) -> Result<Option<Bytes>, EventTooLong> {
+    pub(super) fn push(&mut self, bytes: Bytes) -> Result<Option<Bytes>, EventError> {
         let whole = if self.incomplete.is_empty() && ends_event(&bytes) {
             bytes
         } else {
@@ -32,17 +54,45 @@
             let Some(end) = last_event_end(&self.incomplete) else {
                 let is_too_long = self.incomplete.len() > MAX_EVENT_BYTES;
                 return if is_too_long {
-                    Err(EventTooLong)
+                    Err(EventError::TooLong)
                 } else {
                     Ok(None)
                 };
             };
             self.incomplete.split_to(end).freeze()
         };
-        if let Some(id) = last_id(&whole) {
+        self.record_events(&whole)?;
+        Ok(Some(whole))
+    }
+
+    /// Records the ids of whole events, and checks that the first one of an attempt goes on with the
+    /// stream.
+    fn record_events(&mut self, whole: &[u8]) -> Result<(), EventError> {
+        let (mut has_event, mut last) = (self.has_event, None);
+        let mut event = Event::default();
+        for line in whole.split(|byte| *byte == b'\n') {
+            if event.read_line(line) {
+                continue;
+            }
+            let event = std::mem::take(&mut event);
+            if event.is_empty {
+                continue;
+            }
+            if let Some(last_id) = &self.must_follow
+                && !std::mem::replace(&mut has_event, true)
+                && !event.id.is_some_and(|id| is_later(id, last_id))
+            {
+                return Err(EventError::NoContinuation);
+            }
+            has_event = true;
+            self.has_unnumbered_end = event.id.is_none();
+            last = event.id.or(last);
+        }
+        self.has_event = has_event;
+        if let Some(id) = last {
             self.last_id = Some(id.to_owned());
         }
-        Ok(Some(whole))
+        Ok(())
     }
 
     /// Returns the `id` field of the last whole event that had one.
@@ -50,17 +100,65 @@
         self.last_id.as_deref()
     }
 
+    /// Returns whether a stream can go on after the last whole event, that is, whether that event has
+    /// an id or there is none.
+    pub(super) fn is_resumable(&self) -> bool {
+        !self.has_unnumbered_end
+    }
+
+    /// Returns whether the attempt has sent a whole event.
+    pub(super) fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub(super) fn has_incomplete_event(&self) -> bool {
         !self.incomplete.is_empty()
     }
+}
+
+/// An event, as far as its lines have been read.
+struct Event<'a> {
+    id: Option<&'a str>,
+    /// Whether the event has only lines that are no part of a stream's content: comments and the time
+    /// after which callers connect again.
+    is_empty: bool,
+}
+
+impl Default for Event<'_> {
+    fn default() -> Self {
+        Event {
+            id: None,
+            is_empty: true,
+        }
+    }
+}
 
-    /// Drops the incomplete event after an upstream broke off within it.
-    pub(super) fn drop_incomplete_event(&mut self) {
-        self.incomplete.clear();
+impl<'a> Event<'a> {
+    /// Reads a line without its line feed; returns `false` if it is the empty line that ends the event.
+    fn read_line(&mut self, line: &'a [u8]) -> bool {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if line.is_empty() {
+            return false;
+        }
+        let is_content = !line.starts_with(b":") && !line.starts_with(b"retry:");
+        self.is_empty &= !is_content;
+        if let Some(id) = line.strip_prefix(b"id:") {
+            self.id = std::str::from_utf8(id).ok().map(str::trim);
+        }
+        true
     }
 }
 
+/// Returns whether an event with the id `id` comes after the one with the id `last_id`. Ids that are no
+/// numbers have no known order.
+fn is_later(id: &str, last_id: &str) -> bool {
+    let number = |id: &str| id.parse::<u64>().ok();
+    number(id)
+        .zip(number(last_id))
+        .is_some_and(|(id, last_id)| id > last_id)
+}
+
 fn ends_event(bytes: &[u8]) -> bool {
     bytes.ends_with(b"\n\n") || bytes.ends_with(b"\r\n\r\n")
 }
@@ -70,13 +168,3 @@
         .rev()
         .find(|end| ends_event(&bytes[..*end]))
 }
-
-/// Returns the value of the last `id` field.
-fn last_id(events: &[u8]) -> Option<&str> {
-    let text = std::str::from_utf8(events).ok()?;
-    let id = text
-        .lines()
-        .rev()
-        .find_map(|line| line.strip_prefix("id:"))?;
-    Some(id.trim())
-}
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -2,8 +2,9 @@
 //!
 //! A stream can break off or stall after the caller has received events. The request is then sent
 //! to another target with the id of the last whole event, and only later events follow, so the
-//! caller sees one stream without a gap. The body of a stream that cannot be resumed ends without
-//! the last chunk, by which the caller detects that it is incomplete.
+//! caller sees one stream without a gap. An answer that does not go on after that event counts as
+//! broken, and nothing of it reaches the caller. The body of a stream that cannot be resumed ends
+//! without the last chunk, by which the caller detects that it is incomplete.
 
 use std::{rc::Rc, time::Duration};
 
@@ -16,6 +17,7 @@
 use crate::{
     body::{AbortedBody, AnswerBody, PartSender, channel},
     call::{
+        answer::states_event_stream,
         attempt::{AttemptOutcome, OpenAnswer, OutgoingRequest, report_stall, send},
         context::Context,
         event_splitter::EventSplitter,
@@ -138,6 +140,11 @@
         // and a broken connection looks the same.
         let is_framed = body.size_hint().exact().is_some()
             || head.headers.contains_key(header::TRANSFER_ENCODING);
+        let must_follow = self.must_follow();
+        // A server that begins or goes on with a stream may have no more events, and says so.
+        let may_end_without_event =
+            is_framed && (must_follow.is_none() || states_event_stream(&head.headers));
+        self.splitter.begin_attempt(must_follow);
         let deadline_with_slack = self.context.deadline.0.plus_ms(DEADLINE_SLACK_MS);
         self.last_progress_at = gateway.now();
         let mut check_at = self.first_check_at(stall_policy);
@@ -206,9 +213,11 @@
                     }
                     return StreamEnd::Broken("the stream ended within an event".to_owned());
                 }
-                None if !is_framed && pieces == 0 && self.has_no_event() => {
-                    record_suspected_crash(&self.context, &target, BreakPoint::AfterHead);
-                    return StreamEnd::Broken("the connection ended before an event".to_owned());
+                None if !self.splitter.has_event() && !may_end_without_event => {
+                    if !is_framed {
+                        record_suspected_crash(&self.context, &target, BreakPoint::AfterHead);
+                    }
+                    return StreamEnd::Broken("the stream ended before an event".to_owned());
                 }
                 None => {
                     if pieces == 1 {
@@ -220,10 +229,11 @@
                     return StreamEnd::Complete;
                 }
             };
-            let Ok(events) = self.splitter.push(bytes) else {
-                return StreamEnd::Broken("an event is too long".to_owned());
+            let events = match self.splitter.push(bytes) {
+                Ok(Some(events)) => events,
+                Ok(None) => continue,
+                Err(error) => return StreamEnd::Broken(error.to_string()),
             };
-            let Some(events) = events else { continue };
             pieces += 1;
             if pieces == 2 {
                 self.context.record_answer();
@@ -267,14 +277,24 @@
         self.last_progress_at = now;
     }
 
-    /// Returns whether the caller has no event of the stream, from this request or an earlier one.
-    fn has_no_event(&self) -> bool {
-        self.splitter.last_id().is_none() && self.caller_last_id.is_none()
+    /// Returns the event that the next attempt must go on after: the last one of this request, or else
+    /// that which the caller names.
+    fn must_follow(&self) -> Option<String> {
+        if !self.context.route.may_retry_executed() {
+            return None;
+        }
+        let caller_last_id = self.caller_last_id.as_deref();
+        let caller_last_id = caller_last_id.filter(|id| id.parse::<u64>().is_ok());
+        self.splitter
+            .last_id()
+            .or(caller_last_id)
+            .map(str::to_owned)
     }
 
-    /// Returns whether the route allows another attempt to resume the stream.
+    /// Returns whether the route and the events so far allow another attempt to resume the stream.
     fn can_resume(&self) -> bool {
         self.context.route.may_retry_executed()
+            && self.splitter.is_resumable()
             && self.history.runs < self.context.route.max_attempts
     }
 
@@ -283,7 +303,6 @@
     /// Returns `None` if the stream cannot be resumed, the caller left or the deadline passed. The
     /// request is recorded as broken in all three cases.
     async fn resume(&mut self) -> Option<OpenAnswer> {
-        self.splitter.drop_incomplete_event();
         let context = self.context.clone();
         while self.can_resume() && !context.deadline.has_passed(context.gateway.now()) {
             if let Some(suspect) = context.quarantined() {
@@ -344,7 +363,7 @@
                 }
                 AttemptOutcome::Answered(answer) => {
                     self.history.runs += 1;
-                    ("error", answer.status.to_string())
+                    ("error", format!("{}, and no stream", answer.status))
                 }
                 AttemptOutcome::DeadlinePassed => return None,
             };
--- a/tests/gateway/faulty_answers.rs
+++ b/tests/gateway/faulty_answers.rs
@@ -1,4 +1,5 @@
-//! Answers of faulty upstreams.
+//! Answers of faulty upstreams: earlier refusals on kept connections, and streams that do not go on where they
+//! broke off.
 
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,8 @@
     site::Site,
 };
 
+mod streams;
+
 /// Time in which gateways learn of a registration.
 const REGISTRATION_MS: u64 = 500;
 
