Gateway: an answer of another gateway without length and chunks is not passed on as whole

A gateway that reaches no upstream forwards requests to another one, and passes its answer on. An answer with neither length nor chunks ends with its connection; if that was cut, the caller got a 200 with a short body, framed as whole. A gateway always sends a length or chunks, so such an answer is now given up: the caller gets 502, since the request may have run.

The tests cut an answer's head, too, at nine points: in and after the status line, in a header's name and value, before and in the end of the last line, before and in the empty line, with bare line feeds; for a request that must not run twice, a stream, the rest of a stream and a forwarded request; with length 0, chunks or neither; on new and kept connections.

Refusals of another gateway (`gateway-not-taken`) cannot belong to an earlier request: each offer uses a connection of its own (by reading).

--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -148,6 +148,11 @@
         return Offer::NotTaken("refused by the gateway".to_owned());
     }
     let is_whole = response.body().size_hint().exact().is_some();
+    // Each answer of a gateway has a length or chunks. Without them, it ends with its connection, which
+    // may have been cut.
+    if !is_whole && !response.headers().contains_key(header::TRANSFER_ENCODING) {
+        return Offer::Unknown("the answer has neither length nor chunks".to_owned());
+    }
     let (mut head, body) = response.into_parts();
     remove_connection_headers(&mut head.headers);
     if !is_whole {
--- a/tests/gateway/faulty_answers.rs
+++ b/tests/gateway/faulty_answers.rs
@@ -1,5 +1,5 @@
-//! Answers of faulty upstreams: earlier refusals on kept connections, and streams that do not go on where they
-//! broke off.
+//! Answers of faulty upstreams: earlier refusals on kept connections, streams that do not go on where they
+//! broke off, and heads that are cut.
 
 use std::time::{Duration, Instant};
 
@@ -11,6 +11,7 @@
     site::Site,
 };
 
+mod heads;
 mod streams;
 
 /// Time in which gateways learn of a registration.
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -87,7 +87,7 @@
 
 /// Returns a site in which one gateway, which does not send the orders, reaches no upstream, and its
 /// index.
-fn partitioned_site() -> (Site, usize) {
+pub(super) fn partitioned_site() -> (Site, usize) {
     let site = Site::start_with_store_views(GATEWAYS);
     let partitioned = (0..GATEWAYS).find(|index| !site.is_owner(*index));
     let partitioned = partitioned.expect("a gateway is not the owner");
