Gateway: a transfer coding other than chunks does not mark the end of an answer

A stream whose answer had a `Transfer-Encoding` other than chunked counted as framed, although its body ends with its connection. The rest of a stream that ended there before its first event counted as the complete rest. One function now says for streams and forwarded requests whether the end of an answer is marked.

Before: unchunked_coding_without_events_is_no_rest_of_a_stream failed (two of four events, as a whole stream).

--- a/crates/gateway/src/call/answer.rs
+++ b/crates/gateway/src/call/answer.rs
@@ -3,7 +3,11 @@
 //! An upstream may write an answer once more, at the point where the next one is expected. Only the id in
 //! it, or its place as the first answer on its connection, shows that it belongs to the request at hand.
 
-use hyper::{HeaderMap, Response, StatusCode, body::Incoming, header};
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    body::{Body, Incoming},
+    header,
+};
 use jacinthpoint_adapter::{decode_limit, decode_load, decode_pause_ms, headers};
 use jacinthpoint_types::{PerSecond, VmId};
 
@@ -80,6 +84,18 @@
     AnswerKind::Usable
 }
 
+/// Returns whether the end of an answer is marked, by a length or by chunks.
+///
+/// Otherwise only the end of the connection marks it, and a broken connection looks the same.
+pub(super) fn is_framed(fields: &HeaderMap, body: &Incoming) -> bool {
+    let codings = fields.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    let last_coding = codings
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.rsplit(',').next());
+    body.size_hint().exact().is_some()
+        || last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// Returns the media type of an answer without its parameters, if it has one.
 fn media_type(fields: &HeaderMap) -> Option<&str> {
     let value = text(fields, header::CONTENT_TYPE.as_str())?;
--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -20,8 +20,8 @@
 use crate::{
     body::{AbortedBody, AnswerBody, channel, full_body},
     call::{
-        answer, attempt::OutgoingRequest, context::Context, outcome::remove_connection_headers,
-        refusal::refuse, request::strip_hop_by_hop, whole_body,
+        answer, answer::is_framed, attempt::OutgoingRequest, context::Context,
+        outcome::remove_connection_headers, refusal::refuse, request::strip_hop_by_hop, whole_body,
     },
     connection::{Connection, RequestBody},
     events::log_event,
@@ -147,13 +147,12 @@
     if response.headers().contains_key(&NOT_TAKEN) {
         return Offer::NotTaken("refused by the gateway".to_owned());
     }
-    let is_whole = response.body().size_hint().exact().is_some();
-    // Each answer of a gateway has a length or chunks. Without them, it ends with its connection, which
-    // may have been cut.
-    if !is_whole && !response.headers().contains_key(header::TRANSFER_ENCODING) {
+    let (mut head, body) = response.into_parts();
+    // Each answer of a gateway is framed.
+    if !is_framed(&head.headers, &body) {
         return Offer::Unknown("the answer has neither length nor chunks".to_owned());
     }
-    let (mut head, body) = response.into_parts();
+    let is_whole = body.size_hint().exact().is_some();
     remove_connection_headers(&mut head.headers);
     if !is_whole {
         return Offer::Answered(Response::from_parts(head, pass_stream(connection, body)));
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -9,7 +9,7 @@
 use std::{rc::Rc, time::Duration};
 
 use http_body_util::BodyExt;
-use hyper::{Response, StatusCode, body::Body, header};
+use hyper::{Response, StatusCode};
 use jacinthpoint_adapter::headers;
 use jacinthpoint_dispatch::{StallPolicy, StallState, Target};
 use jacinthpoint_types::TimeMs;
@@ -17,7 +17,7 @@
 use crate::{
     body::{AbortedBody, AnswerBody, PartSender, channel},
     call::{
-        answer::states_event_stream,
+        answer::{is_framed, states_event_stream},
         attempt::{AttemptOutcome, OpenAnswer, OutgoingRequest, report_stall, send},
         context::Context,
         event_splitter::EventSplitter,
@@ -136,10 +136,7 @@
         let gateway = self.context.gateway.clone();
         let stall_policy = self.context.stall_policy();
         let (head, mut body) = response.into_parts();
-        // Without a length or chunks, only the end of the connection marks the end of the answer,
-        // and a broken connection looks the same.
-        let is_framed = body.size_hint().exact().is_some()
-            || head.headers.contains_key(header::TRANSFER_ENCODING);
+        let is_framed = is_framed(&head.headers, &body);
         let must_follow = self.must_follow();
         // A server that begins or goes on with a stream may have no more events, and says so.
         let may_end_without_event =
--- a/tests/gateway/faulty_answers/streams.rs
+++ b/tests/gateway/faulty_answers/streams.rs
@@ -116,6 +116,13 @@
         Reply::sends(format!("{head}content-type: text/event-stream\r\n\r\n"))
             .ending(ReplyEnd::Close)
     },
+    unchunked_coding_without_events_is_no_rest_of_a_stream: |request| {
+        let head = head(request, "200 OK");
+        Reply::sends(format!(
+            "{head}content-type: text/event-stream\r\ntransfer-encoding: identity\r\n\r\n"
+        ))
+        .ending(ReplyEnd::Close)
+    },
     unframed_answer_with_a_comment_is_no_rest_of_a_stream: |request| {
         let head = head(request, "200 OK");
         Reply::sends(format!("{head}content-type: text/event-stream\r\n\r\n: wait\n\n"))
