--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -17,7 +17,8 @@
     alarm,
     call::{
         answer::{
-            AnswerKind, classify, reported_load, stated_limit, stated_pause_ms, states_leaving,
+            AnswerKind, classify, is_event_stream, reported_load, stated_limit, stated_pause_ms,
+            states_leaving,
         },
         context::Context,
         outcome::{BreakPoint, record_suspected_crash},
@@ -127,7 +128,7 @@
     DeadlinePassed,
     /// The upstream answered, with any status.
     Answered(WholeAnswer),
-    /// The upstream started a stream with status 200.
+    /// The upstream started a stream of events with status 200.
     Stream(Box<OpenAnswer>),
 }
 
@@ -227,7 +228,7 @@
             .borrow_mut()
             .on_load_reported(&target.key, requests, gateway.now());
     }
-    let kind = classify(&response, &context.request_id);
+    let kind = classify(&response, &context.request_id, is_new);
     if let Some(limit) = stated_limit(&response, &kind) {
         record_limit(gateway, target, limit, sent_at);
     }
@@ -245,6 +246,9 @@
                 .put_back_after_body(&target.key, connection, response, gateway.now());
             AttemptOutcome::NotRun(faulty)
         }
+        AnswerKind::FalsePromise => {
+            AttemptOutcome::Unknown(format!("status {} without a refusal", response.status()))
+        }
         AnswerKind::Unusable(why) => AttemptOutcome::Unknown(why.to_owned()),
         AnswerKind::Usable => {
             let open = OpenAnswer {
@@ -254,7 +258,7 @@
                 in_flight,
             };
             let is_stream = context.route.kind == RequestKind::Stream;
-            if is_stream && open.response.status() == StatusCode::OK {
+            if is_stream && is_event_stream(&open.response) {
                 AttemptOutcome::Stream(Box::new(open))
             } else {
                 read_whole(context, open).await
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -87,7 +87,7 @@
 
 /// Returns a site of [`GATEWAYS`] in which one gateway, which does not send the orders, reaches no
 /// upstream, and its index.
-fn partitioned_site() -> (Site, usize) {
+pub(super) fn partitioned_site() -> (Site, usize) {
     partitioned_site_of(GATEWAYS)
 }
 
