Node: a caller that ends its sending side gets its answer

What callers saw: a caller that half-closes its connection after a model call got 502, outcome unknown, once the node looked at the connection: in the queue, or after a second without a token. The run was cancelled.

Cause: a read of 0 bytes was taken for a closed connection. It only says that the caller sends no more.

Evidence: connection_ends::half_close_on_a_new_connection, ..._on_a_kept_connection, half_close_before_a_stream and half_close_in_the_queue failed before and pass after.

--- a/crates/node/src/http/head.rs
+++ b/crates/node/src/http/head.rs
@@ -39,7 +39,7 @@
     pub(crate) body: Vec<u8>,
     /// Whether the caller allows further requests on the connection.
     pub(crate) keep_alive: bool,
-    is_http_1_1: bool,
+    pub(crate) is_http_1_1: bool,
 }
 
 impl HttpRequest {
--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -169,13 +169,13 @@
             // Keep-alive ends as soon as the drain is announced, so that few connections are left
             // when the listener closes.
             let keep_alive = request.keep_alive && !drain.is_draining();
-            let mut responder = Responder::new(stream, keep_alive);
+            let mut responder = Responder::new(stream, keep_alive, request.is_http_1_1);
             handler(Ok(&request), &mut responder);
             responder.keeps_alive()
         }
         Err(RequestError::Broken) => false,
         Err(refused) => {
-            handler(Err(refused), &mut Responder::new(stream, false));
+            handler(Err(refused), &mut Responder::new(stream, false, false));
             false
         }
     }
--- a/crates/node/src/http/overflow.rs
+++ b/crates/node/src/http/overflow.rs
@@ -63,7 +63,7 @@
     // buffer of a new connection.
     stream.set_nonblocking(true).ok()?;
     let error = RequestError::Refused(ResultCode::NoCapacity, "too many connections");
-    refuse(error, &mut Responder::new(&stream, false));
+    refuse(error, &mut Responder::new(&stream, false, false));
     stream.shutdown(Shutdown::Write).ok()?;
     Some(RefusedConnection {
         stream,
--- a/tests/connection_ends.rs
+++ b/tests/connection_ends.rs
@@ -51,6 +51,14 @@
     format!("GET /v1/models HTTP/1.1\r\nhost: n\r\nauthorization: Bearer {key}\r\n\r\n")
 }
 
+/// Request for a model's answer.
+fn completion(prompt: &str, stream: bool) -> String {
+    let body = json!({
+        "model": "jp-model", "prompt": prompt, "max_tokens": 8, "stream": stream,
+    });
+    request_with_body("/v1/completions", &body.to_string())
+}
+
 fn request_with_body(path: &str, body: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nhost: n\r\nauthorization: Bearer {}\r\ncontent-length: {}\r\n\r\n\
@@ -183,6 +191,70 @@
     }
 }
 
+/// A new connection.
+fn new_connection(node: SocketAddr) -> TcpStream {
+    connect(node)
+}
+
+/// A connection that has had an answer.
+fn kept_connection(node: SocketAddr) -> TcpStream {
+    let mut connection = connect(node);
+    ask_models(&mut connection);
+    connection
+}
+
+/// A caller that ends its sending side after a request, whose answer takes longer than the node
+/// waits between two looks at the connection. Guards against taking the end of the caller's bytes
+/// for its leaving.
+macro_rules! half_closed {
+    ($($name:ident: $connect:expr, stream $stream:expr;)+) => {
+        $(
+            site_test!($name, slow_prefill(), |site| {
+                let mut connection = $connect(site.nodes[0].callers);
+                let request = completion("half-closed", $stream);
+                connection.write_all(request.as_bytes()).expect("sent");
+                connection.shutdown(Shutdown::Write).expect("shut down");
+                assert_answered(&read_to_end(&mut connection), $stream);
+            });
+        )+
+    };
+}
+
+half_closed! {
+    half_close_on_a_new_connection: new_connection, stream false;
+    half_close_on_a_kept_connection: kept_connection, stream false;
+    half_close_before_a_stream: new_connection, stream true;
+}
+
+/// Checks that the final answer, after any interim ones, is a success and complete.
+fn assert_answered(answer: &str, is_stream: bool) {
+    let last_head = answer.rfind("HTTP/1.1 ").map(|start| &answer[start..]);
+    let last_head = last_head.unwrap_or_default();
+    assert!(last_head.starts_with("HTTP/1.1 200"), "{answer:?}");
+    let outcome = if is_stream {
+        ": outcome answered"
+    } else {
+        "x-outcome: answered"
+    };
+    assert!(last_head.contains(outcome), "{answer:?}");
+}
+
+// A caller in the gate's queue that ends its sending side keeps its place.
+site_test!(half_close_in_the_queue, slow_prefill(), |site| {
+    let connections: Vec<TcpStream> = (0..4)
+        .map(|number| {
+            let mut connection = connect(site.nodes[0].callers);
+            let request = completion(&format!("queued {number}"), false);
+            connection.write_all(request.as_bytes()).expect("sent");
+            connection.shutdown(Shutdown::Write).expect("shut down");
+            connection
+        })
+        .collect();
+    for mut connection in connections {
+        assert_answered(&read_to_end(&mut connection), false);
+    }
+});
+
 // A caller that closes its connection is told apart from one that ends its sending side: its run is
 // cancelled, so that the next one does not wait for all of its tokens.
 site_test!(
