Node: a refusal of an unread body waits for the caller to stop sending

What callers saw: a request that is refused from its head alone (413, 400) while its body comes in pieces over a second apart got a reset: the next piece failed with EPIPE, and over a network the reset can overtake the answer.

Cause: after its answer the node read on until no byte had come for 1 s, whatever the caller was still sending, and closed.

After a refusal before the end of the request the node now reads until the caller closes, for at most the 10 s that applied before to a caller that sends without pauses. A caller that was too slow (408) has had its time: as before, its connection is given up after 1 s of silence, so that silent connections hold their places no longer than before.

Evidence: connection_ends::refused_while_sending_slowly and ..._chunks failed before and pass after; bad_input and planned_stop pass.

--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -9,6 +9,7 @@
 };
 
 use crossbeam::channel::{self, Sender};
+use jacinthpoint_types::ResultCode;
 use socket2::SockRef;
 
 use crate::{
@@ -33,12 +34,24 @@
 /// Time for which a connection is read after its last answer. Closing a connection with unread
 /// bytes resets it, and the reset can overtake the answer.
 const LINGER_MS: u64 = 10_000;
-/// Time without a received byte after which that reading ends.
+/// Time without a received byte after which that reading ends, unless a request was refused before
+/// its end: its caller may still be sending the rest, with pauses.
 const LINGER_IDLE_MS: u64 = 1_000;
 /// Stack size of a connection's thread. A node under its design load runs a few hundred
 /// of them.
 const STACK_BYTES: usize = 256 * 1024;
 
+/// What follows an answer on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AfterAnswer {
+    /// Another request may follow.
+    KeepOpen,
+    /// The connection is closed; the caller has sent all that it had to send, or is too slow.
+    Close,
+    /// The connection is closed, and the caller may still be sending the refused request.
+    CloseWhileReceiving,
+}
+
 /// Limits of the listener.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ListenerLimits {
@@ -141,29 +154,35 @@
     let mut reader = RequestReader::new(stream, limits.read_deadline_ms);
     let first_byte_until = Instant::now() + Duration::from_millis(FIRST_BYTE_MS);
     let mut keep_waiting: Box<dyn Fn() -> bool> = Box::new(|| Instant::now() < first_byte_until);
+    let mut linger_idle_ms = LINGER_IDLE_MS;
     while reader.wait_for_first_byte(&keep_waiting) {
         let in_flight = drain.begin_request();
         let read = reader.next();
         if let Ok(request) = &read {
             in_flight.describe(request.path(), request.header("x-request-id"));
         }
-        if !answer(stream, drain, read, handler) {
-            break;
+        match answer(stream, drain, read, handler) {
+            AfterAnswer::KeepOpen => {}
+            AfterAnswer::Close => break,
+            AfterAnswer::CloseWhileReceiving => {
+                linger_idle_ms = LINGER_MS;
+                break;
+            }
         }
         drop(in_flight);
         let idle_until = Instant::now() + Duration::from_millis(IDLE_TIMEOUT_MS);
         keep_waiting = Box::new(move || !drain.is_closing() && Instant::now() < idle_until);
     }
-    linger(stream);
+    linger(stream, linger_idle_ms);
 }
 
-/// Answers one request. Returns whether the connection may be used for another one.
+/// Answers one request.
 fn answer(
     stream: &TcpStream,
     drain: &Drain,
     read: Result<HttpRequest, RequestError>,
     handler: &impl Fn(Result<&HttpRequest, RequestError>, &mut Responder<'_>),
-) -> bool {
+) -> AfterAnswer {
     match read {
         Ok(request) => {
             // Keep-alive ends as soon as the drain is announced, so that few connections are left
@@ -171,19 +190,28 @@
             let keep_alive = request.keep_alive && !drain.is_draining();
             let mut responder = Responder::new(stream, keep_alive, request.is_http_1_1);
             handler(Ok(&request), &mut responder);
-            responder.keeps_alive()
+            if responder.keeps_alive() {
+                AfterAnswer::KeepOpen
+            } else {
+                AfterAnswer::Close
+            }
         }
-        Err(RequestError::Broken) => false,
-        Err(refused) => {
+        Err(RequestError::Broken) => AfterAnswer::Close,
+        Err(refused @ RequestError::Refused(code, _)) => {
             handler(Err(refused), &mut Responder::new(stream, false, false));
-            false
+            // A caller that was too slow has had its time.
+            if code == ResultCode::RequestTimeout {
+                AfterAnswer::Close
+            } else {
+                AfterAnswer::CloseWhileReceiving
+            }
         }
     }
 }
 
-/// Closes the sending side, then reads and discards what the caller sends until it closes its side
-/// or `LINGER_MS` have passed.
-fn linger(stream: &TcpStream) {
+/// Closes the sending side, then reads and discards what the caller sends until it closes its side,
+/// sends nothing for `idle_ms`, or `LINGER_MS` have passed.
+fn linger(stream: &TcpStream, idle_ms: u64) {
     if stream.shutdown(Shutdown::Write).is_err() {
         return;
     }
@@ -191,7 +219,7 @@
     let mut discarded = [0; 4096];
     loop {
         let left = until.saturating_duration_since(Instant::now());
-        let wait = left.min(Duration::from_millis(LINGER_IDLE_MS));
+        let wait = left.min(Duration::from_millis(idle_ms));
         if wait.is_zero() || stream.set_read_timeout(Some(wait)).is_err() {
             return;
         }
--- a/tests/connection_ends.rs
+++ b/tests/connection_ends.rs
@@ -346,6 +346,43 @@
     }
 );
 
+/// A request that is refused from its head while its body comes in pieces, with pauses between
+/// them. Guards against closing before the caller has sent what it announced: the close resets the
+/// connection, and the reset can overtake the answer.
+macro_rules! refused_while_sending {
+    ($($name:ident: $head:expr, $pieces:expr, pause_ms $pause_ms:expr => $status:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let (node, _platform) = node_alone("");
+                let mut connection = connect(node.callers);
+                let head = format!(
+                    "POST /v1/completions HTTP/1.1\r\nhost: n\r\nauthorization: Bearer {}\r\n{}\r\n",
+                    KEYS[0].1, $head
+                );
+                connection.write_all(head.as_bytes()).expect("sent");
+                for piece in $pieces {
+                    thread::sleep(Duration::from_millis($pause_ms));
+                    connection.write_all(&piece).expect("no reset while the body is sent");
+                }
+                let answer = read_to_end(&mut connection);
+                let status_line = concat!("HTTP/1.1 ", $status);
+                assert!(answer.starts_with(status_line), "{answer:?}");
+                assert!(answer.contains("connection: close"), "{answer:?}");
+            }
+        )+
+    };
+}
+
+refused_while_sending! {
+    refused_while_sending_fast: "content-length: 6000000\r\n", vec![vec![b'a'; 60_000]; 100],
+        pause_ms 5 => "413";
+    refused_while_sending_slowly: "content-length: 6000000\r\n", vec![vec![b'a'; 1_000]; 4],
+        pause_ms 1_500 => "413";
+    refused_while_sending_chunks: "transfer-encoding: chunked\r\n", vec![b"1\r\na\r\n".to_vec(); 4],
+        pause_ms 1_500 => "400";
+}
+
 /// Guards against connections beyond the limit that are closed unread because the queue of those to
 /// refuse is full, too.
 #[test]
