Gateway: an upstream that pauses reading keeps its connection

What callers saw: a request with a long body to an upstream that read nothing for over 4 s got 502, although its deadline was not over and the upstream went on to read it.

Cause: TCP_USER_TIMEOUT (4 s) on the connections to upstreams, the store and other gateways. It is there for peers that died with bytes on the way, for which keepalive does not work; but Linux counts the time in which the peer's receive window is closed, too, though every probe of the window is acknowledged.

The option now applies only until more than 1 KB was written on the connection without an answer: less fits any receive window, so there the bytes stay unacknowledged only if the path or the peer is gone. After a long request it stays off on that connection, since a peer may read the rest of a body after its answer. A dead upstream is then noticed by the stall checks, by the objective, or at the deadline. Connections accepted from other gateways have none, as those from callers: a forwarded stream to a caller that pauses reading closes the window there as well (by reading, not by a test). That a dead peer is noticed is not tested: loopback acknowledges everything.

Evidence: slow_upstreams::request_to_an_upstream_that_pauses_reading_is_answered (receive buffer of 4 KB, body of 60,000 bytes, a pause of 5.5 s, deadline 8 s) failed before with 502 and passes after; reported_faults passes.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -35,8 +35,11 @@
 const KEEPALIVE_INTERVAL_MS: u64 = 1_000;
 /// Number of unanswered keepalive probes after which the connection fails.
 const MAX_KEEPALIVE_PROBES: u32 = 3;
-/// Time for which sent bytes may stay unacknowledged before the connection fails.
+/// Time for which the bytes of a short request may stay unacknowledged before the connection fails.
 const MAX_UNACKNOWLEDGED_MS: u64 = 4_000;
+/// Maximum length of a short request: it fits the receive window of any peer that has read what was
+/// sent before.
+const MAX_SHORT_REQUEST_BYTES: usize = 1_024;
 
 /// Maximum length of one head of an answer, and of the part of a body that is read ahead.
 const MAX_HEAD_BYTES: usize = 64 * 1_024;
@@ -61,11 +64,29 @@
     Http(hyper::Error),
 }
 
-/// Stream that fails once more bytes were read than allowed.
+/// Stream that fails once more bytes were read than allowed, and while the bytes of short requests are
+/// not acknowledged in time.
 struct MeteredStream {
     stream: TcpStream,
     /// Number of bytes that may still be read.
     allowance_bytes: Rc<Cell<usize>>,
+    /// Number of bytes written since the last read.
+    unanswered_bytes: usize,
+    /// Whether unacknowledged bytes fail the connection after [`MAX_UNACKNOWLEDGED_MS`].
+    has_send_limit: bool,
+}
+
+impl MeteredStream {
+    /// Counts written bytes. After a long request, ends the limit on unacknowledged bytes for good:
+    /// Linux applies it to a closed receive window, too, and the peer may read the rest of the request
+    /// after its answer.
+    fn on_written(&mut self, count: usize) {
+        self.unanswered_bytes = self.unanswered_bytes.saturating_add(count);
+        if self.has_send_limit && self.unanswered_bytes > MAX_SHORT_REQUEST_BYTES {
+            self.has_send_limit = false;
+            set_send_limit(&self.stream, None);
+        }
+    }
 }
 
 impl AsyncRead for MeteredStream {
@@ -81,6 +102,7 @@
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let count = buffer.filled().len() - before;
+        self.unanswered_bytes = 0;
         let rest = self.allowance_bytes.get().saturating_sub(count);
         self.allowance_bytes.set(rest);
         Poll::Ready(Ok(()))
@@ -93,7 +115,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let count = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
+        self.on_written(count);
+        Poll::Ready(Ok(count))
     }
 
     fn poll_write_vectored(
@@ -101,7 +125,9 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        let count = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, parts))?;
+        self.on_written(count);
+        Poll::Ready(Ok(count))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -151,11 +177,14 @@
             Ok(Err(error)) => return Err(ConnectError::Io(error)),
             Err(_) => return Err(ConnectError::TimedOut),
         };
-        set_peer_options(&stream);
+        set_caller_options(&stream);
+        set_send_limit(&stream, Some(Duration::from_millis(MAX_UNACKNOWLEDGED_MS)));
         let allowance_bytes = Rc::new(Cell::new(usize::MAX));
         let stream = MeteredStream {
             stream,
             allowance_bytes: allowance_bytes.clone(),
+            unanswered_bytes: 0,
+            has_send_limit: true,
         };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -193,33 +222,25 @@
     }
 }
 
-/// Sets the options of a caller's connection: no Nagle's algorithm, and keepalive probes.
+/// Sets the options of a connection, whoever opened it: no Nagle's algorithm, and keepalive probes,
+/// which detect a peer that no longer answers.
 ///
 /// There is no limit on unacknowledged bytes, because Linux applies it to a closed receive window
-/// too: a caller that pauses reading is not gone.
+/// too: a peer that pauses reading is not gone.
 pub(crate) fn set_caller_options(stream: &TcpStream) {
-    log_unavailable("TCP_NODELAY", stream.set_nodelay(true));
-    log_unavailable("SO_KEEPALIVE", set_keepalive(stream));
-}
-
-/// Sets the options of a connection between the gateway and an upstream, the store or another
-/// gateway: those of a caller's connection, and a limit on unacknowledged bytes.
-pub(crate) fn set_peer_options(stream: &TcpStream) {
-    set_caller_options(stream);
-    let unacknowledged = Some(Duration::from_millis(MAX_UNACKNOWLEDGED_MS));
-    log_unavailable(
-        "TCP_USER_TIMEOUT",
-        SockRef::from(stream).set_tcp_user_timeout(unacknowledged),
-    );
-}
-
-/// Enables keepalive probes, which detect a peer that no longer answers.
-fn set_keepalive(stream: &TcpStream) -> io::Result<()> {
     let keepalive = TcpKeepalive::new()
         .with_time(Duration::from_millis(KEEPALIVE_IDLE_MS))
         .with_interval(Duration::from_millis(KEEPALIVE_INTERVAL_MS))
         .with_retries(MAX_KEEPALIVE_PROBES);
-    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+    log_unavailable("TCP_NODELAY", stream.set_nodelay(true));
+    let result = SockRef::from(stream).set_tcp_keepalive(&keepalive);
+    log_unavailable("SO_KEEPALIVE", result);
+}
+
+/// Sets or ends the limit on the time for which sent bytes may stay unacknowledged.
+fn set_send_limit(stream: &TcpStream, limit: Option<Duration>) {
+    let result = SockRef::from(stream).set_tcp_user_timeout(limit);
+    log_unavailable("TCP_USER_TIMEOUT", result);
 }
 
 /// Logs an option that the operating system lacks. It is not needed, because the timeouts of
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -35,7 +35,7 @@
     body::{AnswerBody, full_body},
     call,
     clock::sleep_ms,
-    connection::set_peer_options,
+    connection::set_caller_options,
     state::Gateway,
     watch,
 };
@@ -295,7 +295,7 @@
         };
         let gateway = gateway.clone();
         tokio::task::spawn_local(async move {
-            set_peer_options(&stream);
+            set_caller_options(&stream);
             let service = service_fn(|request| {
                 let gateway = gateway.clone();
                 async move {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -25,6 +25,7 @@
 mod reported_faults;
 mod restored_store;
 mod site;
+mod slow_upstreams;
 mod soak;
 mod statements;
 mod store_view;
