Gateway: a planned stop waits for requests that other gateways forwarded

What callers saw: 502 from a gateway that reaches no upstream, if the gateway that it had forwarded the request to stopped meanwhile. The request had run.

Cause: a stop waits for the connections of callers only. A gateway without callers of its own exited when its announcement ended, whatever it served for others.

A connection from another gateway counts as open from its first forwarded request on; the forwarding gateway opens it for this request and closes it after the answer. Connections with reads of the store's objects still do not count: the calling gateway repeats these elsewhere.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,7 +10,7 @@
 //! Many gateways ask for the same at the same time. Each answer is encoded once for all of them.
 
 use std::{
-    cell::RefCell,
+    cell::{OnceCell, RefCell},
     collections::{BTreeMap, BTreeSet, VecDeque},
     convert::Infallible,
     rc::Rc,
@@ -286,7 +286,29 @@
     }
 }
 
+/// Counts a connection as open until dropped. A planned stop waits for open connections.
+struct OpenConnectionGuard(Rc<Gateway>);
+
+impl OpenConnectionGuard {
+    fn new(gateway: Rc<Gateway>) -> OpenConnectionGuard {
+        let open = &gateway.open_connections;
+        open.set(open.get() + 1);
+        OpenConnectionGuard(gateway)
+    }
+}
+
+impl Drop for OpenConnectionGuard {
+    fn drop(&mut self) {
+        let open = &self.0.open_connections;
+        open.set(open.get() - 1);
+    }
+}
+
 /// Accepts connections of other gateways and answers their calls, for ever.
+///
+/// A connection counts as open from its first forwarded request on, whose gateway closes it after the
+/// answer. Connections with other calls do not count: these are reads, which the calling gateway repeats
+/// elsewhere.
 pub(crate) async fn serve_gateways(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -296,12 +318,18 @@
         let gateway = gateway.clone();
         tokio::task::spawn_local(async move {
             set_caller_options(&stream);
-            let service = service_fn(|request| {
+            let guard = OnceCell::new();
+            let service = service_fn(|request: Request<Incoming>| {
                 let gateway = gateway.clone();
+                let is_forwarded = request.headers().contains_key(call::FORWARDED_BY);
+                if is_forwarded {
+                    guard.get_or_init(|| OpenConnectionGuard::new(gateway.clone()));
+                }
                 async move {
-                    Ok::<_, Infallible>(match request.headers().contains_key(call::FORWARDED_BY) {
-                        true => call::answer_forwarded(gateway, request).await,
-                        false => answer(&gateway, request).await,
+                    Ok::<_, Infallible>(if is_forwarded {
+                        call::answer_forwarded(gateway, request).await
+                    } else {
+                        answer(&gateway, request).await
                     })
                 }
             });
