--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -15,7 +15,7 @@
     clock::sleep_ms,
     events::log_event,
     metrics::Metrics,
-    state::{Gateway, Phase},
+    state::{Gateway, OpenConnectionGuard, Phase},
     store::{CallType, call_counts},
 };
 
@@ -91,7 +91,7 @@
 /// Serves a new connection in a task of its own.
 fn begin_serving(gateway: &Rc<Gateway>, stream: TcpStream, max_connections: usize) {
     let open = gateway.open_connections.get();
-    gateway.open_connections.set(open + 1);
+    let guard = OpenConnectionGuard::new(gateway);
     let is_surplus = open >= max_connections;
     if is_surplus {
         gateway.metrics.count("connections_refused", "too-many");
@@ -104,21 +104,11 @@
     }
     let gateway = gateway.clone();
     tokio::task::spawn_local(async move {
-        let _guard = OpenConnectionGuard(gateway.clone());
+        let _guard = guard;
         caller::serve_caller(&gateway, stream, is_surplus).await;
     });
 }
 
-/// Decrements the number of open connections when dropped, also if the connection's task panics.
-struct OpenConnectionGuard(Rc<Gateway>);
-
-impl Drop for OpenConnectionGuard {
-    fn drop(&mut self) {
-        let open = &self.0.open_connections;
-        open.set(open.get() - 1);
-    }
-}
-
 /// Answers all requests on `listener` for ever with the status and text that `respond` returns for
 /// the path.
 async fn serve_text(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,7 +36,7 @@
     call,
     clock::sleep_ms,
     connection::set_caller_options,
-    state::Gateway,
+    state::{Gateway, OpenConnectionGuard},
     watch,
 };
 
@@ -286,24 +286,6 @@
     }
 }
 
-/// Counts a connection as open until dropped. A planned stop waits for open connections.
-struct OpenConnectionGuard(Rc<Gateway>);
-
-impl OpenConnectionGuard {
-    fn new(gateway: Rc<Gateway>) -> OpenConnectionGuard {
-        let open = &gateway.open_connections;
-        open.set(open.get() + 1);
-        OpenConnectionGuard(gateway)
-    }
-}
-
-impl Drop for OpenConnectionGuard {
-    fn drop(&mut self) {
-        let open = &self.0.open_connections;
-        open.set(open.get() - 1);
-    }
-}
-
 /// Accepts connections of other gateways and answers their calls, for ever.
 ///
 /// A connection counts as open from its first forwarded request on, whose gateway closes it after the
@@ -323,7 +305,7 @@
                 let gateway = gateway.clone();
                 let is_forwarded = request.headers().contains_key(call::FORWARDED_BY);
                 if is_forwarded {
-                    guard.get_or_init(|| OpenConnectionGuard::new(gateway.clone()));
+                    guard.get_or_init(|| OpenConnectionGuard::new(&gateway));
                 }
                 async move {
                     Ok::<_, Infallible>(if is_forwarded {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -63,6 +63,25 @@
     pub(crate) suspected_members: BTreeSet<VmId>,
 }
 
+/// Counts a connection as open until dropped, also if its task panics. A planned stop waits for open
+/// connections.
+pub(crate) struct OpenConnectionGuard(Rc<Gateway>);
+
+impl OpenConnectionGuard {
+    pub(crate) fn new(gateway: &Rc<Gateway>) -> OpenConnectionGuard {
+        let open = &gateway.open_connections;
+        open.set(open.get() + 1);
+        OpenConnectionGuard(gateway.clone())
+    }
+}
+
+impl Drop for OpenConnectionGuard {
+    fn drop(&mut self) {
+        let open = &self.0.open_connections;
+        open.set(open.get() - 1);
+    }
+}
+
 /// State of a gateway, shared by all its tasks.
 #[derive(Debug)]
 pub(crate) struct Gateway {
