Gateway: callers learn of a stop before the announcement ends, and idle connections end with it

Now answers say `Connection: close` in the last 0.7 s of the announcement, while requests are served as before. At its end connections without a request end, sending side first, and only if no bytes wait. Requests are still served for 0.3 s, since these may have crossed that end, and then refused. Streams run until the process exits. A connection that has ended is read for 0.2 s at most during a stop.

--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -45,8 +45,6 @@
     CallerLeft,
     /// The deadline and [`DEADLINE_SLACK_MS`] passed.
     DeadlinePassed,
-    /// The planned stop ends all requests.
-    Stopping,
     /// The stream broke off or stalled; holds the reason.
     Broken(String),
 }
@@ -114,11 +112,6 @@
                     return self.record_end("caller-left");
                 }
                 StreamEnd::DeadlinePassed => return self.break_off("deadline-passed").await,
-                StreamEnd::Stopping => {
-                    let cut = &context.gateway.cut_requests;
-                    cut.set(cut.get() + 1);
-                    return self.break_off("stopping").await;
-                }
                 StreamEnd::Broken(why) => {
                     self.history.on_failure(&context, &target, "stream", &why);
                     record_failure(&context, &target);
@@ -155,12 +148,10 @@
         let mut last_event_in_attempt_at = None;
         // Number of pieces with whole events that this target has sent.
         let mut pieces = 0_u32;
-        let mut ending = std::pin::pin!(gateway.wait_for_ending());
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = self.parts.closed() => return StreamEnd::CallerLeft,
-                () = ending.as_mut() => return StreamEnd::Stopping,
                 () = gateway.clock.sleep_until(check_at.min(deadline_with_slack)) => {
                     let now = gateway.now();
                     if now >= deadline_with_slack {
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -43,7 +43,7 @@
 const MIN_HEAD_BYTES: usize = 8 * 1_024;
 /// Extra space in the read buffer for body bytes that arrive together with the head.
 const HEAD_SLACK_BYTES: usize = 1_024;
-/// Time for which a new connection is kept for its first request while the gateway ends all others. The
+/// Time for which a new connection is kept for its first request while the gateway ends all idle ones. The
 /// request was sent with the connection, or follows within a round trip.
 const FIRST_REQUEST_WAIT_MS: u64 = 500;
 /// Time for which an answer is still awaited after the caller has ended its sending side. A caller that has
@@ -54,6 +54,8 @@
 const RESET_WAIT_MS: u64 = 100;
 /// Maximum time for which a connection that has ended is read, so that it is not reset.
 const LINGER_MS: u64 = 1_000;
+/// The same during a stop, which should not take longer for callers that leave their connection open.
+const LINGER_AT_STOP_MS: u64 = 200;
 /// Time between two checks of a connection that is due to end but has not ended.
 const RECHECK_INTERVAL_MS: u64 = 50;
 /// Time in which the body of a refused request must arrive for its connection to be kept.
@@ -248,7 +250,7 @@
             return None;
         }
         match self.stage.get() {
-            Stage::Idle if self.phase() == Phase::Ending => {
+            Stage::Idle if self.phase() >= Phase::EndingIdle => {
                 let is_unused = self.requests.get() == 0;
                 let wait_ms = if is_unused { FIRST_REQUEST_WAIT_MS } else { 0 };
                 Some(self.accepted_at.plus_ms(wait_ms))
@@ -428,7 +430,11 @@
         "a caller's connection ended"
     );
     let io = http.into_parts().io.into_inner();
-    let until = gateway.now().plus_ms(LINGER_MS);
+    let linger_ms = match connection.phase() {
+        phase if phase >= Phase::EndingIdle => LINGER_AT_STOP_MS,
+        _ => LINGER_MS,
+    };
+    let until = gateway.now().plus_ms(linger_ms);
     io.linger(until, gateway.clock).await;
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -29,9 +29,12 @@
 
 /// Time between two checks for open connections while the gateway stops.
 const STOP_POLL_INTERVAL_MS: u64 = 20;
-/// Time for which requests are still served on connections that close after their answer. Callers whose
-/// connection is in use learn of the stop by an answer in this time.
+/// Time before the end of the announcement from which connections close after their next answer. Callers
+/// whose connection is in use learn of the stop by an answer in this time.
 const CLOSING_MS: u64 = 700;
+/// Time after the announcement in which requests are still served, since they may have been sent before
+/// their connection ended.
+const LAST_REQUESTS_MS: u64 = 300;
 /// Time before the end of the grace time at which requests that are still open are answered as failed.
 const STOP_MARGIN_MS: u64 = 800;
 /// Time before the end of the grace time at which the process exits, so that it is not killed.
@@ -252,9 +255,10 @@
 
 /// Stops the gateway as planned, and returns the number of requests that were cut.
 ///
-/// The gateway reports itself as not ready at once. After the announcement time, connections close after
-/// their next answer; [`CLOSING_MS`] later, new requests are refused. Once no request is open, or
-/// [`STOP_MARGIN_MS`] before the end of the grace time, no connections are accepted and all others end.
+/// The gateway reports itself as not ready at once. [`CLOSING_MS`] before the end of the announcement,
+/// connections begin to close after their next answer, and at its end those without a request end. Shortly
+/// afterwards, new requests are refused. Once no request is open, or [`STOP_MARGIN_MS`] before the end of
+/// the grace time, no connections are accepted.
 async fn stop(gateway: &Gateway) -> usize {
     let settings = gateway.settings();
     let began = gateway.now();
@@ -268,9 +272,12 @@
     let end = began.plus_ms(settings.grace_ms.saturating_sub(EXIT_MARGIN_MS));
     let last_answers = began.plus_ms(settings.grace_ms.saturating_sub(STOP_MARGIN_MS));
     let announced = began.plus_ms(settings.announce_ms).min(last_answers);
-    gateway.clock.sleep_until(announced).await;
+    let closing = began.plus_ms(settings.announce_ms.saturating_sub(CLOSING_MS));
+    gateway.clock.sleep_until(closing.min(announced)).await;
     gateway.phase.send_replace(Phase::Closing);
-    let refuse_at = announced.plus_ms(CLOSING_MS).min(last_answers);
+    gateway.clock.sleep_until(announced).await;
+    gateway.phase.send_replace(Phase::EndingIdle);
+    let refuse_at = announced.plus_ms(LAST_REQUESTS_MS).min(last_answers);
     let has_work = || gateway.open_connections.get() + gateway.open_requests.get() > 0;
     while gateway.now() < refuse_at && has_work() {
         sleep_ms(STOP_POLL_INTERVAL_MS).await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -48,10 +48,11 @@
     Leaving,
     /// The same, and each connection closes after its next answer, which says so.
     Closing,
-    /// The gateway refuses new requests.
+    /// The same, and connections without a request end.
+    EndingIdle,
+    /// New requests are refused.
     Refusing,
-    /// The gateway accepts no connections, answers all requests that are still open as failed, and ends
-    /// each connection that has none.
+    /// The gateway accepts no connections, and answers all requests that are still open as failed.
     Ending,
 }
 
