Node: an answer of a plain service without length and chunks is no whole answer

Callers of a node got a success with a short body, framed as whole, if the service sent neither length nor chunks and its connection was cut. `attohttpc` removes `Transfer-Encoding` before it returns an answer, so such an answer could not be told from one in chunks.

Calls of plain services now use a client of their own, which sees the framing: an answer without either is none, and the call may have run. Interim answers (1xx) before the answer are skipped, trailers are read, and an answer that is framed in two ways is refused.

Every call opens its own connection, before and after, so no earlier answer can be taken for its answer.

Heads that were cut were no answers before, either.

--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -1,16 +1,19 @@
 //! Calls to plain services.
 
-use std::{io::Read, net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use jacinthpoint_types::{AttemptId, RequestId};
 
 use crate::{
     ATTEMPT_HEADER, REQUEST_HEADER,
-    error::{StartError, classify_start_error},
+    error::StartError,
+    service::exchange::{connect, exchange},
 };
 
-/// Largest body of an answer that is passed on to the caller.
-const MAX_ANSWER_BYTES: u64 = 8 * 1024 * 1024;
+mod exchange;
 
 /// Holds one call to a plain service.
 #[derive(Debug, Clone)]
@@ -40,74 +43,56 @@
     pub body: Vec<u8>,
 }
 
-/// Calls a plain service and returns its complete answer.
+/// Calls a plain service on a connection of its own and returns its complete answer.
 ///
 /// # Errors
 ///
 /// Fails with [`StartError::Refused`] on status 503, which means that the service refused the call
-/// before running it; every other status is an answer. An answer that is too large or incomplete
-/// is [`StartError::NoAnswer`], because the service may have run the call.
+/// before running it; every other status is an answer. An answer that is too large or incomplete, or
+/// whose end is marked by neither a length nor chunks, is [`StartError::NoAnswer`], because the service
+/// may have run the call.
 pub fn call_service(
     address: SocketAddr,
     call: &ServiceCall<'_>,
     connect_timeout_ms: u64,
     answer_timeout_ms: u64,
 ) -> Result<ServiceAnswer, StartError> {
-    let method = attohttpc::Method::from_bytes(call.method.as_bytes()).map_err(|error| {
-        StartError::NotSent {
+    let deadline = Instant::now() + Duration::from_millis(answer_timeout_ms);
+    let not_sent = |message: String| StartError::NotSent { message };
+    let head = request_head(address, call).ok_or_else(|| not_sent("malformed call".to_owned()))?;
+    let connect_timeout = Duration::from_millis(connect_timeout_ms.min(answer_timeout_ms));
+    let connection =
+        connect(address, connect_timeout).map_err(|error| not_sent(error.to_string()))?;
+    let answer =
+        exchange(connection, &head, call.body, deadline).map_err(|error| StartError::NoAnswer {
             message: error.to_string(),
-        }
-    })?;
-    let answer = attohttpc::RequestBuilder::new(method, format!("http://{address}{}", call.path))
-        .follow_redirects(false)
-        .connect_timeout(Duration::from_millis(connect_timeout_ms))
-        .timeout(Duration::from_millis(answer_timeout_ms))
-        .header(REQUEST_HEADER, call.request.to_string())
-        .header(ATTEMPT_HEADER, call.attempt.to_string())
-        .header("content-type", call.content_type)
-        .bytes(call.body)
-        .send()
-        .map_err(|error| classify_start_error(&error))?;
-    read_answer(answer)
-}
-
-fn read_answer(answer: attohttpc::Response) -> Result<ServiceAnswer, StartError> {
-    let no_answer = |message: String| StartError::NoAnswer { message };
-    let (status, headers, reader) = answer.split();
-    let content_type = headers
-        .get("content-type")
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or("application/octet-stream")
-        .to_owned();
-    let declared = headers
-        .get("content-length")
-        .and_then(|value| value.to_str().ok());
-    let declared: Option<usize> = declared.and_then(|text| text.parse().ok());
-    let mut body = Vec::new();
-    let mut limited = reader.take(MAX_ANSWER_BYTES + 1);
-    limited
-        .read_to_end(&mut body)
-        .map_err(|error| no_answer(error.to_string()))?;
-    if body.len() as u64 > MAX_ANSWER_BYTES {
-        return Err(no_answer(format!(
-            "answer exceeds {MAX_ANSWER_BYTES} bytes"
-        )));
-    }
-    if declared.is_some_and(|declared| declared != body.len()) {
-        return Err(no_answer(
-            "answer differs in length from its content-length".to_owned(),
-        ));
-    }
-    if status.as_u16() == 503 {
-        let message = String::from_utf8_lossy(&body).into_owned();
+        })?;
+    if answer.status == 503 {
+        let message = String::from_utf8_lossy(&answer.body).into_owned();
         return Err(StartError::Refused {
             status: 503,
             message,
         });
     }
-    Ok(ServiceAnswer {
-        status: status.as_u16(),
-        content_type,
-        body,
-    })
+    Ok(answer)
+}
+
+/// Returns the head of a request; `None` if a part of the call would add lines to it.
+fn request_head(address: SocketAddr, call: &ServiceCall<'_>) -> Option<String> {
+    let is_token =
+        |text: &str| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic());
+    let is_value = |text: &str| !text.chars().any(char::is_control);
+    if !is_token(call.method) || !is_token(call.path) || !is_value(call.content_type) {
+        return None;
+    }
+    Some(format!(
+        "{} {} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n{REQUEST_HEADER}: {}\r\n\
+         {ATTEMPT_HEADER}: {}\r\ncontent-type: {}\r\ncontent-length: {}\r\n\r\n",
+        call.method,
+        call.path,
+        call.request,
+        call.attempt,
+        call.content_type,
+        call.body.len()
+    ))
 }
--- a/crates/upstream/tests/service.rs
+++ b/crates/upstream/tests/service.rs
@@ -67,6 +67,9 @@
 complete_answer! {
     answer_with_declared_length_is_complete: "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nsent" => "sent";
     chunked_answer_is_complete: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nsent\r\n0\r\n\r\n" => "sent";
+    answer_after_interim_one_is_complete: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nsent" => "sent";
+    chunked_answer_with_trailers_is_complete: "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n2;x=1\r\nse\r\n2\r\nnt\r\n0\r\nx-a: b\r\n\r\n" => "sent";
+    answer_with_more_bytes_than_its_length_is_complete: "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nsentHTTP/1.1 503 Busy\r\n\r\n" => "sent";
     answer_without_content_is_complete: "HTTP/1.1 204 No Content\r\n\r\n" => "";
 }
 
@@ -77,5 +80,14 @@
     call_answered_with_chunk_size_not_a_number_may_have_run: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nsent\r\n";
     neither_length_nor_chunks: "HTTP/1.1 200 OK\r\n\r\nse";
     call_answered_with_truncated_head_may_have_run: "HTTP/1.1 200 OK\r\ncontent-le";
+    call_answered_with_head_cut_after_its_status_may_have_run: "HTTP/1.1 200 OK\r\n";
+    call_answered_with_head_without_its_empty_line_may_have_run: "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n";
+    call_answered_with_head_cut_in_its_empty_line_may_have_run: "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r";
+    call_answered_with_head_of_line_feeds_without_its_empty_line_may_have_run: "HTTP/1.1 200 OK\ncontent-length: 0\n";
+    refusal_with_head_without_its_empty_line_may_have_run: "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n";
+    call_answered_with_cut_trailers_may_have_run: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nsent\r\n0\r\n";
+    call_answered_with_two_lengths_may_have_run: "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 2\r\n\r\nsent";
+    call_answered_with_length_and_chunks_may_have_run: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n4\r\nsent\r\n0\r\n\r\n";
+    call_answered_with_interim_answer_alone_may_have_run: "HTTP/1.1 100 Continue\r\n\r\n";
     call_answered_without_http_may_have_run: "SSH-2.0-server\r\n";
 }
