Gateway: a connection whose request the upstream does not read is closed after the answer

An upstream may answer before it has read a long request. The connection is put back into the pool once it is ready, that is once the rest of the request was written.

The pool now waits for no longer than it would keep the idle connection.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -92,6 +92,9 @@
 
     /// Adds a connection whose last response was read to its end, as soon as it is ready for
     /// another request. `headers` are those of the last response, which limit the idle time.
+    ///
+    /// The connection is closed if it is not ready within that time: the upstream has answered, but
+    /// does not read the rest of the request.
     pub(crate) fn put_back(
         self: &Rc<Pool>,
         key: &TargetKey,
@@ -104,7 +107,8 @@
         };
         let (pool, key) = (self.clone(), key.clone());
         tokio::task::spawn_local(async move {
-            if connection.sender.ready().await.is_err() {
+            let ready = timeout(Duration::from_millis(keep_ms), connection.sender.ready());
+            if !matches!(ready.await, Ok(Ok(()))) {
                 return;
             }
             let mut by_target = pool.idle.borrow_mut();
--- a/tests/gateway/slow_upstreams.rs
+++ b/tests/gateway/slow_upstreams.rs
@@ -7,26 +7,36 @@
 };
 
 use jacinthpoint_adapter::{headers, paths};
-use jacinthpoint_platform_standins::PlainService;
+use jacinthpoint_platform_standins::{PlainService, RequestLimits};
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
 
 use crate::gateway::{
     caller::{End, Request},
     pause_ms,
-    site::Site,
+    site::{KEY, ROUTE_TIMEOUT_MS, Site},
 };
 
 /// Receive buffer of the upstream, in bytes.
 const RECEIVE_BUFFER_BYTES: usize = 4 * 1_024;
-/// Length of the request's body; within the limit of the site's configuration.
-const BODY_BYTES: usize = 60_000;
+/// Length of the request's body; more than the buffers of a connection take.
+const BODY_BYTES: usize = 3_000_000;
 /// Time for which the upstream does not read, after it has read the head of a request.
 const READ_PAUSE_MS: u64 = 5_500;
+/// Time for which the upstream keeps a connection whose request it does not read.
+const UNREAD_MS: u64 = 20_000;
 
-/// Starts an upstream with a small receive buffer that pauses before it reads a body, and returns its
-/// address.
-fn start_slow_reader() -> SocketAddr {
+/// What an upstream does with a request that has a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyReading {
+    /// It reads the body after a pause, and answers.
+    AfterPause,
+    /// It answers, and never reads the body.
+    Never,
+}
+
+/// Starts an upstream with a small receive buffer, and returns its address.
+fn start_upstream(reading: BodyReading) -> SocketAddr {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is available");
     // Connections inherit it.
     socket
@@ -40,14 +50,14 @@
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             // A reset connection is an error for the gateway to handle.
-            thread::spawn(move || serve(&stream));
+            thread::spawn(move || serve(&stream, reading));
         }
     });
     address
 }
 
-/// Answers requests without a body at once, others after a pause.
-fn serve(mut stream: &TcpStream) -> std::io::Result<()> {
+/// Answers requests without a body at once, others as `reading` says.
+fn serve(mut stream: &TcpStream, reading: BodyReading) -> std::io::Result<()> {
     let mut reader = BufReader::new(stream);
     loop {
         let (mut length, mut attempt_id) = (0, String::new());
@@ -69,7 +79,7 @@
                 attempt_id = value.to_owned();
             }
         }
-        if length > 0 {
+        if length > 0 && reading == BodyReading::AfterPause {
             pause_ms(READ_PAUSE_MS);
             let mut body = vec![0; length];
             reader.read_exact(&mut body)?;
@@ -80,21 +90,50 @@
             headers::SEAL
         );
         stream.write_all(answer.as_bytes())?;
+        if length > 0 && reading == BodyReading::Never {
+            pause_ms(UNREAD_MS);
+            return Ok(());
+        }
     }
 }
 
-/// Guards against a limit on unacknowledged bytes that resets the connection to an upstream that is
-/// alive, but reads nothing for longer than the limit.
-#[test]
-fn request_to_an_upstream_that_pauses_reading_is_answered() {
+/// Starts a site with one gateway, whose plain service is at `address`.
+fn start_site(address: SocketAddr) -> Site {
     let site = Site::start(1);
-    let address = start_slow_reader();
     let store = &site.platform.store;
     let entry = store.get_content(paths::UPSTREAM_KIND, PlainService::ID);
     let mut entry = entry.expect("it is registered");
     entry["addr"] = json!(address.to_string());
     store.put(paths::UPSTREAM_KIND, PlainService::ID, entry);
+    let limits = RequestLimits {
+        max_body_bytes: BODY_BYTES,
+        ..RequestLimits::default()
+    };
+    site.put_config_with(&[KEY], ROUTE_TIMEOUT_MS, limits);
+    // The gateway reads the changes.
     pause_ms(1_000);
+    site
+}
+
+/// Returns the number of open connections to this port on the machine.
+fn open_connections_to(port: u16) -> usize {
+    const ESTABLISHED: &str = "01";
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table can be read");
+    let suffix = format!(":{port:04X}");
+    let lines = table.lines().skip(1);
+    let open = lines.filter(|line| {
+        let mut fields = line.split_whitespace().skip(2);
+        let remote = fields.next().unwrap_or_default();
+        remote.ends_with(&suffix) && fields.next() == Some(ESTABLISHED)
+    });
+    open.count()
+}
+
+/// Guards against a limit on unacknowledged bytes that resets the connection to an upstream that is
+/// alive, but reads nothing for longer than the limit.
+#[test]
+fn request_to_an_upstream_that_pauses_reading_is_answered() {
+    let site = start_site(start_upstream(BodyReading::AfterPause));
     let body = "x".repeat(BODY_BYTES);
     let request = Request {
         body: &body,
@@ -107,3 +146,22 @@
     let answer = Request::once("slowly-read-again").send(site.gateway(0));
     assert_eq!((answer.status, answer.end), (200, End::Whole));
 }
+
+/// Guards against connections that stay open without a use, because the upstream has answered and does
+/// not read the rest of the request.
+#[test]
+fn connection_with_an_unread_request_is_closed_after_the_answer() {
+    let address = start_upstream(BodyReading::Never);
+    let site = start_site(address);
+    let body = "x".repeat(BODY_BYTES);
+    let request = Request {
+        body: &body,
+        ..Request::once("unread")
+    };
+    let answer = request.send(site.gateway(0));
+    assert_eq!((answer.status, answer.end), (200, End::Whole));
+    // Twice the time for which an idle connection is kept.
+    site.wait_until("the connection is closed", 4_000, |_| {
+        open_connections_to(address.port()) == 0
+    });
+}
