--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -20,8 +20,14 @@
 use crate::{
     body::{AbortedBody, AnswerBody, channel, full_body},
     call::{
-        answer, attempt::OutgoingRequest, context::Context, outcome::remove_connection_headers,
-        refusal::refuse, request::strip_hop_by_hop, whole_body,
+        answer,
+        answer::is_framed,
+        attempt::OutgoingRequest,
+        context::{Context, Origin},
+        outcome::remove_connection_headers,
+        refusal::refuse,
+        request::strip_hop_by_hop,
+        whole_body,
     },
     connection::{Connection, RequestBody},
     events::log_event,
@@ -64,7 +70,7 @@
         return response;
     }
     request.headers_mut().remove(FORWARDED_BY);
-    let mut response = answer(gateway, request, true).await;
+    let mut response = answer(gateway, request, Origin::Gateway).await;
     // An upstream may send the header, too, but has run the request.
     response.headers_mut().remove(NOT_TAKEN);
     response
@@ -133,6 +139,7 @@
     };
     let deadline = gateway.clock.instant(context.deadline.0);
     let request = build_request(context, outgoing);
+    context.on_sending();
     let response = match tokio::time::timeout_at(deadline, connection.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
@@ -147,8 +154,12 @@
     if response.headers().contains_key(&NOT_TAKEN) {
         return Offer::NotTaken("refused by the gateway".to_owned());
     }
-    let is_whole = response.body().size_hint().exact().is_some();
     let (mut head, body) = response.into_parts();
+    // Each answer of a gateway is framed.
+    if !is_framed(&head.headers, &body) {
+        return Offer::Unknown("the answer has neither length nor chunks".to_owned());
+    }
+    let is_whole = body.size_hint().exact().is_some();
     remove_connection_headers(&mut head.headers);
     if !is_whole {
         return Offer::Answered(Response::from_parts(head, pass_stream(connection, body)));
