Gateway: a planned stop waits until its suspicions of crashing requests are recorded

What could be lost: what a gateway suspects of crashing upstreams, a part of a prompt or a request, is in its memory until it is written to the store, at the latest half a second later, or once the store works again. A gateway that stopped in between ended without a word of it, and the request crashed more upstreams at the other gateways.

A stop now also waits for these writes, until the end of its grace time.

Evidence: records_at_stop::suspicion_is_recorded_before_a_stopped_gateway_ends failed before and passes after.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -440,6 +440,12 @@
         crashes.len() >= MIN_CRASHES && (id.is_request() || prompts.len() >= MIN_PROMPTS)
     }
 
+    /// Returns whether a suspicion of this gateway is not in its record yet.
+    pub fn has_unwritten(&self) -> bool {
+        let mut suspects = self.suspects.values();
+        suspects.any(|suspect| !suspect.pending.is_empty())
+    }
+
     /// Returns the changes of records that are due, first those of parts, the parts that come latest in
     /// their prompts before others: they are fewer than the requests. `may_expire` is set at the one
     /// gateway that removes records whose time is over.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -282,7 +282,8 @@
     gateway.phase.send_replace(Phase::Ending);
     // The listener accepts what waits in its queue first.
     sleep_ms(STOP_POLL_INTERVAL_MS).await;
-    while gateway.now() < end && has_work() {
+    let has_unwritten = || gateway.quarantine.borrow().has_unwritten();
+    while gateway.now() < end && (has_work() || has_unwritten()) {
         sleep_ms(STOP_POLL_INTERVAL_MS).await;
     }
     let cut = gateway.cut_requests.get() + gateway.open_requests.get();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -25,6 +25,7 @@
 mod kept_caller;
 mod kept_connections;
 mod mixed_builds;
+mod records_at_stop;
 mod reported_faults;
 mod restored_store;
 mod site;
