--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -63,7 +63,8 @@
 enum FaultMix {
     /// All faults.
     All,
-    /// Only those that excuse no lost answer: stops, signals, configurations, and faults of the store.
+    /// Only those that excuse no lost answer: stops, signals, configurations, and faults of the store and
+    /// of links to it.
     Planned,
 }
 
@@ -230,7 +231,9 @@
     let gateway = rng.random_range(0..GATEWAYS);
     let kind = match mix {
         FaultMix::All => rng.random_range(0..12),
-        FaultMix::Planned => *[2, 6, 6, 7, 11, 11].choose(rng).expect("it is not empty"),
+        FaultMix::Planned => *[2, 6, 6, 7, 8, 10, 11, 11]
+            .choose(rng)
+            .expect("it is not empty"),
     };
     match kind {
         0 => Fault::new(Affected::Streams, move |site| {
