--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,7 +14,7 @@
     Directory, FleetRetryBudget, LoadTracker, Quarantine, SlackShare, Target, TargetKey,
     UpstreamLimits, UpstreamReach,
 };
-use jacinthpoint_fleet::{FleetConfig, FleetView, ViewChange};
+use jacinthpoint_fleet::{CallerLimits, FleetConfig, FleetView, ViewChange};
 use jacinthpoint_types::{ServiceId, TimeMs, VmId};
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::{net::UdpSocket, sync::watch};
@@ -46,8 +46,13 @@
     Serving,
     /// The gateway is stopping and reports itself as not ready, but still accepts requests.
     Leaving,
-    /// The gateway refuses new requests, and connections close as soon as they have no request.
+    /// The same, and each connection closes after its next answer, which says so.
     Closing,
+    /// The gateway refuses new requests.
+    Refusing,
+    /// The gateway accepts no connections, answers all requests that are still open as failed, and ends
+    /// each connection that has none.
+    Ending,
 }
 
 /// Suspected faults found by requests and alarms. A gateway that holds the lease checks them by
@@ -101,8 +106,12 @@
     pub(crate) has_traffic: Cell<bool>,
     pub(crate) fault_reports: RefCell<FaultReports>,
     pub(crate) phase: watch::Sender<Phase>,
+    /// Limits on callers' requests and connections in force.
+    pub(crate) caller_limits: watch::Sender<CallerLimits>,
     pub(crate) open_requests: Cell<usize>,
     pub(crate) open_connections: Cell<usize>,
+    /// Number of requests that the planned stop has cut.
+    pub(crate) cut_requests: Cell<usize>,
     /// Length of the upstreams' bodies that are being read, in bytes.
     pub(crate) buffered_bytes: Cell<usize>,
 }
@@ -140,8 +149,10 @@
             has_traffic: Cell::new(false),
             fault_reports: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
+            caller_limits: watch::Sender::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
+            cut_requests: Cell::new(0),
             buffered_bytes: Cell::new(0),
         }
     }
@@ -156,6 +167,13 @@
         self.settings.borrow().clone()
     }
 
+    /// Waits until the gateway ends all requests that are still open.
+    pub(crate) async fn wait_for_ending(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the gateway.
+        let _ = phase.wait_for(|phase| *phase >= Phase::Ending).await;
+    }
+
     /// Replaces the settings in force.
     pub(crate) fn replace_settings(&self, settings: GatewaySettings) {
         *self.settings.borrow_mut() = Rc::new(settings);
@@ -226,6 +244,11 @@
         self.stall_reported_at
             .borrow_mut()
             .retain(|key, _| listed.contains(key));
+        self.caller_limits.send_if_modified(|limits| {
+            let is_changed = *limits != config.limits;
+            *limits = config.limits;
+            is_changed
+        });
         let snapshot = Snapshot {
             config: config.clone(),
             directory,
