Gateway: bytes of a request's own body do not count as its successor's head

After a request whose body came in a read of its own (head and body in two packets, in chunks, after 100-continue), the idle connection was taken for one with a part of the next head: it was closed after header_timeout_ms (3 s) in place of idle_timeout_ms (15 s), beside callers that rely on the latter, and did not end with the announcement of a stop. Found in review; the tests of kept connections send head and body at once.

Only bytes that are read after the end of the body count now.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -91,6 +91,9 @@
     let body = tokio::time::timeout_at(deadline, request::read_body(body, max_bytes)).await;
     let (code, why) = match body {
         Ok(Ok(body)) => {
+            if let Origin::Caller(caller) = &context.origin {
+                caller.on_body_read();
+            }
             context.content.digest = Some(request::digest(&context, &head, &body));
             return run(Rc::new(context), head, body).await;
         }
@@ -100,9 +103,6 @@
             "the request body did not arrive before the deadline",
         ),
     };
-    if let Origin::Caller(caller) = &context.origin {
-        caller.on_body_unread();
-    }
     refuse(&gateway, &context.request_id, code, why, None)
 }
 
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -81,10 +81,10 @@
     pub(crate) is_surplus: bool,
     requests: Cell<u64>,
     stage: Cell<Stage>,
-    /// Whether bytes were read since the head of the current request.
+    /// Whether the body of the current request was read to its end.
+    is_body_read: Cell<bool>,
+    /// Whether bytes were read since then.
     has_read_ahead: Cell<bool>,
-    /// Whether the body of the current request was not read to its end.
-    is_body_unread: Cell<bool>,
     /// Whether the answer is awaited until the deadline, even if the caller seems to have left.
     is_kept_without_caller: Cell<bool>,
     /// Deadline of the current or last request.
@@ -116,8 +116,8 @@
             is_surplus,
             requests: Cell::new(0),
             stage: Cell::new(Stage::Idle),
+            is_body_read: Cell::new(true),
             has_read_ahead: Cell::new(false),
-            is_body_unread: Cell::new(false),
             is_kept_without_caller: Cell::new(false),
             deadline: Cell::new(None),
             progress_at: Cell::new(now),
@@ -157,13 +157,13 @@
         let read_to_end = async { while let Some(Ok(_)) = body.frame().await {} };
         let wait = Duration::from_millis(REFUSED_BODY_WAIT_MS);
         // Reading would make the HTTP library ask a caller for the body that waits to be asked.
-        let is_unread = has_expectation || timeout(wait, read_to_end).await.is_err();
-        self.is_body_unread.set(is_unread);
+        let is_read = !has_expectation && timeout(wait, read_to_end).await.is_ok();
+        self.is_body_read.set(is_read);
     }
 
-    /// Records that the body of the current request was not read to its end.
-    pub(crate) fn on_body_unread(&self) {
-        self.is_body_unread.set(true);
+    /// Records that the body of the current request was read to its end.
+    pub(crate) fn on_body_read(&self) {
+        self.is_body_read.set(true);
     }
 
     /// Records that bytes were read.
@@ -173,7 +173,7 @@
         match self.stage.get() {
             Stage::Idle => self.stage.set(Stage::Head(now)),
             Stage::Head(_) => {}
-            Stage::Request => self.has_read_ahead.set(true),
+            Stage::Request => self.has_read_ahead.set(self.is_body_read.get()),
         }
     }
 
@@ -304,11 +304,11 @@
     }
 
     /// Records that the head of a request has arrived. The request ends when the guard is dropped.
-    fn begin_request(self: &Rc<Self>) -> RequestGuard {
+    fn begin_request(self: &Rc<Self>, body: &Incoming) -> RequestGuard {
         self.requests.set(self.requests.get() + 1);
         self.stage.set(Stage::Request);
+        self.is_body_read.set(body.is_end_stream());
         self.has_read_ahead.set(false);
-        self.is_body_unread.set(false);
         RequestGuard(self.clone())
     }
 
@@ -321,7 +321,7 @@
     ) -> Response<TrackedBody> {
         let origin = Origin::Caller(self.clone());
         let mut response = call::answer(self.gateway.clone(), request, origin).await;
-        if self.phase() >= Phase::Closing || self.is_surplus || self.is_body_unread.get() {
+        if self.phase() >= Phase::Closing || self.is_surplus || !self.is_body_read.get() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
@@ -385,10 +385,10 @@
     set_caller_options(&stream);
     let connection = Rc::new(CallerConnection::new(gateway.clone(), is_surplus));
     let head_bytes = connection.limits().max_header_bytes.max(MIN_HEAD_BYTES) + HEAD_SLACK_BYTES;
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         let connection = connection.clone();
         // Begins at once, since the HTTP library reads on before it polls the future.
-        let guard = connection.begin_request();
+        let guard = connection.begin_request(request.body());
         async move { Ok::<_, Infallible>(connection.answer(request, guard).await) }
     });
     // Timeouts are those of `CallerConnection`; the HTTP library's do not follow the configuration.
