--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -24,6 +24,7 @@
 mod joining_upstreams;
 mod kept_caller;
 mod kept_connections;
+mod kept_connections_review;
 mod mixed_builds;
 mod reported_faults;
 mod restored_store;
--- a/tests/gateway/kept_caller.rs
+++ b/tests/gateway/kept_caller.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Returns the address of the gateway.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Opens a connection whose receive buffer has this size.
     pub fn with_receive_buffer(address: SocketAddr, bytes: usize) -> KeptCaller {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is available");
