Test: a body in its own packet leaves the connection idle (red)

Bytes of the body of a request count as bytes of the next head (`on_read` sets `has_read_ahead`). After a request whose body was read apart from its head, the connection is in the stage `Head`: it ends after the time for a head (3 s) instead of the idle time (15 s), so the next request on it ends without a byte, and during a stop it outlasts the announcement.

--- a/tests/gateway/kept_connections_review.rs
+++ b/tests/gateway/kept_connections_review.rs
@@ -21,6 +21,8 @@
     site::{ROUTE_TIMEOUT_MS, Site},
 };
 
+/// Time after SIGTERM at which idle connections end, and some time to act on it.
+const ANNOUNCED_MS: u64 = 2_300 + 300;
 /// Pause between two packets of a request.
 const PACKET_PAUSE_MS: u64 = 100;
 
@@ -46,6 +48,37 @@
     caller.read_answer(ROUTE_TIMEOUT_MS)
 }
 
+/// Sends the head and the body of a request in packets of their own.
+fn send_split(caller: &mut KeptCaller, request: &Request<'_>) -> Outcome {
+    let text = request.to_text();
+    let (head, body) = split(&text);
+    send_in_parts(caller, &[head, body])
+}
+
+/// Guards against a connection that ends after the time for a head instead of the idle time, because the
+/// body of the last request came in a packet of its own.
+#[test]
+fn body_in_its_own_packet_does_not_shorten_the_idle_time() {
+    let site = Site::start(1);
+    let mut caller = KeptCaller::new(site.gateway(0));
+    let before = send_split(&mut caller, &Request::once("before"));
+    assert_eq!(before.whole().status, 200);
+    pause_ms(4_500);
+    assert_eq!(caller.send(&Request::once("after")).whole().status, 200);
+}
+
+/// Guards against an idle connection that outlasts the announcement of a stop, because the body of the
+/// last request came in a packet of its own.
+#[test]
+fn body_in_its_own_packet_does_not_delay_a_stop() {
+    let site = Site::start(1);
+    let mut caller = KeptCaller::new(site.gateway(0));
+    let before = send_split(&mut caller, &Request::once("before"));
+    assert_eq!(before.whole().status, 200);
+    site.signal(0, "TERM");
+    assert_eq!(caller.wait_for_close(ANNOUNCED_MS), Some(true));
+}
+
 /// Guards against an answer that is not given to a caller that ends its sending side within the body.
 #[test]
 fn half_close_within_the_body_is_answered() {
