Test: an unread request of a caller that left is not passed on (red)

A caller that ended its sending side is taken to wait for its answer, from the time at which the gateway reads the end. If the gateway reads the request late (a starved processor, the queue of a full gateway), the caller has left long ago, and the request is passed on to an upstream (rule GONE).

--- a/tests/gateway/kept_connections_review.rs
+++ b/tests/gateway/kept_connections_review.rs
@@ -155,6 +155,28 @@
     assert_eq!(received.matches("HTTP/1.1 200 OK").count(), 4, "{received}");
 }
 
+/// Guards against rule GONE: a request that was not read in time is passed on after its caller has closed
+/// the connection.
+#[test]
+fn request_of_a_caller_that_left_unread_is_not_passed_on() {
+    const CALLERS: usize = 20;
+    let site = Site::start(1);
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| TcpStream::connect(site.gateway(0)).expect("it is accepted"))
+        .collect();
+    pause_ms(200);
+    site.signal(0, "STOP");
+    for (index, mut caller) in callers.into_iter().enumerate() {
+        let text = Request::once(&format!("unread-{index}")).to_text();
+        caller.write_all(text.as_bytes()).expect("it is written");
+    }
+    pause_ms(1_000);
+    site.signal(0, "CONT");
+    pause_ms(1_000);
+    let passed_on = site.platform.plain.arrivals().len();
+    assert!(passed_on <= 3, "{passed_on} of {CALLERS} were passed on");
+}
+
 /// Guards against an answer that is cut at a stop because its caller reads slowly.
 #[test]
 fn slow_reader_gets_its_whole_answer_across_a_stop() {
