Test: a refused request of a caller that left goes to no other server (red)

From the first attempt on, a non-idempotent request is kept until its deadline although its caller has closed the connection. If that attempt is refused (not run), nothing has to be kept, but the request goes to the next server (rule GONE).

--- a/tests/gateway/kept_connections_review.rs
+++ b/tests/gateway/kept_connections_review.rs
@@ -12,9 +12,11 @@
     time::{Duration, Instant},
 };
 
-use jacinthpoint_platform_standins::PlainFault;
+use jacinthpoint_adapter::headers;
+use jacinthpoint_platform_standins::{PlainFault, Reply};
 
 use crate::gateway::{
+    CONFIG_APPLY_MS,
     caller::{Request, join_all},
     kept_caller::{KeptCaller, Outcome},
     pause_ms,
@@ -95,6 +97,43 @@
     });
 }
 
+/// Guards against rule GONE: a request that an upstream refuses is sent to the next one although its caller
+/// has closed its connection long before.
+#[test]
+fn refused_request_of_a_caller_that_left_is_not_sent_again() {
+    const CLOSED_AFTER_MS: u64 = 100;
+    let site = Site::start(1);
+    site.platform.plain.register_all();
+    pause_ms(CONFIG_APPLY_MS);
+    site.platform.plain.set_script(|request| {
+        let refusal = format!(
+            "HTTP/1.1 503 Busy\r\n{}: 1\r\n{}: {}\r\ncontent-length: 0\r\n\r\n",
+            headers::NOT_RUN,
+            headers::ATTEMPT_ID,
+            request.attempt_id
+        );
+        // The refusal comes after 1.5 s.
+        let waiting = (1..75).fold(Reply::sends(""), |reply, _| reply.then(""));
+        waiting.then(refusal).without_run()
+    });
+    for index in 0..5 {
+        let leaving = Request {
+            timeout_ms: CLOSED_AFTER_MS,
+            ..Request::once(&format!("leaving-{index}"))
+        };
+        drop(KeptCaller::new(site.gateway(0)).send(&leaving));
+    }
+    let left_at = Instant::now();
+    pause_ms(4_500);
+    let late = site.platform.plain.arrivals().into_iter();
+    let late = late.filter(|at| *at > left_at + Duration::from_millis(500));
+    assert_eq!(
+        late.count(),
+        0,
+        "requests that arrived 0.5 s after the close"
+    );
+}
+
 /// Guards against requests in the queue of the listener that are reset at the end of a stop.
 #[test]
 fn requests_in_the_queue_of_a_full_gateway_are_answered_at_a_stop() {
