Test: a half-closed caller that is given up gets an answer (red)

A caller that ended its sending side is given up after 400 ms if its request is idempotent. That request was passed on, and the connection ends without a byte (rule LOST); an answer that promises nothing could be sent first.

--- a/tests/gateway/kept_connections_review.rs
+++ b/tests/gateway/kept_connections_review.rs
@@ -81,6 +81,29 @@
     assert_eq!(caller.wait_for_close(ANNOUNCED_MS), Some(true));
 }
 
+/// Guards against rule LOST: a half-closed caller whose request was passed on and is given up gets no byte
+/// of an answer. Any answer that promises nothing will do.
+#[test]
+fn half_closed_caller_of_slow_idempotent_request_gets_an_answer() {
+    let site = Site::start(1);
+    site.platform.plain.set_fault(PlainFault::Slow(800));
+    let request = Request {
+        path: "/again/",
+        ..Request::once("half")
+    };
+    let mut caller = KeptCaller::new(site.gateway(0));
+    let text = request.to_text();
+    let written = caller.write([text.as_bytes()]).expect("it is connected");
+    written.expect("the request can be written");
+    caller.end_sending();
+    let answer = caller.read_answer(request.timeout_ms).whole();
+    assert!(
+        [200, 502, 504].contains(&answer.status),
+        "{}",
+        answer.status
+    );
+}
+
 /// Guards against an answer that is not given to a caller that ends its sending side within the body.
 #[test]
 fn half_close_within_the_body_is_answered() {
