Test: silent connections beyond the limit do not block requests (red)

Connections above the limit are kept for a request that is refused. 32 of them that send nothing stop the listener for up to the idle time, and all others get neither an answer nor a refusal.

--- a/tests/gateway/kept_connections_review.rs
+++ b/tests/gateway/kept_connections_review.rs
@@ -157,6 +157,24 @@
     );
 }
 
+/// Guards against connections beyond the limit that send nothing and keep all others from an answer.
+#[test]
+fn silent_connections_beyond_the_limit_do_not_block_requests() {
+    const CONNECTIONS: usize = 80;
+    let site = Site::start_with_settings(1, "[limits]\ndescriptors = 300\n");
+    let silent: Vec<_> = (0..CONNECTIONS)
+        .map(|_| TcpStream::connect(site.gateway(0)).expect("it is accepted"))
+        .collect();
+    pause_ms(1_000);
+    let request = Request {
+        timeout_ms: 2_000,
+        ..Request::once("blocked")
+    };
+    let answer = KeptCaller::new(site.gateway(0)).send(&request).whole();
+    assert!([200, 503].contains(&answer.status), "{}", answer.status);
+    drop(silent);
+}
+
 /// Guards against requests in the queue of the listener that are reset at the end of a stop.
 #[test]
 fn requests_in_the_queue_of_a_full_gateway_are_answered_at_a_stop() {
