Test: a larger limit on heads applies to open connections (red)

The limit on a head is fixed when a connection is accepted. A configuration that raises it does not reach open connections, whose proper requests are answered with 431 (rule DENIED).

--- a/tests/gateway/kept_connections_review.rs
+++ b/tests/gateway/kept_connections_review.rs
@@ -12,8 +12,9 @@
     time::{Duration, Instant},
 };
 
-use jacinthpoint_adapter::headers;
+use jacinthpoint_adapter::{headers, paths};
 use jacinthpoint_platform_standins::{PlainFault, Reply};
+use serde_json::json;
 
 use crate::gateway::{
     CONFIG_APPLY_MS,
@@ -198,6 +199,30 @@
     drop(silent);
 }
 
+/// Guards against rule DENIED: a head that the configuration allows is refused on a connection that was
+/// opened under an earlier one.
+#[test]
+fn larger_head_is_allowed_on_open_connections() {
+    let site = Site::start(1);
+    let mut kept = KeptCaller::new(site.gateway(0));
+    assert_eq!(kept.send(&Request::once("before")).whole().status, 200);
+    let store = &site.platform.store;
+    let config = store.get_content(paths::CONFIG_KIND, paths::CONFIG_NAME);
+    let mut config = config.expect("there is one");
+    config["version"] = json!(config["version"].as_u64().expect("it is a number") + 1);
+    config["limits"]["max_header_bytes"] = json!(65_536);
+    store.put(paths::CONFIG_KIND, paths::CONFIG_NAME, config);
+    pause_ms(CONFIG_APPLY_MS);
+    let filler = format!("\r\nX-Filler: {}\r\n\r\n", "f".repeat(30_000));
+    let callers = [("new", KeptCaller::new(site.gateway(0))), ("kept", kept)];
+    for (id, mut caller) in callers {
+        let text = Request::once(id).to_text();
+        let text = text.replacen("\r\n\r\n", &filler, 1);
+        let answer = send_in_parts(&mut caller, &[&text]).whole();
+        assert_eq!(answer.status, 200, "{id}");
+    }
+}
+
 /// Guards against a refusal that is reset because the rest of the head was not read.
 #[test]
 fn head_that_is_too_large_is_refused_with_a_whole_answer() {
