Test: a broken stream does not look whole over HTTP/1.0 (red)

To a caller of HTTP/1.0 only the end of the connection marks the end of a stream. One that breaks off ends in the same orderly way, so it looks whole (rule MIXED); a reset would show it.

--- a/tests/gateway/kept_connections_review.rs
+++ b/tests/gateway/kept_connections_review.rs
@@ -13,7 +13,7 @@
 };
 
 use jacinthpoint_adapter::{headers, paths};
-use jacinthpoint_platform_standins::{PlainFault, Reply};
+use jacinthpoint_platform_standins::{PlainFault, Reply, ReplyEnd};
 use serde_json::json;
 
 use crate::gateway::{
@@ -260,6 +260,34 @@
     assert_eq!(received.matches("HTTP/1.1 200 OK").count(), 4, "{received}");
 }
 
+/// Guards against rule MIXED: a stream that breaks off looks whole to a caller of HTTP/1.0, to which only
+/// the end of the connection marks the end.
+#[test]
+fn broken_stream_does_not_look_whole_to_an_old_caller() {
+    let site = Site::start(1);
+    site.platform.plain.set_script(|request| {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{}: seal\r\n{}: {}\r\ntransfer-encoding: chunked\r\n\r\n",
+            headers::SEAL,
+            headers::ATTEMPT_ID,
+            request.attempt_id
+        );
+        let event = "10\r\nid: 1\ndata: one\n\r\n1\r\n\n\r\n";
+        Reply::sends(format!("{head}{event}")).ending(ReplyEnd::Close)
+    });
+    let request = Request {
+        path: "/events/",
+        ..Request::once("old")
+    };
+    let text = request.to_text().replacen("HTTP/1.1", "HTTP/1.0", 1);
+    let mut stream = TcpStream::connect(site.gateway(0)).expect("it is accepted");
+    stream.write_all(text.as_bytes()).expect("it is written");
+    let mut received = Vec::new();
+    let read = stream.read_to_end(&mut received);
+    let received = String::from_utf8_lossy(&received);
+    assert!(read.is_err(), "it looks whole: {received}");
+}
+
 /// Guards against rule GONE: a request that was not read in time is passed on after its caller has closed
 /// the connection.
 #[test]
