--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -24,7 +24,6 @@
 mod joining_upstreams;
 mod kept_caller;
 mod kept_connections;
-mod kept_connections_review;
 mod mixed_builds;
 mod records_at_stop;
 mod reported_faults;
@@ -35,6 +34,7 @@
 mod statements;
 mod store_view;
 mod unreachable_upstreams;
+mod unusual_callers;
 
 /// Time within which a written configuration must be in force on every gateway.
 const CONFIG_APPLY_MS: u64 = 2_000;
