Gateway: connections from the listener's queue are served although a later one fails

At the end of a stop, an error of accepting, such as a lack of descriptors, dropped all connections that were already taken from the queue: closed with their requests unread. Found in review by reading; no test brings the error about.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -58,32 +58,33 @@
             }
         }
     }
-    match accept_queued(listener) {
-        Ok(queued) => {
-            for stream in queued {
-                begin_serving(&gateway, stream, max_connections);
-            }
-        }
-        Err(error) => {
-            log_event!(warn, AcceptFailed, %error, "queued connections could not be accepted");
-        }
+    let (queued, error) = accept_queued(listener);
+    for stream in queued {
+        begin_serving(&gateway, stream, max_connections);
+    }
+    if let Some(error) = error {
+        log_event!(warn, AcceptFailed, %error, "queued connections could not be accepted");
     }
 }
 
-/// Closes a listener after it has accepted the connections that wait in its queue, which would be reset
-/// otherwise.
-fn accept_queued(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
-    let listener = listener.into_std()?;
+/// Accepts the connections that wait in a listener's queue, which would be reset otherwise, and closes the
+/// listener. Returns what was accepted, and the error that ended it if there was one.
+fn accept_queued(listener: TcpListener) -> (Vec<TcpStream>, Option<io::Error>) {
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => return (Vec::new(), Some(error)),
+    };
     let mut queued = Vec::new();
     loop {
-        match listener.accept() {
-            Ok((stream, _)) => {
-                stream.set_nonblocking(true)?;
-                queued.push(TcpStream::from_std(stream)?);
-            }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(queued),
+        let accepted = listener.accept().and_then(|(stream, _)| {
+            stream.set_nonblocking(true)?;
+            TcpStream::from_std(stream)
+        });
+        match accepted {
+            Ok(stream) => queued.push(stream),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return (queued, None),
             Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
-            Err(error) => return Err(error),
+            Err(error) => return (queued, Some(error)),
         }
     }
 }
