Gateway: connections above the limit end unless their request comes soon

32 connections above the limit that sent nothing kept all further callers in the listener's queue, without an answer, for the idle time. Such a connection now ends after half a second without a request.

--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -43,8 +43,8 @@
 const MIN_HEAD_BYTES: usize = 8 * 1_024;
 /// Extra space in the read buffer for body bytes that arrive together with the head.
 const HEAD_SLACK_BYTES: usize = 1_024;
-/// Time for which a new connection is kept for its first request while the gateway ends all idle ones. The
-/// request was sent with the connection, or follows within a round trip.
+/// Time for which a new connection is kept for its first request while the gateway ends all idle ones, or
+/// above the limit. The request was sent with the connection, or follows within a round trip.
 const FIRST_REQUEST_WAIT_MS: u64 = 500;
 /// Time for which an answer is still awaited after the caller has ended its sending side. A caller that has
 /// left looks the same until something is sent to it, and its work at the upstream should end.
@@ -250,7 +250,7 @@
             return None;
         }
         match self.stage.get() {
-            Stage::Idle if self.phase() >= Phase::EndingIdle => {
+            Stage::Idle if self.phase() >= Phase::EndingIdle || self.is_surplus => {
                 let is_unused = self.requests.get() == 0;
                 let wait_ms = if is_unused { FIRST_REQUEST_WAIT_MS } else { 0 };
                 Some(self.accepted_at.plus_ms(wait_ms))
