Gateway: a request of a caller that left is not sent to a second upstream

A caller closed its connection, and its request, which must not run twice, reached another upstream 1.5 s later: such a request is kept without its caller once it was sent, and stayed so when the upstream had refused it.

Now it is kept only while it may be running, and no attempt or offer to another gateway follows once the caller seems to have left.

Before: refused_request_of_a_caller_that_left_is_not_sent_again failed, 5 of 5 requests reached another server.

--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -123,13 +123,27 @@
     /// Records that the request is being sent to an upstream or another gateway.
     pub(crate) fn on_sending(&self) {
         self.is_sent.set(true);
+        self.set_only_run(true);
+    }
+
+    /// Records that the request does not run where it was sent, and may be sent elsewhere.
+    pub(crate) fn on_not_run(&self) {
+        self.set_only_run(false);
+    }
+
+    fn set_only_run(&self, may_run: bool) {
         if let Origin::Caller(caller) = &self.origin
             && self.route.kind == RequestKind::NonIdempotent
         {
-            caller.on_only_run();
+            caller.set_only_run(may_run);
         }
     }
 
+    /// Returns whether the caller seems to have left, so that the request is not sent again.
+    pub(crate) fn has_caller_left(&self) -> bool {
+        matches!(&self.origin, Origin::Caller(caller) if caller.has_left())
+    }
+
     /// Returns what of the request is in quarantine, if anything is.
     pub(crate) fn quarantined(&self) -> Option<SuspectId> {
         self.gateway.quarantine.borrow().quarantined(&self.content)
--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -88,7 +88,7 @@
     others.retain(|address| !gateway.cut_peers.is_excluded(address, gateway.now()));
     others.shuffle(&mut *gateway.rng.borrow_mut());
     for address in others.into_iter().take(MAX_GATEWAYS) {
-        if context.deadline.has_passed(gateway.now()) {
+        if context.deadline.has_passed(gateway.now()) || context.has_caller_left() {
             return None;
         }
         let (code, why) = match offer(context, outgoing, address).await {
@@ -100,6 +100,7 @@
                 return Some(response);
             }
             Offer::NotTaken(why) => {
+                context.on_not_run();
                 gateway
                     .cut_peers
                     .exclude(address, EXCLUSION_MS, gateway.now());
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -76,6 +76,8 @@
     /// A limit on the number of attempts was reached, or the request must not be retried.
     AttemptsExhausted,
     DeadlinePassed,
+    /// The caller ended its sending side, and seems to have left.
+    CallerLeft,
 }
 
 impl AttemptHistory {
@@ -220,11 +222,13 @@
                 return stream::pass_on(context, outgoing, history, *open);
             }
             AttemptOutcome::NotSent(why) => {
+                context.on_not_run();
                 history.not_sent += 1;
                 history.on_failure(&context, &target, "not-sent", &why);
                 record_failure(&context, &target);
             }
             AttemptOutcome::NotRun(faulty) => {
+                context.on_not_run();
                 history.not_run += 1;
                 history.on_failure(&context, &target, "not-run", "refused by the upstream");
                 record_not_run(&context, &target, faulty);
@@ -261,6 +265,9 @@
     if context.deadline.has_passed(context.gateway.now()) {
         return Err(StopReason::DeadlinePassed);
     }
+    if context.has_caller_left() {
+        return Err(StopReason::CallerLeft);
+    }
     if let Some(suspect) = context.quarantined() {
         return Err(StopReason::Quarantined(suspect));
     }
@@ -358,6 +365,11 @@
             "the deadline passed before the request ran",
             None,
         ),
+        StopReason::CallerLeft => (
+            ResultCode::DeadlineUnreachable,
+            "the caller ended its sending side before the request ran",
+            None,
+        ),
     };
     // The time is random, so that callers that are refused together do not retry together.
     let retry_after = expected_ms.map(|ms| retry_after_ms(ms, &mut *gateway.rng.borrow_mut()));
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -145,10 +145,16 @@
         self.deadline.set(Some(deadline));
     }
 
-    /// Records that the current request was sent to an upstream and must not run twice. Its answer is
-    /// awaited even if the caller seems to have left.
-    pub(crate) fn on_only_run(&self) {
-        self.is_kept_without_caller.set(true);
+    /// Records whether the current request may be running at an upstream and must not run twice. Its
+    /// answer is then awaited even if the caller seems to have left.
+    pub(crate) fn set_only_run(&self, may_run: bool) {
+        self.is_kept_without_caller.set(may_run);
+    }
+
+    /// Returns whether the caller ended its sending side so long ago that its request is not sent again.
+    pub(crate) fn has_left(&self) -> bool {
+        let until = self.answer_awaited_until();
+        until.is_some_and(|until| self.gateway.now() >= until)
     }
 
     /// Reads the body of a request that is refused, as far as it has arrived. The connection is closed
