Gateway: a half-closed caller whose request is given up gets an answer

A caller that had ended its sending side, and whose request may be repeated, got no byte of an answer if it took longer than 0.4 s, though the request was passed on. Such a request is still given up then, so that no upstream works for a caller that left, but it ends with an answer: 502 if it was sent, and 503 otherwise. A stream that has begun breaks off, as before.

Before: half_closed_caller_of_slow_idempotent_request_gets_an_answer failed with "no byte of an answer".

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -68,18 +68,27 @@
     };
     gateway.has_traffic.set(true);
     let (request_id, is_sent) = (context.request_id.clone(), context.is_sent.clone());
-    tokio::select! {
+    let (not_run, why) = tokio::select! {
         biased;
-        response = read_and_run(context, head, body) => response,
+        response = read_and_run(context, head, body) => return response,
         () = gateway.wait_for_ending() => {
             gateway.cut_requests.set(gateway.cut_requests.get() + 1);
-            let why = "this gateway stops before the request has ended";
-            let (code, retry) = match is_sent.get() {
-                true => (ResultCode::UpstreamFailed, None),
-                false => (ResultCode::Draining, Some(STOP_RETRY_AFTER_MS)),
-            };
-            refuse(&gateway, &request_id, code, why, retry)
+            (ResultCode::Draining, "this gateway stops before the request has ended")
         }
+        () = origin.wait_for_leaving() => (
+            ResultCode::DeadlineUnreachable,
+            "the caller ended its sending side, and no answer came in time",
+        ),
+    };
+    match is_sent.get() {
+        true => refuse(&gateway, &request_id, ResultCode::UpstreamFailed, why, None),
+        false => refuse(
+            &gateway,
+            &request_id,
+            not_run,
+            why,
+            Some(STOP_RETRY_AFTER_MS),
+        ),
     }
 }
 
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -44,6 +44,17 @@
     Gateway,
 }
 
+impl Origin {
+    /// Waits until the request is given up because its caller seems to have left.
+    pub(crate) async fn wait_for_leaving(&self) {
+        match self {
+            Origin::Caller(caller) => caller.wait_for_leaving().await,
+            // The connection of the other gateway ends, and the request with it.
+            Origin::Gateway => std::future::pending().await,
+        }
+    }
+}
+
 /// A request's route, organisation, target service and deadline, with the configuration in force
 /// when it arrived.
 #[derive(Debug)]
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -85,6 +85,10 @@
     is_body_read: Cell<bool>,
     /// Whether bytes were read since then.
     has_read_ahead: Cell<bool>,
+    /// Whether the answer to the current request has begun.
+    has_answer_begun: Cell<bool>,
+    /// Notified if the current request is given up because the caller seems to have left.
+    given_up: Notify,
     /// Whether the answer is awaited until the deadline, even if the caller seems to have left.
     is_kept_without_caller: Cell<bool>,
     /// Deadline of the current or last request.
@@ -118,6 +122,8 @@
             stage: Cell::new(Stage::Idle),
             is_body_read: Cell::new(true),
             has_read_ahead: Cell::new(false),
+            has_answer_begun: Cell::new(false),
+            given_up: Notify::new(),
             is_kept_without_caller: Cell::new(false),
             deadline: Cell::new(None),
             progress_at: Cell::new(now),
@@ -157,6 +163,11 @@
         until.is_some_and(|until| self.gateway.now() >= until)
     }
 
+    /// Waits until the caller seems to have left and no answer to its request has begun.
+    pub(crate) async fn wait_for_leaving(&self) {
+        self.given_up.notified().await;
+    }
+
     /// Reads the body of a request that is refused, as far as it has arrived. The connection is closed
     /// after the refusal if there is more, since the caller may send the rest or not.
     pub(crate) async fn discard_body(&self, has_expectation: bool, mut body: Incoming) {
@@ -202,13 +213,22 @@
         self.is_write_blocked.set(true);
     }
 
-    /// Records that the caller has ended its sending side; returns whether its answer is still awaited.
+    /// Records that the caller has ended its sending side; returns whether the connection stays open for
+    /// its answer.
     pub(super) fn on_end_of_bytes(&self) -> bool {
         let now = self.gateway.now();
         if self.ended_at.get().is_none() {
             self.ended_at.set(Some(now));
         }
-        self.answer_awaited_until().is_some_and(|until| now < until)
+        let Some(until) = self.answer_awaited_until() else {
+            return false;
+        };
+        if now >= until && !self.has_answer_begun.get() {
+            // The request ends with an answer, in case that the caller reads.
+            self.given_up.notify_one();
+            return true;
+        }
+        now < until
     }
 
     /// Returns the time until which an answer is awaited although the caller has ended its sending side;
@@ -315,6 +335,7 @@
         self.stage.set(Stage::Request);
         self.is_body_read.set(body.is_end_stream());
         self.has_read_ahead.set(false);
+        self.has_answer_begun.set(false);
         RequestGuard(self.clone())
     }
 
@@ -327,6 +348,7 @@
     ) -> Response<TrackedBody> {
         let origin = Origin::Caller(self.clone());
         let mut response = call::answer(self.gateway.clone(), request, origin).await;
+        self.has_answer_begun.set(true);
         if self.phase() >= Phase::Closing || self.is_surplus || !self.is_body_read.get() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
