Gateway: a broken stream does not look whole to a caller of HTTP/1.0

An HTTP/1.0 caller sees the end of a stream by the end of its connection, which ended in order also if the stream had broken off. Its connection is reset now.

Before: broken_stream_does_not_look_whole_to_an_old_caller failed (an end in order). After: it passes.

--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -18,7 +18,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body, Frame, Incoming, SizeHint},
     header::{self, HeaderValue},
     server::conn::http1,
@@ -85,6 +85,8 @@
     is_body_read: Cell<bool>,
     /// Whether bytes were read since then.
     has_read_ahead: Cell<bool>,
+    /// Whether the caller of the current request sees the end of a stream only by the end of the connection.
+    has_unframed_streams: Cell<bool>,
     /// Whether the answer to the current request has begun.
     has_answer_begun: Cell<bool>,
     /// Notified if the current request is given up because the caller seems to have left.
@@ -122,6 +124,7 @@
             stage: Cell::new(Stage::Idle),
             is_body_read: Cell::new(true),
             has_read_ahead: Cell::new(false),
+            has_unframed_streams: Cell::new(false),
             has_answer_begun: Cell::new(false),
             given_up: Notify::new(),
             is_kept_without_caller: Cell::new(false),
@@ -223,7 +226,8 @@
         let Some(until) = self.answer_awaited_until() else {
             return false;
         };
-        if now >= until && !self.has_answer_begun.get() {
+        // A body that ends too early makes the request fail with an answer of its own.
+        if now >= until && self.is_body_read.get() && !self.has_answer_begun.get() {
             // The request ends with an answer, in case that the caller reads.
             self.given_up.notify_one();
             return true;
@@ -330,10 +334,12 @@
     }
 
     /// Records that the head of a request has arrived. The request ends when the guard is dropped.
-    fn begin_request(self: &Rc<Self>, body: &Incoming) -> RequestGuard {
+    fn begin_request(self: &Rc<Self>, request: &Request<Incoming>) -> RequestGuard {
         self.requests.set(self.requests.get() + 1);
         self.stage.set(Stage::Request);
-        self.is_body_read.set(body.is_end_stream());
+        self.is_body_read.set(request.body().is_end_stream());
+        self.has_unframed_streams
+            .set(request.version() < Version::HTTP_11);
         self.has_read_ahead.set(false);
         self.has_answer_begun.set(false);
         RequestGuard(self.clone())
@@ -416,7 +422,7 @@
     let service = service_fn(|request: Request<Incoming>| {
         let connection = connection.clone();
         // Begins at once, since the HTTP library reads on before it polls the future.
-        let guard = connection.begin_request(request.body());
+        let guard = connection.begin_request(&request);
         async move { Ok::<_, Infallible>(connection.answer(request, guard).await) }
     });
     // Timeouts are those of `CallerConnection`; the HTTP library's do not follow the configuration.
@@ -447,6 +453,7 @@
         }
     };
     let why = end_reason(&connection, &result);
+    let is_to_reset = why == "cut" && connection.has_unframed_streams.get();
     gateway.metrics.count("connections_ended", why);
     log_event!(
         debug,
@@ -458,6 +465,10 @@
         "a caller's connection ended"
     );
     let io = http.into_parts().io.into_inner();
+    if is_to_reset {
+        io.reset();
+        return;
+    }
     let linger_ms = match connection.phase() {
         phase if phase >= Phase::EndingIdle => LINGER_AT_STOP_MS,
         _ => LINGER_MS,
@@ -469,6 +480,8 @@
 /// Returns why a connection ended, for metrics and the log.
 fn end_reason(connection: &CallerConnection, result: &hyper::Result<()>) -> &'static str {
     match result {
+        // The body of an answer was aborted.
+        Err(error) if error.is_user() => "cut",
         Err(_) if connection.stage.get() == Stage::Request => "cut",
         Err(_) if connection.has_caller_ended() => "caller",
         Err(_) => "failed",
--- a/crates/gateway/src/edge/caller_io.rs
+++ b/crates/gateway/src/edge/caller_io.rs
@@ -13,6 +13,7 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use jacinthpoint_types::TimeMs;
@@ -56,6 +57,13 @@
         }
     }
 
+    /// Resets the connection, so that an answer whose end is not marked otherwise does not look whole.
+    pub(crate) fn reset(self) {
+        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+            tracing::debug!(%error, "a connection ends in order in place of a reset");
+        }
+    }
+
     fn shut_down_sending(&self) -> io::Result<()> {
         SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write)
     }
