Gateway: a larger limit on heads applies to open connections

A head that the configuration in force allows was refused with 431 on a connection that had been opened under an earlier configuration: the HTTP library's buffer is fixed when a connection is accepted.

The buffer now takes at least 64 KB, and the limit in force is checked when the head was read. A larger limit than 64 KB still reaches new connections only.

Before: larger_head_is_allowed_on_open_connections failed with 431.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use hyper::{Request, Response, body::Incoming, header, http::request::Parts};
+use hyper::{Request, Response, StatusCode, body::Incoming, header, http::request::Parts};
 use jacinthpoint_adapter::{decode_prompt_parts, decode_prompt_tokens, headers};
 use jacinthpoint_dispatch::{RequestContent, retry_after_ms};
 use jacinthpoint_fleet::RouteMatch;
@@ -44,6 +44,9 @@
 /// `Retry-After` for requests on a connection above the maximum number.
 const SURPLUS_RETRY_AFTER_MS: u64 = 200;
 
+/// Minimum of the limit on the size of a request head.
+const MIN_MAX_HEAD_BYTES: usize = 8 * 1_024;
+
 /// Handles a request and returns the response, which may be a stream that is still open.
 ///
 /// Refuses the request without sending it if the gateway is stopping, has no complete view of the
@@ -138,6 +141,13 @@
         let code = ResultCode::NoCapacity;
         return Err(refuse(gateway, &request_id, code, why, Some(retry)).into());
     }
+    let max_head_bytes = gateway.caller_limits.borrow().max_header_bytes;
+    if head_bytes(head) > max_head_bytes.max(MIN_MAX_HEAD_BYTES) {
+        let why = "the request head is too large";
+        let mut response = refuse(gateway, &request_id, ResultCode::TooLarge, why, None);
+        *response.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(response.into());
+    }
     let Some(snapshot) = gateway
         .snapshot()
         .filter(|_| gateway.view.borrow().is_complete())
@@ -162,6 +172,17 @@
     Ok(context)
 }
 
+/// Returns the size of a request's head, as it is commonly written.
+fn head_bytes(head: &Parts) -> usize {
+    const REQUEST_LINE_EXTRA: usize = "  HTTP/1.1\r\n\r\n".len();
+    const FIELD_EXTRA: usize = ": \r\n".len();
+    let fields = head.headers.iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_EXTRA);
+    let target = head.uri.path_and_query();
+    let target_bytes = target.map_or(0, |target| target.as_str().len());
+    head.method.as_str().len() + target_bytes + REQUEST_LINE_EXTRA + fields.sum::<usize>()
+}
+
 /// Determines a request's route, organisation, service, model and deadline from its head.
 ///
 /// On failure, returns the result code, the reason and the request id for the refusal.
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -38,9 +38,9 @@
     state::{Gateway, Phase},
 };
 
-/// Minimum of the limit on the size of a request head. Before a configuration is loaded, the
-/// default limit applies, but at least this.
-const MIN_HEAD_BYTES: usize = 8 * 1_024;
+/// Minimum size of a connection's buffer for a request head. A larger limit than the one in force may come
+/// while the connection is open; the limit itself is checked when the head was read.
+const MIN_HEAD_BUFFER_BYTES: usize = 64 * 1_024;
 /// Extra space in the read buffer for body bytes that arrive together with the head.
 const HEAD_SLACK_BYTES: usize = 1_024;
 /// Time for which a new connection is kept for its first request while the gateway ends all idle ones, or
@@ -421,7 +421,11 @@
 pub(super) async fn serve_caller(gateway: &Rc<Gateway>, stream: TcpStream, is_surplus: bool) {
     set_caller_options(&stream);
     let connection = Rc::new(CallerConnection::new(gateway.clone(), is_surplus));
-    let head_bytes = connection.limits().max_header_bytes.max(MIN_HEAD_BYTES) + HEAD_SLACK_BYTES;
+    let head_bytes = connection
+        .limits()
+        .max_header_bytes
+        .max(MIN_HEAD_BUFFER_BYTES)
+        + HEAD_SLACK_BYTES;
     let service = service_fn(|request: Request<Incoming>| {
         let connection = connection.clone();
         // Begins at once, since the HTTP library reads on before it polls the future.
--- a/tests/gateway/unusual_callers.rs
+++ b/tests/gateway/unusual_callers.rs
@@ -223,6 +223,18 @@
     }
 }
 
+/// Guards against a head that is taken although it is larger than the configuration allows.
+#[test]
+fn head_beyond_the_limit_is_refused() {
+    let site = Site::start(1);
+    let filler = format!("\r\nX-Filler: {}\r\n\r\n", "f".repeat(30_000));
+    let text = Request::once("beyond").to_text();
+    let text = text.replacen("\r\n\r\n", &filler, 1);
+    let mut caller = KeptCaller::new(site.gateway(0));
+    assert_eq!(send_in_parts(&mut caller, &[&text]).whole().status, 431);
+    assert!(site.platform.runs.of("beyond").is_empty());
+}
+
 /// Guards against a refusal that is reset because the rest of the head was not read.
 #[test]
 fn head_that_is_too_large_is_refused_with_a_whole_answer() {
