Node: calls to plain services go through the HTTP proxy of the environment again

Cause: since calls to plain services open their own connections and no longer use the proxy that http_proxy names, as all other calls of a node do. The fault proxy of the tests is reached in this way, so no fault of a link reached these calls any more, in the soaks neither.

The proxy is taken from the environment by the same rules as before.

--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -59,10 +59,12 @@
 ) -> Result<ServiceAnswer, StartError> {
     let deadline = Instant::now() + Duration::from_millis(answer_timeout_ms);
     let not_sent = |message: String| StartError::NotSent { message };
-    let head = request_head(address, call).ok_or_else(|| not_sent("malformed call".to_owned()))?;
+    let proxy = proxy_of(address);
+    let head = request_head(address, proxy.is_some(), call);
+    let head = head.ok_or_else(|| not_sent("malformed call".to_owned()))?;
     let connect_timeout = Duration::from_millis(connect_timeout_ms.min(answer_timeout_ms));
-    let connection =
-        connect(address, connect_timeout).map_err(|error| not_sent(error.to_string()))?;
+    let connection = connect(proxy.unwrap_or(address), connect_timeout)
+        .map_err(|error| not_sent(error.to_string()))?;
     let answer =
         exchange(connection, &head, call.body, deadline).map_err(|error| StartError::NoAnswer {
             message: error.to_string(),
@@ -77,16 +79,36 @@
     Ok(answer)
 }
 
-/// Returns the head of a request; `None` if a part of the call would add lines to it.
-fn request_head(address: SocketAddr, call: &ServiceCall<'_>) -> Option<String> {
+/// Returns the address of the HTTP proxy that the environment names for this address, as for all other
+/// calls of a node.
+fn proxy_of(address: SocketAddr) -> Option<SocketAddr> {
+    let url = format!("http://{address}/").parse().ok()?;
+    let settings = attohttpc::ProxySettings::from_env();
+    let proxy = settings.for_url(&url)?;
+    let mut addresses = proxy.socket_addrs(|| None).ok()?.into_iter();
+    addresses.next()
+}
+
+/// Returns the head of a request, to a proxy with the whole URL; `None` if a part of the call would add
+/// lines to it.
+fn request_head(
+    address: SocketAddr,
+    is_through_proxy: bool,
+    call: &ServiceCall<'_>,
+) -> Option<String> {
     let is_token =
         |text: &str| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic());
     let is_value = |text: &str| !text.chars().any(char::is_control);
     if !is_token(call.method) || !is_token(call.path) || !is_value(call.content_type) {
         return None;
     }
+    let origin = if is_through_proxy {
+        format!("http://{address}")
+    } else {
+        String::new()
+    };
     Some(format!(
-        "{} {} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n{REQUEST_HEADER}: {}\r\n\
+        "{} {origin}{} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n{REQUEST_HEADER}: {}\r\n\
          {ATTEMPT_HEADER}: {}\r\ncontent-type: {}\r\ncontent-length: {}\r\n\r\n",
         call.method,
         call.path,
