Node: a pause of the process loses no answer of a plain service

What callers saw: unknown for a call that was answered, if the process was stopped and went on while it waited for the answer.

Evidence: connection_ends::pause_of_the_process_loses_no_answer_of_a_service failed before and passes after.

--- a/crates/upstream/src/service/exchange.rs
+++ b/crates/upstream/src/service/exchange.rs
@@ -113,7 +113,11 @@
         let mut buffer = [0; 16 * 1024];
         let left = time_left(self.deadline)?;
         self.stream.set_read_timeout(Some(left))?;
-        let count = self.stream.read(&mut buffer)?;
+        let count = match self.stream.read(&mut buffer) {
+            // A read with a timeout is interrupted when a stopped process goes on.
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => return Ok(()),
+            read => read?,
+        };
         if count == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
--- a/tests/connection_ends.rs
+++ b/tests/connection_ends.rs
@@ -93,11 +93,11 @@
     }
 }
 
-/// Stops the process and lets it go on.
-fn pause(node: &LoneNode) {
-    node.process.signal("STOP");
+/// Stops a process and lets it go on.
+fn pause_process(process: &Process) {
+    process.signal("STOP");
     thread::sleep(Duration::from_millis(PAUSE_MS));
-    node.process.signal("CONT");
+    process.signal("CONT");
 }
 
 /// Guards against reads with a timeout that fail as interrupted once a stopped process goes on,
@@ -112,7 +112,7 @@
     wait_until("the first half is read", END_DEADLINE_MS, || {
         status(node.operators)["in_flight"] == 1
     });
-    pause(&node);
+    pause_process(&node.process);
     connection.write_all(second.as_bytes()).expect("sent");
     connection.shutdown(Shutdown::Write).expect("shut down");
     let answer = read_to_end(&mut connection);
@@ -125,7 +125,7 @@
     let (node, _platform) = node_alone("");
     let mut connection = connect(node.callers);
     ask_models(&mut connection);
-    pause(&node);
+    pause_process(&node.process);
     let answer = ask_models(&mut connection);
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
 }
@@ -180,6 +180,30 @@
     }
 );
 
+// As above, while the node waits for the answer of a plain service, which may not be called twice.
+site_test!(
+    pause_of_the_process_loses_no_answer_of_a_service,
+    with_service(),
+    |site| {
+        let node = &site.nodes[0];
+        let service = site.services.values().next().expect("there is one");
+        let call = Call {
+            service: Some("enquiries"),
+            ..Call::new("paused")
+        };
+        let (sent, address) = (call.clone(), node.callers);
+        service.process.signal("STOP");
+        let caller = thread::spawn(move || sent.send(address));
+        thread::sleep(Duration::from_millis(PAUSE_MS));
+        pause_process(&node.process);
+        thread::sleep(Duration::from_millis(PAUSE_MS));
+        service.process.signal("CONT");
+        let answer = caller.join().expect("no panic").expect("the node answers");
+        assert_eq!(answer.outcome, "answered", "{}", answer.body);
+        assert_eq!(answer.text, call.expected());
+    }
+);
+
 /// Two groups of engines that run one request at a time and take three seconds to its first token.
 fn slow_prefill() -> SiteOptions {
     let args = ["--slots", "1", "--token-ms", "20", "--prefill-ms", "3000"];
