Test: a request of a caller that left the queue is not passed on (red)

The same fault as that of an unread request of a caller that left, without a pause of the process: the request waits in the queue of the listener while the maximum number of connections is open, and its caller has closed the connection 1.2 s before it is accepted (rule GONE).

--- a/tests/gateway/kept_connections_review.rs
+++ b/tests/gateway/kept_connections_review.rs
@@ -310,6 +310,29 @@
     assert!(passed_on <= 3, "{passed_on} of {CALLERS} were passed on");
 }
 
+/// Guards against rule GONE: a request that waited in the queue of a full gateway is passed on long after
+/// its caller has closed the connection.
+#[test]
+fn request_of_a_caller_that_left_the_queue_is_not_passed_on() {
+    const SILENT: usize = 57;
+    const CALLERS: usize = 20;
+    let site = Site::start_with_settings(1, "[limits]\ndescriptors = 300\n");
+    let silent: Vec<_> = (0..SILENT)
+        .map(|_| TcpStream::connect(site.gateway(0)).expect("it is accepted"))
+        .collect();
+    pause_ms(500);
+    for index in 0..CALLERS {
+        let mut caller = TcpStream::connect(site.gateway(0)).expect("it is accepted");
+        let text = Request::once(&format!("queued-{index}")).to_text();
+        caller.write_all(text.as_bytes()).expect("it is written");
+    }
+    pause_ms(1_200);
+    drop(silent);
+    pause_ms(1_500);
+    let passed_on = site.platform.plain.arrivals().len();
+    assert!(passed_on <= 3, "{passed_on} of {CALLERS} were passed on");
+}
+
 /// Guards against an answer that is cut at a stop because its caller reads slowly.
 #[test]
 fn slow_reader_gets_its_whole_answer_across_a_stop() {
