Gateway: a stream that begins during a stop announces the close

The answer of a stream that begins after SIGTERM now says Connection: close. Streams that began before SIGTERM and last longer than the announcement still end their connection without a word.

Before: stream_that_begins_after_a_stop_announces_the_close failed. After: it passes, as do all 16 tests of kept_connections.

--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -358,7 +358,14 @@
         let origin = Origin::Caller(self.clone());
         let mut response = call::answer(self.gateway.clone(), request, origin).await;
         self.has_answer_begun.set(true);
-        if self.phase() >= Phase::Closing || self.is_surplus || !self.is_body_read.get() {
+        // A stream may end only after the announcement, when its connection ends at once.
+        let is_stream = response.body().size_hint().exact().is_none();
+        let closing_from = if is_stream {
+            Phase::Leaving
+        } else {
+            Phase::Closing
+        };
+        if self.phase() >= closing_from || self.is_surplus || !self.is_body_read.get() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
--- a/tests/gateway/kept_connections.rs
+++ b/tests/gateway/kept_connections.rs
@@ -141,6 +141,19 @@
     assert!(answer.announces_close());
 }
 
+/// Guards against callers whose connection ends without a word after a stream that outlasts the announcement.
+#[test]
+fn stream_that_begins_after_a_stop_announces_the_close() {
+    let site = Site::start(1);
+    site.platform.engines.set_stream(50, 60);
+    site.signal(0, "TERM");
+    pause_ms(200);
+    let answer = KeptCaller::new(site.gateway(0)).send(&Request::stream("long"));
+    let answer = answer.whole();
+    assert_eq!(answer.status, 200);
+    assert!(answer.announces_close());
+}
+
 /// Guards against a request that is refused during a planned stop although there is time to serve it, and
 /// against a connection that is closed after the answer without a word.
 #[test]
