--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -1,14 +1,15 @@
 //! Data of one request that all its attempts share, determined from its head.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use jacinthpoint_dispatch::{
     FleetRetryBudget, PromptDemand, RequestContent, StallPolicy, SuspectId,
 };
-use jacinthpoint_fleet::{Engine, Organisation, Route};
+use jacinthpoint_fleet::{Engine, Organisation, RequestKind, Route};
 use jacinthpoint_types::{Deadline, DeploymentId, ServiceId, TimeMs};
 
 use crate::{
+    edge::CallerConnection,
     events::log_event,
     state::{Gateway, Snapshot},
 };
@@ -34,6 +35,15 @@
     }
 }
 
+/// Where a request comes from.
+#[derive(Debug, Clone)]
+pub(crate) enum Origin {
+    /// A caller, on this connection.
+    Caller(Rc<CallerConnection>),
+    /// Another gateway, which forwards it.
+    Gateway,
+}
+
 /// A request's route, organisation, target service and deadline, with the configuration in force
 /// when it arrived.
 #[derive(Debug)]
@@ -52,8 +62,9 @@
     /// What tells whether the request is in quarantine.
     pub(crate) content: RequestContent,
     pub(crate) started: TimeMs,
-    /// Whether another gateway forwarded the request.
-    pub(crate) is_forwarded: bool,
+    pub(crate) origin: Origin,
+    /// Whether a byte of the request may have been sent to an upstream or another gateway.
+    pub(crate) is_sent: Rc<Cell<bool>>,
     pub(crate) deadline: Deadline,
     pub(crate) _open_guard: OpenRequestGuard,
 }
@@ -106,7 +117,17 @@
 
     /// Returns whether this gateway reaches no upstream and may forward the request.
     pub(crate) fn is_to_forward(&self) -> bool {
-        !self.is_forwarded && self.gateway.reach.borrow().is_cut()
+        matches!(self.origin, Origin::Caller(_)) && self.gateway.reach.borrow().is_cut()
+    }
+
+    /// Records that the request is being sent to an upstream or another gateway.
+    pub(crate) fn on_sending(&self) {
+        self.is_sent.set(true);
+        if let Origin::Caller(caller) = &self.origin
+            && self.route.kind == RequestKind::NonIdempotent
+        {
+            caller.on_only_run();
+        }
     }
 
     /// Returns what of the request is in quarantine, if anything is.
--- a/tests/gateway/kept_caller.rs
+++ b/tests/gateway/kept_caller.rs
@@ -5,10 +5,12 @@
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     time::{Duration, Instant},
 };
 
+use socket2::{Domain, Socket, Type};
+
 use crate::gateway::caller::{Answer, End, Request, parse};
 
 /// What became of a request.
@@ -26,6 +28,27 @@
     NotConnected,
 }
 
+impl Outcome {
+    /// Returns the answer; panics if it is not whole.
+    pub fn whole(self) -> Answer {
+        match self {
+            Outcome::Whole(answer) => answer,
+            other => panic!("no whole answer, but {}", other.describe()),
+        }
+    }
+
+    /// Returns a short description for messages.
+    pub fn describe(&self) -> String {
+        match self {
+            Outcome::Whole(answer) => format!("status {}", answer.status),
+            Outcome::Cut(answer, why) => format!("status {}, cut: {why}", answer.status),
+            Outcome::Unanswered(why) => format!("no byte of an answer: {why}"),
+            Outcome::Left(answer) => format!("status {}, not whole in time", answer.status),
+            Outcome::NotConnected => "no connection".to_owned(),
+        }
+    }
+}
+
 /// A caller and its connection, if one is open.
 #[derive(Debug)]
 pub struct KeptCaller {
@@ -41,6 +64,17 @@
         }
     }
 
+    /// Opens a connection whose receive buffer has this size.
+    pub fn with_receive_buffer(address: SocketAddr, bytes: usize) -> KeptCaller {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is available");
+        socket.set_recv_buffer_size(bytes).expect("it can be set");
+        socket.connect(&address.into()).expect("it is accepted");
+        KeptCaller {
+            address,
+            stream: Some(socket.into()),
+        }
+    }
+
     /// Returns the connection, opened now if there is none.
     pub fn connect(&mut self) -> Option<&mut TcpStream> {
         if self.stream.is_none() {
@@ -51,20 +85,28 @@
         Some(stream)
     }
 
-    /// Sends a request and reads its answer.
-    pub fn send(&mut self, request: &Request<'_>) -> Outcome {
-        let text = request.to_text();
-        self.send_parts(request, std::iter::once(text.as_bytes()))
+    /// Ends the sending side of the connection.
+    pub fn end_sending(&mut self) {
+        let stream = self.stream.as_ref().expect("a connection is open");
+        stream.shutdown(Shutdown::Write).expect("it is connected");
     }
 
-    /// Like [`KeptCaller::send`], for a request that is written in parts. Reads the answer also if the
-    /// request cannot be written to its end.
-    pub fn send_parts<'a>(
-        &mut self,
-        request: &Request<'_>,
-        parts: impl IntoIterator<Item = &'a [u8]>,
-    ) -> Outcome {
-        match self.write_parts(parts) {
+    /// Waits for the gateway to end an idle connection. Returns whether it ended in order, by an end of
+    /// stream, or `None` if it is still open after `timeout_ms`.
+    pub fn wait_for_close(&mut self, timeout_ms: u64) -> Option<bool> {
+        let timeout = Some(Duration::from_millis(timeout_ms));
+        let stream = self.stream.as_mut().expect("a connection is open");
+        stream.set_read_timeout(timeout).expect("it can be set");
+        match stream.read(&mut [0]) {
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => None,
+            read => Some(matches!(read, Ok(0))),
+        }
+    }
+
+    /// Sends a request and reads its answer, also if the request cannot be written to its end.
+    pub fn send(&mut self, request: &Request<'_>) -> Outcome {
+        let text = request.to_text();
+        match self.write(std::iter::once(text.as_bytes())) {
             None => Outcome::NotConnected,
             Some(written) => match (self.read_answer(request.timeout_ms), written) {
                 (Outcome::Unanswered(why), Err(error)) => {
@@ -75,8 +117,8 @@
         }
     }
 
-    /// Writes parts of a request; `None` if no connection is accepted.
-    pub fn write_parts<'a>(
+    /// Writes a request in parts; `None` if no connection is accepted.
+    pub fn write<'a>(
         &mut self,
         parts: impl IntoIterator<Item = &'a [u8]>,
     ) -> Option<std::io::Result<()>> {
