--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -21,6 +21,7 @@
     body::{AbortedBody, AnswerBody, channel, full_body},
     call::{
         answer,
+        answer::is_framed,
         attempt::OutgoingRequest,
         context::{Context, Origin},
         outcome::remove_connection_headers,
@@ -153,8 +154,12 @@
     if response.headers().contains_key(&NOT_TAKEN) {
         return Offer::NotTaken("refused by the gateway".to_owned());
     }
-    let is_whole = response.body().size_hint().exact().is_some();
     let (mut head, body) = response.into_parts();
+    // Each answer of a gateway is framed.
+    if !is_framed(&head.headers, &body) {
+        return Offer::Unknown("the answer has neither length nor chunks".to_owned());
+    }
+    let is_whole = body.size_hint().exact().is_some();
     remove_connection_headers(&mut head.headers);
     if !is_whole {
         return Offer::Answered(Response::from_parts(head, pass_stream(connection, body)));
