--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use hyper::{Request, Response, body::Incoming, header, http::request::Parts};
+use hyper::{Request, Response, StatusCode, body::Incoming, header, http::request::Parts};
 use jacinthpoint_adapter::{decode_prompt_parts, decode_prompt_tokens, headers};
 use jacinthpoint_dispatch::{RequestContent, retry_after_ms};
 use jacinthpoint_fleet::RouteMatch;
@@ -44,6 +44,9 @@
 /// `Retry-After` for requests on a connection above the maximum number.
 const SURPLUS_RETRY_AFTER_MS: u64 = 200;
 
+/// Minimum of the limit on the size of a request head.
+const MIN_MAX_HEAD_BYTES: usize = 8 * 1_024;
+
 /// Handles a request and returns the response, which may be a stream that is still open.
 ///
 /// Refuses the request without sending it if the gateway is stopping, has no complete view of the
@@ -68,18 +71,27 @@
     };
     gateway.has_traffic.set(true);
     let (request_id, is_sent) = (context.request_id.clone(), context.is_sent.clone());
-    tokio::select! {
+    let (not_run, why) = tokio::select! {
         biased;
-        response = read_and_run(context, head, body) => response,
+        response = read_and_run(context, head, body) => return response,
         () = gateway.wait_for_ending() => {
             gateway.cut_requests.set(gateway.cut_requests.get() + 1);
-            let why = "this gateway stops before the request has ended";
-            let (code, retry) = match is_sent.get() {
-                true => (ResultCode::UpstreamFailed, None),
-                false => (ResultCode::Draining, Some(STOP_RETRY_AFTER_MS)),
-            };
-            refuse(&gateway, &request_id, code, why, retry)
+            (ResultCode::Draining, "this gateway stops before the request has ended")
         }
+        () = origin.wait_for_leaving() => (
+            ResultCode::DeadlineUnreachable,
+            "the caller ended its sending side, and no answer came in time",
+        ),
+    };
+    match is_sent.get() {
+        true => refuse(&gateway, &request_id, ResultCode::UpstreamFailed, why, None),
+        false => refuse(
+            &gateway,
+            &request_id,
+            not_run,
+            why,
+            Some(STOP_RETRY_AFTER_MS),
+        ),
     }
 }
 
@@ -91,6 +103,9 @@
     let body = tokio::time::timeout_at(deadline, request::read_body(body, max_bytes)).await;
     let (code, why) = match body {
         Ok(Ok(body)) => {
+            if let Origin::Caller(caller) = &context.origin {
+                caller.on_body_read();
+            }
             context.content.digest = Some(request::digest(&context, &head, &body));
             return run(Rc::new(context), head, body).await;
         }
@@ -100,9 +115,6 @@
             "the request body did not arrive before the deadline",
         ),
     };
-    if let Origin::Caller(caller) = &context.origin {
-        caller.on_body_unread();
-    }
     refuse(&gateway, &context.request_id, code, why, None)
 }
 
@@ -129,6 +141,13 @@
         let code = ResultCode::NoCapacity;
         return Err(refuse(gateway, &request_id, code, why, Some(retry)).into());
     }
+    let max_head_bytes = gateway.caller_limits.borrow().max_header_bytes;
+    if head_bytes(head) > max_head_bytes.max(MIN_MAX_HEAD_BYTES) {
+        let why = "the request head is too large";
+        let mut response = refuse(gateway, &request_id, ResultCode::TooLarge, why, None);
+        *response.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(response.into());
+    }
     let Some(snapshot) = gateway
         .snapshot()
         .filter(|_| gateway.view.borrow().is_complete())
@@ -153,6 +172,17 @@
     Ok(context)
 }
 
+/// Returns the size of a request's head, as it is commonly written.
+fn head_bytes(head: &Parts) -> usize {
+    const REQUEST_LINE_EXTRA: usize = "  HTTP/1.1\r\n\r\n".len();
+    const FIELD_EXTRA: usize = ": \r\n".len();
+    let fields = head.headers.iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_EXTRA);
+    let target = head.uri.path_and_query();
+    let target_bytes = target.map_or(0, |target| target.as_str().len());
+    head.method.as_str().len() + target_bytes + REQUEST_LINE_EXTRA + fields.sum::<usize>()
+}
+
 /// Determines a request's route, organisation, service, model and deadline from its head.
 ///
 /// On failure, returns the result code, the reason and the request id for the refusal.
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -44,6 +44,17 @@
     Gateway,
 }
 
+impl Origin {
+    /// Waits until the request is given up because its caller seems to have left.
+    pub(crate) async fn wait_for_leaving(&self) {
+        match self {
+            Origin::Caller(caller) => caller.wait_for_leaving().await,
+            // The connection of the other gateway ends, and the request with it.
+            Origin::Gateway => std::future::pending().await,
+        }
+    }
+}
+
 /// A request's route, organisation, target service and deadline, with the configuration in force
 /// when it arrived.
 #[derive(Debug)]
@@ -123,13 +134,27 @@
     /// Records that the request is being sent to an upstream or another gateway.
     pub(crate) fn on_sending(&self) {
         self.is_sent.set(true);
+        self.set_only_run(true);
+    }
+
+    /// Records that the request does not run where it was sent, and may be sent elsewhere.
+    pub(crate) fn on_not_run(&self) {
+        self.set_only_run(false);
+    }
+
+    fn set_only_run(&self, may_run: bool) {
         if let Origin::Caller(caller) = &self.origin
             && self.route.kind == RequestKind::NonIdempotent
         {
-            caller.on_only_run();
+            caller.set_only_run(may_run);
         }
     }
 
+    /// Returns whether the caller seems to have left, so that the request is not sent again.
+    pub(crate) fn has_caller_left(&self) -> bool {
+        matches!(&self.origin, Origin::Caller(caller) if caller.has_left())
+    }
+
     /// Returns what of the request is in quarantine, if anything is.
     pub(crate) fn quarantined(&self) -> Option<SuspectId> {
         self.gateway.quarantine.borrow().quarantined(&self.content)
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -18,7 +18,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body, Frame, Incoming, SizeHint},
     header::{self, HeaderValue},
     server::conn::http1,
@@ -38,13 +38,13 @@
     state::{Gateway, Phase},
 };
 
-/// Minimum of the limit on the size of a request head. Before a configuration is loaded, the
-/// default limit applies, but at least this.
-const MIN_HEAD_BYTES: usize = 8 * 1_024;
+/// Minimum size of a connection's buffer for a request head. A larger limit than the one in force may come
+/// while the connection is open; the limit itself is checked when the head was read.
+const MIN_HEAD_BUFFER_BYTES: usize = 64 * 1_024;
 /// Extra space in the read buffer for body bytes that arrive together with the head.
 const HEAD_SLACK_BYTES: usize = 1_024;
-/// Time for which a new connection is kept for its first request while the gateway ends all idle ones. The
-/// request was sent with the connection, or follows within a round trip.
+/// Time for which a new connection is kept for its first request while the gateway ends all idle ones, or
+/// above the limit. The request was sent with the connection, or follows within a round trip.
 const FIRST_REQUEST_WAIT_MS: u64 = 500;
 /// Time for which an answer is still awaited after the caller has ended its sending side. A caller that has
 /// left looks the same until something is sent to it, and its work at the upstream should end.
@@ -81,10 +81,16 @@
     pub(crate) is_surplus: bool,
     requests: Cell<u64>,
     stage: Cell<Stage>,
-    /// Whether bytes were read since the head of the current request.
+    /// Whether the body of the current request was read to its end.
+    is_body_read: Cell<bool>,
+    /// Whether bytes were read since then.
     has_read_ahead: Cell<bool>,
-    /// Whether the body of the current request was not read to its end.
-    is_body_unread: Cell<bool>,
+    /// Whether the caller of the current request sees the end of a stream only by the end of the connection.
+    has_unframed_streams: Cell<bool>,
+    /// Whether the answer to the current request has begun.
+    has_answer_begun: Cell<bool>,
+    /// Notified if the current request is given up because the caller seems to have left.
+    given_up: Notify,
     /// Whether the answer is awaited until the deadline, even if the caller seems to have left.
     is_kept_without_caller: Cell<bool>,
     /// Deadline of the current or last request.
@@ -116,8 +122,11 @@
             is_surplus,
             requests: Cell::new(0),
             stage: Cell::new(Stage::Idle),
+            is_body_read: Cell::new(true),
             has_read_ahead: Cell::new(false),
-            is_body_unread: Cell::new(false),
+            has_unframed_streams: Cell::new(false),
+            has_answer_begun: Cell::new(false),
+            given_up: Notify::new(),
             is_kept_without_caller: Cell::new(false),
             deadline: Cell::new(None),
             progress_at: Cell::new(now),
@@ -145,10 +154,21 @@
         self.deadline.set(Some(deadline));
     }
 
-    /// Records that the current request was sent to an upstream and must not run twice. Its answer is
-    /// awaited even if the caller seems to have left.
-    pub(crate) fn on_only_run(&self) {
-        self.is_kept_without_caller.set(true);
+    /// Records whether the current request may be running at an upstream and must not run twice. Its
+    /// answer is then awaited even if the caller seems to have left.
+    pub(crate) fn set_only_run(&self, may_run: bool) {
+        self.is_kept_without_caller.set(may_run);
+    }
+
+    /// Returns whether the caller ended its sending side so long ago that its request is not sent again.
+    pub(crate) fn has_left(&self) -> bool {
+        let until = self.answer_awaited_until();
+        until.is_some_and(|until| self.gateway.now() >= until)
+    }
+
+    /// Waits until the caller seems to have left and no answer to its request has begun.
+    pub(crate) async fn wait_for_leaving(&self) {
+        self.given_up.notified().await;
     }
 
     /// Reads the body of a request that is refused, as far as it has arrived. The connection is closed
@@ -157,13 +177,13 @@
         let read_to_end = async { while let Some(Ok(_)) = body.frame().await {} };
         let wait = Duration::from_millis(REFUSED_BODY_WAIT_MS);
         // Reading would make the HTTP library ask a caller for the body that waits to be asked.
-        let is_unread = has_expectation || timeout(wait, read_to_end).await.is_err();
-        self.is_body_unread.set(is_unread);
+        let is_read = !has_expectation && timeout(wait, read_to_end).await.is_ok();
+        self.is_body_read.set(is_read);
     }
 
-    /// Records that the body of the current request was not read to its end.
-    pub(crate) fn on_body_unread(&self) {
-        self.is_body_unread.set(true);
+    /// Records that the body of the current request was read to its end.
+    pub(crate) fn on_body_read(&self) {
+        self.is_body_read.set(true);
     }
 
     /// Records that bytes were read.
@@ -173,7 +193,7 @@
         match self.stage.get() {
             Stage::Idle => self.stage.set(Stage::Head(now)),
             Stage::Head(_) => {}
-            Stage::Request => self.has_read_ahead.set(true),
+            Stage::Request => self.has_read_ahead.set(self.is_body_read.get()),
         }
     }
 
@@ -196,13 +216,26 @@
         self.is_write_blocked.set(true);
     }
 
-    /// Records that the caller has ended its sending side; returns whether its answer is still awaited.
+    /// Records that the caller has ended its sending side; returns whether the connection stays open for
+    /// its answer.
     pub(super) fn on_end_of_bytes(&self) -> bool {
         let now = self.gateway.now();
         if self.ended_at.get().is_none() {
-            self.ended_at.set(Some(now));
+            // It may have arrived while the process did not run.
+            let age_ms = self.gateway.pauses.possible_age_ms(now);
+            self.ended_at
+                .set(Some(TimeMs(now.0.saturating_sub(age_ms))));
         }
-        self.answer_awaited_until().is_some_and(|until| now < until)
+        let Some(until) = self.answer_awaited_until() else {
+            return false;
+        };
+        // A body that ends too early makes the request fail with an answer of its own.
+        if now >= until && self.is_body_read.get() && !self.has_answer_begun.get() {
+            // The request ends with an answer, in case that the caller reads.
+            self.given_up.notify_one();
+            return true;
+        }
+        now < until
     }
 
     /// Returns the time until which an answer is awaited although the caller has ended its sending side;
@@ -250,7 +283,7 @@
             return None;
         }
         match self.stage.get() {
-            Stage::Idle if self.phase() >= Phase::EndingIdle => {
+            Stage::Idle if self.phase() >= Phase::EndingIdle || self.is_surplus => {
                 let is_unused = self.requests.get() == 0;
                 let wait_ms = if is_unused { FIRST_REQUEST_WAIT_MS } else { 0 };
                 Some(self.accepted_at.plus_ms(wait_ms))
@@ -304,11 +337,14 @@
     }
 
     /// Records that the head of a request has arrived. The request ends when the guard is dropped.
-    fn begin_request(self: &Rc<Self>) -> RequestGuard {
+    fn begin_request(self: &Rc<Self>, request: &Request<Incoming>) -> RequestGuard {
         self.requests.set(self.requests.get() + 1);
         self.stage.set(Stage::Request);
+        self.is_body_read.set(request.body().is_end_stream());
+        self.has_unframed_streams
+            .set(request.version() < Version::HTTP_11);
         self.has_read_ahead.set(false);
-        self.is_body_unread.set(false);
+        self.has_answer_begun.set(false);
         RequestGuard(self.clone())
     }
 
@@ -321,7 +357,8 @@
     ) -> Response<TrackedBody> {
         let origin = Origin::Caller(self.clone());
         let mut response = call::answer(self.gateway.clone(), request, origin).await;
-        if self.phase() >= Phase::Closing || self.is_surplus || self.is_body_unread.get() {
+        self.has_answer_begun.set(true);
+        if self.phase() >= Phase::Closing || self.is_surplus || !self.is_body_read.get() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
@@ -384,11 +421,15 @@
 pub(super) async fn serve_caller(gateway: &Rc<Gateway>, stream: TcpStream, is_surplus: bool) {
     set_caller_options(&stream);
     let connection = Rc::new(CallerConnection::new(gateway.clone(), is_surplus));
-    let head_bytes = connection.limits().max_header_bytes.max(MIN_HEAD_BYTES) + HEAD_SLACK_BYTES;
-    let service = service_fn(|request| {
+    let head_bytes = connection
+        .limits()
+        .max_header_bytes
+        .max(MIN_HEAD_BUFFER_BYTES)
+        + HEAD_SLACK_BYTES;
+    let service = service_fn(|request: Request<Incoming>| {
         let connection = connection.clone();
         // Begins at once, since the HTTP library reads on before it polls the future.
-        let guard = connection.begin_request();
+        let guard = connection.begin_request(&request);
         async move { Ok::<_, Infallible>(connection.answer(request, guard).await) }
     });
     // Timeouts are those of `CallerConnection`; the HTTP library's do not follow the configuration.
@@ -419,6 +460,7 @@
         }
     };
     let why = end_reason(&connection, &result);
+    let is_to_reset = why == "cut" && connection.has_unframed_streams.get();
     gateway.metrics.count("connections_ended", why);
     log_event!(
         debug,
@@ -430,6 +472,10 @@
         "a caller's connection ended"
     );
     let io = http.into_parts().io.into_inner();
+    if is_to_reset {
+        io.reset();
+        return;
+    }
     let linger_ms = match connection.phase() {
         phase if phase >= Phase::EndingIdle => LINGER_AT_STOP_MS,
         _ => LINGER_MS,
@@ -441,6 +487,8 @@
 /// Returns why a connection ended, for metrics and the log.
 fn end_reason(connection: &CallerConnection, result: &hyper::Result<()>) -> &'static str {
     match result {
+        // The body of an answer was aborted.
+        Err(error) if error.is_user() => "cut",
         Err(_) if connection.stage.get() == Stage::Request => "cut",
         Err(_) if connection.has_caller_ended() => "caller",
         Err(_) => "failed",
