Node: connections above the limit wait for their refusal in place of being closed unread

Cause: the listener handed connections above the limit to a thread by a queue of 256 and closed those that did not fit. For each connection that it refused, the thread read all of up to 256 refused ones, so a burst that arrives faster than some thousand a second filled the queue.

The listener now waits until there is room among those to be refused, or a place; further connections wait in its queue, as they do at a gateway.

--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -17,6 +17,10 @@
     ListenerFailed = 104,
     /// A request was in flight when the node stopped, and was cut.
     RequestCut = 105,
+    /// A caller's connection could not be accepted or served.
+    AcceptFailed = 106,
+    /// A caller's connection failed before its refusal was sent.
+    ConnectionFailed = 107,
     /// A newer configuration is in force.
     ConfigInForce = 200,
     /// A configuration is invalid; the one in force is kept.
--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -4,16 +4,17 @@
     io::{self, ErrorKind},
     net::{Shutdown, TcpListener, TcpStream},
     sync::Arc,
-    thread,
+    thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
 
-use crossbeam::channel::{self, Sender};
+use crossbeam::channel::{self, SendTimeoutError, Sender};
 use jacinthpoint_types::ResultCode;
 use socket2::SockRef;
 
 use crate::{
     drain::{Drain, OpenConnection},
+    events::log_event,
     http::{
         head::HttpRequest,
         overflow,
@@ -55,14 +56,14 @@
 /// Limits of the listener.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ListenerLimits {
-    /// Largest number of open connections; further ones are refused at once.
+    /// Largest number of open connections; further ones are refused.
     pub(crate) max_connections: usize,
     /// Time limit for the whole head after its first byte, and again for the whole body after it.
     pub(crate) read_deadline_ms: u64,
 }
 
-/// Accepts connections until a planned stop closes the listener. Returns while connections may
-/// still be open; [`Drain`] counts them.
+/// Accepts connections until a planned stop closes the listener, and returns once those above the limit
+/// have been refused. Others may still be open; [`Drain`] counts them.
 ///
 /// # Errors
 ///
@@ -79,7 +80,10 @@
     // for a new connection.
     let poll = Duration::from_millis(ACCEPT_POLL_MS);
     SockRef::from(&listener).set_read_timeout(Some(poll))?;
-    let overflow = spawn_overflow(&handler)?;
+    let (overflow, overflow_thread) = spawn_overflow(&handler)?;
+    let begin = |stream| {
+        begin_connection(stream, limits, drain, &handler, &overflow);
+    };
     loop {
         // Read before `accept`, so that connections which the kernel queued before the close are
         // still served.
@@ -88,57 +92,108 @@
         // would keep it open.
         listener.set_nonblocking(is_closing)?;
         match listener.accept() {
-            Ok((stream, _)) => match drain.begin_connection(limits.max_connections) {
-                Some(open) => spawn_connection(stream, limits, open, drain.clone(), &handler),
-                // The connection is closed without an answer if the overflow queue is full, too.
-                None => drop(overflow.try_send(stream)),
-            },
+            Ok((stream, _)) => begin(stream),
             Err(error) if error.kind() == ErrorKind::WouldBlock => {
                 if is_closing {
-                    return Ok(());
+                    break;
                 }
             }
             // For example, a connection reset before it was accepted, or no free file descriptor.
-            Err(_) => thread::sleep(Duration::from_millis(ACCEPT_RETRY_MS)),
+            Err(error) => {
+                log_event!(warn, AcceptFailed, %error, "a connection could not be accepted");
+                thread::sleep(Duration::from_millis(ACCEPT_RETRY_MS));
+            }
+        }
+    }
+    drop(listener);
+    drop(overflow);
+    overflow_thread
+        .join()
+        .map_err(|_| io::Error::other("the thread that refuses connections panicked"))
+}
+
+/// Serves a connection, or has it refused if the maximum number is open. Waits for a place or for room
+/// among those to be refused, whichever comes first: a connection that is closed here would end without
+/// an answer.
+fn begin_connection<H>(
+    stream: TcpStream,
+    limits: ListenerLimits,
+    drain: &Arc<Drain>,
+    handler: &Arc<H>,
+    overflow: &Sender<TcpStream>,
+) where
+    H: Fn(Result<&HttpRequest, RequestError>, &mut Responder<'_>) + Send + Sync + 'static,
+{
+    let mut waiting = stream;
+    loop {
+        if let Some(open) = drain.begin_connection(limits.max_connections) {
+            match spawn_connection(waiting, limits, open, drain.clone(), handler) {
+                Ok(()) => return,
+                Err((stream, error)) => {
+                    log_event!(
+                        error,
+                        AcceptFailed,
+                        %error,
+                        "no thread for a connection; it is refused"
+                    );
+                    waiting = stream;
+                }
+            }
+        }
+        let retry = Duration::from_millis(ACCEPT_RETRY_MS);
+        match overflow.send_timeout(waiting, retry) {
+            Ok(()) => return,
+            Err(SendTimeoutError::Timeout(stream)) => waiting = stream,
+            Err(SendTimeoutError::Disconnected(_)) => {
+                let error = "the thread that refuses connections has ended";
+                log_event!(error, AcceptFailed, error, "a connection is closed unread");
+                return;
+            }
         }
     }
 }
 
-/// Serves a connection on a new thread.
+/// Serves a connection on a new thread; returns it if none can be started.
 fn spawn_connection<H>(
     stream: TcpStream,
     limits: ListenerLimits,
     open: OpenConnection,
     drain: Arc<Drain>,
     handler: &Arc<H>,
-) where
+) -> Result<(), (TcpStream, io::Error)>
+where
     H: Fn(Result<&HttpRequest, RequestError>, &mut Responder<'_>) + Send + Sync + 'static,
 {
     let handler = handler.clone();
+    let stream = Arc::new(stream);
+    let thread_stream = stream.clone();
     let run = move || {
-        serve_connection(&stream, limits, &drain, &*handler);
+        serve_connection(&thread_stream, limits, &drain, &*handler);
         drop(open);
     };
     let thread = thread::Builder::new()
         .name("caller".to_owned())
         .stack_size(STACK_BYTES);
-    // If no thread can be spawned, the connection is dropped and so closed at once.
-    drop(thread.spawn(run));
+    match thread.spawn(run) {
+        Ok(_) => Ok(()),
+        // `spawn` has dropped its copy.
+        Err(error) => Arc::try_unwrap(stream).map_or(Ok(()), |stream| Err((stream, error))),
+    }
 }
 
-/// Starts the thread that refuses connections above the limit.
-fn spawn_overflow<H>(handler: &Arc<H>) -> io::Result<Sender<TcpStream>>
+/// Starts the thread that refuses connections above the limit. It ends when the sender is dropped.
+fn spawn_overflow<H>(handler: &Arc<H>) -> io::Result<(Sender<TcpStream>, JoinHandle<()>)>
 where
     H: Fn(Result<&HttpRequest, RequestError>, &mut Responder<'_>) + Send + Sync + 'static,
 {
     let (overflow, refused) = channel::bounded(overflow::MAX_REFUSED);
     let handler = handler.clone();
-    thread::Builder::new()
+    let thread = thread::Builder::new()
         .name("overflow".to_owned())
         .spawn(move || {
-            overflow::run(&refused, |error, responder| handler(Err(error), responder))
+            overflow::run(&refused, |error, responder| handler(Err(error), responder));
         })?;
-    Ok(overflow)
+    Ok((overflow, thread))
 }
 
 /// Serves the requests of one connection, one after the other, until it is closed.
--- a/tests/connection_ends.rs
+++ b/tests/connection_ends.rs
@@ -431,6 +431,50 @@
     assert_eq!(unanswered, 0, "of {FLOOD}");
 }
 
+/// Guards against connections beyond the limit that are closed unread because they arrive faster than
+/// those before them are refused.
+#[test]
+fn parallel_flood_beyond_the_limit_is_refused_and_not_cut() {
+    const THREADS: usize = 8;
+    const FLOOD_PER_THREAD: usize = 250;
+    let (node, _platform) = node_alone("max_connections = 4\nread_deadline_ms = 30000");
+    let mut slow: Vec<TcpStream> = (0..4).map(|_| connect(node.callers)).collect();
+    for connection in &mut slow {
+        connection.write_all(b"GET /").expect("sent");
+    }
+    wait_until("the places are taken", END_DEADLINE_MS, || {
+        status(node.operators)["in_flight"] == 4
+    });
+    let address = node.callers;
+    let callers: Vec<_> = (0..THREADS)
+        .map(|_| {
+            thread::spawn(move || {
+                let mut flood: Vec<TcpStream> =
+                    (0..FLOOD_PER_THREAD).map(|_| connect(address)).collect();
+                flood.iter_mut().filter_map(unrefused_end).collect()
+            })
+        })
+        .collect();
+    let ends: Vec<String> = callers
+        .into_iter()
+        .flat_map(|caller| -> Vec<String> { caller.join().expect("no panic") })
+        .collect();
+    let flood = THREADS * FLOOD_PER_THREAD;
+    assert!(ends.is_empty(), "{} of {flood}: {:?}", ends.len(), &ends[0]);
+}
+
+/// Sends a request; returns what came in place of a refusal.
+fn unrefused_end(connection: &mut TcpStream) -> Option<String> {
+    let sent = connection.write_all(models_request().as_bytes());
+    let mut answer = Vec::new();
+    let read = connection.read_to_end(&mut answer);
+    let is_refused = answer.starts_with(b"HTTP/1.1 503");
+    (!is_refused).then(|| {
+        let answer = String::from_utf8_lossy(&answer);
+        format!("{sent:?}, {read:?}, {answer}")
+    })
+}
+
 /// Guards against a decision by the clock alone: the time for the first byte passes while the process
 /// is stopped, and the request has arrived when it goes on.
 #[test]
