Node: a request that its caller cuts short is answered

What callers saw: a caller that ended its sending side within a head or a body got the end of the connection without a byte.

Cause: a read of 0 bytes within a request was taken for a broken connection, as half-closes after a request were before.

It is refused with 400 now. Connections that fail within a request are logged (event 107, level debug).

Evidence: connection_ends::request_cut_short_in_its_head and ..._in_its_body failed before and pass after; all of connection_ends and bad_input pass.

--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -19,7 +19,7 @@
     RequestCut = 105,
     /// A caller's connection could not be accepted or served.
     AcceptFailed = 106,
-    /// A caller's connection failed before its refusal was sent.
+    /// A caller's connection failed within a request, or before its refusal was sent.
     ConnectionFailed = 107,
     /// A newer configuration is in force.
     ConfigInForce = 200,
--- a/crates/node/src/http/request.rs
+++ b/crates/node/src/http/request.rs
@@ -8,7 +8,10 @@
 
 use jacinthpoint_types::ResultCode;
 
-use crate::http::head::{Head, HttpRequest, parse_head};
+use crate::{
+    events::log_event,
+    http::head::{Head, HttpRequest, parse_head},
+};
 
 /// Largest head, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -74,7 +77,7 @@
             let mut stream = self.stream;
             stream
                 .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
-                .map_err(|_| RequestError::Broken)?;
+                .map_err(|error| broken(&error))?;
         }
         let deadline = self.deadline();
         while self.buffer.len() < head.length + head.body_bytes {
@@ -109,10 +112,14 @@
     fn fill(&mut self, deadline: Instant) -> Result<(), RequestError> {
         let left = deadline.saturating_duration_since(Instant::now());
         match self.read_some(left.max(MIN_READ_TIMEOUT)) {
-            Ok(0) => Err(RequestError::Broken),
+            // The caller may still read.
+            Ok(0) => Err(RequestError::Refused(
+                ResultCode::BadRequest,
+                "the request ends before it is complete",
+            )),
             Ok(_) => Ok(()),
             Err(error) if is_timeout(&error) => Err(too_slow()),
-            Err(_) => Err(RequestError::Broken),
+            Err(error) => Err(broken(&error)),
         }
     }
 
@@ -137,6 +144,17 @@
     }
 }
 
+/// Logs why a connection failed within a request.
+fn broken(error: &io::Error) -> RequestError {
+    log_event!(
+        debug,
+        ConnectionFailed,
+        %error,
+        "a connection failed within a request"
+    );
+    RequestError::Broken
+}
+
 fn too_slow() -> RequestError {
     let message = "the request did not arrive in time";
     RequestError::Refused(ResultCode::RequestTimeout, message)
--- a/tests/connection_ends.rs
+++ b/tests/connection_ends.rs
@@ -407,6 +407,31 @@
         pause_ms 1_500 => "400";
 }
 
+/// Callers that end their sending side within a request.
+macro_rules! request_cut_short {
+    ($($name:ident: $bytes:expr;)+) => {
+        $(
+            /// Guards against a connection that ends without an answer because its caller sent half a request.
+            #[test]
+            fn $name() {
+                let (node, _platform) = node_alone("");
+                let mut connection = connect(node.callers);
+                connection.write_all($bytes).expect("sent");
+                connection.shutdown(Shutdown::Write).expect("shut down");
+                let answer = read_to_end(&mut connection);
+                assert!(answer.starts_with("HTTP/1.1 400"), "{answer:?}");
+                assert!(answer.contains("connection: close"), "{answer:?}");
+            }
+        )+
+    };
+}
+
+request_cut_short! {
+    request_cut_short_in_its_head: b"GET /v1/models HTTP/1.1\r\nhost: n\r\n";
+    request_cut_short_in_its_body: b"POST /v1/completions HTTP/1.1\r\nhost: n\r\n\
+        content-length: 100\r\n\r\n{\"model\":";
+}
+
 /// Guards against connections beyond the limit that are closed unread because the queue of those to
 /// refuse is full, too.
 #[test]
