Node: an answer of a plain service that comes before the body was sent is read

What callers saw: a service that refuses a call from its head (503, 413) and closes, or leaves the rest of a long body unread, was answered with 502, outcome unknown, after up to the whole deadline; a refused call was not tried elsewhere.

While a write waits, the node looks for a final answer now, and what has arrived is read after a failed write, too. Interim answers end nothing.

Evidence: upstream service::refusal_before_the_body_of_a_service_that_closes, answer_before_the_body_of_a_service_that_closes and ..._that_waits failed before and pass after; answer_after_an_interim_one_beside_a_slow_read guards against the wrong fix. 27 of the crate's and 56 tests of upstreams, requests and serving pass. Calls to engines go through the HTTP library, whose failed write is an unknown outcome still: true, but less than what could be known.

--- a/crates/upstream/src/service/exchange.rs
+++ b/crates/upstream/src/service/exchange.rs
@@ -15,9 +15,14 @@
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Largest head of an answer, and largest line between chunks.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Largest number of bytes per read.
+const READ_BYTES: usize = 16 * 1024;
 /// Largest number of headers.
 const MAX_HEADERS: usize = 100;
 
+/// Time for which a write waits until it looks for an answer.
+const ANSWER_CHECK_MS: u64 = 50;
+
 /// How the end of an answer's body is marked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Framing {
@@ -33,8 +38,8 @@
     framing: Option<Framing>,
 }
 
-/// Connection that is read until a deadline.
-struct Reader {
+/// Connection that is written and read until a deadline.
+struct Exchange {
     stream: TcpStream,
     /// Bytes that were received and not used.
     received: Vec<u8>,
@@ -64,39 +69,36 @@
     Ok(stream)
 }
 
-/// Sends a request and returns the complete answer.
+/// Sends a request and returns the complete answer. It may come before the whole request was sent,
+/// whose rest is then given up.
 ///
 /// # Errors
 ///
 /// Fails if the deadline passes or the connection breaks, and with `InvalidData` if the answer is
 /// malformed, too large, or not framed. The request may have run in each case.
 pub(super) fn exchange(
-    mut stream: TcpStream,
+    stream: TcpStream,
     head: &str,
     body: &[u8],
     deadline: Instant,
 ) -> io::Result<ServiceAnswer> {
-    for part in [head.as_bytes(), body] {
-        stream.set_write_timeout(Some(time_left(deadline)?))?;
-        stream.write_all(part)?;
-    }
-    let mut reader = Reader {
+    let mut exchange = Exchange {
         stream,
         received: Vec::new(),
         deadline,
     };
-    let answer = loop {
-        let answer = reader.read_head()?;
-        // Interim answers come before the final one.
-        if answer.status >= 200 {
-            break answer;
-        }
+    let request = [head.as_bytes(), body];
+    let sent = request.into_iter().try_for_each(|part| exchange.send(part));
+    // What has arrived is read after an error, too. Without an answer, the first error tells why.
+    let answer = match (exchange.read_final_head(), sent) {
+        (Ok(answer), _) => answer,
+        (Err(_), Err(error)) | (Err(error), Ok(())) => return Err(error),
     };
     let is_without_body = matches!(answer.status, 204 | 304) || head.starts_with("HEAD ");
     let body = match answer.framing {
         _ if is_without_body => Vec::new(),
-        Some(Framing::Length(length)) => reader.read_exactly(length)?,
-        Some(Framing::Chunks) => reader.read_chunks()?,
+        Some(Framing::Length(length)) => exchange.read_exactly(length)?,
+        Some(Framing::Chunks) => exchange.read_chunks()?,
         None => return Err(invalid("the answer has neither length nor chunks")),
     };
     let content_type = answer.content_type;
@@ -107,35 +109,97 @@
     })
 }
 
-impl Reader {
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
+}
+
+impl Exchange {
+    /// Sends bytes until all are sent or the final answer has begun. The other side may answer without
+    /// reading them.
+    fn send(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let wait = time_left(self.deadline)?.min(Duration::from_millis(ANSWER_CHECK_MS));
+            self.stream.set_write_timeout(Some(wait))?;
+            match self.stream.write(bytes) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(count) => bytes = &bytes[count..],
+                Err(error) if is_timeout(&error) => {
+                    self.check_line()?;
+                    self.receive_available()?;
+                    if self.next_final_head()?.is_some() {
+                        return Ok(());
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
     /// Receives more bytes; fails at the end of the connection.
     fn receive(&mut self) -> io::Result<()> {
-        let mut buffer = [0; 16 * 1024];
         let left = time_left(self.deadline)?;
         self.stream.set_read_timeout(Some(left))?;
+        let mut buffer = [0; READ_BYTES];
         let count = match self.stream.read(&mut buffer) {
             // A read with a timeout is interrupted when a stopped process goes on.
             Err(error) if error.kind() == io::ErrorKind::Interrupted => return Ok(()),
             read => read?,
         };
-        if count == 0 {
+        self.on_received(&buffer[..count])
+    }
+
+    /// Receives the bytes that have arrived, if any; fails at the end of the connection.
+    fn receive_available(&mut self) -> io::Result<()> {
+        self.stream.set_nonblocking(true)?;
+        let mut buffer = [0; READ_BYTES];
+        let received = self.stream.read(&mut buffer);
+        self.stream.set_nonblocking(false)?;
+        match received {
+            Err(error) if is_timeout(&error) => Ok(()),
+            received => self.on_received(&buffer[..received?]),
+        }
+    }
+
+    fn on_received(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if bytes.is_empty() {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
-        self.received.extend_from_slice(&buffer[..count]);
+        self.received.extend_from_slice(bytes);
         Ok(())
     }
 
-    /// Receives more bytes of a head or of a line between chunks, up to [`MAX_HEAD_BYTES`].
-    fn receive_line(&mut self) -> io::Result<()> {
+    /// Fails if a head or a line between chunks is longer than [`MAX_HEAD_BYTES`].
+    fn check_line(&self) -> io::Result<()> {
         if self.received.len() > MAX_HEAD_BYTES {
             return Err(invalid("a head or line is too long"));
         }
+        Ok(())
+    }
+
+    /// Receives more bytes of a head or of a line between chunks.
+    fn receive_line(&mut self) -> io::Result<()> {
+        self.check_line()?;
         self.receive()
     }
 
-    fn read_head(&mut self) -> io::Result<Head> {
+    /// Drops interim answers; returns the head of the final one and its length if it has arrived.
+    fn next_final_head(&mut self) -> io::Result<Option<(Head, usize)>> {
+        loop {
+            match parse_head(&self.received)? {
+                Some((head, length)) if head.status < 200 => drop(self.received.drain(..length)),
+                head => return Ok(head),
+            }
+        }
+    }
+
+    fn read_final_head(&mut self) -> io::Result<Head> {
         loop {
-            if let Some((head, length)) = parse_head(&self.received)? {
+            if let Some((head, length)) = self.next_final_head()? {
                 self.received.drain(..length);
                 return Ok(head);
             }
--- a/crates/upstream/tests/service.rs
+++ b/crates/upstream/tests/service.rs
@@ -3,8 +3,9 @@
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, TcpStream},
     thread,
+    time::{Duration, Instant},
 };
 
 use jacinthpoint_types::{AttemptId, RequestId};
@@ -28,16 +29,38 @@
     address
 }
 
+/// Starts a service that answers a request from its head, then calls `end` with the connection, whose body
+/// lies unread.
+fn start_early_service(
+    answer: &'static str,
+    end: impl FnOnce(TcpStream) + Send + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept()?;
+        let _ = stream.read(&mut [0; 64])?;
+        stream.write_all(answer.as_bytes())?;
+        end(stream);
+        std::io::Result::Ok(())
+    });
+    address
+}
+
 fn call(answer: &'static str) -> Result<ServiceAnswer, StartError> {
+    call_with_body(start_service(answer), b"an enquiry")
+}
+
+fn call_with_body(address: SocketAddr, body: &[u8]) -> Result<ServiceAnswer, StartError> {
     let call = ServiceCall {
         request: RequestId::new(),
         attempt: AttemptId::new(),
         method: "POST",
         path: "/send",
         content_type: "text/plain",
-        body: b"an enquiry",
+        body,
     };
-    call_service(start_service(answer), &call, TIMEOUT_MS, TIMEOUT_MS)
+    call_service(address, &call, TIMEOUT_MS, TIMEOUT_MS)
 }
 
 macro_rules! complete_answer {
@@ -91,3 +114,52 @@
     call_answered_with_interim_answer_alone_may_have_run: "HTTP/1.1 100 Continue\r\n\r\n";
     call_answered_without_http_may_have_run: "SSH-2.0-server\r\n";
 }
+
+/// Body that fits no socket buffer.
+const LARGE_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Pauses, then reads the rest of a request and answers it.
+fn read_slowly(mut stream: TcpStream) {
+    thread::sleep(Duration::from_millis(TIMEOUT_MS / 4));
+    let mut left = LARGE_BODY_BYTES;
+    let mut buffer = vec![0; 64 * 1024];
+    while left > 0 {
+        left = left.saturating_sub(stream.read(&mut buffer).expect("the body"));
+    }
+    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(answer).expect("the answer is sent");
+}
+
+/// Answers to a request whose body the service does not read.
+macro_rules! early_answer {
+    ($($name:ident: $answer:literal, $end:expr => $check:expr;)*) => {
+        $(
+            /// Guards against an answer that lies in the socket and is lost, because the rest of the
+            /// request could not be written.
+            #[test]
+            fn $name() {
+                let started = Instant::now();
+                let address = start_early_service($answer, $end);
+                let answer = call_with_body(address, &vec![b'a'; LARGE_BODY_BYTES]);
+                let check: fn(&Result<ServiceAnswer, StartError>) -> bool = $check;
+                assert!(check(&answer), "{answer:?}");
+                let elapsed = started.elapsed();
+                assert!(elapsed < Duration::from_millis(TIMEOUT_MS), "{elapsed:?}");
+            }
+        )*
+    };
+}
+
+early_answer! {
+    refusal_before_the_body_of_a_service_that_closes: "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n", drop
+        => |answer| matches!(answer, Err(StartError::Refused { status: 503, .. }));
+    answer_before_the_body_of_a_service_that_closes: "HTTP/1.1 413 Large\r\ncontent-length: 0\r\n\r\n", drop
+        => |answer| matches!(answer, Ok(ServiceAnswer { status: 413, .. }));
+    answer_before_the_body_of_a_service_that_waits: "HTTP/1.1 413 Large\r\ncontent-length: 0\r\n\r\n",
+        |stream| { thread::sleep(Duration::from_millis(3 * TIMEOUT_MS)); drop(stream); }
+        => |answer| matches!(answer, Ok(ServiceAnswer { status: 413, .. }));
+    answer_after_an_interim_one_beside_a_slow_read: "HTTP/1.1 102 Processing\r\n\r\n", read_slowly
+        => |answer| matches!(answer, Ok(ServiceAnswer { status: 200, .. }));
+    end_before_the_body_of_a_service_that_closes: "", drop
+        => |answer| matches!(answer, Err(StartError::NoAnswer { .. }));
+}
