--- a/tests/connection_ends.rs
+++ b/tests/connection_ends.rs
@@ -521,3 +521,27 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
     }
 }
+
+/// Guards against a refusal above the limit whose connection is reset after a fixed time, while its
+/// caller still writes.
+#[test]
+fn refused_above_the_limit_while_sending_slowly() {
+    let (node, _platform) = node_alone("max_connections = 4\nread_deadline_ms = 10000");
+    let mut slow: Vec<TcpStream> = (0..4).map(|_| connect(node.callers)).collect();
+    for connection in &mut slow {
+        connection.write_all(b"GET /").expect("sent");
+    }
+    wait_until("the places are taken", END_DEADLINE_MS, || {
+        status(node.operators)["in_flight"] == 4
+    });
+    let mut connection = connect(node.callers);
+    let request = request_with_body("/v1/completions", &"a".repeat(4_000));
+    for piece in request.as_bytes().chunks(1_000) {
+        connection
+            .write_all(piece)
+            .expect("no reset while the body is sent");
+        thread::sleep(Duration::from_millis(500));
+    }
+    let answer = read_to_end(&mut connection);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+}
