--- a/crates/upstream/tests/service.rs
+++ b/crates/upstream/tests/service.rs
@@ -5,6 +5,7 @@
     io::{Read, Write},
     net::{SocketAddr, TcpListener},
     thread,
+    time::Duration,
 };
 
 use jacinthpoint_types::{AttemptId, RequestId};
@@ -91,3 +92,61 @@
     call_answered_with_interim_answer_alone_may_have_run: "HTTP/1.1 100 Continue\r\n\r\n";
     call_answered_without_http_may_have_run: "SSH-2.0-server\r\n";
 }
+
+/// Size of a body that does not fit into the buffers of a connection.
+const LONG_BODY_BYTES: usize = 64_000_000;
+
+/// What a service does with its connection after an answer that it sent before it read the body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AfterEarlyAnswer {
+    ReadsOnLate,
+    Closes,
+}
+
+/// Starts a service that answers as soon as it has read the head of a request.
+fn start_early_service(after: AfterEarlyAnswer) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept()?;
+        let mut request = [0; 4096];
+        let _ = stream.read(&mut request)?;
+        stream.write_all(b"HTTP/1.1 413 Too Large\r\ncontent-length: 4\r\n\r\nlong")?;
+        if after == AfterEarlyAnswer::ReadsOnLate {
+            thread::sleep(Duration::from_millis(2 * TIMEOUT_MS));
+            while stream.read(&mut request)? > 0 {}
+        }
+        std::io::Result::Ok(())
+    });
+    address
+}
+
+/// Defines tests of an answer that arrives before the whole body was sent. They guard against an answer
+/// that is lost because the rest of the body cannot be sent.
+macro_rules! early_answer_is_read {
+    ($($name:ident: $after:ident;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let body = vec![b'a'; LONG_BODY_BYTES];
+                let call = ServiceCall {
+                    request: RequestId::new(),
+                    attempt: AttemptId::new(),
+                    method: "POST",
+                    path: "/send",
+                    content_type: "text/plain",
+                    body: &body,
+                };
+                let service = start_early_service(AfterEarlyAnswer::$after);
+                let answer = call_service(service, &call, TIMEOUT_MS, TIMEOUT_MS);
+                let answer = answer.expect("the answer arrived at once");
+                assert_eq!((answer.status, answer.body.as_slice()), (413, &b"long"[..]));
+            }
+        )*
+    };
+}
+
+early_answer_is_read! {
+    early_answer_of_a_service_that_reads_on_late_is_read: ReadsOnLate;
+    early_answer_of_a_service_that_closes_is_read: Closes;
+}
