--- a/crates/upstream/tests/service.rs
+++ b/crates/upstream/tests/service.rs
@@ -153,11 +153,11 @@
 early_answer! {
     refusal_before_the_body_of_a_service_that_closes: "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n", drop
         => |answer| matches!(answer, Err(StartError::Refused { status: 503, .. }));
-    answer_before_the_body_of_a_service_that_closes: "HTTP/1.1 413 Large\r\ncontent-length: 0\r\n\r\n", drop
-        => |answer| matches!(answer, Ok(ServiceAnswer { status: 413, .. }));
-    answer_before_the_body_of_a_service_that_waits: "HTTP/1.1 413 Large\r\ncontent-length: 0\r\n\r\n",
+    answer_before_the_body_of_a_service_that_closes: "HTTP/1.1 413 Large\r\ncontent-length: 4\r\n\r\nlong", drop
+        => |answer| matches!(answer, Ok(ServiceAnswer { status: 413, body, .. }) if body == b"long");
+    answer_before_the_body_of_a_service_that_waits: "HTTP/1.1 413 Large\r\ncontent-length: 4\r\n\r\nlong",
         |stream| { thread::sleep(Duration::from_millis(3 * TIMEOUT_MS)); drop(stream); }
-        => |answer| matches!(answer, Ok(ServiceAnswer { status: 413, .. }));
+        => |answer| matches!(answer, Ok(ServiceAnswer { status: 413, body, .. }) if body == b"long");
     answer_after_an_interim_one_beside_a_slow_read: "HTTP/1.1 102 Processing\r\n\r\n", read_slowly
         => |answer| matches!(answer, Ok(ServiceAnswer { status: 200, .. }));
     end_before_the_body_of_a_service_that_closes: "", drop
