Node: a refusal above the limit waits for a caller that still sends

What callers saw: a caller that still wrote the body of a request that was refused above max_connections got a broken pipe after a second; over a network the reset can overtake the refusal. Found by review.

Cause: the refused connection was closed after a fixed second, whatever the caller was still sending.

It is read until nothing has come for a second, for at most 10 s, as other refused connections are. While others wait it is closed after 0.2 s as before.

Evidence: connection_ends::refused_above_the_limit_while_sending_slowly failed before (3 of 3) and passes after, with all of connection_ends.

--- a/crates/node/src/http/overflow.rs
+++ b/crates/node/src/http/overflow.rs
@@ -25,7 +25,9 @@
 /// open.
 pub(crate) const MAX_REFUSED: usize = 256;
 /// Time after which a refused connection is closed.
-const KEEP_MS: u64 = 1_000;
+const KEEP_MS: u64 = 10_000;
+/// Time without a received byte after which it is closed.
+const KEEP_IDLE_MS: u64 = 1_000;
 /// Time after which a refused connection is closed if others wait. The answer has reached a caller
 /// at a usual distance by then.
 const KEEP_UNDER_PRESSURE_MS: u64 = 200;
@@ -36,6 +38,8 @@
 struct RefusedConnection {
     stream: TcpStream,
     keep_until: Instant,
+    /// Time at which it is closed unless its caller sends something.
+    idle_until: Instant,
     /// Time from which it may be closed for others.
     replaceable_from: Instant,
 }
@@ -64,7 +68,10 @@
             continue;
         }
         next_poll_at = now + Duration::from_millis(POLL_MS);
-        kept.retain(|refused| refused.keep_until > now && discard_received(&refused.stream));
+        kept.retain_mut(|refused| {
+            let is_open = discard_received(refused, now);
+            is_open && now < refused.keep_until.min(refused.idle_until)
+        });
         while kept.len() >= MAX_REFUSED && kept[0].replaceable_from <= now {
             kept.pop_front();
         }
@@ -96,14 +103,19 @@
     Some(RefusedConnection {
         stream,
         keep_until: now + Duration::from_millis(KEEP_MS),
+        idle_until: now + Duration::from_millis(KEEP_IDLE_MS),
         replaceable_from: now + Duration::from_millis(KEEP_UNDER_PRESSURE_MS),
     })
 }
 
 /// Reads and discards what the caller has sent. Returns whether the connection is still open.
-fn discard_received(mut stream: &TcpStream) -> bool {
-    match stream.read(&mut [0; 4096]) {
-        Ok(read) => read > 0,
+fn discard_received(refused: &mut RefusedConnection, now: Instant) -> bool {
+    match refused.stream.read(&mut [0; 4096]) {
+        Ok(0) => false,
+        Ok(_) => {
+            refused.idle_until = now + Duration::from_millis(KEEP_IDLE_MS);
+            true
+        }
         Err(error) => matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
     }
 }
