Gateway: a stream that the exit cuts does not look whole to a caller of HTTP/1.0

What callers saw: at the end of the grace time of a planned stop, a stream over HTTP/1.0 ended in order after 71 to 74 of 200 events. Only the end of the connection marks the end there, so it looked whole. Found by review.

Cause: resets such a connection if its answer breaks off, but the exit of the process closes sockets in order.

Before the exit, connections learn of it by a last phase, and those whose end would look like that of an answer are reset.

--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -297,6 +297,13 @@
         }
     }
 
+    /// Returns whether the exit of the process cuts an answer whose caller could take it for whole.
+    fn is_cut_unmarked(&self) -> bool {
+        self.phase() >= Phase::Exiting
+            && self.has_unframed_streams.get()
+            && self.stage.get() == Stage::Request
+    }
+
     /// Returns whether the gateway ends the connection now, if no bytes wait in the socket.
     pub(super) fn is_to_end(&self) -> bool {
         let now = self.gateway.now();
@@ -459,14 +466,20 @@
         let check_at = connection.next_check_at();
         tokio::select! {
             biased;
-            result = polled => break result,
+            result = polled => break Some(result),
             () = connection.recheck.notified() => {}
             _ = phase.changed() => {}
             _ = limits.changed() => {}
             () = gateway.clock.sleep_until(check_at) => {}
         }
+        if connection.is_cut_unmarked() {
+            break None;
+        }
+    };
+    let why = match &result {
+        Some(result) => end_reason(&connection, result),
+        None => "cut",
     };
-    let why = end_reason(&connection, &result);
     let is_to_reset = why == "cut" && connection.has_unframed_streams.get();
     gateway.metrics.count("connections_ended", why);
     log_event!(
@@ -475,7 +488,7 @@
         why,
         requests = connection.requests.get(),
         is_stopping = connection.phase() != Phase::Serving,
-        error = result.err().map(|error| error.to_string()),
+        error = result.and_then(Result::err).map(|error| error.to_string()),
         "a caller's connection ended"
     );
     let io = http.into_parts().io.into_inner();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -39,6 +39,8 @@
 const STOP_MARGIN_MS: u64 = 800;
 /// Time before the end of the grace time at which the process exits, so that it is not killed.
 const EXIT_MARGIN_MS: u64 = 300;
+/// Time between the last decision on connections and the exit.
+const EXIT_PAUSE_MS: u64 = 1;
 /// Time between two checks for expired idle connections and for dropped log lines.
 const MAINTENANCE_INTERVAL_MS: u64 = 1_000;
 /// Time between two log events on the calls to the store.
@@ -292,6 +294,9 @@
     while gateway.now() < end && is_busy() {
         sleep_ms(STOP_POLL_INTERVAL_MS).await;
     }
+    gateway.phase.send_replace(Phase::Exiting);
+    // Lets the tasks of connections act on it.
+    sleep_ms(EXIT_PAUSE_MS).await;
     let cut = gateway.cut_requests.get() + gateway.open_requests.get();
     log_event!(
         info,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -54,6 +54,8 @@
     Refusing,
     /// The gateway accepts no connections, and answers all requests that are still open as failed.
     Ending,
+    /// The process exits, and the system closes all connections that are still open.
+    Exiting,
 }
 
 /// Suspected faults found by requests and alarms. A gateway that holds the lease checks them by
