Gateway: a refusal waits for a caller that still sends its request

What callers saw: a caller that needed two seconds for the body of a request that was refused from its head got a broken pipe (after 0.2 s during a stop); over a network the reset can overtake the refusal. Found by review.

Cause: after an answer that ends its connection, the gateway read on for a fixed time, whatever the caller was still sending.

It reads on until nothing has come for that time, for at most 10 s. Where a request was refused before its end, its caller may pause, as at a node.

--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -53,9 +53,12 @@
 /// on it is known to read: otherwise the first would have been answered by a reset.
 const RESET_WAIT_MS: u64 = 100;
 /// Maximum time for which a connection that has ended is read, so that it is not reset.
-const LINGER_MS: u64 = 1_000;
+const LINGER_MS: u64 = 10_000;
+/// Time without a received byte after which that reading ends, unless a request was refused before its end:
+/// its caller may still send the rest, with pauses.
+const LINGER_IDLE_MS: u64 = 1_000;
 /// The same during a stop, which should not take longer for callers that leave their connection open.
-const LINGER_AT_STOP_MS: u64 = 200;
+const LINGER_IDLE_AT_STOP_MS: u64 = 200;
 /// Time between two checks of a connection that is due to end but has not ended.
 const RECHECK_INTERVAL_MS: u64 = 50;
 /// Time in which the body of a refused request must arrive for its connection to be kept.
@@ -304,6 +307,15 @@
             && self.stage.get() == Stage::Request
     }
 
+    /// Returns the time without a received byte after which the reading of an ended connection ends.
+    pub(super) fn linger_idle_ms(&self) -> u64 {
+        match self.phase() {
+            phase if phase >= Phase::EndingIdle => LINGER_IDLE_AT_STOP_MS,
+            _ if !self.is_body_read.get() => LINGER_MS,
+            _ => LINGER_IDLE_MS,
+        }
+    }
+
     /// Returns whether the gateway ends the connection now, if no bytes wait in the socket.
     pub(super) fn is_to_end(&self) -> bool {
         let now = self.gateway.now();
@@ -496,11 +508,7 @@
         io.reset();
         return;
     }
-    let linger_ms = match connection.phase() {
-        phase if phase >= Phase::EndingIdle => LINGER_AT_STOP_MS,
-        _ => LINGER_MS,
-    };
-    let until = gateway.now().plus_ms(linger_ms);
+    let until = gateway.now().plus_ms(LINGER_MS);
     io.linger(until, gateway.clock).await;
 }
 
--- a/crates/gateway/src/edge/caller_io.rs
+++ b/crates/gateway/src/edge/caller_io.rs
@@ -42,18 +42,23 @@
     }
 
     /// Ends the sending side, then reads and discards what the caller still sends, until it ends its side
-    /// or `until`. A socket that is closed with unread bytes resets the connection, and a reset may
-    /// destroy an answer that the caller has not read yet.
+    /// or pauses, or `until`. A socket that is closed with unread bytes resets the connection, and a reset
+    /// may destroy an answer that the caller has not read yet.
     pub(crate) async fn linger(mut self, until: TimeMs, clock: Clock) {
         if self.connection.has_caller_ended() || self.shut_down_sending().is_err() {
             return;
         }
         let mut discarded = [0; DISCARD_BYTES];
-        let read_to_end =
-            async { while matches!(self.stream.read(&mut discarded).await, Ok(1..)) {} };
-        tokio::select! {
-            () = read_to_end => {}
-            () = clock.sleep_until(until) => {}
+        loop {
+            let idle_until = clock.now().plus_ms(self.connection.linger_idle_ms());
+            tokio::select! {
+                read = self.stream.read(&mut discarded) => {
+                    if !matches!(read, Ok(1..)) {
+                        return;
+                    }
+                }
+                () = clock.sleep_until(idle_until.min(until)) => return,
+            }
         }
     }
 
