Gateway: the idle time begins when a slow reader was sent its answer

What callers saw: a caller that read a long answer later than the idle time got it whole, but the next request on the connection, sent at once, got no byte of an answer. Found by review.

Cause: the idle time counts from the last write, and the system took an answer of 1 MB into its buffers at once.

Callers' connections limit the bytes that the system takes before it can send them (TCP_NOTSENT_LOWAT, 16 KiB), so the last write waits for the reader, and a connection whose write waits is not idle.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -37,6 +37,8 @@
 const MAX_KEEPALIVE_PROBES: u32 = 3;
 /// Time for which the bytes of a short request may stay unacknowledged before the connection fails.
 const MAX_UNACKNOWLEDGED_MS: u64 = 4_000;
+/// Number of unsent bytes from which writes to a caller's connection wait.
+const MAX_UNSENT_BYTES: u32 = 16 * 1_024;
 /// Maximum length of a short request: it fits the receive window of any peer that has read what was
 /// sent before.
 const MAX_SHORT_REQUEST_BYTES: usize = 1_024;
@@ -237,6 +239,13 @@
     log_unavailable("SO_KEEPALIVE", result);
 }
 
+/// Limits the bytes that the system takes before it can send them, so that the time of the last write is
+/// about that at which the peer was sent the end of an answer, however slowly it reads.
+pub(crate) fn limit_unsent_bytes(stream: &TcpStream) {
+    let result = SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+    log_unavailable("TCP_NOTSENT_LOWAT", result);
+}
+
 /// Sets or ends the limit on the time for which sent bytes may stay unacknowledged.
 fn set_send_limit(stream: &TcpStream, limit: Option<Duration>) {
     let result = SockRef::from(stream).set_tcp_user_timeout(limit);
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -32,7 +32,7 @@
 use crate::{
     body::{AbortedBody, AnswerBody},
     call::{self, Origin},
-    connection::set_caller_options,
+    connection::{limit_unsent_bytes, set_caller_options},
     edge::caller_io::CallerIo,
     events::log_event,
     state::{Gateway, Phase},
@@ -446,6 +446,7 @@
 /// Serves one caller's connection until it ends. `is_surplus` says that its requests are refused.
 pub(super) async fn serve_caller(gateway: &Rc<Gateway>, stream: TcpStream, is_surplus: bool) {
     set_caller_options(&stream);
+    limit_unsent_bytes(&stream);
     let connection = Rc::new(CallerConnection::new(gateway.clone(), is_surplus));
     let head_bytes = connection
         .limits()
