--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -32,7 +32,7 @@
 use crate::{
     body::{AbortedBody, AnswerBody},
     call::{self, Origin},
-    connection::set_caller_options,
+    connection::{limit_unsent_bytes, set_caller_options},
     edge::caller_io::CallerIo,
     events::log_event,
     state::{Gateway, Phase},
@@ -53,9 +53,12 @@
 /// on it is known to read: otherwise the first would have been answered by a reset.
 const RESET_WAIT_MS: u64 = 100;
 /// Maximum time for which a connection that has ended is read, so that it is not reset.
-const LINGER_MS: u64 = 1_000;
+const LINGER_MS: u64 = 10_000;
+/// Time without a received byte after which that reading ends, unless a request was refused before its end:
+/// its caller may still send the rest, with pauses.
+const LINGER_IDLE_MS: u64 = 1_000;
 /// The same during a stop, which should not take longer for callers that leave their connection open.
-const LINGER_AT_STOP_MS: u64 = 200;
+const LINGER_IDLE_AT_STOP_MS: u64 = 200;
 /// Time between two checks of a connection that is due to end but has not ended.
 const RECHECK_INTERVAL_MS: u64 = 50;
 /// Time in which the body of a refused request must arrive for its connection to be kept.
@@ -297,6 +300,22 @@
         }
     }
 
+    /// Returns whether the exit of the process cuts an answer whose caller could take it for whole.
+    fn is_cut_unmarked(&self) -> bool {
+        self.phase() >= Phase::Exiting
+            && self.has_unframed_streams.get()
+            && self.stage.get() == Stage::Request
+    }
+
+    /// Returns the time without a received byte after which the reading of an ended connection ends.
+    pub(super) fn linger_idle_ms(&self) -> u64 {
+        match self.phase() {
+            phase if phase >= Phase::EndingIdle => LINGER_IDLE_AT_STOP_MS,
+            _ if !self.is_body_read.get() => LINGER_MS,
+            _ => LINGER_IDLE_MS,
+        }
+    }
+
     /// Returns whether the gateway ends the connection now, if no bytes wait in the socket.
     pub(super) fn is_to_end(&self) -> bool {
         let now = self.gateway.now();
@@ -427,6 +446,7 @@
 /// Serves one caller's connection until it ends. `is_surplus` says that its requests are refused.
 pub(super) async fn serve_caller(gateway: &Rc<Gateway>, stream: TcpStream, is_surplus: bool) {
     set_caller_options(&stream);
+    limit_unsent_bytes(&stream);
     let connection = Rc::new(CallerConnection::new(gateway.clone(), is_surplus));
     let head_bytes = connection
         .limits()
@@ -459,14 +479,20 @@
         let check_at = connection.next_check_at();
         tokio::select! {
             biased;
-            result = polled => break result,
+            result = polled => break Some(result),
             () = connection.recheck.notified() => {}
             _ = phase.changed() => {}
             _ = limits.changed() => {}
             () = gateway.clock.sleep_until(check_at) => {}
         }
+        if connection.is_cut_unmarked() {
+            break None;
+        }
+    };
+    let why = match &result {
+        Some(result) => end_reason(&connection, result),
+        None => "cut",
     };
-    let why = end_reason(&connection, &result);
     let is_to_reset = why == "cut" && connection.has_unframed_streams.get();
     gateway.metrics.count("connections_ended", why);
     log_event!(
@@ -475,7 +501,7 @@
         why,
         requests = connection.requests.get(),
         is_stopping = connection.phase() != Phase::Serving,
-        error = result.err().map(|error| error.to_string()),
+        error = result.and_then(Result::err).map(|error| error.to_string()),
         "a caller's connection ended"
     );
     let io = http.into_parts().io.into_inner();
@@ -483,11 +509,7 @@
         io.reset();
         return;
     }
-    let linger_ms = match connection.phase() {
-        phase if phase >= Phase::EndingIdle => LINGER_AT_STOP_MS,
-        _ => LINGER_MS,
-    };
-    let until = gateway.now().plus_ms(linger_ms);
+    let until = gateway.now().plus_ms(LINGER_MS);
     io.linger(until, gateway.clock).await;
 }
 
