Gateway: a cut of a caller's link does not end the connection of a request that runs

Callers whose link was cut for over 4 s lost the answer to a request that had been passed on and ran, long before its deadline. The cause: callers' connections had TCP keepalive (1 s, then three probes a second apart), so the gateway's own timer ended them.

gateway::link_cuts::answer_arrives_after_a_cut_of_the_callers_link drops all packets that arrive at the caller's socket for 5.5 s (a socket filter, which needs no rights). On it failed, "status 0, not whole in time"; it passes now.

Why it works: callers' connections have no keepalive. Each stage has a bound that follows the request: idle time, time for a head, deadline, deadline and idle time for an unread answer. That these end the connections of callers that vanished is shown by connections_of_vanished_callers_end, which passed before, too: idle, in a head, in a request, in a stream that fits the socket. Connections to upstreams, the store and other gateways keep keepalive (`set_peer_options`).

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -177,7 +177,7 @@
             Ok(Err(error)) => return Err(ConnectError::Io(error)),
             Err(_) => return Err(ConnectError::TimedOut),
         };
-        set_caller_options(&stream);
+        set_peer_options(&stream);
         set_send_limit(&stream, Some(Duration::from_millis(MAX_UNACKNOWLEDGED_MS)));
         let allowance_bytes = Rc::new(Cell::new(usize::MAX));
         let stream = MeteredStream {
@@ -222,17 +222,23 @@
     }
 }
 
-/// Sets the options of a connection, whoever opened it: no Nagle's algorithm, and keepalive probes,
-/// which detect a peer that no longer answers.
+/// Sets the options of a caller's connection: no Nagle's algorithm.
 ///
-/// There is no limit on unacknowledged bytes, because Linux applies it to a closed receive window
-/// too: a peer that pauses reading is not gone.
+/// There are no keepalive probes, which would end the connection of a request that runs when the link is
+/// cut for a few seconds: the deadline and the idle time bound it. And there is no limit on unacknowledged
+/// bytes, because Linux applies it to a closed receive window too: a peer that pauses reading is not gone.
 pub(crate) fn set_caller_options(stream: &TcpStream) {
+    log_unavailable("TCP_NODELAY", stream.set_nodelay(true));
+}
+
+/// Sets the options of a connection to an upstream, to the store, or to or from another gateway: those of a
+/// caller's, and keepalive probes, which detect a peer that no longer answers.
+pub(crate) fn set_peer_options(stream: &TcpStream) {
+    set_caller_options(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(Duration::from_millis(KEEPALIVE_IDLE_MS))
         .with_interval(Duration::from_millis(KEEPALIVE_INTERVAL_MS))
         .with_retries(MAX_KEEPALIVE_PROBES);
-    log_unavailable("TCP_NODELAY", stream.set_nodelay(true));
     let result = SockRef::from(stream).set_tcp_keepalive(&keepalive);
     log_unavailable("SO_KEEPALIVE", result);
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -35,7 +35,7 @@
     body::{AnswerBody, full_body},
     call,
     clock::sleep_ms,
-    connection::set_caller_options,
+    connection::set_peer_options,
     state::{Gateway, OpenConnectionGuard},
     watch,
 };
@@ -299,7 +299,7 @@
         };
         let gateway = gateway.clone();
         tokio::task::spawn_local(async move {
-            set_caller_options(&stream);
+            set_peer_options(&stream);
             let guard = OnceCell::new();
             let service = service_fn(|request: Request<Incoming>| {
                 let gateway = gateway.clone();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -24,6 +24,7 @@
 mod joining_upstreams;
 mod kept_caller;
 mod kept_connections;
+mod link_cuts;
 mod mixed_builds;
 mod records_at_stop;
 mod reported_faults;
--- a/tests/gateway/kept_caller.rs
+++ b/tests/gateway/kept_caller.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockFilter, SockRef, Socket, Type};
 
 use crate::gateway::caller::{Answer, End, Request, parse};
 
@@ -106,6 +106,25 @@
         stream.shutdown(Shutdown::Write).expect("it is connected");
     }
 
+    /// Drops every packet that arrives for the connection, unacknowledged, as a cut of the link does.
+    pub fn cut_link(&mut self) {
+        /// BPF_RET | BPF_K: keeps as many bytes of the packet as the operand says.
+        const RETURN_CONSTANT: u16 = 0x06;
+        let stream = self.connect().expect("it is accepted");
+        let drop_all = [SockFilter::new(RETURN_CONSTANT, 0, 0, 0)];
+        SockRef::from(&*stream)
+            .attach_filter(&drop_all)
+            .expect("it can be attached");
+    }
+
+    /// Ends a cut of the link.
+    pub fn restore_link(&mut self) {
+        let stream = self.stream.as_ref().expect("a connection is open");
+        SockRef::from(stream)
+            .detach_filter()
+            .expect("one is attached");
+    }
+
     /// Waits for the gateway to end an idle connection. Returns whether it ended in order, by an end of
     /// stream, or `None` if it is still open after `timeout_ms`.
     pub fn wait_for_close(&mut self, timeout_ms: u64) -> Option<bool> {
