Gateway: a panic in a request's task is answered, and its stream does not look whole

Callers whose request's task panicked got no byte of an answer, and a stream that had begun ended as if it were complete. The cause: the task of the connection ended with the panic, and the body of a stream ended regularly whenever its sender was dropped, for whatever reason.

Why it works: `catch_panic` turns the panic into a result, and the request is refused by whether anything was sent. `PartSender::finish` marks a body as whole; without it the body is aborted.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -2,7 +2,11 @@
 
 use std::{
     pin::Pin,
-    task::{Context, Poll},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
@@ -14,10 +18,10 @@
 /// marker of the body, so the caller sees that it is incomplete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("the response body was aborted")]
-pub(crate) struct AbortedBody;
+pub struct AbortedBody;
 
 /// Body of a response to a caller.
-pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, AbortedBody>;
+pub type AnswerBody = UnsyncBoxBody<Bytes, AbortedBody>;
 
 /// Returns a body with the given bytes as its whole content.
 pub(crate) fn full_body(bytes: Bytes) -> AnswerBody {
@@ -26,12 +30,35 @@
         .boxed_unsync()
 }
 
-/// Sends the parts of a streamed body, or an error that aborts it.
-pub(crate) type PartSender = mpsc::Sender<Result<Bytes, AbortedBody>>;
+/// Sends the parts of a streamed body. The body is aborted if this is dropped before [`PartSender::finish`],
+/// as by a panic.
+#[derive(Debug)]
+pub struct PartSender {
+    parts: mpsc::Sender<Bytes>,
+    is_whole: Arc<AtomicBool>,
+}
+
+impl PartSender {
+    /// Sends a part, once there is room for it; returns `false` if the body was dropped.
+    pub async fn send(&self, part: Bytes) -> bool {
+        self.parts.send(part).await.is_ok()
+    }
+
+    /// Waits until the body is dropped, as when the caller leaves.
+    pub async fn closed(&self) {
+        self.parts.closed().await;
+    }
+
+    /// Ends the body as whole.
+    pub fn finish(self) {
+        self.is_whole.store(true, Ordering::Release);
+    }
+}
 
 /// Streamed body whose parts are received from a channel.
 struct ChannelBody {
-    parts: mpsc::Receiver<Result<Bytes, AbortedBody>>,
+    parts: mpsc::Receiver<Bytes>,
+    is_whole: Arc<AtomicBool>,
 }
 
 impl Body for ChannelBody {
@@ -42,17 +69,28 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AbortedBody>>> {
-        self.parts
-            .poll_recv(context)
-            .map(|part| part.map(|part| part.map(Frame::data)))
+        Poll::Ready(match ready!(self.parts.poll_recv(context)) {
+            Some(part) => Some(Ok(Frame::data(part))),
+            None if self.is_whole.load(Ordering::Acquire) => None,
+            None => Some(Err(AbortedBody)),
+        })
     }
 }
 
 /// Number of parts that are queued for a slow caller before reading from the upstream pauses.
 const MAX_QUEUED_PARTS: usize = 16;
 
-/// Returns a streamed body and the sender of its parts. The body ends when the sender is dropped.
-pub(crate) fn channel() -> (PartSender, AnswerBody) {
-    let (sender, parts) = mpsc::channel(MAX_QUEUED_PARTS);
-    (sender, ChannelBody { parts }.boxed_unsync())
+/// Returns a streamed body and the sender of its parts.
+pub fn channel() -> (PartSender, AnswerBody) {
+    let (sender, receiver) = mpsc::channel(MAX_QUEUED_PARTS);
+    let is_whole = Arc::new(AtomicBool::new(false));
+    let sender = PartSender {
+        parts: sender,
+        is_whole: is_whole.clone(),
+    };
+    let body = ChannelBody {
+        parts: receiver,
+        is_whole,
+    };
+    (sender, body.boxed_unsync())
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,7 +2,9 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use hyper::{Request, Response, StatusCode, body::Incoming, header, http::request::Parts};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode, body::Incoming, header, http::request::Parts,
+};
 use jacinthpoint_adapter::{decode_prompt_parts, decode_prompt_tokens, headers};
 use jacinthpoint_dispatch::{RequestContent, retry_after_ms};
 use jacinthpoint_fleet::RouteMatch;
@@ -20,6 +22,7 @@
         refusal::{refuse, refuse_quarantined},
         retry::run,
     },
+    panics::{Panicked, catch_panic},
     state::{Gateway, Phase, Snapshot},
 };
 
@@ -41,6 +44,9 @@
 /// `Retry-After` for requests that a stop refuses. It is short because another gateway can serve the
 /// retry at once.
 const STOP_RETRY_AFTER_MS: u64 = 50;
+/// `Retry-After` for requests whose handling panicked before they were sent. Another gateway may serve the
+/// retry.
+const PANIC_RETRY_AFTER_MS: u64 = 500;
 /// `Retry-After` for requests on a connection above the maximum number.
 const SURPLUS_RETRY_AFTER_MS: u64 = 200;
 
@@ -49,17 +55,35 @@
 
 /// Handles a request and returns the response, which may be a stream that is still open.
 ///
-/// Refuses the request without sending it if the gateway is stopping, has no complete view of the
-/// fleet, finds no route, gets no valid API key for the route, finds no service to send it to, or
-/// cannot read the whole body. A request without a response at the end of the stop is answered as
-/// failed.
+/// A request whose handling panics is answered, too.
 pub(crate) async fn answer(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
     origin: Origin,
+) -> Response<AnswerBody> {
+    let request_id = request_id(request.headers());
+    let is_sent = Rc::new(Cell::new(false));
+    let handled = catch_panic(handle(gateway.clone(), request, origin, is_sent.clone())).await;
+    handled.unwrap_or_else(|Panicked| {
+        let why = "the handling of the request panicked";
+        let retry = PANIC_RETRY_AFTER_MS;
+        let not_run = ResultCode::NoCapacity;
+        refuse_unfinished(&gateway, &request_id, is_sent.get(), not_run, why, retry)
+    })
+}
+
+/// Refuses a request without sending it if the gateway is stopping, has no complete view of the fleet,
+/// finds no route, gets no valid API key for the route, finds no service to send it to, or cannot read
+/// the whole body; otherwise runs it. A request without a response at the end of the stop is answered
+/// as failed.
+async fn handle(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    origin: Origin,
+    is_sent: Rc<Cell<bool>>,
 ) -> Response<AnswerBody> {
     let (head, body) = request.into_parts();
-    let context = match admit(&gateway, &head, &origin) {
+    let context = match admit(&gateway, &head, &origin, &is_sent) {
         Ok(context) => context,
         Err(refusal) => {
             if let Origin::Caller(caller) = &origin {
@@ -70,7 +94,7 @@
         }
     };
     gateway.has_traffic.set(true);
-    let (request_id, is_sent) = (context.request_id.clone(), context.is_sent.clone());
+    let request_id = context.request_id.clone();
     let (not_run, why) = tokio::select! {
         biased;
         response = read_and_run(context, head, body) => return response,
@@ -83,16 +107,25 @@
             "the caller ended its sending side, and no answer came in time",
         ),
     };
-    match is_sent.get() {
-        true => refuse(&gateway, &request_id, ResultCode::UpstreamFailed, why, None),
-        false => refuse(
-            &gateway,
-            &request_id,
-            not_run,
-            why,
-            Some(STOP_RETRY_AFTER_MS),
-        ),
-    }
+    let retry = STOP_RETRY_AFTER_MS;
+    refuse_unfinished(&gateway, &request_id, is_sent.get(), not_run, why, retry)
+}
+
+/// Answers a request whose handling ended without an answer: as failed if it may have run, and with
+/// `not_run` otherwise.
+fn refuse_unfinished(
+    gateway: &Gateway,
+    request_id: &str,
+    is_sent: bool,
+    not_run: ResultCode,
+    why: &str,
+    retry_after_ms: u64,
+) -> Response<AnswerBody> {
+    let (code, retry_after_ms) = match is_sent {
+        true => (ResultCode::UpstreamFailed, None),
+        false => (not_run, Some(retry_after_ms)),
+    };
+    refuse(gateway, request_id, code, why, retry_after_ms)
 }
 
 /// Reads a request's body and runs the request.
@@ -123,12 +156,10 @@
     gateway: &Rc<Gateway>,
     head: &Parts,
     origin: &Origin,
+    is_sent: &Rc<Cell<bool>>,
 ) -> Result<Context, Box<Response<AnswerBody>>> {
     let open_guard = OpenRequestGuard::new(gateway.clone());
-    // Despite its name, the header holds one id for all attempts of the request.
-    let request_id = text(head, headers::ATTEMPT_ID)
-        .unwrap_or_default()
-        .to_owned();
+    let request_id = request_id(&head.headers);
     if *gateway.phase.borrow() >= Phase::Refusing {
         let why = "this gateway is stopping";
         let retry = Some(STOP_RETRY_AFTER_MS);
@@ -161,8 +192,9 @@
         )
         .into());
     };
-    let context = build_context(gateway, &snapshot, head, origin, request_id, open_guard)
+    let mut context = build_context(gateway, &snapshot, head, origin, request_id, open_guard)
         .map_err(|(code, why, request_id)| refuse(gateway, &request_id, code, why, None))?;
+    context.is_sent = is_sent.clone();
     if let Origin::Caller(caller) = origin {
         caller.on_deadline_known(context.deadline);
     }
@@ -250,6 +282,14 @@
     })
 }
 
+/// Returns the id that the caller sent for a request; empty if it sent none.
+fn request_id(fields: &HeaderMap) -> String {
+    // Despite its name, the header holds one id for all attempts of the request.
+    let id = fields.get(headers::ATTEMPT_ID);
+    let id = id.and_then(|id| id.to_str().ok());
+    id.unwrap_or_default().to_owned()
+}
+
 /// Returns the value of a header if it is visible ASCII text.
 fn text<'a>(head: &'a Parts, name: &str) -> Option<&'a str> {
     head.headers.get(name).and_then(|value| value.to_str().ok())
--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -18,7 +18,7 @@
 use rand::seq::SliceRandom;
 
 use crate::{
-    body::{AbortedBody, AnswerBody, channel, full_body},
+    body::{AnswerBody, channel, full_body},
     call::{
         answer,
         answer::is_framed,
@@ -207,15 +207,17 @@
                 () = parts.closed() => return,
             };
             let part = match frame {
-                None => return,
+                None => return parts.finish(),
                 Some(Ok(frame)) => match frame.into_data() {
-                    Ok(bytes) => Ok(bytes),
+                    Ok(bytes) => bytes,
                     Err(_) => continue,
                 },
-                Some(Err(_)) => Err(AbortedBody),
+                Some(Err(error)) => {
+                    tracing::debug!(%error, "a stream of another gateway broke off");
+                    return;
+                }
             };
-            let is_aborted = part.is_err();
-            if parts.send(part).await.is_err() || is_aborted {
+            if !parts.send(part).await {
                 return;
             }
         }
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -15,7 +15,7 @@
 use jacinthpoint_types::TimeMs;
 
 use crate::{
-    body::{AbortedBody, AnswerBody, PartSender, channel},
+    body::{AnswerBody, PartSender, channel},
     call::{
         answer::{is_framed, states_event_stream},
         attempt::{AttemptOutcome, OpenAnswer, OutgoingRequest, report_stall, send},
@@ -29,6 +29,7 @@
         retry::{AttemptHistory, choose},
     },
     events::log_event,
+    panics::catch_panic,
 };
 
 /// Time after the deadline in which the upstream may still end the stream itself.
@@ -87,7 +88,19 @@
         first_event_at: None,
         longest_gap_ms: 0,
     };
-    tokio::task::spawn_local(forwarder.run(open));
+    tokio::task::spawn_local(async move {
+        let context = forwarder.context.clone();
+        if catch_panic(forwarder.run(open)).await.is_err() {
+            log_event!(
+                warn,
+                RequestFailed,
+                request = context.request_id,
+                why = "the forwarding of a stream panicked",
+                "a stream failed before its end"
+            );
+            record_end(&context, StatusCode::OK, "broken", None);
+        }
+    });
     head.map(|()| body)
 }
 
@@ -103,7 +116,8 @@
             match end {
                 StreamEnd::Complete => {
                     context.gateway.loads.borrow_mut().on_success(&target.key);
-                    return self.record_end("answered");
+                    self.record_end("answered");
+                    return self.parts.finish();
                 }
                 StreamEnd::CallerLeft => {
                     log_event!(info, CallerLeft, request = context.request_id,
@@ -111,13 +125,13 @@
                         last_event = self.splitter.last_id(), "the caller left");
                     return self.record_end("caller-left");
                 }
-                StreamEnd::DeadlinePassed => return self.break_off("deadline-passed").await,
+                StreamEnd::DeadlinePassed => return self.break_off("deadline-passed"),
                 StreamEnd::Broken(why) => {
                     self.history.on_failure(&context, &target, "stream", &why);
                     record_failure(&context, &target);
                     match self.resume().await {
                         Some(next) => open = next,
-                        None => return self.break_off("broken").await,
+                        None => return self.break_off("broken"),
                     }
                 }
             }
@@ -237,7 +251,7 @@
             }
             in_flight.on_event();
             self.record_events(&target, &mut last_event_in_attempt_at);
-            if self.parts.send(Ok(events)).await.is_err() {
+            if !self.parts.send(events).await {
                 return StreamEnd::CallerLeft;
             }
         }
@@ -379,8 +393,7 @@
     }
 
     /// Ends the body without the last chunk, and records the failure.
-    async fn break_off(self, outcome: &'static str) {
-        let _ = self.parts.send(Err(AbortedBody)).await;
+    fn break_off(self, outcome: &'static str) {
         log_event!(
             warn,
             RequestFailed,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,7 +23,7 @@
 };
 
 mod alarm;
-mod body;
+pub mod body;
 mod call;
 mod clock;
 mod connection;
@@ -37,6 +37,7 @@
 mod load_reports;
 mod metrics;
 mod owner;
+pub mod panics;
 mod pauses;
 mod peers;
 mod pool;
