Gateway: an earlier answer of the store that comes once more acknowledges no write

A gateway held itself for the owner of the groups although the store had refused its write of the lease, and sent orders beside the owner's. Callers would see groups that two gateways form and close. The cause: answers of the store carry no id, and calls share a connection, so an answer that the store writes once more, when the next call is on its way, was taken for the answer to that call: the read of the lease and a write of it answer with the same object.

gateway::repeated_answers::repeated_answer_of_the_store_gains_no_lease plays this with a proxy in front of the store.

Why it works: a replacement counts only if the answer names the object and a later revision than the expected one (or the written content, since a write that changes nothing leaves the revision), and a conflict only if the object differs from what was expected. Otherwise the outcome is unknown and the connection is closed. Creations and removals, which are rare and have nothing to check, go on a connection of their own. An answer that cannot be decoded closes the connection, too.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -169,7 +169,7 @@
         // A relay that has just started answers when it has read the list.
         let wait_ms = if self.is_relayed { MAX_LIST_HOLD_MS } else { 0 };
         let Answer { body, era, .. } = self.read(&path, wait_ms).await?;
-        decode_list(&body, era).map_err(StoreError::Unreadable)
+        self.decoded(decode_list(&body, era))
     }
 
     /// Returns all objects of a kind, with the position from which a watch continues. Fails with
@@ -211,7 +211,7 @@
         };
         self.count(kind, CallType::Watch);
         let Answer { body, era, .. } = self.read(&path, wait_ms).await?;
-        decode_events(&body, era).map_err(StoreError::Unreadable)
+        self.decoded(decode_events(&body, era))
     }
 
     /// Returns one object, in a state that may be seconds old; `None` if it does not exist.
@@ -222,9 +222,7 @@
     ) -> Result<Option<StoredObject>, StoreError> {
         self.count(kind, CallType::OldRead);
         match self.read(&paths::stale_object(kind, name), 0).await {
-            Ok(answer) => decode_object(&answer.body)
-                .map(Some)
-                .map_err(StoreError::Unreadable),
+            Ok(answer) => self.decoded(decode_object(&answer.body)).map(Some),
             Err(StoreError::Refused(404)) => Ok(None),
             Err(error) => Err(error),
         }
@@ -239,11 +237,17 @@
     ) -> Result<StoredObject, StoreError> {
         let body = encode_object(name, None, content);
         self.count(kind, CallType::Write);
-        self.write(Method::POST, &paths::kind(kind), body).await
+        // Nothing in the answer tells it from an earlier one to a creation of this name.
+        self.connection = None;
+        let path = paths::kind(kind);
+        let body = self.send_write(Method::POST, &path, body).await?;
+        self.decoded(decode_object(&body))
     }
 
     /// Replaces an object if its revision is `expected`; fails with [`StoreError::Conflict`]
     /// otherwise.
+    ///
+    /// An earlier answer on the connection that comes once more is recognised by its object.
     pub(crate) async fn replace(
         &mut self,
         kind: &'static str,
@@ -253,8 +257,23 @@
     ) -> Result<StoredObject, StoreError> {
         let body = encode_object(name, Some(expected), content);
         self.count(kind, CallType::Write);
-        self.write(Method::PUT, &paths::object(kind, name), body)
-            .await
+        let path = paths::object(kind, name);
+        match self.send_write(Method::PUT, &path, body).await {
+            Ok(body) => {
+                let object = self.decoded(decode_object(&body))?;
+                // A write that changes nothing leaves the revision as it is.
+                let is_after = object.revision > expected || object.content == *content;
+                if object.name == name && is_after {
+                    return Ok(object);
+                }
+            }
+            Err(StoreError::Conflict(Some(current)))
+                if current.name != name || current.revision == expected => {}
+            Err(error) => return Err(error),
+        }
+        self.connection = None;
+        let why = "the answer belongs to an earlier call";
+        Err(StoreError::NoAnswer(why.to_owned()))
     }
 
     /// Removes an object if its revision is `expected`; fails with [`StoreError::Conflict`]
@@ -267,6 +286,8 @@
     ) -> Result<(), StoreError> {
         let path = paths::object_at(kind, name, expected);
         self.count(kind, CallType::Write);
+        // The answer need not name the object.
+        self.connection = None;
         self.send_write(Method::DELETE, &path, Vec::new()).await?;
         Ok(())
     }
@@ -291,15 +312,12 @@
         }
     }
 
-    /// Sends a write and returns the written object.
-    async fn write(
-        &mut self,
-        method: Method,
-        path: &str,
-        body: Vec<u8>,
-    ) -> Result<StoredObject, StoreError> {
-        let body = self.send_write(method, path, body).await?;
-        decode_object(&body).map_err(StoreError::Unreadable)
+    /// Closes the connection if its last answer could not be decoded: it may be that to another call.
+    fn decoded<T>(&mut self, result: Result<T, DecodeError>) -> Result<T, StoreError> {
+        result.map_err(|error| {
+            self.connection = None;
+            StoreError::Unreadable(error)
+        })
     }
 
     /// Sends a write and returns the body of the answer to a successful one.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -27,6 +27,7 @@
 mod link_cuts;
 mod mixed_builds;
 mod records_at_stop;
+mod repeated_answers;
 mod reported_faults;
 mod restored_store;
 mod site;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -50,6 +50,16 @@
     settings_path: String,
 }
 
+/// How gateways reach the store.
+#[derive(Clone, Copy)]
+enum StoreAccess<'a> {
+    Direct,
+    /// Each through a view of its own.
+    Views,
+    /// All through the proxy that this function starts.
+    Proxy(&'a dyn Fn(SocketAddr) -> SocketAddr),
+}
+
 /// Stand-ins of the platform and gateways of one test.
 pub struct Site {
     pub platform: Platform,
@@ -103,25 +113,35 @@
 impl Site {
     /// Starts stand-ins and gateways and waits until the gateways are ready and all groups open.
     pub fn start(gateways: usize) -> Site {
-        Site::start_with(gateways, None, false, "")
+        Site::start_with(gateways, None, StoreAccess::Direct, "")
     }
 
     /// Like [`Site::start`], with more lines in the settings file of each gateway.
     pub fn start_with_settings(gateways: usize, more_settings: &str) -> Site {
-        Site::start_with(gateways, None, false, more_settings)
+        Site::start_with(gateways, None, StoreAccess::Direct, more_settings)
     }
 
     /// Like [`Site::start`], with a fault proxy between the gateways and the store and engines. On
     /// the proxy, gateways are named by [`gateway_name`], the store [`STORE`], and engines by their
     /// id.
     pub fn start_behind_links(gateways: usize, seed: u64) -> Site {
-        Site::start_with(gateways, Some(Arc::new(Links::start(seed))), false, "")
+        let links = Some(Arc::new(Links::start(seed)));
+        Site::start_with(gateways, links, StoreAccess::Direct, "")
     }
 
     /// Like [`Site::start`], but each gateway can be partitioned from all upstreams. Each is in a data
     /// centre of its own, so that none reads the store through another one.
     pub fn start_with_store_views(gateways: usize) -> Site {
-        Site::start_with(gateways, None, true, "")
+        Site::start_with(gateways, None, StoreAccess::Views, "")
+    }
+
+    /// Like [`Site::start`], but the gateways reach the store at the address that `start_proxy` returns for
+    /// the store's.
+    pub fn start_behind_store_proxy(
+        gateways: usize,
+        start_proxy: &dyn Fn(SocketAddr) -> SocketAddr,
+    ) -> Site {
+        Site::start_with(gateways, None, StoreAccess::Proxy(start_proxy), "")
     }
 
     /// Partitions a gateway from all upstreams, or ends that: new connections are refused while open ones
@@ -151,7 +171,7 @@
     fn start_with(
         gateways: usize,
         links: Option<Arc<Links>>,
-        has_store_views: bool,
+        store_access: StoreAccess<'_>,
         more_settings: &str,
     ) -> Site {
         let specs = (0..2 * ENGINES_PER_DOMAIN).map(|index| EngineSpec {
@@ -175,16 +195,20 @@
             folder,
         };
         site.put_config(&[KEY]);
+        let store_proxy = match store_access {
+            StoreAccess::Proxy(start) => Some(start(site.platform.store.address)),
+            StoreAccess::Direct | StoreAccess::Views => None,
+        };
         for index in 0..gateways {
             let own = own_loopback_address();
             let [callers, readiness, metrics, peers] = free_addresses(own);
-            let store = site.platform.store.address;
+            let store = store_proxy.unwrap_or(site.platform.store.address);
             let name = gateway_name(index);
             let store = match &site.links {
                 Some(links) => links.route(Some(&name), STORE, "tcp", Some(store)),
                 None => store,
             };
-            let (store, data_centre) = if has_store_views {
+            let (store, data_centre) = if matches!(store_access, StoreAccess::Views) {
                 let view = StoreView::start(store);
                 let address = view.address;
                 site.store_views.push(view);
