Gateway: each order to an engine has a connection of its own

An answer to an order carries no id, and orders shared a connection with probes, health checks and earlier orders. An answer that an engine writes once more, such as the 200 to a report, would then be taken for the answer to an order, where it means "carried out": a member that never joined counts as ready, and callers' requests reach a group that is not whole. The same for a health check, whose 200 means that an engine stays.

gateway::repeated_answers::each_order_is_the_first_request_on_its_connection: on (its program code) 12 of 12 orders were not the first request on their connection; 0 now. The confusion itself was not played with engines; it is that of the plain service and the store.

Why it works: the first answer on a connection belongs to its first request. Orders and health checks are rare next to requests, so the price is a few connections. Probes keep theirs: an earlier report is only older.

--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -45,7 +45,7 @@
     work: BTreeMap<ServiceId, WorkMeter>,
     /// Time of the last stream event of each group that was reported to its planner.
     reported_events: BTreeMap<TargetKey, TimeMs>,
-    /// Idle connections to upstreams for orders, probes and health checks.
+    /// Idle connections to upstreams for probes.
     connections: BTreeMap<VmId, Connection>,
 }
 
@@ -216,6 +216,16 @@
     silent
 }
 
+/// Connection of a call to an upstream. Answers have no id, so one that the upstream writes once more may be
+/// taken for that to the next call on the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionUse {
+    /// One of earlier calls of this kind, if there is any. An earlier report is only older than the present one.
+    Kept,
+    /// A connection for this call alone.
+    Own,
+}
+
 /// The context in which one action of a planner is executed.
 struct Execution {
     gateway: Rc<Gateway>,
@@ -261,6 +271,7 @@
                 (Method::GET, paths::REPORT),
                 Bytes::new(),
                 PROBE_TIMEOUT_MS,
+                ConnectionUse::Kept,
             )
             .await;
         let report: Option<EngineReport> = match answer {
@@ -299,7 +310,14 @@
         let Some(service) = service else { return };
         let call = (Method::GET, service.health_path.as_str());
         let answer = self
-            .call(id, address, call, Bytes::new(), PROBE_TIMEOUT_MS)
+            .call(
+                id,
+                address,
+                call,
+                Bytes::new(),
+                PROBE_TIMEOUT_MS,
+                ConnectionUse::Own,
+            )
             .await;
         let Some((status, _)) = answer else { return };
         let is_healthy = status == 200;
@@ -323,6 +341,7 @@
                 (Method::POST, paths::ORDER),
                 body,
                 ORDER_TIMEOUT_MS,
+                ConnectionUse::Own,
             )
             .await
         {
@@ -347,8 +366,8 @@
         self.update_planner(|planner| planner.on_answer(&order, answer, now));
     }
 
-    /// Sends a request to an upstream on its idle connection or a new one, and returns the status
-    /// and body of the answer; `None` if there is none within `timeout_ms`.
+    /// Sends a request to an upstream and returns the status and body of the answer; `None` if there
+    /// is none within `timeout_ms`.
     async fn call(
         &self,
         id: &VmId,
@@ -356,8 +375,11 @@
         (method, path): (Method, &str),
         body: Bytes,
         timeout_ms: u64,
+        connection_use: ConnectionUse,
     ) -> Option<(u16, Bytes)> {
-        let idle = self.planners.borrow_mut().connections.remove(id);
+        let is_kept = connection_use == ConnectionUse::Kept;
+        let idle = is_kept.then(|| self.planners.borrow_mut().connections.remove(id));
+        let idle = idle.flatten();
         let exchange = async {
             let mut connection = match idle.filter(Connection::is_ready) {
                 Some(connection) => connection,
@@ -380,10 +402,10 @@
         };
         let answer = timeout(Duration::from_millis(timeout_ms), exchange).await;
         let (status, body, connection) = answer.ok().flatten()?;
-        self.planners
-            .borrow_mut()
-            .connections
-            .insert(id.clone(), connection);
+        if is_kept {
+            let connections = &mut self.planners.borrow_mut().connections;
+            connections.insert(id.clone(), connection);
+        }
         Some((status, body))
     }
 }
--- a/tests/gateway/repeated_answers.rs
+++ b/tests/gateway/repeated_answers.rs
@@ -1,4 +1,4 @@
-//! Answers of the store, which have no id, that come once more on a kept connection.
+//! Answers without an id that come once more on a kept connection: of the store, and of engines to orders.
 
 use std::{
     io::{self, Read, Write},
@@ -111,3 +111,13 @@
     assert!(refused > 1, "{refused} attempts to take the lease over");
     assert_eq!(writes.refused_renewals.load(Ordering::SeqCst), 0);
 }
+
+/// Guards against an order that counts as carried out because an earlier answer of the engine comes once
+/// more: answers to orders have no id, so only the first one on a connection is known to belong to its order.
+#[test]
+fn each_order_is_the_first_request_on_its_connection() {
+    let site = Site::start(1);
+    let (orders, on_used) = site.platform.engines.orders();
+    assert!(orders > 0, "groups were formed");
+    assert_eq!(on_used, 0, "of {orders} orders");
+}
