Tests: a request whose body does not arrive is answered with 408

No fault: the answer was right and had no test. It comes at the deadline, says `Connection: close`, and the request has not run.

--- a/tests/gateway/unusual_callers.rs
+++ b/tests/gateway/unusual_callers.rs
@@ -13,7 +13,7 @@
 };
 
 use jacinthpoint_adapter::{headers, paths};
-use jacinthpoint_platform_standins::{PlainFault, Reply, ReplyEnd};
+use jacinthpoint_platform_standins::{PlainFault, Reply, ReplyEnd, RequestLimits};
 use serde_json::json;
 
 use crate::gateway::{
@@ -21,7 +21,7 @@
     caller::{Request, join_all},
     kept_caller::{KeptCaller, Outcome},
     pause_ms,
-    site::{ROUTE_TIMEOUT_MS, Site},
+    site::{KEY, ROUTE_TIMEOUT_MS, Site},
 };
 
 /// Time after SIGTERM at which idle connections end, and some time to act on it.
@@ -522,3 +522,30 @@
     }
     assert!(faults.is_empty(), "of {}: {faults:#?}", outcomes.len());
 }
+
+/// Guards against a caller that gets no answer because the body of its request does not arrive, and against
+/// bytes that come later and are taken for another request.
+#[test]
+fn request_whose_body_does_not_arrive_is_answered() {
+    const TIMEOUT_MS: u64 = 1_500;
+    let site = Site::start(1);
+    site.put_config_with(&[KEY], TIMEOUT_MS, RequestLimits::default());
+    pause_ms(CONFIG_APPLY_MS);
+    let request = Request {
+        body: "a body of which one half arrives",
+        ..Request::once("late")
+    };
+    let text = request.to_text();
+    let mut caller = KeptCaller::new(site.gateway(0));
+    let sent = &text[..text.len() - request.body.len() / 2];
+    let written = caller.write([sent.as_bytes()]).expect("it is connected");
+    written.expect("it can be written");
+    let began = Instant::now();
+    let answer = caller.read_answer(ROUTE_TIMEOUT_MS).whole();
+    assert_eq!(answer.status, 408);
+    assert!(answer.announces_close());
+    let elapsed = began.elapsed();
+    let latest = Duration::from_millis(TIMEOUT_MS + 500);
+    assert!(elapsed <= latest, "{elapsed:?}");
+    assert!(site.platform.runs.of("late").is_empty());
+}
