Gateway: accept errors of all listeners are logged

An operator saw nothing if connections of other gateways, or those to the readiness and metrics addresses, could not be accepted, as without descriptors: only the callers' listener logged this (event 705). Found by reading; a lack of descriptors was not provoked, and there is no test.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -118,9 +118,14 @@
 ) {
     let respond = Rc::new(respond);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep_ms(ACCEPT_PAUSE_MS).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log_event!(warn, AcceptFailed, %error,
+                    "a connection to the readiness or metrics address could not be accepted");
+                sleep_ms(ACCEPT_PAUSE_MS).await;
+                continue;
+            }
         };
         let respond = respond.clone();
         tokio::task::spawn_local(async move {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,6 +36,7 @@
     call,
     clock::sleep_ms,
     connection::set_peer_options,
+    events::log_event,
     state::{Gateway, OpenConnectionGuard},
     watch,
 };
@@ -293,9 +294,14 @@
 /// elsewhere.
 pub(crate) async fn serve_gateways(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep_ms(ACCEPT_PAUSE_MS).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log_event!(warn, AcceptFailed, %error,
+                    "a connection of another gateway could not be accepted");
+                sleep_ms(ACCEPT_PAUSE_MS).await;
+                continue;
+            }
         };
         let gateway = gateway.clone();
         tokio::task::spawn_local(async move {
