Gateway: a forwarded request that lies unread in a gateway that exits has not run

Callers of a gateway that reaches no upstream got 502, "may have run", for a request that had not: it was forwarded to a gateway that exited with the request unread in its listener's queue. The cause: the listener for other gateways stayed open until the process exited, unlike that for callers.

gateway::unreachable_upstreams::request_that_is_forwarded_to_an_exiting_gateway_is_refused stops the other gateway's process between the end of its listeners and its exit. On: 502; now 503, passes.

Why it works: at the phase "ending" the listener's queue is accepted and served, as for callers, and the listener closes. A later forwarded request is refused by the operating system, which shows that it has not run.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -69,7 +69,7 @@
 
 /// Accepts the connections that wait in a listener's queue, which would be reset otherwise, and closes the
 /// listener. Returns what was accepted, and the error that ended it if there was one.
-fn accept_queued(listener: TcpListener) -> (Vec<TcpStream>, Option<io::Error>) {
+pub(crate) fn accept_queued(listener: TcpListener) -> (Vec<TcpStream>, Option<io::Error>) {
     let listener = match listener.into_std() {
         Ok(listener) => listener,
         Err(error) => return (Vec::new(), Some(error)),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -29,15 +29,19 @@
 };
 use jacinthpoint_fleet::{HistoryPosition, StoreEra};
 use jacinthpoint_types::TimeMs;
-use tokio::{net::TcpListener, sync::Notify};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+};
 
 use crate::{
     body::{AnswerBody, full_body},
     call,
     clock::sleep_ms,
     connection::set_peer_options,
+    edge::accept_queued,
     events::log_event,
-    state::{Gateway, OpenConnectionGuard},
+    state::{Gateway, OpenConnectionGuard, Phase},
     watch,
 };
 
@@ -287,47 +291,68 @@
     }
 }
 
-/// Accepts connections of other gateways and answers their calls, for ever.
+/// Accepts connections of other gateways and answers their calls, until the gateway ends all connections.
 ///
-/// A connection counts as open from its first forwarded request on, whose gateway closes it after the
-/// answer. Connections with other calls do not count: these are reads, which the calling gateway repeats
-/// elsewhere.
+/// Those that wait in the listener's queue are served, and later ones refused by the operating system, so
+/// that no forwarded request lies unread when the process exits.
 pub(crate) async fn serve_gateways(gateway: Rc<Gateway>, listener: TcpListener) {
+    let mut phase = gateway.phase.subscribe();
+    let ending = phase.wait_for(|phase| *phase >= Phase::Ending);
+    let mut ending = std::pin::pin!(ending);
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let accepted = tokio::select! {
+            biased;
+            _ = ending.as_mut() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => begin_serving(&gateway, stream),
             Err(error) => {
                 log_event!(warn, AcceptFailed, %error,
                     "a connection of another gateway could not be accepted");
                 sleep_ms(ACCEPT_PAUSE_MS).await;
-                continue;
             }
-        };
-        let gateway = gateway.clone();
-        tokio::task::spawn_local(async move {
-            set_peer_options(&stream);
-            let guard = OnceCell::new();
-            let service = service_fn(|request: Request<Incoming>| {
-                let gateway = gateway.clone();
-                let is_forwarded = request.headers().contains_key(call::FORWARDED_BY);
-                if is_forwarded {
-                    guard.get_or_init(|| OpenConnectionGuard::new(&gateway));
-                }
-                async move {
-                    Ok::<_, Infallible>(if is_forwarded {
-                        call::answer_forwarded(gateway, request).await
-                    } else {
-                        answer(&gateway, request).await
-                    })
-                }
-            });
-            let result = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(error) = result {
-                tracing::debug!(%error, "a connection of another gateway ended");
+        }
+    }
+    let (queued, error) = accept_queued(listener);
+    for stream in queued {
+        begin_serving(&gateway, stream);
+    }
+    if let Some(error) = error {
+        log_event!(warn, AcceptFailed, %error,
+            "queued connections of other gateways could not be accepted");
+    }
+}
+
+/// Serves a connection of another gateway in a task of its own.
+///
+/// It counts as open from its first forwarded request on, whose gateway closes it after the answer.
+/// Connections with other calls do not count: these are reads, which the calling gateway repeats elsewhere.
+fn begin_serving(gateway: &Rc<Gateway>, stream: TcpStream) {
+    let gateway = gateway.clone();
+    tokio::task::spawn_local(async move {
+        set_peer_options(&stream);
+        let guard = OnceCell::new();
+        let service = service_fn(|request: Request<Incoming>| {
+            let gateway = gateway.clone();
+            let is_forwarded = request.headers().contains_key(call::FORWARDED_BY);
+            if is_forwarded {
+                guard.get_or_init(|| OpenConnectionGuard::new(&gateway));
+            }
+            async move {
+                Ok::<_, Infallible>(if is_forwarded {
+                    call::answer_forwarded(gateway, request).await
+                } else {
+                    answer(&gateway, request).await
+                })
             }
         });
-    }
+        let result = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service)
+            .await;
+        if let Err(error) = result {
+            tracing::debug!(%error, "a connection of another gateway ended");
+        }
+    });
 }
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -8,12 +8,13 @@
     time::{Duration, Instant},
 };
 
-use jacinthpoint_platform_standins::PlainFault;
+use jacinthpoint_platform_standins::{PlainFault, RequestLimits};
 use serde_json::json;
 
 use crate::gateway::{
+    CONFIG_APPLY_MS,
     caller::{Answer, End, Request, join_all},
-    site::{Site, gateway_name},
+    site::{KEY, Site, gateway_name},
 };
 
 /// Time from which requests at a partitioned gateway have to be served.
@@ -258,3 +259,40 @@
     let answer = caller.join().expect("the caller does not panic");
     assert_eq!((answer.status, answer.end), (200, End::Whole));
 }
+
+/// Guards against a forwarded request whose outcome counts as unknown although it has not run: it lay unread
+/// in a gateway that exited. The other gateway stands still from near the end of its grace time on.
+#[test]
+fn request_that_is_forwarded_to_an_exiting_gateway_is_refused() {
+    const TIMEOUT_MS: u64 = 30_000;
+    /// Time after SIGTERM between the end of the listeners and the exit.
+    const ENDING_FOR: Duration = Duration::from_millis(7_450);
+    const STANDSTILL: Duration = Duration::from_millis(1_000);
+    let (mut site, partitioned) = partitioned_site_of(2);
+    let exiting = 1 - partitioned;
+    site.put_config_with(&[KEY], TIMEOUT_MS, RequestLimits::default());
+    thread::sleep(Duration::from_millis(CONFIG_APPLY_MS));
+    site.platform.engines.set_stream(300, 100);
+    let address = site.gateway(exiting);
+    // Keeps the exiting gateway until the end of its grace time.
+    let long = Request {
+        timeout_ms: TIMEOUT_MS,
+        deadline_ms: TIMEOUT_MS,
+        ..Request::stream("long")
+    };
+    let streaming = thread::spawn(move || long.send(address));
+    site.wait_for_run("long");
+    site.signal(exiting, "TERM");
+    thread::sleep(ENDING_FOR);
+    site.signal(exiting, "STOP");
+    let address = site.gateway(partitioned);
+    let forwarding = thread::spawn(move || Request::once("forwarded").send(address));
+    thread::sleep(STANDSTILL);
+    site.signal(exiting, "CONT");
+    assert!(site.wait_for_end(exiting, 2_000));
+    let answer = forwarding.join().expect("the caller does not panic");
+    assert_eq!(answer.status, 503);
+    assert!(site.platform.runs.of("forwarded").is_empty());
+    let answer = streaming.join().expect("the caller does not panic");
+    assert_eq!(answer.end, End::Broken, "the gateway ran until then");
+}
