--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -80,7 +80,7 @@
 
 /// Accepts the connections that wait in a listener's queue, which would be reset otherwise, and closes the
 /// listener. Returns what was accepted, and the error that ended it if there was one.
-fn accept_queued(listener: TcpListener) -> (Vec<TcpStream>, Option<io::Error>) {
+pub(crate) fn accept_queued(listener: TcpListener) -> (Vec<TcpStream>, Option<io::Error>) {
     let listener = match listener.into_std() {
         Ok(listener) => listener,
         Err(error) => return (Vec::new(), Some(error)),
@@ -129,9 +129,14 @@
 ) {
     let respond = Rc::new(respond);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep_ms(ACCEPT_PAUSE_MS).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log_event!(warn, AcceptFailed, %error,
+                    "a connection to the readiness or metrics address could not be accepted");
+                sleep_ms(ACCEPT_PAUSE_MS).await;
+                continue;
+            }
         };
         let respond = respond.clone();
         tokio::task::spawn_local(async move {
