Test: answers of an upstream that closes before it has read the whole request (red)

Log of these: "error writing a body to connection", and event 742, a suspected crash, for each. The answer had arrived whole before the reset: a trial with sockets alone (loopback) could read it after the failed write in 50 of 50 tries.

--- a/tests/gateway/slow_upstreams.rs
+++ b/tests/gateway/slow_upstreams.rs
@@ -33,6 +33,8 @@
     AfterPause,
     /// It answers, and never reads the body.
     Never,
+    /// It answers, and closes the connection at once, which resets it.
+    NeverAndCloses,
 }
 
 /// Starts an upstream with a small receive buffer, and returns its address.
@@ -90,8 +92,10 @@
             headers::SEAL
         );
         stream.write_all(answer.as_bytes())?;
-        if length > 0 && reading == BodyReading::Never {
-            pause_ms(UNREAD_MS);
+        if length > 0 && reading != BodyReading::AfterPause {
+            if reading == BodyReading::Never {
+                pause_ms(UNREAD_MS);
+            }
             return Ok(());
         }
     }
@@ -165,3 +169,20 @@
         open_connections_to(address.port()) == 0
     });
 }
+
+/// Guards against an answer that arrived whole and is lost, because the rest of the request cannot be sent.
+#[test]
+fn answers_of_an_upstream_that_closes_before_it_has_read_the_request_are_passed_on() {
+    const REQUESTS: usize = 10;
+    let site = start_site(start_upstream(BodyReading::NeverAndCloses));
+    let body = "x".repeat(BODY_BYTES);
+    let answers = (0..REQUESTS).map(|index| {
+        let request = Request {
+            body: &body,
+            ..Request::once(&format!("unread-{index}"))
+        };
+        request.send(site.gateway(0))
+    });
+    let statuses: Vec<_> = answers.map(|answer| answer.status).collect();
+    assert_eq!(statuses, [200; REQUESTS]);
+}
