Test: callers of HTTP/1.0 that keep their connections, across a stop (one red)

The HTTP library adds keep-alive to an answer of version 1.1 for a caller of version 1.0 that asked for it.

--- a/tests/gateway/stop_combinations.rs
+++ b/tests/gateway/stop_combinations.rs
@@ -25,6 +25,8 @@
 
 /// Time within which a gateway ends after SIGTERM.
 const GRACE_MS: u64 = 8_000;
+/// Time after SIGTERM at which answers say that their connection closes, while requests are still served.
+const CLOSING_FOR_MS: u64 = 1_900;
 /// Time after SIGTERM from which new requests are refused, and some time for the gateway to do so.
 const REFUSED_FROM_MS: u64 = 2_600 + 300;
 
@@ -233,3 +235,73 @@
     assert!(!answer.announces_close());
     assert_eq!(caller.send(&Request::once("next")).whole().status, 200);
 }
+
+/// Returns a request of a caller of HTTP/1.0 that keeps its connection.
+fn old_request(id: &str) -> String {
+    let version = "HTTP/1.0\r\nConnection: keep-alive\r\n";
+    Request::once(id)
+        .to_text()
+        .replacen("HTTP/1.1\r\n", version, 1)
+}
+
+/// Guards against an answer that tells a caller of HTTP/1.0 that its connection closes, and that it stays
+/// open.
+#[test]
+fn last_answer_to_an_old_caller_announces_only_the_close() {
+    let site = Site::start(1);
+    let mut caller = KeptCaller::new(site.gateway(0));
+    let statements = ["before", "closing"].map(|id| {
+        let written = caller.write([old_request(id).as_bytes()]);
+        written.expect("it is connected").expect("it is written");
+        let answer = caller.read_answer(ROUTE_TIMEOUT_MS).whole();
+        if id == "before" {
+            site.signal(0, "TERM");
+            pause_ms(CLOSING_FOR_MS);
+        }
+        answer.header("connection").map(str::to_owned)
+    });
+    let expected = ["keep-alive", "close"].map(|option| Some(option.to_owned()));
+    assert_eq!(statements, expected);
+}
+
+/// Guards against rule LOST: kept connections of HTTP/1.0 that end without an answer at a stop.
+#[test]
+fn old_callers_that_keep_their_connections_are_answered_across_a_stop() {
+    let mut site = Site::start(1);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let senders = (0..16).map(|caller| {
+        let (address, is_over) = (site.gateway(0), is_over.clone());
+        thread::spawn(move || {
+            let mut kept = KeptCaller::new(address);
+            let mut outcomes = Vec::new();
+            while !is_over.load(Ordering::SeqCst) {
+                let id = format!("old-{caller}-{}", outcomes.len());
+                if kept.write([old_request(&id).as_bytes()]).is_none() {
+                    pause_ms(20);
+                    continue;
+                }
+                let outcome = kept.read_answer(ROUTE_TIMEOUT_MS);
+                if let Outcome::Whole(answer) = &outcome
+                    && let Some(options) = answer.header("connection")
+                    && options.split(',').any(|option| option.trim() == "close")
+                {
+                    kept = KeptCaller::new(address);
+                }
+                outcomes.push((id, outcome));
+                pause_ms(3);
+            }
+            outcomes
+        })
+    });
+    let senders: Vec<_> = senders.collect();
+    pause_ms(500);
+    site.signal(0, "TERM");
+    assert!(site.wait_for_end(0, GRACE_MS), "it ends in time");
+    is_over.store(true, Ordering::SeqCst);
+    let outcomes: Vec<_> = join_all(senders).into_iter().flatten().collect();
+    let faults = outcomes.iter();
+    let faults = faults.filter_map(|(id, outcome)| fault(&site, id, outcome));
+    let faults: Vec<_> = faults.collect();
+    let (count, requests) = (faults.len(), outcomes.len());
+    assert!(count == 0, "{count} of {requests}: {:?}", &faults[0]);
+}
