--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -8,12 +8,14 @@
     time::{Duration, Instant},
 };
 
-use jacinthpoint_platform_standins::PlainFault;
+use jacinthpoint_platform_standins::{PlainFault, RequestLimits};
 use serde_json::json;
 
 use crate::gateway::{
+    CONFIG_APPLY_MS,
     caller::{Answer, End, Request, join_all},
-    site::{Site, gateway_name},
+    pause_ms,
+    site::{KEY, ROUTE_TIMEOUT_MS, Site, gateway_name},
 };
 
 /// Time from which requests at a partitioned gateway have to be served.
@@ -258,3 +260,37 @@
     let answer = caller.join().expect("the caller does not panic");
     assert_eq!((answer.status, answer.end), (200, End::Whole));
 }
+
+/// Guards against a refusal of a forwarded request that is lost because the rest of a long body cannot be
+/// sent: callers are told that the request may have run, and no other gateway gets it.
+#[test]
+fn long_request_that_another_gateway_does_not_take_is_refused() {
+    const SENDERS: usize = 16;
+    const BODY_BYTES: usize = 3_000_000;
+    let (site, partitioned) = partitioned_site_of(2);
+    let limits = RequestLimits {
+        max_body_bytes: BODY_BYTES,
+        ..RequestLimits::default()
+    };
+    site.put_config_with(&[KEY], ROUTE_TIMEOUT_MS, limits);
+    pause_ms(CONFIG_APPLY_MS);
+    // It takes no forwarded requests from now on.
+    site.signal(1 - partitioned, "TERM");
+    pause_ms(300);
+    let address = site.gateway(partitioned);
+    let senders = (0..SENDERS).map(|index| {
+        // A gateway that did not take a request gets no others for a second.
+        let begin_ms = if index < SENDERS / 2 { 0 } else { 1_200 };
+        thread::spawn(move || {
+            pause_ms(begin_ms);
+            let body = "x".repeat(BODY_BYTES);
+            let request = Request {
+                body: &body,
+                ..Request::once(&format!("long-{index}"))
+            };
+            request.send(address).status
+        })
+    });
+    let statuses = join_all(senders.collect::<Vec<_>>());
+    assert_eq!(statuses, [503; SENDERS]);
+}
