--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -158,7 +158,9 @@
         }
         Outcome::Unanswered(_) | Outcome::NotConnected => {}
     }
-    let is_answered = matches!(outcome, Outcome::Whole(_) | Outcome::NotConnected);
+    let is_failed =
+        matches!(outcome, Outcome::Whole(answer) if [502, 504].contains(&answer.status));
+    let is_answered = !is_failed && matches!(outcome, Outcome::Whole(_) | Outcome::NotConnected);
     assert!(
         is_answered || faults.explains(sent),
         "request {id} at gateway {} got no whole answer after {:?}, and no fault explains it: {}, \
