Gateway: an answer that comes before the whole request was sent is passed on

What callers saw: an upstream that answered a long request before it had read the body, and closed, was taken for one that crashed: 502, though its answer had arrived whole (7 to 9 of 10 requests), and a suspected crash for each. A gateway that does not take a forwarded long request did the same to the one that forwards (502 in place of 503). Found by review.

A failed write is not reported to the library; what can be read decides, an answer or the end of the connection. Such a connection takes no further request.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -68,6 +68,9 @@
 
 /// Stream that fails once more bytes were read than allowed, and while the bytes of short requests are
 /// not acknowledged in time.
+///
+/// A failed write is not reported, because the HTTP library would not read on: a peer may answer before it
+/// has read the whole request, and close. What follows in the stream decides, an answer or its end.
 struct MeteredStream {
     stream: TcpStream,
     /// Number of bytes that may still be read.
@@ -76,6 +79,8 @@
     unanswered_bytes: usize,
     /// Whether unacknowledged bytes fail the connection after [`MAX_UNACKNOWLEDGED_MS`].
     has_send_limit: bool,
+    /// Whether a write has failed. Further bytes are dropped.
+    has_write_failed: Rc<Cell<bool>>,
 }
 
 impl MeteredStream {
@@ -89,6 +94,21 @@
             set_send_limit(&self.stream, None);
         }
     }
+
+    /// Handles the result of a write of `length` bytes; returns the number of bytes that count as written.
+    fn on_write(&mut self, written: io::Result<usize>, length: usize) -> usize {
+        match written {
+            Ok(count) => {
+                self.on_written(count);
+                count
+            }
+            Err(error) => {
+                tracing::debug!(%error, "a write failed; the connection is read to its end");
+                self.has_write_failed.set(true);
+                length
+            }
+        }
+    }
 }
 
 impl AsyncRead for MeteredStream {
@@ -117,9 +137,11 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let count = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
-        self.on_written(count);
-        Poll::Ready(Ok(count))
+        if self.has_write_failed.get() {
+            return Poll::Ready(Ok(bytes.len()));
+        }
+        let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes));
+        Poll::Ready(Ok(self.on_write(written, bytes.len())))
     }
 
     fn poll_write_vectored(
@@ -127,9 +149,12 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let count = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, parts))?;
-        self.on_written(count);
-        Poll::Ready(Ok(count))
+        let length = parts.iter().map(|part| part.len()).sum();
+        if self.has_write_failed.get() {
+            return Poll::Ready(Ok(length));
+        }
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, parts));
+        Poll::Ready(Ok(self.on_write(written, length)))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -162,6 +187,8 @@
     pub(crate) sender: SendRequest<RequestBody>,
     /// Number of bytes that may still be read; unlimited except while a head is awaited.
     allowance_bytes: Rc<Cell<usize>>,
+    /// Whether a write has failed, so that the connection takes no further request.
+    has_write_failed: Rc<Cell<bool>>,
     _task: AbortOnDrop,
 }
 
@@ -182,11 +209,13 @@
         set_peer_options(&stream);
         set_send_limit(&stream, Some(Duration::from_millis(MAX_UNACKNOWLEDGED_MS)));
         let allowance_bytes = Rc::new(Cell::new(usize::MAX));
+        let has_write_failed = Rc::new(Cell::new(false));
         let stream = MeteredStream {
             stream,
             allowance_bytes: allowance_bytes.clone(),
             unanswered_bytes: 0,
             has_send_limit: true,
+            has_write_failed: has_write_failed.clone(),
         };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -201,6 +230,7 @@
         Ok(Connection {
             sender,
             allowance_bytes,
+            has_write_failed,
             _task: AbortOnDrop(task.abort_handle()),
         })
     }
@@ -220,7 +250,7 @@
 
     /// Returns whether a request can be sent now.
     pub(crate) fn is_ready(&self) -> bool {
-        self.sender.is_ready() && !self.sender.is_closed()
+        self.sender.is_ready() && !self.sender.is_closed() && !self.has_write_failed.get()
     }
 }
 
