Gateway: a request right after a stream that outlasts the announcement is answered

What callers saw: during a planned stop, 7 or 8 of 8 callers that sent their next request right after the end of a stream got no byte of an answer. The stream had begun before SIGTERM, so nothing had told them. Found by review.

Cause: from the end of the announcement on, a connection ended with its last answer.

It ends 50 ms after that answer at the earliest: a request that was sent at once arrives within a round trip, is answered, and its answer says that the connection closes.

--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -46,6 +46,9 @@
 /// Time for which a new connection is kept for its first request while the gateway ends all idle ones, or
 /// above the limit. The request was sent with the connection, or follows within a round trip.
 const FIRST_REQUEST_WAIT_MS: u64 = 500;
+/// Time for which a connection is kept for one more request while the gateway ends all idle ones, after an
+/// answer that did not say that it closes. A caller that comes back at once sends it within a round trip.
+const NEXT_REQUEST_WAIT_MS: u64 = 50;
 /// Time for which an answer is still awaited after the caller has ended its sending side. A caller that has
 /// left looks the same until something is sent to it, and its work at the upstream should end.
 const HALF_CLOSE_WAIT_MS: u64 = 400;
@@ -287,9 +290,10 @@
         }
         match self.stage.get() {
             Stage::Idle if self.phase() >= Phase::EndingIdle || self.is_surplus => {
-                let is_unused = self.requests.get() == 0;
-                let wait_ms = if is_unused { FIRST_REQUEST_WAIT_MS } else { 0 };
-                Some(self.accepted_at.plus_ms(wait_ms))
+                Some(match self.requests.get() {
+                    0 => self.accepted_at.plus_ms(FIRST_REQUEST_WAIT_MS),
+                    _ => self.progress_at.get().plus_ms(NEXT_REQUEST_WAIT_MS),
+                })
             }
             Stage::Idle => {
                 let idle_ms = self.limits().idle_timeout_ms;
