Gateway: the last answer to a kept caller of HTTP/1.0 says only that it closes

What callers saw: `connection: close, keep-alive` in answers over HTTP/1.0 that end their connection. Found by review.

Cause: the HTTP library adds keep-alive to an answer of version 1.1 if a caller of version 1.0 has asked for it.

Such an answer has the version of its request.

--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -379,6 +379,7 @@
         guard: RequestGuard,
     ) -> Response<TrackedBody> {
         let origin = Origin::Caller(self.clone());
+        let version = request.version();
         let mut response = call::answer(self.gateway.clone(), request, origin).await;
         self.has_answer_begun.set(true);
         // A stream may end only after the announcement, when its connection ends at once.
@@ -391,6 +392,8 @@
         if self.phase() >= closing_from || self.is_surplus || !self.is_body_read.get() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
+            // Otherwise, the HTTP library adds `keep-alive` if a caller of HTTP/1.0 has asked for it.
+            *response.version_mut() = version;
         }
         response.map(|body| TrackedBody {
             body,
