Gateway: the listener for other gateways closes like that for callers

A connection of another gateway that was established between the last accept and the close was reset, and its request counted as one that may have run. By reading; both listeners share one function now, and a stop waits for both. The tests of unreachable_upstreams, kept_connections, link_cuts and repeated_answers pass.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -40,6 +40,7 @@
 pub(crate) async fn serve_callers(gateway: Rc<Gateway>, listener: TcpListener) {
     let descriptors = gateway.settings().descriptors;
     let max_connections = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(2) / 2;
+    gateway.open_listeners.set(gateway.open_listeners.get() + 1);
     let mut phase = gateway.phase.subscribe();
     let ending = phase.wait_for(|phase| *phase >= Phase::Ending);
     let mut ending = std::pin::pin!(ending);
@@ -59,6 +60,14 @@
             }
         }
     }
+    for stream in accept_last(listener).await {
+        begin_serving(&gateway, stream, max_connections);
+    }
+    gateway.open_listeners.set(gateway.open_listeners.get() - 1);
+}
+
+/// Closes a listener. Returns the connections that were established by then, which would be reset otherwise.
+pub(crate) async fn accept_last(listener: TcpListener) -> Vec<TcpStream> {
     if let Err(error) = ignore_attempts(&listener) {
         log_event!(
             warn,
@@ -69,18 +78,15 @@
     }
     sleep_ms(HANDSHAKE_MS).await;
     let (queued, error) = accept_queued(listener);
-    for stream in queued {
-        begin_serving(&gateway, stream, max_connections);
-    }
     if let Some(error) = error {
         log_event!(warn, AcceptFailed, %error, "queued connections could not be accepted");
     }
-    gateway.is_listening.set(false);
+    queued
 }
 
-/// Accepts the connections that wait in a listener's queue, which would be reset otherwise, and closes the
-/// listener. Returns what was accepted, and the error that ended it if there was one.
-pub(crate) fn accept_queued(listener: TcpListener) -> (Vec<TcpStream>, Option<io::Error>) {
+/// Accepts the connections that wait in a listener's queue, and closes the listener. Returns what was
+/// accepted, and the error that ended it if there was one.
+fn accept_queued(listener: TcpListener) -> (Vec<TcpStream>, Option<io::Error>) {
     let listener = match listener.into_std() {
         Ok(listener) => listener,
         Err(error) => return (Vec::new(), Some(error)),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -39,7 +39,7 @@
     call,
     clock::sleep_ms,
     connection::set_peer_options,
-    edge::accept_queued,
+    edge::accept_last,
     events::log_event,
     state::{Gateway, OpenConnectionGuard, Phase},
     watch,
@@ -296,6 +296,7 @@
 /// Those that wait in the listener's queue are served, and later ones refused by the operating system, so
 /// that no forwarded request lies unread when the process exits.
 pub(crate) async fn serve_gateways(gateway: Rc<Gateway>, listener: TcpListener) {
+    gateway.open_listeners.set(gateway.open_listeners.get() + 1);
     let mut phase = gateway.phase.subscribe();
     let ending = phase.wait_for(|phase| *phase >= Phase::Ending);
     let mut ending = std::pin::pin!(ending);
@@ -314,14 +315,10 @@
             }
         }
     }
-    let (queued, error) = accept_queued(listener);
-    for stream in queued {
+    for stream in accept_last(listener).await {
         begin_serving(&gateway, stream);
     }
-    if let Some(error) = error {
-        log_event!(warn, AcceptFailed, %error,
-            "queued connections of other gateways could not be accepted");
-    }
+    gateway.open_listeners.set(gateway.open_listeners.get() - 1);
 }
 
 /// Serves a connection of another gateway in a task of its own.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -290,7 +290,7 @@
     }
     gateway.phase.send_replace(Phase::Ending);
     let has_unwritten = || gateway.quarantine.borrow().has_unwritten();
-    let is_busy = || gateway.is_listening.get() || has_work() || has_unwritten();
+    let is_busy = || gateway.open_listeners.get() > 0 || has_work() || has_unwritten();
     while gateway.now() < end && is_busy() {
         sleep_ms(STOP_POLL_INTERVAL_MS).await;
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -133,8 +133,8 @@
     pub(crate) caller_limits: watch::Sender<CallerLimits>,
     pub(crate) open_requests: Cell<usize>,
     pub(crate) open_connections: Cell<usize>,
-    /// Whether the listener for callers is open.
-    pub(crate) is_listening: Cell<bool>,
+    /// Number of open listeners, for callers and for other gateways.
+    pub(crate) open_listeners: Cell<usize>,
     /// Number of requests that the planned stop has cut.
     pub(crate) cut_requests: Cell<usize>,
     /// Length of the upstreams' bodies that are being read, in bytes.
@@ -178,7 +178,7 @@
             caller_limits: watch::Sender::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
-            is_listening: Cell::new(true),
+            open_listeners: Cell::new(0),
             cut_requests: Cell::new(0),
             buffered_bytes: Cell::new(0),
         }
