--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -12,7 +12,7 @@
 
 use crate::gateway::{
     caller::{End, Request},
-    site::{KEY, OTHER_KEY, STORE, Site, gateway_name},
+    site::{KEY, OTHER_KEY, STORE, Site, SiteSize, gateway_name},
 };
 
 mod caller;
@@ -409,7 +409,7 @@
 #[test]
 fn departure_is_seen_while_the_reader_is_cut_off() {
     let gateways = 3;
-    let site = Site::start_behind_links(gateways, 1);
+    let site = Site::start_behind_links(SiteSize::of(gateways), 1);
     let names: Vec<String> = (0..gateways).map(gateway_name).collect();
     let reader = rendezvous_order("readers", &names)[0].clone();
     site.links()
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -30,13 +30,45 @@
 pub const STORE: &str = "store";
 /// Number of members of a group.
 const GROUP_SIZE: usize = 2;
-/// Number of engines in each of the two fabric domains.
-const ENGINES_PER_DOMAIN: usize = 4;
+/// Number of fabric domains.
+const DOMAINS: usize = 2;
 /// Timeout of all routes, unless a test sets another one.
 pub const ROUTE_TIMEOUT_MS: u64 = 8_000;
 /// Time within which gateways must be ready, groups open and requests running.
 const WAIT_LIMIT_MS: u64 = 15_000;
 
+/// Number of gateways and engines of a site.
+#[derive(Debug, Clone, Copy)]
+pub struct SiteSize {
+    pub gateways: usize,
+    /// Number of data centres, one or two. Gateways are spread over them one by one, engines by their
+    /// fabric domain.
+    pub data_centres: usize,
+    /// Number of engines in each of the two fabric domains.
+    pub engines_per_domain: usize,
+}
+
+impl SiteSize {
+    /// Returns the size of most tests: one data centre with two groups in each fabric domain.
+    pub const fn of(gateways: usize) -> SiteSize {
+        SiteSize {
+            gateways,
+            data_centres: 1,
+            engines_per_domain: 4,
+        }
+    }
+
+    /// Returns the number of groups that the engines form.
+    pub fn groups(&self) -> usize {
+        DOMAINS * self.engines_per_domain / GROUP_SIZE
+    }
+
+    /// Returns the name of the data centre of the gateway or fabric domain with this index.
+    fn data_centre(&self, index: usize) -> String {
+        format!("dc-{}", 1 + index % self.data_centres)
+    }
+}
+
 /// One gateway: its process, addresses and settings file.
 struct GatewayProcess {
     /// `None` before the first start and after a kill.
@@ -103,25 +135,25 @@
 impl Site {
     /// Starts stand-ins and gateways and waits until the gateways are ready and all groups open.
     pub fn start(gateways: usize) -> Site {
-        Site::start_with(gateways, None, false, "")
+        Site::start_with(SiteSize::of(gateways), None, false, "")
     }
 
     /// Like [`Site::start`], with more lines in the settings file of each gateway.
     pub fn start_with_settings(gateways: usize, more_settings: &str) -> Site {
-        Site::start_with(gateways, None, false, more_settings)
+        Site::start_with(SiteSize::of(gateways), None, false, more_settings)
     }
 
     /// Like [`Site::start`], with a fault proxy between the gateways and the store and engines. On
     /// the proxy, gateways are named by [`gateway_name`], the store [`STORE`], and engines by their
     /// id.
-    pub fn start_behind_links(gateways: usize, seed: u64) -> Site {
-        Site::start_with(gateways, Some(Arc::new(Links::start(seed))), false, "")
+    pub fn start_behind_links(size: SiteSize, seed: u64) -> Site {
+        Site::start_with(size, Some(Arc::new(Links::start(seed))), false, "")
     }
 
     /// Like [`Site::start`], but each gateway can be partitioned from all upstreams. Each is in a data
     /// centre of its own, so that none reads the store through another one.
     pub fn start_with_store_views(gateways: usize) -> Site {
-        Site::start_with(gateways, None, true, "")
+        Site::start_with(SiteSize::of(gateways), None, true, "")
     }
 
     /// Partitions a gateway from all upstreams, or ends that: new connections are refused while open ones
@@ -149,14 +181,18 @@
     }
 
     fn start_with(
-        gateways: usize,
+        size: SiteSize,
         links: Option<Arc<Links>>,
         has_store_views: bool,
         more_settings: &str,
     ) -> Site {
-        let specs = (0..2 * ENGINES_PER_DOMAIN).map(|index| EngineSpec {
-            id: format!("i-{index}"),
-            domain: format!("domain-{}", index / ENGINES_PER_DOMAIN),
+        let specs = (0..DOMAINS * size.engines_per_domain).map(|index| {
+            let domain = index / size.engines_per_domain;
+            EngineSpec {
+                id: format!("i-{index}"),
+                domain: format!("domain-{domain}"),
+                data_centre: size.data_centre(domain),
+            }
         });
         let proxy = links.clone();
         // Returns the address for an engine's store entry: its own, or that of a proxy route for
@@ -175,7 +211,7 @@
             folder,
         };
         site.put_config(&[KEY]);
-        for index in 0..gateways {
+        for index in 0..size.gateways {
             let own = own_loopback_address();
             let [callers, readiness, metrics, peers] = free_addresses(own);
             let store = site.platform.store.address;
@@ -188,12 +224,12 @@
                 let view = StoreView::start(store);
                 let address = view.address;
                 site.store_views.push(view);
-                (address, index + 1)
+                (address, format!("dc-{}", index + 1))
             } else {
-                (store, 1)
+                (store, size.data_centre(index))
             };
             let settings = format!(
-                "[node]\nname = {name}\ndata_centre = dc-{data_centre}\nfirst_start = true\n[listen]\n\
+                "[node]\nname = {name}\ndata_centre = {data_centre}\nfirst_start = true\n[listen]\n\
                  callers = {callers}\nreadiness = {readiness}\nmetrics = {metrics}\n\
                  peers = {peers}\n[store]\naddress = {store}\n[stop]\ngrace_ms = 8000\n\
                  [repeats]\nratio = 0.2\nslack = 130\n{more_settings}",
@@ -211,12 +247,12 @@
             });
             site.restart(index);
         }
-        for index in 0..gateways {
+        for index in 0..size.gateways {
             site.wait_until("the gateway is ready", WAIT_LIMIT_MS, |site| {
                 site.is_ready(index)
             });
         }
-        site.wait_for_groups(2 * ENGINES_PER_DOMAIN / GROUP_SIZE);
+        site.wait_for_groups(size.groups());
         // Gateways learn from the store that a group is open a little after its engines opened it.
         thread::sleep(Duration::from_millis(300));
         site
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -31,7 +31,7 @@
 use crate::gateway::{
     caller::{Answer, End, Request},
     kept_caller::{KeptCaller, MAX_RESETS_AT_CLOSE, Outcome},
-    site::{KEY, OTHER_KEY, STORE, Site, gateway_name},
+    site::{KEY, OTHER_KEY, STORE, Site, SiteSize, gateway_name},
 };
 
 /// Seed of the test `short`.
@@ -442,7 +442,7 @@
 /// again.
 fn soak(seed: u64, mix: FaultMix) {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut site = Site::start_behind_links(GATEWAYS, seed);
+    let mut site = Site::start_behind_links(SiteSize::of(GATEWAYS), seed);
     site.platform.engines.set_stream(EVENTS, EVENT_MS);
     let faults = FaultLog::default();
     let shared = Callers {
