Soak: planted violations show that each check fires

One test for each new check, with a violation planted in the history of a soak, an answer, or two gateways that are ready although they count as stopped; and four histories in which nothing may be found.

--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -41,6 +41,7 @@
 mod checks;
 mod faults;
 mod history;
+mod planted;
 
 mod size;
 
