--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -32,6 +32,7 @@
 mod slow_upstreams;
 mod soak;
 mod statements;
+mod store_standin;
 mod store_view;
 mod unreachable_upstreams;
 mod unusual_callers;
