--- a/tests/gateway/soak/size.rs
+++ b/tests/gateway/soak/size.rs
@@ -33,6 +33,8 @@
 /// Number of callers by what they do.
 #[derive(Debug, Clone, Copy)]
 pub struct Callers {
+    /// Pause of a caller after an attempt to connect that was refused.
+    pub connect_pause_ms: u64,
     /// Callers that keep their connections and come back at once.
     pub keep: usize,
     /// Callers that open a connection for each request.
@@ -58,6 +60,7 @@
     name: "small",
     site: SiteSize::of(3),
     callers: Callers {
+        connect_pause_ms: 20,
         keep: 6,
         close: 2,
         leave: 0,
@@ -82,6 +85,7 @@
         engines_per_domain: 10,
     },
     callers: Callers {
+        connect_pause_ms: 50,
         keep: 200,
         close: 16,
         leave: 12,
