Gateway: a pause of the process breaks off no stream and gives no attempt up

Cause: after a pause of the process, the timers of the stall checks are asked before the sockets are read, so events that wait there count as missing. All streams of the gateway are then sent once more, which uses the retry budget up, and their groups are suspended and reported as stalled.

--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -372,6 +372,10 @@
     if deadline.has_passed(now) {
         return WaitDecision::DeadlinePassed;
     }
+    // What arrived while the process did not run has not been read yet.
+    if gateway.pauses.possible_age_ms(now) > 0 {
+        return WaitDecision::CheckAgainAt(now.plus_ms(STALL_RECHECK_MS).min(deadline.0));
+    }
     let must_keep = keep_if_stalled || !context.route.may_retry_executed();
     let Some(stall_policy) = context.stall_policy() else {
         return if must_keep {
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -157,6 +157,11 @@
                     if now >= deadline_with_slack {
                         return StreamEnd::DeadlinePassed;
                     }
+                    // What arrived while the process did not run has not been read yet.
+                    if stall_policy.is_some() && gateway.pauses.possible_age_ms(now) > 0 {
+                        check_at = now.plus_ms(RECHECK_INTERVAL_MS);
+                        continue;
+                    }
                     let had_event = last_event_in_attempt_at.is_some();
                     let loads = gateway.loads.borrow();
                     let group_event_at = loads.last_event_at(&target.key, now);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -102,6 +102,30 @@
         assert_eq!(site.platform.runs.of("resumed").len(), 2);
     }
 
+    // Guards against streams that are taken for stalled because the gateway itself did not run for a time,
+    // as on a starved machine: their events wait in the sockets.
+    pause_of_the_gateway_interrupts_no_stream(1): |site| {
+        const STREAMS: usize = 8;
+        site.platform.engines.set_stream(60, 30);
+        let address = site.gateway(0);
+        let ids: Vec<String> = (0..STREAMS).map(|index| format!("paused-{index}")).collect();
+        let callers: Vec<_> = ids.iter().map(|id| {
+            let request = Request::stream(id);
+            std::thread::spawn(move || request.send(address))
+        }).collect();
+        ids.iter().for_each(|id| site.wait_for_run(id));
+        pause_ms(300);
+        site.signal(0, "STOP");
+        pause_ms(700);
+        site.signal(0, "CONT");
+        for (caller, id) in callers.into_iter().zip(&ids) {
+            let answer = caller.join().expect("the caller thread does not panic");
+            assert_eq!((answer.status, answer.end), (200, End::Whole));
+            assert_eq!(answer.events(), all_event_ids(60));
+            assert_eq!(site.platform.runs.of(id).len(), 1, "{id}");
+        }
+    }
+
     // Guards against a stream that waits for an event until its deadline while bytes arrive.
     stream_that_an_upstream_fills_without_end_is_resumed(1): |site| {
         let leader = site.platform.engines.open_groups()[0][0].clone();
