Placement: a plan that is reported during a read is read again at once

What was seen: nothing in the field; found by reading, in the search for the cause of groups::woken_controller_does_no_harm.

Cause: an engine that reports a later epoch makes the controller read the plan, once for each epoch. If a read was in progress, its answer withdrew that request, although it may be older than the report: a process that was stopped while it waited for the answer gets reports of the time after it first. The newer plan then stayed unread until the next usual read, for up to 10 s. The same if no plan was known yet.

A request now stands until a read that started after it, or until the known plan is as new as what was reported. A read whose time has passed is repeated.

It does not explain the known red tests: 10 s are less than the 35 s that they waited.

--- a/crates/placement/src/controller.rs
+++ b/crates/placement/src/controller.rs
@@ -170,18 +170,26 @@
             return;
         }
         self.highest_reported_token = fence;
-        let known = self.store.known();
-        if known.is_some_and(|known| known.plan.fence < fence) {
+        if !self.knows_plan_of_reported_token() {
             self.store.request_read();
         }
     }
 
+    /// Returns whether the known plan is as new as the highest fencing token that engines reported.
+    fn knows_plan_of_reported_token(&self) -> bool {
+        let known = self.store.known();
+        known.is_some_and(|known| known.plan.fence >= self.highest_reported_token)
+    }
+
     fn on_plan_found(&mut self, now: TimeMs, asked_at: TimeMs, version: PlanVersion, plan: Plan) {
         let had_plan = self.store.known().is_some();
         let is_by_other_controller = plan.writer != self.tag;
         let is_new = self
             .store
             .on_plan_found(now, asked_at, version, plan, &mut self.rng);
+        if self.knows_plan_of_reported_token() {
+            self.store.withdraw_read_request();
+        }
         if is_new {
             self.on_new_plan(now);
         }
--- a/crates/placement/src/store.rs
+++ b/crates/placement/src/store.rs
@@ -54,6 +54,8 @@
     call: Option<(Call, Deadline)>,
     /// The plan of a write that may have taken effect.
     uncertain_write: Option<Plan>,
+    /// Whether a read that starts from now on is requested. One in progress does not count: its answer
+    /// may be older than what the request is about.
     is_read_requested: bool,
     /// When the last read was started.
     read_started_at: Option<TimeMs>,
@@ -89,6 +91,11 @@
         self.is_read_requested = true;
     }
 
+    /// Withdraws the request for a read, since the known plan is as new as what it was about.
+    pub(crate) fn withdraw_read_request(&mut self) {
+        self.is_read_requested = false;
+    }
+
     /// Returns whether a write may start: the known plan is certain, no call is in progress, the
     /// platform is available and no pause between writes is running.
     pub(crate) fn may_write(&self, now: TimeMs) -> bool {
@@ -122,6 +129,7 @@
             return None;
         }
         self.read_started_at = Some(now);
+        self.is_read_requested = false;
         self.call = Some((Call::Read, Deadline::after_ms(now, CALL_TIMEOUT_MS)));
         Some(Action::ReadPlan)
     }
@@ -155,7 +163,6 @@
             return false;
         }
         self.uncertain_write = None;
-        self.is_read_requested = false;
         let is_new = self
             .known
             .as_ref()
@@ -189,10 +196,12 @@
     }
 
     /// Records that the outcome of the call is unknown. After a write, the plan is read back before
-    /// the next write.
+    /// the next write; a read is repeated.
     pub(crate) fn on_ambiguous(&mut self) {
-        if let Some((Call::Write(plan), _)) = self.call.take() {
-            self.uncertain_write = Some(*plan);
+        match self.call.take() {
+            Some((Call::Write(plan), _)) => self.uncertain_write = Some(*plan),
+            Some((Call::Read, _)) => self.is_read_requested = true,
+            None => {}
         }
     }
 
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -1,11 +1,16 @@
 //! Tests of groups during and after an outage of the platform.
 
 use jacinthpoint_placement::{Action, Event, Plan, PlanVersion, RepairSettings};
+use jacinthpoint_types::Epoch;
 
 use crate::driver::{STEP_MS, World, demand, new_controller};
 
 /// Bound on the time to detect a loss, wait, retry failed calls and load weights, with a margin.
 const LIMIT_MS: u64 = 20_000;
+/// Largest time until a plan that may have changed is read again.
+const READ_GAP_MS: u64 = 250;
+/// Time between two reads if nothing suggests that the plan changed.
+const READ_INTERVAL_MS: u64 = 10_000;
 
 /// Returns a domain with one serving group.
 fn started(refuses_old_orders: bool) -> World {
@@ -180,6 +185,68 @@
     }
 }
 
+/// Checks that a controller soon reads the plan of which an engine reports the epoch while a read is
+/// in progress whose answer is older, as after a pause of the process. `known_before` says whether an
+/// earlier read found the older plan.
+fn reported_during_a_read(known_before: bool) {
+    let world = started(true);
+    let (version, plan) = (PlanVersion(world.plans.len() as u64), world.latest());
+    let mut controller = new_controller(9, &RepairSettings::new()).controller;
+    let old_plan = |asked_at| Event::PlanRead {
+        asked_at,
+        version,
+        plan: plan.clone(),
+    };
+    let mut read_at = world.now;
+    controller.handle(read_at, Event::Members(world.list()));
+    let mut actions = controller.handle(read_at, Event::Tick);
+    if known_before {
+        controller.handle(read_at, old_plan(read_at));
+        read_at = read_at.plus_ms(READ_INTERVAL_MS);
+        actions = controller.handle(read_at, Event::Tick);
+    }
+    assert!(matches!(actions[..], [Action::ReadPlan]), "{actions:?}");
+    for mut event in world.probes() {
+        if let Event::Probe {
+            sent_at, report, ..
+        } = &mut event
+        {
+            *sent_at = read_at;
+            if let Some(assignment) = &mut report.assignment {
+                assignment.epoch = Epoch::from_fence(plan.fence + 1);
+            }
+        }
+        controller.handle(read_at, event);
+    }
+    controller.handle(read_at, old_plan(read_at));
+    let soon = read_at.plus_ms(READ_GAP_MS);
+    let actions = controller.handle(soon, Event::Tick);
+    assert!(matches!(actions[..], [Action::ReadPlan]), "{actions:?}");
+    // The report does not cause a further read.
+    controller.handle(soon, old_plan(soon));
+    let later = soon.plus_ms(READ_GAP_MS);
+    let actions = controller.handle(later, Event::Tick);
+    assert!(actions.is_empty(), "{actions:?}");
+}
+
+/// Names the cases of [`reported_during_a_read`], which guard against a newer plan that stays unread
+/// for the usual time between two reads.
+macro_rules! reported_during_a_read {
+    ($($name:ident: $known_before:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                reported_during_a_read($known_before);
+            }
+        )+
+    };
+}
+
+reported_during_a_read! {
+    plan_reported_during_the_first_read_is_read: false;
+    plan_reported_during_a_later_read_is_read: true;
+}
+
 #[test]
 fn new_controller_sends_no_order_while_the_old_one_may_still_send() {
     let mut wanted = demand("desk", 2, 4, 0);
