Node: the operators' listener goes on after a shortage of open files

What operators saw (in the test): status, readiness and metrics of a node are refused for good once its open files were used up for a moment.

Cause: the thread of tiny_http that accepts connections ends with the first failure, here by a panic in RefinedTcpStream::new (EMFILE of try_clone), and takes the listener along. Its users cannot notice that.

The listener of callers, which logs a failure to accept and goes on, now serves operators too, with 256 connections at most. It closes when the node stops and not with a planned stop. HEAD is refused with 405; it was 404. The stand-ins still use tiny_http.

Found by reading, in the search for what ends for good if it fails; it does not explain the known red tests, whose nodes may open 20,000 files.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,7 +13,7 @@
 use crate::{
     caller,
     control::{config, limits, members, messages, permits, planning, probing},
-    drain::OpenRequest,
+    drain::{Drain, OpenRequest},
     events::log_event,
     http::{HttpRequest, ListenerLimits, RequestError, Responder, serve},
     ledger,
@@ -41,6 +41,8 @@
     shared: Arc<Shared>,
     callers: SocketAddr,
     operators: SocketAddr,
+    /// Closed when the node stops; the operators' listener stays open during a planned stop.
+    operators_listening: Arc<Drain>,
 }
 
 impl Node {
@@ -65,6 +67,7 @@
         let node = Node {
             callers: settings.listen_callers,
             operators: settings.listen_operators,
+            operators_listening: Arc::default(),
             shared: Arc::new(Shared::new(settings, metrics)),
         };
         let shared = &node.shared;
@@ -112,7 +115,10 @@
         for _ in 0..LEDGER_WORKER_COUNT {
             spawn("ledger-calls", shared, |shared| ledger::run_worker(shared))?;
         }
-        operator::start(shared, operators)?;
+        let listening = node.operators_listening.clone();
+        spawn("operators", shared, move |shared| {
+            log_listener_failure("operators", operator::run(shared, operators, &listening));
+        })?;
         shared.drain.set_listens(true);
         spawn("callers", shared, move |shared| {
             let handler = shared.clone();
@@ -122,7 +128,7 @@
                     caller::handle(&handler, request, responder);
                 },
             );
-            log_listener_failure(serve(callers, limits, &shared.drain, handle));
+            log_listener_failure("callers", serve(callers, limits, &shared.drain, handle));
             shared.drain.set_listens(false);
             log_event!(
                 info,
@@ -183,6 +189,7 @@
         let cut = self.shared.drain.open_requests();
         // Closes the callers' listener, which checks the drain and not the stop.
         self.shared.drain.begin(Instant::now());
+        self.operators_listening.begin(Instant::now());
         self.shared.stop();
         messages::wake_peer_listener(self.peers_address());
         for request in &cut {
@@ -219,9 +226,9 @@
     Ok(())
 }
 
-/// Logs the failure of the callers' listener, without which the node cannot do its work.
-fn log_listener_failure(result: io::Result<()>) {
+/// Logs the failure of a listener, without which the node cannot do its work.
+fn log_listener_failure(listener: &str, result: io::Result<()>) {
     if let Err(error) = result {
-        log_event!(error, ListenerFailed, %error, "callers' listener failed");
+        log_event!(error, ListenerFailed, listener, %error, "a listener failed");
     }
 }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -1,54 +1,63 @@
 //! HTTP listener for operators: liveness, readiness, status, metrics and drain.
 
-use std::{io, net::TcpListener, sync::Arc, thread, time::Duration};
+use std::{io, net::TcpListener, sync::Arc};
 
 use serde_json::{Value, json};
-use tiny_http::{Method, Request, Response, Server};
 
-use crate::shared::Shared;
+use crate::{
+    drain::Drain,
+    http::{HttpRequest, ListenerLimits, RequestError, Responder, serve},
+    shared::Shared,
+};
 
-/// Interval at which the listener checks whether the node has stopped.
-const STOP_CHECK_MS: u64 = 100;
+/// Limits of the operators' listener. A few tools ask each node at a time.
+const LIMITS: ListenerLimits = ListenerLimits {
+    max_connections: 256,
+    read_deadline_ms: 10_000,
+};
 /// Largest number of live peers listed by `/status`.
 const MAX_SHOWN_PEERS: usize = 500;
 
-/// Starts the thread that serves operators until the node stops.
-pub(crate) fn start(shared: &Arc<Shared>, listener: TcpListener) -> io::Result<()> {
-    let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+/// Serves operators until `listening` is closed. A planned stop of the node is of no concern to it, since
+/// operators watch that, too.
+///
+/// # Errors
+///
+/// Fails if the listener cannot be set up.
+pub(crate) fn run(
+    shared: &Arc<Shared>,
+    listener: TcpListener,
+    listening: &Arc<Drain>,
+) -> io::Result<()> {
     let shared = shared.clone();
-    thread::Builder::new()
-        .name("operators".to_owned())
-        .spawn(move || {
-            while !shared.is_stopped() {
-                if let Ok(Some(request)) = server.recv_timeout(Duration::from_millis(STOP_CHECK_MS))
-                {
-                    handle(&shared, request);
-                }
+    let handler = move |request: Result<&HttpRequest, RequestError>,
+                        responder: &mut Responder<'_>| {
+        let (status, body) = match request {
+            Ok(request) => answer(&shared, request),
+            Err(RequestError::Refused(code, message)) => {
+                (code.http_status(), format!("{message}\n"))
             }
-        })?;
-    Ok(())
+            Err(RequestError::Broken) => return,
+        };
+        let headers = [("content-type", "text/plain; charset=UTF-8")];
+        // A failed write means that the operator has disconnected.
+        let _ = responder.write_whole(status, &headers, body.as_bytes());
+    };
+    serve(listener, LIMITS, listening, Arc::new(handler))
 }
 
-fn handle(shared: &Shared, request: Request) {
-    let path = request
-        .url()
-        .split('?')
-        .next()
-        .unwrap_or_default()
-        .to_owned();
-    let (status, body) = match (request.method(), path.as_str()) {
-        (Method::Get, "/live") => (200, "live\n".to_owned()),
-        (Method::Get, "/ready") => readiness(shared),
-        (Method::Get, "/status") => (200, format!("{:#}\n", status(shared))),
-        (Method::Get, "/metrics") => (200, shared.metrics.render()),
-        (Method::Post, "/drain") => {
+fn answer(shared: &Shared, request: &HttpRequest) -> (u16, String) {
+    match (request.method.as_str(), request.path()) {
+        ("GET", "/live") => (200, "live\n".to_owned()),
+        ("GET", "/ready") => readiness(shared),
+        ("GET", "/status") => (200, format!("{:#}\n", status(shared))),
+        ("GET", "/metrics") => (200, shared.metrics.render()),
+        ("POST", "/drain") => {
             shared.begin_drain();
             (202, "draining\n".to_owned())
         }
         _ => (404, "no such path\n".to_owned()),
-    };
-    // Write errors are ignored: they mean that the operator has disconnected.
-    let _ = request.respond(Response::from_string(body).with_status_code(status));
+    }
 }
 
 fn readiness(shared: &Shared) -> (u16, String) {
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -24,8 +24,20 @@
     _platform: Process,
 }
 
+/// Open files of a node of which a test uses up all.
+const FEW_OPEN_FILES: u32 = 64;
+
 impl Target {
     fn start(limits: &str) -> Target {
+        Target::start_by(|platform| LoneNode::start(platform, limits))
+    }
+
+    /// As [`Target::start`], with a node that may have [`FEW_OPEN_FILES`].
+    fn with_few_open_files() -> Target {
+        Target::start_by(|platform| LoneNode::with_open_files(platform, FEW_OPEN_FILES))
+    }
+
+    fn start_by(start: impl FnOnce(SocketAddr) -> LoneNode) -> Target {
         let (platform, address) = Process::standin(&["platform"]);
         let organisation = |(name, key): (&str, &str)| {
             let digest = key_digest(key).to_string();
@@ -48,7 +60,7 @@
         );
         written.expect("the platform accepts");
         Target {
-            node: LoneNode::start(address, limits),
+            node: start(address),
             _platform: platform,
         }
     }
--- a/tests/bad_input/connections.rs
+++ b/tests/bad_input/connections.rs
@@ -11,12 +11,14 @@
 
 use crate::{
     bad_input::{
-        END_DEADLINE_MS, Target, assert_refused, completion, connect, models_request, read_to_end,
-        sized,
+        END_DEADLINE_MS, FEW_OPEN_FILES, Target, assert_refused, completion, connect,
+        models_request, read_to_end, sized,
     },
     util::{KEYS, wait_until},
 };
 
+/// Time for which a node has no open file left.
+const SHORTAGE_MS: u64 = 1_000;
 /// Random requests sent by the case that mutates a valid one.
 const MUTATIONS: u64 = 400;
 
@@ -137,3 +139,23 @@
     }
     target.assert_serves();
 }
+
+/// Guards against a listener that accepts nothing more after a connection for which the node had no
+/// open file left.
+#[test]
+fn every_listener_goes_on_after_the_node_ran_out_of_open_files() {
+    let target = Target::with_few_open_files();
+    let listeners = [target.node.callers, target.node.operators];
+    for listener in listeners {
+        let flood: Vec<TcpStream> = (0..2 * FEW_OPEN_FILES).map(|_| connect(listener)).collect();
+        thread::sleep(Duration::from_millis(SHORTAGE_MS));
+        drop(flood);
+        wait_until("the node is ready again", END_DEADLINE_MS, || {
+            target.node.readiness() == 200
+        });
+        wait_until("callers are served again", END_DEADLINE_MS, || {
+            let answer = target.answer_to(models_request(KEYS[0].1).as_bytes());
+            answer.starts_with("HTTP/1.1 200")
+        });
+    }
+}
--- a/tests/util/lone_node.rs
+++ b/tests/util/lone_node.rs
@@ -18,6 +18,25 @@
 impl LoneNode {
     /// Starts a node with these lines in its `[limits]` and waits until it is ready.
     pub fn start(platform: SocketAddr, limits: &str) -> LoneNode {
+        LoneNode::start_by(platform, limits, |path| {
+            Process::jacinthpoint(None, &["node", path])
+        })
+    }
+
+    /// Starts a node that may have this many open files, and waits until it is ready.
+    pub fn with_open_files(platform: SocketAddr, max_open_files: u32) -> LoneNode {
+        let program = env!("CARGO_BIN_EXE_jacinthpoint");
+        let command = format!("ulimit -n {max_open_files} && exec {program} node \"$0\"");
+        LoneNode::start_by(platform, "", |path| {
+            Process::other_build("/bin/sh", &["-c", &command, path])
+        })
+    }
+
+    fn start_by(
+        platform: SocketAddr,
+        limits: &str,
+        start: impl FnOnce(&str) -> Process,
+    ) -> LoneNode {
         let settings = format!(
             "[node]\nname = lone\ndata_centre = dc-1\n\n[listen]\ncallers = 127.0.0.1:0\n\
              operators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\n[platform]\naddress = {platform}\n\n\
@@ -25,7 +44,7 @@
         );
         let folder = Folder::with(&[("node.ini", &settings)]);
         let path = format!("{}/node.ini", folder.path());
-        let process = Process::jacinthpoint(None, &["node", &path]);
+        let process = start(&path);
         let [callers, operators] = addresses(process.first_line());
         let node = LoneNode {
             process,
