Node: events of pauses, plans, groups, peers and panics

The logs could not tell why a node may not use a group: nothing was logged by a node that went on after a stop, that learnt of a plan, lost a permit, or held another node for gone; and a panic ended a thread without an event.

Failures to receive datagrams and to accept other nodes' connections are logged; a missing thread for such a connection no longer ends its listener by a panic. A panic in a probe or in a round of planning (attohttpc starts a thread for each call with a time limit, and panics if none can be started) no longer ends the thread. No test has a shortage of threads: the limit does not hold for root, and glibc keeps stacks.

JACINTHPOINT_TEST_LOGS now keeps the errors of processes, too, where nodes log, in a file for each process; they were mixed in the output of the tests.

--- a/crates/node/src/control/domains.rs
+++ b/crates/node/src/control/domains.rs
@@ -5,7 +5,9 @@
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
-use jacinthpoint_placement::{Action, Controller, DomainShares, Event, RepairSettings};
+use jacinthpoint_placement::{
+    Action, Controller, DomainShares, Event, PlanVersion, RepairSettings,
+};
 use jacinthpoint_readiness::Prober;
 use jacinthpoint_types::{Assignment, DataCentreId, FabricDomainId, TimeMs, VmId};
 
@@ -14,6 +16,7 @@
 /// Holds the prober and the controller of one fabric domain.
 #[derive(Debug)]
 pub(crate) struct Domain {
+    name: FabricDomainId,
     pub(crate) data_centre: DataCentreId,
     pub(crate) prober: Prober,
     pub(crate) controller: Controller,
@@ -33,6 +36,7 @@
         settings: RepairSettings,
     ) -> Domain {
         Domain {
+            name: name.clone(),
             data_centre,
             prober: Prober::new(),
             // Controllers on different nodes, and of different incarnations of one node, must not
@@ -47,7 +51,9 @@
     /// Passes an event to the controller and returns the resulting actions. If the assignments
     /// changed, the prober gets the new ones.
     pub(crate) fn handle(&mut self, now: TimeMs, event: Event) -> Vec<Action> {
+        let known = self.controller.plan().map(|(version, _)| version);
         let actions = self.controller.handle(now, event);
+        self.log_plan(known);
         let assignments = self.controller.assignments();
         if assignments != self.probed_groups {
             self.log_swaps(&assignments);
@@ -57,6 +63,14 @@
         actions
     }
 
+    /// Logs the known plan if its version is not `old`.
+    fn log_plan(&self, old: Option<PlanVersion>) {
+        if let Some((version, plan)) = self.controller.plan().filter(|(new, _)| old != Some(*new)) {
+            let (domain, version, fence) = (&self.name, version.0, plan.fence);
+            log_event!(debug, PlanKnown, %domain, version, fence, "another version of the plan is known");
+        }
+    }
+
     /// Logs the new assignments that result from a standby swap.
     fn log_swaps(&self, assignments: &[Assignment]) {
         let swapped = assignments.iter().filter(|assignment| {
--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -3,7 +3,8 @@
 //! request-reply exchanges over TCP for peer tables, configurations, membership lists and claims.
 
 use std::{
-    io,
+    collections::BTreeMap,
+    io::{self, ErrorKind},
     net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     sync::Arc,
     thread,
@@ -14,10 +15,10 @@
 use jacinthpoint_ledger::Op;
 use jacinthpoint_membership::OutgoingMessage;
 use jacinthpoint_platform::MemberRole;
-use jacinthpoint_types::Deadline;
+use jacinthpoint_types::{Deadline, NodeId};
 use jacinthpoint_wire::{
-    Datagram, MAX_DATAGRAM_BYTES, PeerReply, PeerRequest, PeerStatus, PeerUpdate, decode, encode,
-    read_frame, write_frame,
+    Datagram, MAX_DATAGRAM_BYTES, PeerReply, PeerRequest, PeerState, PeerStatus, PeerUpdate,
+    decode, encode, read_frame, write_frame,
 };
 
 use crate::{
@@ -28,6 +29,10 @@
 
 /// Interval between ticks of the failure detector.
 const TICK_INTERVAL_MS: u64 = 50;
+/// Time without a tick from which the process counts as paused.
+const PAUSE_MS: u64 = 1_000;
+/// Interval at which changes of the other nodes are logged.
+const PEER_LOG_INTERVAL_MS: u64 = 500;
 /// Interval between requests for another node's whole peer table, in addition to the updates
 /// piggybacked on messages.
 const SYNC_INTERVAL_MS: u64 = 60_000;
@@ -42,9 +47,22 @@
 
 /// Runs the failure detector until the node stops.
 pub(crate) fn run_detector(shared: &Shared, socket: &UdpSocket) {
+    let mut ticked_at = shared.now();
+    let mut logged = BTreeMap::new();
+    let mut log_at = ticked_at;
     while !shared.is_stopped() {
         let candidates = candidates(shared);
         let now = shared.now();
+        let pause_ms = now.since_ms(ticked_at);
+        if pause_ms >= PAUSE_MS {
+            log_event!(
+                warn,
+                ProcessPaused,
+                pause_ms,
+                "the process did not run for a time"
+            );
+        }
+        ticked_at = now;
         let outgoing = {
             let mut peers = shared.peers();
             if shared.drain.is_draining() {
@@ -53,10 +71,38 @@
             peers.tick(now, &candidates)
         };
         send_all(socket, outgoing);
+        if now >= log_at {
+            log_at = now.plus_ms(PEER_LOG_INTERVAL_MS);
+            log_changes(shared, &mut logged);
+        }
         shared.sleep_ms(TICK_INTERVAL_MS);
     }
 }
 
+/// Logs what changed of the other nodes since the last call.
+fn log_changes(shared: &Shared, logged: &mut BTreeMap<NodeId, (PeerStatus, u64, SocketAddr)>) {
+    let peers = shared.peers();
+    let known = peers.known().map(|update| {
+        let PeerState {
+            node,
+            incarnation,
+            address,
+            ..
+        } = update.peer;
+        (node, (update.status, incarnation, address))
+    });
+    let known: BTreeMap<_, _> = known.collect();
+    drop(peers);
+    for (node, peer) in known
+        .iter()
+        .filter(|(node, peer)| logged.get(node) != Some(peer))
+    {
+        let (status, incarnation, address) = peer;
+        log_event!(debug, PeerChanged, %node, ?status, incarnation, %address, "another node changed");
+    }
+    *logged = known;
+}
+
 /// Sends messages of the failure detector.
 fn send_all(socket: &UdpSocket, messages: Vec<OutgoingMessage>) {
     for message in messages {
@@ -133,10 +179,27 @@
     // Larger than a datagram may be, so that a longer one is not cut to a valid message: `decode`
     // refuses bytes after a message.
     let mut buffer = [0; 2 * MAX_DATAGRAM_BYTES];
-    let _ = socket.set_read_timeout(Some(Duration::from_millis(RECEIVE_POLL_MS)));
+    let timeout = Duration::from_millis(RECEIVE_POLL_MS);
+    if let Err(error) = socket.set_read_timeout(Some(timeout)) {
+        log_event!(warn, ReceiveFailed, %error, "no time limit for receiving datagrams");
+    }
     while !shared.is_stopped() {
-        let Ok((length, _)) = socket.recv_from(&mut buffer) else {
-            continue;
+        let length = match socket.recv_from(&mut buffer) {
+            Ok((length, _)) => length,
+            // Interrupted: the process was stopped and goes on.
+            Err(error)
+                if matches!(
+                    error.kind(),
+                    ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
+                ) =>
+            {
+                continue;
+            }
+            Err(error) => {
+                log_event!(warn, ReceiveFailed, %error, "datagrams could not be received");
+                shared.sleep_ms(RECEIVE_POLL_MS);
+                continue;
+            }
         };
         match decode::<Datagram>(&buffer[..length]) {
             Ok(datagram) => on_datagram(shared, socket, fetches, datagram),
@@ -221,12 +284,19 @@
         match listener.accept() {
             Ok((stream, _)) => {
                 let shared = shared.clone();
+                let thread = thread::Builder::new().name("peer".to_owned());
                 // The requesting node retries a failed exchange.
-                thread::spawn(move || answer_peer(&shared, stream).ok());
+                let started = thread.spawn(move || answer_peer(&shared, stream).ok());
+                if let Err(error) = started {
+                    log_event!(warn, AcceptFailed, %error, "no thread for another node's request");
+                }
             }
             // For example, the connection was reset before it was accepted, or no file descriptor
             // is free.
-            Err(_) => shared.sleep_ms(ACCEPT_RETRY_DELAY_MS),
+            Err(error) => {
+                log_event!(warn, AcceptFailed, %error, "another node's connection could not be accepted");
+                shared.sleep_ms(ACCEPT_RETRY_DELAY_MS);
+            }
         }
     }
 }
--- a/crates/node/src/control/permits.rs
+++ b/crates/node/src/control/permits.rs
@@ -2,16 +2,17 @@
 //! permits from the probers of each fabric domain and, as a prober, grants permits to other nodes.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::{SocketAddr, UdpSocket},
 };
 
 use jacinthpoint_readiness::{DomainProbers, Permit, grants_digest};
-use jacinthpoint_types::{Deadline, NodeId, TimeMs};
+use jacinthpoint_types::{Deadline, Epoch, GroupId, NodeId, TimeMs};
 use jacinthpoint_wire::{Datagram, GrantTerms, MAX_DATAGRAM_BYTES, PermitGrant, encode};
 
 use crate::{
     control::{members::engines_by_domain, probing::PROBERS_PER_DOMAIN},
+    events::log_event,
     shared::Shared,
 };
 
@@ -23,15 +24,36 @@
 
 /// Renews the node's permits until the node stops.
 pub(crate) fn run(shared: &Shared, socket: &UdpSocket) {
+    let mut logged = BTreeMap::new();
     while !shared.is_stopped() {
         record_own_grants(shared);
         send_requests(shared, socket);
         let now = shared.now();
         shared.permits().expire(now);
+        log_changes(shared, now, &mut logged);
         shared.sleep_ms(REQUEST_INTERVAL_MS);
     }
 }
 
+/// Logs groups for which the node got or lost its permit since the last call.
+fn log_changes(shared: &Shared, now: TimeMs, logged: &mut BTreeMap<GroupId, Epoch>) {
+    let held: BTreeMap<GroupId, Epoch> = shared
+        .permits()
+        .held(now)
+        .map(|permit| (permit.assignment.group.clone(), permit.assignment.epoch))
+        .collect();
+    for (group, epoch) in held
+        .iter()
+        .filter(|(group, epoch)| logged.get(group) != Some(epoch))
+    {
+        log_event!(debug, GroupChanged, %group, %epoch, usable = true, "the node may use a group");
+    }
+    for (group, epoch) in logged.iter().filter(|(group, _)| !held.contains_key(group)) {
+        log_event!(debug, GroupChanged, %group, %epoch, usable = false, "the node may not use a group");
+    }
+    *logged = held;
+}
+
 /// Sends a permit request to each prober that the permit client selects.
 fn send_requests(shared: &Shared, socket: &UdpSocket) {
     let domains = domain_probers(shared);
--- a/crates/node/src/control/planning.rs
+++ b/crates/node/src/control/planning.rs
@@ -17,6 +17,7 @@
         planning::actions::handle_event,
         probing::PROBERS_PER_DOMAIN,
     },
+    panics::log_panic,
     shared::Shared,
 };
 
@@ -28,7 +29,7 @@
 /// Runs planning rounds until the node stops.
 pub(crate) fn run(shared: &Shared) {
     while !shared.is_stopped() {
-        run_round(shared);
+        log_panic("planning", || run_round(shared));
         shared.sleep_ms(PLAN_INTERVAL_MS);
     }
 }
--- a/crates/node/src/control/probing.rs
+++ b/crates/node/src/control/probing.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     control::{domains::Domain, members::engines_by_domain},
+    panics::log_panic,
     shared::Shared,
 };
 
@@ -40,7 +41,11 @@
     crossbeam::scope(|scope| {
         for _ in 0..PROBE_THREADS {
             let queue = queue.clone();
-            scope.spawn(move |_| queue.iter().for_each(|target| probe(shared, &target)));
+            scope.spawn(move |_| {
+                for target in queue {
+                    log_panic("probing", || probe(shared, &target));
+                }
+            });
         }
         while !shared.is_stopped() {
             for target in next_round_targets(shared) {
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -17,10 +17,14 @@
     ListenerFailed = 104,
     /// A request was in flight when the node stopped, and was cut.
     RequestCut = 105,
-    /// A caller's connection could not be accepted or served.
+    /// A connection could not be accepted or served.
     AcceptFailed = 106,
     /// A caller's connection failed within a request, or before its refusal was sent.
     ConnectionFailed = 107,
+    /// The process did not run for a time.
+    ProcessPaused = 108,
+    /// Work of a thread ended by a panic.
+    ThreadPanicked = 109,
     /// A newer configuration is in force.
     ConfigInForce = 200,
     /// A configuration is invalid; the one in force is kept.
@@ -39,8 +43,16 @@
     StandbySwapped = 304,
     /// An order was not sent because its deadline had passed.
     OrderExpired = 305,
+    /// Another version of a plan is known: one that was read, or that this node wrote.
+    PlanKnown = 306,
+    /// The node may use a group, or may no longer use it.
+    GroupChanged = 307,
     /// A message from another node could not be decoded.
     MessageDropped = 400,
+    /// What is known of another node changed.
+    PeerChanged = 401,
+    /// Datagrams of other nodes could not be received.
+    ReceiveFailed = 402,
     /// An attempt failed; the request may be retried on another upstream.
     AttemptFailed = 500,
     /// A request ended without an answer.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,5 +26,6 @@
 mod metrics;
 mod node;
 mod operator;
+mod panics;
 mod settings;
 mod shared;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,6 +19,7 @@
     ledger,
     metrics::Metrics,
     operator,
+    panics::log_panic,
     settings::NodeSettings,
     shared::Shared,
 };
@@ -222,7 +223,11 @@
     let shared = shared.clone();
     thread::Builder::new()
         .name(name.to_owned())
-        .spawn(move || run(&shared))?;
+        .spawn(move || {
+            log_panic(thread::current().name().unwrap_or_default(), || {
+                run(&shared)
+            })
+        })?;
     Ok(())
 }
 
--- a/tests/util/process.rs
+++ b/tests/util/process.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-/// Environment variable with an existing folder for the standard output of all processes.
+/// Environment variable with an existing folder for the output and the errors of all processes.
 const LOGS_VARIABLE: &str = "JACINTHPOINT_TEST_LOGS";
 
 /// A running program.
@@ -48,19 +48,30 @@
 
     fn start(program: &str, proxy: Option<SocketAddr>, args: &[&str]) -> Process {
         let proxy = proxy.map(|proxy| ("http_proxy", format!("http://{proxy}")));
+        let keeps_logs = std::env::var_os(LOGS_VARIABLE).is_some();
+        let errors = if keeps_logs {
+            Stdio::piped()
+        } else {
+            Stdio::inherit()
+        };
         let mut child = Command::new(program)
             .args(args)
             .envs(proxy)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
+            .stderr(errors)
             .spawn()
             .expect("the program starts");
+        if let Some(mut errors) = child.stderr.take() {
+            let mut log = create_log(child.id(), args, "err");
+            thread::spawn(move || std::io::copy(&mut errors, &mut log));
+        }
         let mut output = BufReader::new(child.stdout.take().expect("the output is piped"));
         let mut first_line = String::new();
         output
             .read_line(&mut first_line)
             .expect("the program prints a line");
-        let mut log = create_log(child.id(), args);
+        let mut log = create_log(child.id(), args, "log");
         log.write_all(first_line.as_bytes())
             .expect("the log can be written");
         // Keeps reading, so that the program never waits for room in the pipe.
@@ -121,9 +132,10 @@
     }
 }
 
-/// Creates the file for a process's output in the folder of [`LOGS_VARIABLE`]. Its name has those of the
-/// test and of the last argument, and the process id. The output is dropped if there is no such folder.
-fn create_log(process_id: u32, args: &[&str]) -> Box<dyn Write + Send> {
+/// Creates the file for a process's output or errors in the folder of [`LOGS_VARIABLE`]. Its name has
+/// those of the test and of the last argument, and the process id. The output is dropped if there is no
+/// such folder.
+fn create_log(process_id: u32, args: &[&str], ending: &str) -> Box<dyn Write + Send> {
     let Some(folder) = std::env::var_os(LOGS_VARIABLE) else {
         return Box::new(std::io::sink());
     };
@@ -133,6 +145,6 @@
         .last()
         .and_then(|argument| Path::new(argument).file_stem());
     let argument = argument.unwrap_or_default().to_string_lossy();
-    let path = Path::new(&folder).join(format!("{test}-{argument}-{process_id}.log"));
+    let path = Path::new(&folder).join(format!("{test}-{argument}-{process_id}.{ending}"));
     Box::new(File::create(path).expect("the folder for logs exists"))
 }
