Tests: a stopped process outlives the shell that started the tests

What was seen: groups::woken_controller_does_no_harm and ..._where_fencing_is_ignored, both in the same minute: after the stopped node was woken, "the group serves without the lost member" not within 30 s.

Cause: the woken node was dead. When the last parent outside of a process group ends and the group has a stopped process, the kernel sends SIGHUP and SIGCONT (here, Linux 6.18, to the stopped processes alone; si_code SI_KERNEL). The tests, their nodes and stand-ins were in the group of the job that started them, and each of the two tests has a node stopped for about 10 s.

Found by a trial that failed in this way by accident: two tests beside each other lost their stopped nodes in the moment in which the shell ended. The logs (event 108 missing) showed that these nodes never went on, and that the other node had the group all the time.

Processes now lead groups of their own, whose parent outside is the test. Since a signal to the group of the tests, such as that of Ctrl-C, no longer reaches them, a shell that reads from the tests kills what they leave, also after a kill of the tests, which left everything running before.

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -17,6 +17,7 @@
 mod outages;
 mod partitions;
 mod planned_stop;
+mod processes;
 mod promises;
 mod recovery;
 mod requests;
--- a/tests/util/process.rs
+++ b/tests/util/process.rs
@@ -4,12 +4,15 @@
     fs::File,
     io::{BufRead, BufReader, Write},
     net::SocketAddr,
+    os::unix::process::CommandExt,
     path::Path,
     process::{Child, Command, ExitStatus, Stdio},
     thread,
     time::{Duration, Instant},
 };
 
+mod leftovers;
+
 /// Environment variable with an existing folder for the output and the errors of all processes.
 const LOGS_VARIABLE: &str = "JACINTHPOINT_TEST_LOGS";
 
@@ -60,8 +63,12 @@
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(errors)
+            // A stopped process of a group whose last parent outside of it ends, such as the shell that
+            // started the tests, gets SIGHUP and SIGCONT from the kernel.
+            .process_group(0)
             .spawn()
             .expect("the program starts");
+        leftovers::add(child.id());
         if let Some(mut errors) = child.stderr.take() {
             let mut log = create_log(child.id(), args, "err");
             thread::spawn(move || std::io::copy(&mut errors, &mut log));
@@ -102,6 +109,18 @@
         value.parse().expect("the peak memory is a number")
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether it is stopped by a signal.
+    pub fn is_stopped(&self) -> bool {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process is not waited for");
+        status.lines().any(|line| line.starts_with("State:\tT"))
+    }
+
     /// Sends a signal, such as `TERM`, `STOP`, `CONT` or `KILL`.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
@@ -129,6 +148,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        leftovers::remove(self.child.id());
     }
 }
 
