Soak: the number of gateways of a large run is an argument, and runs print the processor time of their stand-ins

JACINTHPOINT_SOAK_GATEWAYS sets the number of gateways; callers and engines are in proportion, and with 48 the numbers are as before. To tell a starved run from a slow program, each run prints for how long the thread of the stand-ins ran and for how long it waited for a processor, as the kernel counts it. It changes no verdict.

--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -7,7 +7,8 @@
 //! an unplanned fault explains why not. Once the soak is over, the order of what happened is checked as well
 //! (`soak::history`).
 //!
-//! There are two sizes (`soak::size`). To run a range of seeds:
+//! There are two sizes (`soak::size`). The large one has 48 gateways unless `JACINTHPOINT_SOAK_GATEWAYS` names another
+//! number. To run a range of seeds:
 //!
 //! ```text
 //! JACINTHPOINT_SOAK_SEEDS=1000..1050 \
@@ -33,7 +34,7 @@
         checks::{SentRequest, check_outcome},
         faults::{EndFault, FaultLog, FaultMix, Faults},
         history::{Findings, History, KEY_IN_FORCE, NO_RUN_AT_ABSENT, WORK_ENDS},
-        size::{LARGE, Reach, SMALL, Size},
+        size::{Reach, SMALL, Size, large},
     },
 };
 
@@ -49,6 +50,9 @@
 const SHORT_SEED: u64 = 1;
 /// Environment variable with the range of seeds for `by_hand` and `large_by_hand`, as in `100..110`.
 const SEEDS_VARIABLE: &str = "JACINTHPOINT_SOAK_SEEDS";
+/// Environment variable with the number of gateways for `large_by_hand`, and the default.
+const GATEWAYS_VARIABLE: &str = "JACINTHPOINT_SOAK_GATEWAYS";
+const LARGE_GATEWAYS: usize = 48;
 /// Minimum share of requests that must be served once all faults have ended.
 const MIN_SERVED_SHARE: f64 = 0.95;
 
@@ -112,11 +116,13 @@
     let findings = check_history(&site, &faults);
     let pauses = site.platform.pauses();
     println!(
-        "soak: {name}, {} faults, {} stops, {counts:?}, judged: {:?}, pauses of the stand-ins: {}",
+        "soak: {name}, {} faults, {} stops, {counts:?}, judged: {:?}, pauses of the stand-ins: {}, \
+         run and wait: {:.3?}",
         size.faults,
         faults.log.stops(),
         findings.judged,
-        pauses.len()
+        pauses.len(),
+        site.platform.run_and_wait()
     );
     if violations > 0 || !findings.violations.is_empty() {
         println!("soak: {name}: faults:\n{}", faults.log.timeline());
@@ -254,7 +260,10 @@
 #[test]
 #[ignore = "uses much of the machine; see the module documentation"]
 fn large_by_hand() {
-    run_seeds(LARGE, "100..102");
+    let gateways = std::env::var(GATEWAYS_VARIABLE).map_or(LARGE_GATEWAYS, |count| {
+        count.parse().expect("a number of gateways")
+    });
+    run_seeds(large(gateways), "100..102");
 }
 
 /// Runs the seeds of the environment variable, or else of `default_range`, with both mixes.
--- a/tests/gateway/soak/size.rs
+++ b/tests/gateway/soak/size.rs
@@ -76,30 +76,35 @@
     requests_at_once: 1,
 };
 
-/// Size of the runs by hand that use much of the machine.
-pub const LARGE: Size = Size {
-    name: "large",
-    site: SiteSize {
-        gateways: 48,
-        data_centres: 2,
-        engines_per_domain: 10,
-    },
-    callers: Callers {
-        connect_pause_ms: 50,
-        keep: 200,
-        close: 16,
-        leave: 12,
-        change_keys: 12,
-    },
-    faults: 24,
-    faults_at_once: 6,
-    reach: Reach::Several,
-    events: 25,
-    event_ms: 40,
-    calm: Duration::from_secs(9),
-    requests_at_end: 96,
-    requests_at_once: 8,
-};
+/// Returns the size of the runs by hand that use much of the machine: this many gateways, and callers and engines
+/// in proportion.
+pub fn large(gateways: usize) -> Size {
+    // Engines form groups of two.
+    let engines_per_domain = 2 * (5 * gateways).div_ceil(48);
+    Size {
+        name: "large",
+        site: SiteSize {
+            gateways,
+            data_centres: 2,
+            engines_per_domain,
+        },
+        callers: Callers {
+            connect_pause_ms: 50,
+            keep: 25 * gateways / 6,
+            close: gateways / 3,
+            leave: gateways / 4,
+            change_keys: gateways / 4,
+        },
+        faults: 24,
+        faults_at_once: 6,
+        reach: Reach::Several,
+        events: 25,
+        event_ms: 40,
+        calm: Duration::from_secs(9),
+        requests_at_end: 2 * gateways,
+        requests_at_once: 8,
+    }
+}
 
 impl Size {
     pub fn gateways(&self) -> usize {
