Gate: a place that falls vacant at a group is left to an attempt that waits there

- An attempt that "stalled" is not given up.
- It waited because newer attempts were started first: the stand-in engine gives a free slot to whichever waiting attempt looks first, and a new one looks at once.
- Newer attempts were sent because the node does not know the slots, only its adaptive limit (4 at first; one node, and permits do not count).
It sees queues by first tokens that come late, so an attempt that is still waiting does not count, while the timely token of the one that overtook it raises the limit: up to 8 attempts at 2 slots.
The engine's stream does not say that an attempt is queued; its state report counts queued requests, but a permit carries the sum with the running ones.

Cause: a place that falls vacant at a group is filled at once from the gate's queue, although the node's own attempt is waiting there for the slot. An engine need not serve its queue in order, so a critical attempt can lose its slot again and again to batch work that the node itself sends.

The gate now keeps a vacated place for 100 ms from requests that are not more important than an attempt without a first token after the target time (580 ms), one place for each such attempt at most. The engine thus has only attempts that wait already to give its slot to. A more important request is not kept waiting for a less important attempt, and an attempt that hangs costs the others one place for 100 ms after each end. Starts and first tokens are given to the gate as times, so that it knows which attempts wait. The driver polls every 50 ms, as nodes do.

tests/gate.rs follows the changed signatures; no bound or check changed.

--- a/crates/admission/examples/gate_cost.rs
+++ b/crates/admission/examples/gate_cost.rs
@@ -61,14 +61,15 @@
         };
         let outcome = gate.arrive(request, &usable, now, &mut rng);
         assert!(matches!(outcome, ArrivalOutcome::Queued { .. }));
-        let dispatch = gate.poll(&usable).expect("a group has room");
+        let dispatch = gate.poll(&usable, now).expect("a group has room");
         gate.mark_dispatched(&dispatch, now);
         let group = dispatch.groups_with_room[round as usize % dispatch.groups_with_room.len()];
-        gate.start(&group, dispatch.priority);
-        gate.on_first_token(&group, 100, now);
+        gate.start(&group, dispatch.priority, now);
+        gate.on_first_token(&group, dispatch.priority, now, now);
         let finished = FinishedAttempt {
             priority: Priority::Normal,
-            hold_ms: 1_000,
+            started_at: now,
+            has_token: true,
             is_failure: false,
         };
         gate.finish(&group, finished, now);
--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -72,8 +72,10 @@
 pub struct FinishedAttempt {
     /// Priority class of the request.
     pub priority: Priority,
-    /// Hold time: the time from dispatch to the end of the attempt.
-    pub hold_ms: u64,
+    /// Time of the attempt's start, as given to [`Gate::start`].
+    pub started_at: TimeMs,
+    /// Whether the attempt delivered a first token.
+    pub has_token: bool,
     /// Whether the attempt failed because of the group.
     pub is_failure: bool,
 }
@@ -142,14 +144,14 @@
     }
 
     /// Returns the next request to dispatch if a group has room for it.
-    pub fn poll(&mut self, usable: &[K]) -> Option<Dispatch<K>> {
+    pub fn poll(&mut self, usable: &[K], now: TimeMs) -> Option<Dispatch<K>> {
         let (ticket, priority) = self.queue.peek()?;
         if !self.has_room_for_class(priority, usable) {
             return None;
         }
         let groups_with_room: Vec<K> = usable
             .iter()
-            .filter(|key| self.has_room(key))
+            .filter(|key| self.has_room(key, priority, now))
             .cloned()
             .collect();
         (!groups_with_room.is_empty()).then_some(Dispatch {
@@ -194,34 +196,35 @@
 
     /// Records the start of an attempt on a group. A retry is a further attempt; its request is not
     /// queued again.
-    pub fn start(&mut self, key: &K, priority: Priority) {
+    pub fn start(&mut self, key: &K, priority: Priority, now: TimeMs) {
         let settings = self.settings.concurrency;
         let limit = self.limits.entry(key.clone());
         limit
             .or_insert_with(|| ConcurrencyLimit::new(settings))
-            .start();
+            .start(priority, now);
         if priority != Priority::Critical {
             self.non_critical_in_flight += 1;
         }
     }
 
-    /// Records the time from dispatch to the first token of an attempt.
-    pub fn on_first_token(&mut self, key: &K, first_token_ms: u64, now: TimeMs) {
+    /// Records the first token of an attempt that started at `started_at`.
+    pub fn on_first_token(&mut self, key: &K, priority: Priority, started_at: TimeMs, now: TimeMs) {
         if let Some(limit) = self.limits.get_mut(key) {
-            limit.on_first_token(first_token_ms, now);
+            limit.on_first_token(started_at, priority, now);
         }
     }
 
     /// Records the end of an attempt on a group.
     pub fn finish(&mut self, key: &K, finished: FinishedAttempt, now: TimeMs) {
         if let Some(limit) = self.limits.get_mut(key) {
-            limit.finish(finished.is_failure, now);
+            limit.finish(&finished, now);
         }
         if finished.priority != Priority::Critical {
             self.non_critical_in_flight = self.non_critical_in_flight.saturating_sub(1);
         }
         if !finished.is_failure {
-            self.drain.on_finished(finished.priority, finished.hold_ms);
+            let hold_ms = now.since_ms(finished.started_at);
+            self.drain.on_finished(finished.priority, hold_ms);
         }
     }
 
@@ -285,9 +288,10 @@
             .drain_ms_by_capacity(queued, self.capacity(usable))
     }
 
-    fn has_room(&self, key: &K) -> bool {
+    fn has_room(&self, key: &K, priority: Priority, now: TimeMs) -> bool {
+        let has_room = |limit: &ConcurrencyLimit| limit.has_room(priority, now);
         self.settings.concurrency_mode != LayerMode::Enforce
-            || self.limits.get(key).is_none_or(ConcurrencyLimit::has_room)
+            || self.limits.get(key).is_none_or(has_room)
     }
 
     /// Returns whether a request of this class may start without using the capacity that is
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -80,9 +80,9 @@
 /// Dispatches requests while a group has room and returns their number.
 fn dispatch_while_room(gate: &mut Gate<u32>) -> usize {
     let mut count = 0;
-    while let Some(dispatch) = gate.poll(&GROUPS) {
+    while let Some(dispatch) = gate.poll(&GROUPS, NOW) {
         assert!(gate.mark_dispatched(&dispatch, NOW));
-        gate.start(&dispatch.groups_with_room[0], dispatch.priority);
+        gate.start(&dispatch.groups_with_room[0], dispatch.priority, NOW);
         count += 1;
     }
     count
@@ -103,7 +103,8 @@
 fn finished(hold_ms: u64) -> FinishedAttempt {
     FinishedAttempt {
         priority: Priority::Normal,
-        hold_ms,
+        started_at: TimeMs(NOW.0 - hold_ms),
+        has_token: true,
         is_failure: false,
     }
 }
--- a/crates/node/src/caller/gate.rs
+++ b/crates/node/src/caller/gate.rs
@@ -80,7 +80,11 @@
 
 /// Decision on a queued request, sent to its waiting thread.
 enum Decision {
-    Dispatch(Permit),
+    Dispatch {
+        permit: Permit,
+        /// Time of the attempt's start, as counted in the gate.
+        started_at: TimeMs,
+    },
     DeadlineUnreachable,
 }
 
@@ -137,7 +141,7 @@
         state.gate.retain(&usable);
         state.ejector.retain(&usable);
         let usable = state.ejector.usable(&usable, now);
-        while let Some(dispatch) = state.gate.poll(&usable) {
+        while let Some(dispatch) = state.gate.poll(&usable, now) {
             let open = permits
                 .iter()
                 .filter(|permit| dispatch.groups_with_room.contains(&permit.assignment.group));
@@ -154,8 +158,10 @@
     /// Counts a dispatched request on its group and notifies its waiting thread.
     fn dispatch(&mut self, dispatch: &Dispatch<GroupId>, permit: Permit, now: TimeMs) {
         self.gate.mark_dispatched(dispatch, now);
-        self.gate.start(&permit.assignment.group, dispatch.priority);
-        self.notify(dispatch.ticket, Decision::Dispatch(permit));
+        self.gate
+            .start(&permit.assignment.group, dispatch.priority, now);
+        let started_at = now;
+        self.notify(dispatch.ticket, Decision::Dispatch { permit, started_at });
     }
 
     fn prefix_hash(&self, ticket: Ticket) -> Option<u64> {
@@ -193,7 +199,7 @@
     let settings = shared.settings.admission.gate();
     let gate = shared.gates.get_or_create(model, settings, shared.now());
     let (ticket, decisions) = enqueue(shared, context, &gate, body)?;
-    let permit = wait_for_decision(
+    let (permit, started_at) = wait_for_decision(
         shared,
         context,
         &gate,
@@ -201,7 +207,7 @@
         &decisions,
         caller_has_disconnected,
     )?;
-    let slot = AttemptSlot::new(shared, gate, &permit, context.priority);
+    let slot = AttemptSlot::new(shared, gate, &permit, context.priority, started_at);
     Ok((permit, slot))
 }
 
@@ -215,8 +221,9 @@
     let settings = shared.settings.admission.gate();
     let gate = shared.gates.get_or_create(model, settings, shared.now());
     let group = &permit.assignment.group;
-    gate.lock().gate.start(group, context.priority);
-    AttemptSlot::new(shared, gate, permit, context.priority)
+    let started_at = shared.now();
+    gate.lock().gate.start(group, context.priority, started_at);
+    AttemptSlot::new(shared, gate, permit, context.priority, started_at)
 }
 
 fn enqueue(
@@ -277,7 +284,8 @@
     }
 }
 
-/// Waits for the decision on a queued request, or until the request leaves the queue.
+/// Waits for the decision on a queued request, or until the request leaves the queue. Returns the
+/// permit and the time of the attempt's start.
 fn wait_for_decision(
     shared: &Shared,
     context: &Context,
@@ -285,11 +293,11 @@
     ticket: Ticket,
     decisions: &Receiver<Decision>,
     caller_has_disconnected: impl Fn() -> bool,
-) -> Result<Permit, Rejection> {
+) -> Result<(Permit, TimeMs), Rejection> {
     let mut last_usable_at = shared.now();
     loop {
         match decisions.recv_timeout(Duration::from_millis(POLL_MS)) {
-            Ok(Decision::Dispatch(permit)) => return Ok(permit),
+            Ok(Decision::Dispatch { permit, started_at }) => return Ok((permit, started_at)),
             Ok(Decision::DeadlineUnreachable) => {
                 let wait_ms = expected_wait_ms(shared, context, gate);
                 let refusal = Refusal::DeadlineUnreachable { wait_ms };
@@ -342,13 +350,14 @@
         gate: Arc<ModelGate>,
         permit: &Permit,
         priority: Priority,
+        started_at: TimeMs,
     ) -> AttemptSlot<'a> {
         AttemptSlot {
             shared,
             gate,
             group: group_of(permit),
             priority,
-            started_at: shared.now(),
+            started_at,
             has_token: false,
             is_failure: false,
         }
@@ -358,7 +367,11 @@
     pub(crate) fn on_token(&mut self) {
         if !self.has_token {
             self.has_token = true;
-            self.report_first_token();
+            let now = self.shared.now();
+            let mut state = self.gate.lock();
+            state
+                .gate
+                .on_first_token(&self.group, self.priority, self.started_at, now);
         }
     }
 
@@ -366,33 +379,23 @@
     pub(crate) fn mark_failed(&mut self) {
         self.is_failure = true;
     }
-
-    /// Reports the time since the start of the attempt to the gate, as its time to the first token.
-    fn report_first_token(&self) {
-        let now = self.shared.now();
-        let first_token_ms = now.since_ms(self.started_at);
-        let mut state = self.gate.lock();
-        state.gate.on_first_token(&self.group, first_token_ms, now);
-    }
 }
 
 impl Drop for AttemptSlot<'_> {
     fn drop(&mut self) {
-        if !self.has_token && !self.is_failure {
-            // An attempt given up before its first token indicates load, as a late token does.
-            self.report_first_token();
-        }
         let now = self.shared.now();
+        let hold_ms = now.since_ms(self.started_at);
         let finished = FinishedAttempt {
             priority: self.priority,
-            hold_ms: now.since_ms(self.started_at),
+            started_at: self.started_at,
+            has_token: self.has_token,
             is_failure: self.is_failure,
         };
         let mut state = self.gate.lock();
         state.gate.finish(&self.group, finished, now);
         if self.has_token {
             state.ejector.on_success(&self.group);
-        } else if self.is_failure && state.ejector.on_failure(&self.group, finished.hold_ms, now) {
+        } else if self.is_failure && state.ejector.on_failure(&self.group, hold_ms, now) {
             log_event!(warn, GroupEjected, group = %self.group, "ejected after failures");
         }
         self.gate.dispatch_queued(self.shared, &mut state);
--- a/crates/standins/src/load/driver.rs
+++ b/crates/standins/src/load/driver.rs
@@ -22,6 +22,8 @@
 
 /// Time until the nodes know that a group is gone: the life of a permit.
 const PERMIT_MS: u64 = 1_000;
+/// How often a node looks whether its queue can move on, as the threads that wait in a node do.
+const POLL_MS: u64 = 50;
 /// Attempts of one request.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -30,6 +32,7 @@
     Fault(usize),
     Sample,
     Publish,
+    Poll,
     Arrive(usize),
     FirstToken(usize, usize),
     Done(usize, usize),
@@ -88,6 +91,7 @@
             events.push(Reverse((*at_ms, Event::Fault(index))));
         }
         events.push(Reverse((0, Event::Sample)));
+        events.push(Reverse((0, Event::Poll)));
         let groups = scenario.groups;
         let nodes = (0..scenario.nodes).map(|node| {
             let seed = scenario.seed ^ ((node as u64 + 1) << 32);
@@ -124,6 +128,7 @@
             Event::Fault(index) => self.strike(self.scenario.faults[index].1),
             Event::Sample => self.sample(),
             Event::Publish => self.publish(),
+            Event::Poll => self.poll(),
             Event::Arrive(request) => self.arrive(request),
             Event::FirstToken(request, attempt) => self.first_token(request, attempt),
             Event::Done(request, attempt) => self.done(request, attempt),
@@ -131,6 +136,15 @@
         }
     }
 
+    fn poll(&mut self) {
+        for node in 0..self.nodes.len() {
+            self.pump(node);
+        }
+        if self.now_ms < self.scenario.duration_ms {
+            self.at(self.now_ms + POLL_MS, Event::Poll);
+        }
+    }
+
     fn now(&self) -> TimeMs {
         TimeMs(self.now_ms)
     }
@@ -262,7 +276,7 @@
         progress.sent_at_ms = self.now_ms;
         self.outcomes.attempts[group] += 1;
         self.outcomes.near_attempts += u64::from(is_near);
-        self.nodes[progress.node].start(group, job.priority);
+        self.nodes[progress.node].start(group, job.priority, TimeMs(self.now_ms));
         if !matches!(self.groups[group].state, GroupState::Up { .. }) {
             return self.fail_attempt(request, group);
         }
@@ -289,9 +303,9 @@
         let Some(group) = progress.group.filter(|_| progress.attempts == attempt) else {
             return;
         };
-        let first_token_ms = self.now_ms - progress.sent_at_ms;
-        let now = self.now();
-        self.nodes[progress.node].on_first_token(group, first_token_ms, now);
+        let (started_at, now) = (TimeMs(progress.sent_at_ms), self.now());
+        let priority = self.arrivals[request].priority;
+        self.nodes[progress.node].on_first_token(group, priority, started_at, now);
     }
 
     /// Takes a request off its group.
@@ -301,7 +315,10 @@
         progress.group = None;
         let finished = FinishedAttempt {
             priority: self.arrivals[request].priority,
-            hold_ms: self.now_ms - progress.sent_at_ms,
+            started_at: TimeMs(progress.sent_at_ms),
+            has_token: progress
+                .started
+                .is_some_and(|started| started.first_token_at_ms <= self.now_ms),
             is_failure,
         };
         self.nodes[progress.node].finish(group, finished, now);
@@ -350,12 +367,6 @@
             self.nodes[node].withdraw(request);
             return self.shed(request);
         };
-        let is_answering = started.is_some_and(|s| s.first_token_at_ms <= self.now_ms);
-        if !is_answering {
-            let waited_ms = self.now_ms - progress.sent_at_ms;
-            let now = self.now();
-            self.nodes[node].on_first_token(group, waited_ms, now);
-        }
         self.leave_group(request, group, false);
         let at_ms = self.arrivals[request].at_ms;
         let first_token_ms =
--- a/crates/standins/src/load/driver/groups.rs
+++ b/crates/standins/src/load/driver/groups.rs
@@ -20,10 +20,6 @@
         if self.now_ms < self.scenario.duration_ms {
             self.at(self.now_ms + SAMPLE_MS, Event::Sample);
         }
-        // Also lets nodes look again whose groups have come or gone.
-        for node in 0..self.nodes.len() {
-            self.pump(node);
-        }
     }
 
     pub(super) fn publish(&mut self) {
--- a/crates/standins/src/load/node.rs
+++ b/crates/standins/src/load/node.rs
@@ -102,7 +102,7 @@
     /// The next request to go, taken off the queue.
     pub(crate) fn next(&mut self, usable: &[usize], now: TimeMs) -> Option<Go> {
         let gate = self.gate.as_mut()?;
-        let dispatch = gate.poll(usable)?;
+        let dispatch = gate.poll(usable, now)?;
         gate.mark_dispatched(&dispatch, now);
         let request = self.tickets.remove(&dispatch.ticket)?;
         self.waiting.remove(&request);
@@ -139,16 +139,22 @@
         (self.router)(candidates, prefix, &mut self.rng)
     }
 
-    pub(crate) fn start(&mut self, group: usize, priority: Priority) {
+    pub(crate) fn start(&mut self, group: usize, priority: Priority, now: TimeMs) {
         self.in_flight[group] += 1;
         if let Some(gate) = &mut self.gate {
-            gate.start(&group, priority);
+            gate.start(&group, priority, now);
         }
     }
 
-    pub(crate) fn on_first_token(&mut self, group: usize, first_token_ms: u64, now: TimeMs) {
+    pub(crate) fn on_first_token(
+        &mut self,
+        group: usize,
+        priority: Priority,
+        started_at: TimeMs,
+        now: TimeMs,
+    ) {
         if let Some(gate) = &mut self.gate {
-            gate.on_first_token(&group, first_token_ms, now);
+            gate.on_first_token(&group, priority, started_at, now);
         }
     }
 
@@ -156,7 +162,7 @@
         self.in_flight[group] -= 1;
         if let Some(ejector) = &mut self.ejector {
             if finished.is_failure {
-                ejector.on_failure(&group, finished.hold_ms, now);
+                ejector.on_failure(&group, now.since_ms(finished.started_at), now);
             } else {
                 ejector.on_success(&group);
             }
