--- a/tests/gateway/crashing_prompts.rs
+++ b/tests/gateway/crashing_prompts.rs
@@ -85,7 +85,7 @@
 }
 
 /// Guards against rule BUDGET: requests with a part that crashes engines are sent on and on, by each
-/// gateway; and against rule LOST: harmless requests with the same first part are not served meanwhile.
+/// gateway; and against lost answers: harmless requests with the same first part are not served meanwhile.
 #[test]
 fn requests_with_a_crashing_part_stop_and_harmless_ones_are_served() {
     let gateways = 3;
--- a/tests/gateway/faulty_answers.rs
+++ b/tests/gateway/faulty_answers.rs
@@ -78,7 +78,7 @@
     };
 }
 
-// Guards against rules REFUSED, TWICE and MIXED: an earlier answer on a kept connection is taken for the
+// Guards against false refusals and second runs: an earlier answer on a kept connection is taken for the
 // answer to a request that runs.
 earlier_answer! {
     earlier_refusal_is_not_taken_for_the_answer:
@@ -99,7 +99,7 @@
          content-length: 0\r\n\r\n",
 }
 
-/// Guards against rule REFUSED: a connection is used again after a refusal without an id, and the rest of
+/// Guards against false refusals: a connection is used again after a refusal without an id, and the rest of
 /// what its upstream writes there is taken for later answers.
 #[test]
 fn connection_of_a_refusal_without_an_id_is_not_used_again() {
@@ -155,7 +155,7 @@
     };
 }
 
-// Guards against rule REFUSED: the status of an upstream that ran the request is passed on, although it
+// Guards against false refusals: the status of an upstream that ran the request is passed on, although it
 // promises that the request has not run.
 false_promise! {
     status_503_of_an_upstream_that_ran_the_request_is_not_passed_on: "503 Unavailable",
--- a/tests/gateway/faulty_answers/heads.rs
+++ b/tests/gateway/faulty_answers/heads.rs
@@ -84,7 +84,7 @@
     };
 }
 
-// Guards against rules MIXED and ORDER: an answer whose head is cut is passed on as a whole answer without a
+// Guards against broken answers that look whole: an answer whose head is cut is passed on as a whole answer without a
 // body. Each request has a body of its own, since one that breaks several connections is in quarantine.
 cut_head! {
     head_that_is_cut_in_the_status_line_is_no_answer: |head| &head[..12],
@@ -124,7 +124,7 @@
     address
 }
 
-/// Guards against rules MIXED and ORDER: an answer of another gateway that is cut in its head, or that has
+/// Guards against broken answers that look whole: an answer of another gateway that is cut in its head, or that has
 /// neither length nor chunks and may be cut, is passed on as whole.
 #[test]
 fn forwarded_request_whose_answer_is_cut_gets_no_success() {
--- a/tests/gateway/faulty_answers/streams.rs
+++ b/tests/gateway/faulty_answers/streams.rs
@@ -82,7 +82,7 @@
     };
 }
 
-// Guards against rules ORDER and MIXED: what another upstream answers to the rest of a stream is passed on
+// Guards against broken answers that look whole: what another upstream answers to the rest of a stream is passed on
 // as its events, or as its end, although it does not go on after the last event.
 no_continuation! {
     error_is_no_rest_of_a_stream: |request|
@@ -183,7 +183,7 @@
     },
 }
 
-/// Guards against rule ORDER: events come twice, since a stream is resumed from its start although the caller
+/// Guards against events out of order: events come twice, since a stream is resumed from its start although the caller
 /// has events of it that have no id.
 #[test]
 fn stream_of_events_without_ids_is_not_resumed() {
@@ -203,7 +203,7 @@
     assert_eq!((answer.status, answer.end), (200, End::Broken));
 }
 
-/// Guards against rules ORDER and MIXED: a body of another form is split like a stream, and events of another
+/// Guards against broken answers that look whole: a body of another form is split like a stream, and events of another
 /// upstream follow its first part.
 #[test]
 fn answer_of_another_form_on_a_stream_route_is_never_joined() {
@@ -226,7 +226,7 @@
     assert_eq!((answer.status, answer.end), (200, End::Whole));
 }
 
-/// Guards against rule ORDER: a caller that resumes a stream itself gets it from the start.
+/// Guards against events out of order: a caller that resumes a stream itself gets it from the start.
 #[test]
 fn stream_that_its_caller_resumes_goes_on_after_its_last_event() {
     let site = scripted_site(|request| match request.earlier_runs {
--- a/tests/gateway/kept_connections.rs
+++ b/tests/gateway/kept_connections.rs
@@ -71,7 +71,7 @@
     }
 }
 
-/// Guards against rule LOST: requests of callers that keep their connections, or open new ones until the
+/// Guards against lost answers: requests of callers that keep their connections, or open new ones until the
 /// process is gone, end without an answer at a planned stop.
 #[test]
 fn planned_stops_leave_no_request_unanswered() {
@@ -214,7 +214,7 @@
 /// Defines tests of a caller that ends its sending side after its request: name, whether a request was
 /// answered on the connection before, the request.
 ///
-/// They guard against rule LOST: the end of the caller's bytes is taken for its leaving.
+/// They guard against lost answers: the end of the caller's bytes is taken for its leaving.
 macro_rules! half_closed {
     ($($name:ident: $is_kept:expr, $request:expr,)+) => {
         $(
@@ -250,7 +250,7 @@
     half_closed_caller_that_was_kept_gets_its_stream: true, Request::stream("half"),
 }
 
-/// Guards against rule GONE: an upstream works on for a caller that closed its connection, since a caller
+/// Guards against work for callers that left: an upstream works on for a caller that closed its connection, since a caller
 /// that only ended its sending side is to be answered.
 #[test]
 fn stream_of_a_caller_that_left_ends() {
--- a/tests/gateway/link_cuts.rs
+++ b/tests/gateway/link_cuts.rs
@@ -15,7 +15,7 @@
 /// Time for which a service works on a request across the cut, within its deadline.
 const WORK_MS: u64 = 6_500;
 
-/// Guards against rule LOST: a cut of the caller's link that ends long before the deadline ends the
+/// Guards against lost answers: a cut of the caller's link that ends long before the deadline ends the
 /// connection of a request that runs.
 #[test]
 fn answer_arrives_after_a_cut_of_the_callers_link() {
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -43,7 +43,6 @@
 mod faults;
 mod history;
 mod planted;
-
 mod size;
 
 /// Seed of the test `short`.
--- a/tests/gateway/statements.rs
+++ b/tests/gateway/statements.rs
@@ -76,7 +76,7 @@
     assert_eq!(Request::once("after").send(site.gateway(0)).status, 200);
 }
 
-/// Guards against rule DRAIN: an upstream that states that it leaves gets requests until the store says
+/// Guards against work at upstreams that leave: an upstream that states that it leaves gets requests until the store says
 /// so, too.
 #[test]
 fn upstream_that_leaves_gets_no_requests() {
--- a/tests/gateway/stop_combinations.rs
+++ b/tests/gateway/stop_combinations.rs
@@ -30,7 +30,7 @@
 /// Time after SIGTERM from which new requests are refused, and some time for the gateway to do so.
 const REFUSED_FROM_MS: u64 = 2_600 + 300;
 
-/// Guards against rule MIXED: a stream that is cut at the end of the grace time looks whole to a caller of
+/// Guards against cut answers that look whole: a stream that is cut at the end of the grace time looks whole to a caller of
 /// HTTP/1.0, to which only the end of the connection marks the end.
 #[test]
 fn stream_that_outlasts_the_grace_time_does_not_look_whole_to_an_old_caller() {
@@ -55,7 +55,7 @@
     assert!(read.is_err(), "{events} of 200 events look whole");
 }
 
-/// Guards against rule LOST: a caller that was not told that its connection closes sends its next request
+/// Guards against lost answers: a caller that was not told that its connection closes sends its next request
 /// right after the end of a stream, and gets no answer.
 #[test]
 fn request_after_a_stream_that_outlasts_the_announcement_is_answered() {
@@ -127,7 +127,7 @@
     assert!(faults.is_empty(), "of {}: {faults:?}", outcomes.len());
 }
 
-/// Guards against rule LOST: after a pause of the process, the phases of a stop follow each other at once,
+/// Guards against lost answers: after a pause of the process, the phases of a stop follow each other at once,
 /// and requests that arrived meanwhile end without an answer.
 #[test]
 fn pause_within_a_stop_leaves_no_request_unanswered() {
@@ -141,7 +141,7 @@
     });
 }
 
-/// Guards against rule LOST at a stop of a gateway that has just started, and at further signals.
+/// Guards against lost answers at a stop of a gateway that has just started, and at further signals.
 #[test]
 fn signals_right_after_the_start_leave_no_request_unanswered() {
     let mut site = Site::start(1);
@@ -209,7 +209,7 @@
     assert_eq!(answer.status, 200);
 }
 
-/// Guards against rule LOST: the idle time begins when an answer has been written, although its caller still
+/// Guards against lost answers: the idle time begins when an answer has been written, although its caller still
 /// reads it, so that the request right after it finds the connection closed.
 #[test]
 fn idle_time_begins_when_a_slow_reader_has_read_its_answer() {
@@ -261,7 +261,7 @@
     assert_eq!(statements, expected);
 }
 
-/// Guards against rule LOST: kept connections of HTTP/1.0 that end without an answer at a stop.
+/// Guards against lost answers: kept connections of HTTP/1.0 that end without an answer at a stop.
 #[test]
 fn old_callers_that_keep_their_connections_are_answered_across_a_stop() {
     let mut site = Site::start(1);
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -127,7 +127,7 @@
     assert!(site.platform.runs.of("unknown").is_empty());
 }
 
-/// Guards against rule GONE: a stream that is forwarded goes on after its caller has left.
+/// Guards against work for callers that left: a stream that is forwarded goes on after its caller has left.
 #[test]
 fn forwarded_stream_ends_when_its_caller_leaves() {
     let (site, partitioned) = partitioned_site();
@@ -143,7 +143,7 @@
     });
 }
 
-/// Guards against rule TWICE: an upstream's answer that looks like a gateway's refusal makes the request
+/// Guards against second runs: an upstream's answer that looks like a gateway's refusal makes the request
 /// go to one more gateway.
 #[test]
 fn answer_of_an_upstream_is_no_refusal_of_a_gateway() {
@@ -247,7 +247,7 @@
     }
 }
 
-/// Guards against rule LOST: a gateway that has no callers of its own ends its planned stop while it serves
+/// Guards against lost answers: a gateway that has no callers of its own ends its planned stop while it serves
 /// a request that another gateway forwarded.
 #[test]
 fn forwarded_request_outlasts_the_announcement_of_a_stop() {
--- a/tests/gateway/unusual_callers.rs
+++ b/tests/gateway/unusual_callers.rs
@@ -82,7 +82,7 @@
     assert_eq!(caller.wait_for_close(ANNOUNCED_MS), Some(true));
 }
 
-/// Guards against rule LOST: a half-closed caller whose request was passed on and is given up gets no byte
+/// Guards against lost answers: a half-closed caller whose request was passed on and is given up gets no byte
 /// of an answer. Any answer that promises nothing will do.
 #[test]
 fn half_closed_caller_of_slow_idempotent_request_gets_an_answer() {
@@ -121,7 +121,7 @@
     });
 }
 
-/// Guards against rule GONE: a request that an upstream refuses is sent to the next one although its caller
+/// Guards against work for callers that left: a request that an upstream refuses is sent to the next one although its caller
 /// has closed its connection long before.
 #[test]
 fn refused_request_of_a_caller_that_left_is_not_sent_again() {
@@ -272,7 +272,7 @@
     assert_eq!(received.matches("HTTP/1.1 200 OK").count(), 4, "{received}");
 }
 
-/// Guards against rule MIXED: a stream that breaks off looks whole to a caller of HTTP/1.0, to which only
+/// Guards against cut answers that look whole: a stream that breaks off looks whole to a caller of HTTP/1.0, to which only
 /// the end of the connection marks the end.
 #[test]
 fn broken_stream_does_not_look_whole_to_an_old_caller() {
@@ -300,7 +300,7 @@
     assert!(read.is_err(), "it looks whole: {received}");
 }
 
-/// Guards against rule GONE: a request that was not read in time is passed on after its caller has closed
+/// Guards against work for callers that left: a request that was not read in time is passed on after its caller has closed
 /// the connection.
 #[test]
 fn request_of_a_caller_that_left_unread_is_not_passed_on() {
@@ -322,7 +322,7 @@
     assert!(passed_on <= 3, "{passed_on} of {CALLERS} were passed on");
 }
 
-/// Guards against rule GONE: a request that waited in the queue of a full gateway is passed on long after
+/// Guards against work for callers that left: a request that waited in the queue of a full gateway is passed on long after
 /// its caller has closed the connection.
 #[test]
 fn request_of_a_caller_that_left_the_queue_is_not_passed_on() {
@@ -480,7 +480,7 @@
     outcomes
 }
 
-/// Guards against rule LOST: requests in several packets, or whose body is asked for, get no answer at a
+/// Guards against lost answers: requests in several packets, or whose body is asked for, get no answer at a
 /// planned stop.
 #[test]
 fn requests_in_several_packets_are_answered_across_a_stop() {
