--- a/tests/gateway/soak/history.rs
+++ b/tests/gateway/soak/history.rs
@@ -21,7 +21,7 @@
 /// Time within which a written configuration must be in force.
 const CONFIG_APPLY: Duration = Duration::from_millis(CONFIG_APPLY_MS);
 /// Time after which no request may reach an upstream that drains or has left.
-const DRAIN: Duration = Duration::from_millis(DRAIN_MS);
+const LEAVING: Duration = Duration::from_millis(DRAIN_MS);
 /// Time after an effect of a configuration was seen at a gateway from which it must show no older one.
 const BACK: Duration = Duration::from_millis(250);
 /// Time within which the work for a caller that left must end, and after which none may begin.
@@ -307,7 +307,7 @@
             if !faults.is_store_stable(absence.acknowledged_at) {
                 continue;
             }
-            let begin = absence.acknowledged_at + DRAIN;
+            let begin = absence.acknowledged_at + LEAVING;
             let is_absent =
                 |at: Instant| at > begin && absence.ended_at.is_none_or(|ended_at| at < ended_at);
             for exchange in &self.exchanges {
