Gateway: a slow attempt is given up only for a retry that the budget allows

What callers saw: a stream whose upstream sent no event for 0.8 s was cut, and a request whose answer took 4 s got 502, although the upstreams worked on them and the deadlines were far away.

Cause: the attempt was given up first, and the retry budget asked afterwards. It is small at gateways that have just started.

The budget is asked first: for a stream, the retry is taken from it when the attempt is given up; otherwise the attempt is kept and checked again.

--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -358,7 +358,8 @@
 /// Decides whether to keep waiting for an attempt that has no answer yet.
 ///
 /// With `keep_if_stalled`, or if the route does not allow a retry of a request that may have run,
-/// the attempt is kept until the deadline. Before the deadline, the group is reported as stalled if
+/// the attempt is kept until the deadline, and without room for a retry in the budget until there is some:
+/// the upstream may only be slow. Before the deadline, the group is reported as stalled if
 /// the stall policy asks for a probe of its members, even if the attempt is kept.
 fn check_progress(
     context: &Context,
@@ -380,6 +381,8 @@
     let Some(stall_policy) = context.stall_policy() else {
         return if must_keep {
             WaitDecision::CheckAgainAt(deadline.0)
+        } else if !context.can_spend_retry() {
+            WaitDecision::CheckAgainAt(now.plus_ms(STALL_RECHECK_MS).min(deadline.0))
         } else {
             WaitDecision::GiveUp("no answer in time")
         };
@@ -395,7 +398,9 @@
     }
     match verdict {
         StallState::CheckAgainAt(at) => WaitDecision::CheckAgainAt(at.min(deadline.0)),
-        StallState::GroupStalled | StallState::StreamStalled if must_keep => {
+        StallState::GroupStalled | StallState::StreamStalled
+            if must_keep || !context.can_spend_retry() =>
+        {
             WaitDecision::CheckAgainAt(now.plus_ms(STALL_RECHECK_MS).min(deadline.0))
         }
         StallState::GroupStalled => WaitDecision::GiveUp("the group makes no progress"),
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -173,6 +173,15 @@
         work(budgets.entry(self.service.clone()).or_default())
     }
 
+    /// Returns whether the retry budget allows another retry now, without spending it.
+    pub(crate) fn can_spend_retry(&self) -> bool {
+        let gateway = &self.gateway;
+        let settings = gateway.settings();
+        let (slack, now) = (gateway.slack_share(), gateway.now());
+        let usage = self.with_budget(|budget| budget.usage(&settings.repeats, slack, now));
+        f64::from(usage.retries) + 1.0 <= usage.max_retries
+    }
+
     /// Spends one retry of the service's budget; returns `false` if the budget is used up. Logs
     /// either with the budget's use before.
     pub(crate) fn try_spend_retry(&self) -> bool {
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -63,6 +63,8 @@
     /// Time of the last event, or of the head of the current attempt before its first event.
     last_progress_at: TimeMs,
     longest_gap_ms: u64,
+    /// Whether the retry that resumes the stream has been taken from the budget.
+    has_spent_retry: bool,
 }
 
 /// Returns the response whose body is the stream, and forwards the stream in a task of its own.
@@ -87,6 +89,7 @@
         splitter: EventSplitter::default(),
         first_event_at: None,
         longest_gap_ms: 0,
+        has_spent_retry: false,
     };
     tokio::task::spawn_local(async move {
         let context = forwarder.context.clone();
@@ -162,6 +165,7 @@
         let mut last_event_in_attempt_at = None;
         // Number of pieces with whole events that this target has sent.
         let mut pieces = 0_u32;
+        let mut was_retry_denied = false;
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
@@ -202,8 +206,14 @@
                             if verdict == StallState::GroupStalled {
                                 report_stall(&gateway, &target, had_event);
                             }
-                            if self.can_resume() {
-                                return StreamEnd::Broken("no event in time".to_owned());
+                            // Without a retry, the target may still be the one that goes on.
+                            let may_try = !was_retry_denied || self.context.can_spend_retry();
+                            if self.can_resume() && may_try {
+                                if self.context.try_spend_retry() {
+                                    self.has_spent_retry = true;
+                                    return StreamEnd::Broken("no event in time".to_owned());
+                                }
+                                was_retry_denied = true;
                             }
                             check_at = now.plus_ms(RECHECK_INTERVAL_MS);
                         }
@@ -343,7 +353,8 @@
                     continue;
                 }
             };
-            if !context.try_spend_retry() {
+            let has_retry = std::mem::take(&mut self.has_spent_retry) || context.try_spend_retry();
+            if !has_retry {
                 log_event!(
                     warn,
                     AttemptFailed,
--- a/tests/gateway/reported_faults.rs
+++ b/tests/gateway/reported_faults.rs
@@ -64,6 +64,34 @@
     assert_eq!(answer.events(), all_event_ids(10));
 }
 
+/// Guards against a stream that is cut because its events are far apart and the retry budget denies to resume
+/// it: its upstream is only slow.
+#[test]
+fn slow_stream_without_a_retry_is_not_cut() {
+    let site = Site::start_with_settings(1, "[repeats]\nratio = 0\nslack = 0\n");
+    site.platform.engines.set_stream(10, 500);
+    let answer = Request::stream("slow").send(site.gateway(0));
+    assert_eq!((answer.status, answer.end), (200, End::Whole));
+    assert_eq!(answer.events(), all_event_ids(10));
+    assert_eq!(site.platform.runs.of("slow").len(), 1);
+}
+
+/// Guards against a request that is answered as failed while its upstream works on it, since the retry budget
+/// denies to send it elsewhere.
+#[test]
+fn slow_answer_without_a_retry_is_awaited() {
+    const ANSWER_MS: u64 = 4_000;
+    let site = Site::start_with_settings(1, "[repeats]\nratio = 0\nslack = 0\n");
+    site.platform.plain.set_fault(PlainFault::Slow(ANSWER_MS));
+    let request = Request {
+        path: "/again/",
+        ..Request::once("slow")
+    };
+    let answer = request.send(site.gateway(0));
+    assert_eq!((answer.status, answer.end), (200, End::Whole));
+    assert_eq!(site.platform.runs.of("slow").len(), 1);
+}
+
 /// Guards against a stalled stream that never ends because a byte comes now and then.
 #[test]
 fn stream_of_single_bytes_ends_with_its_deadline() {
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -82,6 +82,9 @@
     settings_path: String,
 }
 
+/// Retry budget of gateways, unless a test sets its own.
+const DEFAULT_REPEATS: &str = "[repeats]\nratio = 0.2\nslack = 130\n";
+
 /// How gateways reach the store.
 #[derive(Clone, Copy)]
 enum StoreAccess<'a> {
@@ -262,11 +265,16 @@
             } else {
                 (store, size.data_centre(index))
             };
+            let repeats = if more_settings.contains("[repeats]") {
+                ""
+            } else {
+                DEFAULT_REPEATS
+            };
             let settings = format!(
                 "[node]\nname = {name}\ndata_centre = {data_centre}\nfirst_start = true\n[listen]\n\
                  callers = {callers}\nreadiness = {readiness}\nmetrics = {metrics}\n\
                  peers = {peers}\n[store]\naddress = {store}\n[stop]\ngrace_ms = 8000\n\
-                 [repeats]\nratio = 0.2\nslack = 130\n{more_settings}",
+                 {repeats}{more_settings}",
             );
             let file = format!("gateway-{index}.ini");
             site.folder.write(&file, &settings);
