--- a/crates/listener/tests/close.rs
+++ b/crates/listener/tests/close.rs
@@ -37,22 +37,29 @@
     unreachable!("the listener closes");
 }
 
-/// Accepts and answers until `end`, and then as long as connections are waiting.
-fn answer_until(listener: &TcpListener, end: Instant) {
-    loop {
-        let is_over = Instant::now() >= end;
-        match listener.accept() {
-            Ok((mut connection, _)) => {
-                connection.set_nonblocking(false).expect("it can be set");
-                let _ = connection.read_exact(&mut [0]);
-                let _ = connection.write_all(b"!");
-            }
-            Err(error) if error.kind() == ErrorKind::WouldBlock && is_over => return,
-            Err(_) => thread::sleep(Duration::from_micros(100)),
+/// Accepts a connection, if one waits, and answers; returns whether one waited.
+fn answer_next(listener: &TcpListener) -> bool {
+    match listener.accept() {
+        Ok((mut connection, _)) => {
+            connection.set_nonblocking(false).expect("it can be set");
+            let _ = connection.read_exact(&mut [0]);
+            let _ = connection.write_all(b"!");
+            true
+        }
+        Err(_) => {
+            thread::sleep(Duration::from_micros(100));
+            false
         }
     }
 }
 
+/// Answers until a time, whether or not more connections wait then.
+fn answer_until(listener: &TcpListener, end: Instant) {
+    while Instant::now() < end {
+        answer_next(listener);
+    }
+}
+
 /// Guards against connections that are established as a listener closes, and reset without an answer.
 #[test]
 fn close_under_load_resets_no_connection() {
