--- a/crates/listener/tests/close.rs
+++ b/crates/listener/tests/close.rs
@@ -77,6 +77,7 @@
             &listener,
             Instant::now() + Duration::from_millis(HANDSHAKE_MS),
         );
+        while answer_next(&listener) {}
         drop(listener);
         for caller in callers {
             let (_, end) = caller.join().expect("no panic");
--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -70,7 +70,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the listener or its overflow thread cannot be set up.
+/// Fails if the listener or its overflow thread cannot be set up, or if that thread panicked.
 pub(crate) fn serve(
     listener: TcpListener,
     limits: ListenerLimits,
