Tests that fail: retries for requests that move to another gateway or life exceed the budget

The check of the older test of restarts is shared and unchanged; windows are counted by binary search.

--- a/crates/dispatch/tests/budget.rs
+++ b/crates/dispatch/tests/budget.rs
@@ -55,12 +55,11 @@
 /// Returns whether the retries in each window are within the budget for the requests in the same
 /// or the previous window, whichever are more.
 fn is_within_budget(requests: &[TimeMs], retries: &[TimeMs]) -> bool {
+    assert!(requests.is_sorted() && retries.is_sorted());
     let in_window = |times: &[TimeMs], end: TimeMs| {
-        let begin = end.0.saturating_sub(SETTINGS.window_ms);
-        times
-            .iter()
-            .filter(|at| at.0 > begin && **at <= end)
-            .count() as f64
+        let begin = TimeMs(end.0.saturating_sub(SETTINGS.window_ms));
+        let count_until = |last: TimeMs| times.partition_point(|at| *at <= last);
+        (count_until(end) - count_until(begin)) as f64
     };
     retries.iter().all(|end| {
         let previous_window_end = TimeMs(end.0 - SETTINGS.window_ms);
@@ -123,6 +122,84 @@
     is_within_budget(&requests, &retries)
 }
 
+/// Time between two requests of [`keeps_the_budget_while_requests_move`]; so many that most of the
+/// budget follows from the ratio.
+const BUSY_REQUEST_INTERVAL_MS: u64 = 4;
+
+/// Returns whether the retries of all gateways stay within the budget while requests move between
+/// gateways, gateways restart, and all upstreams fail at times. Each gateway then retries as often as
+/// its budget allows. Each phase holds its length in units of 100 ms, the gateways that get requests as
+/// a bit mask, those that restart at its begin, and whether upstreams fail.
+fn keeps_the_budget_while_requests_move(phases: Vec<(u8, u8, u8, bool)>) -> bool {
+    const GATEWAYS: usize = 6;
+    let begin = TimeMs(1_000_000);
+    let mut budgets: Vec<FleetRetryBudget> = Vec::new();
+    budgets.resize_with(GATEWAYS, FleetRetryBudget::default);
+    let mut slacks = [share(GATEWAYS); GATEWAYS];
+    let mut requests: Vec<TimeMs> = Vec::new();
+    let mut retries: Vec<TimeMs> = Vec::new();
+    let mut now = begin;
+    for (length, serving, restarted, is_failing) in phases {
+        let has_bit = |mask: u8, gateway: usize| mask >> gateway & 1 == 1;
+        let mut serving: Vec<usize> = (0..GATEWAYS)
+            .filter(|gateway| has_bit(serving, *gateway))
+            .collect();
+        if serving.is_empty() {
+            serving = (0..GATEWAYS).collect();
+        }
+        for gateway in (0..GATEWAYS).filter(|gateway| has_bit(restarted, *gateway)) {
+            budgets[gateway] = FleetRetryBudget::default();
+            slacks[gateway].usable_from = SlackShare::usable_from(now, begin, &SETTINGS);
+        }
+        let end = now.plus_ms(u64::from(length % 80) * 100);
+        while now < end {
+            now = now.plus_ms(BUSY_REQUEST_INTERVAL_MS);
+            let gateway = serving[requests.len() % serving.len()];
+            budgets[gateway].on_request(&SETTINGS, now);
+            requests.push(now);
+            for (budget, slack) in budgets.iter_mut().zip(slacks).filter(|_| is_failing) {
+                while budget.try_retry(&SETTINGS, slack, now) {
+                    retries.push(now);
+                }
+            }
+        }
+    }
+    is_within_budget(&requests, &retries)
+}
+
+/// Returns phases of [`keeps_the_budget_while_requests_move`] with calm before all upstreams fail, then
+/// one change and more failures.
+fn failures_around(serving: [u8; 2], restarted: u8) -> Vec<(u8, u8, u8, bool)> {
+    vec![
+        (79, serving[0], 0, false),
+        (40, serving[0], 0, false),
+        (20, serving[0], 0, true),
+        (78, serving[1], restarted, true),
+    ]
+}
+
+/// Regression test for rule BUDGET: retries for requests that moved to another gateway, or to the next
+/// life of the same one, came on top of those that the former one had sent in the window.
+#[test]
+fn retries_stay_within_the_budget_while_requests_move() {
+    // All gateways restart; four of six are lost; all callers move to other gateways.
+    for phases in [
+        failures_around([0b11_1111, 0b11_1111], 0b11_1111),
+        failures_around([0b11_1111, 0b11_0000], 0),
+        failures_around([0b00_1111, 0b11_0000], 0),
+    ] {
+        let description = format!("{phases:?}");
+        assert!(
+            keeps_the_budget_while_requests_move(phases),
+            "{description}"
+        );
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(24, 3))
+        .tests(60)
+        .quickcheck(keeps_the_budget_while_requests_move as fn(Vec<(u8, u8, u8, bool)>) -> bool);
+}
+
 /// Regression test for rule BUDGET: restarted gateways used their share of the slack again, and
 /// added gateways used theirs before the others counted them.
 #[test]
--- a/tests/gateway/fleet_limits.rs
+++ b/tests/gateway/fleet_limits.rs
@@ -51,6 +51,32 @@
             });
         }
     }
+    check_retry_budget(&site, &requests);
+}
+
+/// Regression test for rule BUDGET: retries for the requests of callers that moved to another gateway came
+/// on top of those that the former one had sent in the window.
+#[test]
+fn retries_stay_within_the_budget_while_callers_move() {
+    let site = Site::start(2);
+    let pause = Duration::from_millis(10);
+    let send = |gateway, time_s| send_steadily(&[site.gateway(gateway)], seconds(time_s), pause);
+    let mut answers = send(0, 7);
+    site.platform.engines.set_failing(true);
+    answers.extend(send(0, 2));
+    answers.extend(send(1, 8));
+    let mut requests: Vec<Instant> = answers.iter().map(|answer| answer.sent_at).collect();
+    requests.sort();
+    check_retry_budget(&site, &requests);
+}
+
+const fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+/// Checks that the engines got no more repeats of requests than the retry budget allows, given the times
+/// of all requests.
+fn check_retry_budget(site: &Site, requests: &[Instant]) {
     let mut seen = BTreeSet::new();
     let runs = site.platform.runs.all();
     let repeats = runs.iter().filter(|run| !seen.insert(&run.attempt_id));
@@ -58,9 +84,9 @@
     assert!(!repeats.is_empty(), "no request was retried");
     for begin in &repeats {
         let counted = [
-            count_in_window(&requests, *begin, RETRY_WINDOW),
-            count_in_window(&requests, *begin - RETRY_WINDOW, RETRY_WINDOW),
-            count_in_window(&requests, *begin - RETRY_WINDOW / 2, RETRY_WINDOW),
+            count_in_window(requests, *begin, RETRY_WINDOW),
+            count_in_window(requests, *begin - RETRY_WINDOW, RETRY_WINDOW),
+            count_in_window(requests, *begin - RETRY_WINDOW / 2, RETRY_WINDOW),
         ];
         let counted = counted.into_iter().fold(0.0, f64::max);
         let sent = count_in_window(&repeats, *begin, RETRY_WINDOW);
@@ -71,9 +97,14 @@
     }
 }
 
-/// Sends streams to each gateway for `time`, one every `pause`, and returns the statuses of the
-/// answers.
-fn send_steadily(gateways: &[SocketAddr], time: Duration, pause: Duration) -> Vec<u16> {
+/// Time at which a request was sent, and the status of its answer.
+struct TimedAnswer {
+    sent_at: Instant,
+    status: u16,
+}
+
+/// Sends streams to each gateway for `time`, one every `pause`, and returns the answers.
+fn send_steadily(gateways: &[SocketAddr], time: Duration, pause: Duration) -> Vec<TimedAnswer> {
     let end = Instant::now() + time;
     let senders: Vec<_> = gateways
         .iter()
@@ -82,20 +113,21 @@
             thread::spawn(move || {
                 let mut callers = Vec::new();
                 while Instant::now() < end {
-                    let id = format!("{address}-{}", callers.len());
-                    callers.push(thread::spawn(move || {
-                        Request::stream(&id).send(address).status
+                    let id = format!("{address}-{}-{}", time.as_millis(), callers.len());
+                    callers.push(thread::spawn(move || TimedAnswer {
+                        sent_at: Instant::now(),
+                        status: Request::stream(&id).send(address).status,
                     }));
                     thread::sleep(pause);
                 }
                 let answers = callers.into_iter();
-                let statuses = answers.map(|caller| caller.join().expect("it does not panic"));
-                statuses.collect::<Vec<u16>>()
+                let answers = answers.map(|caller| caller.join().expect("it does not panic"));
+                answers.collect::<Vec<TimedAnswer>>()
             })
         })
         .collect();
-    let statuses = senders.into_iter();
-    statuses
+    let answers = senders.into_iter();
+    answers
         .flat_map(|sender| sender.join().expect("it does not panic"))
         .collect()
 }
@@ -128,9 +160,10 @@
     let named_at = Instant::now();
     let time = LIMIT_STABLE + LIMIT_WINDOW + Duration::from_secs(1);
     let addresses: Vec<_> = (0..gateways).map(|index| site.gateway(index)).collect();
-    let statuses = send_steadily(&addresses, time, Duration::from_millis(60));
+    let answers = send_steadily(&addresses, time, Duration::from_millis(60));
     check_limit(&site, &leader, limit, named_at);
     // The other groups have room for what the limited one does not take.
+    let statuses: Vec<u16> = answers.iter().map(|answer| answer.status).collect();
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
 
