Retry budget: each gateway applies half of the ratio, since requests of two windows allow retries in one

Callers saw nothing of it; the services got more repeats than the fleet may send them (rule BUDGET): 755 where 710 are allowed.

Cause: a gateway allows retries by its own requests of the window before. A gateway that used its share and is killed, lost, or left by its callers leaves its retries in the window, and whoever gets the callers retries by their later requests. No life exceeded its share; the sum is that of up to two windows of requests. The module's claim that earlier retries of a restarted gateway are no problem, since their requests count as well, held for one window only.

The requests in the window and in the one before it are all that can allow retries in it, each once. With at most half of the ratio for each, the sum stays within the limit for the busier of both windows, however requests move.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -2,14 +2,17 @@
 //!
 //! In any window, all gateways together may send a service at most `ratio` retries per request plus
 //! a fixed number, the slack. No gateway gets all traffic, so each applies the ratio to its own
-//! requests and uses an equal share of the slack. The sum then stays within the limit however
-//! requests are distributed over the gateways.
+//! requests and uses an equal share of the slack.
 //!
-//! A gateway that restarts has no record of the retries that it sent before. Those that its earlier
-//! requests allowed are no problem, since these requests count as well. But it may have used its
-//! share of the slack already, so it uses only a small part until the window has passed. The same
-//! holds for a gateway that was added, after the last moment at which the others divided the slack
-//! without it.
+//! Callers move to other gateways when theirs restarts, is lost or is cut off, and at any other time.
+//! The gateway that they leave may have used the ratio on their requests of one window, and the
+//! gateway that they move to, or the next life of the same one, uses it on those of the next. Both send
+//! retries in the same window. So the requests of two windows allow retries in one, and each gateway
+//! applies at most half of the ratio. The sum then stays within the limit however requests move.
+//!
+//! A gateway that restarts may have used its share of the slack already, so it uses only a small part
+//! until the window has passed. The same holds for a gateway that was added, after the last moment at
+//! which the others divided the slack without it.
 
 use std::collections::VecDeque;
 
@@ -17,9 +20,15 @@
 
 /// Length of the buckets in which requests and retries are counted.
 const BUCKET_MS: u64 = 250;
-/// Share of the budget that gateways use. The rest covers the retries of gateways that just started,
-/// and retries that reach the service in a later window than the one they were sent in.
-const USABLE_SHARE: f64 = 0.8;
+/// Number of windows whose requests allow the retries of one window: that of the retries and the one
+/// before it.
+const COUNTED_WINDOWS: f64 = 2.0;
+/// Share of the ratio that gateways use on the requests of all counted windows. The rest covers retries
+/// that reach the service in a later window than the one they were sent in.
+const USABLE_RATIO_SHARE: f64 = 0.9;
+/// Share of the slack that gateways use. The rest covers the retries of gateways that just started,
+/// and late ones.
+const USABLE_SLACK_SHARE: f64 = 0.8;
 
 /// Share of the slack that gateways use before [`SlackShare::usable_from`]. Without it, a gateway
 /// that just started could retry none of its first requests. Up to four starts of all gateways
@@ -116,15 +125,16 @@
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let slack_share = if now >= slack.usable_from {
-            USABLE_SHARE
+            USABLE_SLACK_SHARE
         } else {
             STARTING_SHARE
         };
         let max_slack = slack_share * settings.slack / slack.gateways.max(1) as f64;
+        let ratio = USABLE_RATIO_SHARE / COUNTED_WINDOWS * settings.ratio;
         RetryUsage {
             requests,
             retries,
-            max_retries: USABLE_SHARE * settings.ratio * f64::from(requests) + max_slack,
+            max_retries: ratio * f64::from(requests) + max_slack,
         }
     }
 
