Retry budget: a gateway that does not know how many there are uses no slack

Until it had read the list, each gateway assumed 64. At the first start it used the whole share of that at once: with 295 gateways and a store that falls silent after the registrations, 4.6 times the slack by arithmetic (0.8 of it is used, so 3.7 times the limit). Now it uses none until the list is read, and a gateway without an address for others issues no permits.

Test: large_fleet_of_unknown_size_stays_within_the_budget (300 gateways with one retry of slack each before, by arithmetic).

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -49,8 +49,9 @@
 /// Share of one gateway in the slack.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SlackShare {
-    /// Number of gateways among which the slack is divided.
-    pub gateways: usize,
+    /// Number of gateways among which the slack is divided; `None` until it is known. Then the gateway uses
+    /// none: any number that it assumes is too small for some fleet.
+    pub gateways: Option<usize>,
     /// Time from which the gateway uses its whole share.
     pub usable_from: TimeMs,
 }
@@ -129,7 +130,9 @@
         } else {
             STARTING_SHARE
         };
-        let max_slack = slack_share * settings.slack / slack.gateways.max(1) as f64;
+        let max_slack = slack.gateways.map_or(0.0, |gateways| {
+            slack_share * settings.slack / gateways.max(1) as f64
+        });
         let ratio = USABLE_RATIO_SHARE / COUNTED_WINDOWS * settings.ratio;
         RetryUsage {
             requests,
--- a/crates/dispatch/tests/budget.rs
+++ b/crates/dispatch/tests/budget.rs
@@ -13,7 +13,7 @@
 /// Returns the share of a gateway that has run for longer than the window.
 fn share(gateways: usize) -> SlackShare {
     SlackShare {
-        gateways,
+        gateways: Some(gateways),
         usable_from: TimeMs::default(),
     }
 }
@@ -108,10 +108,10 @@
             let is_new = gateway >= GATEWAYS;
             let known_by = if is_new { counted_by } else { begin };
             let slack = SlackShare {
-                gateways: match is_new || now >= counted_by {
+                gateways: Some(match is_new || now >= counted_by {
                     true => 2 * GATEWAYS,
                     false => GATEWAYS,
-                },
+                }),
                 usable_from: SlackShare::usable_from(started_at[gateway], known_by, &SETTINGS),
             };
             while budget.try_retry(&SETTINGS, slack, now) {
@@ -225,12 +225,34 @@
     assert!(budget.try_retry(&SETTINGS, share(6), TimeMs(1_000_000)));
 }
 
+/// Guards against rule BUDGET in a large fleet that starts for the first time while its gateways cannot read how
+/// many they are: each one assumed 64.
+#[test]
+fn large_fleet_of_unknown_size_stays_within_the_budget() {
+    const GATEWAYS: usize = 300;
+    let now = TimeMs(1_000_000);
+    let slack = SlackShare {
+        gateways: None,
+        usable_from: TimeMs::default(),
+    };
+    let retries: usize = (0..GATEWAYS)
+        .map(|_| {
+            let mut budget = FleetRetryBudget::default();
+            budget.on_request(&SETTINGS, now);
+            (0..100)
+                .filter(|_| budget.try_retry(&SETTINGS, slack, now))
+                .count()
+        })
+        .sum();
+    assert!(retries as f64 <= SETTINGS.ratio * GATEWAYS as f64 + SETTINGS.slack);
+}
+
 #[test]
 fn restarted_gateway_has_one_retry_of_slack_before_the_window_has_passed() {
     let mut budget = FleetRetryBudget::default();
     let started_at = TimeMs(1_000_000);
     let slack = SlackShare {
-        gateways: 6,
+        gateways: Some(6),
         usable_from: started_at.plus_ms(SETTINGS.window_ms),
     };
     budget.on_request(&SETTINGS, started_at);
@@ -244,7 +266,7 @@
     let mut budget = FleetRetryBudget::default();
     let now = TimeMs(1_000_000);
     let slack = SlackShare {
-        gateways: 6,
+        gateways: Some(6),
         usable_from: now.plus_ms(SETTINGS.window_ms),
     };
     (0..100).for_each(|_| budget.on_request(&SETTINGS, now));
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -222,7 +222,7 @@
         ("config_version", view.version().0 as f64),
         ("upstreams", view.upstreams().len() as f64),
         ("groups_open", groups as f64),
-        ("gateways", gateway.gateway_count.get() as f64),
+        ("gateways", gateway.gateway_count.get().unwrap_or(0) as f64),
         (
             "prompt_parts_quarantined",
             gateway.quarantine.borrow().len() as f64,
--- a/crates/gateway/src/limit_exchange.rs
+++ b/crates/gateway/src/limit_exchange.rs
@@ -116,11 +116,15 @@
 pub(crate) async fn issue_alone(gateway: Rc<Gateway>) {
     loop {
         sleep_ms(ALONE_INTERVAL_MS).await;
+        // Without the number of gateways, no share is small enough.
+        let Some(gateways) = gateway.gateway_count.get() else {
+            continue;
+        };
         let now = gateway.now();
         let reports = due_reports(&gateway, now);
         let mut issuer = gateway.limit_exchange.issuer.borrow_mut();
         issuer.drop_old(now);
-        let share = 1.0 / gateway.gateway_count.get() as f64;
+        let share = 1.0 / gateways as f64;
         let answers = issuer.on_report_alone(&reports, share, now);
         drop(issuer);
         apply(&gateway, &answers, now);
--- a/crates/gateway/src/load_reports.rs
+++ b/crates/gateway/src/load_reports.rs
@@ -23,7 +23,7 @@
 /// Sends no report of its own before it has had a request. A hub adds its own report without a datagram.
 pub(crate) async fn send_reports(gateway: Rc<Gateway>) {
     loop {
-        sleep_ms(member_interval_ms(gateway.gateway_count.get())).await;
+        sleep_ms(member_interval_ms(gateway.gateway_count.get().unwrap_or(1))).await;
         // The setting `peers` is the address of this gateway for datagrams of the others.
         let Some(own) = gateway.settings().peers else {
             continue;
@@ -110,7 +110,7 @@
     let Some(root) = root.filter(|root| *root != own) else {
         return;
     };
-    let interval_ms = cell_interval_ms(gateway.gateway_count.get());
+    let interval_ms = cell_interval_ms(gateway.gateway_count.get().unwrap_or(1));
     if now.since_ms(exchange.root_reported_at.get()) < interval_ms {
         return;
     }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -237,7 +237,7 @@
             return;
         }
         *self.roles.borrow_mut() = None;
-        gateway.gateway_count.set(all.len().max(1));
+        gateway.gateway_count.set(Some(all.len().max(1)));
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,10 +25,6 @@
     roster::Roster, settings::GatewaySettings,
 };
 
-/// Number of gateways that is assumed until the roster is known. It exceeds the real number, so
-/// that the shared retry budget is not overdrawn.
-const ASSUMED_GATEWAY_COUNT: usize = 64;
-
 /// A time that no gateway reaches, from which a window can still be added.
 const NEVER: TimeMs = TimeMs(u64::MAX / 2);
 
@@ -108,8 +104,9 @@
     pub(crate) pool: Rc<Pool>,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) metrics: Metrics,
-    /// Number of registered gateways, by which the shared retry budget is divided.
-    pub(crate) gateway_count: Cell<usize>,
+    /// Number of registered gateways, by which the shared retry budget is divided; `None` until the
+    /// roster is known.
+    pub(crate) gateway_count: Cell<Option<usize>>,
     /// Time by which all other gateways count this one; in the far future until it is registered.
     pub(crate) counted_by: Cell<TimeMs>,
     /// Set if the whole fleet starts for the first time and this is the gateway's first process.
@@ -162,7 +159,7 @@
             pool: Rc::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
             metrics: Metrics::default(),
-            gateway_count: Cell::new(ASSUMED_GATEWAY_COUNT),
+            gateway_count: Cell::default(),
             counted_by: Cell::new(NEVER),
             is_first_life: Cell::new(false),
             roster,
