Store: one odd entry no longer makes the whole list or answer of a watch unreadable

What operators saw: entries of upstreams that are nested too deeply, or hold too large a number or half of a surrogate pair, left gateways with the list they had; a watch failed again and again from the same revision, and a gateway that restarted got no list and was not ready. Class: one part that cannot be read makes the whole unreadable.

Cause: answers of the store were parsed as one value, within the parser's limits on nesting and numbers. Now the envelope, each object and each content are split first and parsed apart. An object whose content cannot be read has none, and is refused where it is used; one without a readable name is left out. A list that cannot go on for want of a name fails instead of ending early, and the removal of a record whose last state cannot be read counts. Refused entries are counted (entries_refused), and logged once for each revision.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -26,7 +26,7 @@
     ConfigInForce = 710,
     /// A configuration could not be decoded; the one in force stays.
     ConfigRefused = 711,
-    /// An entry of an upstream could not be decoded; the upstream is not used.
+    /// An entry of the store could not be read, or that of an upstream could not be decoded; it is not used.
     EntryRefused = 712,
     /// The list of upstreams was read, or an entry changed in a way that affects routing.
     UpstreamChanged = 713,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod pool;
 mod quarantine;
 mod reach;
+mod refused_entries;
 mod relay;
 mod roster;
 mod run;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -41,15 +41,18 @@
 
 /// Applies a change of one record.
 pub(crate) fn apply_record(gateway: &Gateway, object: &StoredObject, is_removed: bool) {
+    if is_removed {
+        // A removed record counts for nothing, whatever it held.
+        if let Ok(suspect) = object.name.parse() {
+            gateway.quarantine.borrow_mut().on_removed(suspect);
+        }
+        return;
+    }
     let Some((suspect, record)) = decode(object) else {
         return;
     };
     let mut quarantine = gateway.quarantine.borrow_mut();
-    if is_removed {
-        quarantine.on_removed(suspect);
-    } else {
-        quarantine.on_record(suspect, record, object.revision, gateway.now());
-    }
+    quarantine.on_record(suspect, record, object.revision, gateway.now());
 }
 
 /// Decodes a record; logs one that cannot be decoded and returns `None`.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,8 +21,8 @@
 
 use crate::{
     clock::Clock, events::log_event, excluded_peers::ExcludedPeers, limit_exchange::LimitExchange,
-    load_exchange::LoadExchange, metrics::Metrics, pauses::Pauses, pool::Pool, relay::Relay,
-    roster::Roster, settings::GatewaySettings,
+    load_exchange::LoadExchange, metrics::Metrics, pauses::Pauses, pool::Pool,
+    refused_entries::RefusedEntries, relay::Relay, roster::Roster, settings::GatewaySettings,
 };
 
 /// A time that no gateway reaches, from which a window can still be added.
@@ -112,6 +112,8 @@
     /// Set if the whole fleet starts for the first time and this is the gateway's first process.
     pub(crate) is_first_life: Cell<bool>,
     pub(crate) roster: Roster,
+    /// Entries of other writers that could not be used.
+    pub(crate) refused_entries: RefusedEntries,
     pub(crate) relay: Relay,
     /// Name of the gateway that holds the lease and sends orders, as last read from the store or
     /// set when this gateway gained the lease.
@@ -163,6 +165,7 @@
             counted_by: Cell::new(NEVER),
             is_first_life: Cell::new(false),
             roster,
+            refused_entries: RefusedEntries::default(),
             relay: Relay::default(),
             owner: RefCell::default(),
             stall_reported_at: RefCell::default(),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -180,15 +180,19 @@
         freshness: Freshness,
     ) -> Result<List, StoreError> {
         let mut all = self.list(kind, None, freshness).await?;
+        let mut last = all.objects.last().map(|object| object.name.clone());
         while all.has_more {
-            let Some(last) = all.objects.last().map(|object| object.name.clone()) else {
-                break;
+            // Without a name, the list cannot go on, and one that ends here would lack objects.
+            let Some(after) = last else {
+                return Err(StoreError::Unreadable(DecodeError::Field { field: "name" }));
             };
-            let part = self.list(kind, Some(&last), freshness).await?;
+            let part = self.list(kind, Some(&after), freshness).await?;
+            last = part.objects.last().map(|object| object.name.clone());
             if part.position.era != all.position.era {
                 return Err(StoreError::HistoryGone);
             }
             all.objects.extend(part.objects);
+            all.unreadable.extend(part.unreadable);
             all.has_more = part.has_more;
             // The revision stays that of the first part. Changes made while the other parts were
             // read are therefore returned again by the watch.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use jacinthpoint_adapter::{
-    Events, List, StoredObject,
+    Events, List, StoredObject, UnreadablePart,
     paths::{self, Freshness},
 };
 use jacinthpoint_fleet::{Continuity, HistoryPosition, MAX_RELAYED_AGE_MS, ViewChange};
@@ -364,6 +364,7 @@
         );
         return Err(StoreError::Older);
     }
+    log_unreadable(gateway, feed, &list.unreadable);
     let now = gateway.now();
     let is_after_outage = progress.on_answer(gateway, feed, source);
     if !source.is_relayed() {
@@ -386,6 +387,35 @@
     Ok(())
 }
 
+/// Logs parts of an answer that cannot be read.
+fn log_unreadable(gateway: &Gateway, feed: &Feed, parts: &[UnreadablePart]) {
+    for part in parts {
+        // Without a name, the reason tells parts apart.
+        let (name, revision) = match &part.object {
+            Some((name, revision)) => (name.as_str(), *revision),
+            None => (part.reason.as_str(), 0),
+        };
+        log_refused(gateway, feed.kind, name, revision, &part.reason);
+    }
+}
+
+/// Logs and counts an entry that cannot be used, once for each revision.
+fn log_refused(gateway: &Gateway, kind: &'static str, name: &str, revision: u64, why: &str) {
+    if !gateway.refused_entries.record(kind, name, revision) {
+        return;
+    }
+    gateway.metrics.count("entries_refused", kind);
+    log_event!(
+        warn,
+        EntryRefused,
+        kind,
+        upstream = name,
+        revision,
+        error = why,
+        "an entry of the store cannot be read"
+    );
+}
+
 /// Logs the first position that is read of a kind, and each one in another era than the one before.
 fn log_history(
     feed: &Feed,
@@ -430,8 +460,13 @@
         feed.waits.store_ms
     };
     while relay_address(gateway, progress).is_some() == is_relayed {
-        let Events { changes, position } = source.watch(feed.kind, after, wait_ms).await?;
+        let Events {
+            changes,
+            unreadable,
+            position,
+        } = source.watch(feed.kind, after, wait_ms).await?;
         log_history(feed, source, progress.position, position);
+        log_unreadable(gateway, feed, &unreadable);
         match position.continuity(&after) {
             // The answer lacks the changes of the other history up to `after`.
             Continuity::Restored => return Err(StoreError::HistoryGone),
--- a/crates/gateway/src/watch/entries.rs
+++ b/crates/gateway/src/watch/entries.rs
@@ -6,7 +6,11 @@
 };
 use jacinthpoint_fleet::ViewChange;
 
-use crate::{events::log_event, state::Gateway, watch::Interruption};
+use crate::{
+    events::log_event,
+    state::Gateway,
+    watch::{Interruption, log_refused},
+};
 
 /// Applies a configuration to the view. One that cannot be decoded is logged, and the one in force
 /// stays.
@@ -33,7 +37,7 @@
 pub(super) fn apply_list(gateway: &Gateway, list: List, interruption: Interruption) {
     let entries = list.objects.iter().filter_map(|object| {
         decode_upstream(&object.name, &object.content)
-            .map_err(|error| log_refused(object, &error))
+            .map_err(|error| log_refused_upstream(gateway, object, &error))
             .ok()
     });
     let entries: Vec<_> = entries.collect();
@@ -85,7 +89,7 @@
             change
         }
         Err(error) => {
-            log_refused(object, &error);
+            log_refused_upstream(gateway, object, &error);
             discard_unreadable(gateway, object)
         }
     }
@@ -132,8 +136,8 @@
     }
 }
 
-/// Logs that an entry cannot be decoded.
-fn log_refused(object: &StoredObject, error: &DecodeError) {
-    log_event!(warn, EntryRefused, upstream = object.name, revision = object.revision, %error,
-        "the entry of an upstream cannot be decoded");
+/// Logs that the entry of an upstream cannot be decoded.
+fn log_refused_upstream(gateway: &Gateway, object: &StoredObject, error: &DecodeError) {
+    let (kind, why) = (paths::UPSTREAM_KIND, error.to_string());
+    log_refused(gateway, kind, &object.name, object.revision, &why);
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -26,6 +26,7 @@
 mod kept_connections;
 mod link_cuts;
 mod mixed_builds;
+mod odd_entries;
 mod records_at_stop;
 mod repeated_answers;
 mod reported_faults;
--- /dev/null
+++ b/tests/gateway/odd_entries.rs
@@ -0,0 +1,96 @@
+//! Entries of other writers that cannot be read, among those of the upstreams.
+
+use jacinthpoint_adapter::paths;
+use jacinthpoint_platform_standins::PlainService;
+
+use crate::gateway::{caller::Request, site::Site};
+
+/// Time in which a gateway has read a change, beside other tests.
+const READ_MS: u64 = 5_000;
+/// Upstreams of a site before a test adds some.
+const UPSTREAMS: usize = 9;
+
+/// Returns whether a gateway knows this number of upstreams.
+fn knows_upstreams(site: &Site, index: usize, count: usize) -> bool {
+    let expected = format!("jacinthpoint_upstreams {count}\n");
+    site.metrics(index).contains(&expected)
+}
+
+/// Returns the number of entries of upstreams that a gateway has refused.
+fn refused_entries(site: &Site, index: usize) -> u64 {
+    let metrics = site.metrics(index);
+    let mut lines = metrics.lines();
+    let line = lines.find_map(|line| {
+        line.strip_prefix("jacinthpoint_entries_refused_total{label=\"servers\"} ")
+    });
+    line.map_or(0, |count| count.parse().expect("it is a number"))
+}
+
+/// Checks that gateways read everything but an odd entry with this content: later changes, and the whole list
+/// after a restart. The entry is counted once at each gateway, and used as soon as it can be read.
+fn check_odd_entry(content: &str) {
+    let gateways = 2;
+    let mut site = Site::start(gateways);
+    let store = site.platform.store.clone();
+    let mut entry = store
+        .get_content(paths::UPSTREAM_KIND, PlainService::ID)
+        .expect("it is registered");
+    // The added upstreams take no requests.
+    entry["state"] = "draining".into();
+    store.put_raw(paths::UPSTREAM_KIND, "odd", content);
+    store.put(paths::UPSTREAM_KIND, "later", entry.clone());
+    for index in 0..gateways {
+        site.wait_until("a later change is read", READ_MS, |site| {
+            knows_upstreams(site, index, UPSTREAMS + 1)
+        });
+        assert_eq!(refused_entries(&site, index), 1, "gateway {index}");
+    }
+    // The list is read again, and the entry is no news.
+    store.forget_history();
+    store.put(paths::UPSTREAM_KIND, "latest", entry.clone());
+    for index in 0..gateways {
+        site.wait_until("the list is read again", READ_MS, |site| {
+            knows_upstreams(site, index, UPSTREAMS + 2)
+        });
+        assert_eq!(refused_entries(&site, index), 1, "gateway {index}");
+    }
+    site.restart(0);
+    site.wait_until("the gateway is ready again", 10_000, |site| {
+        site.is_ready(0) && knows_upstreams(site, 0, UPSTREAMS + 2)
+    });
+    for index in 0..gateways {
+        let answer = Request::stream(&format!("beside-{index}")).send(site.gateway(index));
+        assert_eq!(answer.status, 200, "gateway {index}");
+    }
+    store.put(paths::UPSTREAM_KIND, "odd", entry);
+    for index in 0..gateways {
+        site.wait_until("the mended entry is used", READ_MS, |site| {
+            knows_upstreams(site, index, UPSTREAMS + 3)
+        });
+    }
+}
+
+/// Defines tests of one odd entry each: name, content of the entry.
+macro_rules! odd_entry {
+    ($($name:ident: $content:expr,)+) => {
+        $(
+            #[test]
+            fn $name() {
+                check_odd_entry(&$content);
+            }
+        )+
+    };
+}
+
+// Guards against rule LOST and gateways that end or follow no changes: one entry that cannot be read made
+// the whole answer of the store unreadable.
+odd_entry! {
+    deeply_nested_entry_leaves_others_readable:
+        format!("{}0{}", "[".repeat(50_000), "]".repeat(50_000)),
+    entry_nested_to_the_limit_of_the_reader_leaves_others_readable:
+        format!("{}0{}", "[".repeat(127), "]".repeat(127)),
+    entry_with_a_number_too_large_leaves_others_readable: r#"{"slots": 1e400}"#,
+    entry_with_half_a_surrogate_pair_leaves_others_readable: r#"{"service": "\ud800"}"#,
+    entry_with_a_port_out_of_range_leaves_others_readable: r#"{"service": "any", "slots": 4,
+        "addr": "127.0.0.1:99999", "zone": "zone-0", "state": "ready"}"#,
+}
