Nodes: one odd entry no longer hides the rest of the membership list

Entries are decoded apart now; those that cannot be read are logged (event 202), those of the platform's list once until they change, and left out.

--- a/crates/node/src/control/member_lists.rs
+++ b/crates/node/src/control/member_lists.rs
@@ -7,6 +7,8 @@
 use jacinthpoint_records::{Delta, apply_delta, delta};
 use jacinthpoint_types::{TimeMs, rendezvous_weight};
 
+use crate::events::log_event;
+
 /// Number of lists kept.
 const MAX_LISTS: usize = 16;
 
@@ -15,24 +17,32 @@
 pub(crate) struct MemberList {
     pub(crate) digest: u64,
     pub(crate) members: Arc<Vec<PlatformMember>>,
-    /// The entries of `members` in JSON, in the same order.
+    /// The entries in JSON. Those that this build cannot read are in none of `members`.
     pub(crate) entries: Vec<String>,
 }
 
 impl MemberList {
-    /// Parses entries in JSON. Returns `None` if any entry is malformed.
-    fn from_entries(entries: Vec<String>) -> Option<MemberList> {
-        let members = entries.iter().map(|entry| serde_json::from_str(entry));
-        let members: Vec<PlatformMember> = members.collect::<Result<_, _>>().ok()?;
-        let digest = digest(&entries);
-        Some(MemberList {
-            digest,
-            members: Arc::new(members),
+    /// Parses entries in JSON.
+    fn from_entries(entries: Vec<String>) -> MemberList {
+        let read = |entry: &String| {
+            let member = serde_json::from_str::<PlatformMember>(entry);
+            member.inspect_err(|error| log_refused(error, entry)).ok()
+        };
+        MemberList {
+            digest: digest(&entries),
+            members: Arc::new(entries.iter().filter_map(read).collect()),
             entries,
-        })
+        }
     }
 }
 
+fn log_refused(error: &serde_json::Error, entry: &str) {
+    log_event!(
+        warn, PlatformFailed, %error, entry,
+        "an entry of a membership list cannot be read; the others are used"
+    );
+}
+
 /// Returns the digest of a list. It is never 0, because digest 0 means that no list is known.
 fn digest(entries: &[String]) -> u64 {
     rendezvous_weight("membership-list", &entries.join("\n")).max(1)
@@ -46,9 +56,18 @@
     /// Time at which the newest list was last known to match the platform's, on this node's clock.
     /// Any node may have read it.
     read_at: TimeMs,
+    /// Why entries of the platform's last list were refused.
+    refused: Vec<String>,
 }
 
 impl MemberLists {
+    /// Records why entries of the platform's list were refused, and returns whether that is news.
+    pub(crate) fn replace_refused(&mut self, refused: &[String]) -> bool {
+        let is_changed = self.refused != refused;
+        self.refused = refused.to_vec();
+        is_changed
+    }
+
     /// Returns the newest list, if any is known.
     pub(crate) fn newest(&self) -> Option<&Arc<MemberList>> {
         self.lists.back()
@@ -86,7 +105,7 @@
     }
 
     /// Records a list that was read at `read_at`, given as entries in JSON. A list that is older
-    /// than this node's list, or malformed, is dropped.
+    /// than this node's list is dropped.
     pub(crate) fn record(&mut self, entries: Vec<String>, read_at: TimeMs) {
         if read_at < self.read_at && self.newest().is_some() {
             return;
@@ -95,10 +114,8 @@
             self.read_at = read_at;
             return;
         }
-        let Some(list) = MemberList::from_entries(entries) else {
-            return;
-        };
         self.read_at = read_at;
+        let list = MemberList::from_entries(entries);
         self.lists.push_back(Arc::new(list));
         if self.lists.len() > MAX_LISTS {
             self.lists.pop_front();
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -56,8 +56,15 @@
 fn read(shared: &Shared) {
     let requested_at = shared.now();
     match shared.platform.members() {
-        Ok(members) => {
-            let entries = members.iter().map(serde_json::to_string);
+        Ok(list) => {
+            let is_changed = shared.member_lists().replace_refused(&list.refused);
+            for error in list.refused.iter().filter(|_| is_changed) {
+                log_event!(
+                    warn, PlatformFailed, %error,
+                    "an entry of the membership list cannot be read; the others are used"
+                );
+            }
+            let entries = list.members.iter().map(serde_json::to_string);
             if let Ok(entries) = entries.collect::<Result<Vec<String>, _>>() {
                 shared.member_lists().record(entries, requested_at);
             }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -7,10 +7,11 @@
 };
 
 use serde::{Serialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 
 use crate::{
     error::PlatformError,
-    member::PlatformMember,
+    member::Members,
     object::{Object, Version},
 };
 
@@ -125,16 +126,23 @@
         Ok(object.version)
     }
 
-    /// Returns the platform's list of VMs, which lags behind the actual state.
+    /// Returns the platform's list of VMs, which lags behind the actual state. Entries that cannot be read
+    /// do not hide the others.
     ///
     /// # Errors
     ///
     /// As for [`Platform::get`].
-    pub fn members(&self) -> Result<Vec<PlatformMember>, PlatformError> {
+    pub fn members(&self) -> Result<Members, PlatformError> {
         let url = format!("{}/membership", self.base_url);
-        Ok(self
-            .read_optional(&url, ANSWER_TIMEOUT_MS)?
-            .unwrap_or_default())
+        let entries: Option<Vec<Box<RawValue>>> = self.read_optional(&url, ANSWER_TIMEOUT_MS)?;
+        let mut list = Members::default();
+        for entry in entries.unwrap_or_default() {
+            match serde_json::from_str(entry.get()) {
+                Ok(member) => list.members.push(member),
+                Err(error) => list.refused.push(error.to_string()),
+            }
+        }
+        Ok(list)
     }
 
     /// Sends a read and decodes the response. Returns `None` for status 404 (not found) or 304 (not
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,7 +8,7 @@
 pub use crate::{
     client::{Calls, Platform},
     error::PlatformError,
-    member::{MemberRole, MemberState, PlatformMember},
+    member::{MemberRole, MemberState, Members, PlatformMember},
     object::{Object, Version},
 };
 
--- a/crates/platform/src/member.rs
+++ b/crates/platform/src/member.rs
@@ -46,3 +46,12 @@
     /// Lifecycle state of the VM.
     pub state: MemberState,
 }
+
+/// The platform's membership list.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Members {
+    /// Entries that could be read.
+    pub members: Vec<PlatformMember>,
+    /// For each other entry, the reason.
+    pub refused: Vec<String>,
+}
