Planned stop: requests that would outlast the grace time are refused at once, as not run

What callers saw: a gateway served requests until 0.3 s after the end of its announcement (2.6 s after SIGTERM), whatever time they took. A stream that takes longer than the rest of the grace time was cut, and another request answered 502 ("may have run"), also one that must not run twice.

Cause: admission looked at the phase of the stop only, not at when the process ends. What would not end is refused as not run, on a connection that closes, so that the retry meets another gateway. Handing it over was weighed: its answer would pass through the process that ends.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
     budget::{FleetRetryBudget, FleetRetryBudgetSettings, RetryUsage, SlackShare},
     demand::WorkMeter,
     directory::{Directory, Target, TargetGroup, TargetKey},
+    durations::RequestDurations,
     load::{LoadTracker, Refusal, Selection, retry_after_ms},
     load_cell::{LoadCell, cell_count, cell_interval_ms, member_interval_ms},
     peer_load::{LoadAggregator, PeerLoad, TargetDigest, TargetReport},
@@ -24,6 +25,7 @@
 mod budget;
 mod demand;
 mod directory;
+mod durations;
 mod load;
 mod load_cell;
 mod peer_load;
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of the choice of a target, load exchange, stall detection, retry budget, limits of
-//! upstreams, quarantine, and reach of upstreams.
+//! upstreams, quarantine, reach of upstreams, and durations.
 
 mod budget;
+mod durations;
 mod load_cells;
 mod many_gateways;
 mod new_group;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -3,11 +3,14 @@
 use std::{cell::Cell, rc::Rc};
 
 use hyper::{
-    HeaderMap, Request, Response, StatusCode, body::Incoming, header, http::request::Parts,
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::{self, HeaderValue},
+    http::request::Parts,
 };
 use jacinthpoint_adapter::{decode_prompt_parts, decode_prompt_tokens, headers};
 use jacinthpoint_dispatch::{RequestContent, retry_after_ms};
-use jacinthpoint_fleet::RouteMatch;
+use jacinthpoint_fleet::{RequestKind, RouteMatch};
 use jacinthpoint_types::{Deadline, ResultCode};
 use rand::seq::IndexedRandom;
 
@@ -201,9 +204,36 @@
     if let Some(suspect) = context.quarantined() {
         return Err(refuse_quarantined(&context, suspect).into());
     }
+    if outlasts_stop(&context) {
+        let why = "this gateway stops before the request would end";
+        let retry = Some(STOP_RETRY_AFTER_MS);
+        let code = ResultCode::Draining;
+        let mut response = refuse(gateway, &context.request_id, code, why, retry);
+        // The next request on the connection would meet the same gateway.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+        return Err(response.into());
+    }
     Ok(context)
 }
 
+/// Returns whether this gateway stops before the request's end, as far as that is known: by the deadline and by
+/// the last requests of the route.
+fn outlasts_stop(context: &Context) -> bool {
+    let Some(ends_at) = context.gateway.ends_at.get() else {
+        return false;
+    };
+    let durations = context.gateway.durations.borrow();
+    let route = &context.route;
+    let expected_ms = match route.kind {
+        // If it is cut off, nobody knows whether it has run, and it must not run twice.
+        RequestKind::NonIdempotent => durations.longest_ms(&route.name),
+        RequestKind::Idempotent | RequestKind::Stream => durations.usual_ms(&route.name),
+    };
+    let end = expected_ms.map(|ms| context.started.plus_ms(ms).min(context.deadline.0));
+    end.is_some_and(|end| end > ends_at)
+}
+
 /// Returns the size of a request's head, as it is commonly written.
 fn head_bytes(head: &Parts) -> usize {
     const REQUEST_LINE_EXTRA: usize = "  HTTP/1.1\r\n\r\n".len();
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -148,6 +148,9 @@
     let route = &context.route.name;
     let metrics = &gateway.metrics;
     metrics.count("requests_ended", outcome);
+    if outcome != "caller-left" {
+        gateway.durations.borrow_mut().on_end(route, elapsed_ms);
+    }
     metrics.record("request", organisation, route, elapsed_ms);
     if let Some(times) = times {
         metrics.record("first_event", organisation, route, times.first_event_ms);
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -371,8 +371,8 @@
         RequestGuard(self.clone())
     }
 
-    /// Answers a request. The connection ends after the answer if this gateway stops, has too many
-    /// connections, or has not read the whole request.
+    /// Answers a request. The connection ends after the answer if the answer says so, or this gateway stops,
+    /// has too many connections, or has not read the whole request.
     async fn answer(
         self: Rc<Self>,
         request: Request<Incoming>,
@@ -389,7 +389,11 @@
         } else {
             Phase::Closing
         };
-        if self.phase() >= closing_from || self.is_surplus || !self.is_body_read.get() {
+        if response.headers().contains_key(header::CONNECTION)
+            || self.phase() >= closing_from
+            || self.is_surplus
+            || !self.is_body_read.get()
+        {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
             // Otherwise, the HTTP library adds `keep-alive` if a caller of HTTP/1.0 has asked for it.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -259,7 +259,7 @@
 ///
 /// The gateway reports itself as not ready at once. [`CLOSING_MS`] before the end of the announcement,
 /// connections begin to close after their next answer, and at its end those without a request end. Shortly
-/// afterwards, new requests are refused. Once no request is open, or [`STOP_MARGIN_MS`] before the end of
+/// afterwards, all new requests are refused; until then, those that would not end in time. Once no request is open, or [`STOP_MARGIN_MS`] before the end of
 /// the grace time, no connections are accepted.
 async fn stop(gateway: &Gateway) -> usize {
     let settings = gateway.settings();
@@ -270,9 +270,10 @@
         open = gateway.open_requests.get(),
         "the planned stop began"
     );
-    gateway.phase.send_replace(Phase::Leaving);
     let end = began.plus_ms(settings.grace_ms.saturating_sub(EXIT_MARGIN_MS));
     let last_answers = began.plus_ms(settings.grace_ms.saturating_sub(STOP_MARGIN_MS));
+    gateway.ends_at.set(Some(last_answers));
+    gateway.phase.send_replace(Phase::Leaving);
     let announced = began.plus_ms(settings.announce_ms).min(last_answers);
     let closing = began.plus_ms(settings.announce_ms.saturating_sub(CLOSING_MS));
     gateway.clock.sleep_until(closing.min(announced)).await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,8 +11,8 @@
 };
 
 use jacinthpoint_dispatch::{
-    Directory, FleetRetryBudget, LoadTracker, Quarantine, SlackShare, Target, TargetKey,
-    UpstreamLimits, UpstreamReach,
+    Directory, FleetRetryBudget, LoadTracker, Quarantine, RequestDurations, SlackShare, Target,
+    TargetKey, UpstreamLimits, UpstreamReach,
 };
 use jacinthpoint_fleet::{CallerLimits, FleetConfig, FleetView, ViewChange};
 use jacinthpoint_types::{ServiceId, TimeMs, VmId};
@@ -101,6 +101,10 @@
     pub(crate) cut_peers: ExcludedPeers,
     /// Retry budgets by service.
     pub(crate) budgets: RefCell<BTreeMap<ServiceId, FleetRetryBudget>>,
+    /// Recent durations of requests, by route.
+    pub(crate) durations: RefCell<RequestDurations>,
+    /// Time from which requests without an answer are answered as failed; `None` before a stop.
+    pub(crate) ends_at: Cell<Option<TimeMs>>,
     pub(crate) pool: Rc<Pool>,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) metrics: Metrics,
@@ -158,6 +162,8 @@
             reach: RefCell::default(),
             cut_peers: ExcludedPeers::default(),
             budgets: RefCell::default(),
+            durations: RefCell::default(),
+            ends_at: Cell::new(None),
             pool: Rc::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
             metrics: Metrics::default(),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -27,6 +27,7 @@
 mod link_cuts;
 mod mixed_builds;
 mod odd_entries;
+mod outlasting_requests;
 mod records_at_stop;
 mod repeated_answers;
 mod reported_faults;
