--- a/crates/dispatch/tests/budget.rs
+++ b/crates/dispatch/tests/budget.rs
@@ -129,7 +129,7 @@
 /// Returns whether the retries of all gateways stay within the budget while requests move between
 /// gateways, gateways restart, and all upstreams fail at times. Each gateway then retries as often as
 /// its budget allows. Each phase holds its length in units of 100 ms, the gateways that get requests as
-/// a bit mask, those that restart at its begin, and whether upstreams fail.
+/// a bit mask (all if it is empty), those that restart at its begin, and whether upstreams fail.
 fn keeps_the_budget_while_requests_move(phases: Vec<(u8, u8, u8, bool)>) -> bool {
     const GATEWAYS: usize = 6;
     let begin = TimeMs(1_000_000);
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -148,6 +148,7 @@
     let route = &context.route.name;
     let metrics = &gateway.metrics;
     metrics.count("requests_ended", outcome);
+    // How long the request would have taken is not known if its caller left.
     if outcome != "caller-left" {
         gateway.durations.borrow_mut().on_end(route, elapsed_ms);
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -257,10 +257,10 @@
 
 /// Stops the gateway as planned, and returns the number of requests that were cut.
 ///
-/// The gateway reports itself as not ready at once. [`CLOSING_MS`] before the end of the announcement,
-/// connections begin to close after their next answer, and at its end those without a request end. Shortly
-/// afterwards, all new requests are refused; until then, those that would not end in time. Once no request is open, or [`STOP_MARGIN_MS`] before the end of
-/// the grace time, no connections are accepted.
+/// The gateway reports itself as not ready at once, and refuses requests that would not end in time.
+/// [`CLOSING_MS`] before the end of the announcement, connections begin to close after their next answer,
+/// and at its end those without a request end. Shortly afterwards, all new requests are refused. Once no
+/// request is open, or [`STOP_MARGIN_MS`] before the end of the grace time, no connections are accepted.
 async fn stop(gateway: &Gateway) -> usize {
     let settings = gateway.settings();
     let began = gateway.now();
--- a/tests/gateway/fleet_limits.rs
+++ b/tests/gateway/fleet_limits.rs
@@ -60,7 +60,10 @@
 fn retries_stay_within_the_budget_while_callers_move() {
     let site = Site::start(2);
     let pause = Duration::from_millis(10);
-    let send = |gateway, time_s| send_steadily(&[site.gateway(gateway)], seconds(time_s), pause);
+    let send = |gateway, time_s| {
+        let time = Duration::from_secs(time_s);
+        send_steadily(&[site.gateway(gateway)], time, pause)
+    };
     let mut answers = send(0, 7);
     site.platform.engines.set_failing(true);
     answers.extend(send(0, 2));
@@ -70,10 +73,6 @@
     check_retry_budget(&site, &requests);
 }
 
-const fn seconds(count: u64) -> Duration {
-    Duration::from_secs(count)
-}
-
 /// Checks that the engines got no more repeats of requests than the retry budget allows, given the times
 /// of all requests.
 fn check_retry_budget(site: &Site, requests: &[Instant]) {
