--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,14 +21,10 @@
 
 use crate::{
     clock::Clock, events::log_event, excluded_peers::ExcludedPeers, limit_exchange::LimitExchange,
-    load_exchange::LoadExchange, metrics::Metrics, pauses::Pauses, pool::Pool, relay::Relay,
-    roster::Roster, settings::GatewaySettings,
+    load_exchange::LoadExchange, metrics::Metrics, pauses::Pauses, pool::Pool,
+    refused_entries::RefusedEntries, relay::Relay, roster::Roster, settings::GatewaySettings,
 };
 
-/// Number of gateways that is assumed until the roster is known. It exceeds the real number, so
-/// that the shared retry budget is not overdrawn.
-const ASSUMED_GATEWAY_COUNT: usize = 64;
-
 /// A time that no gateway reaches, from which a window can still be added.
 const NEVER: TimeMs = TimeMs(u64::MAX / 2);
 
@@ -108,13 +104,16 @@
     pub(crate) pool: Rc<Pool>,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) metrics: Metrics,
-    /// Number of registered gateways, by which the shared retry budget is divided.
-    pub(crate) gateway_count: Cell<usize>,
+    /// Number of registered gateways, by which the shared retry budget is divided; `None` until the
+    /// roster is known.
+    pub(crate) gateway_count: Cell<Option<usize>>,
     /// Time by which all other gateways count this one; in the far future until it is registered.
     pub(crate) counted_by: Cell<TimeMs>,
     /// Set if the whole fleet starts for the first time and this is the gateway's first process.
     pub(crate) is_first_life: Cell<bool>,
     pub(crate) roster: Roster,
+    /// Entries of other writers that could not be used.
+    pub(crate) refused_entries: RefusedEntries,
     pub(crate) relay: Relay,
     /// Name of the gateway that holds the lease and sends orders, as last read from the store or
     /// set when this gateway gained the lease.
@@ -162,10 +161,11 @@
             pool: Rc::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
             metrics: Metrics::default(),
-            gateway_count: Cell::new(ASSUMED_GATEWAY_COUNT),
+            gateway_count: Cell::default(),
             counted_by: Cell::new(NEVER),
             is_first_life: Cell::new(false),
             roster,
+            refused_entries: RefusedEntries::default(),
             relay: Relay::default(),
             owner: RefCell::default(),
             stall_reported_at: RefCell::default(),
