Review case: a statement in a forwarded answer is not recorded

Cause: a gateway that passes on another gateway's answer does not record that the upstream in it leaves, and uses the upstream when it can reach it.

--- a/review/harness/src/bin/stale_forward.rs
+++ b/review/harness/src/bin/stale_forward.rs
@@ -54,7 +54,7 @@
     }
     if !is_calm() {
         record.line(format!("{} loses the path to the servers", sender.name));
-        sender.link.cut_servers();
+        sender.link.cut_servers(true);
         // Traffic of other routes, by which the machine meets the cut.
         let began = Instant::now();
         for number in 0.. {
--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -72,28 +72,40 @@
     }
 }
 
-/// Passes connections on to a server until the link is cut: open connections are then reset, and new ones
-/// refused.
-fn serve_link(listener: TcpListener, server: u16, is_cut: &Arc<AtomicBool>) {
-    listener.set_nonblocking(true).expect("it can be set");
-    while !is_cut.load(Ordering::SeqCst) {
-        let Ok((from, _)) = listener.accept() else {
+/// Passes connections on to a server. While the link is cut, open connections are reset, and new ones refused.
+fn serve_link(mut listener: TcpListener, server: u16, is_cut: &Arc<AtomicBool>) {
+    let address = listener.local_addr().expect("it is bound");
+    loop {
+        listener.set_nonblocking(true).expect("it can be set");
+        while !is_cut.load(Ordering::SeqCst) {
+            let Ok((from, _)) = listener.accept() else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let _ = from.set_nonblocking(false);
+            let is_cut = is_cut.clone();
+            thread::spawn(move || {
+                let Ok(to) = TcpStream::connect(("127.0.0.1", server)) else {
+                    return;
+                };
+                let (Ok(from2), Ok(to2)) = (from.try_clone(), to.try_clone()) else {
+                    return;
+                };
+                let is_cut2 = is_cut.clone();
+                thread::spawn(move || pass(from, to, &is_cut));
+                pass(to2, from2, &is_cut2);
+            });
+        }
+        drop(listener);
+        while is_cut.load(Ordering::SeqCst) {
             thread::sleep(Duration::from_millis(1));
-            continue;
+        }
+        listener = loop {
+            match TcpListener::bind(address) {
+                Ok(listener) => break listener,
+                Err(_) => thread::sleep(Duration::from_millis(1)),
+            }
         };
-        let _ = from.set_nonblocking(false);
-        let is_cut = is_cut.clone();
-        thread::spawn(move || {
-            let Ok(to) = TcpStream::connect(("127.0.0.1", server)) else {
-                return;
-            };
-            let (Ok(from2), Ok(to2)) = (from.try_clone(), to.try_clone()) else {
-                return;
-            };
-            let is_cut2 = is_cut.clone();
-            thread::spawn(move || pass(from, to, &is_cut));
-            pass(to2, from2, &is_cut2);
-        });
     }
 }
 
@@ -155,9 +167,9 @@
         self.state.store(state as u8, Ordering::SeqCst);
     }
 
-    /// Cuts the gateway off from all servers for good.
-    pub fn cut_servers(&self) {
-        self.servers.is_cut.store(true, Ordering::SeqCst);
+    /// Cuts the gateway off from all servers, or ends that.
+    pub fn cut_servers(&self, is_cut: bool) {
+        self.servers.is_cut.store(is_cut, Ordering::SeqCst);
     }
 }
 
@@ -532,6 +544,8 @@
     pub address: SocketAddr,
     /// Attempt ids of the requests that it ran.
     pub runs: Arc<Mutex<Vec<(String, Instant)>>>,
+    /// Whether it says in its answers that it leaves.
+    pub is_leaving: Arc<AtomicBool>,
 }
 
 impl Server {
@@ -544,6 +558,7 @@
             service: service.to_owned(),
             address,
             runs: Arc::default(),
+            is_leaving: Arc::default(),
         };
         let shared = server.clone();
         thread::spawn(move || {
@@ -570,7 +585,11 @@
                     Content-Length: 0\r\n\r\n", self.id)
             } else {
                 self.runs.lock().expect("no thread panics").push((id.clone(), Instant::now()));
-                format!("HTTP/1.1 200 OK\r\nJacinthpoint-Attempt-Id: {id}\r\n\
+                let leaving = match self.is_leaving.load(Ordering::SeqCst) {
+                    true => "Server-Leaving: 1\r\n",
+                    false => "",
+                };
+                format!("HTTP/1.1 200 OK\r\nJacinthpoint-Attempt-Id: {id}\r\n{leaving}\
                     Jacinthpoint-Server-Seal: seal.{}\r\nContent-Length: 4\r\n\r\ndone", self.id)
             };
             if stream.write_all(answer.as_bytes()).is_err() {
