Review case: forwarded streams have no end at their timeout

Cause: the gateway that passes on a stream of another gateway waits for its next bytes without a deadline.

--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -402,9 +402,14 @@
 
     /// The same, with the service of the route `once`.
     pub fn put_config_with(&self, keys: &[&str], once_service: &str, more: &[Value]) {
+        self.put_config_of(keys, once_service, 8_000, more);
+    }
+
+    /// The same, with the timeout of the routes.
+    pub fn put_config_of(&self, keys: &[&str], once_service: &str, timeout_ms: u64, more: &[Value]) {
         let route = |name: &str, kind: &str, service: &str| -> Value {
             json!({ "name": name, "host": "model.example", "path_prefix": format!("/{name}/"),
-                "kind": kind, "timeout_ms": 8000, "slo_ms": 500, "priority": 1,
+                "kind": kind, "timeout_ms": timeout_ms, "slo_ms": 500, "priority": 1,
                 "service": service, "attempts": 2, "public": false, "sticky": kind == "stream",
                 "resumable": kind == "stream", "gap_target_ms": 300 })
         };
