--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -10,7 +10,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU8, Ordering},
+        atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -551,6 +551,11 @@
     pub runs: Arc<Mutex<Vec<(String, Instant)>>>,
     /// Whether it says in its answers that it leaves.
     pub is_leaving: Arc<AtomicBool>,
+    /// Time for which it wants no more requests, in ms; it refuses requests unless this is 0.
+    pub pause_ms: Arc<AtomicU64>,
+    /// Times at which requests arrived, and at which it refused one with a pause.
+    pub arrivals: Arc<Mutex<Vec<(String, Instant, bool)>>>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Server {
@@ -564,17 +569,38 @@
             address,
             runs: Arc::default(),
             is_leaving: Arc::default(),
+            pause_ms: Arc::default(),
+            arrivals: Arc::default(),
+            connections: Arc::default(),
         };
         let shared = server.clone();
         thread::spawn(move || {
             while let Ok((stream, _)) = listener.accept() {
                 let server = shared.clone();
+                if let Ok(stream) = stream.try_clone() {
+                    server.connections.lock().expect("no thread panics").push(stream);
+                }
                 thread::spawn(move || server.serve(stream));
             }
         });
         server
     }
 
+    /// Ends all connections, as a crash does.
+    pub fn reset_connections(&self) {
+        for stream in self.connections.lock().expect("no thread panics").drain(..) {
+            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Returns the entry of the server in the platform's store, with this start time.
+    pub fn entry_born(&self, state: &str, born: u64) -> Value {
+        let mut entry = self.entry(state);
+        entry["born"] = born.into();
+        entry
+    }
+
     /// Returns the entry of the server in the platform's store.
     pub fn entry(&self, state: &str) -> Value {
         json!({ "service": self.service, "addr": self.address.to_string(), "zone": "bne-north",
@@ -588,7 +614,17 @@
             let answer = if expected.is_some_and(|expected| expected != self.id) {
                 format!("HTTP/1.1 421 Misdirected Request\r\nJacinthpoint-Instance-Id: {}\r\n\
                     Content-Length: 0\r\n\r\n", self.id)
+            } else if self.pause_ms.load(Ordering::SeqCst) > 0 {
+                let pause_s = self.pause_ms.load(Ordering::SeqCst) as f64 / 1_000.0;
+                let mut arrivals = self.arrivals.lock().expect("no thread panics");
+                arrivals.push((id.clone(), Instant::now(), true));
+                format!("HTTP/1.1 503 Service Unavailable\r\nJacinthpoint-Not-Executed: 1\r\n\
+                    Jacinthpoint-Attempt-Id: {id}\r\nRetry-After: {pause_s}\r\n\
+                    Content-Length: 0\r\n\r\n")
             } else {
+                let mut arrivals = self.arrivals.lock().expect("no thread panics");
+                arrivals.push((id.clone(), Instant::now(), false));
+                drop(arrivals);
                 self.runs.lock().expect("no thread panics").push((id.clone(), Instant::now()));
                 let leaving = match self.is_leaving.load(Ordering::SeqCst) {
                     true => "Server-Leaving: 1\r\n",
