--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -338,6 +338,16 @@
 impl Site {
     /// Starts gateways in the given zones, with `engines` engines in each of two fabric domains.
     pub fn start(zones: &[&str], engines: usize, keys: &[&str]) -> Site {
+        Site::start_behind(zones, engines, keys, |store| store)
+    }
+
+    /// The same, with a front of the store, whose address `front` returns.
+    pub fn start_behind(
+        zones: &[&str],
+        engines: usize,
+        keys: &[&str],
+        front: impl Fn(SocketAddr) -> SocketAddr,
+    ) -> Site {
         let specs = (0..2 * engines).map(|index| EngineSpec {
             id: format!("i-{index}"),
             domain: format!("domain-{}", index / engines.max(1)),
@@ -348,11 +358,12 @@
         fs::create_dir_all(&folder).expect("a temporary folder");
         let mut site = Site { platform, gateways: Vec::new(), folder };
         site.put_config(keys, &[]);
+        let store = front(site.platform.store.address);
         for (index, zone) in zones.iter().enumerate() {
             let pid = std::process::id();
             let address = [127, 1 + (pid % 250) as u8, 1 + (pid / 250 % 250) as u8, 1 + index as u8];
             let [callers, readiness, metrics, peers] = free_ports(address);
-            let link = Link::start(site.platform.store.address);
+            let link = Link::start(store);
             let name = format!("front-{zone}-{}", index + 1);
             let settings = format!(
                 "[node]\nname = {name}\ndata_centre = {zone}\nfirst_start = true\n\n[listen]\n\
@@ -664,3 +675,123 @@
     let mut lines = head.lines().filter_map(|line| line.split_once(':'));
     lines.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim().to_owned())
 }
+
+/// Most items and bytes of one answer to a list: PROTOCOL.md, "about 500 or 1 MB at most".
+const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1_000_000;
+
+/// Starts a front of the store that answers lists in pages, as the platform's store does; the project's
+/// stand-in has no pages. All other calls are passed on. Returns its address.
+pub fn start_paging(store: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        while let Ok((mut stream, _)) = listener.accept() {
+            thread::spawn(move || {
+                while let Some((head, body)) = read_request(&mut stream) {
+                    let Some(answer) = paged_answer(store, &head, &body) else {
+                        return;
+                    };
+                    if stream.write_all(&answer).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+type Fields = BTreeMap<String, Box<serde_json::value::RawValue>>;
+
+fn paged_answer(store: SocketAddr, head: &str, body: &[u8]) -> Option<Vec<u8>> {
+    let line = head.lines().next()?;
+    let target = line.strip_prefix("GET ").and_then(|rest| rest.split(' ').next());
+    let (path, query) = target.map_or(("", ""), |t| t.split_once('?').unwrap_or((t, "")));
+    let is_list = path.strip_prefix("/objects/").is_some_and(|kind| !kind.contains('/'))
+        && !query.contains("watch=");
+    let mut request = format!("{head}\r\n\r\n").into_bytes();
+    request.extend_from_slice(body);
+    let answer = fetch(store, &request)?;
+    let end = answer.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
+    let answer_head = String::from_utf8_lossy(&answer[..end]).into_owned();
+    if !is_list || !answer_head.starts_with("HTTP/1.1 200") {
+        return Some(answer);
+    }
+    let list: Fields = serde_json::from_slice(&answer[end..]).ok()?;
+    let items: Vec<Box<serde_json::value::RawValue>> =
+        serde_json::from_str(list.get("items")?.get()).ok()?;
+    let name = |item: &serde_json::value::RawValue| -> Option<String> {
+        let item: Fields = serde_json::from_str(item.get()).ok()?;
+        let metadata: Value = serde_json::from_str(item.get("metadata")?.get()).ok()?;
+        metadata["name"].as_str().map(str::to_owned)
+    };
+    let after = query.split('&').find_map(|field| field.strip_prefix("after="));
+    let after = after.map(percent_decoded);
+    let after = after.as_deref();
+    let mut rest: Vec<_> = items.iter().filter_map(|item| Some((name(item)?, item))).collect();
+    rest.sort_by(|a, b| a.0.cmp(&b.0));
+    rest.retain(|(name, _)| after.is_none_or(|after| name.as_str() > after));
+    let mut page: Vec<&str> = Vec::new();
+    let mut bytes = 0;
+    for (_, item) in &rest {
+        bytes += item.get().len();
+        if !page.is_empty() && (page.len() >= PAGE_ITEMS || bytes > PAGE_BYTES) {
+            break;
+        }
+        page.push(item.get());
+    }
+    let body = format!(
+        "{{\"items\":[{}],\"has_more\":{},\"as_of\":{}}}",
+        page.join(","), page.len() < rest.len(), list.get("as_of")?.get()
+    );
+    let era = field(&answer_head, "store-era").unwrap_or_else(|| "1".to_owned());
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
+         Content-Length: {}\r\n\r\n", body.len()
+    );
+    Some((head + &body).into_bytes())
+}
+
+/// Sends a request to the store and returns its whole answer.
+fn fetch(store: SocketAddr, request: &[u8]) -> Option<Vec<u8>> {
+    let mut stream = TcpStream::connect(store).ok()?;
+    stream.write_all(request).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(40))).ok()?;
+    let mut received = Vec::new();
+    let mut buffer = vec![0; 64 * 1_024];
+    loop {
+        let end = received.windows(4).position(|window| window == b"\r\n\r\n");
+        if let Some(end) = end {
+            let head = String::from_utf8_lossy(&received[..end]).into_owned();
+            let length: usize = field(&head, "content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+            if received.len() >= end + 4 + length {
+                return Some(received);
+            }
+        }
+        match stream.read(&mut buffer) {
+            Ok(0) | Err(_) => return None,
+            Ok(count) => received.extend_from_slice(&buffer[..count]),
+        }
+    }
+}
+
+/// Decodes a value of a query.
+fn percent_decoded(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        let code = tail.get(..2).and_then(|code| std::str::from_utf8(code).ok());
+        match code.and_then(|code| u8::from_str_radix(code, 16).ok()) {
+            Some(byte) if *first == b'%' => {
+                bytes.push(byte);
+                rest = &tail[2..];
+            }
+            _ => {
+                bytes.push(if *first == b'+' { b' ' } else { *first });
+                rest = tail;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
