--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -25,6 +25,8 @@
 pub const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
 pub const STABLE: Duration = Duration::from_millis(3_000);
 pub const KEY: &str = "key-1";
+/// Program of the deploy file's build.
+pub const PRESENT_BUILD: &str = "target/release/jacinthpoint";
 
 /// State of a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -255,6 +257,8 @@
     pub link: Link,
     settings: PathBuf,
     log: PathBuf,
+    /// The program, from the root of the repository.
+    pub program: &'static str,
     pub process: Option<Child>,
 }
 
@@ -266,8 +270,7 @@
             .create(true)
             .open(&self.log)
             .expect("a log file");
-        let program = root().join("target/release/jacinthpoint");
-        let child = Command::new(program)
+        let child = Command::new(root().join(self.program))
             .arg("gateway")
             .env("JACINTHPOINT_CONFIG", &self.settings)
             .current_dir(root())
@@ -287,6 +290,20 @@
         }
     }
 
+    /// Waits until the process has ended; returns whether it did within the timeout.
+    pub fn wait_for_end(&mut self, timeout: Duration) -> bool {
+        let end = Instant::now() + timeout;
+        while let Some(process) = &mut self.process {
+            if matches!(process.try_wait(), Ok(Some(_))) {
+                self.process = None;
+            } else if Instant::now() >= end {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        true
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
             let _ = process.kill();
@@ -347,6 +364,17 @@
         engines: usize,
         keys: &[&str],
         front: impl Fn(SocketAddr) -> SocketAddr,
+    ) -> Site {
+        Site::start_build(zones, engines, keys, front, PRESENT_BUILD)
+    }
+
+    /// The same, with the program of the gateways.
+    pub fn start_build(
+        zones: &[&str],
+        engines: usize,
+        keys: &[&str],
+        front: impl Fn(SocketAddr) -> SocketAddr,
+        program: &'static str,
     ) -> Site {
         let specs = (0..2 * engines).map(|index| EngineSpec {
             id: format!("i-{index}"),
@@ -365,11 +393,15 @@
             let [callers, readiness, metrics, peers] = free_ports(address);
             let link = Link::start(store);
             let name = format!("front-{zone}-{}", index + 1);
+            // Keys that earlier builds do not know.
+            let more = match program == PRESENT_BUILD {
+                true => "core_share = 0.25\nlink_mbps = 1000.0\n",
+                false => "",
+            };
             let settings = format!(
                 "[node]\nname = {name}\ndata_centre = {zone}\nfirst_start = true\n\n[listen]\n\
                  callers = {callers}\nreadiness = {readiness}\npeers = {peers}\nmetrics = {metrics}\n\n\
-                 [store]\naddress = {}\n\n[limits]\ndescriptors = 4200\ncore_share = 0.25\n\
-                 link_mbps = 1000.0\n\n[stop]\ngrace_ms = 8000\n\n[repeats]\nratio = 0.2\n\
+                 [store]\naddress = {}\n\n[limits]\ndescriptors = 4200\n{more}\n[stop]\ngrace_ms = 8000\n\n[repeats]\nratio = 0.2\n\
                  slack = 130\nwindow_ms = 10000\n",
                 link.address
             );
@@ -378,7 +410,7 @@
             let log = site.folder.join(format!("{name}.log"));
             let mut gateway = Gateway {
                 name, callers, readiness, metrics, peers, link,
-                settings: path, log, process: None,
+                settings: path, log, program, process: None,
             };
             gateway.start();
             site.gateways.push(gateway);
