--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 CARGO_TARGET_DIR=target/review cargo build --release --locked --manifest-path review/harness/Cargo.toml
 
-# The earlier build of an upgrade (review/6): the last commit of landing 8.
+# The earlier build of an upgrade (review/3): the last commit of landing 8.
 commit=7bf3b52
 source=target/review-earlier/$commit
 if [ ! -x "$source/target/release/jacinthpoint" ]; then
--- a/review/harness/src/bin/earlier_start.rs
+++ b/review/harness/src/bin/earlier_start.rs
@@ -23,10 +23,15 @@
 
 fn main() {
     let record = Record::create(&std::env::args().nth(1).expect("the path of the record"));
-    let desks = [Server::start("desk-1", "desk"), Server::start("desk-2", "desk")];
+    let desks = [
+        Server::start("desk-1", "desk"),
+        Server::start("desk-2", "desk"),
+    ];
     let site = Site::start(&["bne-north"], 2, &[KEY]);
     for desk in &desks {
-        site.platform.store.put("servers", &desk.id, desk.entry_born("ready", BORN));
+        site.platform
+            .store
+            .put("servers", &desk.id, desk.entry_born("ready", BORN));
     }
     site.put_config_with(&[KEY], "desk", &[]);
     thread::sleep(STABLE);
@@ -37,14 +42,19 @@
         while began.elapsed() < Duration::from_millis(ms) {
             let text = request_text(&format!("request-{number}"), "/once/", KEY, 2_500);
             let answer = exchange(gateway, &text, Duration::from_secs(3));
-            record.line(format!("request-{number}: {} by {}", answer.status,
-                answer.header("jacinthpoint-server-seal").unwrap_or("none")));
+            record.line(format!(
+                "request-{number}: {} by {}",
+                answer.status,
+                answer.header("jacinthpoint-server-seal").unwrap_or("none")
+            ));
             number += 1;
             thread::sleep(Duration::from_millis(40));
         }
     };
     send_for(300);
-    record.line(format!("desk-1, born {BORN}, refuses with 503 and Retry-After {FIRST_PAUSE_MS} ms"));
+    record.line(format!(
+        "desk-1, born {BORN}, refuses with 503 and Retry-After {FIRST_PAUSE_MS} ms"
+    ));
     desks[0].pause_ms.store(FIRST_PAUSE_MS, Ordering::SeqCst);
     send_for(FIRST_PAUSE_MS);
     desks[0].pause_ms.store(0, Ordering::SeqCst);
@@ -54,24 +64,36 @@
     };
     record.line(format!("desk-1 starts again, born {born}"));
     desks[0].reset_connections();
-    site.platform.store.put("servers", "desk-1", desks[0].entry_born("ready", born));
+    site.platform
+        .store
+        .put("servers", "desk-1", desks[0].entry_born("ready", born));
     send_for(2_000);
-    record.line(format!("desk-1 refuses with 503 and Retry-After {PAUSE_MS} ms"));
+    record.line(format!(
+        "desk-1 refuses with 503 and Retry-After {PAUSE_MS} ms"
+    ));
     let refused_from = Instant::now();
     desks[0].pause_ms.store(PAUSE_MS, Ordering::SeqCst);
     send_for(PAUSE_MS);
     let arrivals = desks[0].arrivals.lock().expect("no thread panics").clone();
-    let refused = arrivals.iter().filter(|(_, at, is_refused)| *is_refused && *at >= refused_from);
+    let refused = arrivals
+        .iter()
+        .filter(|(_, at, is_refused)| *is_refused && *at >= refused_from);
     let times: Vec<Instant> = refused.map(|(_, at, _)| *at).collect();
     for (id, at, is_refused) in &arrivals {
-        record.line(format!("desk-1 got {id} at {:.3}, refused: {is_refused}", record.at(*at)));
+        record.line(format!(
+            "desk-1 got {id} at {:.3}, refused: {is_refused}",
+            record.at(*at)
+        ));
     }
     let Some(first) = times.first().copied() else {
         record.line("desk-1 got no request to refuse");
         finish(2, &site);
     };
     let end = first + Duration::from_millis(PAUSE_MS);
-    let late = times.iter().filter(|at| **at > first + GRACE && **at < end).count();
+    let late = times
+        .iter()
+        .filter(|at| **at > first + GRACE && **at < end)
+        .count();
     record.line(format!(
         "{late} requests reached desk-1 between {} ms after it had answered 503 with Retry-After and the end of \
          that time; {MAX_ARRIVALS} may", GRACE.as_millis()
--- a/review/harness/src/bin/frozen_forward.rs
+++ b/review/harness/src/bin/frozen_forward.rs
@@ -60,14 +60,22 @@
     thread::sleep(FREEZE);
     frozen.signal("CONT");
     record.line(format!("{} runs", frozen.name));
-    let answers: Vec<Answer> = threads.into_iter().map(|t| t.join().expect("no panic")).collect();
+    let answers: Vec<Answer> = threads
+        .into_iter()
+        .map(|t| t.join().expect("no panic"))
+        .collect();
     let limit = Duration::from_millis(TIMEOUT_MS) + SLACK;
     let begun = answers.iter().filter(|answer| answer.status == 200).count();
-    let late = answers.iter().filter(|answer| answer.status == 200 && answer.elapsed > limit).count();
+    let late = answers
+        .iter()
+        .filter(|answer| answer.status == 200 && answer.elapsed > limit)
+        .count();
     for (number, answer) in answers.iter().enumerate() {
         record.line(format!(
             "request stream-{number}: status {}, ended after {:.2} s, whole: {}",
-            answer.status, answer.elapsed.as_secs_f64(), answer.is_whole
+            answer.status,
+            answer.elapsed.as_secs_f64(),
+            answer.is_whole
         ));
     }
     record.line(format!(
--- a/review/harness/src/bin/odd_name.rs
+++ b/review/harness/src/bin/odd_name.rs
@@ -7,7 +7,8 @@
 };
 
 use review_harness::{
-    Gateway, KEY, Record, STABLE, Server, Site, exchange, finish, is_calm, request_text, start_paging,
+    Gateway, KEY, Record, STABLE, Server, Site, exchange, finish, is_calm, request_text,
+    start_paging,
 };
 use serde_json::json;
 
@@ -25,8 +26,15 @@
     let record = Record::create(&std::env::args().nth(1).expect("the path of the record"));
     let has_entry = !is_calm() && std::env::var("ENTRY").map_or(true, |value| value != "0");
     let desk = Server::start("desk-1", "desk");
-    let mut site = Site::start_behind(&["bne-north", "bne-south", "gc-hall"], 2, &[KEY], start_paging);
-    site.platform.store.put("servers", &desk.id, desk.entry("ready"));
+    let mut site = Site::start_behind(
+        &["bne-north", "bne-south", "gc-hall"],
+        2,
+        &[KEY],
+        start_paging,
+    );
+    site.platform
+        .store
+        .put("servers", &desk.id, desk.entry("ready"));
     site.put_config_with(&[KEY], "desk", &[]);
     thread::sleep(STABLE);
     let send_all = |site: &Site, name: &str| -> usize {
@@ -36,7 +44,10 @@
             let id = format!("{name}-{number}");
             let text = request_text(&id, "/once/", KEY, 2_500);
             let answer = exchange(gateway.callers, &text, Duration::from_secs(3));
-            record.line(format!("request {id} to {}: {}", gateway.name, answer.status));
+            record.line(format!(
+                "request {id} to {}: {}",
+                gateway.name, answer.status
+            ));
             served += usize::from(answer.status == 200 && answer.is_whole);
             thread::sleep(Duration::from_millis(30));
         }
@@ -47,7 +58,9 @@
     if has_entry {
         record.line(format!("another writer's entry '{ENTRY}' of {ENTRY_BYTES} bytes, without the fields of a server"));
         let note = "x".repeat(ENTRY_BYTES);
-        site.platform.store.put("servers", ENTRY, json!({ "note": note }));
+        site.platform
+            .store
+            .put("servers", ENTRY, json!({ "note": note }));
         thread::sleep(STABLE);
         send_all(&site, "with-the-entry");
     }
@@ -61,8 +74,15 @@
     let back_at = Instant::now();
     while back_at.elapsed() < RECOVERY {
         thread::sleep(Duration::from_secs(1));
-        let ready = site.gateways.iter().filter(|gateway| gateway.is_ready()).count();
-        record.line(format!("{ready} of {} gateways are ready", site.gateways.len()));
+        let ready = site
+            .gateways
+            .iter()
+            .filter(|gateway| gateway.is_ready())
+            .count();
+        record.line(format!(
+            "{ready} of {} gateways are ready",
+            site.gateways.len()
+        ));
     }
     let after = send_all(&site, "after");
     if 4 * before < REQUESTS {
--- a/review/harness/src/bin/stale_forward.rs
+++ b/review/harness/src/bin/stale_forward.rs
@@ -19,21 +19,40 @@
     let desk = Server::start("desk-1", "desk");
     // One machine in each of three zones.
     let site = Site::start(&["bne-north", "bne-south", "gc-hall"], 2, &[KEY]);
-    site.platform.store.put("servers", &desk.id, desk.entry("ready"));
+    site.platform
+        .store
+        .put("servers", &desk.id, desk.entry("ready"));
     thread::sleep(STABLE);
     let (sender, stale) = (&site.gateways[0], &site.gateways[1]);
     let send = |id: &str| -> Answer {
-        exchange(sender.callers, &request_text(id, "/once/", KEY, 2_500), Duration::from_secs(4))
+        exchange(
+            sender.callers,
+            &request_text(id, "/once/", KEY, 2_500),
+            Duration::from_secs(4),
+        )
     };
     let ran_at = |id: &str| -> Vec<String> {
-        let mut at: Vec<String> =
-            site.platform.runs.of(id).into_iter().map(|run| run.upstream).collect();
+        let mut at: Vec<String> = site
+            .platform
+            .runs
+            .of(id)
+            .into_iter()
+            .map(|run| run.upstream)
+            .collect();
         let runs = desk.runs.lock().expect("no thread panics");
-        at.extend(runs.iter().filter(|(run, _)| run == id).map(|_| desk.id.clone()));
+        at.extend(
+            runs.iter()
+                .filter(|(run, _)| run == id)
+                .map(|_| desk.id.clone()),
+        );
         at
     };
     let before = send("before");
-    record.line(format!("request before: {} run at {:?}", before.status, ran_at("before")));
+    record.line(format!(
+        "request before: {} run at {:?}",
+        before.status,
+        ran_at("before")
+    ));
     if before.status != 200 {
         finish(2, &site);
     }
@@ -48,7 +67,12 @@
     record.line("the operator moves the route 'once' from service 'plain' to 'desk'; acknowledged");
     thread::sleep(CONFIG_APPLY + Duration::from_millis(500));
     let moved = send("moved");
-    record.line(format!("request moved at {}: {} run at {:?}", sender.name, moved.status, ran_at("moved")));
+    record.line(format!(
+        "request moved at {}: {} run at {:?}",
+        sender.name,
+        moved.status,
+        ran_at("moved")
+    ));
     if ran_at("moved") != ["desk-1"] {
         finish(2, &site);
     }
@@ -65,10 +89,16 @@
                 let id = format!("{route}-{number}");
                 let text = request_text(&id, &format!("/{route}/"), KEY, 2_500);
                 let answer = exchange(sender.callers, &text, Duration::from_secs(4));
-                record.line(format!("request {id} to {}: {}", sender.name, answer.status));
+                record.line(format!(
+                    "request {id} to {}: {}",
+                    sender.name, answer.status
+                ));
             }
             let answer = send(&format!("met-{number}"));
-            record.line(format!("request met-{number} to {}: {}", sender.name, answer.status));
+            record.line(format!(
+                "request met-{number} to {}: {}",
+                sender.name, answer.status
+            ));
             thread::sleep(Duration::from_millis(30));
         }
     }
@@ -84,7 +114,9 @@
         let at = ran_at(&id);
         record.line(format!(
             "request {id} to {}, {:.2} s after the acknowledgement: {} run at {at:?}",
-            sender.name, since_ack.as_secs_f64(), answer.status
+            sender.name,
+            since_ack.as_secs_f64(),
+            answer.status
         ));
         answered += usize::from(answer.status == 200);
         old += at.iter().filter(|upstream| *upstream == "plain-1").count();
--- a/review/harness/src/bin/upgraded_forward.rs
+++ b/review/harness/src/bin/upgraded_forward.rs
@@ -21,18 +21,25 @@
     let desk = Server::start("desk-1", "desk");
     let zones = ["bne-north", "bne-south", "gc-hall"];
     let mut site = Site::start_build(&zones, 2, &[KEY], |store| store, EARLIER_BUILD);
-    site.platform.store.put("servers", &desk.id, desk.entry("ready"));
+    site.platform
+        .store
+        .put("servers", &desk.id, desk.entry("ready"));
     site.put_config_with(&[KEY], "desk", &[]);
     thread::sleep(STABLE);
     let upgraded = &mut site.gateways[0];
-    record.line(format!("{} is stopped and starts again as the present build; the others run 7bf3b52", upgraded.name));
+    record.line(format!(
+        "{} is stopped and starts again as the present build; the others run 7bf3b52",
+        upgraded.name
+    ));
     upgraded.signal("TERM");
     if !upgraded.wait_for_end(GRACE) {
         finish(2, &site);
     }
     upgraded.program = PRESENT_BUILD;
     upgraded.start();
-    site.wait("the upgraded gateway is ready", 15_000, |site| site.gateways[0].is_ready());
+    site.wait("the upgraded gateway is ready", 15_000, |site| {
+        site.gateways[0].is_ready()
+    });
     thread::sleep(STABLE + Duration::from_secs(1));
     let sender = &site.gateways[0];
     let send = |id: &str, path: &str| {
@@ -64,7 +71,10 @@
         let answer = send(&id, &format!("/{route}/"));
         served += usize::from(answer.status == 200 && answer.is_whole);
         denied += usize::from([401, 403, 404].contains(&answer.status));
-        record.line(format!("{id} on the route '{route}' to {}: {}", sender.name, answer.status));
+        record.line(format!(
+            "{id} on the route '{route}' to {}: {}",
+            sender.name, answer.status
+        ));
         thread::sleep(Duration::from_millis(20));
     }
     let may_be = 5 + REQUESTS / 500;
--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -16,9 +16,7 @@
     time::{Duration, Instant},
 };
 
-use jacinthpoint_platform_standins::{
-    EngineSpec, Engines, PlainService, Platform, RequestLimits,
-};
+use jacinthpoint_platform_standins::{EngineSpec, Engines, PlainService, Platform, RequestLimits};
 use serde_json::{Value, json};
 
 /// Figures of a small deployment, from the settings of a gateway.
@@ -212,7 +210,9 @@
         if bytes[begin..].starts_with(ADDRESS) {
             let begin = begin + ADDRESS.len();
             let old = &mut bytes[begin..begin + DIGITS];
-            let port = std::str::from_utf8(old).ok().and_then(|port| port.parse().ok());
+            let port = std::str::from_utf8(old)
+                .ok()
+                .and_then(|port| port.parse().ok());
             if let Some(port) = port {
                 old.copy_from_slice(servers.port(port).to_string().as_bytes());
             }
@@ -231,7 +231,9 @@
     pub fn create(path: &str) -> Record {
         Record {
             begin: Instant::now(),
-            file: Arc::new(Mutex::new(File::create(path).expect("the record is created"))),
+            file: Arc::new(Mutex::new(
+                File::create(path).expect("the record is created"),
+            )),
         }
     }
 
@@ -348,7 +350,8 @@
 }
 
 fn free_ports<const N: usize>(address: [u8; 4]) -> [SocketAddr; N] {
-    let listeners = [(); N].map(|()| TcpListener::bind(SocketAddr::from((address, 0))).expect("a port"));
+    let listeners =
+        [(); N].map(|()| TcpListener::bind(SocketAddr::from((address, 0))).expect("a port"));
     listeners.each_ref().map(|l| l.local_addr().expect("bound"))
 }
 
@@ -384,12 +387,21 @@
         let platform = Platform::start(specs.collect());
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
-        let mut site = Site { platform, gateways: Vec::new(), folder };
+        let mut site = Site {
+            platform,
+            gateways: Vec::new(),
+            folder,
+        };
         site.put_config(keys, &[]);
         let store = front(site.platform.store.address);
         for (index, zone) in zones.iter().enumerate() {
             let pid = std::process::id();
-            let address = [127, 1 + (pid % 250) as u8, 1 + (pid / 250 % 250) as u8, 1 + index as u8];
+            let address = [
+                127,
+                1 + (pid % 250) as u8,
+                1 + (pid / 250 % 250) as u8,
+                1 + index as u8,
+            ];
             let [callers, readiness, metrics, peers] = free_ports(address);
             let link = Link::start(store);
             let name = format!("front-{zone}-{}", index + 1);
@@ -409,8 +421,16 @@
             fs::write(&path, settings).expect("the settings are written");
             let log = site.folder.join(format!("{name}.log"));
             let mut gateway = Gateway {
-                name, callers, readiness, metrics, peers, link,
-                settings: path, log, program, process: None,
+                name,
+                callers,
+                readiness,
+                metrics,
+                peers,
+                link,
+                settings: path,
+                log,
+                program,
+                process: None,
             };
             gateway.start();
             site.gateways.push(gateway);
@@ -449,7 +469,13 @@
     }
 
     /// The same, with the timeout of the routes.
-    pub fn put_config_of(&self, keys: &[&str], once_service: &str, timeout_ms: u64, more: &[Value]) {
+    pub fn put_config_of(
+        &self,
+        keys: &[&str],
+        once_service: &str,
+        timeout_ms: u64,
+        more: &[Value],
+    ) {
         let route = |name: &str, kind: &str, service: &str| -> Value {
             json!({ "name": name, "host": "model.example", "path_prefix": format!("/{name}/"),
                 "kind": kind, "timeout_ms": timeout_ms, "slo_ms": 500, "priority": 1,
@@ -473,7 +499,9 @@
 
     /// Returns the number of the gateway with this name.
     pub fn index(&self, name: &str) -> Option<usize> {
-        self.gateways.iter().position(|gateway| gateway.name == name)
+        self.gateways
+            .iter()
+            .position(|gateway| gateway.name == name)
     }
 
     /// Returns for each gateway whether it watches another gateway in place of the store.
@@ -481,9 +509,13 @@
         let reads = |gateway: &Gateway| {
             let text = gateway.metrics_text();
             let line = text.lines().find(|line| line.contains("store_reads"));
-            line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
+            line.and_then(|line| line.rsplit(' ').next()?.parse().ok())
+                .unwrap_or(0.0)
         };
-        self.gateways.iter().map(|g| (g.name.clone(), reads(g))).collect()
+        self.gateways
+            .iter()
+            .map(|g| (g.name.clone(), reads(g)))
+            .collect()
     }
 }
 
@@ -520,7 +552,9 @@
 impl Answer {
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut lines = self.head.lines().filter_map(|line| line.split_once(':'));
-        lines.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+        lines
+            .find(|(key, _)| key.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.trim())
     }
 }
 
@@ -543,7 +577,10 @@
 pub fn exchange(address: SocketAddr, text: &str, timeout: Duration) -> Answer {
     let began = Instant::now();
     let mut received = Vec::new();
-    let mut answer = Answer { sent_at: Some(began), ..Answer::default() };
+    let mut answer = Answer {
+        sent_at: Some(began),
+        ..Answer::default()
+    };
     if let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1))
         && stream.write_all(text.as_bytes()).is_ok()
     {
@@ -573,9 +610,17 @@
         return;
     };
     answer.head = String::from_utf8_lossy(&received[..end]).into_owned();
-    answer.status = answer.head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    answer.status = answer
+        .head
+        .split(' ')
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(0);
     let rest = &received[end + 4..];
-    if let Some(length) = answer.header("content-length").and_then(|l| l.parse::<usize>().ok()) {
+    if let Some(length) = answer
+        .header("content-length")
+        .and_then(|l| l.parse::<usize>().ok())
+    {
         answer.is_whole = rest.len() >= length;
         answer.body = String::from_utf8_lossy(&rest[..rest.len().min(length)]).into_owned();
         return;
@@ -602,7 +647,6 @@
 }
 
 impl Server {
-
     pub fn start(id: &str, service: &str) -> Server {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("it is bound");
@@ -621,7 +665,11 @@
             while let Ok((stream, _)) = listener.accept() {
                 let server = shared.clone();
                 if let Ok(stream) = stream.try_clone() {
-                    server.connections.lock().expect("no thread panics").push(stream);
+                    server
+                        .connections
+                        .lock()
+                        .expect("no thread panics")
+                        .push(stream);
                 }
                 thread::spawn(move || server.serve(stream));
             }
@@ -655,26 +703,37 @@
             let id = field(&head, "jacinthpoint-attempt-id").unwrap_or_default();
             let expected = field(&head, "jacinthpoint-target-instance");
             let answer = if expected.is_some_and(|expected| expected != self.id) {
-                format!("HTTP/1.1 421 Misdirected Request\r\nJacinthpoint-Instance-Id: {}\r\n\
-                    Content-Length: 0\r\n\r\n", self.id)
+                format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nJacinthpoint-Instance-Id: {}\r\n\
+                    Content-Length: 0\r\n\r\n",
+                    self.id
+                )
             } else if self.pause_ms.load(Ordering::SeqCst) > 0 {
                 let pause_s = self.pause_ms.load(Ordering::SeqCst) as f64 / 1_000.0;
                 let mut arrivals = self.arrivals.lock().expect("no thread panics");
                 arrivals.push((id.clone(), Instant::now(), true));
-                format!("HTTP/1.1 503 Service Unavailable\r\nJacinthpoint-Not-Executed: 1\r\n\
+                format!(
+                    "HTTP/1.1 503 Service Unavailable\r\nJacinthpoint-Not-Executed: 1\r\n\
                     Jacinthpoint-Attempt-Id: {id}\r\nRetry-After: {pause_s}\r\n\
-                    Content-Length: 0\r\n\r\n")
+                    Content-Length: 0\r\n\r\n"
+                )
             } else {
                 let mut arrivals = self.arrivals.lock().expect("no thread panics");
                 arrivals.push((id.clone(), Instant::now(), false));
                 drop(arrivals);
-                self.runs.lock().expect("no thread panics").push((id.clone(), Instant::now()));
+                self.runs
+                    .lock()
+                    .expect("no thread panics")
+                    .push((id.clone(), Instant::now()));
                 let leaving = match self.is_leaving.load(Ordering::SeqCst) {
                     true => "Server-Leaving: 1\r\n",
                     false => "",
                 };
-                format!("HTTP/1.1 200 OK\r\nJacinthpoint-Attempt-Id: {id}\r\n{leaving}\
-                    Jacinthpoint-Server-Seal: seal.{}\r\nContent-Length: 4\r\n\r\ndone", self.id)
+                format!(
+                    "HTTP/1.1 200 OK\r\nJacinthpoint-Attempt-Id: {id}\r\n{leaving}\
+                    Jacinthpoint-Server-Seal: seal.{}\r\nContent-Length: 4\r\n\r\ndone",
+                    self.id
+                )
             };
             if stream.write_all(answer.as_bytes()).is_err() {
                 return;
@@ -690,7 +749,9 @@
     loop {
         if let Some(end) = received.windows(4).position(|window| window == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&received[..end]).into_owned();
-            let length: usize = field(&head, "content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+            let length: usize = field(&head, "content-length")
+                .and_then(|l| l.parse().ok())
+                .unwrap_or(0);
             if received.len() >= end + 4 + length {
                 return Some((head, received[end + 4..end + 4 + length].to_vec()));
             }
@@ -705,7 +766,9 @@
 /// Returns the value of a header of a request.
 pub fn field(head: &str, name: &str) -> Option<String> {
     let mut lines = head.lines().filter_map(|line| line.split_once(':'));
-    lines.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim().to_owned())
+    lines
+        .find(|(key, _)| key.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.trim().to_owned())
 }
 
 /// Most items and bytes of one answer to a list: PROTOCOL.md, "about 500 or 1 MB at most".
@@ -738,9 +801,13 @@
 
 fn paged_answer(store: SocketAddr, head: &str, body: &[u8]) -> Option<Vec<u8>> {
     let line = head.lines().next()?;
-    let target = line.strip_prefix("GET ").and_then(|rest| rest.split(' ').next());
+    let target = line
+        .strip_prefix("GET ")
+        .and_then(|rest| rest.split(' ').next());
     let (path, query) = target.map_or(("", ""), |t| t.split_once('?').unwrap_or((t, "")));
-    let is_list = path.strip_prefix("/objects/").is_some_and(|kind| !kind.contains('/'))
+    let is_list = path
+        .strip_prefix("/objects/")
+        .is_some_and(|kind| !kind.contains('/'))
         && !query.contains("watch=");
     let mut request = format!("{head}\r\n\r\n").into_bytes();
     request.extend_from_slice(body);
@@ -758,10 +825,15 @@
         let metadata: Value = serde_json::from_str(item.get("metadata")?.get()).ok()?;
         metadata["name"].as_str().map(str::to_owned)
     };
-    let after = query.split('&').find_map(|field| field.strip_prefix("after="));
+    let after = query
+        .split('&')
+        .find_map(|field| field.strip_prefix("after="));
     let after = after.map(percent_decoded);
     let after = after.as_deref();
-    let mut rest: Vec<_> = items.iter().filter_map(|item| Some((name(item)?, item))).collect();
+    let mut rest: Vec<_> = items
+        .iter()
+        .filter_map(|item| Some((name(item)?, item)))
+        .collect();
     rest.sort_by(|a, b| a.0.cmp(&b.0));
     rest.retain(|(name, _)| after.is_none_or(|after| name.as_str() > after));
     let mut page: Vec<&str> = Vec::new();
@@ -775,12 +847,15 @@
     }
     let body = format!(
         "{{\"items\":[{}],\"has_more\":{},\"as_of\":{}}}",
-        page.join(","), page.len() < rest.len(), list.get("as_of")?.get()
+        page.join(","),
+        page.len() < rest.len(),
+        list.get("as_of")?.get()
     );
     let era = field(&answer_head, "store-era").unwrap_or_else(|| "1".to_owned());
     let head = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
-         Content-Length: {}\r\n\r\n", body.len()
+         Content-Length: {}\r\n\r\n",
+        body.len()
     );
     Some((head + &body).into_bytes())
 }
@@ -789,14 +864,18 @@
 fn fetch(store: SocketAddr, request: &[u8]) -> Option<Vec<u8>> {
     let mut stream = TcpStream::connect(store).ok()?;
     stream.write_all(request).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(40))).ok()?;
+    stream
+        .set_read_timeout(Some(Duration::from_secs(40)))
+        .ok()?;
     let mut received = Vec::new();
     let mut buffer = vec![0; 64 * 1_024];
     loop {
         let end = received.windows(4).position(|window| window == b"\r\n\r\n");
         if let Some(end) = end {
             let head = String::from_utf8_lossy(&received[..end]).into_owned();
-            let length: usize = field(&head, "content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+            let length: usize = field(&head, "content-length")
+                .and_then(|l| l.parse().ok())
+                .unwrap_or(0);
             if received.len() >= end + 4 + length {
                 return Some(received);
             }
@@ -813,7 +892,9 @@
     let mut bytes = Vec::new();
     let mut rest = text.as_bytes();
     while let Some((first, tail)) = rest.split_first() {
-        let code = tail.get(..2).and_then(|code| std::str::from_utf8(code).ok());
+        let code = tail
+            .get(..2)
+            .and_then(|code| std::str::from_utf8(code).ok());
         match code.and_then(|code| u8::from_str_radix(code, 16).ok()) {
             Some(byte) if *first == b'%' => {
                 bytes.push(byte);
