Log why an attempt counts as stalled

Callers saw streams that ended without a whole answer. The log named "no event in time" for a silent upstream, for a gateway that read late and for times that had been dropped alike. Event 753 has the silence of the attempt and of its group, the limit, the age of the view and whether the view still lists the target.

No change of what is decided.

--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -21,7 +21,7 @@
             states_leaving,
         },
         context::Context,
-        outcome::{BreakPoint, record_suspected_crash},
+        outcome::{Awaited, BreakPoint, log_stall, record_suspected_crash},
         request::build_request,
         whole_body::{self, BodyError},
     },
@@ -200,7 +200,10 @@
                 () = gateway.clock.sleep_until(check_at) => {
                     match check_progress(context, target, sent_at, keep_if_stalled) {
                         WaitDecision::CheckAgainAt(at) => check_at = at,
-                        WaitDecision::GiveUp(why) => return AttemptOutcome::Unknown(why.to_owned()),
+                        WaitDecision::GiveUp(why) => {
+                            log_stall(context, target, Awaited::Head, sent_at);
+                            return AttemptOutcome::Unknown(why.to_owned());
+                        }
                         WaitDecision::DeadlinePassed => return AttemptOutcome::DeadlinePassed,
                     }
                 }
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -2,8 +2,8 @@
 //! answers on to the caller.
 
 use hyper::{HeaderMap, Response, StatusCode, header};
-use jacinthpoint_dispatch::{CrashId, Target};
-use jacinthpoint_types::VmId;
+use jacinthpoint_dispatch::{CrashId, StallPolicy, Target};
+use jacinthpoint_types::{TimeMs, VmId};
 
 use crate::{
     body::{AnswerBody, full_body},
@@ -109,6 +109,39 @@
     }
 }
 
+/// What an attempt has to send next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(super) enum Awaited {
+    /// The head of the answer.
+    Head,
+    /// The first event of the stream.
+    FirstEvent,
+    /// An event after others.
+    Event,
+}
+
+/// Logs that an attempt makes no progress, with what decided it. `since` is the time of its last event, or
+/// that at which it was sent.
+pub(super) fn log_stall(context: &Context, target: &Target, awaited: Awaited, since: TimeMs) {
+    let gateway = &context.gateway;
+    let now = gateway.now();
+    let snapshot = gateway
+        .snapshot()
+        .unwrap_or_else(|| context.snapshot.clone());
+    let mut listed = snapshot.directory.targets();
+    let loads = gateway.loads.borrow();
+    let group_event_at = loads.last_event_at(&target.key, now);
+    log_event!(warn, AttemptStalled, request = context.request_id, upstream = %target.upstream,
+        target = %target.key, %awaited, silent_ms = now.since_ms(since),
+        group_silent_ms = group_event_at.map(|at| now.since_ms(at)),
+        limit_ms = context.stall_policy().map(StallPolicy::limit_ms),
+        is_suspended = loads.is_suspended(&target.key, now),
+        is_listed = listed.any(|known| known.key == target.key),
+        view_age_ms = now.since_ms(snapshot.built_at), version = %snapshot.config.version,
+        "an attempt makes no progress");
+}
+
 /// Latencies of a stream's events.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct StreamTimes {
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -22,8 +22,8 @@
         context::Context,
         event_splitter::EventSplitter,
         outcome::{
-            BreakPoint, StreamTimes, record_end, record_failure, record_not_run,
-            record_suspected_crash, remove_connection_headers,
+            Awaited, BreakPoint, StreamTimes, log_stall, record_end, record_failure,
+            record_not_run, record_suspected_crash, remove_connection_headers,
         },
         refusal::quarantine_reason,
         retry::{AttemptHistory, choose},
@@ -211,6 +211,9 @@
                             if self.can_resume() && may_try {
                                 if self.context.try_spend_retry() {
                                     self.has_spent_retry = true;
+                                    let awaited =
+                                        if had_event { Awaited::Event } else { Awaited::FirstEvent };
+                                    log_stall(&self.context, &target, awaited, self.last_progress_at);
                                     return StreamEnd::Broken("no event in time".to_owned());
                                 }
                                 was_retry_denied = true;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -105,6 +105,8 @@
     TaskPanicked = 751,
     /// The process did not run for a time.
     ProcessPaused = 752,
+    /// An attempt makes no progress. The event has the times and the limit that decided it.
+    AttemptStalled = 753,
 }
 
 impl EventCode {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,6 +33,8 @@
 pub(crate) struct Snapshot {
     pub(crate) config: Arc<FleetConfig>,
     pub(crate) directory: Directory,
+    /// Time of the change of the view that it was built after.
+    pub(crate) built_at: TimeMs,
 }
 
 /// Phase of the process, from serving to shutdown.
@@ -285,6 +287,7 @@
         let snapshot = Snapshot {
             config: config.clone(),
             directory,
+            built_at: self.now(),
         };
         *self.snapshot.borrow_mut() = Some(Rc::new(snapshot));
         self.metrics.count("snapshots", "built");
