--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -32,6 +32,7 @@
 mod repeated_answers;
 mod reported_faults;
 mod restored_store;
+mod silent_upstreams;
 mod site;
 mod slow_upstreams;
 mod soak;
--- a/tests/gateway/faulty_answers.rs
+++ b/tests/gateway/faulty_answers.rs
@@ -12,13 +12,13 @@
 };
 
 mod heads;
-mod streams;
+pub(super) mod streams;
 
 /// Time in which gateways learn of a registration.
 const REGISTRATION_MS: u64 = 500;
 
 /// Returns a site with one gateway and several instances of the plain service that follow a script.
-fn scripted_site(script: Script) -> Site {
+pub(super) fn scripted_site(script: Script) -> Site {
     let site = Site::start(1);
     site.platform.plain.set_script(script);
     site.platform.plain.register_all();
@@ -27,19 +27,19 @@
 }
 
 /// Returns the start of a sealed answer's head.
-fn head(request: &PlainRequest, status: &str) -> String {
+pub(super) fn head(request: &PlainRequest, status: &str) -> String {
     format!(
         "HTTP/1.1 {status}\r\njacinthpoint-attempt-id: {}\r\njacinthpoint-server-seal: seal\r\n",
         request.attempt_id
     )
 }
 
-fn sealed(request: &PlainRequest, status: &str, body: &str) -> String {
+pub(super) fn sealed(request: &PlainRequest, status: &str, body: &str) -> String {
     let head = head(request, status);
     format!("{head}content-length: {}\r\n\r\n{body}", body.len())
 }
 
-fn answer(request: &PlainRequest) -> String {
+pub(super) fn answer(request: &PlainRequest) -> String {
     sealed(request, "200 OK", PlainService::BODY)
 }
 
--- a/tests/gateway/faulty_answers/streams.rs
+++ b/tests/gateway/faulty_answers/streams.rs
@@ -15,7 +15,7 @@
 };
 
 /// Returns the events with these ids.
-pub(super) fn events(ids: RangeInclusive<u64>) -> String {
+pub(in crate::gateway) fn events(ids: RangeInclusive<u64>) -> String {
     ids.map(|id| format!("id: {id}\ndata: token-{id}\n\n"))
         .collect()
 }
@@ -25,13 +25,13 @@
 }
 
 /// Returns the head of a stream in chunks.
-fn chunked_head(request: &PlainRequest) -> String {
+pub(in crate::gateway) fn chunked_head(request: &PlainRequest) -> String {
     let head = head(request, "200 OK");
     format!("{head}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n")
 }
 
 /// Returns a whole stream in chunks.
-fn chunked(request: &PlainRequest, text: &str) -> String {
+pub(in crate::gateway) fn chunked(request: &PlainRequest, text: &str) -> String {
     format!("{}{}0\r\n\r\n", chunked_head(request), chunk(text))
 }
 
