--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -34,6 +34,7 @@
 mod context;
 mod event_splitter;
 mod forward;
+mod open_stream;
 mod outcome;
 mod refusal;
 mod request;
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -1,11 +1,17 @@
 //! Makes one attempt of a request at one upstream.
 //!
-//! An upstream can accept a request and then make no progress. While an attempt waits for the head
-//! of the answer, it is checked at intervals. It is given up once it or its group is stalled,
-//! unless the route allows no retry after it or it resumes a stream. Answers that are not streams
-//! are read whole; streams are returned open.
+//! An upstream can accept a request and then make no progress for a time. Nobody knows whether it will go
+//! on, so an attempt is not given up for its silence: [`Attempt::check`] finds that it is stalled, and
+//! another one may be made beside it. Answers that are not streams are read whole; streams are returned open.
 
-use std::{rc::Rc, sync::Arc};
+use std::{
+    cell::Cell,
+    future::poll_fn,
+    pin::Pin,
+    rc::Rc,
+    sync::Arc,
+    task::{self, Poll},
+};
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Response, StatusCode, body::Incoming, http::request::Parts};
@@ -34,11 +40,11 @@
 
 /// Timeout for connecting to an upstream. Connections within a region take a few milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 400;
-/// Multiple of the route's latency objective after which an attempt without a stall policy is given
-/// up, if the request may be retried.
+/// Multiple of the route's latency objective after which an attempt without a stall policy counts as
+/// stalled.
 const MAX_OBJECTIVES_WAITED: u64 = 3;
 
-/// Time between two checks of a stalled attempt that is kept until the deadline.
+/// Time between two checks of a stalled attempt.
 const STALL_RECHECK_MS: u64 = 250;
 
 /// Minimum time between two reports to other gateways that the same group is stalled.
@@ -142,20 +148,113 @@
     pub(super) body: Bytes,
 }
 
-/// Sends the request to `target` and waits for the answer, or for the head of a stream.
+/// An attempt that is being made, as long as its answer is awaited. Dropping it gives the attempt up.
+pub(super) struct Attempt {
+    context: Rc<Context>,
+    pub(super) target: Arc<Target>,
+    outcome: Pin<Box<dyn Future<Output = AttemptOutcome>>>,
+    /// Time at which the request was sent, while the head of the answer is awaited.
+    awaits_head_since: Rc<Cell<Option<TimeMs>>>,
+    /// Time at which [`Attempt::check`] is due.
+    pub(super) check_at: TimeMs,
+}
+
+impl Attempt {
+    /// Begins to send the request to `target`. `last_event_id` is the event after which a stream is resumed.
+    pub(super) fn start(
+        context: &Rc<Context>,
+        outgoing: &Rc<OutgoingRequest>,
+        target: Arc<Target>,
+        last_event_id: Option<String>,
+    ) -> Attempt {
+        let awaits_head_since = Rc::new(Cell::new(None));
+        // Counts the request as in flight from now on.
+        let in_flight = InFlightGuard::new(context, &target);
+        let (sent_context, outgoing) = (context.clone(), outgoing.clone());
+        let (sent_target, sent_at) = (target.clone(), awaits_head_since.clone());
+        let outcome = Box::pin(async move {
+            let last_event_id = last_event_id.as_deref();
+            let (context, target) = (&*sent_context, &sent_target);
+            send(
+                context,
+                &outgoing,
+                target,
+                last_event_id,
+                in_flight,
+                &sent_at,
+            )
+            .await
+        });
+        Attempt {
+            check_at: first_check_at(context, context.gateway.now()),
+            context: context.clone(),
+            target,
+            outcome,
+            awaits_head_since,
+        }
+    }
+
+    /// Polls for the end of the wait for the answer.
+    pub(super) fn poll_outcome(&mut self, task: &mut task::Context<'_>) -> Poll<AttemptOutcome> {
+        self.outcome.as_mut().poll(task)
+    }
+
+    /// Checks at [`Attempt::check_at`] whether the attempt is stalled, and sets the time of the next check.
+    ///
+    /// Reports the group as stalled if the stall policy asks for a probe of its members.
+    pub(super) fn check(&mut self) -> bool {
+        let gateway = &self.context.gateway;
+        let now = gateway.now();
+        self.check_at = now.plus_ms(STALL_RECHECK_MS);
+        let Some(sent_at) = self.awaits_head_since.get() else {
+            return false;
+        };
+        // What arrived while the process did not run has not been read yet.
+        if gateway.pauses.possible_age_ms(now) > 0 {
+            return false;
+        }
+        match check_progress(&self.context, &self.target, sent_at) {
+            StallState::CheckAgainAt(at) => {
+                self.check_at = at;
+                false
+            }
+            StallState::GroupStalled | StallState::StreamStalled => true,
+        }
+    }
+
+    /// Logs that the attempt is stalled.
+    pub(super) fn log_stall(&self) {
+        let now = self.context.gateway.now();
+        let since = self.awaits_head_since.get().unwrap_or(now);
+        log_stall(&self.context, &self.target, Awaited::Head, since);
+    }
+}
+
+/// Waits for the first outcome of several attempts; returns it with the attempt's index.
+pub(super) async fn first_outcome(attempts: &mut [Attempt]) -> (usize, AttemptOutcome) {
+    poll_fn(|task| {
+        for (index, attempt) in attempts.iter_mut().enumerate() {
+            if let Poll::Ready(outcome) = attempt.poll_outcome(task) {
+                return Poll::Ready((index, outcome));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+/// Sends the request to `target` and waits for the answer, or for the head of a stream, until the deadline.
 ///
-/// `last_event_id` is the event after which a stream is resumed. `keep_if_stalled` says to wait
-/// until the deadline even if the attempt stalls. It is set for the last attempt that the route
-/// allows and for every attempt that resumes a stream.
-pub(super) async fn send(
+/// `awaits_head_since` is set while the head is awaited.
+async fn send(
     context: &Context,
     outgoing: &OutgoingRequest,
     target: &Arc<Target>,
     last_event_id: Option<&str>,
-    keep_if_stalled: bool,
+    in_flight: InFlightGuard,
+    awaits_head_since: &Cell<Option<TimeMs>>,
 ) -> AttemptOutcome {
     let gateway = &context.gateway;
-    let in_flight = InFlightGuard::new(context, target);
     let connect_timeout_ms = CONNECT_TIMEOUT_MS.min(context.remaining_ms());
     // A request that may not be retried gets a new connection or one that was idle only briefly,
     // since the upstream may close a connection that was idle for longer.
@@ -191,24 +290,12 @@
         "a request is being sent to an upstream");
     context.on_sending();
     let sent_at = gateway.now();
-    let response = {
-        let mut response = std::pin::pin!(connection.send(request));
-        let mut check_at = first_check_at(context, sent_at, keep_if_stalled);
-        loop {
-            tokio::select! {
-                response = response.as_mut() => break response,
-                () = gateway.clock.sleep_until(check_at) => {
-                    match check_progress(context, target, sent_at, keep_if_stalled) {
-                        WaitDecision::CheckAgainAt(at) => check_at = at,
-                        WaitDecision::GiveUp(why) => {
-                            log_stall(context, target, Awaited::Head, sent_at);
-                            return AttemptOutcome::Unknown(why.to_owned());
-                        }
-                        WaitDecision::DeadlinePassed => return AttemptOutcome::DeadlinePassed,
-                    }
-                }
-            }
-        }
+    awaits_head_since.set(Some(sent_at));
+    let deadline = gateway.clock.instant(context.deadline.0);
+    let response = tokio::time::timeout_at(deadline, connection.send(request)).await;
+    awaits_head_since.set(None);
+    let Ok(response) = response else {
+        return AttemptOutcome::DeadlinePassed;
     };
     let response = match response {
         Ok(response) => response,
@@ -339,55 +426,27 @@
     })
 }
 
-/// Result of checking an attempt that has no answer yet.
-enum WaitDecision {
-    CheckAgainAt(TimeMs),
-    GiveUp(&'static str),
-    DeadlinePassed,
-}
-
-/// Returns the time of the first check of an attempt that was sent at `sent_at`, at most the
-/// deadline.
-fn first_check_at(context: &Context, sent_at: TimeMs, keep_if_stalled: bool) -> TimeMs {
+/// Returns the time of the first check of an attempt that begins at `started_at`, at most the deadline.
+fn first_check_at(context: &Context, started_at: TimeMs) -> TimeMs {
     let deadline = context.deadline.0;
     let check_at = match context.stall_policy() {
-        Some(policy) => policy.first_check(sent_at),
-        None if keep_if_stalled || !context.route.may_retry_executed() => deadline,
-        None => sent_at.plus_ms(context.route.answer_objective_ms * MAX_OBJECTIVES_WAITED),
+        Some(policy) => policy.first_check(started_at),
+        None if !context.route.may_retry_executed() => deadline,
+        None => started_at.plus_ms(context.route.answer_objective_ms * MAX_OBJECTIVES_WAITED),
     };
     check_at.min(deadline)
 }
 
-/// Decides whether to keep waiting for an attempt that has no answer yet.
-///
-/// With `keep_if_stalled`, or if the route does not allow a retry of a request that may have run,
-/// the attempt is kept until the deadline, and without room for a retry in the budget until there is some:
-/// the upstream may only be slow. Before the deadline, the group is reported as stalled if
-/// the stall policy asks for a probe of its members, even if the attempt is kept.
-fn check_progress(
-    context: &Context,
-    target: &Target,
-    sent_at: TimeMs,
-    keep_if_stalled: bool,
-) -> WaitDecision {
+/// Decides whether an attempt that was sent at `sent_at` and has no answer yet makes progress.
+fn check_progress(context: &Context, target: &Target, sent_at: TimeMs) -> StallState {
     let gateway = &context.gateway;
     let now = gateway.now();
-    let deadline = context.deadline;
-    if deadline.has_passed(now) {
-        return WaitDecision::DeadlinePassed;
-    }
-    // What arrived while the process did not run has not been read yet.
-    if gateway.pauses.possible_age_ms(now) > 0 {
-        return WaitDecision::CheckAgainAt(now.plus_ms(STALL_RECHECK_MS).min(deadline.0));
-    }
-    let must_keep = keep_if_stalled || !context.route.may_retry_executed();
     let Some(stall_policy) = context.stall_policy() else {
-        return if must_keep {
-            WaitDecision::CheckAgainAt(deadline.0)
-        } else if !context.can_spend_retry() {
-            WaitDecision::CheckAgainAt(now.plus_ms(STALL_RECHECK_MS).min(deadline.0))
+        let stalled_at = first_check_at(context, sent_at);
+        return if now >= stalled_at {
+            StallState::StreamStalled
         } else {
-            WaitDecision::GiveUp("no answer in time")
+            StallState::CheckAgainAt(stalled_at)
         };
     };
     let loads = gateway.loads.borrow();
@@ -395,22 +454,10 @@
     let is_suspended_or_stalled =
         loads.is_suspended_or_stalled(&target.key, Some(stall_policy), now);
     drop(loads);
-    let verdict = stall_policy.check_waiting(sent_at, group_event_at, is_suspended_or_stalled, now);
     if stall_policy.should_probe_members(sent_at, group_event_at, now) {
         report_stall(gateway, target, false);
     }
-    match verdict {
-        StallState::CheckAgainAt(at) => WaitDecision::CheckAgainAt(at.min(deadline.0)),
-        StallState::GroupStalled | StallState::StreamStalled
-            if must_keep || !context.can_spend_retry() =>
-        {
-            WaitDecision::CheckAgainAt(now.plus_ms(STALL_RECHECK_MS).min(deadline.0))
-        }
-        StallState::GroupStalled => WaitDecision::GiveUp("the group makes no progress"),
-        StallState::StreamStalled => {
-            WaitDecision::GiveUp("the request makes no progress, although its group does")
-        }
-    }
+    stall_policy.check_waiting(sent_at, group_event_at, is_suspended_or_stalled, now)
 }
 
 /// Reports that the target's group makes no progress, so that the owner of the groups (the gateway
--- a/crates/gateway/src/call/event_splitter.rs
+++ b/crates/gateway/src/call/event_splitter.rs
@@ -20,14 +20,39 @@
     NoContinuation,
 }
 
-/// Buffers the event that has not arrived completely, and the id of the last whole event that had
-/// one.
+/// Point that a stream has reached over all its attempts.
 #[derive(Debug, Default)]
-pub(super) struct EventSplitter {
-    incomplete: BytesMut,
+pub(super) struct StreamPosition {
     last_id: Option<String>,
     /// Whether an event without an id came after the last one with an id.
     has_unnumbered_end: bool,
+}
+
+impl StreamPosition {
+    /// Returns the `id` field of the last whole event that had one.
+    pub(super) fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
+    /// Returns whether a stream can go on after the last whole event, that is, whether that event has
+    /// an id or there is none.
+    pub(super) fn is_resumable(&self) -> bool {
+        !self.has_unnumbered_end
+    }
+}
+
+/// Whole events of an attempt that arrived together.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) struct Piece {
+    pub(super) bytes: Bytes,
+    /// Whether one of them is part of the stream's content, unlike a comment.
+    pub(super) has_content: bool,
+}
+
+/// Buffers the event of one attempt that has not arrived completely.
+#[derive(Debug)]
+pub(super) struct EventSplitter {
+    incomplete: BytesMut,
     /// Event that the attempt must go on after, until its first event.
     must_follow: Option<String>,
     /// Whether the attempt has sent an event.
@@ -35,18 +60,24 @@
 }
 
 impl EventSplitter {
-    /// Begins with the bytes of another attempt, and drops the incomplete event of the one before.
+    /// Returns the state before the first byte of an attempt.
     ///
     /// If the attempt is to go on after an event, its first event must have a greater id.
-    pub(super) fn begin_attempt(&mut self, must_follow: Option<String>) {
-        self.incomplete.clear();
-        self.must_follow = must_follow;
-        self.has_event = false;
+    pub(super) fn new(must_follow: Option<String>) -> EventSplitter {
+        EventSplitter {
+            incomplete: BytesMut::new(),
+            must_follow,
+            has_event: false,
+        }
     }
 
-    /// Appends bytes and returns all events that are now complete as one piece; `None` if there is
-    /// none.
-    pub(super) fn push(&mut self, bytes: Bytes) -> Result<Option<Bytes>, EventError> {
+    /// Appends bytes and returns all events that are now complete as one piece, and moves the position of the
+    /// stream to the last of them; `None` if there is none.
+    pub(super) fn push(
+        &mut self,
+        bytes: Bytes,
+        position: &mut StreamPosition,
+    ) -> Result<Option<Piece>, EventError> {
         let whole = if self.incomplete.is_empty() && ends_event(&bytes) {
             bytes
         } else {
@@ -61,14 +92,21 @@
             };
             self.incomplete.split_to(end).freeze()
         };
-        self.record_events(&whole)?;
-        Ok(Some(whole))
+        let has_content = self.record_events(&whole, position)?;
+        Ok(Some(Piece {
+            bytes: whole,
+            has_content,
+        }))
     }
 
     /// Records the ids of whole events, and checks that the first one of an attempt goes on with the
-    /// stream.
-    fn record_events(&mut self, whole: &[u8]) -> Result<(), EventError> {
-        let (mut has_event, mut last) = (self.has_event, None);
+    /// stream. Returns whether there is one that is part of the stream's content.
+    fn record_events(
+        &mut self,
+        whole: &[u8],
+        position: &mut StreamPosition,
+    ) -> Result<bool, EventError> {
+        let (mut has_event, mut has_content, mut last) = (self.has_event, false, None);
         let mut event = Event::default();
         for line in whole.split(|byte| *byte == b'\n') {
             if event.read_line(line) {
@@ -84,26 +122,15 @@
             {
                 return Err(EventError::NoContinuation);
             }
-            has_event = true;
-            self.has_unnumbered_end = event.id.is_none();
+            (has_event, has_content) = (true, true);
+            position.has_unnumbered_end = event.id.is_none();
             last = event.id.or(last);
         }
         self.has_event = has_event;
         if let Some(id) = last {
-            self.last_id = Some(id.to_owned());
+            position.last_id = Some(id.to_owned());
         }
-        Ok(())
-    }
-
-    /// Returns the `id` field of the last whole event that had one.
-    pub(super) fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
-    }
-
-    /// Returns whether a stream can go on after the last whole event, that is, whether that event has
-    /// an id or there is none.
-    pub(super) fn is_resumable(&self) -> bool {
-        !self.has_unnumbered_end
+        Ok(has_content)
     }
 
     /// Returns whether the attempt has sent a whole event.
--- /dev/null
+++ b/crates/gateway/src/call/open_stream.rs
@@ -0,0 +1,238 @@
+//! Reads the stream of one attempt: splits it into whole events, and finds how it ended and whether it is
+//! stalled.
+
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{self, Poll, ready},
+};
+
+use bytes::Bytes;
+use hyper::{
+    HeaderMap,
+    body::{Body, Incoming},
+};
+use jacinthpoint_dispatch::{StallPolicy, StallState, Target};
+use jacinthpoint_types::TimeMs;
+
+use crate::{
+    call::{
+        answer::{is_framed, states_event_stream},
+        attempt::{InFlightGuard, OpenAnswer, report_stall},
+        context::Context,
+        event_splitter::{EventSplitter, Piece, StreamPosition},
+        outcome::{Awaited, BreakPoint, log_stall, record_suspected_crash},
+    },
+    connection::Connection,
+};
+
+/// Time between two checks of a stalled stream.
+pub(super) const RECHECK_INTERVAL_MS: u64 = 100;
+
+/// What one frame of an attempt's stream brought.
+#[derive(Debug)]
+pub(super) enum StreamStep {
+    /// Whole events.
+    Events(Piece),
+    /// No whole event yet.
+    Nothing,
+    /// The stream ended regularly.
+    Complete,
+    /// The stream broke off, or does not go on where it should; holds the reason.
+    Broken(String),
+}
+
+/// An attempt whose answer is a stream. Dropping it gives the attempt up.
+#[derive(Debug)]
+pub(super) struct OpenStream {
+    pub(super) target: Arc<Target>,
+    connection: Connection,
+    in_flight: InFlightGuard,
+    fields: HeaderMap,
+    body: Incoming,
+    /// Whether the end of the answer is marked, by a length or by chunks.
+    is_framed: bool,
+    /// Whether the stream may end without an event.
+    may_end_without_event: bool,
+    splitter: EventSplitter,
+    /// Number of pieces with whole events.
+    pieces: u32,
+    /// Time of the last event or, before any, that of the head.
+    progress_at: TimeMs,
+    last_event_at: Option<TimeMs>,
+    stall_policy: Option<StallPolicy>,
+    /// Time at which [`OpenStream::check`] is due.
+    pub(super) check_at: TimeMs,
+}
+
+impl OpenStream {
+    /// Begins to read an answer. It has to go on after the event `must_follow`, if there is one.
+    pub(super) fn new(
+        context: &Context,
+        open: OpenAnswer,
+        must_follow: Option<String>,
+    ) -> OpenStream {
+        let now = context.gateway.now();
+        let stall_policy = context.stall_policy();
+        let (head, body) = open.response.into_parts();
+        let is_framed = is_framed(&head.headers, &body);
+        // A server that begins or goes on with a stream may have no more events, and says so.
+        let may_end_without_event =
+            is_framed && (must_follow.is_none() || states_event_stream(&head.headers));
+        OpenStream {
+            target: open.target,
+            connection: open.connection,
+            in_flight: open.in_flight,
+            fields: head.headers,
+            body,
+            is_framed,
+            may_end_without_event,
+            splitter: EventSplitter::new(must_follow),
+            pieces: 0,
+            progress_at: now,
+            last_event_at: None,
+            stall_policy,
+            check_at: match stall_policy {
+                Some(policy) => policy.first_check(now),
+                None => context.deadline.0,
+            },
+        }
+    }
+
+    /// Polls for the next frame. Whole events move `position`.
+    pub(super) fn poll_step(
+        &mut self,
+        context: &Context,
+        position: &mut StreamPosition,
+        task: &mut task::Context<'_>,
+    ) -> Poll<StreamStep> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(task));
+        Poll::Ready(match frame {
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(bytes) => self.on_bytes(context, bytes, position),
+                // Trailers are dropped.
+                Err(_) => StreamStep::Nothing,
+            },
+            Some(Err(error)) => {
+                if self.pieces < 2 {
+                    record_suspected_crash(context, &self.target, BreakPoint::AfterHead);
+                }
+                StreamStep::Broken(error.to_string())
+            }
+            None if self.splitter.has_incomplete_event() => {
+                // With a length or chunks, the upstream has ended the answer itself.
+                if self.pieces < 2 && !self.is_framed {
+                    record_suspected_crash(context, &self.target, BreakPoint::AfterHead);
+                }
+                StreamStep::Broken("the stream ended within an event".to_owned())
+            }
+            None if !self.splitter.has_event() && !self.may_end_without_event => {
+                if !self.is_framed {
+                    record_suspected_crash(context, &self.target, BreakPoint::AfterHead);
+                }
+                StreamStep::Broken("the stream ended before an event".to_owned())
+            }
+            None => StreamStep::Complete,
+        })
+    }
+
+    fn on_bytes(
+        &mut self,
+        context: &Context,
+        bytes: Bytes,
+        position: &mut StreamPosition,
+    ) -> StreamStep {
+        let piece = match self.splitter.push(bytes, position) {
+            Ok(Some(piece)) => piece,
+            Ok(None) => return StreamStep::Nothing,
+            Err(error) => return StreamStep::Broken(error.to_string()),
+        };
+        self.pieces += 1;
+        if self.pieces == 2 {
+            context.record_answer();
+        }
+        self.in_flight.on_event();
+        let gateway = &context.gateway;
+        let now = gateway.now();
+        let last_event_at = self.last_event_at.replace(now);
+        let gap_ms = last_event_at.map(|begin| now.since_ms(begin));
+        let mut loads = gateway.loads.borrow_mut();
+        loads.on_event(&self.target.key, gap_ms, now);
+        self.progress_at = now;
+        StreamStep::Events(piece)
+    }
+
+    /// Keeps the connection of a stream that ended regularly for other requests.
+    pub(super) fn finish(self, context: &Context) {
+        let gateway = &context.gateway;
+        if self.pieces == 1 {
+            context.record_answer();
+        }
+        gateway.pool.put_back(
+            &self.target.key,
+            self.connection,
+            &self.fields,
+            gateway.now(),
+        );
+        gateway.loads.borrow_mut().on_success(&self.target.key);
+    }
+
+    /// Checks at [`OpenStream::check_at`] whether the stream is stalled, and sets the time of the next check.
+    ///
+    /// Reports the group as stalled if it is.
+    pub(super) fn check(&mut self, context: &Context) -> bool {
+        let gateway = &context.gateway;
+        let now = gateway.now();
+        self.check_at = now.plus_ms(RECHECK_INTERVAL_MS);
+        let Some(policy) = self.stall_policy else {
+            return false;
+        };
+        // What arrived while the process did not run has not been read yet.
+        if gateway.pauses.possible_age_ms(now) > 0 {
+            return false;
+        }
+        let key = &self.target.key;
+        let loads = gateway.loads.borrow();
+        let group_event_at = loads.last_event_at(key, now);
+        let is_suspended_or_stalled = loads.is_suspended_or_stalled(key, Some(policy), now);
+        drop(loads);
+        let had_event = self.last_event_at.is_some();
+        let verdict = if had_event {
+            policy.check_stream(self.progress_at, group_event_at, now)
+        } else {
+            policy.check_waiting(
+                self.progress_at,
+                group_event_at,
+                is_suspended_or_stalled,
+                now,
+            )
+        };
+        match verdict {
+            StallState::CheckAgainAt(at) => {
+                self.check_at = at;
+                false
+            }
+            // Before the first event, the group is reported only here. That may be later than for an
+            // attempt that waits for its head: see `Attempt::check`.
+            StallState::GroupStalled => {
+                report_stall(gateway, &self.target, had_event);
+                true
+            }
+            StallState::StreamStalled => true,
+        }
+    }
+
+    /// Returns the time since the last event or, before any, since the head, in milliseconds.
+    pub(super) fn silent_ms(&self, now: TimeMs) -> u64 {
+        now.since_ms(self.progress_at)
+    }
+
+    /// Logs that the stream is stalled.
+    pub(super) fn log_stall(&self, context: &Context) {
+        let awaited = match self.last_event_at {
+            Some(_) => Awaited::Event,
+            None => Awaited::FirstEvent,
+        };
+        log_stall(context, &self.target, awaited, self.progress_at);
+    }
+}
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -147,8 +147,7 @@
 pub(super) struct StreamTimes {
     /// Time from the request's arrival to the first event.
     pub(super) first_event_ms: u64,
-    /// Longest time between two successive events of one attempt, or from the head of a resumed
-    /// attempt to its first event.
+    /// Longest time between two successive events.
     pub(super) longest_gap_ms: u64,
 }
 
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -17,7 +17,7 @@
 use crate::{
     body::AnswerBody,
     call::{
-        attempt::{AttemptOutcome, OutgoingRequest, WholeAnswer, send},
+        attempt::{Attempt, AttemptOutcome, OutgoingRequest, WholeAnswer, first_outcome},
         context::Context,
         forward::forward,
         outcome::{pass_on, record_failure, record_not_run},
@@ -47,19 +47,23 @@
 /// Time in which a slot is expected to become free, from which `Retry-After` is drawn.
 const EXPECTED_SLOT_WAIT_MS: u64 = 800;
 
-/// Failed targets and results counted over all attempts of a request so far.
+/// Targets and results of all attempts of a request so far.
 #[derive(Debug, Default)]
 pub(super) struct AttemptHistory {
-    /// Targets of failed attempts.
-    pub(super) failed_targets: Vec<TargetKey>,
-    /// Attempts that ran or may have run.
-    pub(super) runs: u32,
+    /// Targets of all attempts.
+    tried_targets: Vec<TargetKey>,
+    /// Attempts whose end is awaited.
+    open: u32,
+    /// Attempts that ended, and ran or may have run.
+    runs: u32,
     /// Attempts of which no byte was sent.
     not_sent: u32,
     /// Attempts that the upstream refused without running the request.
     not_run: u32,
     /// Last answer with a server error, which is passed on if no later attempt succeeds.
     last_answer: Option<WholeAnswer>,
+    /// Whether it was logged that no target can be selected beside a stalled attempt.
+    was_refusal_logged: bool,
 }
 
 /// Reason why a request gets no further attempt.
@@ -83,34 +87,57 @@
 impl AttemptHistory {
     /// Returns whether no byte of the request was sent to an upstream.
     fn is_unsent(&self) -> bool {
-        self.runs + self.not_run == 0
+        self.all_runs() + self.not_run == 0
     }
 
-    /// Returns whether the next attempt is the last one that the route allows.
-    fn is_next_last(&self, context: &Context) -> bool {
-        self.runs + 1 >= context.route.max_attempts
+    /// Returns the number of attempts that run, ran or may have run.
+    pub(super) fn all_runs(&self) -> u32 {
+        self.open + self.runs
     }
 
-    /// Records a failed attempt, so that its target is not selected again, and logs it.
+    /// Returns whether the route allows another attempt beside or after the earlier ones, if all of them run.
+    pub(super) fn may_run_again(&self, context: &Context) -> bool {
+        self.all_runs() < context.route.max_attempts
+    }
+
+    /// Records that an attempt begins. Its target is not selected again.
+    pub(super) fn on_started(&mut self, target: &Target) {
+        self.open += 1;
+        self.tried_targets.push(target.key.clone());
+    }
+
+    /// Records that the attempt whose answer is used goes on without the others that were open.
+    pub(super) fn on_others_dropped(&mut self, dropped: usize) {
+        let dropped = u32::try_from(dropped).unwrap_or(u32::MAX);
+        self.open = self.open.saturating_sub(dropped);
+        self.runs = self.runs.saturating_add(dropped);
+    }
+
+    /// Records that an open attempt ended, and whether it may have run.
+    pub(super) fn on_ended(&mut self, may_have_run: bool) {
+        self.open = self.open.saturating_sub(1);
+        self.runs += u32::from(may_have_run);
+    }
+
+    /// Logs and counts a failed attempt.
     ///
     /// `what` is the kind of failure, used as a metric label; `why` is the reason for the log.
-    pub(super) fn on_failure(
-        &mut self,
+    pub(super) fn log_failure(
+        &self,
         context: &Context,
         target: &Target,
         what: &'static str,
         why: &str,
     ) {
         let gateway = &context.gateway;
-        self.failed_targets.push(target.key.clone());
         gateway.metrics.count("attempts_failed", what);
         log_event!(warn, AttemptFailed, request = context.request_id, upstream = %target.upstream,
-            target = %target.key, what, why, runs = self.runs, elapsed_ms = context.elapsed_ms(),
+            target = %target.key, what, why, runs = self.runs, open = self.open, elapsed_ms = context.elapsed_ms(),
             "an attempt failed");
     }
 }
 
-/// Selects the target of the next attempt, excluding the targets of failed attempts.
+/// Selects the target of the next attempt, excluding the targets of earlier ones.
 pub(super) fn choose(context: &Context, history: &AttemptHistory) -> Result<Arc<Target>, Refusal> {
     let gateway = &context.gateway;
     // Uses the newest snapshot, since groups change while a request waits.
@@ -118,7 +145,7 @@
         .snapshot()
         .unwrap_or_else(|| context.snapshot.clone());
     let queue_share = match context.engine() {
-        Some(_) if history.runs > 0 => RETRY_QUEUE_SHARE,
+        Some(_) if history.all_runs() > 0 => RETRY_QUEUE_SHARE,
         Some(_) => ENGINE_QUEUE_SHARE,
         None => PLAIN_QUEUE_SHARE,
     };
@@ -127,11 +154,11 @@
     let now = gateway.now();
     let selection = Selection {
         targets: targets(context, &snapshot.directory),
-        failed: &history.failed_targets,
+        failed: &history.tried_targets,
         queue_share,
         prompt: context.prompt_demand(),
         // A request that may have run is late already, and refusing it would be worse.
-        is_wait_limited: history.runs == 0,
+        is_wait_limited: history.all_runs() == 0,
         stall_policy: context.stall_policy(),
         limits: Some(&limits),
     };
@@ -154,7 +181,7 @@
     let least_unread_tokens = least(&|target| loads.unread_tokens(&target.key, now));
     log_event!(warn, AttemptFailed, request = context.request_id, what = "choice",
         why = %refusal, model = context.model.as_ref().map(ToString::to_string),
-        targets = targets.len(), tried = history.failed_targets.len(), least_load,
+        targets = targets.len(), tried = history.tried_targets.len(), least_load,
         least_unread_tokens, prompt_tokens = context.prompt_tokens,
         version = %snapshot.config.version, "no upstream can be selected for the request");
 }
@@ -180,33 +207,58 @@
     });
     let mut history = AttemptHistory::default();
     let mut is_counted = false;
+    // Attempts without an answer, oldest first; all but the newest one are stalled.
+    let mut open: Vec<Attempt> = Vec::new();
     loop {
-        if history.is_unsent() && context.is_to_forward() {
-            return match forward(&context, &outgoing).await {
-                Some(response) => response,
-                None => finish(&context, history, &StopReason::Unreachable),
+        let Some(newest) = open.last_mut() else {
+            if history.is_unsent() && context.is_to_forward() {
+                return match forward(&context, &outgoing).await {
+                    Some(response) => response,
+                    None => finish(&context, history, &StopReason::Unreachable),
+                };
+            }
+            // A request that is forwarded counts for the retry budget where its attempts are made.
+            if !std::mem::replace(&mut is_counted, true) {
+                context.with_budget(|budget| budget.on_request(&settings.repeats, gateway.now()));
+            }
+            let target = match choose_next_target(&context, &history) {
+                Ok(target) => target,
+                Err(reason) => {
+                    if let StopReason::NothingSelected(refusal) = reason {
+                        log_refusal(&context, &history, refusal);
+                    }
+                    return finish(&context, history, &reason);
+                }
             };
-        }
-        // A request that is forwarded counts for the retry budget where its attempts are made.
-        if !std::mem::replace(&mut is_counted, true) {
-            context.with_budget(|budget| budget.on_request(&settings.repeats, gateway.now()));
-        }
-        let target = match choose_next_target(&context, &history) {
-            Ok(target) => target,
-            Err(reason) => {
-                if let StopReason::NothingSelected(refusal) = reason {
-                    log_refusal(&context, &history, refusal);
+            history.on_started(&target);
+            open.push(Attempt::start(&context, &outgoing, target, None));
+            continue;
+        };
+        let check_at = newest.check_at;
+        let (index, outcome) = tokio::select! {
+            biased;
+            outcome = first_outcome(&mut open) => outcome,
+            () = gateway.clock.sleep_until(check_at) => {
+                if let Some(newest) = open.last_mut()
+                    && newest.check()
+                    && context.route.may_retry_executed()
+                    && let Some(target) = choose_beside(&context, &mut history)
+                {
+                    newest.log_stall();
+                    record_failure(&context, &newest.target);
+                    history.on_started(&target);
+                    open.push(Attempt::start(&context, &outgoing, target, None));
                 }
-                return finish(&context, history, &reason);
+                continue;
             }
         };
-        let is_last = history.is_next_last(&context);
-        match send(&context, &outgoing, &target, None, is_last).await {
+        let target = open.remove(index).target;
+        match outcome {
             AttemptOutcome::Answered(answer) => {
+                history.on_ended(true);
                 if answer.status.is_server_error() {
-                    history.runs += 1;
                     let why = answer.status.to_string();
-                    history.on_failure(&context, &target, "error", &why);
+                    history.log_failure(&context, &target, "error", &why);
                     record_failure(&context, &target);
                     history.last_answer = Some(answer);
                     if !context.route.may_retry_executed() {
@@ -218,37 +270,35 @@
                 context.record_answer();
                 return pass_on(&context, answer);
             }
-            AttemptOutcome::Stream(open) => {
-                return stream::pass_on(context, outgoing, history, *open);
+            AttemptOutcome::Stream(stream) => {
+                return stream::pass_on(context, outgoing, history, *stream, open);
             }
             AttemptOutcome::NotSent(why) => {
                 context.on_not_run();
+                history.on_ended(false);
                 history.not_sent += 1;
-                history.on_failure(&context, &target, "not-sent", &why);
+                history.log_failure(&context, &target, "not-sent", &why);
                 record_failure(&context, &target);
             }
             AttemptOutcome::NotRun(faulty) => {
                 context.on_not_run();
+                history.on_ended(false);
                 history.not_run += 1;
-                history.on_failure(&context, &target, "not-run", "refused by the upstream");
+                history.log_failure(&context, &target, "not-run", "refused by the upstream");
                 record_not_run(&context, &target, faulty);
             }
             AttemptOutcome::Unknown(why) => {
-                history.runs += 1;
-                history.on_failure(&context, &target, "unknown", &why);
+                history.on_ended(true);
+                history.log_failure(&context, &target, "unknown", &why);
                 record_failure(&context, &target);
                 if !context.route.may_retry_executed() {
                     return finish(&context, history, &StopReason::AttemptsExhausted);
                 }
             }
             AttemptOutcome::DeadlinePassed => {
-                history.runs += 1;
-                history.on_failure(
-                    &context,
-                    &target,
-                    "deadline",
-                    "no answer before the deadline",
-                );
+                history.on_ended(true);
+                let why = "no answer before the deadline";
+                history.log_failure(&context, &target, "deadline", why);
                 record_failure(&context, &target);
                 return finish(&context, history, &StopReason::DeadlinePassed);
             }
@@ -256,6 +306,29 @@
     }
 }
 
+/// Selects the target of an attempt beside one that is stalled, and spends the retry budget; returns `None` if
+/// none can be made now, so that the others are awaited.
+pub(super) fn choose_beside(
+    context: &Context,
+    history: &mut AttemptHistory,
+) -> Option<Arc<Target>> {
+    // Without a retry, nothing else is asked for it, and nothing is logged.
+    if !history.may_run_again(context) || !context.can_spend_retry() {
+        return None;
+    }
+    match choose_next_target(context, history) {
+        Ok(target) => Some(target),
+        Err(reason) => {
+            if let StopReason::NothingSelected(refusal) = reason
+                && !std::mem::replace(&mut history.was_refusal_logged, true)
+            {
+                log_refusal(context, history, refusal);
+            }
+            None
+        }
+    }
+}
+
 /// Selects the next target and spends the retry budget if an upstream has already received the
 /// request; fails if no further attempt may be made.
 fn choose_next_target(
@@ -271,7 +344,7 @@
     if let Some(suspect) = context.quarantined() {
         return Err(StopReason::Quarantined(suspect));
     }
-    if history.runs >= context.route.max_attempts
+    if !history.may_run_again(context)
         || history.not_sent >= MAX_NOT_SENT
         || history.not_run >= MAX_NOT_RUN
     {
@@ -305,7 +378,7 @@
         return pass_on(context, answer);
     }
     let gateway = &context.gateway;
-    let may_have_run = history.runs > 0;
+    let may_have_run = history.all_runs() > 0;
     let (code, why, expected_ms) = match reason {
         StopReason::DeadlinePassed if may_have_run => (
             ResultCode::DeadlinePassed,
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -1,32 +1,41 @@
-//! Forwards a stream of events to the caller and resumes it at another target if its target fails.
+//! Forwards a stream of events to the caller, over one or several attempts.
 //!
-//! A stream can break off or stall after the caller has received events. The request is then sent
-//! to another target with the id of the last whole event, and only later events follow, so the
-//! caller sees one stream without a gap. An answer that does not go on after that event counts as
-//! broken, and nothing of it reaches the caller. The body of a stream that cannot be resumed ends
-//! without the last chunk, by which the caller detects that it is incomplete.
+//! A stream can break off or fall silent after the caller has received events. The request is then sent to
+//! another target with the id of the last whole event, and only later events follow, so the caller sees one
+//! stream without a gap. An answer that does not go on after that event counts as broken, and nothing of it
+//! reaches the caller.
+//!
+//! A silent attempt may still go on, and the one after it may fail. So it is kept beside the next one: the
+//! attempt that has an event first is forwarded, and only then are the others given up.
+//!
+//! The body of a stream that ends without all events has no last chunk, by which the caller detects that it is
+//! incomplete.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    future::poll_fn,
+    rc::Rc,
+    sync::Arc,
+    task::{self, Poll},
+    time::Duration,
+};
 
-use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 use jacinthpoint_adapter::headers;
-use jacinthpoint_dispatch::{StallPolicy, StallState, Target};
+use jacinthpoint_dispatch::Target;
 use jacinthpoint_types::TimeMs;
 
 use crate::{
     body::{AnswerBody, PartSender, channel},
     call::{
-        answer::{is_framed, states_event_stream},
-        attempt::{AttemptOutcome, OpenAnswer, OutgoingRequest, report_stall, send},
+        attempt::{Attempt, AttemptOutcome, OpenAnswer, OutgoingRequest},
         context::Context,
-        event_splitter::EventSplitter,
+        event_splitter::{Piece, StreamPosition},
+        open_stream::{OpenStream, RECHECK_INTERVAL_MS, StreamStep},
         outcome::{
-            Awaited, BreakPoint, StreamTimes, log_stall, record_end, record_failure,
-            record_not_run, record_suspected_crash, remove_connection_headers,
+            StreamTimes, record_end, record_failure, record_not_run, remove_connection_headers,
         },
         refusal::quarantine_reason,
-        retry::{AttemptHistory, choose},
+        retry::{AttemptHistory, choose, choose_beside},
     },
     events::log_event,
     panics::catch_panic,
@@ -34,20 +43,82 @@
 
 /// Time after the deadline in which the upstream may still end the stream itself.
 const DEADLINE_SLACK_MS: u64 = 100;
-/// Time between two searches for a target that can resume a stream, and between two checks of a
-/// stalled stream that cannot be resumed.
-const RECHECK_INTERVAL_MS: u64 = 100;
 
-/// Reason why forwarding from one target ended.
-enum StreamEnd {
-    /// The stream ended regularly.
-    Complete,
-    /// The caller closed its connection.
-    CallerLeft,
-    /// The deadline and [`DEADLINE_SLACK_MS`] passed.
-    DeadlinePassed,
-    /// The stream broke off or stalled; holds the reason.
-    Broken(String),
+/// An attempt that may go on with the stream.
+enum Contender {
+    /// The head of its answer is awaited.
+    Awaited(Attempt),
+    /// Its answer is a stream, whose next event is awaited.
+    Open(Box<OpenStream>),
+}
+
+/// What happened at a contender.
+enum Step {
+    /// The wait for the head of its answer ended.
+    Outcome(AttemptOutcome),
+    /// Its stream went on or ended.
+    Stream(StreamStep),
+}
+
+impl Contender {
+    fn poll_step(
+        &mut self,
+        context: &Context,
+        position: &mut StreamPosition,
+        task: &mut task::Context<'_>,
+    ) -> Poll<Step> {
+        match self {
+            Contender::Awaited(attempt) => attempt.poll_outcome(task).map(Step::Outcome),
+            Contender::Open(stream) => stream.poll_step(context, position, task).map(Step::Stream),
+        }
+    }
+
+    fn target(&self) -> &Arc<Target> {
+        match self {
+            Contender::Awaited(attempt) => &attempt.target,
+            Contender::Open(stream) => &stream.target,
+        }
+    }
+
+    /// Returns the time at which [`Contender::check`] is due.
+    fn check_at(&self) -> TimeMs {
+        match self {
+            Contender::Awaited(attempt) => attempt.check_at,
+            Contender::Open(stream) => stream.check_at,
+        }
+    }
+
+    /// Returns whether the attempt is stalled, and sets the time of the next check.
+    fn check(&mut self, context: &Context) -> bool {
+        match self {
+            Contender::Awaited(attempt) => attempt.check(),
+            Contender::Open(stream) => stream.check(context),
+        }
+    }
+
+    fn log_stall(&self, context: &Context) {
+        match self {
+            Contender::Awaited(attempt) => attempt.log_stall(),
+            Contender::Open(stream) => stream.log_stall(context),
+        }
+    }
+}
+
+/// Waits for the next step of any contender; returns it with the contender's index.
+async fn next_step(
+    contenders: &mut [Contender],
+    context: &Context,
+    position: &mut StreamPosition,
+) -> (usize, Step) {
+    poll_fn(|task| {
+        for (index, contender) in contenders.iter_mut().enumerate() {
+            if let Poll::Ready(step) = contender.poll_step(context, position, task) {
+                return Poll::Ready((index, step));
+            }
+        }
+        Poll::Pending
+    })
+    .await
 }
 
 /// Forwards one request's stream over all its attempts.
@@ -56,44 +127,48 @@
     outgoing: Rc<OutgoingRequest>,
     history: AttemptHistory,
     parts: PartSender,
-    splitter: EventSplitter,
+    /// Attempts that may go on with the stream, oldest first; all but the newest one are stalled. It is a
+    /// single one while the stream flows.
+    contenders: Vec<Contender>,
+    position: StreamPosition,
     /// The caller's own `Last-Event-ID`: the event after which this request continues.
     caller_last_id: Option<String>,
     first_event_at: Option<TimeMs>,
-    /// Time of the last event, or of the head of the current attempt before its first event.
-    last_progress_at: TimeMs,
+    last_event_at: Option<TimeMs>,
     longest_gap_ms: u64,
-    /// Whether the retry that resumes the stream has been taken from the budget.
-    has_spent_retry: bool,
 }
 
 /// Returns the response whose body is the stream, and forwards the stream in a task of its own.
+///
+/// `stalled` are the attempts that were made before the one whose answer began, and that may still go on.
 pub(super) fn pass_on(
     context: Rc<Context>,
     outgoing: Rc<OutgoingRequest>,
     history: AttemptHistory,
     open: OpenAnswer,
+    stalled: Vec<Attempt>,
 ) -> Response<AnswerBody> {
     let mut head = Response::new(());
     *head.headers_mut() = open.response.headers().clone();
     remove_connection_headers(head.headers_mut());
     let (parts, body) = channel();
     let last_id = outgoing.headers.get(headers::LAST_EVENT_ID);
-    let forwarder = StreamForwarder {
+    let mut forwarder = StreamForwarder {
         caller_last_id: last_id.and_then(|id| id.to_str().ok()).map(str::to_owned),
-        last_progress_at: context.gateway.now(),
         context,
         outgoing,
         history,
         parts,
-        splitter: EventSplitter::default(),
+        contenders: stalled.into_iter().map(Contender::Awaited).collect(),
+        position: StreamPosition::default(),
         first_event_at: None,
+        last_event_at: None,
         longest_gap_ms: 0,
-        has_spent_retry: false,
     };
+    forwarder.add_stream(open);
     tokio::task::spawn_local(async move {
         let context = forwarder.context.clone();
-        if catch_panic(forwarder.run(open)).await.is_err() {
+        if catch_panic(forwarder.run()).await.is_err() {
             log_event!(
                 warn,
                 RequestFailed,
@@ -108,202 +183,149 @@
 }
 
 impl StreamForwarder {
-    /// Forwards the stream until it ends, resuming it at other targets as needed.
-    async fn run(mut self, mut open: OpenAnswer) {
+    /// Forwards the stream until it ends, with further attempts as needed.
+    async fn run(mut self) {
+        let context = self.context.clone();
+        let gateway = &context.gateway;
+        let deadline_with_slack = context.deadline.0.plus_ms(DEADLINE_SLACK_MS);
         loop {
-            // Counts the attempt that opened this stream.
-            self.history.runs += 1;
-            let target = open.target.clone();
-            let end = self.forward(open).await;
-            let context = self.context.clone();
-            match end {
-                StreamEnd::Complete => {
-                    context.gateway.loads.borrow_mut().on_success(&target.key);
-                    self.record_end("answered");
-                    return self.parts.finish();
-                }
-                StreamEnd::CallerLeft => {
-                    log_event!(info, CallerLeft, request = context.request_id,
-                        target = %target.key, elapsed_ms = context.elapsed_ms(),
-                        last_event = self.splitter.last_id(), "the caller left");
-                    return self.record_end("caller-left");
-                }
-                StreamEnd::DeadlinePassed => return self.break_off("deadline-passed"),
-                StreamEnd::Broken(why) => {
-                    self.history.on_failure(&context, &target, "stream", &why);
-                    record_failure(&context, &target);
-                    match self.resume().await {
-                        Some(next) => open = next,
-                        None => return self.break_off("broken"),
-                    }
+            let Some(newest) = self.contenders.last() else {
+                if !self.begin_again().await {
+                    return self.break_off("broken");
                 }
-            }
-        }
-    }
-
-    /// Forwards events from one target until the stream ends there.
-    async fn forward(&mut self, open: OpenAnswer) -> StreamEnd {
-        let OpenAnswer {
-            target,
-            response,
-            connection,
-            in_flight,
-        } = open;
-        let mut in_flight = in_flight;
-        let gateway = self.context.gateway.clone();
-        let stall_policy = self.context.stall_policy();
-        let (head, mut body) = response.into_parts();
-        let is_framed = is_framed(&head.headers, &body);
-        let must_follow = self.must_follow();
-        // A server that begins or goes on with a stream may have no more events, and says so.
-        let may_end_without_event =
-            is_framed && (must_follow.is_none() || states_event_stream(&head.headers));
-        self.splitter.begin_attempt(must_follow);
-        let deadline_with_slack = self.context.deadline.0.plus_ms(DEADLINE_SLACK_MS);
-        self.last_progress_at = gateway.now();
-        let mut check_at = self.first_check_at(stall_policy);
-        let mut last_event_in_attempt_at = None;
-        // Number of pieces with whole events that this target has sent.
-        let mut pieces = 0_u32;
-        let mut was_retry_denied = false;
-        loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = self.parts.closed() => return StreamEnd::CallerLeft,
-                () = gateway.clock.sleep_until(check_at.min(deadline_with_slack)) => {
-                    let now = gateway.now();
-                    if now >= deadline_with_slack {
-                        return StreamEnd::DeadlinePassed;
-                    }
-                    // What arrived while the process did not run has not been read yet.
-                    if stall_policy.is_some() && gateway.pauses.possible_age_ms(now) > 0 {
-                        check_at = now.plus_ms(RECHECK_INTERVAL_MS);
-                        continue;
-                    }
-                    let had_event = last_event_in_attempt_at.is_some();
-                    let loads = gateway.loads.borrow();
-                    let group_event_at = loads.last_event_at(&target.key, now);
-                    let is_suspended_or_stalled =
-                        loads.is_suspended_or_stalled(&target.key, stall_policy, now);
-                    drop(loads);
-                    let verdict = stall_policy.map(|policy| if had_event {
-                        policy.check_stream(self.last_progress_at, group_event_at, now)
-                    } else {
-                        policy.check_waiting(
-                            self.last_progress_at,
-                            group_event_at,
-                            is_suspended_or_stalled,
-                            now,
-                        )
-                    });
-                    match verdict {
-                        None => check_at = deadline_with_slack,
-                        Some(StallState::CheckAgainAt(at)) => check_at = at,
-                        Some(verdict) => {
-                            // Before the first event, the group is reported only when
-                            // `check_waiting` returns `GroupStalled`. That may be later than for
-                            // an attempt that waits for its head: see `check_progress`.
-                            if verdict == StallState::GroupStalled {
-                                report_stall(&gateway, &target, had_event);
-                            }
-                            // Without a retry, the target may still be the one that goes on.
-                            let may_try = !was_retry_denied || self.context.can_spend_retry();
-                            if self.can_resume() && may_try {
-                                if self.context.try_spend_retry() {
-                                    self.has_spent_retry = true;
-                                    let awaited =
-                                        if had_event { Awaited::Event } else { Awaited::FirstEvent };
-                                    log_stall(&self.context, &target, awaited, self.last_progress_at);
-                                    return StreamEnd::Broken("no event in time".to_owned());
-                                }
-                                was_retry_denied = true;
-                            }
-                            check_at = now.plus_ms(RECHECK_INTERVAL_MS);
-                        }
+                continue;
+            };
+            let check_at = newest.check_at().min(deadline_with_slack);
+            let step = tokio::select! {
+                // What has arrived is read before a stream counts as stalled.
+                biased;
+                step = next_step(&mut self.contenders, &context, &mut self.position) => step,
+                () = self.parts.closed() => return self.on_caller_left(),
+                () = gateway.clock.sleep_until(check_at) => {
+                    if gateway.now() >= deadline_with_slack {
+                        return self.break_off("deadline-passed");
                     }
+                    self.check_progress();
                     continue;
                 }
             };
-            let bytes = match frame {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(bytes) => bytes,
-                    Err(_) => continue,
-                },
-                Some(Err(error)) => {
-                    if pieces < 2 {
-                        record_suspected_crash(&self.context, &target, BreakPoint::AfterHead);
+            match step {
+                (_, Step::Stream(StreamStep::Nothing)) => {}
+                (index, Step::Stream(StreamStep::Events(piece))) => {
+                    if !self.on_events(index, piece).await {
+                        return self.on_caller_left();
                     }
-                    return StreamEnd::Broken(error.to_string());
                 }
-                None if self.splitter.has_incomplete_event() => {
-                    // With a length or chunks, the upstream has ended the answer itself.
-                    if pieces < 2 && !is_framed {
-                        record_suspected_crash(&self.context, &target, BreakPoint::AfterHead);
+                (index, Step::Stream(StreamStep::Complete)) => {
+                    if let Contender::Open(stream) = self.contenders.swap_remove(index) {
+                        stream.finish(&context);
                     }
-                    return StreamEnd::Broken("the stream ended within an event".to_owned());
-                }
-                None if !self.splitter.has_event() && !may_end_without_event => {
-                    if !is_framed {
-                        record_suspected_crash(&self.context, &target, BreakPoint::AfterHead);
-                    }
-                    return StreamEnd::Broken("the stream ended before an event".to_owned());
+                    self.record_end("answered");
+                    return self.parts.finish();
                 }
-                None => {
-                    if pieces == 1 {
-                        self.context.record_answer();
-                    }
-                    gateway
-                        .pool
-                        .put_back(&target.key, connection, &head.headers, gateway.now());
-                    return StreamEnd::Complete;
+                (index, Step::Stream(StreamStep::Broken(why))) => {
+                    self.on_failure(index, true, "stream", &why);
                 }
-            };
-            let events = match self.splitter.push(bytes) {
-                Ok(Some(events)) => events,
-                Ok(None) => continue,
-                Err(error) => return StreamEnd::Broken(error.to_string()),
-            };
-            pieces += 1;
-            if pieces == 2 {
-                self.context.record_answer();
+                (index, Step::Outcome(outcome)) => self.on_outcome(index, outcome),
             }
-            in_flight.on_event();
-            self.record_events(&target, &mut last_event_in_attempt_at);
-            if !self.parts.send(events).await {
-                return StreamEnd::CallerLeft;
+        }
+    }
+
+    /// Forwards events of a contender, which the stream goes on with from then on; returns `false` if the
+    /// caller left.
+    async fn on_events(&mut self, index: usize, piece: Piece) -> bool {
+        if self.contenders.len() > 1 {
+            // A comment does not show that the stream goes on.
+            if !piece.has_content {
+                return true;
             }
+            self.give_up_others(index);
         }
+        let now = self.context.gateway.now();
+        if let Some(last_event_at) = self.last_event_at.replace(now) {
+            self.longest_gap_ms = self.longest_gap_ms.max(now.since_ms(last_event_at));
+        }
+        self.first_event_at.get_or_insert(now);
+        self.parts.send(piece.bytes).await
     }
 
-    /// Returns the time of the first stall check, or the request's deadline without slack if there
-    /// is no stall policy.
-    fn first_check_at(&self, stall_policy: Option<StallPolicy>) -> TimeMs {
-        match stall_policy {
-            Some(policy) => policy.first_check(self.last_progress_at),
-            None => self.context.deadline.0,
+    /// Gives up all contenders but one.
+    fn give_up_others(&mut self, index: usize) {
+        let preferred = self.contenders.swap_remove(index);
+        self.history.on_others_dropped(self.contenders.len());
+        let now = self.context.gateway.now();
+        for other in self.contenders.drain(..) {
+            let silent_ms = match &other {
+                Contender::Awaited(_) => None,
+                Contender::Open(stream) => Some(stream.silent_ms(now)),
+            };
+            log_event!(info, AttemptGivenUp, request = self.context.request_id,
+                target = %other.target().key, silent_ms, goes_on_at = %preferred.target().key,
+                elapsed_ms = self.context.elapsed_ms(),
+                "an attempt is given up, since the stream goes on at another one");
         }
+        self.contenders.push(preferred);
     }
 
-    /// Records the time of arrival of events in the load tracker and in the stream's latencies.
-    ///
-    /// `last_event_in_attempt_at` is the time of the attempt's last event before these, and is set
-    /// to now.
-    fn record_events(&mut self, target: &Target, last_event_in_attempt_at: &mut Option<TimeMs>) {
-        let gateway = &self.context.gateway;
-        let now = gateway.now();
-        let gap_ms = last_event_in_attempt_at
-            .replace(now)
-            .map(|begin| now.since_ms(begin));
-        gateway
-            .loads
-            .borrow_mut()
-            .on_event(&target.key, gap_ms, now);
-        if self.first_event_at.is_some() {
-            self.longest_gap_ms = self.longest_gap_ms.max(now.since_ms(self.last_progress_at));
-        } else {
-            self.first_event_at = Some(now);
+    /// Handles the end of the wait for the head of a contender's answer.
+    fn on_outcome(&mut self, index: usize, outcome: AttemptOutcome) {
+        match outcome {
+            AttemptOutcome::Stream(open) => {
+                let must_follow = self.must_follow();
+                let stream = OpenStream::new(&self.context, *open, must_follow);
+                self.contenders[index] = Contender::Open(Box::new(stream));
+            }
+            AttemptOutcome::NotSent(why) => self.on_failure(index, false, "not-sent", &why),
+            AttemptOutcome::NotRun(faulty) => {
+                let target = self.contenders.remove(index).target().clone();
+                self.history.on_ended(false);
+                record_not_run(&self.context, &target, faulty);
+                let why = "refused by the upstream";
+                (self.history).log_failure(&self.context, &target, "not-run", why);
+            }
+            AttemptOutcome::Unknown(why) => self.on_failure(index, true, "unknown", &why),
+            AttemptOutcome::Answered(answer) => {
+                let why = format!("{}, and no stream", answer.status);
+                self.on_failure(index, true, "error", &why);
+            }
+            AttemptOutcome::DeadlinePassed => {
+                let why = "no answer before the deadline";
+                self.on_failure(index, true, "deadline", why);
+            }
         }
-        self.last_progress_at = now;
+    }
+
+    /// Removes a contender that failed. The others are still awaited.
+    fn on_failure(&mut self, index: usize, may_have_run: bool, what: &'static str, why: &str) {
+        let target = self.contenders.remove(index).target().clone();
+        self.history.on_ended(may_have_run);
+        self.history.log_failure(&self.context, &target, what, why);
+        record_failure(&self.context, &target);
+    }
+
+    /// Makes another attempt beside the newest one, if that one is stalled and another one is allowed.
+    fn check_progress(&mut self) {
+        let context = self.context.clone();
+        let Some(newest) = self.contenders.last_mut() else {
+            return;
+        };
+        if !newest.check(&context) || !self.position.is_resumable() {
+            return;
+        }
+        if !context.route.may_retry_executed() {
+            return;
+        }
+        if let Some(target) = choose_beside(&context, &mut self.history) {
+            newest.log_stall(&context);
+            record_failure(&context, newest.target());
+            self.begin_at(target);
+        }
+    }
+
+    /// Adds an answer that is a stream.
+    fn add_stream(&mut self, open: OpenAnswer) {
+        let stream = OpenStream::new(&self.context, open, self.must_follow());
+        self.contenders.push(Contender::Open(Box::new(stream)));
     }
 
     /// Returns the event that the next attempt must go on after: the last one of this request, or else
@@ -314,7 +336,7 @@
         }
         let caller_last_id = self.caller_last_id.as_deref();
         let caller_last_id = caller_last_id.filter(|id| id.parse::<u64>().is_ok());
-        self.splitter
+        self.position
             .last_id()
             .or(caller_last_id)
             .map(str::to_owned)
@@ -323,15 +345,13 @@
     /// Returns whether the route and the events so far allow another attempt to resume the stream.
     fn can_resume(&self) -> bool {
         self.context.route.may_retry_executed()
-            && self.splitter.is_resumable()
-            && self.history.runs < self.context.route.max_attempts
+            && self.position.is_resumable()
+            && self.history.may_run_again(&self.context)
     }
 
-    /// Opens the rest of the stream at another target, and makes further attempts if one fails.
-    ///
-    /// Returns `None` if the stream cannot be resumed, the caller left or the deadline passed. The
-    /// request is recorded as broken in all three cases.
-    async fn resume(&mut self) -> Option<OpenAnswer> {
+    /// Makes another attempt after all have failed, once there is a target; returns `false` if the stream cannot
+    /// be resumed, the caller left or the deadline passed.
+    async fn begin_again(&mut self) -> bool {
         let context = self.context.clone();
         while self.can_resume() && !context.deadline.has_passed(context.gateway.now()) {
             if let Some(suspect) = context.quarantined() {
@@ -343,7 +363,7 @@
                     why = quarantine_reason(suspect),
                     "a stream cannot be resumed"
                 );
-                return None;
+                return false;
             }
             let target = match choose(&context, &self.history) {
                 Ok(target) => target,
@@ -351,13 +371,12 @@
                     log_event!(warn, AttemptFailed, request = context.request_id,
                         what = "resume", why = %refusal, "a stream cannot be resumed yet");
                     if !self.wait_for_target().await {
-                        return None;
+                        return false;
                     }
                     continue;
                 }
             };
-            let has_retry = std::mem::take(&mut self.has_spent_retry) || context.try_spend_retry();
-            if !has_retry {
+            if !context.try_spend_retry() {
                 log_event!(
                     warn,
                     AttemptFailed,
@@ -366,40 +385,25 @@
                     why = "the retry budget is used up",
                     "a stream cannot be resumed"
                 );
-                return None;
+                return false;
             }
-            let last_id = self.splitter.last_id().map(str::to_owned);
-            let last_id = last_id.or_else(|| self.caller_last_id.clone());
-            log_event!(info, StreamResumed, request = context.request_id, target = %target.key,
-                after = last_id, elapsed_ms = context.elapsed_ms(),
-                "a request to resume a stream is being sent to another target");
-            // `true` keeps the attempt until the deadline while it waits for its head, even if it
-            // stalls and another one may follow. After the head, `forward` checks it for a stall.
-            let attempt = send(&context, &self.outgoing, &target, last_id.as_deref(), true).await;
-            let (what, why) = match attempt {
-                AttemptOutcome::Stream(open) => return Some(*open),
-                AttemptOutcome::NotSent(why) => {
-                    record_failure(&context, &target);
-                    ("not-sent", why)
-                }
-                AttemptOutcome::NotRun(faulty) => {
-                    record_not_run(&context, &target, faulty);
-                    ("not-run", "refused by the upstream".to_owned())
-                }
-                AttemptOutcome::Unknown(why) => {
-                    self.history.runs += 1;
-                    record_failure(&context, &target);
-                    ("unknown", why)
-                }
-                AttemptOutcome::Answered(answer) => {
-                    self.history.runs += 1;
-                    ("error", format!("{}, and no stream", answer.status))
-                }
-                AttemptOutcome::DeadlinePassed => return None,
-            };
-            self.history.on_failure(&context, &target, what, &why);
+            self.begin_at(target);
+            return true;
         }
-        None
+        false
+    }
+
+    /// Sends the request for the rest of the stream to a target.
+    fn begin_at(&mut self, target: Arc<Target>) {
+        let context = &self.context;
+        let last_id = self.position.last_id().map(str::to_owned);
+        let last_id = last_id.or_else(|| self.caller_last_id.clone());
+        log_event!(info, StreamResumed, request = context.request_id, target = %target.key,
+            after = last_id, elapsed_ms = context.elapsed_ms(),
+            "a request to resume a stream is being sent to another target");
+        self.history.on_started(&target);
+        let attempt = Attempt::start(context, &self.outgoing, target, last_id);
+        self.contenders.push(Contender::Awaited(attempt));
     }
 
     /// Waits [`RECHECK_INTERVAL_MS`] before the next search for a target; returns `false` if the
@@ -411,14 +415,32 @@
         }
     }
 
+    /// Records that the caller closed its connection. All attempts are given up.
+    fn on_caller_left(self) {
+        let target = self
+            .contenders
+            .last()
+            .map(|newest| newest.target().key.to_string());
+        log_event!(
+            info,
+            CallerLeft,
+            request = self.context.request_id,
+            target,
+            elapsed_ms = self.context.elapsed_ms(),
+            last_event = self.position.last_id(),
+            "the caller left"
+        );
+        self.record_end("caller-left");
+    }
+
     /// Ends the body without the last chunk, and records the failure.
     fn break_off(self, outcome: &'static str) {
         log_event!(
             warn,
             RequestFailed,
             request = self.context.request_id,
-            last_event = self.splitter.last_id(),
-            runs = self.history.runs,
+            last_event = self.position.last_id(),
+            runs = self.history.all_runs(),
             why = outcome,
             "a stream failed before its end"
         );
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -107,6 +107,8 @@
     ProcessPaused = 752,
     /// An attempt makes no progress. The event has the times and the limit that decided it.
     AttemptStalled = 753,
+    /// An attempt is given up, since another one of the same request goes on.
+    AttemptGivenUp = 754,
 }
 
 impl EventCode {
