A stop refuses the first request of a route that must not run twice if its deadline is later

Callers got 502 for a request that may have run. Whether a request would outlast a planned stop is decided by how long the last requests of its route took; without one, it was taken whatever its deadline. It counts as taking until its deadline now.

gateway::outlasting_requests::first_request_that_must_not_run_twice_... failed before (502), passes now; requests_that_end_before_the_stop_are_served passes as before.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -11,7 +11,7 @@
 use jacinthpoint_adapter::{decode_prompt_parts, decode_prompt_tokens, headers};
 use jacinthpoint_dispatch::{RequestContent, retry_after_ms};
 use jacinthpoint_fleet::{RequestKind, RouteMatch};
-use jacinthpoint_types::{Deadline, ResultCode};
+use jacinthpoint_types::{Deadline, ResultCode, TimeMs};
 use rand::seq::IndexedRandom;
 
 pub(crate) use crate::call::{
@@ -227,11 +227,13 @@
     let durations = context.gateway.durations.borrow();
     let route = &context.route;
     let expected_ms = match route.kind {
-        // If it is cut off, nobody knows whether it has run, and it must not run twice.
-        RequestKind::NonIdempotent => durations.longest_ms(&route.name),
+        // If it is cut off, nobody knows whether it has run, and it must not run twice. Without an earlier
+        // request, it may take until its deadline.
+        RequestKind::NonIdempotent => Some(durations.longest_ms(&route.name).unwrap_or(u64::MAX)),
         RequestKind::Idempotent | RequestKind::Stream => durations.usual_ms(&route.name),
     };
-    let end = expected_ms.map(|ms| context.started.plus_ms(ms).min(context.deadline.0));
+    let end =
+        expected_ms.map(|ms| TimeMs(context.started.0.saturating_add(ms)).min(context.deadline.0));
     end.is_some_and(|end| end > ends_at)
 }
 
--- a/tests/gateway/outlasting_requests.rs
+++ b/tests/gateway/outlasting_requests.rs
@@ -44,7 +44,7 @@
     assert!(ends.into_iter().all(|end| end == End::Whole));
 }
 
-/// Guards against rule LOST: a request that must not run twice was taken shortly before the end of the grace
+/// Guards against lost answers: a request that must not run twice was taken shortly before the end of the grace
 /// time, sent to an upstream, and cut off.
 #[test]
 fn request_that_must_not_run_twice_is_refused_if_it_may_outlast_the_stop() {
@@ -58,7 +58,17 @@
     assert_eq!(Request::once("late").send(site.gateway(1)).status, 200);
 }
 
-/// Guards against rule LOST: a stream was taken that takes longer than the rest of the grace time.
+/// The same at a gateway that knows of no earlier request of the route.
+#[test]
+fn first_request_that_must_not_run_twice_is_refused_if_its_deadline_is_after_the_stop() {
+    let site = Site::start(1);
+    site.platform.plain.set_fault(PlainFault::Slow(7_000));
+    site.signal(0, "TERM");
+    pause_ms(LATE_MS);
+    assert_refused_at_once(&site, &Request::once("late"));
+}
+
+/// Guards against streams that are cut: one was taken that takes longer than the rest of the grace time.
 #[test]
 fn stream_is_refused_if_streams_take_longer_than_the_rest_of_the_grace_time() {
     let site = Site::start(1);
