--- a/tests/gateway/fleet_limits.rs
+++ b/tests/gateway/fleet_limits.rs
@@ -7,7 +7,12 @@
     time::{Duration, Instant},
 };
 
-use crate::gateway::{caller::Request, site::Site};
+use jacinthpoint_platform_standins::StoreFault;
+
+use crate::gateway::{
+    caller::Request,
+    site::{Site, gateway_name},
+};
 
 /// Retry budget in the settings of the gateways of a [`Site`].
 const RETRY_RATIO: f64 = 0.2;
@@ -54,8 +59,8 @@
     check_retry_budget(&site, &requests);
 }
 
-/// Regression test for rule BUDGET: retries for the requests of callers that moved to another gateway came
-/// on top of those that the former one had sent in the window.
+/// Guards against more retries than the fleet may send: those for callers that moved to another gateway came on
+/// top of those that the former one had sent in the window.
 #[test]
 fn retries_stay_within_the_budget_while_callers_move() {
     let site = Site::start(2);
@@ -73,6 +78,29 @@
     check_retry_budget(&site, &requests);
 }
 
+/// Guards against a whole share of the retry budget at a gateway that the others may not count yet: at the
+/// first start of the fleet, one that the store turned away registers late.
+#[test]
+fn gateway_that_registers_late_at_the_first_start_uses_little_of_the_slack() {
+    const REQUESTS: usize = 60;
+    let mut site = Site::start(1);
+    let store = site.platform.store.clone();
+    site.kill(0);
+    store.remove("gateways", &gateway_name(0));
+    store.set_fault(StoreFault::Busy);
+    site.restart(0);
+    thread::sleep(Duration::from_secs(4));
+    store.set_fault(StoreFault::None);
+    site.wait_until("the gateway is ready", 10_000, |site| site.is_ready(0));
+    site.platform.engines.set_failing(true);
+    for index in 0..REQUESTS {
+        Request::stream(&format!("late-{index}")).send(site.gateway(0));
+    }
+    let repeats = site.platform.runs.all().len().saturating_sub(REQUESTS);
+    let max = RETRY_RATIO * REQUESTS as f64 + RETRY_SLACK / 10.0;
+    assert!(repeats as f64 <= max, "{repeats} repeats, {max} may be");
+}
+
 /// Checks that the engines got no more repeats of requests than the retry budget allows, given the times
 /// of all requests.
 fn check_retry_budget(site: &Site, requests: &[Instant]) {
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -3,7 +3,10 @@
 use jacinthpoint_adapter::paths;
 use jacinthpoint_platform_standins::PlainService;
 
-use crate::gateway::{caller::Request, site::Site};
+use crate::gateway::{
+    caller::Request,
+    site::{Site, gateway_name},
+};
 
 /// Time in which a gateway has read a change, beside other tests.
 const READ_MS: u64 = 5_000;
@@ -20,9 +23,9 @@
 fn refused_entries(site: &Site, index: usize) -> u64 {
     let metrics = site.metrics(index);
     let mut lines = metrics.lines();
-    let line = lines.find_map(|line| {
-        line.strip_prefix("jacinthpoint_entries_refused_total{label=\"servers\"} ")
-    });
+    let kind = paths::UPSTREAM_KIND;
+    let prefix = format!("jacinthpoint_entries_refused_total{{label=\"{kind}\"}} ");
+    let line = lines.find_map(|line| line.strip_prefix(&prefix));
     line.map_or(0, |count| count.parse().expect("it is a number"))
 }
 
@@ -70,6 +73,51 @@
     }
 }
 
+/// Guards against an upstream that stays in use after its entry was changed to one whose name cannot be read.
+#[test]
+fn upstream_whose_entry_has_no_readable_name_is_not_used() {
+    let site = Site::start(1);
+    let store = &site.platform.store;
+    let entry = store
+        .get_content(paths::UPSTREAM_KIND, PlainService::ID)
+        .expect("it is registered");
+    store.put(paths::UPSTREAM_KIND, "odd", entry);
+    site.wait_until("the upstream is known", READ_MS, |site| {
+        knows_upstreams(site, 0, UPSTREAMS + 1)
+    });
+    // The second of two fields of the same name is read.
+    store.put_raw(paths::UPSTREAM_KIND, "odd", r#"{},"metadata":7"#);
+    site.wait_until("the upstream is gone", READ_MS, |site| {
+        knows_upstreams(site, 0, UPSTREAMS)
+    });
+    assert_eq!(refused_entries(&site, 0), 1);
+}
+
+/// Guards against a gateway that the others do not reach, since another writer left something in its registration
+/// that cannot be read.
+#[test]
+fn odd_registration_is_replaced_by_its_gateway() {
+    const KIND: &str = "gateways";
+    let site = Site::start(2);
+    let store = &site.platform.store;
+    let registration = store.get_content(KIND, &gateway_name(0));
+    assert!(registration.is_some(), "it is registered");
+    store.put_raw(KIND, &gateway_name(0), "1e400");
+    site.wait_until("it registers again", 2 * READ_MS, |site| {
+        site.platform.store.get_content(KIND, &gateway_name(0)) == registration
+    });
+}
+
+/// Guards against groups without an owner: nobody took over a lease that cannot be read.
+#[test]
+fn odd_lease_is_taken_over() {
+    let site = Site::start(2);
+    site.platform.store.put_raw("leases", "groups", "1e400");
+    site.wait_until("a gateway holds the lease", 4 * READ_MS, |site| {
+        site.lease_holder().is_some()
+    });
+}
+
 /// Defines tests of one odd entry each: name, content of the entry.
 macro_rules! odd_entry {
     ($($name:ident: $content:expr,)+) => {
@@ -82,8 +130,8 @@
     };
 }
 
-// Guards against rule LOST and gateways that end or follow no changes: one entry that cannot be read made
-// the whole answer of the store unreadable.
+// Guards against gateways that follow no changes, or are not ready after a restart: one entry that cannot be
+// read made the whole answer of the store unreadable.
 odd_entry! {
     deeply_nested_entry_leaves_others_readable:
         format!("{}0{}", "[".repeat(50_000), "]".repeat(50_000)),
