Attempts beside each other: unused ones are kept in reserve, one failure each, head and comments of one attempt

- A sound upstream that was given up because the silent one went on was never asked again, and counted as run: a stream was cut, or waited until its deadline, although upstreams were left.
It may be asked again, also if no other upstream may be.
- One attempt counted as up to three failures of its upstream and ejected it: at each stall and at its end.
It counts once.
- While a stream was silent, each of seven upstreams in turn was asked and refused.
The pause after a refusal grows.
- Comments of an attempt were dropped while two were open.
They are held until it is known where the stream goes on.
- The head of one attempt went out with the body of another.
While several attempts are open, the head waits for the first event; if there is none, the caller gets an error in place of a cut stream.

Besides: the order of the attempts when an older one's head comes first, event 753 also if no other attempt can be made, event 754 also for answers that are no streams, metrics attempts_stalled and attempts_given_up. The tests of slow streams check that streams were stalled.

--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -157,6 +157,8 @@
     awaits_head_since: Rc<Cell<Option<TimeMs>>>,
     /// Time at which [`Attempt::check`] is due.
     pub(super) check_at: TimeMs,
+    /// Whether it was logged that the attempt is stalled.
+    was_stall_logged: bool,
 }
 
 impl Attempt {
@@ -191,6 +193,7 @@
             target,
             outcome,
             awaits_head_since,
+            was_stall_logged: false,
         }
     }
 
@@ -199,7 +202,8 @@
         self.outcome.as_mut().poll(task)
     }
 
-    /// Checks at [`Attempt::check_at`] whether the attempt is stalled, and sets the time of the next check.
+    /// Checks at [`Attempt::check_at`] whether the attempt is stalled, and sets the time of the next check. Logs it
+    /// once.
     ///
     /// Reports the group as stalled if the stall policy asks for a probe of its members.
     pub(super) fn check(&mut self) -> bool {
@@ -218,16 +222,14 @@
                 self.check_at = at;
                 false
             }
-            StallState::GroupStalled | StallState::StreamStalled => true,
+            StallState::GroupStalled | StallState::StreamStalled => {
+                if !std::mem::replace(&mut self.was_stall_logged, true) {
+                    log_stall(&self.context, &self.target, Awaited::Head, sent_at);
+                }
+                true
+            }
         }
     }
-
-    /// Logs that the attempt is stalled.
-    pub(super) fn log_stall(&self) {
-        let now = self.context.gateway.now();
-        let since = self.awaits_head_since.get().unwrap_or(now);
-        log_stall(&self.context, &self.target, Awaited::Head, since);
-    }
 }
 
 /// Waits for the first outcome of several attempts; returns it with the attempt's index.
--- a/crates/gateway/src/call/open_stream.rs
+++ b/crates/gateway/src/call/open_stream.rs
@@ -29,6 +29,11 @@
 /// Time between two checks of a stalled stream.
 pub(super) const RECHECK_INTERVAL_MS: u64 = 100;
 
+/// Maximum length of the comments of a stream that are held.
+const MAX_HELD_BYTES: usize = 64 * 1_024;
+/// Maximum number of pieces with such comments.
+const MAX_HELD_PIECES: usize = 256;
+
 /// What one frame of an attempt's stream brought.
 #[derive(Debug)]
 pub(super) enum StreamStep {
@@ -60,6 +65,12 @@
     /// Time of the last event or, before any, that of the head.
     progress_at: TimeMs,
     last_event_at: Option<TimeMs>,
+    /// Comments that came while it was not known whether the stream goes on here.
+    held_comments: Vec<Bytes>,
+    /// Whether anything of this attempt was forwarded.
+    is_forwarded: bool,
+    /// Whether it was logged that the stream is stalled, since its last event.
+    was_stall_logged: bool,
     stall_policy: Option<StallPolicy>,
     /// Time at which [`OpenStream::check`] is due.
     pub(super) check_at: TimeMs,
@@ -91,6 +102,9 @@
             pieces: 0,
             progress_at: now,
             last_event_at: None,
+            held_comments: Vec::new(),
+            is_forwarded: false,
+            was_stall_logged: false,
             stall_policy,
             check_at: match stall_policy {
                 Some(policy) => policy.first_check(now),
@@ -159,9 +173,40 @@
         let mut loads = gateway.loads.borrow_mut();
         loads.on_event(&self.target.key, gap_ms, now);
         self.progress_at = now;
+        self.was_stall_logged = false;
         StreamStep::Events(piece)
     }
 
+    /// Returns what is to be forwarded after a piece. If it is not decided that the stream goes on here, comments
+    /// are held until then, because they do not show it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there are too many of them.
+    pub(super) fn forwardable(
+        &mut self,
+        piece: Piece,
+        is_decided: bool,
+    ) -> Result<Vec<Bytes>, &'static str> {
+        if !is_decided && !piece.has_content && !self.is_forwarded {
+            self.held_comments.push(piece.bytes);
+            let held_bytes: usize = self.held_comments.iter().map(Bytes::len).sum();
+            return match held_bytes > MAX_HELD_BYTES || self.held_comments.len() > MAX_HELD_PIECES {
+                true => Err("the stream has comments and no event"),
+                false => Ok(Vec::new()),
+            };
+        }
+        self.is_forwarded = true;
+        let mut pieces = std::mem::take(&mut self.held_comments);
+        pieces.push(piece.bytes);
+        Ok(pieces)
+    }
+
+    /// Returns the headers of the answer.
+    pub(super) fn fields(&self) -> &HeaderMap {
+        &self.fields
+    }
+
     /// Keeps the connection of a stream that ended regularly for other requests.
     pub(super) fn finish(self, context: &Context) {
         let gateway = &context.gateway;
@@ -177,7 +222,8 @@
         gateway.loads.borrow_mut().on_success(&self.target.key);
     }
 
-    /// Checks at [`OpenStream::check_at`] whether the stream is stalled, and sets the time of the next check.
+    /// Checks at [`OpenStream::check_at`] whether the stream is stalled, and sets the time of the next check. Logs it
+    /// once.
     ///
     /// Reports the group as stalled if it is.
     pub(super) fn check(&mut self, context: &Context) -> bool {
@@ -210,29 +256,26 @@
         match verdict {
             StallState::CheckAgainAt(at) => {
                 self.check_at = at;
-                false
+                return false;
             }
             // Before the first event, the group is reported only here. That may be later than for an
             // attempt that waits for its head: see `Attempt::check`.
-            StallState::GroupStalled => {
-                report_stall(gateway, &self.target, had_event);
-                true
-            }
-            StallState::StreamStalled => true,
+            StallState::GroupStalled => report_stall(gateway, &self.target, had_event),
+            StallState::StreamStalled => {}
+        }
+        if !std::mem::replace(&mut self.was_stall_logged, true) {
+            let awaited = if had_event {
+                Awaited::Event
+            } else {
+                Awaited::FirstEvent
+            };
+            log_stall(context, &self.target, awaited, self.progress_at);
         }
+        true
     }
 
     /// Returns the time since the last event or, before any, since the head, in milliseconds.
     pub(super) fn silent_ms(&self, now: TimeMs) -> u64 {
         now.since_ms(self.progress_at)
     }
-
-    /// Logs that the stream is stalled.
-    pub(super) fn log_stall(&self, context: &Context) {
-        let awaited = match self.last_event_at {
-            Some(_) => Awaited::Event,
-            None => Awaited::FirstEvent,
-        };
-        log_stall(context, &self.target, awaited, self.progress_at);
-    }
 }
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -110,7 +110,7 @@
 }
 
 /// What an attempt has to send next.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub(super) enum Awaited {
     /// The head of the answer.
@@ -132,6 +132,7 @@
     let mut listed = snapshot.directory.targets();
     let loads = gateway.loads.borrow();
     let group_event_at = loads.last_event_at(&target.key, now);
+    gateway.metrics.count("attempts_stalled", awaited.into());
     log_event!(warn, AttemptStalled, request = context.request_id, upstream = %target.upstream,
         target = %target.key, %awaited, silent_ms = now.since_ms(since),
         group_silent_ms = group_event_at.map(|at| now.since_ms(at)),
@@ -142,6 +143,23 @@
         "an attempt makes no progress");
 }
 
+/// Logs that an attempt at `target` is given up, since the request goes on at another one. `silent_ms` is the time
+/// since the last event of its stream, if it has one.
+pub(super) fn log_given_up(
+    context: &Context,
+    target: &Target,
+    silent_ms: Option<u64>,
+    goes_on_at: &Target,
+) {
+    context
+        .gateway
+        .metrics
+        .count("attempts_given_up", "overtaken");
+    log_event!(info, AttemptGivenUp, request = context.request_id, target = %target.key, silent_ms,
+        goes_on_at = %goes_on_at.key, elapsed_ms = context.elapsed_ms(),
+        "an attempt is given up, since the request goes on at another one");
+}
+
 /// Latencies of a stream's events.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct StreamTimes {
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -1,18 +1,19 @@
 //! Retries a request at other targets until it is answered or may not be retried, and builds the
 //! final response.
 //!
-//! A request that may have run is retried only if its route allows it. Retries spend the budget of
+//! A request that may have run is retried only if its route allows it: after an attempt that failed, and beside
+//! one that is stalled, which is kept until another one is answered. Retries spend the budget of
 //! their service, so that they do not add to an overload. The result code of a failure states
 //! whether the request may have run.
 
-use std::{rc::Rc, sync::Arc};
+use std::{borrow::Cow, rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use hyper::{Response, http::request::Parts};
 use jacinthpoint_dispatch::{
     Directory, Refusal, Selection, SuspectId, Target, TargetKey, retry_after_ms,
 };
-use jacinthpoint_types::ResultCode;
+use jacinthpoint_types::{ResultCode, TimeMs};
 
 use crate::{
     body::AnswerBody,
@@ -20,7 +21,7 @@
         attempt::{Attempt, AttemptOutcome, OutgoingRequest, WholeAnswer, first_outcome},
         context::Context,
         forward::forward,
-        outcome::{pass_on, record_failure, record_not_run},
+        outcome::{log_given_up, pass_on, record_failure, record_not_run},
         refusal::{quarantine_reason, refuse, refuse_quarantined},
         request::shared_headers,
         stream,
@@ -42,6 +43,9 @@
 /// Number of refusals by upstreams after which a request is refused. They have a limit of their
 /// own, since `max_attempts` of the route limits only attempts that ran or may have run.
 const MAX_NOT_RUN: u32 = 2;
+/// Time until the next attempt beside a silent one, after one that did not run. It is four times as long after each
+/// further one.
+const FIRST_REFUSED_PAUSE_MS: u64 = 100;
 /// Time in which a group is expected to be repaired, from which `Retry-After` is drawn.
 const EXPECTED_REPAIR_MS: u64 = 1_500;
 /// Time in which a slot is expected to become free, from which `Retry-After` is drawn.
@@ -50,11 +54,16 @@
 /// Targets and results of all attempts of a request so far.
 #[derive(Debug, Default)]
 pub(super) struct AttemptHistory {
-    /// Targets of all attempts.
+    /// Targets of all attempts but those in `unused_targets`.
     tried_targets: Vec<TargetKey>,
+    /// Targets of attempts that were given up although they did not stall or fail, since another one went on.
+    /// They may be tried again, and count as run already.
+    unused_targets: Vec<TargetKey>,
+    /// Targets whose failure was recorded. A stall and the end of the same attempt are one failure.
+    failed_targets: Vec<TargetKey>,
     /// Attempts whose end is awaited.
     open: u32,
-    /// Attempts that ended, and ran or may have run.
+    /// Attempts that ended, and ran or may have run, except those at `unused_targets`.
     runs: u32,
     /// Attempts of which no byte was sent.
     not_sent: u32,
@@ -64,6 +73,10 @@
     last_answer: Option<WholeAnswer>,
     /// Whether it was logged that no target can be selected beside a stalled attempt.
     was_refusal_logged: bool,
+    /// Attempts beside a silent one that did not run, since the last event of the stream.
+    refused_beside: u32,
+    /// Time before which no further one is made.
+    next_beside_at: TimeMs,
 }
 
 /// Reason why a request gets no further attempt.
@@ -90,27 +103,59 @@
         self.all_runs() + self.not_run == 0
     }
 
-    /// Returns the number of attempts that run, ran or may have run.
+    /// Returns the number of targets at which an attempt runs, ran or may have run.
     pub(super) fn all_runs(&self) -> u32 {
-        self.open + self.runs
+        let unused = u32::try_from(self.unused_targets.len()).unwrap_or(u32::MAX);
+        self.open + self.runs + unused
     }
 
-    /// Returns whether the route allows another attempt beside or after the earlier ones, if all of them run.
-    pub(super) fn may_run_again(&self, context: &Context) -> bool {
+    /// Returns whether the route allows an attempt at a target that was not tried, if all attempts run.
+    fn may_try_others(&self, context: &Context) -> bool {
         self.all_runs() < context.route.max_attempts
     }
 
-    /// Records that an attempt begins. Its target is not selected again.
+    /// Returns whether the route allows another attempt beside or after the earlier ones.
+    pub(super) fn may_run_again(&self, context: &Context) -> bool {
+        self.may_try_others(context) || !self.unused_targets.is_empty()
+    }
+
+    /// Records that an attempt begins. Its target is not selected again, unless it is given up unused.
     pub(super) fn on_started(&mut self, target: &Target) {
         self.open += 1;
+        self.unused_targets.retain(|key| *key != target.key);
         self.tried_targets.push(target.key.clone());
     }
 
-    /// Records that the attempt whose answer is used goes on without the others that were open.
-    pub(super) fn on_others_dropped(&mut self, dropped: usize) {
-        let dropped = u32::try_from(dropped).unwrap_or(u32::MAX);
-        self.open = self.open.saturating_sub(dropped);
-        self.runs = self.runs.saturating_add(dropped);
+    /// Records that an open attempt is given up, since another one goes on.
+    pub(super) fn on_given_up(&mut self, target: &Target) {
+        self.open = self.open.saturating_sub(1);
+        if self.failed_targets.contains(&target.key) {
+            self.runs += 1;
+        } else {
+            self.tried_targets.retain(|key| *key != target.key);
+            self.unused_targets.push(target.key.clone());
+        }
+    }
+
+    /// Records a failure of an attempt, or its stall, once in the load tracker.
+    pub(super) fn record_failure(&mut self, context: &Context, target: &Target) {
+        if !self.failed_targets.contains(&target.key) {
+            self.failed_targets.push(target.key.clone());
+            record_failure(context, target);
+        }
+    }
+
+    /// Records that an attempt beside a silent one did not run. The next one is made only after a time that grows,
+    /// so that a silent stream does not ask each upstream in turn.
+    pub(super) fn on_refused_beside(&mut self, now: TimeMs) {
+        let pause_ms = FIRST_REFUSED_PAUSE_MS << (2 * self.refused_beside).min(8);
+        self.refused_beside += 1;
+        self.next_beside_at = now.plus_ms(pause_ms);
+    }
+
+    /// Records that a stream goes on.
+    pub(super) fn on_progress(&mut self) {
+        self.refused_beside = 0;
     }
 
     /// Records that an open attempt ended, and whether it may have run.
@@ -152,8 +197,13 @@
     let mut rng = gateway.rng.borrow_mut();
     let (loads, limits) = (gateway.loads.borrow(), gateway.limits.borrow());
     let now = gateway.now();
+    let mut candidates = Cow::Borrowed(targets(context, &snapshot.directory));
+    if !history.may_try_others(context) {
+        let is_unused = |target: &Arc<Target>| history.unused_targets.contains(&target.key);
+        candidates.to_mut().retain(is_unused);
+    }
     let selection = Selection {
-        targets: targets(context, &snapshot.directory),
+        targets: &candidates,
         failed: &history.tried_targets,
         queue_share,
         prompt: context.prompt_demand(),
@@ -244,8 +294,7 @@
                     && context.route.may_retry_executed()
                     && let Some(target) = choose_beside(&context, &mut history)
                 {
-                    newest.log_stall();
-                    record_failure(&context, &newest.target);
+                    history.record_failure(&context, &newest.target);
                     history.on_started(&target);
                     open.push(Attempt::start(&context, &outgoing, target, None));
                 }
@@ -253,13 +302,17 @@
             }
         };
         let target = open.remove(index).target;
+        let goes_on_elsewhere = |open: &[Attempt]| {
+            let targets = open.iter().map(|other| &other.target);
+            targets.for_each(|other| log_given_up(&context, other, None, &target));
+        };
         match outcome {
             AttemptOutcome::Answered(answer) => {
                 history.on_ended(true);
                 if answer.status.is_server_error() {
                     let why = answer.status.to_string();
                     history.log_failure(&context, &target, "error", &why);
-                    record_failure(&context, &target);
+                    history.record_failure(&context, &target);
                     history.last_answer = Some(answer);
                     if !context.route.may_retry_executed() {
                         return finish(&context, history, &StopReason::AttemptsExhausted);
@@ -268,29 +321,32 @@
                 }
                 gateway.loads.borrow_mut().on_success(&target.key);
                 context.record_answer();
+                goes_on_elsewhere(&open);
                 return pass_on(&context, answer);
             }
             AttemptOutcome::Stream(stream) => {
-                return stream::pass_on(context, outgoing, history, *stream, open);
+                return stream::pass_on(context, outgoing, history, *stream, index, open).await;
             }
             AttemptOutcome::NotSent(why) => {
                 context.on_not_run();
                 history.on_ended(false);
                 history.not_sent += 1;
+                history.on_refused_beside(gateway.now());
                 history.log_failure(&context, &target, "not-sent", &why);
-                record_failure(&context, &target);
+                history.record_failure(&context, &target);
             }
             AttemptOutcome::NotRun(faulty) => {
                 context.on_not_run();
                 history.on_ended(false);
                 history.not_run += 1;
+                history.on_refused_beside(gateway.now());
                 history.log_failure(&context, &target, "not-run", "refused by the upstream");
                 record_not_run(&context, &target, faulty);
             }
             AttemptOutcome::Unknown(why) => {
                 history.on_ended(true);
                 history.log_failure(&context, &target, "unknown", &why);
-                record_failure(&context, &target);
+                history.record_failure(&context, &target);
                 if !context.route.may_retry_executed() {
                     return finish(&context, history, &StopReason::AttemptsExhausted);
                 }
@@ -299,7 +355,7 @@
                 history.on_ended(true);
                 let why = "no answer before the deadline";
                 history.log_failure(&context, &target, "deadline", why);
-                record_failure(&context, &target);
+                history.record_failure(&context, &target);
                 return finish(&context, history, &StopReason::DeadlinePassed);
             }
         }
@@ -313,7 +369,8 @@
     history: &mut AttemptHistory,
 ) -> Option<Arc<Target>> {
     // Without a retry, nothing else is asked for it, and nothing is logged.
-    if !history.may_run_again(context) || !context.can_spend_retry() {
+    let is_early = context.gateway.now() < history.next_beside_at;
+    if is_early || !history.may_run_again(context) || !context.can_spend_retry() {
         return None;
     }
     match choose_next_target(context, history) {
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -19,10 +19,11 @@
     time::Duration,
 };
 
-use hyper::{Response, StatusCode};
+use hyper::{HeaderMap, Response, StatusCode};
 use jacinthpoint_adapter::headers;
 use jacinthpoint_dispatch::Target;
-use jacinthpoint_types::TimeMs;
+use jacinthpoint_types::{ResultCode, TimeMs};
+use tokio::sync::oneshot;
 
 use crate::{
     body::{AnswerBody, PartSender, channel},
@@ -32,9 +33,9 @@
         event_splitter::{Piece, StreamPosition},
         open_stream::{OpenStream, RECHECK_INTERVAL_MS, StreamStep},
         outcome::{
-            StreamTimes, record_end, record_failure, record_not_run, remove_connection_headers,
+            StreamTimes, log_given_up, record_end, record_not_run, remove_connection_headers,
         },
-        refusal::quarantine_reason,
+        refusal::{quarantine_reason, refuse},
         retry::{AttemptHistory, choose, choose_beside},
     },
     events::log_event,
@@ -95,13 +96,6 @@
             Contender::Open(stream) => stream.check(context),
         }
     }
-
-    fn log_stall(&self, context: &Context) {
-        match self {
-            Contender::Awaited(attempt) => attempt.log_stall(),
-            Contender::Open(stream) => stream.log_stall(context),
-        }
-    }
 }
 
 /// Waits for the next step of any contender; returns it with the contender's index.
@@ -127,6 +121,8 @@
     outgoing: Rc<OutgoingRequest>,
     history: AttemptHistory,
     parts: PartSender,
+    /// Receives the headers of the response; `None` once they were sent.
+    head: Option<oneshot::Sender<HeaderMap>>,
     /// Attempts that may go on with the stream, oldest first; all but the newest one are stalled. It is a
     /// single one while the stream flows.
     contenders: Vec<Contender>,
@@ -140,46 +136,59 @@
 
 /// Returns the response whose body is the stream, and forwards the stream in a task of its own.
 ///
-/// `stalled` are the attempts that were made before the one whose answer began, and that may still go on.
-pub(super) fn pass_on(
+/// `others` are the other attempts that are open, oldest first, and may still go on; `index` is the place of the one
+/// whose answer began among them. The head of the response is then that of the attempt that goes on.
+pub(super) async fn pass_on(
     context: Rc<Context>,
     outgoing: Rc<OutgoingRequest>,
     history: AttemptHistory,
     open: OpenAnswer,
-    stalled: Vec<Attempt>,
+    index: usize,
+    others: Vec<Attempt>,
 ) -> Response<AnswerBody> {
-    let mut head = Response::new(());
-    *head.headers_mut() = open.response.headers().clone();
-    remove_connection_headers(head.headers_mut());
     let (parts, body) = channel();
+    let (head_sender, head) = oneshot::channel();
     let last_id = outgoing.headers.get(headers::LAST_EVENT_ID);
     let mut forwarder = StreamForwarder {
         caller_last_id: last_id.and_then(|id| id.to_str().ok()).map(str::to_owned),
-        context,
+        context: context.clone(),
         outgoing,
         history,
         parts,
-        contenders: stalled.into_iter().map(Contender::Awaited).collect(),
+        head: Some(head_sender),
+        contenders: others.into_iter().map(Contender::Awaited).collect(),
         position: StreamPosition::default(),
         first_event_at: None,
         last_event_at: None,
         longest_gap_ms: 0,
     };
-    forwarder.add_stream(open);
+    let stream = OpenStream::new(&context, open, forwarder.must_follow());
+    let contender = Contender::Open(Box::new(stream));
+    forwarder.contenders.insert(index, contender);
+    // Without others, it is known at once.
+    forwarder.send_head();
+    let task_context = context.clone();
     tokio::task::spawn_local(async move {
-        let context = forwarder.context.clone();
         if catch_panic(forwarder.run()).await.is_err() {
             log_event!(
                 warn,
                 RequestFailed,
-                request = context.request_id,
+                request = task_context.request_id,
                 why = "the forwarding of a stream panicked",
                 "a stream failed before its end"
             );
-            record_end(&context, StatusCode::OK, "broken", None);
+            record_end(&task_context, StatusCode::OK, "broken", None);
         }
     });
-    head.map(|()| body)
+    let Ok(mut fields) = head.await else {
+        let (gateway, id) = (&context.gateway, &context.request_id);
+        let why = "all attempts failed";
+        return refuse(gateway, id, ResultCode::UpstreamFailed, why, None);
+    };
+    let mut response = Response::new(body);
+    remove_connection_headers(&mut fields);
+    *response.headers_mut() = fields;
+    response
 }
 
 impl StreamForwarder {
@@ -189,6 +198,7 @@
         let gateway = &context.gateway;
         let deadline_with_slack = context.deadline.0.plus_ms(DEADLINE_SLACK_MS);
         loop {
+            self.send_head();
             let Some(newest) = self.contenders.last() else {
                 if !self.begin_again().await {
                     return self.break_off("broken");
@@ -217,7 +227,9 @@
                     }
                 }
                 (index, Step::Stream(StreamStep::Complete)) => {
-                    if let Contender::Open(stream) = self.contenders.swap_remove(index) {
+                    self.give_up_others(index);
+                    self.send_head();
+                    if let Some(Contender::Open(stream)) = self.contenders.pop() {
                         stream.finish(&context);
                     }
                     self.record_end("answered");
@@ -232,37 +244,65 @@
     }
 
     /// Forwards events of a contender, which the stream goes on with from then on; returns `false` if the
-    /// caller left.
+    /// caller left. Comments decide nothing.
     async fn on_events(&mut self, index: usize, piece: Piece) -> bool {
-        if self.contenders.len() > 1 {
-            // A comment does not show that the stream goes on.
-            if !piece.has_content {
-                return true;
-            }
+        let has_content = piece.has_content;
+        if has_content {
             self.give_up_others(index);
+            self.history.on_progress();
+            self.send_head();
         }
+        let is_decided = self.contenders.len() == 1;
+        let index = if is_decided { 0 } else { index };
+        let Contender::Open(stream) = &mut self.contenders[index] else {
+            return true;
+        };
+        let pieces = match stream.forwardable(piece, is_decided) {
+            Ok(pieces) => pieces,
+            Err(why) => {
+                self.on_failure(index, true, "stream", why);
+                return true;
+            }
+        };
         let now = self.context.gateway.now();
-        if let Some(last_event_at) = self.last_event_at.replace(now) {
-            self.longest_gap_ms = self.longest_gap_ms.max(now.since_ms(last_event_at));
+        if !pieces.is_empty() {
+            self.first_event_at.get_or_insert(now);
+            if let Some(last_event_at) = self.last_event_at.replace(now) {
+                self.longest_gap_ms = self.longest_gap_ms.max(now.since_ms(last_event_at));
+            }
+        }
+        for bytes in pieces {
+            if !self.parts.send(bytes).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Sends the headers of the response, unless several attempts may still go on with the stream.
+    fn send_head(&mut self) {
+        if let [Contender::Open(stream)] = self.contenders.as_slice()
+            && let Some(head) = self.head.take()
+        {
+            // An error means that the caller has left, which the body shows, too.
+            let _ = head.send(stream.fields().clone());
         }
-        self.first_event_at.get_or_insert(now);
-        self.parts.send(piece.bytes).await
     }
 
     /// Gives up all contenders but one.
     fn give_up_others(&mut self, index: usize) {
+        if self.contenders.len() == 1 {
+            return;
+        }
         let preferred = self.contenders.swap_remove(index);
-        self.history.on_others_dropped(self.contenders.len());
         let now = self.context.gateway.now();
         for other in self.contenders.drain(..) {
             let silent_ms = match &other {
                 Contender::Awaited(_) => None,
                 Contender::Open(stream) => Some(stream.silent_ms(now)),
             };
-            log_event!(info, AttemptGivenUp, request = self.context.request_id,
-                target = %other.target().key, silent_ms, goes_on_at = %preferred.target().key,
-                elapsed_ms = self.context.elapsed_ms(),
-                "an attempt is given up, since the stream goes on at another one");
+            self.history.on_given_up(other.target());
+            log_given_up(&self.context, other.target(), silent_ms, preferred.target());
         }
         self.contenders.push(preferred);
     }
@@ -275,10 +315,14 @@
                 let stream = OpenStream::new(&self.context, *open, must_follow);
                 self.contenders[index] = Contender::Open(Box::new(stream));
             }
-            AttemptOutcome::NotSent(why) => self.on_failure(index, false, "not-sent", &why),
+            AttemptOutcome::NotSent(why) => {
+                self.history.on_refused_beside(self.context.gateway.now());
+                self.on_failure(index, false, "not-sent", &why);
+            }
             AttemptOutcome::NotRun(faulty) => {
                 let target = self.contenders.remove(index).target().clone();
                 self.history.on_ended(false);
+                self.history.on_refused_beside(self.context.gateway.now());
                 record_not_run(&self.context, &target, faulty);
                 let why = "refused by the upstream";
                 (self.history).log_failure(&self.context, &target, "not-run", why);
@@ -286,21 +330,33 @@
             AttemptOutcome::Unknown(why) => self.on_failure(index, true, "unknown", &why),
             AttemptOutcome::Answered(answer) => {
                 let why = format!("{}, and no stream", answer.status);
-                self.on_failure(index, true, "error", &why);
+                self.remove(index, true, "error", &why);
             }
             AttemptOutcome::DeadlinePassed => {
                 let why = "no answer before the deadline";
-                self.on_failure(index, true, "deadline", why);
+                self.remove(index, true, "deadline", why);
             }
         }
     }
 
-    /// Removes a contender that failed. The others are still awaited.
+    /// Removes a contender whose upstream failed. The others are still awaited.
     fn on_failure(&mut self, index: usize, may_have_run: bool, what: &'static str, why: &str) {
+        let target = self.remove(index, may_have_run, what, why);
+        self.history.record_failure(&self.context, &target);
+    }
+
+    /// Removes a contender that does not go on with the stream; returns its target.
+    fn remove(
+        &mut self,
+        index: usize,
+        may_have_run: bool,
+        what: &'static str,
+        why: &str,
+    ) -> Arc<Target> {
         let target = self.contenders.remove(index).target().clone();
         self.history.on_ended(may_have_run);
         self.history.log_failure(&self.context, &target, what, why);
-        record_failure(&self.context, &target);
+        target
     }
 
     /// Makes another attempt beside the newest one, if that one is stalled and another one is allowed.
@@ -316,18 +372,11 @@
             return;
         }
         if let Some(target) = choose_beside(&context, &mut self.history) {
-            newest.log_stall(&context);
-            record_failure(&context, newest.target());
+            self.history.record_failure(&context, newest.target());
             self.begin_at(target);
         }
     }
 
-    /// Adds an answer that is a stream.
-    fn add_stream(&mut self, open: OpenAnswer) {
-        let stream = OpenStream::new(&self.context, open, self.must_follow());
-        self.contenders.push(Contender::Open(Box::new(stream)));
-    }
-
     /// Returns the event that the next attempt must go on after: the last one of this request, or else
     /// that which the caller names.
     fn must_follow(&self) -> Option<String> {
@@ -353,6 +402,7 @@
     /// be resumed, the caller left or the deadline passed.
     async fn begin_again(&mut self) -> bool {
         let context = self.context.clone();
+        let mut was_delay_logged = false;
         while self.can_resume() && !context.deadline.has_passed(context.gateway.now()) {
             if let Some(suspect) = context.quarantined() {
                 log_event!(
@@ -365,30 +415,30 @@
                 );
                 return false;
             }
-            let target = match choose(&context, &self.history) {
-                Ok(target) => target,
-                Err(refusal) => {
-                    log_event!(warn, AttemptFailed, request = context.request_id,
-                        what = "resume", why = %refusal, "a stream cannot be resumed yet");
-                    if !self.wait_for_target().await {
-                        return false;
+            let chosen: Result<_, &'static str> =
+                choose(&context, &self.history).map_err(|refusal| refusal.into());
+            match chosen {
+                Ok(target) if context.try_spend_retry() => {
+                    self.begin_at(target);
+                    return true;
+                }
+                Ok(_) => return false,
+                Err(why) => {
+                    if !std::mem::replace(&mut was_delay_logged, true) {
+                        log_event!(
+                            warn,
+                            AttemptFailed,
+                            request = context.request_id,
+                            what = "resume",
+                            why,
+                            "a stream cannot be resumed yet"
+                        );
                     }
-                    continue;
                 }
-            };
-            if !context.try_spend_retry() {
-                log_event!(
-                    warn,
-                    AttemptFailed,
-                    request = context.request_id,
-                    what = "resume",
-                    why = "the retry budget is used up",
-                    "a stream cannot be resumed"
-                );
+            }
+            if !self.wait_for_target().await {
                 return false;
             }
-            self.begin_at(target);
-            return true;
         }
         false
     }
@@ -433,8 +483,12 @@
         self.record_end("caller-left");
     }
 
-    /// Ends the body without the last chunk, and records the failure.
+    /// Ends the body without the last chunk, and records the failure. A response that has not begun is a
+    /// refusal, which is recorded there.
     fn break_off(self, outcome: &'static str) {
+        if self.head.is_some() {
+            return;
+        }
         log_event!(
             warn,
             RequestFailed,
--- a/tests/gateway/silent_upstreams.rs
+++ b/tests/gateway/silent_upstreams.rs
@@ -73,6 +73,11 @@
     pause_ms(BEGIN_MS);
     change(&site);
     check_whole(senders);
+    let metrics = site.metrics(0);
+    assert!(
+        metrics.contains("attempts_stalled"),
+        "no stream was silent for too long"
+    );
 }
 
 /// Defines tests of slow streams: name, what changes at the upstreams once they have begun.
