A stream that broke off waits for the retry budget

Callers got a stream that was cut seconds before its deadline although upstreams were left, because the retry budget allowed no retry at that moment. A stream without an upstream waited for one to become available, but not for the budget, whose window moves on. It waits for both now, until the deadline.

--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -415,14 +415,18 @@
                 );
                 return false;
             }
-            let chosen: Result<_, &'static str> =
-                choose(&context, &self.history).map_err(|refusal| refusal.into());
+            let chosen = match choose(&context, &self.history) {
+                // Retries become available again as time passes.
+                Ok(_) if !context.can_spend_retry() => Err("the retry budget is used up"),
+                Ok(target) => Ok(target),
+                Err(refusal) => Err(refusal.into()),
+            };
             match chosen {
                 Ok(target) if context.try_spend_retry() => {
                     self.begin_at(target);
                     return true;
                 }
-                Ok(_) => return false,
+                Ok(_) => {}
                 Err(why) => {
                     if !std::mem::replace(&mut was_delay_logged, true) {
                         log_event!(
--- a/tests/gateway/contending_attempts.rs
+++ b/tests/gateway/contending_attempts.rs
@@ -251,3 +251,23 @@
     assert_eq!(site.platform.runs.of(ID).len(), 1);
     assert_eq!(counter(&site, "jacinthpoint_attempts_failed", ""), 0);
 }
+
+/// Guards against streams that are cut although a sound upstream is left and their deadline is seconds away: a retry
+/// was spent on an upstream that refused while the stream was silent, and none is allowed for a moment.
+#[test]
+fn stream_goes_on_once_the_retry_budget_allows_it() {
+    let site = Site::start_with_settings(1, "[repeats]\nratio = 0\nslack = 2\nwindow_ms = 1500\n");
+    let engines = &site.platform.engines;
+    engines.set_stream(EVENTS, EVENT_MS);
+    let (sender, first) = begin_stream(&site);
+    engines.set_request_fault(RequestFault::Refuses);
+    engines.set_paused(&first, true);
+    site.wait_until("another attempt is refused", LIMIT_MS, |site| {
+        counter(site, "jacinthpoint_attempts_failed", "not-run") > 0
+    });
+    engines.set_request_fault(RequestFault::None);
+    engines.set_paused(&first, false);
+    pause_ms(BEGIN_MS);
+    engines.set_fault(&first, EngineFault::Dead);
+    check_whole(sender);
+}
