--- a/crates/dispatch/src/load/choice.rs
+++ b/crates/dispatch/src/load/choice.rs
@@ -31,7 +31,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Refusal {
-    /// There is no target, or each has failed this request, is suspended, stalled or ejected.
+    /// There is no target, or each was tried for this request, is suspended, stalled or ejected.
     NoTarget,
     /// All usable targets want no requests for a time.
     Paused,
@@ -48,8 +48,8 @@
 pub struct Selection<'a> {
     /// Targets that serve the service and model of the request.
     pub targets: &'a [Arc<Target>],
-    /// Targets at which an earlier attempt of this request failed; they are not chosen again.
-    pub failed: &'a [TargetKey],
+    /// Targets at which an earlier attempt of this request was made; they are not chosen again.
+    pub tried: &'a [TargetKey],
     /// Number of waiting requests at which a target is full, as a fraction of its slots.
     pub queue_share: f64,
     /// What the request asks of a group; `None` for plain services and for requests without a
@@ -94,7 +94,7 @@
     ) -> Result<Arc<Target>, Refusal> {
         let Selection {
             targets,
-            failed,
+            tried,
             queue_share,
             prompt,
             is_wait_limited,
@@ -104,7 +104,7 @@
         let keys: Vec<TargetKey> = targets.iter().map(|target| target.key.clone()).collect();
         let usable = self.ejector.usable(&keys, now);
         let is_usable = |target: &&Arc<Target>| {
-            !failed.contains(&target.key)
+            !tried.contains(&target.key)
                 && !self.is_suspended_or_stalled(&target.key, stall_policy, now)
                 && usable.contains(&target.key)
         };
--- a/crates/dispatch/src/stall.rs
+++ b/crates/dispatch/src/stall.rs
@@ -2,9 +2,9 @@
 //!
 //! A group that lost a member still accepts requests but produces no further events. All of its
 //! streams stop at the same time, which distinguishes it from a healthy group in which one request
-//! is queued or preempted. [`StallPolicy`] decides from the times of the last events whether to
-//! keep waiting or to abandon the stream. An engine runs its streams together in passes, and each
-//! stream has an event after each pass.
+//! is queued or preempted. [`StallPolicy`] decides from the times of the last events whether a stream is
+//! stalled, so that another attempt may be made beside it. An engine runs its streams together in passes,
+//! and each stream has an event after each pass.
 
 use jacinthpoint_fleet::{Engine, ModelSpec};
 use jacinthpoint_types::TimeMs;
@@ -101,7 +101,7 @@
 
     /// Checks a request that was sent at `sent_at` and waits for its first event. `group_event_at`
     /// is as in [`StallPolicy::check_stream`]. `is_known_stalled` is set if the group is suspended
-    /// or the reports of all gateways show that it is stalled; the request is then given up after
+    /// or the reports of all gateways show that it is stalled; the request then counts as stalled after
     /// the limit itself instead of a multiple of it.
     pub fn check_waiting(
         self,
--- a/crates/dispatch/tests/passes.rs
+++ b/crates/dispatch/tests/passes.rs
@@ -139,7 +139,7 @@
 ) -> Selection<'a> {
     Selection {
         targets,
-        failed: &[],
+        tried: &[],
         queue_share: 0.35,
         prompt: load.uses_prompts.then_some(demand),
         is_wait_limited: true,
--- a/crates/dispatch/tests/support.rs
+++ b/crates/dispatch/tests/support.rs
@@ -88,7 +88,7 @@
 pub fn selection(targets: &[Arc<Target>]) -> Selection<'_> {
     Selection {
         targets,
-        failed: &[],
+        tried: &[],
         queue_share: 0.35,
         prompt: None,
         is_wait_limited: false,
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -204,7 +204,7 @@
     }
     let selection = Selection {
         targets: &candidates,
-        failed: &history.tried_targets,
+        tried: &history.tried_targets,
         queue_share,
         prompt: context.prompt_demand(),
         // A request that may have run is late already, and refusing it would be worse.
