--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -22,5 +22,6 @@
 mod recovery;
 mod requests;
 mod serving;
+mod silent_engines;
 mod soak;
 mod upstreams;
