A node keeps a silent attempt until another one has sent a token

Callers of a node got the outcome unknown although the engine that had their request went on before their deadline: a VM of its group had been paused for longer than a permit is valid. After a second of silence the node resumed the stream, found that the permit had gone or that the engine did not answer, and cancelled the attempt. A call that may not run again ended there; one that may had to be run by another group, and ended at its deadline if that one failed.

Only what proves that an attempt will not go on ends it now: an answer of the engine that it does not hold it, an address where nothing listens, or another assignment of its group. A silent attempt is kept otherwise. Another group is looked for as before, if the call may run again, and the silent attempt is cancelled once that group has sent a token; it is resumed if the other one fails, none is left, or no retry is allowed. A permit is the right to start work: reading on starts none. A call that may not run again is still sent once.

A marked call at a group whose VM stays dark without a new assignment now ends as unknown at its deadline, and not after three resumptions.

--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -24,6 +24,7 @@
 mod gate;
 mod idempotency;
 mod limits;
+mod resume;
 mod retry;
 mod select;
 mod service;
--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -1,8 +1,11 @@
 //! Runs model calls. The group that generates an answer may fail while it does. The answer is then
 //! continued on another group, if the request may run more than once, and the caller sees one
 //! uninterrupted answer.
+//!
+//! A group that is silent may go on. Its attempt is therefore kept until another one has sent a token, and
+//! resumed if there is no other one.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 use jacinthpoint_readiness::Permit;
 use jacinthpoint_records::Config;
@@ -22,8 +25,9 @@
         gate::{AttemptSlot, Rejection, start_without_queue, wait_in_queue},
         idempotency::{self, KeyCheck},
         limits::{self, max_tokens, retry_after_s},
+        resume::{KeptAttempt, ResumeError, may_go_on, resume_stream},
         retry,
-        select::wait_for_group,
+        select::{CAPACITY_WAIT_MS, choose_group, wait_for_group},
     },
     events::log_event,
     http::{HttpRequest, Responder},
@@ -36,12 +40,11 @@
 /// A stream that delivers nothing for this long is resumed on a new connection.
 const STALL_TIMEOUT_MS: u64 = 1_000;
 /// Maximum number of failures of an attempt's stream without a token in between. After one more,
-/// the attempt counts as lost.
+/// another group is looked for.
 const MAX_STREAM_FAILURES: u32 = 2;
-/// Pause between searches for a group for a request that may have run.
+/// Pause between searches for a group for a request that may have run, and before a silent attempt is
+/// resumed again.
 const NO_GROUP_PAUSE_MS: u64 = 100;
-/// Time limit for cancelling an attempt on an engine.
-const CANCEL_TIMEOUT_MS: u64 = 300;
 
 /// Runs a model call and writes its answer.
 ///
@@ -74,10 +77,14 @@
         first_token_at: None,
         token_gaps: TokenGaps::new(&shared.metrics, &context.organisation, context.priority),
         failed_groups: BTreeSet::new(),
+        kept: VecDeque::new(),
+        reconsider_failed_at: None,
+        last_failure: None,
         slot: None,
         retry_after_s: None,
     };
     let ending = run.run_attempts();
+    run.cancel_kept();
     run.record_metrics(&ending);
     // Before the end of the answer, after which the caller may read the metrics.
     run.token_gaps.flush();
@@ -101,6 +108,8 @@
     NotRun(Unstarted, Failure),
     /// The attempt may have run, and its stream is lost.
     Lost(Lost),
+    /// The attempt is silent and may go on. It is in [`CompletionRun::kept`].
+    Silent(Lost),
     /// The request ended with this attempt, answered or not.
     Ended(Ending),
 }
@@ -117,6 +126,12 @@
     first_token_at: Option<TimeMs>,
     token_gaps: TokenGaps<'a>,
     failed_groups: BTreeSet<GroupId>,
+    /// Silent attempts, in the order in which they are resumed if no other group takes the request.
+    kept: VecDeque<KeptAttempt>,
+    /// Time from which the groups that failed are candidates again while attempts are kept.
+    reconsider_failed_at: Option<TimeMs>,
+    /// The failure after which no other attempt may be made; only the kept ones may go on.
+    last_failure: Option<Failure>,
     slot: Option<AttemptSlot<'a>>,
     /// `Retry-After` from the gate's last rejection.
     retry_after_s: Option<u32>,
@@ -132,7 +147,7 @@
 
     /// Attempts the call on one group after the other, until it ends.
     fn run_attempts(&mut self) -> Ending {
-        // No attempt is in progress while the state is `Unstarted`.
+        // While the state is `Unstarted`, no attempt but those in `kept` is in progress.
         let mut state = Unstarted::Accepted(Accepted::new());
         let model = self.call.deployment.model_ref();
         let target = self.call.deployment.name.as_str();
@@ -145,8 +160,25 @@
             if self.context.deadline.has_passed(self.shared.now()) {
                 return state.give_up(ResultCode::DeadlinePassed);
             }
+            if self.kept.is_empty()
+                && let Some(failure) = self.last_failure
+            {
+                return retry::give_up(state, failure);
+            }
             let permit = match self.next_permit(&model) {
                 Ok(permit) => permit,
+                Err(_) if let Some(kept) = self.kept.pop_front() => {
+                    let end = self.resume_kept(kept, &model, state.resume());
+                    self.slot = None;
+                    state = match end {
+                        AttemptResult::Ended(ending) => return ending,
+                        AttemptResult::NotRun(unstarted, _) => unstarted,
+                        AttemptResult::Lost(lost) | AttemptResult::Silent(lost) => {
+                            Unstarted::Lost(lost)
+                        }
+                    };
+                    continue;
+                }
                 Err(_) if self.may_wait_for_group(&state) => {
                     // A request that may have run waits for a group until its deadline. Groups on
                     // which it failed may be repaired by then, so they are candidates again.
@@ -167,16 +199,16 @@
                     attempt_failure = failure;
                     unstarted
                 }
-                AttemptResult::Lost(lost) if self.call.repeatable => {
+                AttemptResult::Lost(lost) | AttemptResult::Silent(lost) => {
                     attempt_failure = Failure::Lost;
-                    // No attempt is in progress, but this one may have run.
+                    // This attempt may have run.
                     Unstarted::Lost(lost)
                 }
-                AttemptResult::Lost(lost) => return lost.give_up(ResultCode::UpstreamFailed),
             };
             self.failed_groups.insert(permit.assignment.group);
-            if !self.may_retry(attempt_failure) {
-                return retry::give_up(state, attempt_failure);
+            let is_final = matches!(state, Unstarted::Lost(_)) && !self.call.repeatable;
+            if is_final || !self.may_retry(attempt_failure) {
+                self.last_failure = Some(attempt_failure);
             }
         }
     }
@@ -189,10 +221,59 @@
         may_have_run && !self.responder.caller_has_disconnected()
     }
 
+    /// Goes on with a silent attempt, after a pause.
+    fn resume_kept(
+        &mut self,
+        kept: KeptAttempt,
+        model: &ModelRef,
+        state: Dispatched,
+    ) -> AttemptResult {
+        self.shared.sleep_ms(NO_GROUP_PAUSE_MS);
+        let now = self.shared.now();
+        let reconsider_at = self
+            .reconsider_failed_at
+            .get_or_insert(now.plus_ms(CAPACITY_WAIT_MS));
+        if now >= *reconsider_at {
+            self.reconsider_failed_at = None;
+            self.failed_groups.clear();
+        }
+        let KeptAttempt { permit, attempt } = kept;
+        let _in_flight = self.shared.enter_group(&permit.assignment.group);
+        self.slot = Some(start_without_queue(
+            self.shared,
+            self.context,
+            model,
+            &permit,
+        ));
+        // One failure more, and another group is looked for again.
+        let failures = MAX_STREAM_FAILURES;
+        self.relay(&permit, attempt, Err(StreamError::Stalled), failures, state)
+    }
+
+    /// Returns a group for another attempt while the request has silent attempts, if there is one. The
+    /// groups of these attempts and of `own` are not chosen.
+    fn other_group(&self, model: &ModelRef, own: Option<&GroupId>) -> Option<Permit> {
+        if self.last_failure.is_some() {
+            return None;
+        }
+        let silent = self.kept.iter().map(|kept| &kept.permit.assignment.group);
+        let excluded = self.failed_groups.iter().chain(silent).chain(own);
+        choose_group(self.shared, model, &excluded.cloned().collect())
+    }
+
+    /// Cancels the silent attempts, since another one is used or the request has ended.
+    fn cancel_kept(&mut self) {
+        for kept in self.kept.drain(..) {
+            kept.cancel();
+        }
+    }
+
     /// Returns the permit for the next attempt's group. The attempt bypasses the queue if a group
-    /// has failed the request or tokens were received.
+    /// has failed the request or tokens were received. While attempts are kept, fails at once if no
+    /// other group is usable.
     fn next_permit(&mut self, model: &ModelRef) -> Result<Permit, Rejection> {
-        if self.failed_groups.is_empty() && self.received_tokens.is_empty() {
+        let is_first = self.failed_groups.is_empty() && self.kept.is_empty();
+        if is_first && self.received_tokens.is_empty() {
             // A keyed request continues without its caller, since a resend may ask for its answer.
             let caller_has_disconnected =
                 || !self.call.is_keyed && self.responder.caller_has_disconnected();
@@ -207,7 +288,11 @@
             self.slot = Some(slot);
             return Ok(permit);
         }
-        let permit = wait_for_group(self.shared, self.context, model, &self.failed_groups);
+        let permit = if self.kept.is_empty() {
+            wait_for_group(self.shared, self.context, model, &self.failed_groups)
+        } else {
+            self.other_group(model, None)
+        };
         let permit = permit.ok_or(Rejection {
             code: ResultCode::NoCapacity,
             wait_ms: 0,
@@ -268,7 +353,7 @@
             stall_timeout_ms,
         );
         match started {
-            Ok(stream) => self.relay(permit, attempt, Ok(stream), state),
+            Ok(stream) => self.relay(permit, attempt, Ok(stream), 0, state),
             Err(error) if error.is_not_run() => {
                 self.log_failure(permit, &error);
                 if self.is_still_permitted(permit) {
@@ -281,7 +366,7 @@
             // An engine may send its response head only with the first token, so it may hold the
             // attempt although no response came in time.
             Err(StartError::NoAnswer { .. }) => {
-                self.relay(permit, attempt, Err(StreamError::Stalled), state)
+                self.relay(permit, attempt, Err(StreamError::Stalled), 0, state)
             }
             Err(_) => AttemptResult::Lost(state.lost()),
         }
@@ -296,15 +381,15 @@
     }
 
     /// Passes tokens to the caller until the answer is complete. Resumes a stalled or broken
-    /// stream.
+    /// stream. `failures` is the number of failures since the last token.
     fn relay(
         &mut self,
         permit: &Permit,
         attempt: AttemptId,
         mut stream: Result<TokenStream, StreamError>,
+        mut failures: u32,
         state: Dispatched,
     ) -> AttemptResult {
-        let mut failures = 0;
         loop {
             let next = match &mut stream {
                 Ok(stream) => stream.next_event(),
@@ -324,6 +409,7 @@
                     if !self.on_token(token) && !self.call.is_keyed {
                         return self.abort(permit, attempt, state, ResultCode::UpstreamFailed);
                     }
+                    self.cancel_kept();
                 }
                 // The answer is complete; only the end marker of its stream is missing.
                 Err(_) if self.finish_reason.is_some() => {
@@ -334,17 +420,25 @@
                 }
                 Err(error) => {
                     self.log_failure(permit, &error);
-                    stream = self.resume(permit, attempt, &error);
+                    let resumed = self.resume(permit, attempt, &error);
                     // A stalled attempt that can be resumed is assumed to wait in the engine's
                     // queue, which is not a failure.
-                    let is_queued = error == StreamError::Stalled && stream.is_ok();
+                    let is_queued = error == StreamError::Stalled && resumed.is_ok();
                     failures += u32::from(!is_queued);
-                    // `resume` returns `Malformed` if the attempt can no longer be resumed.
-                    let is_lost = matches!(stream, Err(StreamError::Malformed { .. }));
-                    if is_lost || failures > MAX_STREAM_FAILURES {
-                        self.cancel(permit, attempt);
+                    let has_failed = failures > MAX_STREAM_FAILURES;
+                    let is_lost = match &resumed {
+                        Ok(_) => false,
+                        Err(error) => error.is_lost(has_failed),
+                    };
+                    if is_lost {
+                        KeptAttempt::new(permit, attempt).cancel();
                         return AttemptResult::Lost(state.lost());
                     }
+                    if has_failed || self.can_be_replaced(permit) {
+                        self.kept.push_back(KeptAttempt::new(permit, attempt));
+                        return AttemptResult::Silent(state.lost());
+                    }
+                    stream = resumed.map_err(ResumeError::into_stream_error);
                 }
             }
             if self.context.deadline.has_passed(self.shared.now()) {
@@ -353,6 +447,16 @@
         }
     }
 
+    /// Returns whether the group of an attempt may no longer be used, and another one may take the request.
+    fn can_be_replaced(&self, permit: &Permit) -> bool {
+        let assignment = &permit.assignment;
+        self.call.repeatable
+            && !self.is_still_permitted(permit)
+            && self
+                .other_group(&assignment.model, Some(&assignment.group))
+                .is_some()
+    }
+
     /// Cancels the attempt and ends the request with `code`.
     fn abort(
         &self,
@@ -361,47 +465,32 @@
         state: Dispatched,
         code: ResultCode,
     ) -> AttemptResult {
-        self.cancel(permit, attempt);
+        KeptAttempt::new(permit, attempt).cancel();
         AttemptResult::Ended(state.lost().give_up(code))
     }
 
-    /// Resumes the attempt on a new connection.
-    ///
-    /// # Errors
-    ///
-    /// `Malformed` means that the attempt can no longer be resumed; after other errors `resume`
-    /// may be called again.
+    /// Resumes the attempt on a new connection, after its stream ended with `error`.
     fn resume(
         &self,
         permit: &Permit,
         attempt: AttemptId,
         error: &StreamError,
-    ) -> Result<TokenStream, StreamError> {
-        let lost = |message: &str| StreamError::Malformed {
-            message: message.to_owned(),
-        };
-        if matches!(error, StreamError::Malformed { .. }) {
-            return Err(error.clone());
+    ) -> Result<TokenStream, ResumeError> {
+        if let StreamError::Malformed { message } = error {
+            return Err(ResumeError::Lost(message.clone()));
+        }
+        if !may_go_on(self.shared, permit) {
+            return Err(ResumeError::Lost("the group has changed".to_owned()));
         }
-        let leader = permit.assignment.leader();
-        let leader = leader.filter(|_| self.is_still_permitted(permit));
-        let leader = leader.ok_or_else(|| lost("the group may no longer be used"))?;
         // In tokens of the whole answer, including those sent in `continue_from`.
         let offset = self.received_tokens.len() as u64;
-        let stall_timeout_ms = self.stall_timeout_ms();
-        let resumed = jacinthpoint_upstream::resume(
-            leader.address,
+        resume_stream(
+            permit,
             attempt,
             offset,
             CONNECT_TIMEOUT_MS,
-            stall_timeout_ms,
-        );
-        resumed.map_err(|error| match error {
-            StartError::Refused { .. } => lost("the engine no longer holds the attempt"),
-            StartError::NotSent { message } | StartError::NoAnswer { message } => {
-                StreamError::Broken { message }
-            }
-        })
+            self.stall_timeout_ms(),
+        )
     }
 
     /// Returns whether the node still holds a permit for the same assignment of the group.
@@ -420,14 +509,6 @@
         left_ms.clamp(1, STALL_TIMEOUT_MS)
     }
 
-    fn cancel(&self, permit: &Permit, attempt: AttemptId) {
-        if let Some(leader) = permit.assignment.leader() {
-            // Errors are ignored: if the leader cannot be reached because the group is lost, the
-            // engine ends the attempt itself once the group's assignment changes.
-            let _ = jacinthpoint_upstream::cancel(leader.address, attempt, CANCEL_TIMEOUT_MS);
-        }
-    }
-
     /// Records a token and, for a streamed answer, writes it to the caller. Returns `false` if the
     /// write failed because the caller has disconnected.
     fn on_token(&mut self, token: TokenEvent) -> bool {
--- a/crates/node/src/caller/select.rs
+++ b/crates/node/src/caller/select.rs
@@ -41,7 +41,11 @@
 }
 
 /// Chooses a group that is usable now and not among `failed`, those that failed this request.
-fn choose_group(shared: &Shared, model: &ModelRef, failed: &BTreeSet<GroupId>) -> Option<Permit> {
+pub(crate) fn choose_group(
+    shared: &Shared,
+    model: &ModelRef,
+    failed: &BTreeSet<GroupId>,
+) -> Option<Permit> {
     let permits = usable_permits(shared, model);
     let untried = permits
         .iter()
--- a/crates/routing/src/lifecycle.rs
+++ b/crates/routing/src/lifecycle.rs
@@ -102,7 +102,8 @@
         }
     }
 
-    /// Marks the attempt as lost: it may have run, and its answer will not be received.
+    /// Marks the attempt as lost: it may have run, and its answer is not received unless it is
+    /// resumed.
     pub fn lost(self) -> Lost {
         Lost(())
     }
@@ -133,6 +134,12 @@
         }
     }
 
+    /// Marks an attempt that was sent before as in progress again: its answer is read on, and nothing is
+    /// sent.
+    pub fn resume(self) -> Dispatched {
+        Dispatched { was_lost: true }
+    }
+
     /// Ends the request as not run, or with its outcome unknown if an earlier attempt may have run.
     pub fn give_up(self, code: ResultCode) -> Ending {
         match self {
