Idle connections are closed only once a new one has opened

A request that must not run twice uses no connection that was idle for longer than 250 ms. The pool closed all such connections to the target before it opened a new one. If that failed, as while an upstream accepts no connections and serves those that are open, the requests that could have used them were refused with 503.

They are closed once the new connection is open, as many as before, and stay otherwise.

Evidence: idle_connection_is_kept_if_no_new_one_can_be_opened failed before (503 in place of 200) and passes.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -54,7 +54,7 @@
     /// Returns an idle connection to the target, or opens one within `timeout_ms`.
     ///
     /// If the request must not be retried, an idle connection is used only if it has been idle for
-    /// a short time.
+    /// a short time. Those that were idle for longer are closed once another one is open.
     pub(crate) async fn checkout(
         &self,
         target: &Target,
@@ -69,6 +69,9 @@
             });
         }
         let connection = Connection::open(target.address, timeout_ms).await?;
+        if !may_retry {
+            self.close_long_idle(&target.key, now);
+        }
         Ok(Checkout {
             connection,
             is_new: true,
@@ -76,21 +79,32 @@
     }
 
     /// Removes and returns the most recently used connection that is usable for this request.
-    /// Closes every more recently used one, or all if none is usable.
+    /// Closes those before it that no request can use, but none that only this request cannot use.
     fn take_idle(&self, key: &TargetKey, may_retry: bool, now: TimeMs) -> Option<Connection> {
         let mut by_target = self.idle.borrow_mut();
         let connections = by_target.get_mut(key)?;
-        while let Some(candidate) = connections.pop() {
+        while let Some(newest) = connections.last() {
+            let is_usable = newest.connection.is_ready() && !newest.until.has_passed(now);
             let is_recent_enough =
-                may_retry || now.since_ms(candidate.idle_since) <= MAX_IDLE_WITHOUT_RETRY_MS;
-            let is_usable = candidate.connection.is_ready() && !candidate.until.has_passed(now);
-            if is_recent_enough && is_usable {
-                return Some(candidate.connection);
+                may_retry || now.since_ms(newest.idle_since) <= MAX_IDLE_WITHOUT_RETRY_MS;
+            if is_usable && !is_recent_enough {
+                return None;
+            }
+            let newest = connections.pop()?;
+            if is_usable {
+                return Some(newest.connection);
             }
         }
         None
     }
 
+    /// Closes connections to a target that requests that must not be retried cannot use.
+    fn close_long_idle(&self, key: &TargetKey, now: TimeMs) {
+        if let Some(connections) = self.idle.borrow_mut().get_mut(key) {
+            connections.retain(|idle| now.since_ms(idle.idle_since) <= MAX_IDLE_WITHOUT_RETRY_MS);
+        }
+    }
+
     /// Adds a connection whose last response was read to its end, as soon as it is ready for
     /// another request. `fields` are the headers of the last response, which limit the idle time.
     ///
--- a/tests/gateway/store_view.rs
+++ b/tests/gateway/store_view.rs
@@ -69,7 +69,7 @@
 
 /// Returns a socket that is bound and does not listen, and its port of five digits as text. While the
 /// socket exists, no other test gets the port.
-fn closed_port() -> (Socket, String) {
+pub fn closed_port() -> (Socket, String) {
     loop {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is available");
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -8,7 +8,8 @@
     time::{Duration, Instant},
 };
 
-use jacinthpoint_platform_standins::{PlainFault, RequestLimits};
+use jacinthpoint_adapter::paths;
+use jacinthpoint_platform_standins::{PlainFault, PlainService, RequestLimits};
 use serde_json::json;
 
 use crate::gateway::{
@@ -16,6 +17,7 @@
     caller::{Answer, End, Request, join_all},
     pause_ms,
     site::{KEY, ROUTE_TIMEOUT_MS, Site, gateway_name},
+    store_view::closed_port,
 };
 
 /// Time from which requests at a partitioned gateway have to be served.
@@ -331,3 +333,31 @@
     let statuses = join_all(senders.collect::<Vec<_>>());
     assert_eq!(statuses, [503; SENDERS]);
 }
+
+/// Longer than the idle time of a connection that a request that must not run twice may use.
+const IDLE_MS: u64 = 400;
+
+/// Guards against open connections that are given up for a request that needs a new one, before it has opened:
+/// the requests that could have used them are not served while no new one can be opened.
+#[test]
+fn idle_connection_is_kept_if_no_new_one_can_be_opened() {
+    let site = Site::start(1);
+    let address = site.gateway(0);
+    let again = |id: &str| Request {
+        path: "/again/",
+        ..Request::stream(id)
+    };
+    assert_eq!(again("first").send(address).status, 200);
+    pause_ms(IDLE_MS);
+    let store = &site.platform.store;
+    let entry = store.get_content(paths::UPSTREAM_KIND, PlainService::ID);
+    let mut entry = entry.expect("it is registered");
+    let (_closed, port) = closed_port();
+    entry["addr"] = json!(format!("127.0.0.1:{port}"));
+    store.put(paths::UPSTREAM_KIND, PlainService::ID, entry);
+    pause_ms(IDLE_MS);
+    assert_ne!(Request::once("new").send(address).status, 200);
+    assert!(site.platform.runs.of("new").is_empty());
+    let answer = again("idle").send(address);
+    assert_eq!((answer.status, answer.end), (200, End::Whole));
+}
