Log the end of a caller's connection while a request has no whole answer

Event 750 says why a connection ended, but only at level debug, and not whose answer was open.

Event 755, at level WARN, has the request's id, what was awaited (head, body, answer, end of the answer, or the writing of it), what ended the connection, the bytes written, and the time since the last one. It is written as the request's guard is dropped, however its task ended, so that no way out of the handler can miss it; a head that did not come whole, and an answer that was complete but not read, are logged at the end of the connection. Connections that end in order leave no line. The counter `answers_unfinished` counts the lines.

Evidence: gateway::caller_ends, 7 tests of real processes; all but the last one fail without the event, as nothing counts such ends.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -314,7 +314,7 @@
 }
 
 /// Returns the id that the caller sent for a request; empty if it sent none.
-fn request_id(fields: &HeaderMap) -> String {
+pub(crate) fn request_id(fields: &HeaderMap) -> String {
     // Despite its name, the header holds one id for all attempts of the request.
     let id = fields.get(headers::ATTEMPT_ID);
     let id = id.and_then(|id| id.to_str().ok());
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -7,8 +7,9 @@
 //! beforehand, by `Connection: close` in the answers of a gateway that stops.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     convert::Infallible,
+    io,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -18,7 +19,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
-    Request, Response, Version,
+    Method, Request, Response, Version,
     body::{Body, Frame, Incoming, SizeHint},
     header::{self, HeaderValue},
     server::conn::http1,
@@ -78,6 +79,48 @@
     Request,
 }
 
+/// What of a request or its answer was awaited when its connection ended, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+enum Awaited {
+    /// The rest of the request's head.
+    Head,
+    /// The rest of the request's body.
+    Body,
+    /// The beginning of the answer.
+    Answer,
+    /// The end of the answer, which had begun.
+    EndOfAnswer,
+    /// The end of the answer, all of which was there, while the caller did not read.
+    Writing,
+}
+
+/// First event on a connection that ends it before an answer is whole, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(super) enum EndCause {
+    /// The caller ended its sending side, and was considered gone.
+    CallerEnded,
+    /// Reading failed, as after a reset.
+    ReadFailed(io::ErrorKind),
+    /// Writing failed, as after a reset.
+    WriteFailed(io::ErrorKind),
+    /// The caller read nothing of its answer for too long.
+    CallerStalled,
+    /// The body of the answer was aborted; another event of the request says why.
+    AnswerAborted,
+}
+
+impl EndCause {
+    /// Returns the kind of the I/O error, if there was one.
+    fn error_kind(self) -> Option<io::ErrorKind> {
+        match self {
+            EndCause::ReadFailed(kind) | EndCause::WriteFailed(kind) => Some(kind),
+            EndCause::CallerEnded | EndCause::CallerStalled | EndCause::AnswerAborted => None,
+        }
+    }
+}
+
 /// State of a caller's connection, shared by its I/O and its requests.
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
@@ -87,6 +130,16 @@
     pub(crate) is_surplus: bool,
     requests: Cell<u64>,
     stage: Cell<Stage>,
+    /// Id of the current or last request; empty if the caller sent none.
+    request_id: RefCell<String>,
+    /// Time at which the head of that request had arrived.
+    request_began_at: Cell<TimeMs>,
+    /// Number of bytes that were written since then.
+    written_bytes: Cell<u64>,
+    /// Time of the last byte that was written.
+    written_at: Cell<Option<TimeMs>>,
+    /// What ends the connection before the current answer is whole, if anything has happened that does.
+    end_cause: Cell<Option<EndCause>>,
     /// Whether the body of the current request was read to its end.
     is_body_read: Cell<bool>,
     /// Whether bytes were read since then.
@@ -128,6 +181,11 @@
             is_surplus,
             requests: Cell::new(0),
             stage: Cell::new(Stage::Idle),
+            request_id: RefCell::default(),
+            request_began_at: Cell::new(now),
+            written_bytes: Cell::new(0),
+            written_at: Cell::new(None),
+            end_cause: Cell::new(None),
             is_body_read: Cell::new(true),
             has_read_ahead: Cell::new(false),
             has_unframed_streams: Cell::new(false),
@@ -203,10 +261,14 @@
         }
     }
 
-    /// Records that bytes were written.
-    pub(super) fn on_written(&self) {
+    /// Records that this number of bytes was written.
+    pub(super) fn on_written(&self, bytes: usize) {
         let now = self.gateway.now();
         self.progress_at.set(now);
+        self.written_at.set(Some(now));
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.written_bytes
+            .set(self.written_bytes.get().saturating_add(bytes));
         self.is_write_blocked.set(false);
         if self.ended_at.get().is_some() {
             let first_at = self.first_write_after_end_at.get().unwrap_or(now);
@@ -222,6 +284,12 @@
         self.is_write_blocked.set(true);
     }
 
+    /// Records what ends the connection, unless something else has before.
+    pub(super) fn on_end_cause(&self, cause: EndCause) {
+        self.end_cause
+            .set(Some(self.end_cause.get().unwrap_or(cause)));
+    }
+
     /// Records that the caller has ended its sending side; returns whether the connection stays open for
     /// its answer.
     pub(super) fn on_end_of_bytes(&self) -> bool {
@@ -362,13 +430,21 @@
     /// Records that the head of a request has arrived. The request ends when the guard is dropped.
     fn begin_request(self: &Rc<Self>, request: &Request<Incoming>) -> RequestGuard {
         self.requests.set(self.requests.get() + 1);
+        self.request_id.replace(call::request_id(request.headers()));
+        self.request_began_at.set(self.gateway.now());
+        self.written_bytes.set(0);
+        self.end_cause.set(None);
         self.stage.set(Stage::Request);
         self.is_body_read.set(request.body().is_end_stream());
         self.has_unframed_streams
             .set(request.version() < Version::HTTP_11);
         self.has_read_ahead.set(false);
         self.has_answer_begun.set(false);
-        RequestGuard(self.clone())
+        RequestGuard {
+            connection: self.clone(),
+            is_whole: false,
+            has_body: request.method() != Method::HEAD,
+        }
     }
 
     /// Answers a request. The connection ends after the answer if the answer says so, or this gateway stops,
@@ -399,10 +475,46 @@
             // Otherwise, the HTTP library adds `keep-alive` if a caller of HTTP/1.0 has asked for it.
             *response.version_mut() = version;
         }
-        response.map(|body| TrackedBody {
-            body,
-            _guard: guard,
-        })
+        response.map(|body| TrackedBody { body, guard })
+    }
+
+    /// Logs that the connection ends while a request has no whole answer.
+    fn log_unfinished(&self, awaited: Awaited) {
+        let now = self.gateway.now();
+        let cause = self.end_cause.get();
+        let is_read = awaited != Awaited::Head;
+        (self.gateway.metrics).count("answers_unfinished", &awaited.to_string());
+        log_event!(
+            warn,
+            AnswerUnfinished,
+            request = is_read.then(|| self.request_id.borrow().clone()),
+            %awaited,
+            why = cause.map(|cause| cause.to_string()),
+            error = cause.and_then(EndCause::error_kind).map(|kind| kind.to_string()),
+            elapsed_ms = is_read.then(|| now.since_ms(self.request_began_at.get())),
+            written_bytes = is_read.then(|| self.written_bytes.get()),
+            since_written_ms = self.written_at.get().map(|at| now.since_ms(at)),
+            half_closed_ms = self.ended_at.get().map(|at| now.since_ms(at)),
+            requests = self.requests.get(),
+            is_stopping = self.phase() != Phase::Serving,
+            "a caller's connection ends while a request has no whole answer"
+        );
+    }
+
+    /// Logs what of a request or an answer is left at the end of the connection, if its request is not open
+    /// any more or was not read.
+    fn log_rest(&self) {
+        let has_write_ended = matches!(
+            self.end_cause.get(),
+            Some(EndCause::WriteFailed(_) | EndCause::CallerStalled)
+        );
+        match self.stage.get() {
+            Stage::Head(_) => self.log_unfinished(Awaited::Head),
+            Stage::Idle if self.is_write_blocked.get() || has_write_ended => {
+                self.log_unfinished(Awaited::Writing);
+            }
+            Stage::Idle | Stage::Request => {}
+        }
     }
 
     /// Records that a request's answer has been handed to the HTTP library, or that it gets none.
@@ -419,19 +531,42 @@
     }
 }
 
-/// Marks the connection as waiting for the next request when dropped.
-struct RequestGuard(Rc<CallerConnection>);
+/// Marks the connection as waiting for the next request when dropped, and logs a request that has no whole
+/// answer then, however its task ended.
+struct RequestGuard {
+    connection: Rc<CallerConnection>,
+    /// Whether the whole answer was handed to the HTTP library.
+    is_whole: bool,
+    /// Whether the answer has a body on the wire.
+    has_body: bool,
+}
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.on_request_ended();
+        let connection = &self.connection;
+        let has_begun = connection.has_answer_begun.get();
+        if !self.is_whole && (self.has_body || !has_begun) {
+            connection.log_unfinished(match has_begun {
+                true => Awaited::EndOfAnswer,
+                false if connection.is_body_read.get() => Awaited::Answer,
+                false => Awaited::Body,
+            });
+        }
+        connection.on_request_ended();
     }
 }
 
 /// Body of an answer, until whose end the connection belongs to its request.
 struct TrackedBody {
     body: AnswerBody,
-    _guard: RequestGuard,
+    guard: RequestGuard,
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        // An empty body is not polled, and one of known length not beyond its last byte.
+        self.guard.is_whole |= self.body.is_end_stream();
+    }
 }
 
 impl Body for TrackedBody {
@@ -442,7 +577,15 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AbortedBody>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        match &polled {
+            Poll::Ready(None) => self.guard.is_whole = true,
+            Poll::Ready(Some(Err(AbortedBody))) => {
+                self.guard.connection.on_end_cause(EndCause::AnswerAborted);
+            }
+            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -500,6 +643,7 @@
             break None;
         }
     };
+    connection.log_rest();
     let why = match &result {
         Some(result) => end_reason(&connection, result),
         None => "cut",
--- a/crates/gateway/src/edge/caller_io.rs
+++ b/crates/gateway/src/edge/caller_io.rs
@@ -23,7 +23,10 @@
     net::TcpStream,
 };
 
-use crate::{clock::Clock, edge::caller::CallerConnection};
+use crate::{
+    clock::Clock,
+    edge::caller::{CallerConnection, EndCause},
+};
 
 /// Size of the buffer into which bytes are read that nobody uses.
 const DISCARD_BYTES: usize = 8 * 1_024;
@@ -82,11 +85,14 @@
 
     fn on_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         match &written {
-            Poll::Ready(Ok(_)) => self.connection.on_written(),
-            Poll::Ready(Err(_)) => {}
+            Poll::Ready(Ok(bytes)) => self.connection.on_written(*bytes),
+            Poll::Ready(Err(error)) => {
+                (self.connection).on_end_cause(EndCause::WriteFailed(error.kind()));
+            }
             Poll::Pending => {
                 self.connection.on_write_blocked();
                 if self.connection.has_stalled() {
+                    self.connection.on_end_cause(EndCause::CallerStalled);
                     let error = "the caller reads nothing of its answer";
                     return Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, error)));
                 }
@@ -113,10 +119,14 @@
                 if self.connection.on_end_of_bytes() {
                     Poll::Pending
                 } else {
+                    self.connection.on_end_cause(EndCause::CallerEnded);
                     Poll::Ready(Ok(()))
                 }
             }
-            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Ready(Err(error)) => {
+                (self.connection).on_end_cause(EndCause::ReadFailed(error.kind()));
+                Poll::Ready(Err(error))
+            }
             Poll::Pending if !self.connection.is_to_end() => Poll::Pending,
             Poll::Pending if self.is_readable() => {
                 context.waker().wake_by_ref();
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -109,6 +109,8 @@
     AttemptStalled = 753,
     /// An attempt is given up, since another one of the same request goes on.
     AttemptGivenUp = 754,
+    /// A caller's connection ended while a request had no whole answer.
+    AnswerUnfinished = 755,
 }
 
 impl EventCode {
--- /dev/null
+++ b/tests/gateway/caller_ends.rs
@@ -0,0 +1,85 @@
+//! Callers that end their connection before the answer to their request is whole.
+
+use std::time::Duration;
+
+use jacinthpoint_platform_standins::PlainFault;
+use socket2::SockRef;
+
+use crate::gateway::{caller::Request, kept_caller::KeptCaller, pause_ms, site::Site};
+
+/// Time in which a gateway notices that a caller has ended its connection.
+const NOTICED_MS: u64 = 2_000;
+/// Time after its request at which a caller ends its connection.
+const BEFORE_CLOSE_MS: u64 = 500;
+/// Number of events of a stream, and the time between them.
+const EVENTS: u64 = 30;
+const EVENT_MS: u64 = 100;
+
+/// How a caller ends its connection.
+#[derive(Debug, Clone, Copy)]
+enum Close {
+    InOrder,
+    Reset,
+}
+
+/// Defines tests of callers that end their connection early: name, path, number of bytes of the request that
+/// are sent, how it ends, what of the request or its answer was awaited.
+macro_rules! early_closes {
+    ($($name:ident: $path:literal, $bytes:expr, $close:expr => $awaited:literal,)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let site = Site::start(1);
+                site.platform.plain.set_fault(PlainFault::Slow(EVENTS * EVENT_MS));
+                site.platform.engines.set_stream(EVENTS, EVENT_MS);
+                let text = Request { path: $path, ..Request::stream("left") }.to_text();
+                let bytes: Option<usize> = $bytes;
+                let sent = &text.as_bytes()[..bytes.unwrap_or(text.len())];
+                let mut caller = KeptCaller::new(site.gateway(0));
+                caller.write([sent]).expect("it is connected").expect("it can be written");
+                pause_ms(BEFORE_CLOSE_MS);
+                if let Close::Reset = $close {
+                    let stream = caller.connect().expect("it is open");
+                    let reset = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+                    reset.expect("it can be set");
+                }
+                drop(caller);
+                let counter = format!("answers_unfinished_total{{label=\"{}\"}} 1", $awaited);
+                site.wait_until("the end is counted", NOTICED_MS, |site| {
+                    site.metrics(0).contains(&counter)
+                });
+            }
+        )+
+    };
+}
+
+// Guards against requests whose connection ends before their answer without a line in the log. Each line is
+// counted.
+early_closes! {
+    close_within_the_head_is_logged: "/stream/", Some(40), Close::InOrder => "head",
+    reset_within_the_head_is_logged: "/stream/", Some(40), Close::Reset => "head",
+    reset_before_an_answer_is_logged: "/again/", None, Close::Reset => "answer",
+    reset_before_an_only_answer_is_logged: "/once/", None, Close::Reset => "answer",
+    close_within_a_stream_is_logged: "/stream/", None, Close::InOrder => "end-of-answer",
+    reset_within_a_stream_is_logged: "/stream/", None, Close::Reset => "end-of-answer",
+}
+
+/// Guards against a line in the log for each connection that ends in order.
+#[test]
+fn ends_in_order_are_not_logged() {
+    let site = Site::start(1);
+    let mut caller = KeptCaller::new(site.gateway(0));
+    for (index, path) in ["/stream/", "/once/", "/again/"].into_iter().enumerate() {
+        let request = Request {
+            path,
+            ..Request::stream(&format!("whole-{index}"))
+        };
+        assert_eq!(caller.send(&request).whole().status, 200);
+    }
+    drop(caller);
+    site.wait_until("the connection has ended", NOTICED_MS, |site| {
+        site.metrics(0).contains("connections_open 0")
+    });
+    let metrics = site.metrics(0);
+    assert!(!metrics.contains("answers_unfinished"), "{metrics}");
+}
