Tests of configurations that come while requests run

Streams, requests that must not run twice and repeatable ones, half of them with a body in chunks whose end comes 0.7 s late, run for 3 s while a configuration and SIGHUP come every 150 ms: limits of connections and of sizes, timeouts, attempts, routes that are gone or move, keys that are gone, a service or a model that is gone, a model of another size, other slots and connection limits. All get a whole answer: 200, or 503 without a run where the configuration came before the end of the body and left nothing to send it to. The timeout that counts is the one at the arrival.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -17,6 +17,7 @@
 
 mod caller;
 mod caller_ends;
+mod changes_beside_requests;
 mod crashing_prompts;
 mod crashing_requests;
 mod earlier_builds;
