Streams of half-closed callers go on if their events are far apart

Only two events 0.1 s apart showed that such a caller reads, and none came in time.

Where the answer is in chunks and nothing was written since the caller's end, the gateway now writes the digit 0, and once more at the end of the 0.4 s: the start of the next chunk's size, which may have leading zeros, so that no byte of the body changes. A caller that has left answers the first one by a reset and the second one cannot be written, so that its upstream stops as early as before.

That this acted in the users' record is not shown.

--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -148,6 +148,8 @@
     has_unframed_streams: Cell<bool>,
     /// Whether the answer to the current request has begun.
     has_answer_begun: Cell<bool>,
+    /// Whether the body of that answer is sent in chunks.
+    is_answer_chunked: Cell<bool>,
     /// Notified if the current request is given up because the caller seems to have left.
     given_up: Notify,
     /// Whether the answer is awaited until the deadline, even if the caller seems to have left.
@@ -190,6 +192,7 @@
             has_read_ahead: Cell::new(false),
             has_unframed_streams: Cell::new(false),
             has_answer_begun: Cell::new(false),
+            is_answer_chunked: Cell::new(false),
             given_up: Notify::new(),
             is_kept_without_caller: Cell::new(false),
             deadline: Cell::new(None),
@@ -290,16 +293,42 @@
             .set(Some(self.end_cause.get().unwrap_or(cause)));
     }
 
-    /// Records that the caller has ended its sending side; returns whether the connection stays open for
-    /// its answer.
-    pub(super) fn on_end_of_bytes(&self) -> bool {
-        let now = self.gateway.now();
+    /// Records that the caller has ended its sending side.
+    pub(super) fn on_end_of_bytes(&self) {
         if self.ended_at.get().is_none() {
+            let now = self.gateway.now();
             // It may have arrived while the process did not run.
             let age_ms = self.gateway.pauses.possible_age_ms(now);
             self.ended_at
                 .set(Some(TimeMs(now.0.saturating_sub(age_ms))));
         }
+    }
+
+    /// Returns whether a byte is due that shows whether a caller that has ended its sending side reads the rest
+    /// of its answer. One that has left answers it by a reset, so that the next one cannot be written.
+    ///
+    /// The HTTP library, which writes whole chunks, has nothing left to write, or the write is blocked.
+    pub(super) fn is_probe_due(&self) -> bool {
+        let now = self.gateway.now();
+        let is_open = self.stage.get() == Stage::Request
+            && self.has_answer_begun.get()
+            && self.is_answer_chunked.get()
+            && !self.is_write_blocked.get();
+        let until = self.answer_awaited_until();
+        is_open
+            && !self.is_reading_after_end.get()
+            && match self.first_write_after_end_at.get() {
+                None => true,
+                Some(first_at) => {
+                    until.is_some_and(|until| now >= until)
+                        && now.since_ms(first_at) >= RESET_WAIT_MS
+                }
+            }
+    }
+
+    /// Returns whether the connection stays open for an answer although the caller has ended its sending side.
+    pub(super) fn is_kept_after_end(&self) -> bool {
+        let now = self.gateway.now();
         let Some(until) = self.answer_awaited_until() else {
             return false;
         };
@@ -440,6 +469,7 @@
             .set(request.version() < Version::HTTP_11);
         self.has_read_ahead.set(false);
         self.has_answer_begun.set(false);
+        self.is_answer_chunked.set(false);
         RequestGuard {
             connection: self.clone(),
             is_whole: false,
@@ -460,6 +490,8 @@
         self.has_answer_begun.set(true);
         // A stream may end only after the announcement, when its connection ends at once.
         let is_stream = response.body().size_hint().exact().is_none();
+        let is_chunked = is_stream && guard.has_body && !self.has_unframed_streams.get();
+        self.is_answer_chunked.set(is_chunked);
         let closing_from = if is_stream {
             Phase::Leaving
         } else {
--- a/crates/gateway/src/edge/caller_io.rs
+++ b/crates/gateway/src/edge/caller_io.rs
@@ -31,6 +31,10 @@
 /// Size of the buffer into which bytes are read that nobody uses.
 const DISCARD_BYTES: usize = 8 * 1_024;
 
+/// Start of the size of a chunk. A size may have leading zeros, so this is no part of the body, whatever
+/// chunk follows.
+const CHUNK_SIZE_START: &[u8] = b"0";
+
 /// Byte stream of a caller's connection, as the HTTP library sees it.
 #[derive(Debug)]
 pub(crate) struct CallerIo {
@@ -83,6 +87,23 @@
         SockRef::from(&self.stream).peek(&mut byte).is_ok()
     }
 
+    /// Sends a byte that shows whether a caller that has ended its sending side still reads, if one is due.
+    /// Returns `false` if it cannot be written because the caller has left.
+    fn is_probe_taken(&self) -> bool {
+        if !self.connection.is_probe_due() {
+            return true;
+        }
+        match self.stream.try_write(CHUNK_SIZE_START) {
+            Ok(bytes) => self.connection.on_written(bytes),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => {
+                (self.connection).on_end_cause(EndCause::WriteFailed(error.kind()));
+                return false;
+            }
+        }
+        true
+    }
+
     fn on_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         match &written {
             Poll::Ready(Ok(bytes)) => self.connection.on_written(*bytes),
@@ -115,8 +136,9 @@
                 Poll::Ready(Ok(()))
             }
             Poll::Ready(Ok(())) => {
+                self.connection.on_end_of_bytes();
                 // The connection's task checks again when the wait is over.
-                if self.connection.on_end_of_bytes() {
+                if self.is_probe_taken() && self.connection.is_kept_after_end() {
                     Poll::Pending
                 } else {
                     self.connection.on_end_cause(EndCause::CallerEnded);
--- a/tests/gateway/caller_ends.rs
+++ b/tests/gateway/caller_ends.rs
@@ -1,11 +1,13 @@
 //! Callers that end their connection before the answer to their request is whole.
 
-use std::time::Duration;
+use std::{io::Read, time::Duration};
 
 use jacinthpoint_platform_standins::PlainFault;
 use socket2::SockRef;
 
-use crate::gateway::{caller::Request, kept_caller::KeptCaller, pause_ms, site::Site};
+use crate::gateway::{
+    all_event_ids, caller::Request, kept_caller::KeptCaller, pause_ms, site::Site,
+};
 
 /// Time in which a gateway notices that a caller has ended its connection.
 const NOTICED_MS: u64 = 2_000;
@@ -83,3 +85,50 @@
     let metrics = site.metrics(0);
     assert!(!metrics.contains("answers_unfinished"), "{metrics}");
 }
+
+/// Number of events of a slow stream, and the time between them.
+const SLOW_EVENTS: u64 = 6;
+const SLOW_EVENT_MS: u64 = 600;
+/// Time after the caller has left in which its upstream stops.
+const GIVEN_UP_MS: u64 = 500;
+
+/// Sends a request for a slow stream on a kept connection, and waits until its first event.
+fn begin_slow_stream(site: &Site, id: &str) -> KeptCaller {
+    site.platform.engines.set_stream(SLOW_EVENTS, SLOW_EVENT_MS);
+    let mut caller = KeptCaller::new(site.gateway(0));
+    let text = Request::stream(id).to_text();
+    let written = caller.write([text.as_bytes()]).expect("it is connected");
+    written.expect("it can be written");
+    site.wait_for_run(id);
+    pause_ms(SLOW_EVENT_MS + 100);
+    caller
+}
+
+/// Guards against streams of callers that have ended their sending side, and are cut before they can be seen to
+/// read, because their events are far apart.
+#[test]
+fn half_closed_caller_of_slow_stream_gets_all_events() {
+    let site = Site::start(1);
+    let mut caller = begin_slow_stream(&site, "half");
+    caller.end_sending();
+    let answer = caller.read_answer(8_000).whole();
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.events(), all_event_ids(SLOW_EVENTS));
+}
+
+/// Guards against upstreams that work on for a caller that has left a slow stream.
+#[test]
+fn left_slow_stream_ends_at_the_upstream() {
+    let site = Site::start(1);
+    let mut caller = begin_slow_stream(&site, "left");
+    let stream = caller.connect().expect("it is open");
+    let mut received = [0; 65_536];
+    let count = stream.read(&mut received).expect("it can be read");
+    assert!(count > 0, "the answer has begun");
+    // Without unread bytes, it is not ended by a reset.
+    drop(caller);
+    site.wait_until("the upstream stops", GIVEN_UP_MS, |site| {
+        let runs = site.platform.runs.of("left");
+        runs.iter().all(|run| run.ended_at.is_some())
+    });
+}
