Log requests that arrive after the end of their connection

A caller whose request crosses the end of an idle connection gets no answer, and no line named it: the bytes were read only so that the connection is not reset. Such a request could not be told from one that was lost.

Event 756 names it, with its id if its head arrived whole, and whether the connection was idle or the gateway was stopping; the counter `requests_unread` counts them. The rest of a request that was refused before its end leaves no line.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -321,6 +321,14 @@
     id.unwrap_or_default().to_owned()
 }
 
+/// Returns the id in the head of a request that is not handled, if these bytes have it.
+pub(crate) fn request_id_of_bytes(bytes: &[u8]) -> Option<&str> {
+    let fields = bytes.split(|byte| *byte == b'\n');
+    let mut fields = fields.filter_map(|line| std::str::from_utf8(line).ok()?.split_once(':'));
+    let id = fields.find(|(name, _)| name.eq_ignore_ascii_case(headers::ATTEMPT_ID));
+    id.map(|(_, value)| value.trim())
+}
+
 /// Returns the value of a header if it is visible ASCII text.
 fn text<'a>(head: &'a Parts, name: &str) -> Option<&'a str> {
     head.headers.get(name).and_then(|value| value.to_str().ok())
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -549,6 +549,27 @@
         }
     }
 
+    /// Logs that bytes arrived after the end of the connection, if they are those of another request.
+    pub(super) fn on_bytes_after_end(&self, bytes: &[u8]) {
+        // Otherwise, they are the rest of a request that was refused or could not be read.
+        if self.stage.get() != Stage::Idle || !self.is_body_read.get() {
+            return;
+        }
+        let why = match self.phase() {
+            Phase::Serving => "idle",
+            _ => "stop",
+        };
+        self.gateway.metrics.count("requests_unread", why);
+        log_event!(
+            warn,
+            RequestUnread,
+            request = call::request_id_of_bytes(bytes),
+            why,
+            requests = self.requests.get(),
+            "a request arrived after the end of its connection and was not read"
+        );
+    }
+
     /// Records that a request's answer has been handed to the HTTP library, or that it gets none.
     fn on_request_ended(&self) {
         let now = self.gateway.now();
--- a/crates/gateway/src/edge/caller_io.rs
+++ b/crates/gateway/src/edge/caller_io.rs
@@ -56,12 +56,16 @@
             return;
         }
         let mut discarded = [0; DISCARD_BYTES];
+        let mut is_first = true;
         loop {
             let idle_until = clock.now().plus_ms(self.connection.linger_idle_ms());
             tokio::select! {
                 read = self.stream.read(&mut discarded) => {
-                    if !matches!(read, Ok(1..)) {
+                    let Ok(count @ 1..) = read else {
                         return;
+                    };
+                    if std::mem::take(&mut is_first) {
+                        self.connection.on_bytes_after_end(&discarded[..count]);
                     }
                 }
                 () = clock.sleep_until(idle_until.min(until)) => return,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -111,6 +111,8 @@
     AttemptGivenUp = 754,
     /// A caller's connection ended while a request had no whole answer.
     AnswerUnfinished = 755,
+    /// A request arrived after the end of its connection and was not read.
+    RequestUnread = 756,
 }
 
 impl EventCode {
--- a/tests/gateway/caller_ends.rs
+++ b/tests/gateway/caller_ends.rs
@@ -2,11 +2,15 @@
 
 use std::{io::Read, time::Duration};
 
-use jacinthpoint_platform_standins::PlainFault;
+use jacinthpoint_platform_standins::{PlainFault, RequestLimits};
 use socket2::SockRef;
 
 use crate::gateway::{
-    all_event_ids, caller::Request, kept_caller::KeptCaller, pause_ms, site::Site,
+    CONFIG_APPLY_MS, all_event_ids,
+    caller::Request,
+    kept_caller::KeptCaller,
+    pause_ms,
+    site::{KEY, ROUTE_TIMEOUT_MS, Site},
 };
 
 /// Time in which a gateway notices that a caller has ended its connection.
@@ -86,6 +90,31 @@
     assert!(!metrics.contains("answers_unfinished"), "{metrics}");
 }
 
+/// Guards against requests that cross the end of their connection and cannot be told from ones that were lost.
+#[test]
+fn request_after_the_end_of_its_connection_is_logged() {
+    let site = Site::start(1);
+    let mut caller = KeptCaller::new(site.gateway(0));
+    let before = caller.send(&Request::once("before"));
+    assert_eq!(before.whole().status, 200);
+    let limits = RequestLimits {
+        idle_timeout_ms: 300,
+        ..RequestLimits::default()
+    };
+    site.put_config_with(&[KEY], ROUTE_TIMEOUT_MS, limits);
+    site.wait_until("the connection ends", CONFIG_APPLY_MS, |site| {
+        site.metrics(0).contains("connections_ended_total")
+    });
+    let text = Request::once("crossing").to_text();
+    let written = caller.write([text.as_bytes()]).expect("it is connected");
+    written.expect("it can be written");
+    site.wait_until("the request is counted", NOTICED_MS, |site| {
+        site.metrics(0)
+            .contains("requests_unread_total{label=\"idle\"} 1")
+    });
+    assert!(site.platform.runs.of("crossing").is_empty());
+}
+
 /// Number of events of a slow stream, and the time between them.
 const SLOW_EVENTS: u64 = 6;
 const SLOW_EVENT_MS: u64 = 600;
