--- a/crates/gateway/src/edge/caller_io.rs
+++ b/crates/gateway/src/edge/caller_io.rs
@@ -23,11 +23,18 @@
     net::TcpStream,
 };
 
-use crate::{clock::Clock, edge::caller::CallerConnection};
+use crate::{
+    clock::Clock,
+    edge::caller::{CallerConnection, EndCause},
+};
 
 /// Size of the buffer into which bytes are read that nobody uses.
 const DISCARD_BYTES: usize = 8 * 1_024;
 
+/// Start of the size of a chunk. A size may have leading zeros, so this is no part of the body, whatever
+/// chunk follows.
+const CHUNK_SIZE_START: &[u8] = b"0";
+
 /// Byte stream of a caller's connection, as the HTTP library sees it.
 #[derive(Debug)]
 pub(crate) struct CallerIo {
@@ -49,12 +56,16 @@
             return;
         }
         let mut discarded = [0; DISCARD_BYTES];
+        let mut is_first = true;
         loop {
             let idle_until = clock.now().plus_ms(self.connection.linger_idle_ms());
             tokio::select! {
                 read = self.stream.read(&mut discarded) => {
-                    if !matches!(read, Ok(1..)) {
+                    let Ok(count @ 1..) = read else {
                         return;
+                    };
+                    if std::mem::take(&mut is_first) {
+                        self.connection.on_bytes_after_end(&discarded[..count]);
                     }
                 }
                 () = clock.sleep_until(idle_until.min(until)) => return,
@@ -80,13 +91,33 @@
         SockRef::from(&self.stream).peek(&mut byte).is_ok()
     }
 
+    /// Sends a byte that shows whether a caller that has ended its sending side still reads, if one is due.
+    /// Returns `false` if it cannot be written because the caller has left.
+    fn is_probe_taken(&self) -> bool {
+        if !self.connection.is_probe_due() {
+            return true;
+        }
+        match self.stream.try_write(CHUNK_SIZE_START) {
+            Ok(bytes) => self.connection.on_written(bytes),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => {
+                (self.connection).on_end_cause(EndCause::WriteFailed(error.kind()));
+                return false;
+            }
+        }
+        true
+    }
+
     fn on_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         match &written {
-            Poll::Ready(Ok(_)) => self.connection.on_written(),
-            Poll::Ready(Err(_)) => {}
+            Poll::Ready(Ok(bytes)) => self.connection.on_written(*bytes),
+            Poll::Ready(Err(error)) => {
+                (self.connection).on_end_cause(EndCause::WriteFailed(error.kind()));
+            }
             Poll::Pending => {
                 self.connection.on_write_blocked();
                 if self.connection.has_stalled() {
+                    self.connection.on_end_cause(EndCause::CallerStalled);
                     let error = "the caller reads nothing of its answer";
                     return Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, error)));
                 }
@@ -109,14 +140,19 @@
                 Poll::Ready(Ok(()))
             }
             Poll::Ready(Ok(())) => {
+                self.connection.on_end_of_bytes();
                 // The connection's task checks again when the wait is over.
-                if self.connection.on_end_of_bytes() {
+                if self.is_probe_taken() && self.connection.is_kept_after_end() {
                     Poll::Pending
                 } else {
+                    self.connection.on_end_cause(EndCause::CallerEnded);
                     Poll::Ready(Ok(()))
                 }
             }
-            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Ready(Err(error)) => {
+                (self.connection).on_end_cause(EndCause::ReadFailed(error.kind()));
+                Poll::Ready(Err(error))
+            }
             Poll::Pending if !self.connection.is_to_end() => Poll::Pending,
             Poll::Pending if self.is_readable() => {
                 context.waker().wake_by_ref();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -16,6 +16,8 @@
 };
 
 mod caller;
+mod caller_ends;
+mod changes_beside_requests;
 mod contending_attempts;
 mod crashing_prompts;
 mod crashing_requests;
