--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -19,6 +19,7 @@
 mod crashing_prompts;
 mod crashing_requests;
 mod earlier_builds;
+mod endless_answers;
 mod faulty_answers;
 mod fleet_limits;
 mod joining_upstreams;
