--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -22,6 +22,7 @@
 mod crashing_prompts;
 mod crashing_requests;
 mod earlier_builds;
+mod endless_answers;
 mod faulty_answers;
 mod fleet_limits;
 mod joining_upstreams;
