--- a/tests/gateway/silent_upstreams.rs
+++ b/tests/gateway/silent_upstreams.rs
@@ -24,8 +24,8 @@
 const EVENTS: u64 = 8;
 /// Time between two events of a slow stream, above the limit from which a group counts as stalled.
 const EVENT_MS: u64 = 600;
-/// Time in which all streams have begun, and after which none has had an event.
-const BEGIN_MS: u64 = 250;
+/// Limit for all streams to begin.
+const BEGIN_MS: u64 = 5_000;
 /// Time in which an upstream has stopped working for a caller that has left, or for a gateway that uses
 /// the answer of another one.
 const GIVEN_UP_MS: u64 = 500;
@@ -70,7 +70,9 @@
 fn check_slow_streams(change: impl FnOnce(&Site)) {
     let site = slow_site();
     let senders = send_streams(site.gateway(0));
-    pause_ms(BEGIN_MS);
+    site.wait_until("all streams have begun", BEGIN_MS, |site| {
+        site.platform.runs.all().len() >= STREAMS
+    });
     change(&site);
     check_whole(senders);
     let metrics = site.metrics(0);
