--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -29,6 +29,7 @@
 mod odd_entries;
 mod outlasting_requests;
 mod records_at_stop;
+mod relays;
 mod repeated_answers;
 mod reported_faults;
 mod restored_store;
