--- a/tests/silent_engines.rs
+++ b/tests/silent_engines.rs
@@ -1,6 +1,7 @@
 //! Engines that are silent for a time and go on, while callers wait for their answers.
 
 use std::{
+    collections::BTreeSet,
     thread::{self, JoinHandle},
     time::Duration,
 };
@@ -105,3 +106,23 @@
     repeatable_request_outlasts_a_pause: repeatable true, member 0, |_: &_, _: &_| {};
     repeatable_request_outlasts_a_pause_while_other_groups_fail: repeatable true, member 0, fail_elsewhere;
 }
+
+// As above, for an engine that is paused when the request is sent, and reads it once its connection is closed.
+site_test!(
+    marked_request_outlasts_a_pause_at_its_beginning,
+    options(),
+    |site| {
+        for number in 0..8 {
+            let call = Call::new(&format!("a short landing declaration {number}"));
+            call.send(site.nodes[0].callers).expect("the node answers");
+        }
+        let leaders: BTreeSet<String> = site.run_log().into_iter().map(|run| run.vm).collect();
+        let call = long_call(false);
+        leaders.iter().for_each(|vm| site.pause_engine(vm));
+        let (sent, node) = (call.clone(), site.nodes[0].callers);
+        let caller = thread::spawn(move || sent.send(node));
+        thread::sleep(Duration::from_millis(PAUSE_MS));
+        leaders.iter().for_each(|vm| site.resume_engine(vm));
+        check_whole(&call, caller);
+    }
+);
