A relay keeps only the last change of each object

Callers of a gateway that reads the store for others lose all their streams at once when its process is killed for its memory. For gateways that lag behind, a relay kept the last 2,000 changes of each kind. That is little for entries of upstreams; a configuration of 1,645 routes takes 4.2 MB as a decoded value, so about 36 of them fill a VM of 160 MB.

That a process was killed for it, in a trial or in the incident, was not seen.

A change now takes the place of the last one of the same object. A gateway that lags behind gets the newest state of each object that changed since, as it would from the list; it no longer decodes configurations that others have replaced. The objects and their changes also share one copy.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -59,9 +59,10 @@
 /// Objects of one kind and their latest changes, as read from the store.
 #[derive(Debug)]
 struct KindCache {
-    objects: BTreeMap<String, StoredObject>,
-    /// Changes since `history_floor`, oldest first; `true` marks a removed object.
-    changes: VecDeque<(StoredObject, bool)>,
+    objects: BTreeMap<String, Rc<StoredObject>>,
+    /// Last change of each object since `history_floor`, oldest first; `true` marks a removed object. Earlier
+    /// changes of an object are dropped, since a configuration can be large and change often.
+    changes: VecDeque<(Rc<StoredObject>, bool)>,
     /// Revision after which all changes are kept. A watch from an earlier revision, or from another
     /// history, is answered with `GONE`, and the calling gateway lists the objects again.
     history_floor: u64,
@@ -119,7 +120,7 @@
     ) {
         let objects = objects
             .iter()
-            .map(|object| (object.name.clone(), object.clone()));
+            .map(|object| (object.name.clone(), Rc::new(object.clone())));
         let cache = KindCache {
             objects: objects.collect(),
             changes: VecDeque::new(),
@@ -155,12 +156,7 @@
         }
         cache.position = position;
         for (object, is_gone) in changes {
-            if *is_gone {
-                cache.objects.remove(&object.name);
-            } else {
-                cache.objects.insert(object.name.clone(), object.clone());
-            }
-            cache.changes.push_back((object.clone(), *is_gone));
+            cache.apply(object, *is_gone);
         }
         while cache.changes.len() > MAX_CHANGES {
             if let Some((object, _)) = cache.changes.pop_front() {
@@ -202,7 +198,8 @@
             let list = cache
                 .encoded_list
                 .get_or_insert_with(|| {
-                    encode_list(cache.objects.values(), cache.position.revision).into()
+                    let objects = cache.objects.values().map(Rc::as_ref);
+                    encode_list(objects, cache.position.revision).into()
                 })
                 .clone();
             return Some(cache.answer(list));
@@ -218,8 +215,11 @@
         if let Some((_, changes)) = known.filter(|(from, _)| *from == after.revision) {
             return Some(cache.answer(changes.clone()));
         }
-        let is_newer = |(object, _): &&(StoredObject, bool)| object.revision > after.revision;
-        let mut newer = cache.changes.iter().filter(is_newer).peekable();
+        let changes = cache.changes.iter();
+        let changes = changes.map(|(object, is_gone)| (object.as_ref(), *is_gone));
+        let mut newer = changes
+            .filter(|(object, _)| object.revision > after.revision)
+            .peekable();
         newer.peek()?;
         let changes = Bytes::from(encode_events(newer, cache.position.revision));
         cache.encoded_changes = Some((after.revision, changes.clone()));
@@ -243,6 +243,27 @@
 }
 
 impl KindCache {
+    /// Applies one change, which takes the place of the last one of the same object.
+    fn apply(&mut self, object: &StoredObject, is_gone: bool) {
+        let object = Rc::new(object.clone());
+        let previous = match is_gone {
+            true => self.objects.remove(&object.name),
+            false => self.objects.insert(object.name.clone(), object.clone()),
+        };
+        if let Some(previous) = previous {
+            let changes = &mut self.changes;
+            let begin =
+                changes.partition_point(|(changed, _)| changed.revision < previous.revision);
+            let is_previous = |changed: &StoredObject| {
+                changed.revision == previous.revision && changed.name == previous.name
+            };
+            if (changes.get(begin)).is_some_and(|(changed, _)| is_previous(changed)) {
+                changes.remove(begin);
+            }
+        }
+        self.changes.push_back((object, is_gone));
+    }
+
     /// Returns a successful answer, which is from the cache's history.
     fn answer(&self, body: Bytes) -> RelayAnswer {
         RelayAnswer {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -16,6 +16,7 @@
 };
 
 mod caller;
+mod configuration_changes;
 mod crashing_prompts;
 mod crashing_requests;
 mod earlier_builds;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -307,6 +307,17 @@
 
     /// Like [`Site::put_config`], with this timeout on all routes and these limits.
     pub fn put_config_with(&self, keys: &[&str], timeout_ms: u64, limits: RequestLimits) {
+        self.put_config_with_routes(keys, timeout_ms, limits, 0);
+    }
+
+    /// Like [`Site::put_config_with`], with this many more routes, which no request uses.
+    pub fn put_config_with_routes(
+        &self,
+        keys: &[&str],
+        timeout_ms: u64,
+        limits: RequestLimits,
+        idle_routes: usize,
+    ) {
         let route = |name: &str, kind: &str, service: &str| -> Value {
             let is_resumable = ["stream", "resumed"].contains(&name);
             json!({ "name": name, "host": "model.example", "path_prefix": format!("/{name}/"),
@@ -314,14 +325,17 @@
                 "service": service, "attempts": 3, "public": false, "sticky": kind == "stream",
                 "resumable": is_resumable, "gap_target_ms": 300 })
         };
+        let mut routes = vec![
+            route("stream", "stream", "engines"),
+            route("once", "non_idempotent", "plain"),
+            route("events", "stream", "plain"),
+            route("resumed", "stream", "plain"),
+            route("again", "idempotent", "plain"),
+        ];
+        let idle_route = |index| route(&format!("idle-{index}"), "stream", "engines");
+        routes.extend((0..idle_routes).map(idle_route));
         self.platform.store.put_config(
-            json!([
-                route("stream", "stream", "engines"),
-                route("once", "non_idempotent", "plain"),
-                route("events", "stream", "plain"),
-                route("resumed", "stream", "plain"),
-                route("again", "idempotent", "plain"),
-            ]),
+            routes.into(),
             json!([
                 Engines::service("engines", GROUP_SIZE),
                 PlainService::service("plain")
