Loads of targets that left are found in a set

After each change of the fleet, a gateway compared each load, and each record of failures, with the list of all targets: the work grew with the square of the number of upstreams, and no event is read meanwhile.

No caller was seen to fail for this.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -8,7 +8,10 @@
 //! gateways, which one of the gateways, the hub, reports. If the latter is not known, the load that
 //! the target last reported is used instead, discounted by its age.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use jacinthpoint_routing::{Ejector, estimated_load};
 use jacinthpoint_types::{Deadline, TimeMs};
@@ -265,11 +268,10 @@
     /// Removes the ejections of targets that are not in `targets`, and their loads unless they
     /// still run a request of this gateway.
     pub fn retain<'a>(&mut self, targets: impl Iterator<Item = &'a Arc<Target>>) {
-        let keys: Vec<TargetKey> = targets.map(|target| target.key.clone()).collect();
-        let is_known = |key: &TargetKey| keys.contains(key);
+        let keys: BTreeSet<&TargetKey> = targets.map(|target| &target.key).collect();
         self.loads
-            .retain(|key, load| load.in_flight > 0 || is_known(key));
-        self.ejector.retain(&keys);
+            .retain(|key, load| load.in_flight > 0 || keys.contains(key));
+        self.ejector.retain(|key| keys.contains(key));
     }
 }
 
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod durations;
+mod growth;
 mod load_cells;
 mod many_gateways;
 mod new_group;
--- a/crates/node/src/caller/gate.rs
+++ b/crates/node/src/caller/gate.rs
@@ -139,7 +139,7 @@
         let permits = select::usable_permits(shared, &self.model);
         let usable: Vec<GroupId> = permits.iter().map(group_of).collect();
         state.gate.retain(&usable);
-        state.ejector.retain(&usable);
+        state.ejector.retain(|group| usable.contains(group));
         let usable = state.ejector.usable(&usable, now);
         while let Some(dispatch) = state.gate.poll(&usable, now) {
             let open = permits
--- a/crates/routing/src/ejection.rs
+++ b/crates/routing/src/ejection.rs
@@ -105,8 +105,8 @@
         usable
     }
 
-    /// Deletes the records of targets that are not in `all`.
-    pub fn retain(&mut self, all: &[K]) {
-        self.records.retain(|key, _| all.contains(key));
+    /// Deletes the records of targets for which `is_known` returns false.
+    pub fn retain(&mut self, is_known: impl Fn(&K) -> bool) {
+        self.records.retain(|key, _| is_known(key));
     }
 }
