Late load reports do not make a group stalled

A group whose events arrive could count as stalled. By reading, new requests then go elsewhere or are refused, requests that wait for their first event are made once more beside, and the owner of the groups probes its members. The time since the hub's answer, up to 450 ms, and since a gateway's report, up to 500 ms, was added to the silence that was reported, although nobody had observed it; and events that this gateway had since the answer did not count.

Four of the five new tests failed before. The fifth shows that a target that left the directory is judged by its events while it runs requests; it passed before.

Now only silence that a gateway has observed counts, and an own event within the limit ends it. A stall is found later by the age of the report: by the intervals of the exchange, 25 to 150 ms while reports are in time.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -221,9 +221,11 @@
 
     /// Returns whether, by the last answer of the hub, some gateway has waited at a target for
     /// `limit_ms` without an event and no gateway had an event from there within that time. Returns
-    /// `false` if no valid answer names the target.
+    /// `false` if no valid answer names the target, or this gateway had an event from there since.
     pub fn is_stalled(&self, key: &TargetKey, limit_ms: u64, now: TimeMs) -> bool {
-        self.peers.is_stalled(key, limit_ms, now)
+        let own_event_at = self.loads.get(key).and_then(|load| load.last_event_at);
+        own_event_at.is_none_or(|at| now.since_ms(at) >= limit_ms)
+            && self.peers.is_stalled(key, limit_ms, now)
     }
 
     /// Returns whether a target is suspended, see [`LoadTracker::suspend`].
--- a/crates/dispatch/src/peer_load.rs
+++ b/crates/dispatch/src/peer_load.rs
@@ -67,7 +67,7 @@
     /// Time in ms since the last event of any stream from the target; `None` if there was none.
     pub heard_ms: Option<u32>,
     /// Longest time in ms for which a gateway has had requests at the target without an event of
-    /// any of them; `None` if no gateway has requests there.
+    /// any of them, as that gateway observed it; `None` if no gateway has requests there.
     pub waited_ms: Option<u32>,
 }
 
@@ -81,12 +81,11 @@
         self.waited_ms = self.waited_ms.max(other.waited_ms);
     }
 
-    /// Returns the report with its times advanced by `age_ms`.
+    /// Returns the report `age_ms` later. The time since the last event is longer then, but nobody has observed
+    /// that the wait is, too.
     fn aged(mut self, age_ms: u64) -> TargetReport {
         let age_ms = u32::try_from(age_ms).unwrap_or(u32::MAX);
-        let later = |ms: u32| ms.saturating_add(age_ms);
-        self.heard_ms = self.heard_ms.map(later);
-        self.waited_ms = self.waited_ms.map(later);
+        self.heard_ms = self.heard_ms.map(|ms| ms.saturating_add(age_ms));
         self
     }
 }
@@ -227,7 +226,7 @@
         }
     }
 
-    /// Returns all valid reports with their times advanced to `now`.
+    /// Returns all valid reports as they are at `now`.
     pub fn reports(&self, now: TimeMs) -> Vec<TargetReport> {
         let reports = self.reports.values();
         let aged = reports.map(|(report, at)| (report, now.since_ms(*at)));
@@ -262,19 +261,25 @@
         Some(TimeMs(now.0.saturating_sub(u64::from(heard_ms))))
     }
 
-    /// Returns whether some gateway has had requests at a target for `limit_ms` without an event,
-    /// and no gateway had an event from there within that time.
+    /// Returns whether, by the hub's last answer, some gateway has had requests at a target for `limit_ms` without an
+    /// event, and no gateway had an event from there within that time. The age of the answer does not count.
     pub fn is_stalled(&self, key: &TargetKey, limit_ms: u64, now: TimeMs) -> bool {
         let is_long = |ms: u32| u64::from(ms) >= limit_ms;
-        self.report(key, now).is_some_and(|report| {
+        self.answer(key, now).is_some_and(|(report, _)| {
             report.waited_ms.is_some_and(is_long) && report.heard_ms.is_none_or(is_long)
         })
     }
 
-    /// Returns the report on a target with its times advanced to `now`, if it is still valid.
+    /// Returns the report on a target as it is at `now`, if it is still valid.
     fn report(&self, key: &TargetKey, now: TimeMs) -> Option<TargetReport> {
+        let (report, age_ms) = self.answer(key, now)?;
+        Some(report.aged(age_ms))
+    }
+
+    /// Returns the report on a target as the hub sent it, with its age in milliseconds, if it is still valid.
+    fn answer(&self, key: &TargetKey, now: TimeMs) -> Option<(TargetReport, u64)> {
         let (report, at) = self.reports.get(&TargetDigest::from(key))?;
         let age_ms = now.since_ms(*at);
-        (age_ms < ANSWER_VALID_MS).then(|| report.aged(age_ms))
+        (age_ms < ANSWER_VALID_MS).then_some((*report, age_ms))
     }
 }
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod durations;
 mod growth;
+mod late_reports;
 mod load_cells;
 mod many_gateways;
 mod new_group;
