--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -8,7 +8,10 @@
 //! gateways, which one of the gateways, the hub, reports. If the latter is not known, the load that
 //! the target last reported is used instead, discounted by its age.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use jacinthpoint_routing::{Ejector, estimated_load};
 use jacinthpoint_types::{Deadline, TimeMs};
@@ -218,9 +221,11 @@
 
     /// Returns whether, by the last answer of the hub, some gateway has waited at a target for
     /// `limit_ms` without an event and no gateway had an event from there within that time. Returns
-    /// `false` if no valid answer names the target.
+    /// `false` if no valid answer names the target, or this gateway had an event from there since.
     pub fn is_stalled(&self, key: &TargetKey, limit_ms: u64, now: TimeMs) -> bool {
-        self.peers.is_stalled(key, limit_ms, now)
+        let own_event_at = self.loads.get(key).and_then(|load| load.last_event_at);
+        own_event_at.is_none_or(|at| now.since_ms(at) >= limit_ms)
+            && self.peers.is_stalled(key, limit_ms, now)
     }
 
     /// Returns whether a target is suspended, see [`LoadTracker::suspend`].
@@ -265,11 +270,10 @@
     /// Removes the ejections of targets that are not in `targets`, and their loads unless they
     /// still run a request of this gateway.
     pub fn retain<'a>(&mut self, targets: impl Iterator<Item = &'a Arc<Target>>) {
-        let keys: Vec<TargetKey> = targets.map(|target| target.key.clone()).collect();
-        let is_known = |key: &TargetKey| keys.contains(key);
+        let keys: BTreeSet<&TargetKey> = targets.map(|target| &target.key).collect();
         self.loads
-            .retain(|key, load| load.in_flight > 0 || is_known(key));
-        self.ejector.retain(&keys);
+            .retain(|key, load| load.in_flight > 0 || keys.contains(key));
+        self.ejector.retain(|key| keys.contains(key));
     }
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -18,6 +18,7 @@
 mod caller;
 mod caller_ends;
 mod changes_beside_requests;
+mod configuration_changes;
 mod contending_attempts;
 mod crashing_prompts;
 mod crashing_requests;
