Reset a stream that ends after the start of a chunk's size

A half-closed caller's stream that had been probed and was then cut, by a crash of the gateway or otherwise, ended in order after a single digit 0. Parsers that end a line at the end of the connection, such as Python's http.client, take that for the last chunk, and the cut answer for a whole one.

From the probe until something else is written, the socket's linger time is 0, so that its close is a reset. The operating system does that for a process that crashes, too.

Evidence: gateway::caller_ends::stream_of_a_half_closed_caller_is_reset_by_a_crash failed before ("the connection ended") and passes. Found by reading, before it was merged; the behaviour of that parser was read, not run.

--- a/crates/gateway/src/edge/caller_io.rs
+++ b/crates/gateway/src/edge/caller_io.rs
@@ -40,12 +40,18 @@
 pub(crate) struct CallerIo {
     stream: TcpStream,
     connection: Rc<CallerConnection>,
+    /// Whether [`CHUNK_SIZE_START`] was the last that was written.
+    is_size_begun: bool,
 }
 
 impl CallerIo {
     /// Returns the I/O of `connection` on `stream`.
     pub(crate) fn new(stream: TcpStream, connection: Rc<CallerConnection>) -> CallerIo {
-        CallerIo { stream, connection }
+        CallerIo {
+            stream,
+            connection,
+            is_size_begun: false,
+        }
     }
 
     /// Ends the sending side, then reads and discards what the caller still sends, until it ends its side
@@ -93,10 +99,17 @@
 
     /// Sends a byte that shows whether a caller that has ended its sending side still reads, if one is due.
     /// Returns `false` if it cannot be written because the caller has left.
-    fn is_probe_taken(&self) -> bool {
+    fn is_probe_taken(&mut self) -> bool {
         if !self.connection.is_probe_due() {
             return true;
         }
+        // Some callers take a size without an end of line for that of the last chunk if the connection ends in
+        // order there. A reset is none, and the operating system sends it even if the process crashes.
+        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+            tracing::debug!(%error, "a half-closed caller is not probed");
+            return true;
+        }
+        self.is_size_begun = true;
         match self.stream.try_write(CHUNK_SIZE_START) {
             Ok(bytes) => self.connection.on_written(bytes),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -108,9 +121,16 @@
         true
     }
 
-    fn on_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    fn on_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         match &written {
-            Poll::Ready(Ok(bytes)) => self.connection.on_written(*bytes),
+            Poll::Ready(Ok(bytes)) => {
+                self.connection.on_written(*bytes);
+                if std::mem::take(&mut self.is_size_begun)
+                    && let Err(error) = SockRef::from(&self.stream).set_linger(None)
+                {
+                    tracing::debug!(%error, "a connection will end by a reset");
+                }
+            }
             Poll::Ready(Err(error)) => {
                 (self.connection).on_end_cause(EndCause::WriteFailed(error.kind()));
             }
--- a/tests/gateway/caller_ends.rs
+++ b/tests/gateway/caller_ends.rs
@@ -8,7 +8,7 @@
 use crate::gateway::{
     CONFIG_APPLY_MS, all_event_ids,
     caller::Request,
-    kept_caller::KeptCaller,
+    kept_caller::{KeptCaller, Outcome},
     pause_ms,
     site::{KEY, ROUTE_TIMEOUT_MS, Site},
 };
@@ -118,6 +118,8 @@
 /// Number of events of a slow stream, and the time between them.
 const SLOW_EVENTS: u64 = 6;
 const SLOW_EVENT_MS: u64 = 600;
+/// Time after the caller's end at which its gateway crashes, before the next event.
+const BEFORE_CRASH_MS: u64 = 150;
 /// Time after the caller has left in which its upstream stops.
 const GIVEN_UP_MS: u64 = 500;
 
@@ -145,6 +147,24 @@
     assert_eq!(answer.events(), all_event_ids(SLOW_EVENTS));
 }
 
+/// Guards against a stream that looks whole although its gateway has crashed, because of what was sent to see
+/// whether its half-closed caller reads.
+#[test]
+fn stream_of_a_half_closed_caller_is_reset_by_a_crash() {
+    let mut site = Site::start(1);
+    let mut caller = begin_slow_stream(&site, "crash");
+    caller.end_sending();
+    pause_ms(BEFORE_CRASH_MS);
+    site.kill(0);
+    match caller.read_answer(8_000) {
+        Outcome::Cut(answer, why) => {
+            assert_ne!(answer.events(), all_event_ids(SLOW_EVENTS));
+            assert!(why.contains("reset"), "{why}");
+        }
+        other => panic!("{}", other.describe()),
+    }
+}
+
 /// Guards against upstreams that work on for a caller that has left a slow stream.
 #[test]
 fn left_slow_stream_ends_at_the_upstream() {
