Bodies of the store's answers have a maximum length

A gateway whose store answered without end kept all of it for up to 3 s on each of its connections: its peak was 2,374 MB on a VM of 160 MB, where the platform ends the process and the requests of its callers with it. The same function reads the answers of relays.

A body is limited to 8 MiB now, several times a list page of the platform (500 objects or 1 MB), and the call fails as one without an answer, so the view stays and the read is repeated.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -30,6 +30,8 @@
 const RELAY_ANSWER_TIMEOUT_MS: u64 = 250;
 /// Time for the whole body of an answer.
 const MAX_BODY_MS: u64 = 3_000;
+/// Maximum length of the body of an answer: several times that of a list page, which has about 1 MB at most.
+const MAX_BODY_BYTES: usize = 8 * 1_024 * 1_024;
 
 /// Error of a call.
 #[derive(Debug, derive_more::Display)]
@@ -387,7 +389,8 @@
 }
 
 /// Reads a whole body. Fails if no part of it arrives for `pause_ms`, or if it takes longer than
-/// [`MAX_BODY_MS`]: a long list takes its time on a slow link, and only silence shows a fault.
+/// [`MAX_BODY_MS`]: a long list takes its time on a slow link, and only silence shows a fault. Fails above
+/// [`MAX_BODY_BYTES`], too.
 async fn read_body(mut body: Incoming, pause_ms: u64) -> Result<Bytes, StoreError> {
     let read = async {
         let mut bytes = BytesMut::new();
@@ -395,9 +398,13 @@
             match timeout(ms(pause_ms), body.frame()).await {
                 Ok(None) => return Ok(bytes.freeze()),
                 Ok(Some(Ok(frame))) => {
-                    if let Some(part) = frame.data_ref() {
-                        bytes.extend_from_slice(part);
+                    let Some(part) = frame.data_ref() else {
+                        continue;
+                    };
+                    if bytes.len() + part.len() > MAX_BODY_BYTES {
+                        return Err(StoreError::NoAnswer("the body is too long".to_owned()));
                     }
+                    bytes.extend_from_slice(part);
                 }
                 Ok(Some(Err(error))) => return Err(StoreError::NoAnswer(error.to_string())),
                 Err(_) => return Err(timed_out()),
