Only new bytes of an incomplete event are searched for its end

A long event kept the gateway's thread busy, because all of it was searched again after each part: one of 300 KB in parts of one byte was not whole within its deadline of 8 s, and beside 752 events of 400 KB the streams of other callers were not, either.

An end that lies in the bytes before would have been found with them, so the search stops there.

--- a/crates/gateway/src/call/event_splitter.rs
+++ b/crates/gateway/src/call/event_splitter.rs
@@ -81,8 +81,9 @@
         let whole = if self.incomplete.is_empty() && ends_event(&bytes) {
             bytes
         } else {
+            let searched = self.incomplete.len();
             self.incomplete.extend_from_slice(&bytes);
-            let Some(end) = last_event_end(&self.incomplete) else {
+            let Some(end) = last_event_end(&self.incomplete, searched) else {
                 let is_too_long = self.incomplete.len() > MAX_EVENT_BYTES;
                 return if is_too_long {
                     Err(EventError::TooLong)
@@ -190,8 +191,9 @@
     bytes.ends_with(b"\n\n") || bytes.ends_with(b"\r\n\r\n")
 }
 
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    (1..=bytes.len())
+/// Returns the last end of an event after the first `searched` bytes.
+fn last_event_end(bytes: &[u8], searched: usize) -> Option<usize> {
+    (searched + 1..=bytes.len())
         .rev()
         .find(|end| ends_event(&bytes[..*end]))
 }
