A gateway reads at most 16 KiB at a time from a peer

The HTTP library's buffer grows with each read that fills it, to 64 KiB on each connection, and what waits for a slow caller keeps the buffer that it came in. On 792 connections to upstreams that is 48 MB of the 160 MB of a VM, beside all limits on the answers themselves.

Heads may be as long as before.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -49,6 +49,10 @@
 /// (status 1xx) before it count; a peer may send them without end.
 const MAX_BYTES_BEFORE_HEAD: usize = 4 * MAX_HEAD_BYTES;
 
+/// Maximum length of one read. The HTTP library's buffer grows after each read that fills it, up to
+/// [`MAX_HEAD_BYTES`] on each connection; this is less than its second size of 16 KiB.
+const MAX_READ_BYTES: usize = 16 * 1_024 - 1;
+
 /// Body of a request.
 pub(crate) type RequestBody = Full<Bytes>;
 
@@ -121,9 +125,11 @@
             let error = "no head within the first bytes of the answer";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
         }
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let count = buffer.filled().len() - before;
+        let length = buffer.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
+        ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
+        let count = part.filled().len();
+        buffer.advance(count);
         self.unanswered_bytes = 0;
         let rest = self.allowance_bytes.get().saturating_sub(count);
         self.allowance_bytes.set(rest);
