All buffered answers of a gateway are counted together

A gateway ran out of memory, and all requests of its callers would have ended with it: incomplete events were limited by stream only (1 MiB), whole events by their number (16 for each slow caller), and whole bodies that waited for a slow caller not at all. With 752 answers at once, peaks were 355 MB (bodies) and 341 MB (short events) on a VM of 160 MB.

The module `buffered` counts what is read and what waits for callers, by the size of the buffers. At most 20 long answers (above 32 KiB) are read at a time, while others wait; one without a byte for a second is given up for them. Above 40 MiB together, the longest is given up. Bytes that wait for callers end no answer: from 20 MiB on, long answers are not read on, nor is any answer whose own caller has bytes to read. A stream that is paused so does not count as stalled. Buffers that are larger than what they hold are copied.

While callers that do not read hold 20 MiB, long answers of others wait until those callers read or their requests end.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -14,6 +14,8 @@
 use hyper::body::{Body, Frame};
 use tokio::sync::mpsc;
 
+use crate::buffered::{AnswerBuffers, CallerQueue};
+
 /// Error of a body that cannot be completed. The connection to the caller is closed without the end
 /// marker of the body, so the caller sees that it is incomplete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
@@ -35,13 +37,17 @@
 #[derive(Debug)]
 pub struct PartSender {
     parts: mpsc::Sender<Bytes>,
+    queue: CallerQueue,
     is_whole: Arc<AtomicBool>,
 }
 
 impl PartSender {
-    /// Sends a part, once there is room for it; returns `false` if the body was dropped.
+    /// Sends a part, once there is room for it, and waits until there is room for more; returns `false` if the
+    /// body was dropped.
     pub async fn send(&self, part: Bytes) -> bool {
-        self.parts.send(part).await.is_ok()
+        let is_sent = self.parts.send(self.queue.count(part)).await.is_ok();
+        self.queue.wait_for_room().await;
+        is_sent
     }
 
     /// Waits until the body is dropped, as when the caller leaves.
@@ -81,11 +87,12 @@
 const MAX_QUEUED_PARTS: usize = 16;
 
 /// Returns a streamed body and the sender of its parts.
-pub fn channel() -> (PartSender, AnswerBody) {
+pub fn channel(buffers: &AnswerBuffers) -> (PartSender, AnswerBody) {
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_PARTS);
     let is_whole = Arc::new(AtomicBool::new(false));
     let sender = PartSender {
         parts: sender,
+        queue: buffers.begin_queue(),
         is_whole: is_whole.clone(),
     };
     let body = ChannelBody {
--- a/crates/gateway/src/call/event_splitter.rs
+++ b/crates/gateway/src/call/event_splitter.rs
@@ -91,7 +91,10 @@
                     Ok(None)
                 };
             };
-            self.incomplete.split_to(end).freeze()
+            // Copied, since a part would keep the whole buffer.
+            let whole = Bytes::copy_from_slice(&self.incomplete[..end]);
+            self.incomplete = BytesMut::from(&self.incomplete[end..]);
+            whole
         };
         let has_content = self.record_events(&whole, position)?;
         Ok(Some(Piece {
@@ -143,6 +146,11 @@
     pub(super) fn has_incomplete_event(&self) -> bool {
         !self.incomplete.is_empty()
     }
+
+    /// Returns the size of the buffer of the incomplete event.
+    pub(super) fn buffer_bytes(&self) -> usize {
+        self.incomplete.capacity()
+    }
 }
 
 /// An event, as far as its lines have been read.
--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -163,7 +163,10 @@
     let is_whole = body.size_hint().exact().is_some();
     remove_connection_headers(&mut head.headers);
     if !is_whole {
-        return Offer::Answered(Response::from_parts(head, pass_stream(connection, body)));
+        return Offer::Answered(Response::from_parts(
+            head,
+            pass_stream(gateway, connection, body),
+        ));
     }
     match tokio::time::timeout_at(deadline, whole_body::read(gateway, body)).await {
         Ok(Ok(body)) => Offer::Answered(Response::from_parts(head, full_body(body))),
@@ -196,8 +199,8 @@
 
 /// Returns a body that passes a stream on as it arrives. It is aborted if the stream breaks off, and the
 /// connection is closed if the caller leaves.
-fn pass_stream(connection: Connection, mut body: Incoming) -> AnswerBody {
-    let (parts, passed) = channel();
+fn pass_stream(gateway: &Gateway, connection: Connection, mut body: Incoming) -> AnswerBody {
+    let (parts, passed) = channel(&gateway.answer_buffers);
     tokio::task::spawn_local(async move {
         // Open until the stream ends.
         let _connection = connection;
--- a/crates/gateway/src/call/open_stream.rs
+++ b/crates/gateway/src/call/open_stream.rs
@@ -16,6 +16,7 @@
 use jacinthpoint_types::TimeMs;
 
 use crate::{
+    buffered::UnfinishedAnswer,
     call::{
         answer::{is_framed, states_event_stream},
         attempt::{InFlightGuard, OpenAnswer, report_stall},
@@ -55,6 +56,9 @@
     /// Whether the stream may end without an event.
     may_end_without_event: bool,
     splitter: EventSplitter,
+    unfinished: UnfinishedAnswer,
+    /// Whether reading waits until callers have read theirs.
+    is_paused: bool,
     /// Number of pieces with whole events.
     pieces: u32,
     /// Time of the last event or, before any, that of the head.
@@ -88,6 +92,8 @@
             is_framed,
             may_end_without_event,
             splitter: EventSplitter::new(must_follow),
+            unfinished: context.gateway.answer_buffers.begin_answer(),
+            is_paused: false,
             pieces: 0,
             progress_at: now,
             last_event_at: None,
@@ -106,6 +112,11 @@
         position: &mut StreamPosition,
         task: &mut task::Context<'_>,
     ) -> Poll<StreamStep> {
+        let may_read = self.unfinished.poll_may_read(task);
+        self.is_paused = may_read.is_pending();
+        if let Err(error) = ready!(may_read) {
+            return Poll::Ready(StreamStep::Broken(error.to_string()));
+        }
         let frame = ready!(Pin::new(&mut self.body).poll_frame(task));
         Poll::Ready(match frame {
             Some(Ok(frame)) => match frame.into_data() {
@@ -142,7 +153,9 @@
         bytes: Bytes,
         position: &mut StreamPosition,
     ) -> StreamStep {
-        let piece = match self.splitter.push(bytes, position) {
+        let pushed = self.splitter.push(bytes, position);
+        self.unfinished.set_bytes(self.splitter.buffer_bytes());
+        let piece = match pushed {
             Ok(Some(piece)) => piece,
             Ok(None) => return StreamStep::Nothing,
             Err(error) => return StreamStep::Broken(error.to_string()),
@@ -187,6 +200,10 @@
         let Some(policy) = self.stall_policy else {
             return false;
         };
+        if self.is_paused {
+            self.progress_at = now;
+            return false;
+        }
         // What arrived while the process did not run has not been read yet.
         if gateway.pauses.possible_age_ms(now) > 0 {
             return false;
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -151,7 +151,7 @@
     let mut head = Response::new(());
     *head.headers_mut() = open.response.headers().clone();
     remove_connection_headers(head.headers_mut());
-    let (parts, body) = channel();
+    let (parts, body) = channel(&context.gateway.answer_buffers);
     let last_id = outgoing.headers.get(headers::LAST_EVENT_ID);
     let mut forwarder = StreamForwarder {
         caller_last_id: last_id.and_then(|id| id.to_str().ok()).map(str::to_owned),
--- a/crates/gateway/src/call/whole_body.rs
+++ b/crates/gateway/src/call/whole_body.rs
@@ -1,23 +1,21 @@
 //! Reads the whole body of an upstream's answer.
 //!
-//! An upstream may send a body without end, so the length of a body is limited, as is the length of
-//! all bodies together that are being read.
+//! An upstream may send a body without end, so the length of a body is limited, as is that of all answers
+//! together that are being read.
 
-use std::rc::Rc;
+use std::{
+    future::poll_fn,
+    pin::Pin,
+    task::{Poll, ready},
+};
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
-use crate::state::Gateway;
+use crate::{buffered::NoSpace, state::Gateway};
 
 /// Maximum length of a body.
 const MAX_BODY_BYTES: usize = 8 * 1_024 * 1_024;
-/// Maximum length of all bodies together that are being read. Above it, each body that is not
-/// short is given up.
-const MAX_BUFFERED_BYTES: usize = 48 * 1_024 * 1_024;
-/// Length up to which a body is short.
-const SHORT_BODY_BYTES: usize = 64 * 1_024;
 
 /// Error of reading a body.
 #[derive(Debug, derive_more::Display, derive_more::From)]
@@ -28,57 +26,40 @@
     /// The body has more than [`MAX_BODY_BYTES`].
     #[display("the body is longer than {MAX_BODY_BYTES} bytes")]
     TooLong,
-    /// All bodies that are being read have more than [`MAX_BUFFERED_BYTES`].
-    #[display("the bodies that are being read are longer than {MAX_BUFFERED_BYTES} bytes")]
-    NoSpace,
-}
-
-/// Counts bytes as buffered until dropped.
-struct Buffered {
-    gateway: Rc<Gateway>,
-    bytes: usize,
-}
-
-impl Buffered {
-    fn add(&mut self, bytes: usize) {
-        self.bytes += bytes;
-        let total = &self.gateway.buffered_bytes;
-        total.set(total.get() + bytes);
-    }
-}
-
-impl Drop for Buffered {
-    fn drop(&mut self) {
-        let total = &self.gateway.buffered_bytes;
-        total.set(total.get() - self.bytes);
-    }
+    /// The body was given up, since all answers that are being read are too long together.
+    #[display("{_0}")]
+    NoSpace(NoSpace),
 }
 
-/// Reads a body to its end.
+/// Reads a body to its end. It counts as waiting for its caller until it is dropped.
 ///
 /// # Errors
 ///
-/// Fails if the body breaks off or is too long, or if it is not short and too much is being read.
-pub(super) async fn read(gateway: &Rc<Gateway>, mut body: Incoming) -> Result<Bytes, BodyError> {
-    let mut buffered = Buffered {
-        gateway: gateway.clone(),
-        bytes: 0,
-    };
+/// Fails if the body breaks off or is too long, or if it is given up for the sake of others.
+pub(super) async fn read(gateway: &Gateway, mut body: Incoming) -> Result<Bytes, BodyError> {
+    let unfinished = gateway.answer_buffers.begin_answer();
     let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = poll_fn(|task| {
+            ready!(unfinished.poll_may_read(task))?;
+            let frame = ready!(Pin::new(&mut body).poll_frame(task));
+            Poll::Ready(frame.transpose().map_err(BodyError::from))
+        });
+        let Some(frame) = frame.await? else {
+            break;
+        };
         // Trailers are dropped.
-        let Ok(part) = frame?.into_data() else {
+        let Ok(part) = frame.into_data() else {
             continue;
         };
-        buffered.add(part.len());
-        if buffered.bytes > MAX_BODY_BYTES {
+        if whole.len() + part.len() > MAX_BODY_BYTES {
             return Err(BodyError::TooLong);
         }
-        let is_short = buffered.bytes <= SHORT_BODY_BYTES;
-        if !is_short && gateway.buffered_bytes.get() > MAX_BUFFERED_BYTES {
-            return Err(BodyError::NoSpace);
-        }
         whole.extend_from_slice(&part);
+        unfinished.set_bytes(whole.capacity());
     }
-    Ok(whole.freeze())
+    drop(unfinished);
+    // Copied, since the buffer may be twice as long.
+    let whole = Bytes::copy_from_slice(&whole);
+    Ok(gateway.answer_buffers.begin_queue().count(whole))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 
 mod alarm;
 pub mod body;
+pub mod buffered;
 mod call;
 mod clock;
 mod connection;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,9 +20,10 @@
 use tokio::{net::UdpSocket, sync::watch};
 
 use crate::{
-    clock::Clock, events::log_event, excluded_peers::ExcludedPeers, limit_exchange::LimitExchange,
-    load_exchange::LoadExchange, metrics::Metrics, pauses::Pauses, pool::Pool,
-    refused_entries::RefusedEntries, relay::Relay, roster::Roster, settings::GatewaySettings,
+    buffered::AnswerBuffers, clock::Clock, events::log_event, excluded_peers::ExcludedPeers,
+    limit_exchange::LimitExchange, load_exchange::LoadExchange, metrics::Metrics, pauses::Pauses,
+    pool::Pool, refused_entries::RefusedEntries, relay::Relay, roster::Roster,
+    settings::GatewaySettings,
 };
 
 /// A time that no gateway reaches, from which a window can still be added.
@@ -142,8 +143,8 @@
     pub(crate) open_listeners: Cell<usize>,
     /// Number of requests that the planned stop has cut.
     pub(crate) cut_requests: Cell<usize>,
-    /// Length of the upstreams' bodies that are being read, in bytes.
-    pub(crate) buffered_bytes: Cell<usize>,
+    /// Count of the answers that are buffered.
+    pub(crate) answer_buffers: AnswerBuffers,
 }
 
 impl Gateway {
@@ -188,7 +189,7 @@
             open_connections: Cell::new(0),
             open_listeners: Cell::new(0),
             cut_requests: Cell::new(0),
-            buffered_bytes: Cell::new(0),
+            answer_buffers: AnswerBuffers::default(),
         }
     }
 
--- a/crates/gateway/tests/panics.rs
+++ b/crates/gateway/tests/panics.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use jacinthpoint_gateway::{
     body::{AbortedBody, channel},
+    buffered::AnswerBuffers,
     panics::{Panicked, catch_panic},
 };
 use tokio::{
@@ -59,7 +60,7 @@
             #[test]
             fn $name() {
                 let body = run(async {
-                    let ($parts, body) = channel();
+                    let ($parts, body) = channel(&AnswerBuffers::default());
                     let sending = async move {
                         assert!($parts.send(Bytes::from_static(b"part")).await);
                         $end
--- a/tests/gateway/endless_answers.rs
+++ b/tests/gateway/endless_answers.rs
@@ -17,8 +17,11 @@
 use serde_json::json;
 
 use crate::gateway::{
-    caller::{End, Request},
-    faulty_answers::{answer, head, streams::chunked_head},
+    caller::{End, Request, join_all, parse},
+    faulty_answers::{
+        answer, head,
+        streams::{chunked, chunked_head},
+    },
     pause_ms,
     site::{KEY, Site},
 };
@@ -120,11 +123,13 @@
     });
     assert_served(site, "beside");
     pause_ms(2_000);
+    let while_open_kb = site.peak_memory_kb(0);
     drop(callers);
     pause_ms(1_000);
     assert_served(site, "after");
     let memory_kb = site.peak_memory_kb(0);
-    println!("{} requests, peak {memory_kb} kB", arrived(site));
+    let requests = arrived(site);
+    println!("{requests} requests, peak {while_open_kb} kB, afterwards {memory_kb} kB");
     assert!(memory_kb < MAX_MEMORY_KB, "{memory_kb} kB");
 }
 
@@ -180,6 +185,36 @@
             + &filler(UNFINISHED_BYTES)),
 }
 
+/// Guards against sound streams that are cut because many callers read them late.
+#[test]
+fn streams_of_callers_that_read_late_are_whole() {
+    let site = wide_site(|request| {
+        let event = format!("id: 1\ndata: {}\n\n", filler(UNFINISHED_BYTES));
+        Reply::sends(chunked(request, &event))
+    });
+    let callers = send_without_reading(site.gateway(0), "/events/", 200);
+    pause_ms(3_000);
+    let readers = callers.into_iter().map(|mut caller| {
+        thread::spawn(move || {
+            let limit = Some(Duration::from_secs(20));
+            caller.set_read_timeout(limit).expect("it can be set");
+            let mut received = Vec::new();
+            let mut buffer = vec![0; 64 * 1_024];
+            while parse(&received, End::Broken).end != End::Whole {
+                match caller.read(&mut buffer) {
+                    Ok(0) | Err(_) => break,
+                    Ok(count) => received.extend_from_slice(&buffer[..count]),
+                }
+            }
+            let answer = parse(&received, End::Broken);
+            (answer.status, answer.end)
+        })
+    });
+    let answers = join_all(readers.collect::<Vec<_>>());
+    let whole = answers.iter().filter(|end| **end == (200, End::Whole));
+    assert_eq!(whole.count(), answers.len());
+}
+
 /// Guards against a long event that keeps a gateway busy: all of it was searched for its end after each part.
 #[test]
 fn event_in_many_short_parts_is_whole_in_time() {
