Answers of engines to control calls have a maximum length

A node kept the whole answer of an engine to a state request or an order, and the whole text of an engine's error, for as long as bytes arrived. An engine that sends without end takes all memory of the node, and the requests of its callers end with it.

--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -5,7 +5,7 @@
 use jacinthpoint_types::{Assignment, AttemptId, Epoch, GroupId, VmId};
 use serde::{Deserialize, Serialize};
 
-use crate::error::UpstreamError;
+use crate::{bounded::read_json, error::UpstreamError};
 
 /// Holds the state that an engine reports of itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -90,7 +90,7 @@
         .timeout(timeout)
         .send()?
         .error_for_status()?;
-    Ok(answer.json()?)
+    Ok(read_json(answer)?)
 }
 
 /// Sends an order to an engine.
@@ -112,7 +112,7 @@
         .json(order)?
         .send()?;
     if answer.status().as_u16() == 409 {
-        let body: FencedBody = answer.json()?;
+        let body: FencedBody = read_json(answer)?;
         return Ok(OrderReply::Fenced {
             highest: body.highest,
         });
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -71,6 +71,14 @@
     }
 }
 
+impl From<std::io::Error> for UpstreamError {
+    fn from(error: std::io::Error) -> UpstreamError {
+        UpstreamError {
+            message: error.to_string(),
+        }
+    }
+}
+
 /// Classifies an error of the HTTP client by whether bytes may have been sent.
 ///
 /// Only a refused connection proves that none were. A timeout may have expired while connecting or
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -11,6 +11,7 @@
     stream::{StartRequest, StreamEvent, TokenEvent, TokenStream, resume, start},
 };
 
+mod bounded;
 mod engine;
 mod error;
 mod service;
--- a/crates/upstream/src/stream.rs
+++ b/crates/upstream/src/stream.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     ATTEMPT_HEADER, EPOCH_HEADER, GROUP_HEADER, PRIORITY_HEADER, REQUEST_HEADER,
+    bounded::read_error_text,
     error::{StartError, StreamError, classify_start_error},
     sse::{self, Line},
 };
@@ -142,7 +143,7 @@
     ) -> Result<TokenStream, StartError> {
         let status = answer.status().as_u16();
         if !answer.is_success() {
-            let message = answer.text().unwrap_or_default();
+            let message = read_error_text(answer);
             // Of the 5xx statuses, only 503 means that the engine did not run the request.
             return Err(match status {
                 400..=499 | 503 => StartError::Refused { status, message },
