Responses of the Object API have a maximum length

A node kept the whole response to a read, list or update of the platform's objects, however long it was. A platform, or whatever answers at its address, that sends without end takes all memory of the node, and the requests of its callers end with it.

A JSON body is limited to 16 MiB, as the list of all objects of a kind comes in one response, and the text of a refusal to 4 KiB.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client of the Object API.
 
 use std::{
+    io::{self, Read},
     net::SocketAddr,
     sync::atomic::{AtomicU64, Ordering},
     time::Duration,
@@ -19,6 +20,10 @@
 const CONNECT_TIMEOUT_MS: u64 = 500;
 /// Time limit for a response. A watch adds its own wait to it.
 const ANSWER_TIMEOUT_MS: u64 = 2_000;
+/// Maximum length of the body of a response. A list is the longest.
+const MAX_BODY_BYTES: u64 = 16 * 1_024 * 1_024;
+/// Length up to which the text of a refusal is read.
+const MAX_ERROR_BYTES: u64 = 4 * 1_024;
 
 /// Numbers of calls made by one client. The platform counts and charges each call.
 #[derive(Debug, Default)]
@@ -119,7 +124,7 @@
             .send()
             .map_err(transport_error)?;
         if answer.status().as_u16() == 409 {
-            let current = Box::new(answer.json().map_err(no_answer)?);
+            let current = Box::new(read_json(answer)?);
             return Err(PlatformError::Conflict { current });
         }
         let object: Object = parse_answer(answer)?;
@@ -168,10 +173,28 @@
 fn parse_answer<T: DeserializeOwned>(answer: attohttpc::Response) -> Result<T, PlatformError> {
     let status = answer.status().as_u16();
     if !answer.is_success() {
-        let message = answer.text().unwrap_or_default();
+        let text = read_start(answer, MAX_ERROR_BYTES).unwrap_or_default();
+        let message = String::from_utf8_lossy(&text).into_owned();
         return Err(PlatformError::Refused { status, message });
     }
-    answer.json().map_err(no_answer)
+    read_json(answer)
+}
+
+/// Reads a JSON body; fails if it is longer than [`MAX_BODY_BYTES`].
+fn read_json<T: DeserializeOwned>(answer: attohttpc::Response) -> Result<T, PlatformError> {
+    let bytes = read_start(answer, MAX_BODY_BYTES + 1).map_err(no_answer)?;
+    if bytes.len() as u64 > MAX_BODY_BYTES {
+        return Err(no_answer("the answer is too long"));
+    }
+    serde_json::from_slice(&bytes).map_err(no_answer)
+}
+
+/// Reads a body up to a length.
+fn read_start(answer: attohttpc::Response, max_bytes: u64) -> io::Result<Vec<u8>> {
+    let (_, _, body) = answer.split();
+    let mut bytes = Vec::new();
+    body.take(max_bytes).read_to_end(&mut bytes)?;
+    Ok(bytes)
 }
 
 fn no_answer(error: impl ToString) -> PlatformError {
