--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -146,7 +146,7 @@
     index: usize,
     others: Vec<Attempt>,
 ) -> Response<AnswerBody> {
-    let (parts, body) = channel();
+    let (parts, body) = channel(&context.gateway.answer_buffers);
     let (head_sender, head) = oneshot::channel();
     let last_id = outgoing.headers.get(headers::LAST_EVENT_ID);
     let mut forwarder = StreamForwarder {
