--- a/tests/silent_engines.rs
+++ b/tests/silent_engines.rs
@@ -78,7 +78,7 @@
 /// Defines tests of a request whose group pauses: name, whether the request may run again, which member pauses (0
 /// is the leader), what happens to the others at the beginning of the pause.
 macro_rules! pause_tests {
-    ($($name:ident: repeatable $is_repeatable:literal, member $index:literal, $change:expr;)+) => {
+    ($($name:ident, repeatable $is_repeatable:literal, member $index:literal, $change:expr;)+) => {
         $(
             site_test!($name, options(), |site| {
                 let call = long_call($is_repeatable);
@@ -101,10 +101,10 @@
 // Guards against attempts that are cancelled because their engines are silent for a time, before another engine
 // has sent a token, or although no other one may run the request.
 pause_tests! {
-    marked_request_outlasts_a_pause_of_its_engine: repeatable false, member 0, |_: &_, _: &_| {};
-    marked_request_outlasts_a_pause_of_a_member: repeatable false, member 1, |_: &_, _: &_| {};
-    repeatable_request_outlasts_a_pause: repeatable true, member 0, |_: &_, _: &_| {};
-    repeatable_request_outlasts_a_pause_while_other_groups_fail: repeatable true, member 0, fail_elsewhere;
+    marked_request_outlasts_a_pause_of_its_engine, repeatable false, member 0, |_: &_, _: &_| {};
+    marked_request_outlasts_a_pause_of_a_member, repeatable false, member 1, |_: &_, _: &_| {};
+    repeatable_request_outlasts_a_pause, repeatable true, member 0, |_: &_, _: &_| {};
+    repeatable_request_outlasts_a_pause_while_other_groups_fail, repeatable true, member 0, fail_elsewhere;
 }
 
 // As above, for an engine that is paused when the request is sent, and reads it once its connection is closed.
