An engine that does not hold an attempt yet may still start it

A marked request to an engine that was paused when it was sent ended as `unknown`, although the engine ran it within the deadline.

Cause: an engine that goes on reads the requests that have arrived in any order. When it reads the resumption of an attempt before the request that starts it, it answers 404, and the node took every 404 as the end of the attempt. What a node has of an attempt now says whether the engine has shown that it received it. Until then, 404 is final only if the engine repeats it a second later; meanwhile the attempt is kept as a silent one.

--- a/crates/node/src/caller/completion.rs
+++ b/crates/node/src/caller/completion.rs
@@ -25,7 +25,7 @@
         gate::{AttemptSlot, Rejection, start_without_queue, wait_in_queue},
         idempotency::{self, KeyCheck},
         limits::{self, max_tokens, retry_after_s},
-        resume::{KeptAttempt, ResumeError, may_go_on, resume_stream},
+        resume::{OpenAttempt, ResumeError, may_go_on, resume_stream},
         retry,
         select::{CAPACITY_WAIT_MS, choose_group, wait_for_group},
     },
@@ -127,7 +127,7 @@
     token_gaps: TokenGaps<'a>,
     failed_groups: BTreeSet<GroupId>,
     /// Silent attempts, in the order in which they are resumed if no other group takes the request.
-    kept: VecDeque<KeptAttempt>,
+    kept: VecDeque<OpenAttempt>,
     /// Time from which the groups that failed are candidates again while attempts are kept.
     reconsider_failed_at: Option<TimeMs>,
     /// The failure after which no other attempt may be made; only the kept ones may go on.
@@ -224,7 +224,7 @@
     /// Goes on with a silent attempt, after a pause.
     fn resume_kept(
         &mut self,
-        kept: KeptAttempt,
+        kept: OpenAttempt,
         model: &ModelRef,
         state: Dispatched,
     ) -> AttemptResult {
@@ -237,17 +237,16 @@
             self.reconsider_failed_at = None;
             self.failed_groups.clear();
         }
-        let KeptAttempt { permit, attempt } = kept;
-        let _in_flight = self.shared.enter_group(&permit.assignment.group);
+        let _in_flight = self.shared.enter_group(&kept.permit.assignment.group);
         self.slot = Some(start_without_queue(
             self.shared,
             self.context,
             model,
-            &permit,
+            &kept.permit,
         ));
         // One failure more, and another group is looked for again.
         let failures = MAX_STREAM_FAILURES;
-        self.relay(&permit, attempt, Err(StreamError::Stalled), failures, state)
+        self.relay(kept, Err(StreamError::Stalled), failures, state)
     }
 
     /// Returns a group for another attempt while the request has silent attempts, if there is one. The
@@ -352,8 +351,9 @@
             CONNECT_TIMEOUT_MS,
             stall_timeout_ms,
         );
+        let open = OpenAttempt::new(permit, attempt);
         match started {
-            Ok(stream) => self.relay(permit, attempt, Ok(stream), 0, state),
+            Ok(stream) => self.relay(open, Ok(stream), 0, state),
             Err(error) if error.is_not_run() => {
                 self.log_failure(permit, &error);
                 if self.is_still_permitted(permit) {
@@ -366,7 +366,7 @@
             // An engine may send its response head only with the first token, so it may hold the
             // attempt although no response came in time.
             Err(StartError::NoAnswer { .. }) => {
-                self.relay(permit, attempt, Err(StreamError::Stalled), 0, state)
+                self.relay(open, Err(StreamError::Stalled), 0, state)
             }
             Err(_) => AttemptResult::Lost(state.lost()),
         }
@@ -384,15 +384,17 @@
     /// stream. `failures` is the number of failures since the last token.
     fn relay(
         &mut self,
-        permit: &Permit,
-        attempt: AttemptId,
+        mut open: OpenAttempt,
         mut stream: Result<TokenStream, StreamError>,
         mut failures: u32,
         state: Dispatched,
     ) -> AttemptResult {
         loop {
             let next = match &mut stream {
-                Ok(stream) => stream.next_event(),
+                Ok(stream) => {
+                    open.on_received();
+                    stream.next_event()
+                }
                 Err(error) => Err(error.clone()),
             };
             match next {
@@ -401,13 +403,13 @@
                     if !self.call.is_keyed && self.responder.caller_has_disconnected() {
                         // The caller has disconnected and gets no answer. Here and below, the
                         // result code `UpstreamFailed` is only logged and counted.
-                        return self.abort(permit, attempt, state, ResultCode::UpstreamFailed);
+                        return self.abort(&open, state, ResultCode::UpstreamFailed);
                     }
                 }
                 Ok(StreamEvent::Token(token)) => {
                     failures = 0;
                     if !self.on_token(token) && !self.call.is_keyed {
-                        return self.abort(permit, attempt, state, ResultCode::UpstreamFailed);
+                        return self.abort(&open, state, ResultCode::UpstreamFailed);
                     }
                     self.cancel_kept();
                 }
@@ -416,11 +418,11 @@
                     return AttemptResult::Ended(state.answered());
                 }
                 Err(_) if !self.call.is_keyed && self.responder.caller_has_disconnected() => {
-                    return self.abort(permit, attempt, state, ResultCode::UpstreamFailed);
+                    return self.abort(&open, state, ResultCode::UpstreamFailed);
                 }
                 Err(error) => {
-                    self.log_failure(permit, &error);
-                    let resumed = self.resume(permit, attempt, &error);
+                    self.log_failure(&open.permit, &error);
+                    let resumed = self.resume(&open, &error);
                     // A stalled attempt that can be resumed is assumed to wait in the engine's
                     // queue, which is not a failure.
                     let is_queued = error == StreamError::Stalled && resumed.is_ok();
@@ -428,21 +430,21 @@
                     let has_failed = failures > MAX_STREAM_FAILURES;
                     let is_lost = match &resumed {
                         Ok(_) => false,
-                        Err(error) => error.is_lost(has_failed),
+                        Err(error) => open.is_lost(error, has_failed, self.shared.now()),
                     };
                     if is_lost {
-                        KeptAttempt::new(permit, attempt).cancel();
+                        open.cancel();
                         return AttemptResult::Lost(state.lost());
                     }
-                    if has_failed || self.can_be_replaced(permit) {
-                        self.kept.push_back(KeptAttempt::new(permit, attempt));
+                    if has_failed || self.can_be_replaced(&open.permit) {
+                        self.kept.push_back(open);
                         return AttemptResult::Silent(state.lost());
                     }
                     stream = resumed.map_err(ResumeError::into_stream_error);
                 }
             }
             if self.context.deadline.has_passed(self.shared.now()) {
-                return self.abort(permit, attempt, state, ResultCode::DeadlinePassed);
+                return self.abort(&open, state, ResultCode::DeadlinePassed);
             }
         }
     }
@@ -458,39 +460,22 @@
     }
 
     /// Cancels the attempt and ends the request with `code`.
-    fn abort(
-        &self,
-        permit: &Permit,
-        attempt: AttemptId,
-        state: Dispatched,
-        code: ResultCode,
-    ) -> AttemptResult {
-        KeptAttempt::new(permit, attempt).cancel();
+    fn abort(&self, open: &OpenAttempt, state: Dispatched, code: ResultCode) -> AttemptResult {
+        open.cancel();
         AttemptResult::Ended(state.lost().give_up(code))
     }
 
     /// Resumes the attempt on a new connection, after its stream ended with `error`.
-    fn resume(
-        &self,
-        permit: &Permit,
-        attempt: AttemptId,
-        error: &StreamError,
-    ) -> Result<TokenStream, ResumeError> {
+    fn resume(&self, open: &OpenAttempt, error: &StreamError) -> Result<TokenStream, ResumeError> {
         if let StreamError::Malformed { message } = error {
             return Err(ResumeError::Lost(message.clone()));
         }
-        if !may_go_on(self.shared, permit) {
+        if !may_go_on(self.shared, &open.permit) {
             return Err(ResumeError::Lost("the group has changed".to_owned()));
         }
         // In tokens of the whole answer, including those sent in `continue_from`.
         let offset = self.received_tokens.len() as u64;
-        resume_stream(
-            permit,
-            attempt,
-            offset,
-            CONNECT_TIMEOUT_MS,
-            self.stall_timeout_ms(),
-        )
+        resume_stream(open, offset, CONNECT_TIMEOUT_MS, self.stall_timeout_ms())
     }
 
     /// Returns whether the node still holds a permit for the same assignment of the group.
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -98,6 +98,8 @@
     Leaving,
     /// Every request fails at once with status 500, and the load report says zero.
     ErrorFast,
+    /// A request that starts an attempt is read only after one for the stream of that attempt.
+    ReadsStartsLate,
 }
 
 /// A running engine. Dropping it is the death of its VM: open streams stop without a word.
--- a/crates/standins/src/engine/handlers.rs
+++ b/crates/standins/src/engine/handlers.rs
@@ -16,7 +16,7 @@
     engine::{
         EngineFault,
         attempt::{self, Attempt, AttemptRequest, Progress},
-        state::Shared,
+        state::{Shared, State},
     },
     http::{header, query, read_body, respond_error, respond_json, write_chunk},
     run_log::{RunRecord, wall_ms},
@@ -112,6 +112,9 @@
     if shared.lock().fault == EngineFault::ErrorFast {
         return respond_error(request, 500, "broken");
     }
+    if !wait_to_read_start(shared, &request) {
+        return hang(request);
+    }
     let attempt = match admit(shared, &request, &body) {
         Ok(attempt) => attempt,
         Err(reason) => return respond_error(request, 503, reason),
@@ -131,6 +134,22 @@
     let _ = stream(shared, request, &attempt, attempt.first_offset);
 }
 
+/// Waits until the engine reads a request that starts an attempt. Returns `false` if it stops before.
+fn wait_to_read_start(shared: &Shared, request: &Request) -> bool {
+    let id = header(request, ATTEMPT_HEADER).parse().ok();
+    let is_late = |state: &State| {
+        let is_asked_for = id.is_some_and(|id| state.asked_in_vain.contains(&id));
+        state.fault == EngineFault::ReadsStartsLate && !is_asked_for
+    };
+    while is_late(&shared.lock()) {
+        if shared.is_stopped() {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(TOKEN_WAIT_MS));
+    }
+    true
+}
+
 fn admit(shared: &Shared, request: &Request, body: &Value) -> Result<Arc<Attempt>, &'static str> {
     let id: AttemptId = header(request, ATTEMPT_HEADER)
         .parse()
@@ -177,15 +196,16 @@
     let offset: u64 = query(url, "offset")
         .and_then(|text| text.parse().ok())
         .unwrap_or(0);
-    let attempt = id
-        .parse()
-        .ok()
-        .and_then(|id: AttemptId| shared.lock().attempts.get(&id).cloned());
+    let id = id.parse().ok();
+    let attempt = id.and_then(|id: AttemptId| shared.lock().attempts.get(&id).cloned());
     match attempt {
         Some(attempt) if offset >= attempt.first_offset => {
             let _ = stream(shared, request, &attempt, offset);
         }
-        _ => respond_error(request, 404, "no such attempt"),
+        _ => {
+            shared.lock().asked_in_vain.extend(id);
+            respond_error(request, 404, "no such attempt");
+        }
     }
 }
 
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -1,7 +1,7 @@
 //! What an engine knows.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -39,6 +39,8 @@
     pub(super) group_slowness: f64,
     pub(super) fault: EngineFault,
     pub(super) attempts: HashMap<AttemptId, Arc<Attempt>>,
+    /// Attempts whose streams were asked for while the engine did not hold them.
+    pub(super) asked_in_vain: HashSet<AttemptId>,
     pub(super) running: u32,
     pub(super) queued: u32,
     samples: VecDeque<LoadSample>,
--- a/tests/silent_engines.rs
+++ b/tests/silent_engines.rs
@@ -126,3 +126,18 @@
         check_whole(&call, caller);
     }
 );
+
+// Guards against attempts that are taken as lost because their engine answers a resumption before it reads the
+// request that starts them, as after a pause.
+site_test!(
+    marked_request_outlasts_a_start_that_is_read_late,
+    options(),
+    |site| {
+        let fault = json!({ "mode": "reads-starts-late" });
+        let vms = site.engines.keys();
+        vms.for_each(|vm| site.engine_fault(vm, &fault));
+        let call = long_call(false);
+        let (sent, node) = (call.clone(), site.nodes[0].callers);
+        check_whole(&call, thread::spawn(move || sent.send(node)));
+    }
+);
