The HTTP library gets no bytes beyond a request

At a planned stop, a connection ended as idle although the caller had begun its next request: the beginning of the head had come in one packet with the request before it, and the request got no answer.

Cause: the HTTP library reads as much as there is and keeps what follows a request, so the gateway took the connection for idle. Now the library gets the bytes up to the end of a head, or of a body of known length, and the rest when it reads again. What it reads ahead is then seen as the beginning of a head. Empty lines before a head only make one read shorter. After a body in chunks, whose end is not known beforehand, the beginning of a head may still be hidden.

--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -36,6 +36,7 @@
     connection::{limit_unsent_bytes, set_caller_options},
     edge::caller_io::CallerIo,
     events::log_event,
+    framing::ReadBound,
     state::{Gateway, Phase},
 };
 
@@ -142,7 +143,9 @@
     end_cause: Cell<Option<EndCause>>,
     /// Whether the body of the current request was read to its end.
     is_body_read: Cell<bool>,
-    /// Whether bytes were read since then.
+    /// Number of bytes of that body that were not read yet; `None` if its length is not known beforehand.
+    unread_body_bytes: Cell<Option<u64>>,
+    /// Whether bytes were read since the body was read to its end.
     has_read_ahead: Cell<bool>,
     /// Whether the caller of the current request sees the end of a stream only by the end of the connection.
     has_unframed_streams: Cell<bool>,
@@ -189,6 +192,7 @@
             written_at: Cell::new(None),
             end_cause: Cell::new(None),
             is_body_read: Cell::new(true),
+            unread_body_bytes: Cell::new(Some(0)),
             has_read_ahead: Cell::new(false),
             has_unframed_streams: Cell::new(false),
             has_answer_begun: Cell::new(false),
@@ -253,14 +257,29 @@
         self.is_body_read.set(true);
     }
 
-    /// Records that bytes were read.
-    pub(super) fn on_read(&self) {
+    /// Returns which bytes the HTTP library may get with its next read.
+    pub(super) fn read_bound(&self) -> ReadBound {
+        match (self.stage.get(), self.unread_body_bytes.get()) {
+            (Stage::Request, None) if !self.is_body_read.get() => ReadBound::Open,
+            (Stage::Request, Some(bytes @ 1..)) => ReadBound::Body(bytes),
+            _ => ReadBound::Head,
+        }
+    }
+
+    /// Records that this number of bytes was read, within [`CallerConnection::read_bound`].
+    pub(super) fn on_read(&self, bytes: usize) {
         let now = self.gateway.now();
         self.progress_at.set(now);
-        match self.stage.get() {
-            Stage::Idle => self.stage.set(Stage::Head(now)),
-            Stage::Head(_) => {}
-            Stage::Request => self.has_read_ahead.set(self.is_body_read.get()),
+        match (self.stage.get(), self.unread_body_bytes.get()) {
+            (Stage::Idle, _) => self.stage.set(Stage::Head(now)),
+            (Stage::Head(_), _) => {}
+            (Stage::Request, Some(unread @ 1..)) => {
+                let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+                self.unread_body_bytes
+                    .set(Some(unread.saturating_sub(bytes)));
+            }
+            (Stage::Request, Some(0)) => self.has_read_ahead.set(true),
+            (Stage::Request, None) => self.has_read_ahead.set(self.is_body_read.get()),
         }
     }
 
@@ -465,6 +484,8 @@
         self.end_cause.set(None);
         self.stage.set(Stage::Request);
         self.is_body_read.set(request.body().is_end_stream());
+        self.unread_body_bytes
+            .set(request.body().size_hint().exact());
         self.has_unframed_streams
             .set(request.version() < Version::HTTP_11);
         self.has_read_ahead.set(false);
--- a/crates/gateway/src/edge/caller_io.rs
+++ b/crates/gateway/src/edge/caller_io.rs
@@ -16,6 +16,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use jacinthpoint_types::TimeMs;
 use socket2::SockRef;
 use tokio::{
@@ -26,6 +27,7 @@
 use crate::{
     clock::Clock,
     edge::caller::{CallerConnection, EndCause},
+    framing::{HeadEnd, ReadBound},
 };
 
 /// Size of the buffer into which bytes are read that nobody uses.
@@ -40,6 +42,10 @@
 pub(crate) struct CallerIo {
     stream: TcpStream,
     connection: Rc<CallerConnection>,
+    /// Search for the end of the head that is being read.
+    head_end: HeadEnd,
+    /// Bytes that were read from the socket and that the HTTP library gets with its next reads.
+    held: Bytes,
     /// Whether [`CHUNK_SIZE_START`] was the last that was written.
     is_size_begun: bool,
 }
@@ -50,6 +56,8 @@
         CallerIo {
             stream,
             connection,
+            head_end: HeadEnd::default(),
+            held: Bytes::new(),
             is_size_begun: false,
         }
     }
@@ -62,7 +70,10 @@
             return;
         }
         let mut discarded = [0; DISCARD_BYTES];
-        let mut is_first = true;
+        let mut is_first = self.held.is_empty();
+        if !is_first {
+            self.connection.on_bytes_after_end(&self.held);
+        }
         loop {
             let idle_until = clock.now().plus_ms(self.connection.linger_idle_ms());
             tokio::select! {
@@ -86,6 +97,18 @@
         }
     }
 
+    /// Returns how many of these bytes, which are next, the HTTP library gets with this read, and records them.
+    fn pass(&mut self, next: &[u8]) -> usize {
+        let end = match self.connection.read_bound() {
+            ReadBound::Head => self.head_end.find(next),
+            ReadBound::Body(bytes) => usize::try_from(bytes).ok(),
+            ReadBound::Open => None,
+        };
+        let count = end.unwrap_or(next.len()).min(next.len());
+        self.connection.on_read(count);
+        count
+    }
+
     fn shut_down_sending(&self) -> io::Result<()> {
         SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write)
     }
@@ -154,9 +177,18 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
+        if !self.held.is_empty() {
+            let next = self.held.slice(..self.held.len().min(buffer.remaining()));
+            let count = self.pass(&next);
+            buffer.put_slice(&self.held.split_to(count));
+            return Poll::Ready(Ok(()));
+        }
         match Pin::new(&mut self.stream).poll_read(context, buffer) {
             Poll::Ready(Ok(())) if buffer.filled().len() > before => {
-                self.connection.on_read();
+                let read = &buffer.filled()[before..];
+                let count = self.pass(read);
+                self.held = Bytes::copy_from_slice(&read[count..]);
+                buffer.set_filled(before + count);
                 Poll::Ready(Ok(()))
             }
             Poll::Ready(Ok(())) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod edge;
 mod events;
 mod excluded_peers;
+pub mod framing;
 mod lease;
 mod limit_exchange;
 mod load_exchange;
