An earlier incarnation is not taken for a new one because it started later

If the clock of a machine is set back, an upstream starts again with a lower `born`. When the store is then restored from a copy of before that start, the first list has the entry of the earlier incarnation with the higher start time. The view took it for a newer one and used it at once: requests go to the address that the upstream has left, and the drain or membership of the present incarnation is lost until it writes again.

Cause: the order of the start times decided which entry is older. The view now remembers the incarnations that it had (at most eight for each upstream), and holds their entries as it holds other earlier ones. Start times are compared only for incarnations that the view never had, as before.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -9,10 +9,10 @@
 //!
 //! The store can also be restored from an older copy. Its list then has entries that are older than
 //! those in the view, until the upstreams write theirs again, within about 2 s. Until then, the view
-//! keeps what it knows, unless an entry shows by itself that it is newer.
+//! keeps what it knows, unless an entry is of an incarnation that started later, as far as that can be
+//! told.
 
 use std::{
-    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
@@ -42,6 +42,8 @@
 /// Time for which the removal of an upstream is remembered. It is longer than a copy from which the
 /// store is restored is old.
 const REMOVAL_KEPT_MS: u64 = 60_000;
+/// Number of earlier incarnations of each upstream that are remembered.
+const MAX_ENDED: usize = 8;
 
 /// Effect of an update on the view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
@@ -72,6 +74,9 @@
     held: BTreeMap<VmId, (Upstream, Deadline)>,
     /// Start time and time of removal of the upstreams that were removed.
     removed: BTreeMap<VmId, (u64, TimeMs)>,
+    /// Start times of earlier incarnations that this view had, the newest last, at most
+    /// [`MAX_ENDED`] for each upstream.
+    ended: BTreeMap<VmId, Vec<u64>>,
     /// Whether a list of upstreams has been read.
     has_upstream_list: bool,
 }
@@ -178,7 +183,7 @@
         self.held.clear();
         for listed in &list {
             let hold_ms = match self.upstreams.get(&listed.id) {
-                Some(known) if may_be_older(listed, known) => EXPIRY_GRACE_MS,
+                Some(known) if self.may_be_older(listed, known) => EXPIRY_GRACE_MS,
                 None if self.was_removed(listed, now) => REMOVED_HOLD_MS,
                 _ => continue,
             };
@@ -205,14 +210,49 @@
         list.into_iter()
     }
 
-    /// Returns whether this incarnation of an upstream was removed.
+    /// Returns whether an entry may be of an upstream that was removed, or of an incarnation before.
     fn was_removed(&self, listed: &Upstream, now: TimeMs) -> bool {
         let removal = self.removed.get(&listed.id);
         removal.is_some_and(|(started_unix_ms, at)| {
-            *started_unix_ms >= listed.started_unix_ms && now.since_ms(*at) < REMOVAL_KEPT_MS
+            let is_same = listed.started_unix_ms == *started_unix_ms;
+            let is_recent = now.since_ms(*at) < REMOVAL_KEPT_MS;
+            is_recent && (is_same || self.is_earlier(listed, *started_unix_ms))
         })
     }
 
+    /// Returns whether an entry of a restored store may be older than the known one: it may be of an
+    /// earlier incarnation, or it differs and is of the same one. An upstream that drains stays so,
+    /// hence the entry of one is not older.
+    fn may_be_older(&self, listed: &Upstream, known: &Upstream) -> bool {
+        if listed.started_unix_ms == known.started_unix_ms {
+            listed != known && !listed.is_draining()
+        } else {
+            self.is_earlier(listed, known.started_unix_ms)
+        }
+    }
+
+    /// Returns whether an entry of a restored store may be of an earlier incarnation than the one that
+    /// started at `started_unix_ms`: this view had it before, or its start time is lower.
+    ///
+    /// The clock of a machine may be set back between two starts, so start times give no order. They are
+    /// compared only for incarnations that this view never had: if one is taken for an earlier one by
+    /// mistake, its entry is used later by the time for which it is held.
+    fn is_earlier(&self, listed: &Upstream, started_unix_ms: u64) -> bool {
+        let ended = self.ended.get(&listed.id);
+        ended.is_some_and(|ended| ended.contains(&listed.started_unix_ms))
+            || listed.started_unix_ms < started_unix_ms
+    }
+
+    /// Records that an incarnation of an upstream is not the one in the view any more.
+    fn record_end(&mut self, id: &VmId, started_unix_ms: u64) {
+        let ended = self.ended.entry(id.clone()).or_default();
+        ended.retain(|known| *known != started_unix_ms);
+        ended.push(started_unix_ms);
+        if ended.len() > MAX_ENDED {
+            ended.remove(0);
+        }
+    }
+
     /// Puts the held entries of a restored store in force that were not written again in time.
     pub fn release_held(&mut self, now: TimeMs) -> ViewChange {
         let is_due = |_: &VmId, (_, until): &mut (Upstream, Deadline)| until.has_passed(now);
@@ -238,13 +278,16 @@
         // longer runs.
         self.unlisted
             .retain(|id, known| *id != entry.id && known.address != entry.address);
-        let is_same = self.upstreams.get(&entry.id) == Some(&entry);
-        self.upstreams.insert(entry.id.clone(), entry);
-        if is_same {
-            ViewChange::Same
-        } else {
-            ViewChange::Changed
+        let known = self.upstreams.get(&entry.id);
+        if known == Some(&entry) {
+            return ViewChange::Same;
         }
+        let known_started = known.map(|known| known.started_unix_ms);
+        if let Some(ended) = known_started.filter(|known| *known != entry.started_unix_ms) {
+            self.record_end(&entry.id, ended);
+        }
+        self.upstreams.insert(entry.id.clone(), entry);
+        ViewChange::Changed
     }
 
     /// Removes an upstream whose entry was removed from the store. A group member that may serve
@@ -268,6 +311,10 @@
             .retain(|_, (_, at)| now.since_ms(*at) < REMOVAL_KEPT_MS);
         let removal = (known.started_unix_ms, now);
         self.removed.insert(known.id.clone(), removal);
+        self.record_end(&known.id, known.started_unix_ms);
+        let (upstreams, removed) = (&self.upstreams, &self.removed);
+        self.ended
+            .retain(|id, _| upstreams.contains_key(id) || removed.contains_key(id));
     }
 
     /// Removes an upstream whose entry cannot be decoded, and does not keep it as unlisted: such an
@@ -343,18 +390,13 @@
         if next == self.upstreams {
             return ViewChange::Same;
         }
-        self.upstreams = next;
+        let previous = std::mem::replace(&mut self.upstreams, next);
+        for (id, known) in previous {
+            let listed = self.upstreams.get(&id);
+            if listed.is_some_and(|listed| listed.started_unix_ms != known.started_unix_ms) {
+                self.record_end(&id, known.started_unix_ms);
+            }
+        }
         ViewChange::Changed
     }
 }
-
-/// Returns whether an entry of a restored store may be older than the known one: it is of an earlier
-/// incarnation, or it differs and is of the same one. An upstream that drains stays so, hence the
-/// entry of one is not older.
-fn may_be_older(listed: &Upstream, known: &Upstream) -> bool {
-    match listed.started_unix_ms.cmp(&known.started_unix_ms) {
-        Ordering::Less => true,
-        Ordering::Equal => listed != known && !listed.is_draining(),
-        Ordering::Greater => false,
-    }
-}
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -246,6 +246,38 @@
         assert_eq!(view.upstreams()[&id("b")], restarted("b"));
     }
 
+    // Guards against requests to an address of before, if the clock was set back before the upstream started again.
+    restored_entry_of_an_earlier_incarnation_with_a_higher_start_time_is_held: |view| {
+        view.apply_upstream(restarted("b"));
+        view.apply_upstream(upstream("b"));
+        view.apply_restored_list(vec![upstream("a"), restarted("b")], TimeMs(20_000));
+        assert_eq!(view.upstreams()[&id("b")], upstream("b"));
+    }
+
+    restored_entry_of_an_incarnation_of_an_earlier_list_is_held: |view| {
+        view.apply_list(vec![upstream("a"), restarted("b")], false, TimeMs(18_000));
+        view.apply_list(vec![upstream("a"), upstream("b")], false, TimeMs(19_000));
+        view.apply_restored_list(vec![upstream("a"), restarted("b")], TimeMs(20_000));
+        assert_eq!(view.upstreams()[&id("b")], upstream("b"));
+    }
+
+    restored_entry_of_a_removed_incarnation_with_a_higher_start_time_is_held: |view| {
+        view.apply_upstream(restarted("b"));
+        view.remove_upstream(&id("b"), TimeMs(18_000));
+        view.apply_upstream(upstream("b"));
+        view.apply_restored_list(vec![upstream("a"), restarted("b")], TimeMs(20_000));
+        assert_eq!(view.upstreams()[&id("b")], upstream("b"));
+    }
+
+    // Guards against a copy of the store that brings back an upstream that is gone.
+    restored_entry_of_an_incarnation_before_the_removed_one_is_held: |view| {
+        view.apply_upstream(restarted("b"));
+        view.apply_upstream(upstream("b"));
+        view.remove_upstream(&id("b"), TimeMs(19_000));
+        view.apply_restored_list(vec![upstream("a"), restarted("b")], TimeMs(20_000));
+        assert!(!view.upstreams().contains_key(&id("b")));
+    }
+
     restored_entry_of_a_later_incarnation_is_used_at_once: |view| {
         view.remove_upstream(&id("a"), TimeMs(19_000));
         view.apply_restored_list(vec![restarted("a"), restarted("b")], TimeMs(20_000));
