A gateway that registers late uses little of the slack at the first start

Cause: `first_start` stood for "all gateways register together", however long the registration took. Now it holds only for a gateway that the store accepted at its first call and within the time of one call (1.3 s, the limits of a call to the store) of the start of its process. Any other counts as an added one: it uses a twentieth of its share until the others count it, and no permits for limited upstreams. The same holds for one whose first call had no answer and whose name exists at the second: it may be new, or a restart.

Not tested: a gateway that is frozen between its start and its first call.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -15,7 +15,8 @@
 //!
 //! The others count a new gateway only after their next answer with changes of the list. Until
 //! [`COUNTED_AFTER_MS`] have passed, it uses little slack of the retry budget and no upstream that
-//! names a limit.
+//! names a limit. At the first start of the whole fleet this holds only for a gateway that the store did
+//! not accept at its first call, since all others register together.
 
 use std::{
     cell::RefCell,
@@ -40,7 +41,7 @@
     excluded_peers::ExcludedPeers,
     settings::GatewaySettings,
     state::Gateway,
-    store::{Availability, StoreClient, StoreError},
+    store::{Availability, MAX_CALL_MS, StoreClient, StoreError},
     watch::watch_gateways,
 };
 
@@ -287,10 +288,17 @@
 pub(crate) async fn maintain_roster(gateway: Rc<Gateway>) {
     let mut availability = Availability::default();
     let mut store = StoreClient::new(gateway.settings().store);
-    let is_new_name = !is_registered(&gateway, &mut store).await
-        && register(&gateway, &mut store, &mut availability).await;
-    // Gateways that start together all register new names; the list has to have them.
-    let is_first_life = is_new_name && gateway.settings().is_first_start;
+    let registration = if is_registered(&gateway, &mut store).await {
+        Registration::Known
+    } else {
+        register(&gateway, &mut store, &mut availability).await
+    };
+    let is_new_name = registration != Registration::Known;
+    // Gateways that start together all register new names; the list has to have them. The others may
+    // have read it already if the store did not accept this one at once.
+    let elapsed_ms = gateway.now().since_ms(gateway.started_at);
+    let is_prompt = registration == Registration::New && elapsed_ms <= MAX_CALL_MS;
+    let is_first_life = is_prompt && gateway.settings().is_first_start;
     gateway.is_first_life.set(is_first_life);
     gateway.counted_by.set(if is_new_name && !is_first_life {
         gateway.now().plus_ms(COUNTED_AFTER_MS)
@@ -333,22 +341,36 @@
     matches!(current, Ok(Some(current)) if current.content == registration(&settings))
 }
 
-/// Registers this gateway, and returns whether its name is new or may be new. If its name is
-/// registered with another address or capacity, replaces the registration. Retries until the store
-/// accepts it.
+/// Result of a registration that the store accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Registration {
+    /// The name was registered before.
+    Known,
+    /// The name is new, and the store accepted it at the first call.
+    New,
+    /// The name is new or may be new, and a call failed before.
+    NewAfterFailure,
+}
+
+/// Registers this gateway. If its name is registered with another address or capacity, replaces the
+/// registration. Retries until the store accepts it.
 async fn register(
     gateway: &Gateway,
     store: &mut StoreClient,
     availability: &mut Availability,
-) -> bool {
+) -> Registration {
     let settings = gateway.settings();
     let name = settings.name.as_str();
     let content = registration(&settings);
     // A call without an answer may have created the registration.
-    let mut may_be_created = false;
+    let mut has_failed = false;
     loop {
         let created = store.create(KIND, name, &content).await;
-        let is_new = created.is_ok();
+        let registration = match (created.is_ok(), has_failed) {
+            (false, _) => Registration::Known,
+            (true, false) => Registration::New,
+            (true, true) => Registration::NewAfterFailure,
+        };
         let result = match created {
             Err(StoreError::Conflict(Some(current))) if current.content != content => {
                 store.replace(KIND, name, current.revision, &content).await
@@ -356,13 +378,16 @@
             result => result,
         };
         match result {
-            Ok(_) => return is_new,
+            Ok(_) => return registration,
             Err(StoreError::Conflict(Some(current))) if current.content == content => {
-                return may_be_created;
+                return match has_failed {
+                    true => Registration::NewAfterFailure,
+                    false => Registration::Known,
+                };
             }
             Err(StoreError::Conflict(_)) => {}
             Err(error) => {
-                may_be_created = true;
+                has_failed = true;
                 availability.on_failure(KIND, &error, gateway.now());
             }
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -89,7 +89,7 @@
 pub(crate) struct Gateway {
     pub(crate) clock: Clock,
     pub(crate) pauses: Pauses,
-    started_at: TimeMs,
+    pub(crate) started_at: TimeMs,
     settings: RefCell<Rc<GatewaySettings>>,
     pub(crate) view: RefCell<FleetView>,
     snapshot: RefCell<Option<Rc<Snapshot>>>,
@@ -116,7 +116,8 @@
     pub(crate) gateway_count: Cell<Option<usize>>,
     /// Time by which all other gateways count this one; in the far future until it is registered.
     pub(crate) counted_by: Cell<TimeMs>,
-    /// Set if the whole fleet starts for the first time and this is the gateway's first process.
+    /// Set if the whole fleet starts for the first time, this is the gateway's first process, and the
+    /// store accepted its registration at once.
     pub(crate) is_first_life: Cell<bool>,
     pub(crate) roster: Roster,
     /// Entries of other writers that could not be used.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -22,6 +22,8 @@
 /// Time for the head of the store's answer, in addition to the wait that a watch requests, and between
 /// two parts of its body. A slow store takes a few hundred milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 800;
+/// Time within which a call with a short answer ends, if nothing delays it.
+pub(crate) const MAX_CALL_MS: u64 = CONNECT_TIMEOUT_MS + ANSWER_TIMEOUT_MS;
 
 /// Time for connecting to a relay, which is in the same data centre.
 const RELAY_CONNECT_TIMEOUT_MS: u64 = 200;
