--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -113,6 +113,8 @@
     AnswerUnfinished = 755,
     /// A request arrived after the end of its connection and was not read.
     RequestUnread = 756,
+    /// A list of the store could not go on to its end. What was read of it is used.
+    ListUnfinished = 760,
 }
 
 impl EventCode {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -173,6 +173,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Forgets the objects of a kind, since some may be missing. Until a whole list was read, calls are held.
+    pub(crate) fn discard(&self, kind: &'static str) {
+        self.caches.borrow_mut().remove(kind);
+        self.changed.notify_waiters();
+    }
+
     /// Begins to serve a kind that this gateway now reads from the store. Until its list was read,
     /// calls are held.
     pub(crate) fn add_kind(&self, kind: &'static str) {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,6 +1,11 @@
 //! Client of the platform's store, and of gateways that serve the same calls as relays.
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -61,6 +66,15 @@
     Unreadable(DecodeError),
 }
 
+/// Where a list could not go on, although objects follow.
+#[derive(Debug)]
+pub(crate) struct ListEnd {
+    /// Name after which a page was asked for; `None` if that was the first page.
+    pub(crate) after: Option<String>,
+    /// Reason for the log.
+    pub(crate) why: String,
+}
+
 /// Answer to a call.
 struct Answer {
     status: u16,
@@ -174,22 +188,41 @@
         self.decoded(decode_list(&body, era))
     }
 
-    /// Returns all objects of a kind, with the position from which a watch continues. Fails with
-    /// [`StoreError::HistoryGone`] if the store was restored while the parts were read.
+    /// Returns all objects of a kind, with the position from which a watch continues. Says where the list
+    /// ends early if the source gives no way to its next page. Fails with [`StoreError::HistoryGone`] if the store was restored while the parts were read.
     pub(crate) async fn list_all(
         &mut self,
         kind: &'static str,
         freshness: Freshness,
-    ) -> Result<List, StoreError> {
+    ) -> Result<(List, Option<ListEnd>), StoreError> {
         let mut all = self.list(kind, None, freshness).await?;
+        let mut after: Option<String> = None;
+        let mut asked = BTreeSet::new();
         let mut last = all.objects.last().map(|object| object.name.clone());
         while all.has_more {
-            // Without a name, the list cannot go on, and one that ends here would lack objects.
-            let Some(after) = last else {
-                return Err(StoreError::Unreadable(DecodeError::Field { field: "name" }));
+            let unfinished = |after, why: &str| {
+                let why = why.to_owned();
+                Some(ListEnd { after, why })
+            };
+            let Some(next) = last else {
+                return Ok((all, unfinished(after, "no name on the page can be read")));
+            };
+            if !asked.insert(next.clone()) {
+                return Ok((
+                    all,
+                    unfinished(after, "the page ends at a name that was asked for"),
+                ));
+            }
+            let part = match self.list(kind, Some(&next), freshness).await {
+                Ok(part) => part,
+                // Another call of the same page would be refused, too.
+                Err(error @ StoreError::Refused(400 | 404 | 414 | 422)) => {
+                    return Ok((all, unfinished(Some(next), &error.to_string())));
+                }
+                Err(error) => return Err(error),
             };
-            let part = self.list(kind, Some(&after), freshness).await?;
             last = part.objects.last().map(|object| object.name.clone());
+            after = Some(next);
             if part.position.era != all.position.era {
                 return Err(StoreError::HistoryGone);
             }
@@ -199,7 +232,7 @@
             // The revision stays that of the first part. Changes made while the other parts were
             // read are therefore returned again by the watch.
         }
-        Ok(all)
+        Ok((all, None))
     }
 
     /// Returns the changes of a kind after a position. Waits for one for up to `wait_ms`; the result
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -12,6 +12,7 @@
     paths::{self, Freshness},
 };
 use jacinthpoint_fleet::{Continuity, HistoryPosition, MAX_RELAYED_AGE_MS, ViewChange};
+use jacinthpoint_types::Deadline;
 
 use crate::{
     clock::sleep_ms,
@@ -67,6 +68,8 @@
 const OWNER_BATCH_PAUSE_MS: u64 = 50;
 /// Pause before a relay that refused a call is called again.
 const RELAY_RETRY_PAUSE_MS: u64 = 150;
+/// Time after which a list is read again that could not go on to its end.
+const UNFINISHED_LIST_RETRY_MS: u64 = 5_000;
 /// Time between two checks for entries that have expired.
 const EXPIRY_INTERVAL_MS: u64 = 100;
 
@@ -207,6 +210,8 @@
     position: Option<HistoryPosition>,
     /// Whether the list has to be read again because changes were missed.
     must_list: bool,
+    /// When the list is read again because the last one could not go on.
+    list_again_at: Option<Deadline>,
     availability: Availability,
 }
 
@@ -344,7 +349,7 @@
         None => feed.first_list,
         Some(_) => Freshness::Newest,
     };
-    let list = source.list_all(feed.kind, freshness).await?;
+    let (list, end) = source.list_all(feed.kind, freshness).await?;
     log_history(feed, source, progress.position, list.position);
     let known = progress.position;
     let continuity = known.map(|known| list.position.continuity(&known));
@@ -367,11 +372,16 @@
     log_unreadable(gateway, feed, &list.unreadable);
     let now = gateway.now();
     let is_after_outage = progress.on_answer(gateway, feed, source);
-    if !source.is_relayed() {
-        let max_age_ms = feed.waits.max_relayed_age_ms;
-        gateway
-            .relay
-            .on_list(feed.kind, &list.objects, list.position, max_age_ms, now);
+    match &end {
+        None if source.is_relayed() => {}
+        None => {
+            let max_age_ms = feed.waits.max_relayed_age_ms;
+            gateway
+                .relay
+                .on_list(feed.kind, &list.objects, list.position, max_age_ms, now);
+        }
+        // Others would take the objects that are not on it for removed ones.
+        Some(_) => gateway.relay.discard(feed.kind),
     }
     let known_era = known.and_then(|known| known.era);
     progress.position = Some(HistoryPosition {
@@ -383,10 +393,56 @@
         _ if is_after_outage => Interruption::Outage,
         _ => Interruption::None,
     };
-    (feed.on_list)(gateway, list, interruption);
+    let until = end.map(|end| {
+        gateway.metrics.count("lists_unfinished", feed.kind);
+        log_event!(
+            warn,
+            ListUnfinished,
+            kind = feed.kind,
+            relayed = source.is_relayed(),
+            after = end.after,
+            why = end.why,
+            objects = list.objects.len(),
+            revision = list.position.revision,
+            "a list cannot go on; what was read is used, and the list is read again later"
+        );
+        Deadline::after_ms(now, UNFINISHED_LIST_RETRY_MS)
+    });
+    progress.list_again_at = until;
+    if until.is_some() {
+        // Objects that are not on it may exist, so none is removed.
+        if feed.kind == paths::UPSTREAM_KIND {
+            gateway.view.borrow_mut().accept_unfinished_list();
+        }
+        apply_changes(
+            gateway,
+            feed,
+            list.objects.iter().map(|o| (o, false)),
+            is_after_outage,
+        );
+    } else {
+        (feed.on_list)(gateway, list, interruption);
+    }
     Ok(())
 }
 
+/// Applies changes to the view. The snapshot is built from the whole view, so once for all of them: with many
+/// upstreams, one for each change would leave no time for requests.
+fn apply_changes<'a>(
+    gateway: &Gateway,
+    feed: &Feed,
+    changes: impl IntoIterator<Item = (&'a StoredObject, bool)>,
+    is_after_outage: bool,
+) {
+    let mut change = ViewChange::Same;
+    for (object, is_removed) in changes {
+        if (feed.on_change)(gateway, object, is_removed, is_after_outage) == ViewChange::Changed {
+            change = ViewChange::Changed;
+        }
+    }
+    gateway.on_view_change(change);
+}
+
 /// Logs parts of an answer that cannot be read.
 fn log_unreadable(gateway: &Gateway, feed: &Feed, parts: &[UnreadablePart]) {
     for part in parts {
@@ -479,17 +535,15 @@
             gateway.relay.on_events(feed.kind, &changes, after, now);
         }
         progress.position = Some(after);
-        // The snapshot is built from the whole view, so once for all changes of an answer: with many
-        // upstreams, one for each change would leave no time for requests.
-        let mut change = ViewChange::Same;
-        for (object, is_removed) in &changes {
-            if (feed.on_change)(gateway, object, *is_removed, is_after_outage)
-                == ViewChange::Changed
-            {
-                change = ViewChange::Changed;
-            }
+        let changed = changes
+            .iter()
+            .map(|(object, is_removed)| (object, *is_removed));
+        apply_changes(gateway, feed, changed, is_after_outage);
+        let is_due = progress.list_again_at.is_some_and(|at| at.has_passed(now));
+        if is_due {
+            progress.must_list = true;
+            return Ok(());
         }
-        gateway.on_view_change(change);
         if !changes.is_empty() && !is_relayed {
             let is_owner = gateway.is_owner();
             let pause_ms = if is_owner {
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -2,6 +2,7 @@
 
 use jacinthpoint_adapter::paths;
 use jacinthpoint_platform_standins::PlainService;
+use serde_json::json;
 
 use crate::gateway::{
     caller::Request,
@@ -29,6 +30,110 @@
     line.map_or(0, |count| count.parse().expect("it is a number"))
 }
 
+/// Returns how often a list of upstreams could not go on at a gateway.
+fn unfinished_lists(site: &Site, index: usize) -> u64 {
+    let metrics = site.metrics(index);
+    let kind = paths::UPSTREAM_KIND;
+    let prefix = format!("jacinthpoint_lists_unfinished_total{{label=\"{kind}\"}} ");
+    let line = metrics.lines().find_map(|line| line.strip_prefix(&prefix));
+    line.map_or(0, |count| count.parse().expect("it is a number"))
+}
+
+/// Writes two entries that are no upstreams. Each fills more than half a page, so a page ends at this name.
+fn end_page_at(site: &Site, name: &str) {
+    let content = json!({ "note": "x".repeat(600_000) });
+    let store = &site.platform.store;
+    store.put(paths::UPSTREAM_KIND, name, content.clone());
+    store.put(paths::UPSTREAM_KIND, &format!("{name}~"), content);
+}
+
+/// Ends the watches, so that gateways read the list again, and writes another upstream.
+fn add_behind_lost_history(site: &Site) {
+    let store = &site.platform.store;
+    let entry = store.get_content(paths::UPSTREAM_KIND, PlainService::ID);
+    let mut entry = entry.expect("it is registered");
+    entry["state"] = "draining".into();
+    store.end_all_watches();
+    store.put(paths::UPSTREAM_KIND, "later", entry);
+}
+
+/// Checks that gateways read the whole list if a page ends at this name, also after a restart.
+fn check_page_end(name: &str) {
+    let mut site = Site::start(2);
+    end_page_at(&site, name);
+    add_behind_lost_history(&site);
+    for index in 0..2 {
+        site.wait_until("the list is read again", 4 * READ_MS, |site| {
+            knows_upstreams(site, index, UPSTREAMS + 1)
+        });
+    }
+    site.restart(0);
+    site.wait_until("the gateway is ready again", 4 * READ_MS, |site| {
+        site.is_ready(0) && knows_upstreams(site, 0, UPSTREAMS + 1)
+    });
+    for index in 0..2 {
+        assert_eq!(unfinished_lists(&site, index), 0, "gateway {index}");
+    }
+}
+
+/// Checks that gateways use what they have and what they read of a list that cannot go on behind the name `odd`, that
+/// they count it, and that they read all of it once it goes on.
+fn check_unfinished_list(break_page: impl Fn(&Site)) {
+    let mut site = Site::start(2);
+    end_page_at(&site, "odd");
+    break_page(&site);
+    add_behind_lost_history(&site);
+    for index in 0..2 {
+        site.wait_until("the list has ended early", 4 * READ_MS, |site| {
+            unfinished_lists(site, index) > 0 && knows_upstreams(site, index, UPSTREAMS + 1)
+        });
+        let answer = Request::stream(&format!("beside-{index}")).send(site.gateway(index));
+        assert_eq!(answer.status, 200, "gateway {index}");
+    }
+    site.restart(0);
+    site.wait_until("the gateway is ready again", 4 * READ_MS, |site| {
+        site.is_ready(0) && unfinished_lists(site, 0) > 0
+    });
+    site.platform.store.mend_pages();
+    site.wait_until("the whole list is read", 4 * READ_MS, |site| {
+        knows_upstreams(site, 0, UPSTREAMS + 1)
+    });
+}
+
+/// Guards against gateways that follow no changes and are not ready after a restart, because the store refuses a page.
+#[test]
+fn list_whose_next_page_is_refused_is_used_so_far() {
+    check_unfinished_list(|site| site.platform.store.refuse_page_after("odd"));
+}
+
+/// Guards against gateways that read the same page for ever.
+#[test]
+fn list_whose_page_repeats_is_used_so_far() {
+    check_unfinished_list(|site| site.platform.store.repeat_page_after("odd"));
+}
+
+/// Defines tests of one name each at which a page of the list ends.
+macro_rules! page_end {
+    ($($name:ident: $entry:expr,)+) => {
+        $(
+            #[test]
+            fn $name() {
+                check_page_end($entry);
+            }
+        )+
+    };
+}
+
+// Guards against lists that fail or repeat, since the name of another writer's entry is put into a query as it is.
+page_end! {
+    list_goes_on_after_a_name_with_a_space: "a spare",
+    list_goes_on_after_a_name_with_a_field_separator: "a&stale_ok=1",
+    list_goes_on_after_a_name_with_a_percent_sign: "50%20off",
+    list_goes_on_after_a_name_with_a_fragment_sign: "a#b",
+    list_goes_on_after_a_name_with_a_query_sign: "a?b/c",
+    list_goes_on_after_a_name_beyond_ascii: "düne-Ω",
+}
+
 /// Checks that gateways read everything but an odd entry with this content: later changes, and the whole list
 /// after a restart. The entry is counted once at each gateway, and used as soon as it can be read.
 fn check_odd_entry(content: &str) {
