A change of an object without a readable name leads to a new list

An upstream stayed in use after its entry was replaced by one whose name cannot be read: the change names no object, so it was logged and dropped. Now the gateway reads the list again after such a change, at most once a second; the list does not have the upstream any more. Gateways that watch a relay read the list again, too, because the relay's history begins anew with it; this was not run by itself.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -12,7 +12,7 @@
     paths::{self, Freshness},
 };
 use jacinthpoint_fleet::{Continuity, HistoryPosition, MAX_RELAYED_AGE_MS, ViewChange};
-use jacinthpoint_types::Deadline;
+use jacinthpoint_types::{Deadline, TimeMs};
 
 use crate::{
     clock::sleep_ms,
@@ -70,6 +70,8 @@
 const RELAY_RETRY_PAUSE_MS: u64 = 150;
 /// Time after which a list is read again that could not go on to its end.
 const UNFINISHED_LIST_RETRY_MS: u64 = 5_000;
+/// Minimum time between two lists that are read because objects of unknown names changed.
+const MIN_LIST_INTERVAL_MS: u64 = 1_000;
 /// Time between two checks for entries that have expired.
 const EXPIRY_INTERVAL_MS: u64 = 100;
 
@@ -210,8 +212,10 @@
     position: Option<HistoryPosition>,
     /// Whether the list has to be read again because changes were missed.
     must_list: bool,
-    /// When the list is read again because the last one could not go on.
+    /// When the list is read again because the last one could not go on, or an object of unknown name changed.
     list_again_at: Option<Deadline>,
+    /// When the last list was read.
+    listed_at: TimeMs,
     availability: Availability,
 }
 
@@ -409,6 +413,7 @@
         Deadline::after_ms(now, UNFINISHED_LIST_RETRY_MS)
     });
     progress.list_again_at = until;
+    progress.listed_at = now;
     if until.is_some() {
         // Objects that are not on it may exist, so none is removed.
         if feed.kind == paths::UPSTREAM_KIND {
@@ -539,6 +544,12 @@
             .iter()
             .map(|(object, is_removed)| (object, *is_removed));
         apply_changes(gateway, feed, changed, is_after_outage);
+        // An object of unknown name changed. The list shows which ones can still be read.
+        if unreadable.iter().any(|part| part.object.is_none()) {
+            let at = Deadline::after_ms(progress.listed_at, MIN_LIST_INTERVAL_MS);
+            let at = progress.list_again_at.map_or(at, |known| known.min(at));
+            progress.list_again_at = Some(at);
+        }
         let is_due = progress.list_again_at.is_some_and(|at| at.has_passed(now));
         if is_due {
             progress.must_list = true;
