A gateway replaces its registration if another writer changed it

The others had no address of a gateway whose registration another writer had made unreadable, for as long as it ran: a gateway registered again only if its registration was missing. Now it does if the registration is not as it wrote it.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -5,7 +5,7 @@
 //! chosen as readers of the store and as candidates for the lease.
 //!
 //! Each gateway registers at its start, and again if its registration is missing later, as it may be
-//! after the store was restored from an older copy. Registrations are never removed. That of a gateway that
+//! after the store was restored from an older copy, or is not as it wrote it. Registrations are never removed. That of a gateway that
 //! no longer exists makes each share of the retry budget smaller, can hold a place as reader or
 //! candidate, and is sent datagrams. A reader that does not answer is excluded for a time, so the
 //! next one in the order takes its place.
@@ -76,7 +76,7 @@
     excluded: ExcludedPeers,
     /// Whether the list was read at least once.
     is_known: watch::Sender<bool>,
-    /// Notified when a list lacks the registration of this gateway.
+    /// Notified when the registration of this gateway is missing, or is not as it wrote it.
     is_missing: Notify,
 }
 
@@ -245,19 +245,27 @@
 pub(crate) fn apply_list(gateway: &Gateway, list: &List) {
     gateway.roster.update(gateway, &list.objects);
     gateway.roster.is_known.send_replace(true);
-    let own = gateway.settings().name.clone();
-    let mut names = list.objects.iter().map(|object| object.name.as_str());
-    if !names.any(|name| name == own.as_str()) {
+    let settings = gateway.settings();
+    let mut objects = list.objects.iter();
+    if !objects.any(|object| is_own(&settings, object)) {
         gateway.roster.is_missing.notify_one();
     }
 }
 
+/// Returns whether an object is the registration of the gateway with these settings, as it wrote it.
+fn is_own(settings: &GatewaySettings, object: &StoredObject) -> bool {
+    object.name == settings.name.as_str() && object.content == registration(settings)
+}
+
 /// Applies a change of one registration. One that was removed is kept, but this gateway registers
-/// again if it was its own.
+/// again if its own was removed, or was replaced by another writer.
 pub(crate) fn apply_registration(gateway: &Gateway, object: &StoredObject, is_removed: bool) {
     if !is_removed {
         gateway.roster.update(gateway, std::slice::from_ref(object));
-    } else if object.name == gateway.settings().name.as_str() {
+    }
+    let settings = gateway.settings();
+    let is_own_name = object.name == settings.name.as_str();
+    if is_own_name && (is_removed || !is_own(&settings, object)) {
         gateway.roster.is_missing.notify_one();
     }
 }
