A request sent after a crash was noticed is no suspect of it

What callers saw: a request that crashes engines was kept away, then released and sent again, so that it crashed more engines; and harmless requests were refused with 2008.

Cause: the address of an engine that is down may accept connections that break at once. Each request that was sent there counted as a suspect of a crash that this gateway had already noticed. A harmless one that met as many crashes as the cause took its place, and the cause was released.

Now a gateway keeps a notice of each crash (upstream and start time). A request sent after it is no suspect; one that was in flight is. The notice ends by a new start time, by an answer to a request sent after it (the upstream may be up again in a life that the view does not know yet, and may crash again), and after five seconds, by which the entry of an upstream that stays away has expired. A refused connection was never counted. Event 742 has `is_suspect`.

What remains: each gateway notices for itself.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub use crate::{
     budget::{FleetRetryBudget, FleetRetryBudgetSettings, RetryUsage, SlackShare},
+    crash_notice::CrashNotices,
     demand::WorkMeter,
     directory::{Directory, Target, TargetGroup, TargetKey},
     durations::RequestDurations,
@@ -23,6 +24,7 @@
 };
 
 mod budget;
+mod crash_notice;
 mod demand;
 mod directory;
 mod durations;
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns the time at which the attempt began, at most that at which the request was sent.
+    pub(super) fn sent_at(&self) -> TimeMs {
+        self.sent_at
+    }
+
     /// Records the first event of the stream, which shows that the target has read the prompt. Later
     /// calls do nothing.
     pub(super) fn on_event(&mut self) {
@@ -308,7 +313,7 @@
                 None => {
                     let elapsed_ms = gateway.now().since_ms(sent_at);
                     let broke_at = BreakPoint::without_head(is_new, elapsed_ms);
-                    record_suspected_crash(context, target, broke_at);
+                    record_suspected_crash(context, target, broke_at, sent_at);
                     AttemptOutcome::Unknown(error.error().to_string())
                 }
             };
@@ -331,6 +336,10 @@
         is_leaving,
         stated_pause_ms(&response, &kind),
     );
+    if matches!(kind, AnswerKind::NotRun(_) | AnswerKind::Usable) {
+        let mut notices = gateway.crash_notices.borrow_mut();
+        notices.on_answer(&target.upstream, sent_at);
+    }
     match kind {
         AnswerKind::NotRun(faulty) => {
             gateway
@@ -405,14 +414,14 @@
         connection,
         in_flight,
     } = open;
-    let _in_flight = in_flight;
     let (head, body) = response.into_parts();
     let deadline = gateway.clock.instant(context.deadline.0);
     let body = match tokio::time::timeout_at(deadline, whole_body::read(gateway, body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             if matches!(error, BodyError::Broken(_)) {
-                record_suspected_crash(context, &target, BreakPoint::AfterHead);
+                let sent_at = in_flight.sent_at();
+                record_suspected_crash(context, &target, BreakPoint::AfterHead, sent_at);
             }
             return AttemptOutcome::Unknown(error.to_string());
         }
--- a/crates/gateway/src/call/open_stream.rs
+++ b/crates/gateway/src/call/open_stream.rs
@@ -140,20 +140,20 @@
             },
             Some(Err(error)) => {
                 if self.pieces < 2 {
-                    record_suspected_crash(context, &self.target, BreakPoint::AfterHead);
+                    self.record_break(context);
                 }
                 StreamStep::Broken(error.to_string())
             }
             None if self.splitter.has_incomplete_event() => {
                 // With a length or chunks, the upstream has ended the answer itself.
                 if self.pieces < 2 && !self.is_framed {
-                    record_suspected_crash(context, &self.target, BreakPoint::AfterHead);
+                    self.record_break(context);
                 }
                 StreamStep::Broken("the stream ended within an event".to_owned())
             }
             None if !self.splitter.has_event() && !self.may_end_without_event => {
                 if !self.is_framed {
-                    record_suspected_crash(context, &self.target, BreakPoint::AfterHead);
+                    self.record_break(context);
                 }
                 StreamStep::Broken("the stream ended before an event".to_owned())
             }
@@ -161,6 +161,12 @@
         })
     }
 
+    /// Records that the connection broke before the second event.
+    fn record_break(&self, context: &Context) {
+        let sent_at = self.in_flight.sent_at();
+        record_suspected_crash(context, &self.target, BreakPoint::AfterHead, sent_at);
+    }
+
     fn on_bytes(
         &mut self,
         context: &Context,
--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -56,28 +56,33 @@
     }
 }
 
-/// Records that the connection of a request broke before its second event.
-pub(super) fn record_suspected_crash(context: &Context, target: &Target, at: BreakPoint) {
+/// Records that the connection of a request that was sent at `sent_at` broke before its second event.
+pub(super) fn record_suspected_crash(
+    context: &Context,
+    target: &Target,
+    at: BreakPoint,
+    sent_at: TimeMs,
+) {
     let view = context.gateway.view.borrow();
     let upstream = view.upstreams().get(&target.upstream);
-    let started_unix_ms = upstream.map_or(0, |upstream| upstream.started_unix_ms);
+    let crash = CrashId {
+        upstream: target.upstream.clone(),
+        started_unix_ms: upstream.map_or(0, |upstream| upstream.started_unix_ms),
+    };
+    let now = context.gateway.now();
+    let mut notices = context.gateway.crash_notices.borrow_mut();
+    let is_suspect = at != BreakPoint::CloseRace && notices.on_break(&crash, sent_at, now);
     let parts = context.content.parts.as_ref();
     let shared_parts = parts.map_or(&[][..], |parts| &parts.shared);
     let shared_parts: Vec<String> = shared_parts.iter().map(ToString::to_string).collect();
     log_event!(info, CrashSuspected, request = context.request_id, upstream = %target.upstream,
-        started_unix_ms, broke_at = %at, ?shared_parts, last_part = parts.map(|parts| parts.last.to_string()),
+        started_unix_ms = crash.started_unix_ms, broke_at = %at, is_suspect, ?shared_parts, last_part = parts.map(|parts| parts.last.to_string()),
         elapsed_ms = context.elapsed_ms(), digest = context.content.digest.map(|digest| digest.to_string()), route = context.route.name,
         "the connection of a request broke before its second event");
-    if at == BreakPoint::CloseRace {
-        return;
+    if is_suspect {
+        let mut quarantine = context.gateway.quarantine.borrow_mut();
+        quarantine.on_crash(&context.content, &crash, now);
     }
-    let crash = CrashId {
-        upstream: target.upstream.clone(),
-        started_unix_ms,
-    };
-    let now = context.gateway.now();
-    let mut quarantine = context.gateway.quarantine.borrow_mut();
-    quarantine.on_crash(&context.content, &crash, now);
 }
 
 /// Records that an upstream did not run a request.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,8 +11,8 @@
 };
 
 use jacinthpoint_dispatch::{
-    Directory, FleetRetryBudget, LoadTracker, Quarantine, RequestDurations, SlackShare, Target,
-    TargetKey, UpstreamLimits, UpstreamReach,
+    CrashNotices, Directory, FleetRetryBudget, LoadTracker, Quarantine, RequestDurations,
+    SlackShare, Target, TargetKey, UpstreamLimits, UpstreamReach,
 };
 use jacinthpoint_fleet::{CallerLimits, FleetConfig, FleetView, ViewChange};
 use jacinthpoint_types::{ServiceId, TimeMs, VmId};
@@ -98,6 +98,8 @@
     pub(crate) limits: RefCell<UpstreamLimits>,
     /// Requests, and parts of prompts, that crash upstreams.
     pub(crate) quarantine: RefCell<Quarantine>,
+    /// Crashes of upstreams that this gateway noticed lately.
+    pub(crate) crash_notices: RefCell<CrashNotices>,
     /// Whether this gateway reaches upstreams.
     pub(crate) reach: RefCell<UpstreamReach>,
     /// Gateways that did not take a forwarded request.
@@ -162,6 +164,7 @@
             loads: RefCell::default(),
             limits: RefCell::default(),
             quarantine: RefCell::default(),
+            crash_notices: RefCell::default(),
             reach: RefCell::default(),
             cut_peers: ExcludedPeers::default(),
             budgets: RefCell::default(),
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -1,11 +1,12 @@
 //! A request that crashes each engine that runs it, and that comes again at any gateway.
 
 use std::{
+    collections::BTreeSet,
     thread,
     time::{Duration, Instant},
 };
 
-use jacinthpoint_platform_standins::CrashAt;
+use jacinthpoint_platform_standins::{CrashAt, EngineFault};
 
 use crate::gateway::{
     caller::{HarmlessAnswer, Request, assert_half_served, join_all},
@@ -127,3 +128,44 @@
     let arrivals = crashing_arrivals(&site, begin);
     assert!(arrivals <= MAX_ARRIVALS, "{arrivals} requests arrived");
 }
+
+/// Number of different requests that are sent, one after the other, to engines that are down.
+const SENT_WHILE_DOWN: usize = 12;
+/// Pause between them, longer than the resolution of the gateway's clock.
+const PAUSE: Duration = Duration::from_millis(10);
+/// Time in which the gateway writes all of its suspicions.
+const RECORDED: Duration = Duration::from_secs(2);
+
+/// Guards against harmless requests that count for a crash that was noticed before they were sent: the address of an
+/// engine that is down may still accept connections.
+#[test]
+fn one_request_counts_for_a_crash_if_others_are_sent_only_later() {
+    // Without retries, each request meets one engine.
+    let site = Site::start_with_settings(1, "[repeats]\nratio = 0\nslack = 0\n");
+    let engines = &site.platform.engines;
+    for id in engines.ids() {
+        engines.set_fault(&id, EngineFault::Dead);
+    }
+    for index in 0..SENT_WHILE_DOWN {
+        let body = format!("prompt {index}");
+        let request = Request {
+            body: &body,
+            ..Request::stream(&format!("harmless-{index}"))
+        };
+        request.send(site.gateway(0));
+        thread::sleep(PAUSE);
+    }
+    let records = || site.platform.store.contents("prompt-suspicions");
+    site.wait_until("a suspicion is recorded", 10_000, |_| !records().is_empty());
+    thread::sleep(RECORDED);
+    let records = records();
+    let suspicions = records
+        .iter()
+        .filter_map(|record| record["suspicions"].as_array());
+    let crashes: Vec<String> = suspicions
+        .flatten()
+        .map(|suspicion| suspicion["crash"].to_string())
+        .collect();
+    let different: BTreeSet<&String> = crashes.iter().collect();
+    assert_eq!(different.len(), crashes.len(), "{crashes:?}");
+}
