A replaced registration is written again at most once a second

Two processes with the same name, as while a machine that was cut off and its replacement both run, would replace each other's registration as fast as the store answers.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -5,8 +5,8 @@
 //! chosen as readers of the store and as candidates for the lease.
 //!
 //! Each gateway registers at its start, and again if its registration is missing later, as it may be
-//! after the store was restored from an older copy, or is not as it wrote it. Registrations are never removed. That of a gateway that
-//! no longer exists makes each share of the retry budget smaller, can hold a place as reader or
+//! after the store was restored from an older copy, or is not as it wrote it. Registrations are never
+//! removed. That of a gateway that no longer exists makes each share of the retry budget smaller, can hold a place as reader or
 //! candidate, and is sent datagrams. A reader that does not answer is excluded for a time, so the
 //! next one in the order takes its place.
 //!
@@ -55,6 +55,8 @@
 /// Time after the registration of a new gateway by which the others count it. A gateway of an earlier
 /// build reads the list every six seconds, in a state that may be three seconds old.
 const COUNTED_AFTER_MS: u64 = 9_000;
+/// Minimum time between two registrations of a running gateway.
+const REPLACE_INTERVAL_MS: u64 = 1_000;
 /// Pause after a failed registration.
 const BACKOFF_MS: u64 = 500;
 /// Time for which a reader that failed is excluded.
@@ -325,6 +327,8 @@
         // An old list may lack the registration of a gateway that started a moment ago; then it exists
         // already.
         register(&gateway, &mut store, &mut availability).await;
+        // Another writer may replace the registration each time, such as a process with the same name.
+        sleep_ms(REPLACE_INTERVAL_MS).await;
     }
 }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -190,8 +190,9 @@
         self.decoded(decode_list(&body, era))
     }
 
-    /// Returns all objects of a kind, with the position from which a watch continues. Says where the list
-    /// ends early if the source gives no way to its next page. Fails with [`StoreError::HistoryGone`] if the store was restored while the parts were read.
+    /// Returns all objects of a kind, with the position from which a watch continues, and where the list ends
+    /// early if the source gives no way to its next page. Fails with [`StoreError::HistoryGone`] if the store
+    /// was restored while the parts were read.
     pub(crate) async fn list_all(
         &mut self,
         kind: &'static str,
