What an upstream states holds after a start with a lower start time

Callers saw nothing; the upstream did: after it had started again with a lower `born`, since the clock of its machine was set back, gateways ignored its Retry-After and went on sending (20 requests in 4.5 s where 2 may be), and a pause of its former life went on.

Cause: statements of an upstream's former life were replaced only by those of a life that started later. Now a life is told from another by being different. An answer counts for the life to which its request was sent, which the target names, and only if the view still has that life; before, a late answer counted for whatever life the view had when it was read.

An answer does not name the life that sent it, see docs/design/upstream-statements.md.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -27,6 +27,8 @@
     pub key: TargetKey,
     /// Upstream that requests are sent to; of a group, the leader.
     pub upstream: VmId,
+    /// Start time of that upstream, in Unix milliseconds; 0 if it is not known.
+    pub started_unix_ms: u64,
     /// Address on which that upstream listens.
     pub address: SocketAddr,
     /// Set if the target is in the gateway's data centre.
@@ -138,6 +140,7 @@
     Arc::new(Target {
         key: TargetKey(Arc::from(key)),
         upstream: upstream.id.clone(),
+        started_unix_ms: upstream.started_unix_ms,
         address: upstream.address,
         is_near: upstream.data_centre.as_str() == data_centre,
         slots: slots.max(1),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,7 +17,7 @@
     quarantine::{CrashId, Quarantine, QuarantineChange, RecordWrite, SuspectRecord, Suspicion},
     reach::UpstreamReach,
     stall::{StallPolicy, StallState},
-    statement::UpstreamStatements,
+    statement::{AnsweringLife, UpstreamStatements},
     suspect::{ParseSuspectError, RequestContent, SuspectId},
     upstream_limit::{LimitAnswer, LimitReport, MAX_LIMIT_REPORTS, StatementAges, UpstreamLimits},
 };
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -15,7 +15,7 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Response, StatusCode, body::Incoming, http::request::Parts};
-use jacinthpoint_dispatch::{StallState, Target, TargetKey};
+use jacinthpoint_dispatch::{AnsweringLife, StallState, Target, TargetKey};
 use jacinthpoint_fleet::RequestKind;
 use jacinthpoint_types::{PerSecond, TimeMs, VmId};
 
@@ -363,20 +363,22 @@
 fn record_statement(context: &Context, target: &Target, is_leaving: bool, pause_ms: Option<u64>) {
     let gateway = &context.gateway;
     let upstream = &target.upstream;
-    let started_unix_ms = {
+    let life = {
         let view = gateway.view.borrow();
         let known = view.upstreams().get(upstream);
-        known.map_or(0, |known| known.started_unix_ms)
+        AnsweringLife {
+            asked_unix_ms: target.started_unix_ms,
+            listed_unix_ms: known.map_or(0, |known| known.started_unix_ms),
+        }
     };
     let now = gateway.now();
     let statements = &mut gateway.loads.borrow_mut().statements;
-    if is_leaving && statements.on_leaving(upstream, started_unix_ms) {
+    if is_leaving && statements.on_leaving(upstream, life) {
         gateway.metrics.count("upstream_statements", "leaving");
         log_event!(info, UpstreamStated, request = context.request_id, %upstream, what = "leaving",
             "an upstream stated that it leaves: it gets no more requests");
     }
-    let until =
-        pause_ms.and_then(|pause_ms| statements.on_pause(upstream, started_unix_ms, pause_ms, now));
+    let until = pause_ms.and_then(|pause_ms| statements.on_pause(upstream, life, pause_ms, now));
     if let Some(until) = until {
         gateway.metrics.count("upstream_statements", "pause");
         log_event!(info, UpstreamStated, request = context.request_id, %upstream, what = "pause",
--- a/tests/gateway/statements.rs
+++ b/tests/gateway/statements.rs
@@ -17,6 +17,8 @@
 /// Time from which a statement holds.
 const HOLDS_AFTER: Duration = Duration::from_millis(500);
 const PAUSE_MS: u64 = 3_000;
+/// Pause that does not end within a test.
+const LONG_PAUSE_MS: u64 = 120_000;
 const INTERVAL_MS: u64 = 50;
 /// Time between the last request of the test and the end of the pause.
 const BEFORE_END_MS: u64 = 600;
@@ -106,3 +108,41 @@
     thread::sleep(HOLDS_AFTER);
     assert_eq!(Request::once("next").send(site.gateway(0)).status, 200);
 }
+
+/// Guards against rule BUDGET: what an upstream states is ignored after it started again with a lower start time, since
+/// the clock of its machine was set back in between.
+#[test]
+fn upstream_that_started_again_with_a_lower_start_time_pauses() {
+    let site = Site::start(1);
+    let plain = &site.platform.plain;
+    let store = &site.platform.store;
+    let entry = store.get_content(paths::UPSTREAM_KIND, PlainService::ID);
+    let mut entry = entry.expect("it is registered");
+    let answers_with = |status: u16, name: &str| {
+        site.wait_until(name, 10_000, |site| {
+            Request::once(name).send(site.gateway(0)).status == status
+        });
+    };
+    // The gateway has the entry of the first life once it has seen that the upstream drains.
+    plain.register(0, "draining");
+    answers_with(503, "the upstream drains");
+    entry["born"] = json!(5);
+    store.put(paths::UPSTREAM_KIND, PlainService::ID, entry.clone());
+    answers_with(200, "the first life takes requests");
+    plain.set_fault(PlainFault::Pauses(LONG_PAUSE_MS));
+    assert_eq!(Request::once("first").send(site.gateway(0)).status, 503);
+    plain.set_fault(PlainFault::None);
+    assert_eq!(Request::once("paused").send(site.gateway(0)).status, 503);
+    entry["born"] = json!(4);
+    store.put(paths::UPSTREAM_KIND, PlainService::ID, entry);
+    answers_with(200, "the second life takes requests");
+    plain.set_fault(PlainFault::Pauses(LONG_PAUSE_MS));
+    assert_eq!(Request::once("second").send(site.gateway(0)).status, 503);
+    let said_at = Instant::now();
+    plain.set_fault(PlainFault::None);
+    thread::sleep(HOLDS_AFTER);
+    for answer in send(&site, "second-paused", Duration::from_secs(1)) {
+        assert_eq!(answer.status, 503);
+    }
+    assert_eq!(arrivals(&site, said_at + HOLDS_AFTER), 0);
+}
