A stream of a frozen gateway ends at its deadline

Callers of a gateway that reaches no upstream had streams without an end at their timeout, while the gateway that they were forwarded to was frozen.

Cause: pass_stream awaited the next part of the other gateway, or the end of the caller, without a limit. Keepalive does not help, since the kernel of a frozen process answers the probes. A stream of an own upstream has the deadline and DEADLINE_SLACK_MS; the same now holds for a stream of another gateway. The body is aborted, the connection is closed, and event 733 has the reason and the other gateway's address. It is also logged if the stream breaks off, which only a debug line said before.

--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -4,7 +4,7 @@
 //! the key and makes all attempts. So only a request of which nothing was sent to an upstream may be
 //! forwarded, and only once: a gateway that gets a forwarded request does not forward it again.
 
-use std::rc::Rc;
+use std::{net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -27,6 +27,7 @@
         outcome::remove_connection_headers,
         refusal::refuse,
         request::strip_hop_by_hop,
+        stream::DEADLINE_SLACK_MS,
         whole_body,
     },
     connection::{Connection, RequestBody},
@@ -127,11 +128,7 @@
 }
 
 /// Sends a request to one gateway and waits for the answer, or for the head of a stream.
-async fn offer(
-    context: &Context,
-    outgoing: &OutgoingRequest,
-    address: std::net::SocketAddr,
-) -> Offer {
+async fn offer(context: &Context, outgoing: &OutgoingRequest, address: SocketAddr) -> Offer {
     let gateway = &context.gateway;
     let timeout_ms = CONNECT_TIMEOUT_MS.min(context.remaining_ms());
     let mut connection = match Connection::open(address, timeout_ms).await {
@@ -165,7 +162,7 @@
     if !is_whole {
         return Offer::Answered(Response::from_parts(
             head,
-            pass_stream(gateway, connection, body),
+            pass_stream(context, address, connection, body),
         ));
     }
     match tokio::time::timeout_at(deadline, whole_body::read(gateway, body)).await {
@@ -197,17 +194,30 @@
     request
 }
 
-/// Returns a body that passes a stream on as it arrives. It is aborted if the stream breaks off, and the
-/// connection is closed if the caller leaves.
-fn pass_stream(gateway: &Gateway, connection: Connection, mut body: Incoming) -> AnswerBody {
+/// Returns a body that passes a stream on as it arrives. It is aborted if the stream breaks off or has no
+/// end at the request's deadline, and the connection is closed then, and if the caller leaves.
+fn pass_stream(
+    context: &Context,
+    address: SocketAddr,
+    connection: Connection,
+    mut body: Incoming,
+) -> AnswerBody {
+    let gateway = context.gateway.clone();
     let (parts, passed) = channel(&gateway.answer_buffers);
+    let request_id = context.request_id.clone();
+    let deadline_with_slack = context.deadline.0.plus_ms(DEADLINE_SLACK_MS);
     tokio::task::spawn_local(async move {
         // Open until the stream ends.
         let _connection = connection;
-        loop {
+        let why = loop {
             let frame = tokio::select! {
+                // What has arrived is passed on before the deadline counts.
+                biased;
                 frame = body.frame() => frame,
                 () = parts.closed() => return,
+                () = gateway.clock.sleep_until(deadline_with_slack) => {
+                    break "deadline-passed".to_owned();
+                }
             };
             let part = match frame {
                 None => return parts.finish(),
@@ -215,15 +225,15 @@
                     Ok(bytes) => bytes,
                     Err(_) => continue,
                 },
-                Some(Err(error)) => {
-                    tracing::debug!(%error, "a stream of another gateway broke off");
-                    return;
-                }
+                Some(Err(error)) => break error.to_string(),
             };
             if !parts.send(part).await {
                 return;
             }
-        }
+        };
+        gateway.metrics.count("requests_forwarded", "broken");
+        log_event!(warn, RequestFailed, request = request_id, to = %address, why,
+            "a stream of another gateway failed before its end");
     });
     passed
 }
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -43,7 +43,7 @@
 };
 
 /// Time after the deadline in which the upstream may still end the stream itself.
-const DEADLINE_SLACK_MS: u64 = 100;
+pub(super) const DEADLINE_SLACK_MS: u64 = 100;
 
 /// An attempt that may go on with the stream.
 enum Contender {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -26,6 +26,7 @@
 mod endless_answers;
 mod faulty_answers;
 mod fleet_limits;
+mod frozen_processes;
 mod joining_upstreams;
 mod kept_caller;
 mod kept_connections;
--- a/tests/gateway/earlier_builds.rs
+++ b/tests/gateway/earlier_builds.rs
@@ -19,7 +19,7 @@
 const AGGREGATED_LOAD: [u8; 2] = [3, 2];
 
 /// Returns the address of a gateway for others, as its registration says.
-fn peers_address(site: &Site, index: usize) -> SocketAddr {
+pub(super) fn peers_address(site: &Site, index: usize) -> SocketAddr {
     let store = &site.platform.store;
     let registration = store.get_content("gateways", &gateway_name(index));
     let registration = registration.expect("the gateway is registered");
--- a/tests/gateway/slow_upstreams.rs
+++ b/tests/gateway/slow_upstreams.rs
@@ -121,14 +121,28 @@
 
 /// Returns the number of open connections to this port on the machine.
 fn open_connections_to(port: u16) -> usize {
+    open_connections(&format!(":{port:04X}"))
+}
+
+/// Returns the number of open connections to an address.
+pub(super) fn open_connections_to_address(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else {
+        panic!("{address} is not an IPv4 address");
+    };
+    // The kernel writes the bytes of the address as a number of the machine's byte order.
+    let ip = u32::from_ne_bytes(address.ip().octets());
+    open_connections(&format!("{ip:08X}:{:04X}", address.port()))
+}
+
+/// Returns the number of open connections whose remote address ends like this in the kernel's table.
+fn open_connections(suffix: &str) -> usize {
     const ESTABLISHED: &str = "01";
     let table = std::fs::read_to_string("/proc/net/tcp").expect("the table can be read");
-    let suffix = format!(":{port:04X}");
     let lines = table.lines().skip(1);
     let open = lines.filter(|line| {
         let mut fields = line.split_whitespace().skip(2);
         let remote = fields.next().unwrap_or_default();
-        remote.ends_with(&suffix) && fields.next() == Some(ESTABLISHED)
+        remote.ends_with(suffix) && fields.next() == Some(ESTABLISHED)
     });
     open.count()
 }
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -96,7 +96,7 @@
 }
 
 /// Like [`partitioned_site`], with another number of gateways.
-fn partitioned_site_of(gateways: usize) -> (Site, usize) {
+pub(super) fn partitioned_site_of(gateways: usize) -> (Site, usize) {
     let site = Site::start_with_store_views(gateways);
     let partitioned = (0..gateways).find(|index| !site.is_owner(*index));
     let partitioned = partitioned.expect("a gateway is not the owner");
