A stream for a frozen gateway leaves its upstream after its deadline

While the gateway that forwarded a stream was frozen and read nothing, the gateway that had the stream kept it, its request and the upstream's connection without a limit once all buffers were full.

Cause: StreamForwarder waits for room for the next part. At a caller's connection this ends if the caller takes nothing until idle_timeout_ms after the last byte and the deadline; a connection of another gateway has no such limit, and keepalive does not help while its kernel answers.

What remains: the connection itself, with at most what its buffers hold, stays open until the other gateway goes on or its kernel is gone.

--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -19,17 +19,18 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use hyper::{HeaderMap, Response, StatusCode};
 use jacinthpoint_adapter::headers;
 use jacinthpoint_dispatch::Target;
 use jacinthpoint_types::{ResultCode, TimeMs};
-use tokio::sync::oneshot;
+use tokio::{sync::oneshot, time::timeout_at};
 
 use crate::{
     body::{AnswerBody, PartSender, channel},
     call::{
         attempt::{Attempt, AttemptOutcome, OpenAnswer, OutgoingRequest},
-        context::Context,
+        context::{Context, Origin},
         event_splitter::{Piece, StreamPosition},
         open_stream::{OpenStream, RECHECK_INTERVAL_MS, StreamStep},
         outcome::{
@@ -53,6 +54,14 @@
     Open(Box<OpenStream>),
 }
 
+/// Why a part of a stream cannot be sent.
+enum Unsent {
+    /// The caller left.
+    CallerLeft,
+    /// The gateway that forwarded the request read nothing for too long.
+    NotRead,
+}
+
 /// What happened at a contender.
 enum Step {
     /// The wait for the head of its answer ended.
@@ -222,8 +231,10 @@
             match step {
                 (_, Step::Stream(StreamStep::Nothing)) => {}
                 (index, Step::Stream(StreamStep::Events(piece))) => {
-                    if !self.on_events(index, piece).await {
-                        return self.on_caller_left();
+                    match self.on_events(index, piece).await {
+                        Ok(()) => {}
+                        Err(Unsent::CallerLeft) => return self.on_caller_left(),
+                        Err(Unsent::NotRead) => return self.break_off("caller-stalled"),
                     }
                 }
                 (index, Step::Stream(StreamStep::Complete)) => {
@@ -243,9 +254,12 @@
         }
     }
 
-    /// Forwards events of a contender, which the stream goes on with from then on; returns `false` if the
-    /// caller left. Comments decide nothing.
-    async fn on_events(&mut self, index: usize, piece: Piece) -> bool {
+    /// Forwards events of a contender, which the stream goes on with from then on. Comments decide nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they cannot be sent to the caller.
+    async fn on_events(&mut self, index: usize, piece: Piece) -> Result<(), Unsent> {
         let has_content = piece.has_content;
         if has_content {
             self.give_up_others(index);
@@ -255,13 +269,13 @@
         let is_decided = self.contenders.len() == 1;
         let index = if is_decided { 0 } else { index };
         let Contender::Open(stream) = &mut self.contenders[index] else {
-            return true;
+            return Ok(());
         };
         let pieces = match stream.forwardable(piece, is_decided) {
             Ok(pieces) => pieces,
             Err(why) => {
                 self.on_failure(index, true, "stream", why);
-                return true;
+                return Ok(());
             }
         };
         let now = self.context.gateway.now();
@@ -272,11 +286,35 @@
             }
         }
         for bytes in pieces {
-            if !self.parts.send(bytes).await {
-                return false;
+            self.send_part(bytes).await?;
+        }
+        Ok(())
+    }
+
+    /// Sends a part of the stream to the caller, or to the gateway that forwarded the request.
+    ///
+    /// A caller's connection ends if it takes nothing for too long. That to another gateway does not, so the
+    /// same limit is kept here.
+    async fn send_part(&self, bytes: Bytes) -> Result<(), Unsent> {
+        let sending = self.parts.send(bytes);
+        let is_sent = match &self.context.origin {
+            Origin::Caller(_) => sending.await,
+            Origin::Gateway => {
+                let gateway = &self.context.gateway;
+                let idle_ms = gateway.caller_limits.borrow().idle_timeout_ms;
+                let idle_until = gateway.now().plus_ms(idle_ms);
+                let until = self.context.deadline.0.max(idle_until);
+                match timeout_at(gateway.clock.instant(until), sending).await {
+                    Ok(is_sent) => is_sent,
+                    Err(_) => return Err(Unsent::NotRead),
+                }
             }
+        };
+        if is_sent {
+            Ok(())
+        } else {
+            Err(Unsent::CallerLeft)
         }
-        true
     }
 
     /// Sends the headers of the response, unless several attempts may still go on with the stream.
--- a/tests/gateway/frozen_processes.rs
+++ b/tests/gateway/frozen_processes.rs
@@ -1,16 +1,20 @@
 //! Gateways that are frozen: their connections stay open, and nothing is sent or read.
 
 use std::{
-    net::SocketAddr,
+    io::Write,
+    net::{SocketAddr, TcpStream},
     thread::{self, JoinHandle},
 };
 
-use jacinthpoint_platform_standins::PlainFault;
+use jacinthpoint_platform_standins::{PlainFault, Reply, RequestLimits};
 
 use crate::gateway::{
+    CONFIG_APPLY_MS,
     caller::{Answer, End, Request, join_all},
     earlier_builds::peers_address,
-    site::Site,
+    faulty_answers::streams::chunked_head,
+    pause_ms,
+    site::{KEY, ROUTE_TIMEOUT_MS, Site},
     slow_upstreams::open_connections_to_address,
     unreachable_upstreams::partitioned_site_of,
 };
@@ -91,3 +95,38 @@
     assert_eq!((answer.status, answer.end), (504, End::Whole));
     wait_for_close(&site, frozen);
 }
+
+/// Guards against a stream that keeps an upstream after its deadline: the gateway that forwarded it is frozen and reads
+/// nothing.
+#[test]
+fn stream_for_a_frozen_gateway_ends_after_its_deadline() {
+    const IDLE_MS: u64 = 1_000;
+    let (site, frozen) = partitioned_site_of(2);
+    let limits = RequestLimits {
+        idle_timeout_ms: IDLE_MS,
+        ..RequestLimits::default()
+    };
+    site.put_config_with(&[KEY], ROUTE_TIMEOUT_MS, limits);
+    pause_ms(CONFIG_APPLY_MS);
+    // More than all buffers between the upstream and the caller hold.
+    site.platform.plain.set_script(|request| {
+        let event = format!("id: 1\ndata: {}\n\n", "x".repeat(60_000));
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        Reply::sends(chunked_head(request) + &chunk.repeat(400))
+    });
+    let request = Request {
+        path: "/events/",
+        deadline_ms: DEADLINE_MS,
+        ..Request::stream("unread")
+    };
+    let mut caller = TcpStream::connect(site.gateway(frozen)).expect("the gateway accepts");
+    let sent = caller.write_all(request.to_text().as_bytes());
+    sent.expect("the gateway reads");
+    site.wait_for_run("unread");
+    site.signal(frozen, "STOP");
+    assert!(!site.metrics(1 - frozen).contains("requests_open 0"));
+    let limit_ms = DEADLINE_MS + IDLE_MS + END_MS;
+    site.wait_until("the other gateway ends the stream", limit_ms, |site| {
+        site.metrics(1 - frozen).contains("requests_open 0")
+    });
+}
