--- a/tests/gateway/frozen_processes.rs
+++ b/tests/gateway/frozen_processes.rs
@@ -1,8 +1,12 @@
-//! Gateways that are frozen: their connections stay open, and nothing is sent or read.
+//! Gateways, upstreams and a store that are frozen: their connections stay open, and nothing is sent or read.
 
 use std::{
-    io::Write,
-    net::{SocketAddr, TcpStream},
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread::{self, JoinHandle},
 };
 
@@ -12,9 +16,12 @@
     CONFIG_APPLY_MS,
     caller::{Answer, End, Request, join_all},
     earlier_builds::peers_address,
-    faulty_answers::streams::chunked_head,
+    faulty_answers::{
+        head, scripted_site,
+        streams::{chunked, chunked_head, events},
+    },
     pause_ms,
-    site::{KEY, ROUTE_TIMEOUT_MS, Site},
+    site::{KEY, OTHER_KEY, ROUTE_TIMEOUT_MS, Site},
     slow_upstreams::open_connections_to_address,
     unreachable_upstreams::partitioned_site_of,
 };
@@ -130,3 +137,103 @@
         site.metrics(1 - frozen).contains("requests_open 0")
     });
 }
+
+/// Defines tests of an upstream that sends a part of its answer and then nothing: name, path, what it sends, status
+/// and end that the caller gets at its deadline.
+macro_rules! silent_upstreams {
+    ($($name:ident($path:literal): |$request:ident| $sent:expr => $status:literal, $end:expr,)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let site = scripted_site(|$request| Reply::sends($sent));
+                let request = Request { path: $path, ..Request::stream("silent") };
+                let answer = join_all([send(site.gateway(0), request)]).remove(0);
+                assert_eq!((answer.status, answer.end), ($status, $end));
+            }
+        )+
+    };
+}
+
+// Guards against requests that have no end at their deadline, since the upstream that has them is frozen.
+silent_upstreams! {
+    silence_before_the_head_ends_at_the_deadline("/once/"): |_request| "" => 504, End::Whole,
+    silence_within_the_head_ends_at_the_deadline("/once/"): |request| head(request, "200 OK") => 504, End::Whole,
+    silence_within_a_body_ends_at_the_deadline("/once/"): |request|
+        head(request, "200 OK") + "content-length: 100\r\n\r\npart" => 504, End::Whole,
+    silence_before_the_first_event_ends_at_the_deadline("/events/"): |request|
+        chunked_head(request) => 200, End::Broken,
+    silence_between_events_ends_at_the_deadline("/events/"): |request|
+        chunked(request, &events(1..=2)).trim_end_matches("0\r\n\r\n") => 200, End::Broken,
+    silence_of_all_attempts_ends_at_the_deadline("/again/"): |request| head(request, "200 OK") => 504, End::Whole,
+    silence_within_all_bodies_ends_at_the_deadline("/again/"): |request|
+        head(request, "200 OK") + "content-length: 100\r\n\r\npart" => 504, End::Whole,
+    silence_of_resumed_streams_ends_at_the_deadline("/resumed/"): |request|
+        chunked(request, &events(1..=2)).trim_end_matches("0\r\n\r\n") => 200, End::Broken,
+}
+
+/// Starts a proxy of the store; returns its address. While `is_frozen` is set, each connection on which an answer
+/// comes passes on a part of its body, and then nothing more; it stays open.
+fn start_store_proxy(store: SocketAddr, is_frozen: Arc<AtomicBool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        while let Ok((gateway, _)) = listener.accept() {
+            let Ok(store) = TcpStream::connect(store) else {
+                continue;
+            };
+            let (Ok(to_gateway), Ok(to_store)) = (gateway.try_clone(), store.try_clone()) else {
+                continue;
+            };
+            thread::spawn(move || copy(gateway, to_store, &AtomicBool::new(false)));
+            let is_frozen = is_frozen.clone();
+            thread::spawn(move || copy(store, to_gateway, &is_frozen));
+        }
+    });
+    address
+}
+
+/// Copies bytes until either side ends. Once `is_frozen` is set, only the next head and a byte after it.
+fn copy(mut from: TcpStream, mut to: TcpStream, is_frozen: &AtomicBool) {
+    const END_OF_HEAD: &[u8] = b"\r\n\r\n";
+    let mut buffer = [0; 64 * 1_024];
+    let mut is_silent = false;
+    while let Ok(count @ 1..) = from.read(&mut buffer) {
+        if is_silent {
+            continue;
+        }
+        let mut passed = &buffer[..count];
+        if is_frozen.load(Ordering::Relaxed) {
+            let mut windows = passed.windows(END_OF_HEAD.len());
+            let head_end = windows.position(|window| window == END_OF_HEAD);
+            let part_end = head_end.map_or(0, |end| end + END_OF_HEAD.len() + 1);
+            passed = &passed[..part_end.min(count)];
+            is_silent = true;
+        }
+        if to.write_all(passed).is_err() {
+            break;
+        }
+    }
+    // The other side may have closed it.
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+/// Guards against a gateway that keeps its configuration for ever, since the store froze within an answer.
+#[test]
+fn configuration_is_in_force_after_the_store_froze_within_answers() {
+    const FROZEN_MS: u64 = 1_000;
+    const IN_FORCE_MS: u64 = 20_000;
+    let is_frozen = Arc::new(AtomicBool::new(false));
+    let start_proxy = |store| start_store_proxy(store, is_frozen.clone());
+    let site = Site::start_behind_store_proxy(1, &start_proxy);
+    is_frozen.store(true, Ordering::Relaxed);
+    site.put_config(&[OTHER_KEY]);
+    pause_ms(FROZEN_MS);
+    is_frozen.store(false, Ordering::Relaxed);
+    site.wait_until("the configuration is in force", IN_FORCE_MS, |site| {
+        let request = Request {
+            key: OTHER_KEY,
+            ..Request::once("other")
+        };
+        request.send(site.gateway(0)).status == 200
+    });
+}
