One odd name does not cost a whole configuration

A gateway refused a whole configuration (711) if one organisation, service or model in it had a name with characters other than letters, digits, `-`, `_` and `.`: keys and routes of the others were not taken over, and a gateway that started had none. Servers of such a service or data centre were refused, too.

Cause: each name was parsed as an id of this project. Now - the name of an organisation is any text; upstreams get it in the header as it is, and metrics escape it, and routes, in labels; - names of services, data centres and fabric domains, which are only compared, have an id that holds a hash of the name if they are no ids themselves; - a model with such a name is left out, counted and logged (712, kind `config`) with its name, since upstreams are told names of models.

Still refused: an upstream whose own name, or the name of one of its models, is no id (alone, with 712), and the settings of a gateway whose name or data centre is none.

--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use jacinthpoint_types::{DeploymentId, OrganisationId, ServiceId};
+use jacinthpoint_types::{DeploymentId, ServiceId};
 
 /// Version of a configuration, assigned by the users' platform. Newer configurations have higher
 /// versions.
@@ -41,8 +41,8 @@
 /// An organisation. The API key of a request identifies the organisation that sends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Organisation {
-    /// Name of the organisation.
-    pub id: OrganisationId,
+    /// Name of the organisation, any text.
+    pub name: String,
     /// Priority of its requests, 0 to 9; 0 is the highest. `None` if the route's priority applies.
     pub priority: Option<u8>,
 }
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -123,7 +123,7 @@
     pub(crate) fn organisation_name(&self) -> &str {
         self.organisation
             .as_ref()
-            .map_or("none", |organisation| organisation.id.as_str())
+            .map_or("none", |organisation| organisation.name.as_str())
     }
 
     /// Returns whether this gateway reaches no upstream and may forward the request.
--- a/crates/gateway/src/call/request.rs
+++ b/crates/gateway/src/call/request.rs
@@ -114,7 +114,7 @@
         fields.remove(name);
     }
     if let Some(organisation) = &context.organisation {
-        insert(&mut fields, headers::ORGANISATION, organisation.id.as_str());
+        insert(&mut fields, headers::ORGANISATION, &organisation.name);
     }
     if context.engine().is_some() {
         let organisation_priority = context
@@ -156,7 +156,8 @@
 }
 
 fn insert(fields: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
+    // Text beyond ASCII is sent as it is.
+    if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
         fields.insert(name, value);
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,12 @@
     histograms: RefCell<BTreeMap<SeriesKey, Histogram<u64>>>,
 }
 
+/// Returns the value of a label as it stands between quotation marks.
+fn escaped(value: &str) -> String {
+    let value = value.replace('\\', r"\\").replace('"', "\\\"");
+    value.replace('\n', r"\n")
+}
+
 impl Metrics {
     /// Increments the counter `name` with this label.
     pub(crate) fn count(&self, name: &'static str, label: &str) {
@@ -48,6 +54,7 @@
     pub(crate) fn render(&self, gauges: &[(&str, f64)]) -> String {
         let mut text = String::new();
         for ((name, label), count) in self.counters.borrow().iter() {
+            let label = escaped(label);
             let _ = writeln!(
                 text,
                 "jacinthpoint_{name}_total{{label=\"{label}\"}} {count}"
@@ -55,6 +62,7 @@
         }
         for ((name, organisation, route), histogram) in self.histograms.borrow().iter() {
             // The label `class` holds the route's name.
+            let (organisation, route) = (escaped(organisation), escaped(route));
             let labels = format!("organisation=\"{organisation}\",class=\"{route}\"");
             for quantile in QUANTILES {
                 let value = histogram.value_at_quantile(quantile);
--- a/crates/gateway/src/watch/entries.rs
+++ b/crates/gateway/src/watch/entries.rs
@@ -2,7 +2,7 @@
 //! the result.
 
 use jacinthpoint_adapter::{
-    DecodeError, List, StoredObject, decode_config, decode_upstream, paths,
+    DecodeError, List, StoredObject, decode_config, decode_upstream, paths, refused_models,
 };
 use jacinthpoint_fleet::ViewChange;
 
@@ -26,6 +26,11 @@
             return ViewChange::Same;
         }
     };
+    for error in refused_models(&object.content) {
+        // Each has its own name in the log.
+        let why = error.to_string();
+        log_refused(gateway, paths::CONFIG_KIND, &why, object.revision, &why);
+    }
     let version = config.version;
     let change = gateway.view.borrow_mut().apply_config(config);
     log_event!(info, ConfigInForce, %version, revision = object.revision, outcome = %change,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -32,6 +32,7 @@
 mod link_cuts;
 mod mixed_builds;
 mod odd_entries;
+mod odd_names;
 mod outlasting_requests;
 mod records_at_stop;
 mod relays;
