A gateway decides for another one only with a view that is as new

Cause: the gateway to which a request is forwarded matches route, key and upstreams again by its own view, whatever its age. A forwarded request now states the version of the configuration at its sender and the position of the newest change that decides anything (a configuration, an upstream that is removed or drains). A gateway that lacks it waits up to 400 ms for it and then does not take the request; nor does it if nothing is stated. The sender asks another one or refuses with 503. What is in quarantine at the sender is not forwarded: the check came only after the body was read and only for requests that the gateway tried itself (read, no test of its own).

Limits that upstreams name are not compared: each gateway spends its own permits. A list that lacks an upstream does not count as its removal.

--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -2,14 +2,15 @@
 //!
 //! The other gateway handles the request as if its caller had sent it there: it matches the route, checks
 //! the key and makes all attempts. So only a request of which nothing was sent to an upstream may be
-//! forwarded, and only once: a gateway that gets a forwarded request does not forward it again.
+//! forwarded, and only once: a gateway that gets a forwarded request does not forward it again. It takes
+//! the request only if its view of the fleet is at least as new as that of the gateway that forwards it.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    Request, Response, StatusCode,
+    HeaderMap, Request, Response, StatusCode,
     body::{Body, Incoming},
     header::{self, HeaderName, HeaderValue},
 };
@@ -32,11 +33,14 @@
     connection::{Connection, RequestBody},
     events::log_event,
     state::Gateway,
+    view_positions::StatedView,
 };
 
 /// Header of a forwarded request: the name of the gateway that forwards it.
 pub(crate) const FORWARDED_BY: HeaderName = HeaderName::from_static("gateway-forwarded-by");
-/// Header of the answer of a gateway that does not take a forwarded request.
+/// Header of a forwarded request: how new the view of the gateway that forwards it is.
+const VIEW: HeaderName = HeaderName::from_static("gateway-view");
+/// Header of the answer of a gateway that does not take a forwarded request; holds the reason.
 const NOT_TAKEN: HeaderName = HeaderName::from_static("gateway-not-taken");
 /// Maximum number of gateways to which a request is offered.
 const MAX_GATEWAYS: usize = 3;
@@ -44,6 +48,10 @@
 const CONNECT_TIMEOUT_MS: u64 = 300;
 /// Time for which a gateway that did not take a request gets no others.
 const EXCLUSION_MS: u64 = 1_000;
+/// Maximum time for which a gateway with an older view waits for the changes that it lacks. Gateways that
+/// reach the store read a change at different times, since most read it from another gateway, and each reader
+/// pauses after an answer of the store.
+const MAX_CATCH_UP_MS: u64 = 400;
 
 /// Result of offering a request to one gateway.
 enum Offer {
@@ -63,19 +71,49 @@
     mut request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     if !gateway.is_ready() || gateway.reach.borrow().is_cut() {
-        let mut response = Response::new(full_body(Bytes::new()));
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        let fields = response.headers_mut();
-        fields.insert(NOT_TAKEN, HeaderValue::from_static("1"));
-        return response;
+        return not_taken("it is not ready or reaches no upstream");
+    }
+    if !catch_up(&gateway, request.headers_mut()).await {
+        return not_taken("its view of the fleet is older");
     }
     request.headers_mut().remove(FORWARDED_BY);
+    request.headers_mut().remove(VIEW);
     let mut response = answer(gateway, request, Origin::Gateway).await;
     // An upstream may send the header, too, but has run the request.
     response.headers_mut().remove(NOT_TAKEN);
     response
 }
 
+/// Returns the answer of a gateway that does not take a forwarded request.
+fn not_taken(why: &'static str) -> Response<AnswerBody> {
+    let mut response = Response::new(full_body(Bytes::new()));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let fields = response.headers_mut();
+    fields.insert(NOT_TAKEN, HeaderValue::from_static(why));
+    response
+}
+
+/// Waits until the view of this gateway is at least as new as the one that the head of a forwarded request
+/// states, for [`MAX_CATCH_UP_MS`] at most; returns whether it is. The time that passed is taken off the
+/// request's deadline.
+async fn catch_up(gateway: &Gateway, fields: &mut HeaderMap) -> bool {
+    let stated = fields.get(VIEW).and_then(|value| value.to_str().ok());
+    let Some(stated) = stated.and_then(StatedView::parse) else {
+        return false;
+    };
+    let began = gateway.now();
+    let wait = Duration::from_millis(MAX_CATCH_UP_MS);
+    let caught_up = tokio::time::timeout(wait, gateway.view_positions.wait_for(&stated)).await;
+    let waited_ms = gateway.now().since_ms(began);
+    let deadline = fields.get(headers::DEADLINE_MS);
+    let remaining_ms = deadline.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    if let Some(remaining_ms) = remaining_ms {
+        let remaining_ms = remaining_ms.saturating_sub(waited_ms).max(1);
+        fields.insert(headers::DEADLINE_MS, HeaderValue::from(remaining_ms));
+    }
+    caught_up.is_ok() && gateway.view.borrow().version() >= stated.version
+}
+
 /// Forwards a request of which nothing was sent to an upstream, and returns the response; `None` if no
 /// gateway takes it.
 pub(super) async fn forward(
@@ -152,8 +190,9 @@
         }
         Err(_) => return Offer::DeadlinePassed,
     };
-    if response.headers().contains_key(&NOT_TAKEN) {
-        return Offer::NotTaken("refused by the gateway".to_owned());
+    if let Some(why) = response.headers().get(&NOT_TAKEN) {
+        let why = String::from_utf8_lossy(why.as_bytes());
+        return Offer::NotTaken(format!("refused by the gateway: {why}"));
     }
     let (mut head, body) = response.into_parts();
     // Each answer of a gateway is framed.
@@ -194,6 +233,11 @@
     if let Ok(own) = HeaderValue::from_str(&own) {
         fields.insert(FORWARDED_BY, own);
     }
+    let version = context.gateway.view.borrow().version();
+    let stated = context.gateway.view_positions.stated(version).to_string();
+    if let Ok(stated) = HeaderValue::from_str(&stated) {
+        fields.insert(VIEW, stated);
+    }
     request
 }
 
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -262,6 +262,10 @@
     loop {
         let Some(newest) = open.last_mut() else {
             if history.is_unsent() && context.is_to_forward() {
+                // Another gateway may not know of it.
+                if let Some(suspect) = context.quarantined() {
+                    return refuse_quarantined(&context, suspect);
+                }
                 return match forward(&context, &outgoing).await {
                     Some(response) => response,
                     None => finish(&context, history, &StopReason::Unreachable),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,4 +51,5 @@
 mod settings;
 mod state;
 mod store;
+mod view_positions;
 mod watch;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,7 +23,7 @@
     buffered::AnswerBuffers, clock::Clock, events::log_event, excluded_peers::ExcludedPeers,
     limit_exchange::LimitExchange, load_exchange::LoadExchange, metrics::Metrics, pauses::Pauses,
     pool::Pool, refused_entries::RefusedEntries, relay::Relay, roster::Roster,
-    settings::GatewaySettings,
+    settings::GatewaySettings, view_positions::ViewPositions,
 };
 
 /// A time that no gateway reaches, from which a window can still be added.
@@ -92,6 +92,8 @@
     started_at: TimeMs,
     settings: RefCell<Rc<GatewaySettings>>,
     pub(crate) view: RefCell<FleetView>,
+    /// How far the view has the history of the store.
+    pub(crate) view_positions: ViewPositions,
     snapshot: RefCell<Option<Rc<Snapshot>>>,
     pub(crate) loads: RefCell<LoadTracker>,
     /// Limits that upstreams name.
@@ -158,6 +160,7 @@
             clock,
             settings: RefCell::new(Rc::new(settings)),
             view: RefCell::default(),
+            view_positions: ViewPositions::default(),
             snapshot: RefCell::default(),
             loads: RefCell::default(),
             limits: RefCell::default(),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -19,7 +19,7 @@
     quarantine, roster,
     state::Gateway,
     store::{Availability, StoreClient, StoreError},
-    watch::entries::{apply_config, apply_entry, apply_list},
+    watch::entries::{apply_config, apply_entry, apply_list, is_decisive},
 };
 
 mod entries;
@@ -383,7 +383,11 @@
         _ if is_after_outage => Interruption::Outage,
         _ => Interruption::None,
     };
+    let newest = list.objects.iter().map(|object| object.revision).max();
     (feed.on_list)(gateway, list, interruption);
+    let position = progress.position.unwrap_or_default();
+    let positions = &gateway.view_positions;
+    positions.on_list(feed.kind, position, newest.unwrap_or(0));
     Ok(())
 }
 
@@ -482,14 +486,20 @@
         // The snapshot is built from the whole view, so once for all changes of an answer: with many
         // upstreams, one for each change would leave no time for requests.
         let mut change = ViewChange::Same;
+        let mut newest_decisive = None;
         for (object, is_removed) in &changes {
             if (feed.on_change)(gateway, object, *is_removed, is_after_outage)
                 == ViewChange::Changed
             {
                 change = ViewChange::Changed;
             }
+            if is_decisive(gateway, feed.kind, object, *is_removed) {
+                newest_decisive = newest_decisive.max(Some(object.revision));
+            }
         }
         gateway.on_view_change(change);
+        let positions = &gateway.view_positions;
+        positions.on_changes(feed.kind, after, newest_decisive);
         if !changes.is_empty() && !is_relayed {
             let is_owner = gateway.is_owner();
             let pause_ms = if is_owner {
--- a/crates/gateway/src/watch/entries.rs
+++ b/crates/gateway/src/watch/entries.rs
@@ -141,3 +141,22 @@
     let (kind, why) = (paths::UPSTREAM_KIND, error.to_string());
     log_refused(gateway, kind, &object.name, object.revision, &why);
 }
+
+/// Returns whether a change that was applied forbids what the view before it allows: each one of a
+/// configuration, and one after which an upstream gets no requests.
+pub(super) fn is_decisive(
+    gateway: &Gateway,
+    kind: &str,
+    object: &StoredObject,
+    is_removed: bool,
+) -> bool {
+    if is_removed || kind != paths::UPSTREAM_KIND {
+        return true;
+    }
+    let Ok(id) = object.name.parse() else {
+        return true;
+    };
+    let view = gateway.view.borrow();
+    let known = view.upstreams().get(&id);
+    known.is_none_or(|known| known.is_draining())
+}
--- a/tests/gateway/earlier_builds.rs
+++ b/tests/gateway/earlier_builds.rs
@@ -1,14 +1,15 @@
 //! What gateways of earlier builds send, byte by byte, as they keep doing while a fleet is upgraded.
 
 use std::{
-    net::{SocketAddr, UdpSocket},
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream, UdpSocket},
     time::Duration,
 };
 
 use serde_json::json;
 
 use crate::gateway::{
-    caller::{End, Request},
+    caller::{End, Request, parse},
     pause_ms,
     site::{Site, gateway_name},
 };
@@ -74,3 +75,24 @@
         assert_eq!((answer.status, answer.end), (200, End::Whole));
     }
 }
+
+/// Guards against a request of an earlier build that is answered by another configuration than its gateway's: it
+/// does not state how new its view is.
+#[test]
+fn forwarded_request_of_an_earlier_build_is_not_taken() {
+    let site = Site::start(1);
+    let text = Request::once("earlier").to_text();
+    let forwarded = "\r\ngateway-forwarded-by: gateway-of-an-earlier-build\r\n";
+    let text = text.replacen("\r\n", forwarded, 1);
+    let mut connection = TcpStream::connect(peers_address(&site, 0)).expect("it accepts");
+    connection.write_all(text.as_bytes()).expect("it reads");
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") && connection.read(&mut byte).expect("it answers") > 0 {
+        head.push(byte[0]);
+    }
+    let answer = parse(&head, End::Left);
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("gateway-not-taken").is_some());
+    assert!(site.platform.runs.of("earlier").is_empty());
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -202,6 +202,11 @@
         }
     }
 
+    /// Holds the store's answers to a gateway back, or ends that.
+    pub fn silence_store(&self, index: usize, is_silent: bool) {
+        self.store_views[index].silence(is_silent);
+    }
+
     /// Returns the name of the gateway that holds the lease; `None` if it is free.
     pub fn lease_holder(&self) -> Option<String> {
         let lease = self.platform.store.get_content("leases", "groups")?;
--- a/tests/gateway/store_view.rs
+++ b/tests/gateway/store_view.rs
@@ -12,6 +12,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
+    time::Duration,
 };
 
 use socket2::{Domain, Socket, Type};
@@ -23,6 +24,7 @@
 pub struct StoreView {
     pub address: SocketAddr,
     is_partitioned: Arc<AtomicBool>,
+    is_silent: Arc<AtomicBool>,
     _closed: Socket,
 }
 
@@ -32,7 +34,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
         let address = listener.local_addr().expect("it is bound");
         let is_partitioned = Arc::new(AtomicBool::new(false));
-        let flag = is_partitioned.clone();
+        let is_silent: Arc<AtomicBool> = Arc::default();
+        let (flag, silence) = (is_partitioned.clone(), is_silent.clone());
         let (closed, closed_port) = closed_port();
         thread::spawn(move || {
             while let Ok((gateway, _)) = listener.accept() {
@@ -44,9 +47,13 @@
                     continue;
                 };
                 thread::spawn(move || copy(gateway, to_store, |_| {}));
-                let (flag, closed_port) = (flag.clone(), closed_port.clone());
+                let (flag, silence, closed_port) =
+                    (flag.clone(), silence.clone(), closed_port.clone());
                 thread::spawn(move || {
                     copy(store, to_gateway, |bytes| {
+                        while silence.load(Ordering::Relaxed) {
+                            thread::sleep(Duration::from_millis(5));
+                        }
                         if flag.load(Ordering::Relaxed) {
                             replace_ports(bytes, &closed_port);
                         }
@@ -57,6 +64,7 @@
         StoreView {
             address,
             is_partitioned,
+            is_silent,
             _closed: closed,
         }
     }
@@ -65,6 +73,11 @@
     pub fn partition(&self, is_partitioned: bool) {
         self.is_partitioned.store(is_partitioned, Ordering::Relaxed);
     }
+
+    /// Sets whether answers of the store are held back from now on.
+    pub fn silence(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::Relaxed);
+    }
 }
 
 /// Returns a socket that is bound and does not listen, and its port of five digits as text. While the
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -1,7 +1,8 @@
 //! Gateways that reach the store, callers and other gateways, but no upstream.
 
 use std::{
-    io::Read,
+    cell::Cell,
+    io::{Read, Write},
     net::{SocketAddr, TcpListener},
     sync::{Arc, Mutex},
     thread,
@@ -16,7 +17,7 @@
     CONFIG_APPLY_MS,
     caller::{Answer, End, Request, join_all},
     pause_ms,
-    site::{KEY, ROUTE_TIMEOUT_MS, Site, gateway_name},
+    site::{KEY, OTHER_KEY, ROUTE_TIMEOUT_MS, Site, gateway_name},
     store_view::closed_port,
 };
 
@@ -157,9 +158,9 @@
     assert_eq!(answer.status, 200);
 }
 
-/// Starts a gateway that reads the head of each forwarded request and closes the connection. Returns its
-/// address and the heads.
-fn start_breaking_gateway() -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+/// Starts a gateway that reads the head of each forwarded request, writes `reply` and closes the connection.
+/// Returns its address and the heads.
+fn start_standin_gateway(reply: &'static str) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
     let address = listener.local_addr().expect("it is bound");
     let heads: Arc<Mutex<Vec<String>>> = Arc::default();
@@ -176,6 +177,8 @@
                 let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
                 if head.contains("gateway-forwarded-by") {
                     read_heads.lock().expect("no reader panics").push(head);
+                    // The gateway may have left.
+                    let _ = connection.write_all(reply.as_bytes());
                 }
             });
         }
@@ -191,10 +194,10 @@
     (0..GATEWAYS)
         .filter(|index| *index != partitioned)
         .for_each(|index| site.kill(index));
-    let breaking = [start_breaking_gateway(), start_breaking_gateway()];
+    let breaking = [start_standin_gateway(""), start_standin_gateway("")];
     for (index, (address, _)) in breaking.iter().enumerate() {
         let registration = json!({ "data_centre": "dc-9", "address": address.to_string(),
-            "core_permille": 1, "link_kbps": 1 });
+            "core_permille": 1, "link_kbps": 1, "takes_forwarded": true });
         let store = &site.platform.store;
         store.put("gateways", &format!("breaking-{index}"), registration);
     }
@@ -218,6 +221,77 @@
     }
 }
 
+/// Returns the line of a metric.
+fn metric(site: &Site, gateway: usize, name: &str) -> String {
+    let metrics = site.metrics(gateway);
+    let line = metrics.lines().find(|line| line.contains(name));
+    line.expect("the metric is there").to_owned()
+}
+
+/// Sends requests until one is served. A gateway that did not take a request gets no others for a while.
+fn wait_until_served(site: &Site, gateway: usize, key: &str) {
+    let sent = Cell::new(0);
+    site.wait_until("a request is served", 15_000, |site| {
+        sent.set(sent.get() + 1);
+        let name = format!("again-{}", sent.get());
+        let request = Request {
+            key,
+            ..Request::once(&name)
+        };
+        request.send(site.gateway(gateway)).status == 200
+    });
+}
+
+/// Guards against rules CONFIG and DENIED: a request with a key that the gateway of its caller knows is judged
+/// by a gateway with an older configuration.
+#[test]
+fn forwarded_request_is_not_judged_by_an_older_configuration() {
+    let (site, partitioned) = partitioned_site_of(2);
+    let stale = 1 - partitioned;
+    site.silence_store(stale, true);
+    let version = |site: &Site| metric(site, partitioned, "config_version ");
+    let before = version(&site);
+    site.put_config(&[KEY, OTHER_KEY]);
+    site.wait_until("the configuration is in force", 10_000, |site| {
+        version(site) != before
+    });
+    for id in 0..3 {
+        let name = format!("newer-{id}");
+        let request = Request {
+            key: OTHER_KEY,
+            ..Request::once(&name)
+        };
+        let answer = request.send(site.gateway(partitioned));
+        assert_eq!(answer.status, 503, "request {id}");
+        assert!(answer.header("retry-after").is_some(), "request {id}");
+        assert!(site.platform.runs.of(&name).is_empty(), "request {id}");
+    }
+    site.silence_store(stale, false);
+    wait_until_served(&site, partitioned, OTHER_KEY);
+}
+
+/// Guards against forwarded requests that run at an upstream of which the gateway of their caller knows that it
+/// has left.
+#[test]
+fn forwarded_request_is_not_run_by_an_older_list_of_upstreams() {
+    let (site, partitioned) = partitioned_site_of(2);
+    let stale = 1 - partitioned;
+    site.silence_store(stale, true);
+    let count = |site: &Site| metric(site, partitioned, "jacinthpoint_upstreams ");
+    let before = count(&site);
+    let store = &site.platform.store;
+    let entry = store.get_content(paths::UPSTREAM_KIND, PlainService::ID);
+    store.remove(paths::UPSTREAM_KIND, PlainService::ID);
+    site.wait_until("the removal is known", 10_000, |site| count(site) != before);
+    let answer = Request::once("left").send(site.gateway(partitioned));
+    assert_eq!(answer.status, 503);
+    assert!(site.platform.runs.of("left").is_empty());
+    site.silence_store(stale, false);
+    let entry = entry.expect("it was registered");
+    store.put(paths::UPSTREAM_KIND, PlainService::ID, entry);
+    wait_until_served(&site, partitioned, KEY);
+}
+
 /// Guards against groups that nobody repairs: the gateway that sends the orders reaches no upstream, but
 /// holds the lease.
 #[test]
