Only an answer to a forwarded request counts as one

Cause: a request was forwarded to any registered gateway, and each answer without the header of a refusal was passed on. Registrations now say takes_forwarded, and only gateways whose registration does are asked; only an answer with gateway-forwarded-answer is passed on, any other one counts as a broken connection (502).

Old and new builds do not serve each other's requests by this: a gateway without a path to upstreams refuses with 503 until one of its build can be asked (docs/design/compatibility.md).

--- a/crates/fleet/src/roles.rs
+++ b/crates/fleet/src/roles.rs
@@ -78,6 +78,9 @@
     pub address: Option<SocketAddr>,
     /// What its VM can carry; `None` if the registration is of a build that does not say it.
     pub capacity: Option<VmCapacity>,
+    /// Whether it takes forwarded requests that state how new the view of their gateway is, and marks its
+    /// answers to them.
+    pub takes_forwarded: bool,
 }
 
 /// The part of one gateway in reading the store.
--- a/crates/fleet/tests/roles.rs
+++ b/crates/fleet/tests/roles.rs
@@ -39,6 +39,7 @@
         data_centre: Some(format!("dc-{}", index % data_centres)),
         address: Some(address(index)),
         capacity: Some(if index < large { LARGE } else { SMALL }),
+        takes_forwarded: true,
     };
     (0..count)
         .map(|index| (format!("gateway-{index}"), gateway(index)))
--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -42,6 +42,8 @@
 const VIEW: HeaderName = HeaderName::from_static("gateway-view");
 /// Header of the answer of a gateway that does not take a forwarded request; holds the reason.
 const NOT_TAKEN: HeaderName = HeaderName::from_static("gateway-not-taken");
+/// Header of the answer of a gateway that took a forwarded request.
+const FORWARDED_ANSWER: HeaderName = HeaderName::from_static("gateway-forwarded-answer");
 /// Maximum number of gateways to which a request is offered.
 const MAX_GATEWAYS: usize = 3;
 /// Timeout for connecting to another gateway.
@@ -80,7 +82,9 @@
     request.headers_mut().remove(VIEW);
     let mut response = answer(gateway, request, Origin::Gateway).await;
     // An upstream may send the header, too, but has run the request.
-    response.headers_mut().remove(NOT_TAKEN);
+    let fields = response.headers_mut();
+    fields.remove(NOT_TAKEN);
+    fields.insert(FORWARDED_ANSWER, HeaderValue::from_static("1"));
     response
 }
 
@@ -122,7 +126,7 @@
 ) -> Option<Response<AnswerBody>> {
     let gateway = &context.gateway;
     let own = gateway.settings().name.to_string();
-    let mut others = gateway.roster.others(&own);
+    let mut others = gateway.roster.takers_of_forwarded(&own);
     others.retain(|address| !gateway.cut_peers.is_excluded(address, gateway.now()));
     others.shuffle(&mut *gateway.rng.borrow_mut());
     for address in others.into_iter().take(MAX_GATEWAYS) {
@@ -195,6 +199,13 @@
         return Offer::NotTaken(format!("refused by the gateway: {why}"));
     }
     let (mut head, body) = response.into_parts();
+    if head.headers.remove(FORWARDED_ANSWER).is_none() {
+        let why = format!(
+            "the answer, with status {}, is not of a forwarded request",
+            head.status
+        );
+        return Offer::Unknown(why);
+    }
     // Each answer of a gateway is framed.
     if !is_framed(&head.headers, &body) {
         return Offer::Unknown("the answer has neither length nor chunks".to_owned());
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -192,6 +192,15 @@
         others.filter_map(|(_, gateway)| gateway.address).collect()
     }
 
+    /// Returns the addresses of all gateways except `own` that say that they take forwarded requests.
+    pub(crate) fn takers_of_forwarded(&self, own: &str) -> Vec<SocketAddr> {
+        let all = self.all.borrow();
+        let takers = all
+            .iter()
+            .filter(|(name, gateway)| name.as_str() != own && gateway.takes_forwarded);
+        takers.filter_map(|(_, gateway)| gateway.address).collect()
+    }
+
     /// Returns the addresses of the hubs of load reports, in the order in which this gateway uses them.
     pub(crate) fn load_hubs(&self) -> Rc<[SocketAddr]> {
         self.roles().load_hubs.clone()
@@ -279,6 +288,7 @@
         data_centre: text("data_centre").map(str::to_owned),
         address: text("address").and_then(|text| text.parse().ok()),
         capacity: capacity(),
+        takes_forwarded: content.get("takes_forwarded") == Some(&Value::Bool(true)),
     }
 }
 
@@ -319,6 +329,7 @@
         "address": settings.peers.map(|address| address.to_string()),
         "core_permille": settings.capacity.core_permille,
         "link_kbps": settings.capacity.link_kbps,
+        "takes_forwarded": true,
     })
 }
 
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -221,6 +221,54 @@
     }
 }
 
+/// Answer of a build that knows no forwarded requests.
+const UNKNOWN_CALL: &str = "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+
+/// Starts a site in which one gateway reaches no upstream, and the only other one that runs answers forwarded
+/// requests with `reply`; `takes_forwarded` is what its registration says of them. Returns the site, the index
+/// of the first, and the heads that the other one got.
+fn site_with_standin_gateway(
+    reply: &'static str,
+    takes_forwarded: Option<bool>,
+) -> (Site, usize, Arc<Mutex<Vec<String>>>) {
+    let (mut site, partitioned) = partitioned_site_of(2);
+    site.kill(1 - partitioned);
+    let (address, heads) = start_standin_gateway(reply);
+    let mut registration = json!({ "data_centre": "dc-9", "address": address.to_string(),
+        "core_permille": 1, "link_kbps": 1 });
+    if let Some(takes_forwarded) = takes_forwarded {
+        registration["takes_forwarded"] = json!(takes_forwarded);
+    }
+    let store = &site.platform.store;
+    store.put("gateways", "standin", registration);
+    site.wait_until("the gateway is registered", 10_000, |site| {
+        site.metrics(partitioned)
+            .contains("jacinthpoint_gateways 3")
+    });
+    (site, partitioned, heads)
+}
+
+/// Guards against rule DENIED: callers get 404 from a gateway of a build that knows no forwarded requests.
+#[test]
+fn request_is_not_forwarded_to_a_gateway_that_does_not_say_that_it_takes_it() {
+    let (site, partitioned, heads) = site_with_standin_gateway(UNKNOWN_CALL, None);
+    for id in 0..3 {
+        let name = format!("denied-{id}");
+        let answer = Request::once(&name).send(site.gateway(partitioned));
+        assert_eq!(answer.status, 503, "request {id}");
+    }
+    assert!(heads.lock().expect("no reader panics").is_empty());
+}
+
+/// Guards against answers that are not of a forwarded request and reach callers.
+#[test]
+fn answer_that_does_not_state_that_it_is_of_a_forwarded_request_is_none() {
+    let (site, partitioned, heads) = site_with_standin_gateway(UNKNOWN_CALL, Some(true));
+    let answer = Request::once("unknown").send(site.gateway(partitioned));
+    assert_eq!(answer.status, 502, "it may have run");
+    assert_eq!(heads.lock().expect("no reader panics").len(), 1);
+}
+
 /// Returns the line of a metric.
 fn metric(site: &Site, gateway: usize, name: &str) -> String {
     let metrics = site.metrics(gateway);
