What an upstream states in a forwarded answer is kept by both gateways

Cause: only the gateway that got an answer from the upstream recorded what it states. An answer to a forwarded request now has a header gateway-stated for each statement, with the upstream and its start time, also if all upstreams refused and the answer is the gateway's own. The gateway that forwards records and removes them.

What is stated after the head of a stream, in the answer to a repeat, is still recorded at the other gateway only.

--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -17,7 +17,7 @@
 use hyper::{HeaderMap, Response, StatusCode, body::Incoming, http::request::Parts};
 use jacinthpoint_dispatch::{StallState, Target, TargetKey};
 use jacinthpoint_fleet::RequestKind;
-use jacinthpoint_types::{PerSecond, TimeMs, VmId};
+use jacinthpoint_types::{Deadline, TimeMs, VmId};
 
 use crate::{
     alarm,
@@ -26,9 +26,10 @@
             AnswerKind, classify, is_event_stream, reported_load, stated_limit, stated_pause_ms,
             states_leaving,
         },
-        context::Context,
+        context::{Context, Origin},
         outcome::{Awaited, BreakPoint, log_stall, record_suspected_crash},
         request::build_request,
+        stated::{self, Stated, Statement},
         whole_body::{self, BodyError},
     },
     connection::Connection,
@@ -322,15 +323,15 @@
     }
     let kind = classify(&response, &context.request_id, is_new);
     if let Some(limit) = stated_limit(&response, &kind) {
-        record_limit(gateway, target, limit, sent_at);
+        record_statement(context, target, Statement::Limit(limit), sent_at);
+    }
+    if states_leaving(&response, &kind) {
+        record_statement(context, target, Statement::Leaving, sent_at);
+    }
+    if let Some(pause_ms) = stated_pause_ms(&response, &kind) {
+        let until = Deadline::after_ms(gateway.now(), pause_ms);
+        record_statement(context, target, Statement::PausedUntil(until), sent_at);
     }
-    let is_leaving = states_leaving(&response, &kind);
-    record_statement(
-        context,
-        target,
-        is_leaving,
-        stated_pause_ms(&response, &kind),
-    );
     match kind {
         AnswerKind::NotRun(faulty) => {
             gateway
@@ -359,40 +360,23 @@
     }
 }
 
-/// Records what an upstream stated of itself in an answer, and logs what is new.
-fn record_statement(context: &Context, target: &Target, is_leaving: bool, pause_ms: Option<u64>) {
+/// Records what an upstream stated of itself in the answer to a request that was sent at `sent_at`, also for
+/// the gateway that forwards the request, if one does.
+fn record_statement(context: &Context, target: &Target, statement: Statement, sent_at: TimeMs) {
     let gateway = &context.gateway;
-    let upstream = &target.upstream;
     let started_unix_ms = {
         let view = gateway.view.borrow();
-        let known = view.upstreams().get(upstream);
+        let known = view.upstreams().get(&target.upstream);
         known.map_or(0, |known| known.started_unix_ms)
     };
-    let now = gateway.now();
-    let statements = &mut gateway.loads.borrow_mut().statements;
-    if is_leaving && statements.on_leaving(upstream, started_unix_ms) {
-        gateway.metrics.count("upstream_statements", "leaving");
-        log_event!(info, UpstreamStated, request = context.request_id, %upstream, what = "leaving",
-            "an upstream stated that it leaves: it gets no more requests");
-    }
-    let until =
-        pause_ms.and_then(|pause_ms| statements.on_pause(upstream, started_unix_ms, pause_ms, now));
-    if let Some(until) = until {
-        gateway.metrics.count("upstream_statements", "pause");
-        log_event!(info, UpstreamStated, request = context.request_id, %upstream, what = "pause",
-            pause_ms = until.remaining_ms(now), "an upstream wants no requests for a time");
-    }
-}
-
-/// Records the limit that an upstream named in the answer to a request sent at `sent_at`, `None` if
-/// it named none, and logs a change.
-fn record_limit(gateway: &Gateway, target: &Target, limit: Option<PerSecond>, sent_at: TimeMs) {
-    let upstream = &target.upstream;
-    let is_changed =
-        (gateway.limits.borrow_mut()).on_answer(upstream, limit, sent_at, gateway.now());
-    if is_changed {
-        log_event!(info, LimitChanged, %upstream, limit = limit.map(|limit| limit.0),
-            "an upstream changed the limit that it names");
+    let stated = Stated {
+        upstream: target.upstream.clone(),
+        started_unix_ms,
+        statement,
+    };
+    stated::record(gateway, &context.request_id, &stated, sent_at);
+    if let Origin::Gateway(for_other) = &context.origin {
+        for_other.add(stated);
     }
 }
 
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -9,6 +9,7 @@
 use jacinthpoint_types::{Deadline, DeploymentId, ServiceId, TimeMs};
 
 use crate::{
+    call::stated::StatedForOther,
     edge::CallerConnection,
     events::log_event,
     state::{Gateway, Snapshot},
@@ -40,8 +41,8 @@
 pub(crate) enum Origin {
     /// A caller, on this connection.
     Caller(Rc<CallerConnection>),
-    /// Another gateway, which forwards it.
-    Gateway,
+    /// Another gateway, which forwards it, and gets to know what upstreams state.
+    Gateway(Rc<StatedForOther>),
 }
 
 impl Origin {
@@ -50,7 +51,7 @@
         match self {
             Origin::Caller(caller) => caller.wait_for_leaving().await,
             // The connection of the other gateway ends, and the request with it.
-            Origin::Gateway => std::future::pending().await,
+            Origin::Gateway(_) => std::future::pending().await,
         }
     }
 }
--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -28,6 +28,7 @@
         outcome::remove_connection_headers,
         refusal::refuse,
         request::strip_hop_by_hop,
+        stated::{StatedForOther, take_statements},
         whole_body,
     },
     connection::{Connection, RequestBody},
@@ -80,11 +81,14 @@
     }
     request.headers_mut().remove(FORWARDED_BY);
     request.headers_mut().remove(VIEW);
-    let mut response = answer(gateway, request, Origin::Gateway).await;
+    let stated = Rc::<StatedForOther>::default();
+    let origin = Origin::Gateway(stated.clone());
+    let mut response = answer(gateway.clone(), request, origin).await;
     // An upstream may send the header, too, but has run the request.
     let fields = response.headers_mut();
     fields.remove(NOT_TAKEN);
     fields.insert(FORWARDED_ANSWER, HeaderValue::from_static("1"));
+    stated.write(fields, gateway.now());
     response
 }
 
@@ -183,6 +187,7 @@
     let deadline = gateway.clock.instant(context.deadline.0);
     let request = build_request(context, outgoing);
     context.on_sending();
+    let sent_at = gateway.now();
     let response = match tokio::time::timeout_at(deadline, connection.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
@@ -206,6 +211,7 @@
         );
         return Offer::Unknown(why);
     }
+    take_statements(gateway, &context.request_id, &mut head.headers, sent_at);
     // Each answer of a gateway is framed.
     if !is_framed(&head.headers, &body) {
         return Offer::Unknown("the answer has neither length nor chunks".to_owned());
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -340,6 +340,81 @@
     wait_until_served(&site, partitioned, KEY);
 }
 
+/// Lets a gateway reach upstreams again, and waits until it does.
+fn reconnect(site: &Site, partitioned: usize) {
+    let plain = &site.platform.plain;
+    plain.set_fault(PlainFault::None);
+    site.partition_from_upstreams(partitioned, false);
+    // Requests of other services show that its path works.
+    let sent = Cell::new(0);
+    site.wait_until("it reaches upstreams", 15_000, |site| {
+        sent.set(sent.get() + 1);
+        let name = format!("stream-{}", sent.get());
+        let answer = Request::stream(&name).send(site.gateway(partitioned));
+        let is_reached = site.metrics(partitioned).contains("upstreams_reachable 1");
+        is_reached && answer.status == 200
+    });
+}
+
+/// Lets a gateway reach upstreams again, and asserts that the plain service gets none of its requests.
+fn assert_no_arrivals(site: &Site, partitioned: usize) {
+    reconnect(site, partitioned);
+    let plain = &site.platform.plain;
+    let arrived = plain.arrivals().len();
+    for id in 0..5 {
+        let name = format!("late-{id}");
+        let answer = Request::once(&name).send(site.gateway(partitioned));
+        assert_eq!(answer.status, 503, "request {id}");
+    }
+    assert_eq!(plain.arrivals().len(), arrived);
+}
+
+/// Guards against rule DRAIN: a gateway that passed an answer on in which an upstream stated that it leaves
+/// sends it requests later.
+#[test]
+fn leaving_in_a_forwarded_answer_is_kept() {
+    let (site, partitioned) = partitioned_site_of(2);
+    site.platform.plain.set_fault(PlainFault::Leaves);
+    let answer = Request::once("first").send(site.gateway(partitioned));
+    assert_eq!(answer.status, 200);
+    for name in ["gateway-forwarded-answer", "gateway-stated"] {
+        assert!(answer.header(name).is_none(), "{name}");
+    }
+    assert_no_arrivals(&site, partitioned);
+}
+
+/// Guards against rule BUDGET: a gateway for which another one asked an upstream that wants no requests for a
+/// time sends it some.
+#[test]
+fn pause_in_a_forwarded_answer_is_kept() {
+    const PAUSE_MS: u64 = 120_000;
+    let (site, partitioned) = partitioned_site_of(2);
+    site.platform.plain.set_fault(PlainFault::Pauses(PAUSE_MS));
+    let answer = Request::once("first").send(site.gateway(partitioned));
+    assert_eq!(answer.status, 503);
+    assert_no_arrivals(&site, partitioned);
+}
+
+/// Answer of a gateway that took a request, in which an upstream named a limit; and a statement that cannot be
+/// read.
+const LIMITED: &str = "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\ngateway-stated: limit=0.01 0 plain-1\r\n\
+    gateway-stated: unreadable\r\ncontent-length: 0\r\n\r\n";
+
+/// Guards against rule LIMIT: a gateway sends an upstream more than the limit that it named in an answer which
+/// another gateway got.
+#[test]
+fn limit_in_a_forwarded_answer_is_kept() {
+    let (site, partitioned, _) = site_with_standin_gateway(LIMITED, Some(true));
+    let answer = Request::once("first").send(site.gateway(partitioned));
+    assert_eq!((answer.status, answer.end), (200, End::Whole));
+    reconnect(&site, partitioned);
+    for id in 0..10 {
+        Request::once(&format!("late-{id}")).send(site.gateway(partitioned));
+    }
+    let arrived = site.platform.plain.arrivals().len();
+    assert!(arrived <= 3, "{arrived} of 10 requests arrived");
+}
+
 /// Guards against groups that nobody repairs: the gateway that sends the orders reaches no upstream, but
 /// holds the lease.
 #[test]
