--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -2,14 +2,15 @@
 //!
 //! The other gateway handles the request as if its caller had sent it there: it matches the route, checks
 //! the key and makes all attempts. So only a request of which nothing was sent to an upstream may be
-//! forwarded, and only once: a gateway that gets a forwarded request does not forward it again.
+//! forwarded, and only once: a gateway that gets a forwarded request does not forward it again. It takes
+//! the request only if its view of the fleet is at least as new as that of the gateway that forwards it.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    Request, Response, StatusCode,
+    HeaderMap, Request, Response, StatusCode,
     body::{Body, Incoming},
     header::{self, HeaderName, HeaderValue},
 };
@@ -27,24 +28,34 @@
         outcome::remove_connection_headers,
         refusal::refuse,
         request::strip_hop_by_hop,
+        stated::{StatedForOther, take_statements},
         stream::DEADLINE_SLACK_MS,
         whole_body,
     },
     connection::{Connection, RequestBody},
     events::log_event,
     state::Gateway,
+    view_positions::StatedView,
 };
 
 /// Header of a forwarded request: the name of the gateway that forwards it.
 pub(crate) const FORWARDED_BY: HeaderName = HeaderName::from_static("gateway-forwarded-by");
-/// Header of the answer of a gateway that does not take a forwarded request.
+/// Header of a forwarded request: how new the view of the gateway that forwards it is.
+const VIEW: HeaderName = HeaderName::from_static("gateway-view");
+/// Header of the answer of a gateway that does not take a forwarded request; holds the reason.
 const NOT_TAKEN: HeaderName = HeaderName::from_static("gateway-not-taken");
+/// Header of the answer of a gateway that took a forwarded request.
+const FORWARDED_ANSWER: HeaderName = HeaderName::from_static("gateway-forwarded-answer");
 /// Maximum number of gateways to which a request is offered.
 const MAX_GATEWAYS: usize = 3;
 /// Timeout for connecting to another gateway.
 const CONNECT_TIMEOUT_MS: u64 = 300;
 /// Time for which a gateway that did not take a request gets no others.
 const EXCLUSION_MS: u64 = 1_000;
+/// Maximum time for which a gateway with an older view waits for the changes that it lacks. Gateways that
+/// reach the store read a change at different times, since most read it from another gateway, and each reader
+/// pauses after an answer of the store.
+const MAX_CATCH_UP_MS: u64 = 400;
 
 /// Result of offering a request to one gateway.
 enum Offer {
@@ -64,19 +75,54 @@
     mut request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     if !gateway.is_ready() || gateway.reach.borrow().is_cut() {
-        let mut response = Response::new(full_body(Bytes::new()));
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        let fields = response.headers_mut();
-        fields.insert(NOT_TAKEN, HeaderValue::from_static("1"));
-        return response;
+        return not_taken("it is not ready or reaches no upstream");
+    }
+    if !catch_up(&gateway, request.headers_mut()).await {
+        return not_taken("its view of the fleet is older");
     }
     request.headers_mut().remove(FORWARDED_BY);
-    let mut response = answer(gateway, request, Origin::Gateway).await;
+    request.headers_mut().remove(VIEW);
+    let stated = Rc::<StatedForOther>::default();
+    let origin = Origin::Gateway(stated.clone());
+    let mut response = answer(gateway.clone(), request, origin).await;
     // An upstream may send the header, too, but has run the request.
-    response.headers_mut().remove(NOT_TAKEN);
+    let fields = response.headers_mut();
+    fields.remove(NOT_TAKEN);
+    fields.insert(FORWARDED_ANSWER, HeaderValue::from_static("1"));
+    stated.write(fields, gateway.now());
     response
 }
 
+/// Returns the answer of a gateway that does not take a forwarded request.
+fn not_taken(why: &'static str) -> Response<AnswerBody> {
+    let mut response = Response::new(full_body(Bytes::new()));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let fields = response.headers_mut();
+    fields.insert(NOT_TAKEN, HeaderValue::from_static(why));
+    response
+}
+
+/// Waits until the view of this gateway is at least as new as the one that the head of a forwarded request
+/// states, for [`MAX_CATCH_UP_MS`] at most; returns whether it is. The time that passed is taken off the
+/// request's deadline.
+async fn catch_up(gateway: &Gateway, fields: &mut HeaderMap) -> bool {
+    let stated = fields.get(VIEW).and_then(|value| value.to_str().ok());
+    let Some(stated) = stated.and_then(StatedView::parse) else {
+        return false;
+    };
+    let began = gateway.now();
+    let wait = Duration::from_millis(MAX_CATCH_UP_MS);
+    let caught_up = tokio::time::timeout(wait, gateway.view_positions.wait_for(&stated)).await;
+    let waited_ms = gateway.now().since_ms(began);
+    let deadline = fields.get(headers::DEADLINE_MS);
+    let remaining_ms = deadline.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    if let Some(remaining_ms) = remaining_ms {
+        let remaining_ms = remaining_ms.saturating_sub(waited_ms).max(1);
+        fields.insert(headers::DEADLINE_MS, HeaderValue::from(remaining_ms));
+    }
+    caught_up.is_ok() && gateway.view.borrow().version() >= stated.version
+}
+
 /// Forwards a request of which nothing was sent to an upstream, and returns the response; `None` if no
 /// gateway takes it.
 pub(super) async fn forward(
@@ -85,7 +131,7 @@
 ) -> Option<Response<AnswerBody>> {
     let gateway = &context.gateway;
     let own = gateway.settings().name.to_string();
-    let mut others = gateway.roster.others(&own);
+    let mut others = gateway.roster.takers_of_forwarded(&own);
     others.retain(|address| !gateway.cut_peers.is_excluded(address, gateway.now()));
     others.shuffle(&mut *gateway.rng.borrow_mut());
     for address in others.into_iter().take(MAX_GATEWAYS) {
@@ -138,6 +184,7 @@
     let deadline = gateway.clock.instant(context.deadline.0);
     let request = build_request(context, outgoing);
     context.on_sending();
+    let sent_at = gateway.now();
     let response = match tokio::time::timeout_at(deadline, connection.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
@@ -149,10 +196,19 @@
         }
         Err(_) => return Offer::DeadlinePassed,
     };
-    if response.headers().contains_key(&NOT_TAKEN) {
-        return Offer::NotTaken("refused by the gateway".to_owned());
+    if let Some(why) = response.headers().get(&NOT_TAKEN) {
+        let why = String::from_utf8_lossy(why.as_bytes());
+        return Offer::NotTaken(format!("refused by the gateway: {why}"));
     }
     let (mut head, body) = response.into_parts();
+    if head.headers.remove(FORWARDED_ANSWER).is_none() {
+        let why = format!(
+            "the answer, with status {}, is not of a forwarded request",
+            head.status
+        );
+        return Offer::Unknown(why);
+    }
+    take_statements(gateway, &context.request_id, &mut head.headers, sent_at);
     // Each answer of a gateway is framed.
     if !is_framed(&head.headers, &body) {
         return Offer::Unknown("the answer has neither length nor chunks".to_owned());
@@ -191,6 +247,11 @@
     if let Ok(own) = HeaderValue::from_str(&own) {
         fields.insert(FORWARDED_BY, own);
     }
+    let version = context.gateway.view.borrow().version();
+    let stated = context.gateway.view_positions.stated(version).to_string();
+    if let Ok(stated) = HeaderValue::from_str(&stated) {
+        fields.insert(VIEW, stated);
+    }
     request
 }
 
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -299,7 +299,7 @@
         let sending = self.parts.send(bytes);
         let is_sent = match &self.context.origin {
             Origin::Caller(_) => sending.await,
-            Origin::Gateway => {
+            Origin::Gateway(_) => {
                 let gateway = &self.context.gateway;
                 let idle_ms = gateway.caller_limits.borrow().idle_timeout_ms;
                 let idle_until = gateway.now().plus_ms(idle_ms);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -20,7 +20,7 @@
     quarantine, roster,
     state::Gateway,
     store::{Availability, StoreClient, StoreError},
-    watch::entries::{apply_config, apply_entry, apply_list},
+    watch::entries::{apply_config, apply_entry, apply_list, is_decisive},
 };
 
 mod entries;
@@ -426,26 +426,36 @@
             is_after_outage,
         );
     } else {
+        let newest = list.objects.iter().map(|object| object.revision).max();
         (feed.on_list)(gateway, list, interruption);
+        let position = progress.position.unwrap_or_default();
+        let positions = &gateway.view_positions;
+        positions.on_list(feed.kind, position, newest.unwrap_or(0));
     }
     Ok(())
 }
 
-/// Applies changes to the view. The snapshot is built from the whole view, so once for all of them: with many
-/// upstreams, one for each change would leave no time for requests.
+/// Applies changes to the view, and returns the revision of the newest decisive one. The snapshot is built from
+/// the whole view, so once for all of them: with many upstreams, one for each change would leave no time for
+/// requests.
 fn apply_changes<'a>(
     gateway: &Gateway,
     feed: &Feed,
     changes: impl IntoIterator<Item = (&'a StoredObject, bool)>,
     is_after_outage: bool,
-) {
+) -> Option<u64> {
     let mut change = ViewChange::Same;
+    let mut newest_decisive = None;
     for (object, is_removed) in changes {
         if (feed.on_change)(gateway, object, is_removed, is_after_outage) == ViewChange::Changed {
             change = ViewChange::Changed;
         }
+        if is_decisive(gateway, feed.kind, object, is_removed) {
+            newest_decisive = newest_decisive.max(Some(object.revision));
+        }
     }
     gateway.on_view_change(change);
+    newest_decisive
 }
 
 /// Logs parts of an answer that cannot be read.
@@ -543,17 +553,21 @@
         let changed = changes
             .iter()
             .map(|(object, is_removed)| (object, *is_removed));
-        apply_changes(gateway, feed, changed, is_after_outage);
+        let newest_decisive = apply_changes(gateway, feed, changed, is_after_outage);
         // An object of unknown name changed. The list shows which ones can still be read.
         if unreadable.iter().any(|part| part.object.is_none()) {
             let at = Deadline::after_ms(progress.listed_at, MIN_LIST_INTERVAL_MS);
             let at = progress.list_again_at.map_or(at, |known| known.min(at));
             progress.list_again_at = Some(at);
         }
-        let is_due = progress.list_again_at.is_some_and(|at| at.has_passed(now));
-        if is_due {
-            progress.must_list = true;
-            return Ok(());
+        match progress.list_again_at {
+            None => (gateway.view_positions).on_changes(feed.kind, after, newest_decisive),
+            Some(at) if at.has_passed(now) => {
+                progress.must_list = true;
+                return Ok(());
+            }
+            // The view may lack changes until then.
+            Some(_) => {}
         }
         if !changes.is_empty() && !is_relayed {
             let is_owner = gateway.is_owner();
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -1,7 +1,8 @@
 //! Gateways that reach the store, callers and other gateways, but no upstream.
 
 use std::{
-    io::Read,
+    cell::Cell,
+    io::{Read, Write},
     net::{SocketAddr, TcpListener},
     sync::{Arc, Mutex},
     thread,
@@ -16,7 +17,7 @@
     CONFIG_APPLY_MS,
     caller::{Answer, End, Request, join_all},
     pause_ms,
-    site::{KEY, ROUTE_TIMEOUT_MS, Site, gateway_name},
+    site::{KEY, OTHER_KEY, ROUTE_TIMEOUT_MS, Site, gateway_name},
     store_view::closed_port,
 };
 
@@ -157,9 +158,9 @@
     assert_eq!(answer.status, 200);
 }
 
-/// Starts a gateway that reads the head of each forwarded request and closes the connection. Returns its
-/// address and the heads.
-fn start_breaking_gateway() -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+/// Starts a gateway that reads the head of each forwarded request, writes `reply` and closes the connection.
+/// Returns its address and the heads.
+fn start_standin_gateway(reply: &'static str) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
     let address = listener.local_addr().expect("it is bound");
     let heads: Arc<Mutex<Vec<String>>> = Arc::default();
@@ -176,6 +177,8 @@
                 let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
                 if head.contains("gateway-forwarded-by") {
                     read_heads.lock().expect("no reader panics").push(head);
+                    // The gateway may have left.
+                    let _ = connection.write_all(reply.as_bytes());
                 }
             });
         }
@@ -191,10 +194,10 @@
     (0..GATEWAYS)
         .filter(|index| *index != partitioned)
         .for_each(|index| site.kill(index));
-    let breaking = [start_breaking_gateway(), start_breaking_gateway()];
+    let breaking = [start_standin_gateway(""), start_standin_gateway("")];
     for (index, (address, _)) in breaking.iter().enumerate() {
         let registration = json!({ "data_centre": "dc-9", "address": address.to_string(),
-            "core_permille": 1, "link_kbps": 1 });
+            "core_permille": 1, "link_kbps": 1, "takes_forwarded": true });
         let store = &site.platform.store;
         store.put("gateways", &format!("breaking-{index}"), registration);
     }
@@ -218,6 +221,200 @@
     }
 }
 
+/// Answer of a build that knows no forwarded requests.
+const UNKNOWN_CALL: &str = "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+
+/// Starts a site in which one gateway reaches no upstream, and the only other one that runs answers forwarded
+/// requests with `reply`; `takes_forwarded` is what its registration says of them. Returns the site, the index
+/// of the first, and the heads that the other one got.
+fn site_with_standin_gateway(
+    reply: &'static str,
+    takes_forwarded: Option<bool>,
+) -> (Site, usize, Arc<Mutex<Vec<String>>>) {
+    let (mut site, partitioned) = partitioned_site_of(2);
+    site.kill(1 - partitioned);
+    let (address, heads) = start_standin_gateway(reply);
+    let mut registration = json!({ "data_centre": "dc-9", "address": address.to_string(),
+        "core_permille": 1, "link_kbps": 1 });
+    if let Some(takes_forwarded) = takes_forwarded {
+        registration["takes_forwarded"] = json!(takes_forwarded);
+    }
+    let store = &site.platform.store;
+    store.put("gateways", "standin", registration);
+    site.wait_until("the gateway is registered", 10_000, |site| {
+        site.metrics(partitioned)
+            .contains("jacinthpoint_gateways 3")
+    });
+    (site, partitioned, heads)
+}
+
+/// Guards against rule DENIED: callers get 404 from a gateway of a build that knows no forwarded requests.
+#[test]
+fn request_is_not_forwarded_to_a_gateway_that_does_not_say_that_it_takes_it() {
+    let (site, partitioned, heads) = site_with_standin_gateway(UNKNOWN_CALL, None);
+    for id in 0..3 {
+        let name = format!("denied-{id}");
+        let answer = Request::once(&name).send(site.gateway(partitioned));
+        assert_eq!(answer.status, 503, "request {id}");
+    }
+    assert!(heads.lock().expect("no reader panics").is_empty());
+}
+
+/// Guards against answers that are not of a forwarded request and reach callers.
+#[test]
+fn answer_that_does_not_state_that_it_is_of_a_forwarded_request_is_none() {
+    let (site, partitioned, heads) = site_with_standin_gateway(UNKNOWN_CALL, Some(true));
+    let answer = Request::once("unknown").send(site.gateway(partitioned));
+    assert_eq!(answer.status, 502, "it may have run");
+    assert_eq!(heads.lock().expect("no reader panics").len(), 1);
+}
+
+/// Returns the line of a metric.
+fn metric(site: &Site, gateway: usize, name: &str) -> String {
+    let metrics = site.metrics(gateway);
+    let line = metrics.lines().find(|line| line.contains(name));
+    line.expect("the metric is there").to_owned()
+}
+
+/// Sends requests until one is served. A gateway that did not take a request gets no others for a while.
+fn wait_until_served(site: &Site, gateway: usize, key: &str) {
+    let sent = Cell::new(0);
+    site.wait_until("a request is served", 15_000, |site| {
+        sent.set(sent.get() + 1);
+        let name = format!("again-{}", sent.get());
+        let request = Request {
+            key,
+            ..Request::once(&name)
+        };
+        request.send(site.gateway(gateway)).status == 200
+    });
+}
+
+/// Guards against rules CONFIG and DENIED: a request with a key that the gateway of its caller knows is judged
+/// by a gateway with an older configuration.
+#[test]
+fn forwarded_request_is_not_judged_by_an_older_configuration() {
+    let (site, partitioned) = partitioned_site_of(2);
+    let stale = 1 - partitioned;
+    site.silence_store(stale, true);
+    let version = |site: &Site| metric(site, partitioned, "config_version ");
+    let before = version(&site);
+    site.put_config(&[KEY, OTHER_KEY]);
+    site.wait_until("the configuration is in force", 10_000, |site| {
+        version(site) != before
+    });
+    for id in 0..3 {
+        let name = format!("newer-{id}");
+        let request = Request {
+            key: OTHER_KEY,
+            ..Request::once(&name)
+        };
+        let answer = request.send(site.gateway(partitioned));
+        assert_eq!(answer.status, 503, "request {id}");
+        assert!(answer.header("retry-after").is_some(), "request {id}");
+        assert!(site.platform.runs.of(&name).is_empty(), "request {id}");
+    }
+    site.silence_store(stale, false);
+    wait_until_served(&site, partitioned, OTHER_KEY);
+}
+
+/// Guards against forwarded requests that run at an upstream of which the gateway of their caller knows that it
+/// has left.
+#[test]
+fn forwarded_request_is_not_run_by_an_older_list_of_upstreams() {
+    let (site, partitioned) = partitioned_site_of(2);
+    let stale = 1 - partitioned;
+    site.silence_store(stale, true);
+    let count = |site: &Site| metric(site, partitioned, "jacinthpoint_upstreams ");
+    let before = count(&site);
+    let store = &site.platform.store;
+    let entry = store.get_content(paths::UPSTREAM_KIND, PlainService::ID);
+    store.remove(paths::UPSTREAM_KIND, PlainService::ID);
+    site.wait_until("the removal is known", 10_000, |site| count(site) != before);
+    let answer = Request::once("left").send(site.gateway(partitioned));
+    assert_eq!(answer.status, 503);
+    assert!(site.platform.runs.of("left").is_empty());
+    site.silence_store(stale, false);
+    let entry = entry.expect("it was registered");
+    store.put(paths::UPSTREAM_KIND, PlainService::ID, entry);
+    wait_until_served(&site, partitioned, KEY);
+}
+
+/// Lets a gateway reach upstreams again, and waits until it does.
+fn reconnect(site: &Site, partitioned: usize) {
+    let plain = &site.platform.plain;
+    plain.set_fault(PlainFault::None);
+    site.partition_from_upstreams(partitioned, false);
+    // Requests of other services show that its path works.
+    let sent = Cell::new(0);
+    site.wait_until("it reaches upstreams", 15_000, |site| {
+        sent.set(sent.get() + 1);
+        let name = format!("stream-{}", sent.get());
+        let answer = Request::stream(&name).send(site.gateway(partitioned));
+        let is_reached = site.metrics(partitioned).contains("upstreams_reachable 1");
+        is_reached && answer.status == 200
+    });
+}
+
+/// Lets a gateway reach upstreams again, and asserts that the plain service gets none of its requests.
+fn assert_no_arrivals(site: &Site, partitioned: usize) {
+    reconnect(site, partitioned);
+    let plain = &site.platform.plain;
+    let arrived = plain.arrivals().len();
+    for id in 0..5 {
+        let name = format!("late-{id}");
+        let answer = Request::once(&name).send(site.gateway(partitioned));
+        assert_eq!(answer.status, 503, "request {id}");
+    }
+    assert_eq!(plain.arrivals().len(), arrived);
+}
+
+/// Guards against rule DRAIN: a gateway that passed an answer on in which an upstream stated that it leaves
+/// sends it requests later.
+#[test]
+fn leaving_in_a_forwarded_answer_is_kept() {
+    let (site, partitioned) = partitioned_site_of(2);
+    site.platform.plain.set_fault(PlainFault::Leaves);
+    let answer = Request::once("first").send(site.gateway(partitioned));
+    assert_eq!(answer.status, 200);
+    for name in ["gateway-forwarded-answer", "gateway-stated"] {
+        assert!(answer.header(name).is_none(), "{name}");
+    }
+    assert_no_arrivals(&site, partitioned);
+}
+
+/// Guards against rule BUDGET: a gateway for which another one asked an upstream that wants no requests for a
+/// time sends it some.
+#[test]
+fn pause_in_a_forwarded_answer_is_kept() {
+    const PAUSE_MS: u64 = 120_000;
+    let (site, partitioned) = partitioned_site_of(2);
+    site.platform.plain.set_fault(PlainFault::Pauses(PAUSE_MS));
+    let answer = Request::once("first").send(site.gateway(partitioned));
+    assert_eq!(answer.status, 503);
+    assert_no_arrivals(&site, partitioned);
+}
+
+/// Answer of a gateway that took a request, in which an upstream named a limit; and a statement that cannot be
+/// read.
+const LIMITED: &str = "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\ngateway-stated: limit=0.01 0 plain-1\r\n\
+    gateway-stated: unreadable\r\ncontent-length: 0\r\n\r\n";
+
+/// Guards against rule LIMIT: a gateway sends an upstream more than the limit that it named in an answer which
+/// another gateway got.
+#[test]
+fn limit_in_a_forwarded_answer_is_kept() {
+    let (site, partitioned, _) = site_with_standin_gateway(LIMITED, Some(true));
+    let answer = Request::once("first").send(site.gateway(partitioned));
+    assert_eq!((answer.status, answer.end), (200, End::Whole));
+    reconnect(&site, partitioned);
+    for id in 0..10 {
+        Request::once(&format!("late-{id}")).send(site.gateway(partitioned));
+    }
+    let arrived = site.platform.plain.arrivals().len();
+    assert!(arrived <= 3, "{arrived} of 10 requests arrived");
+}
+
 /// Guards against groups that nobody repairs: the gateway that sends the orders reaches no upstream, but
 /// holds the lease.
 #[test]
