A header that cannot be sent is logged

A name of an organisation may hold control characters since "One odd name does not cost a whole configuration", and the header was left out without a word.

--- a/crates/gateway/src/call/request.rs
+++ b/crates/gateway/src/call/request.rs
@@ -157,7 +157,10 @@
 
 fn insert(fields: &mut HeaderMap, name: &'static str, value: &str) {
     // Text beyond ASCII is sent as it is.
-    if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
-        fields.insert(name, value);
+    match HeaderValue::from_bytes(value.as_bytes()) {
+        Ok(value) => {
+            fields.insert(name, value);
+        }
+        Err(error) => tracing::warn!(name, value, %error, "a header of a request is left out"),
     }
 }
