Test of cut forwarded answers: the stand-in takes forwarded requests

The registration says so now. The answers have the mark of an answer to a forwarded request, so that each is refused for its cut and not for the missing mark, with one more that is cut after it. What callers must get is unchanged.

--- a/tests/gateway/faulty_answers/heads.rs
+++ b/tests/gateway/faulty_answers/heads.rs
@@ -131,20 +131,21 @@
     const ANSWERS: &[&str] = &[
         "HTTP/1.1 200",
         "HTTP/1.1 200 OK\r\n",
-        "HTTP/1.1 200 OK\r\ncontent-le",
-        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n",
-        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r",
-        "HTTP/1.1 200 OK\ncontent-length: 0\n",
-        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
-        "HTTP/1.1 200 OK\r\n\r\nthe who",
-        "HTTP/1.1 200 OK\r\ncontent-length: 40\r\n\r\nthe who",
+        "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\n",
+        "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\ncontent-le",
+        "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\ncontent-length: 0\r\n",
+        "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\ncontent-length: 0\r\n\r",
+        "HTTP/1.1 200 OK\ngateway-forwarded-answer: 1\ncontent-length: 0\n",
+        "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\ntransfer-encoding: chunked\r\n",
+        "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\n\r\nthe who",
+        "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\ncontent-length: 40\r\n\r\nthe who",
     ];
     let (mut site, partitioned) = partitioned_site();
     let others: Vec<usize> = (0..3).filter(|index| *index != partitioned).collect();
     others.into_iter().for_each(|index| site.kill(index));
     let address = start_faulty_gateway(ANSWERS);
     let registration = json!({ "data_centre": "dc-9", "address": address.to_string(),
-        "core_permille": 1, "link_kbps": 1 });
+        "core_permille": 1, "link_kbps": 1, "takes_forwarded": true });
     site.platform.store.put("gateways", "faulty", registration);
     pause_ms(3_000);
     for (id, sent) in ANSWERS.iter().enumerate() {
