A crash is one of the life to which the request was sent

If the view had the next life of an upstream by the time that a connection broke, the crash was recorded as one of that life: one crash got two ids, which brings harmless requests nearer to quarantine. Found by the review of these changes, by reading; no test shows it.

--- a/crates/gateway/src/call/outcome.rs
+++ b/crates/gateway/src/call/outcome.rs
@@ -63,11 +63,10 @@
     at: BreakPoint,
     sent_at: TimeMs,
 ) {
-    let view = context.gateway.view.borrow();
-    let upstream = view.upstreams().get(&target.upstream);
+    // The life to which the request was sent; the view may have a later one by now.
     let crash = CrashId {
         upstream: target.upstream.clone(),
-        started_unix_ms: upstream.map_or(0, |upstream| upstream.started_unix_ms),
+        started_unix_ms: target.started_unix_ms,
     };
     let now = context.gateway.now();
     let mut notices = context.gateway.crash_notices.borrow_mut();
