A gateway that is cut while its view catches up takes no forwarded request

It was asked before the wait of up to 400 ms only. A gateway that begins to stop or loses its upstreams meanwhile handled the request itself, and its refusal was passed on in place of the question to the next gateway. Found by the review of these changes, by reading; no test shows it.

--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -74,12 +74,14 @@
     gateway: Rc<Gateway>,
     mut request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    if !gateway.is_ready() || gateway.reach.borrow().is_cut() {
-        return not_taken("it is not ready or reaches no upstream");
-    }
-    if !catch_up(&gateway, request.headers_mut()).await {
+    let can_serve = || gateway.is_ready() && !gateway.reach.borrow().is_cut();
+    if can_serve() && !catch_up(&gateway, request.headers_mut()).await {
         return not_taken("its view of the fleet is older");
     }
+    // Also after the wait for its view.
+    if !can_serve() {
+        return not_taken("it is not ready or reaches no upstream");
+    }
     request.headers_mut().remove(FORWARDED_BY);
     request.headers_mut().remove(VIEW);
     let stated = Rc::<StatedForOther>::default();
