An unfinished list keeps what is known, for others and after a restore, too

Cause: an unfinished list was treated as changes. Now it is a list to which the upstreams that are known and not on it are added, so that the hold after a restore applies, and a restore counts until a whole list was read. A reader goes on serving what it has, and what is new on the list as changes; after a restore it serves nothing until the list is whole. The position of the list counts as read. What is read while an object of unknown name has changed counts as decisive, but not as complete.

Left, by reading: a list may claim the removal of an upstream that followed lost history and lies behind the page that is refused; a removal that is first seen in a list is not stated as decisive; a statement for a life that the gateway that forwards does not know yet is dropped.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -122,12 +122,6 @@
         }
     }
 
-    /// Accepts that the list of upstreams cannot be read to its end: the view counts as complete with those that
-    /// were read.
-    pub fn accept_unfinished_list(&mut self) {
-        self.has_upstream_list = true;
-    }
-
     /// Replaces all upstreams by the whole list, except that upstreams missing from it are kept
     /// until the end of their grace period. A list that `is_after_outage` starts this period, of
     /// [`EXPIRY_GRACE_MS`], for missing upstreams that have none. Other missing group members that
--- a/crates/gateway/src/view_positions.rs
+++ b/crates/gateway/src/view_positions.rs
@@ -40,19 +40,20 @@
         });
     }
 
-    /// Records that all changes up to `position` were applied. `newest` is the revision of the latest one that
-    /// decides anything, if there is one.
+    /// Records that changes were applied, after the first list: all up to `complete`, if given. `newest` is the
+    /// revision of the latest one that decides anything, if there is one.
     pub(crate) fn on_changes(
         &self,
         kind: &'static str,
-        position: HistoryPosition,
+        complete: Option<HistoryPosition>,
         newest: Option<u64>,
     ) {
         self.0.send_modify(|kinds| {
-            let known = kinds.get(kind).map_or(0, |known| known.decisive);
-            let decisive = newest.map_or(known, |newest| newest.max(known));
-            let complete = position;
-            kinds.insert(kind, KindPosition { complete, decisive });
+            let Some(known) = kinds.get_mut(kind) else {
+                return;
+            };
+            known.complete = complete.unwrap_or(known.complete);
+            known.decisive = newest.map_or(known.decisive, |newest| newest.max(known.decisive));
         });
     }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -20,7 +20,7 @@
     quarantine, roster,
     state::Gateway,
     store::{Availability, StoreClient, StoreError},
-    watch::entries::{apply_config, apply_entry, apply_list, is_decisive},
+    watch::entries::{apply_config, apply_entry, apply_list, apply_unfinished_list, is_decisive},
 };
 
 mod entries;
@@ -214,6 +214,10 @@
     must_list: bool,
     /// When the list is read again because the last one could not go on, or an object of unknown name changed.
     list_again_at: Option<Deadline>,
+    /// Whether an object of unknown name changed since the last list.
+    has_unknown_change: bool,
+    /// Whether the store was restored, and no whole list was read since.
+    is_restore_open: bool,
     /// When the last list was read.
     listed_at: TimeMs,
     availability: Availability,
@@ -384,16 +388,25 @@
                 .relay
                 .on_list(feed.kind, &list.objects, list.position, max_age_ms, now);
         }
-        // Others would take the objects that are not on it for removed ones.
-        Some(_) => gateway.relay.discard(feed.kind),
+        Some(_) if continuity == Some(Continuity::Restored) => gateway.relay.discard(feed.kind),
+        // Others would take the objects that are not on it for removed ones, so they get the others as changes.
+        Some(_) => {
+            let known_revision = known.map_or(0, |known| known.revision);
+            let newer = (list.objects.iter()).filter(|object| object.revision > known_revision);
+            let mut changes: Vec<_> = newer.map(|object| (object.clone(), false)).collect();
+            changes.sort_by_key(|(object, _)| object.revision);
+            let relay = &gateway.relay;
+            relay.on_events(feed.kind, &changes, list.position, now);
+        }
     }
     let known_era = known.and_then(|known| known.era);
     progress.position = Some(HistoryPosition {
         era: list.position.era.or(known_era),
         ..list.position
     });
+    progress.is_restore_open |= continuity == Some(Continuity::Restored);
     let interruption = match continuity {
-        Some(Continuity::Restored) => Interruption::Restore,
+        _ if progress.is_restore_open => Interruption::Restore,
         _ if is_after_outage => Interruption::Outage,
         _ => Interruption::None,
     };
@@ -413,25 +426,22 @@
         Deadline::after_ms(now, UNFINISHED_LIST_RETRY_MS)
     });
     progress.list_again_at = until;
+    progress.has_unknown_change = false;
     progress.listed_at = now;
-    if until.is_some() {
-        // Objects that are not on it may exist, so none is removed.
-        if feed.kind == paths::UPSTREAM_KIND {
-            gateway.view.borrow_mut().accept_unfinished_list();
-        }
-        apply_changes(
-            gateway,
-            feed,
-            list.objects.iter().map(|o| (o, false)),
-            is_after_outage,
-        );
-    } else {
-        let newest = list.objects.iter().map(|object| object.revision).max();
+    let newest = list.objects.iter().map(|object| object.revision).max();
+    if until.is_none() {
+        progress.is_restore_open = false;
         (feed.on_list)(gateway, list, interruption);
-        let position = progress.position.unwrap_or_default();
-        let positions = &gateway.view_positions;
-        positions.on_list(feed.kind, position, newest.unwrap_or(0));
+    } else if feed.kind == paths::UPSTREAM_KIND {
+        apply_unfinished_list(gateway, &list, interruption);
+    } else {
+        let objects = list.objects.iter().map(|object| (object, false));
+        apply_changes(gateway, feed, objects, is_after_outage);
     }
+    // Also for an unfinished list: another gateway cannot read more of it.
+    let position = progress.position.unwrap_or_default();
+    let positions = &gateway.view_positions;
+    positions.on_list(feed.kind, position, newest.unwrap_or(0));
     Ok(())
 }
 
@@ -559,15 +569,14 @@
             let at = Deadline::after_ms(progress.listed_at, MIN_LIST_INTERVAL_MS);
             let at = progress.list_again_at.map_or(at, |known| known.min(at));
             progress.list_again_at = Some(at);
+            progress.has_unknown_change = true;
         }
-        match progress.list_again_at {
-            None => (gateway.view_positions).on_changes(feed.kind, after, newest_decisive),
-            Some(at) if at.has_passed(now) => {
-                progress.must_list = true;
-                return Ok(());
-            }
-            // The view may lack changes until then.
-            Some(_) => {}
+        // Until that list was read, the view lacks a change.
+        let complete = (!progress.has_unknown_change).then_some(after);
+        (gateway.view_positions).on_changes(feed.kind, complete, newest_decisive);
+        if progress.list_again_at.is_some_and(|at| at.has_passed(now)) {
+            progress.must_list = true;
+            return Ok(());
         }
         if !changes.is_empty() && !is_relayed {
             let is_owner = gateway.is_owner();
--- a/crates/gateway/src/watch/entries.rs
+++ b/crates/gateway/src/watch/entries.rs
@@ -1,6 +1,8 @@
 //! Decodes configurations and entries of upstreams, applies them to the view of the fleet, and logs
 //! the result.
 
+use std::collections::BTreeSet;
+
 use jacinthpoint_adapter::{
     DecodeError, List, StoredObject, decode_config, decode_upstream, paths, refused_models,
 };
@@ -40,12 +42,31 @@
 
 /// Applies the whole list of upstreams. Entries that cannot be decoded are logged and left out.
 pub(super) fn apply_list(gateway: &Gateway, list: List, interruption: Interruption) {
+    apply_entries(gateway, &list, true, interruption);
+}
+
+/// Applies a list that could not be read to its end. Upstreams that are not on it may exist, so none is removed.
+pub(super) fn apply_unfinished_list(gateway: &Gateway, list: &List, interruption: Interruption) {
+    apply_entries(gateway, list, false, interruption);
+}
+
+fn apply_entries(gateway: &Gateway, list: &List, is_whole: bool, interruption: Interruption) {
     let entries = list.objects.iter().filter_map(|object| {
         decode_upstream(&object.name, &object.content)
             .map_err(|error| log_refused_upstream(gateway, object, &error))
             .ok()
     });
-    let entries: Vec<_> = entries.collect();
+    let mut entries: Vec<_> = entries.collect();
+    if !is_whole {
+        let listed: BTreeSet<&str> = list.objects.iter().map(|o| o.name.as_str()).collect();
+        let view = gateway.view.borrow();
+        let known = view.upstreams().values();
+        entries.extend(
+            known
+                .filter(|known| !listed.contains(known.id.as_str()))
+                .cloned(),
+        );
+    }
     let now = gateway.now();
     let count_before = gateway.view.borrow().upstreams().len();
     let mut view = gateway.view.borrow_mut();
--- a/tests/gateway/unreachable_upstreams.rs
+++ b/tests/gateway/unreachable_upstreams.rs
@@ -340,6 +340,52 @@
     wait_until_served(&site, partitioned, KEY);
 }
 
+/// Lets a page of the list of upstreams end behind all upstreams, after which the store refuses the next one.
+fn break_list(site: &Site) {
+    let store = &site.platform.store;
+    let content = json!({ "note": "x".repeat(600_000) });
+    for name in ["zz", "zz~"] {
+        store.put(paths::UPSTREAM_KIND, name, content.clone());
+    }
+    store.refuse_page_after("zz");
+}
+
+/// Guards against rule RECOVER: a gateway that started while the list cannot go on serves its own callers, but takes no
+/// forwarded request.
+#[test]
+fn gateway_with_an_unfinished_list_takes_forwarded_requests() {
+    let (mut site, partitioned) = partitioned_site_of(2);
+    let other = 1 - partitioned;
+    break_list(&site);
+    site.restart(other);
+    site.wait_until("it is ready", 20_000, |site| site.is_ready(other));
+    wait_until_served(&site, partitioned, KEY);
+}
+
+/// As [`forwarded_request_is_not_run_by_an_older_list_of_upstreams`], while the list cannot go on.
+#[test]
+fn forwarded_request_is_not_run_by_an_older_unfinished_list() {
+    let (site, partitioned) = partitioned_site_of(2);
+    let stale = 1 - partitioned;
+    break_list(&site);
+    site.platform.store.end_all_watches();
+    site.wait_until("the list has ended early", 10_000, |site| {
+        let counter = "lists_unfinished_total{label=\"servers\"}";
+        (0..2).all(|index| site.metrics(index).contains(counter))
+    });
+    wait_until_served(&site, partitioned, KEY);
+    site.silence_store(stale, true);
+    let count = |site: &Site| metric(site, partitioned, "jacinthpoint_upstreams ");
+    let before = count(&site);
+    site.platform
+        .store
+        .remove(paths::UPSTREAM_KIND, PlainService::ID);
+    site.wait_until("the removal is known", 10_000, |site| count(site) != before);
+    let answer = Request::once("left").send(site.gateway(partitioned));
+    assert_eq!(answer.status, 503);
+    assert!(site.platform.runs.of("left").is_empty());
+}
+
 /// Lets a gateway reach upstreams again, and waits until it does.
 fn reconnect(site: &Site, partitioned: usize) {
     let plain = &site.platform.plain;
