Tests hold a node's ports until its routes are open

The free ports of a node were released before the fault proxy opened the node's route to the platform, which got one of them. They are now held until the settings are written.

The collision was not provoked.

--- a/tests/util/site.rs
+++ b/tests/util/site.rs
@@ -175,7 +175,7 @@
     }
 
     fn try_start_node(&self, number: usize) -> Option<SiteNode> {
-        let [callers, operators, peers] = free_addresses();
+        let (held, [callers, operators, peers]) = hold_free_addresses();
         let name = format!("node-{number}");
         let advertise = self.route_to(&name, "tcp-and-udp", Some(peers));
         let path = self.folder.join(format!("{name}.ini"));
@@ -185,6 +185,8 @@
             links.name_sender(&name, peers);
             links.http_proxy(&name)
         });
+        // Until here, so that no route gets one of the ports.
+        drop(held);
         let process = run_node(&path, http_proxy);
         process.has_started().then(|| SiteNode {
             process,
@@ -316,7 +318,8 @@
     }
 }
 
-fn free_addresses() -> [SocketAddr; 3] {
+/// Returns free addresses, and the sockets that hold them.
+fn hold_free_addresses() -> (Vec<[TcpListener; 3]>, [SocketAddr; 3]) {
     // All are held until all are found, so that they differ. Peers need theirs for UDP as well.
     let mut held = Vec::new();
     loop {
@@ -326,7 +329,7 @@
             .map(|listener| listener.local_addr().expect("a bound port"));
         held.push(listeners);
         if UdpSocket::bind(addresses[2]).is_ok() {
-            return addresses;
+            return (held, addresses);
         }
     }
 }
