Learn how many requests each upstream takes well

Cause: the slots of an upstream say how many requests it runs at once, not how many it answers in time. Upstreams differ in speed and slow down before they are full, and the choice of one knew only its slots.

Change: each gateway learns from the answers of an upstream, and the root of the load exchange from those of all gateways; upstreams are preferred by it and nothing is refused by it. Off unless [upstreams] learn_capacity is set.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub use crate::{
     budget::{FleetRetryBudget, FleetRetryBudgetSettings, RetryUsage, SlackShare},
+    capacity::{AnswerCounts, AnswerSample, Capacities, SharedCapacities, SharedCapacity},
     crash_notice::CrashNotices,
     demand::WorkMeter,
     directory::{Directory, Target, TargetGroup, TargetKey},
@@ -24,6 +25,7 @@
 };
 
 mod budget;
+mod capacity;
 mod crash_notice;
 mod demand;
 mod directory;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -18,6 +18,7 @@
 use rand::Rng;
 
 use crate::{
+    capacity::Capacities,
     directory::{Target, TargetKey},
     peer_load::{PeerLoad, TargetDigest, TargetReport},
     stall::StallPolicy,
@@ -78,6 +79,8 @@
     loads: BTreeMap<TargetKey, Load>,
     peers: PeerLoad,
     ejector: Ejector<TargetKey>,
+    /// What each target takes well.
+    pub capacities: Capacities,
     /// What upstreams stated of themselves.
     pub statements: UpstreamStatements,
 }
@@ -274,6 +277,7 @@
         self.loads
             .retain(|key, load| load.in_flight > 0 || keys.contains(key));
         self.ejector.retain(|key| keys.contains(key));
+        self.capacities.retain(|key| keys.contains(key));
     }
 }
 
--- a/crates/dispatch/src/load/choice.rs
+++ b/crates/dispatch/src/load/choice.rs
@@ -137,7 +137,7 @@
                 self.lowest_cost(&with_room, self.usual_gap_ms(targets), rng)
             }
             Some(prompt) => self.soonest(&with_room, prompt, is_wait_limited, now, rng),
-            None => random_by_room(&with_room, queue_share, rng),
+            None => self.random_by_room(&with_room, queue_share, now, rng),
         };
         match chosen {
             Some(target) => Ok(target.clone()),
@@ -172,34 +172,38 @@
         let least = costs.min_by(|a, b| a.0.total_cmp(&b.0));
         least.map(|(_, target)| target)
     }
-}
 
-/// Returns a random target, weighted by its room. All gateways have the same loads, and those that
-/// choose between two load exchanges must not all choose the same target. The room of a target is
-/// its free slots; if no target has any, it is the free places in its queue. It counts up to
-/// [`MAX_ROOM`], and less in another data centre.
-fn random_by_room<'a>(
-    targets: &[(f64, &'a Arc<Target>)],
-    queue_share: f64,
-    rng: &mut impl Rng,
-) -> Option<&'a Arc<Target>> {
-    let free = |(requests, target): &(f64, &Arc<Target>)| f64::from(target.slots) - requests;
-    let has_free = targets.iter().any(|entry| free(entry) > 0.0);
-    let room = |entry: &(f64, &Arc<Target>)| {
-        let queue = if has_free {
-            0.0
-        } else {
-            f64::from(entry.1.slots) * queue_share
+    /// Returns a random target, weighted by its room. All gateways have the same loads, and those that
+    /// choose between two load exchanges must not all choose the same target. The room of a target is
+    /// what is left of its capacity; if no target has any, it is the free places in its queue. It counts
+    /// up to [`MAX_ROOM`], and less in another data centre.
+    fn random_by_room<'a>(
+        &self,
+        targets: &[(f64, &'a Arc<Target>)],
+        queue_share: f64,
+        now: TimeMs,
+        rng: &mut impl Rng,
+    ) -> Option<&'a Arc<Target>> {
+        let free = |(requests, target): &(f64, &Arc<Target>)| {
+            self.capacities.requests(&target.key, target.slots, now) - requests
         };
-        let distance_factor = if entry.1.is_near {
-            1.0
-        } else {
-            FAR_COST_FACTOR
+        let has_free = targets.iter().any(|entry| free(entry) > 0.0);
+        let room = |entry: &(f64, &Arc<Target>)| {
+            let queue = if has_free {
+                0.0
+            } else {
+                f64::from(entry.1.slots) * queue_share
+            };
+            let distance_factor = if entry.1.is_near {
+                1.0
+            } else {
+                FAR_COST_FACTOR
+            };
+            (free(entry) + queue).clamp(0.0, MAX_ROOM) / distance_factor
         };
-        (free(entry) + queue).clamp(0.0, MAX_ROOM) / distance_factor
-    };
-    // The weighted choice fails if there is no target, or if rounding makes all weights zero; any
-    // target will do then.
-    let chosen = targets.choose_weighted(rng, room).ok().or(targets.last());
-    chosen.map(|(_, target)| *target)
+        // The weighted choice fails if there is no target, or if rounding makes all weights zero; any
+        // target will do then.
+        let chosen = targets.choose_weighted(rng, room).ok().or(targets.last());
+        chosen.map(|(_, target)| *target)
+    }
 }
--- a/crates/dispatch/src/load/soonest.rs
+++ b/crates/dispatch/src/load/soonest.rs
@@ -43,21 +43,26 @@
     ) -> Option<&'a Arc<Target>> {
         let usual_overhead_ms = self.usual_overhead_ms(targets, prompt);
         let objective_ms = prompt.first_event_objective_ms as f64;
+        let keys = targets.iter().map(|(_, target)| &target.key);
+        let usual_slowness = self.capacities.usual_slowness(keys);
         let cost_ms = |(requests, target): &(f64, &Arc<Target>)| {
             let unread_tokens = self.unread_tokens(&target.key, now);
-            let wait_ms = prompt.wait_ms(unread_tokens, *requests);
+            let slowness = usual_slowness.map_or(1.0, |usual| {
+                self.capacities.slowness(&target.key, usual, now)
+            });
+            let wait_ms = prompt.wait_ms(unread_tokens, *requests) * slowness;
             let overhead_ms = self.overhead_ms(&target.key, usual_overhead_ms, now);
             let pass_fill = prompt.pass_fill(unread_tokens, *requests);
             let max_wait_ms = (objective_ms - overhead_ms).max(objective_ms * MIN_WAIT_SHARE);
             if is_wait_limited && wait_ms > max_wait_ms {
                 return None;
             }
-            let busy = requests / f64::from(target.slots);
+            let busy = requests / self.capacities.requests(&target.key, target.slots, now);
             let long_pass_ms =
                 (pass_fill - LONG_PASS_FILL).max(0.0) * prompt.gap_objective_ms as f64;
             let cost_ms = wait_ms
                 + overhead_ms
-                + busy * prompt.usual_reading_ms() * BUSY_WEIGHT
+                + busy * prompt.usual_reading_ms() * slowness * BUSY_WEIGHT
                 + long_pass_ms;
             let distance_factor = if target.is_near { 1.0 } else { FAR_COST_FACTOR };
             Some(cost_ms * distance_factor)
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of the choice of a target, load exchange, stall detection, retry budget, limits of
-//! upstreams, causes of crashes, quarantine, reach of upstreams, and durations.
+//! upstreams, learnt capacities, causes of crashes, quarantine, reach of upstreams, and durations.
 
 mod budget;
+mod capacity;
 mod crash_notice;
 mod durations;
 mod growth;
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -15,7 +15,7 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Response, StatusCode, body::Incoming, http::request::Parts};
-use jacinthpoint_dispatch::{StallState, Target, TargetKey};
+use jacinthpoint_dispatch::{AnswerSample, StallState, Target, TargetKey};
 use jacinthpoint_fleet::RequestKind;
 use jacinthpoint_types::{Deadline, TimeMs, VmId};
 
@@ -406,6 +406,7 @@
         }
         Err(_) => return AttemptOutcome::DeadlinePassed,
     };
+    record_whole_answer(context, &target, head.status, in_flight.sent_at());
     gateway
         .pool
         .put_back(&target.key, connection, &head.headers, gateway.now());
@@ -416,6 +417,45 @@
     })
 }
 
+/// Records whether an upstream of a plain service answered in time. Failures say nothing about how
+/// many requests it takes.
+fn record_whole_answer(context: &Context, target: &Target, status: StatusCode, sent_at: TimeMs) {
+    if target.group.is_some() || !status.is_success() {
+        return;
+    }
+    let gateway = &context.gateway;
+    let now = gateway.now();
+    let mut loads = gateway.loads.borrow_mut();
+    let sample = AnswerSample {
+        requests: loads.load(&target.key, now),
+        slots: target.slots,
+        is_late: now.since_ms(sent_at) > context.route.answer_objective_ms,
+        began_at: sent_at,
+    };
+    let lowered = loads.capacities.on_answer(&target.key, sample, now);
+    drop(loads);
+    if let Some(capacity) = lowered {
+        log_capacity(context, target, sample, capacity);
+    }
+}
+
+/// Logs that an upstream takes fewer requests well than was known.
+pub(super) fn log_capacity(
+    context: &Context,
+    target: &Target,
+    sample: AnswerSample,
+    capacity: f64,
+) {
+    let gateway = &context.gateway;
+    gateway
+        .metrics
+        .count("capacities_lowered", target.upstream.as_str());
+    log_event!(info, CapacityLowered, request = context.request_id, upstream = %target.upstream,
+        target = %target.key, capacity, requests = sample.requests, slots = sample.slots,
+        answered_ms = gateway.now().since_ms(sample.began_at),
+        "an upstream answers late and is preferred for fewer requests");
+}
+
 /// Returns the time of the first check of an attempt that begins at `started_at`, at most the deadline.
 fn first_check_at(context: &Context, started_at: TimeMs) -> TimeMs {
     let deadline = context.deadline.0;
--- a/crates/gateway/src/call/open_stream.rs
+++ b/crates/gateway/src/call/open_stream.rs
@@ -12,14 +12,14 @@
     HeaderMap,
     body::{Body, Incoming},
 };
-use jacinthpoint_dispatch::{StallPolicy, StallState, Target};
+use jacinthpoint_dispatch::{AnswerSample, LoadTracker, StallPolicy, StallState, Target};
 use jacinthpoint_types::TimeMs;
 
 use crate::{
     buffered::UnfinishedAnswer,
     call::{
         answer::{is_framed, states_event_stream},
-        attempt::{InFlightGuard, OpenAnswer, report_stall},
+        attempt::{InFlightGuard, OpenAnswer, log_capacity, report_stall},
         context::Context,
         event_splitter::{EventSplitter, Piece, StreamPosition},
         outcome::{Awaited, BreakPoint, log_stall, record_suspected_crash},
@@ -191,6 +191,12 @@
         let gap_ms = last_event_at.map(|begin| now.since_ms(begin));
         let mut loads = gateway.loads.borrow_mut();
         loads.on_event(&self.target.key, gap_ms, now);
+        let lowered = gap_ms
+            .and_then(|gap_ms| learn_from_gap(context, &self.target, &mut loads, gap_ms, now));
+        drop(loads);
+        if let Some((sample, capacity)) = lowered {
+            log_capacity(context, &self.target, sample, capacity);
+        }
         self.progress_at = now;
         self.was_stall_logged = false;
         StreamStep::Events(piece)
@@ -302,3 +308,33 @@
         now.since_ms(self.progress_at)
     }
 }
+
+/// Records what the time between two events of a stream shows of its group. Returns the group's new
+/// capacity in requests, and why, if it was lowered.
+fn learn_from_gap(
+    context: &Context,
+    target: &Target,
+    loads: &mut LoadTracker,
+    gap_ms: u64,
+    now: TimeMs,
+) -> Option<(AnswerSample, f64)> {
+    if !loads.capacities.is_enabled() {
+        return None;
+    }
+    let engine = context.engine()?;
+    let model = engine.model(context.model.as_ref()?.as_str())?;
+    let requests = loads.load(&target.key, now);
+    let running = requests.min(f64::from(engine.slots));
+    let predicted_ms = engine.pass_ms(model, running);
+    loads
+        .capacities
+        .on_gap(&target.key, gap_ms as f64, predicted_ms, now);
+    let sample = AnswerSample {
+        requests,
+        slots: target.slots,
+        is_late: gap_ms > context.route.gap_objective_ms,
+        began_at: TimeMs(now.0.saturating_sub(gap_ms)),
+    };
+    let lowered = loads.capacities.on_answer(&target.key, sample, now)?;
+    Some((sample, lowered))
+}
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use jacinthpoint_dispatch::{LimitAnswer, LimitReport, TargetReport};
+use jacinthpoint_dispatch::{AnswerCounts, LimitAnswer, LimitReport, SharedCapacity, TargetReport};
 use jacinthpoint_types::VmId;
 use serde::{Deserialize, Serialize};
 
@@ -50,6 +50,17 @@
     LimitAnswer(Vec<LimitAnswer>),
     /// Message of the exchange of loads.
     Cell(CellMessage),
+    /// Message of the exchange of capacities.
+    Capacity(CapacityMessage),
+}
+
+/// A message between a gateway and the root on what upstreams take well.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum CapacityMessage {
+    /// Answers of targets since the sender's last report, sent to the root.
+    Report(Vec<AnswerCounts>),
+    /// The root's answer: the capacities that are below the slots.
+    Shared(Vec<SharedCapacity>),
 }
 
 /// A message between a member and the hub of its cell, or between a hub and the root.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod body;
 pub mod buffered;
 mod call;
+mod capacity_exchange;
 mod clock;
 mod connection;
 mod datagram;
--- a/crates/gateway/src/load_reports.rs
+++ b/crates/gateway/src/load_reports.rs
@@ -9,6 +9,7 @@
 use jacinthpoint_types::TimeMs;
 
 use crate::{
+    capacity_exchange,
     clock::sleep_ms,
     datagram::{CellMessage, Datagram, MAX_TARGET_REPORTS, send_to},
     events::log_event,
@@ -61,6 +62,7 @@
         if let Some(issuer) = exchange.permit_issuer.get() {
             let known = gateway.roster.root_ranking();
             limit_exchange::exchange(&gateway, issuer, &known);
+            capacity_exchange::exchange(&gateway, issuer);
         }
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    alarm,
+    alarm, capacity_exchange,
     clock::sleep_ms,
     datagram::{Datagram, MAX_BYTES, decode},
     limit_exchange, load_reports,
@@ -46,5 +46,6 @@
         Datagram::LimitAnswer(answers) => limit_exchange::handle_answer(gateway, from, &answers),
         Datagram::AggregatedLoad(loads) => load_reports::handle_aggregate(gateway, from, &loads),
         Datagram::Cell(message) => load_reports::handle_cell(gateway, from, message),
+        Datagram::Capacity(message) => capacity_exchange::handle(gateway, from, message),
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,8 @@
     key("repeats", "ratio", Absent::Default("0.1")),
     number("repeats", "slack", "10", 0..=1_000_000),
     number("repeats", "window_ms", "10000", 100..=MAX_MS),
+    // Whether the gateway learns how many requests each upstream takes well.
+    key("upstreams", "learn_capacity", Absent::Default("false")),
     key("logs", "level", Absent::Default("info")),
 ];
 
@@ -68,6 +70,9 @@
     pub announce_ms: u64,
     /// Limit of the retries that all gateways together may send to each service.
     pub repeats: FleetRetryBudgetSettings,
+    /// Whether the gateway learns how many requests each upstream takes well, and prefers upstreams
+    /// by that.
+    pub learns_capacity: bool,
     /// Level of the log: `error`, `warn`, `info`, `debug` or `trace`.
     pub log_level: String,
 }
@@ -114,6 +119,7 @@
     let ratio: Option<f64> = reader.value("repeats", "ratio");
     let slack: Option<u64> = reader.value("repeats", "slack");
     let window_ms = reader.value("repeats", "window_ms");
+    let learns_capacity = reader.value("upstreams", "learn_capacity");
     let log_level = reader.value("logs", "level");
     Some(GatewaySettings {
         name: name?,
@@ -137,6 +143,7 @@
             slack: slack? as f64,
             window_ms: window_ms?,
         },
+        learns_capacity: learns_capacity?,
         log_level: log_level?,
     })
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,10 +20,10 @@
 use tokio::{net::UdpSocket, sync::watch};
 
 use crate::{
-    buffered::AnswerBuffers, clock::Clock, events::log_event, excluded_peers::ExcludedPeers,
-    limit_exchange::LimitExchange, load_exchange::LoadExchange, metrics::Metrics, pauses::Pauses,
-    pool::Pool, refused_entries::RefusedEntries, relay::Relay, roster::Roster,
-    settings::GatewaySettings, view_positions::ViewPositions,
+    buffered::AnswerBuffers, capacity_exchange::CapacityExchange, clock::Clock, events::log_event,
+    excluded_peers::ExcludedPeers, limit_exchange::LimitExchange, load_exchange::LoadExchange,
+    metrics::Metrics, pauses::Pauses, pool::Pool, refused_entries::RefusedEntries, relay::Relay,
+    roster::Roster, settings::GatewaySettings, view_positions::ViewPositions,
 };
 
 /// A time that no gateway reaches, from which a window can still be added.
@@ -136,6 +136,7 @@
     pub(crate) peers_socket: RefCell<Option<Rc<UdpSocket>>>,
     pub(crate) load_exchange: LoadExchange,
     pub(crate) limit_exchange: LimitExchange,
+    pub(crate) capacity_exchange: CapacityExchange,
     /// Set once the gateway has received a request.
     pub(crate) has_traffic: Cell<bool>,
     pub(crate) fault_reports: RefCell<FaultReports>,
@@ -157,6 +158,8 @@
     pub(crate) fn new(settings: GatewaySettings) -> Gateway {
         let clock = Clock::new();
         let roster = Roster::new(settings.name.as_str());
+        let mut loads = LoadTracker::default();
+        loads.capacities.set_enabled(settings.learns_capacity);
         Gateway {
             started_at: clock.now(),
             pauses: Pauses::new(clock.now()),
@@ -165,7 +168,7 @@
             view: RefCell::default(),
             view_positions: ViewPositions::default(),
             snapshot: RefCell::default(),
-            loads: RefCell::default(),
+            loads: RefCell::new(loads),
             limits: RefCell::default(),
             quarantine: RefCell::default(),
             crash_notices: RefCell::default(),
@@ -188,6 +191,7 @@
             peers_socket: RefCell::default(),
             load_exchange: LoadExchange::default(),
             limit_exchange: LimitExchange::default(),
+            capacity_exchange: CapacityExchange::default(),
             has_traffic: Cell::new(false),
             fault_reports: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
@@ -219,6 +223,11 @@
 
     /// Replaces the settings in force.
     pub(crate) fn replace_settings(&self, settings: GatewaySettings) {
+        let learns_capacity = settings.learns_capacity;
+        self.loads
+            .borrow_mut()
+            .capacities
+            .set_enabled(learns_capacity);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
