The owner forms the groups of a large fleet in bounded time

Cause: for each group that it formed, the planner counted the holders of all domains once per domain, listed the free upstreams of the whole fleet again and ranked them in all domains. With 2,970 upstreams in 110 domains the longest step took 10.8 s, 490 times as long as with 297; the gateway that holds the lease did nothing else meanwhile.

Change: what concerns a domain is computed again only after a group was formed there.

--- a/crates/regroup/src/arrangement.rs
+++ b/crates/regroup/src/arrangement.rs
@@ -137,6 +137,12 @@
 ) -> Vec<Composition> {
     let mut chosen: Vec<Composition> = vec![vec![0; models.len()]; domains.len()];
     let mut counts: Vec<usize> = models.iter().map(|model| model.existing).collect();
+    // Computed once, since each group that is placed compares all domains.
+    let surplus_of = |domain: &FabricDomainId| -> Vec<i64> {
+        let models = models.iter();
+        models.map(|model| surplus(domain, &model.model)).collect()
+    };
+    let surpluses: Vec<Vec<i64>> = domains.keys().map(surplus_of).collect();
     let members = |index: usize, count: usize| count * models[index].size;
     loop {
         let fill_ratio = |index: &usize| counts[*index] as f64 / models[*index].need.max(0.1);
@@ -146,19 +152,18 @@
         below_target.sort_by(|a, b| fill_ratio(a).total_cmp(&fill_ratio(b)));
         let place = |index: &usize| {
             let model = &models[*index];
-            let in_domain =
-                |(position, (domain, stock)): (usize, (&FabricDomainId, &DomainStock))| {
-                    let composition: &Composition = &chosen[position];
-                    let placed = |index: usize| members(index, composition[index]);
-                    let used: usize = (0..models.len()).map(placed).sum();
-                    let usable = stock.usable.get(&model.model).copied().unwrap_or(0);
-                    let room = (stock.free - used).min(usable.saturating_sub(placed(*index)));
-                    // The placed groups count as holders of their models.
-                    let own = 2 * placed(*index) as i64 - used as i64;
-                    let preference = surplus(domain, &model.model) + own;
-                    (room >= model.size.max(1)).then_some((-preference, position))
-                };
-            let (_, position) = domains.iter().enumerate().filter_map(in_domain).min()?;
+            let in_domain = |(position, stock): (usize, &DomainStock)| {
+                let composition: &Composition = &chosen[position];
+                let placed = |index: usize| members(index, composition[index]);
+                let used: usize = (0..models.len()).map(placed).sum();
+                let usable = stock.usable.get(&model.model).copied().unwrap_or(0);
+                let room = (stock.free - used).min(usable.saturating_sub(placed(*index)));
+                // The placed groups count as holders of their models.
+                let own = 2 * placed(*index) as i64 - used as i64;
+                let preference = surpluses[position][*index] + own;
+                (room >= model.size.max(1)).then_some((-preference, position))
+            };
+            let (_, position) = domains.values().enumerate().filter_map(in_domain).min()?;
             Some((position, *index))
         };
         let Some((position, index)) = below_target.iter().find_map(place) else {
--- a/crates/regroup/src/member_selection.rs
+++ b/crates/regroup/src/member_selection.rs
@@ -47,7 +47,7 @@
 
 /// Number of upstreams by fabric domain and model. An upstream counts for the model that its group
 /// serves, or if it is in no group, for the model whose weights its host holds.
-pub(crate) type HolderCounts = BTreeMap<(FabricDomainId, DeploymentId), usize>;
+pub(crate) type HolderCounts = BTreeMap<FabricDomainId, BTreeMap<DeploymentId, usize>>;
 
 /// Returns by how much the holders of a model in a domain outnumber the holders of other models.
 pub(crate) fn holder_surplus(
@@ -55,57 +55,68 @@
     domain: &FabricDomainId,
     model: &DeploymentId,
 ) -> i64 {
-    let in_domain = holders
-        .iter()
-        .filter(|((holder_domain, _), _)| holder_domain == domain);
-    let signed = in_domain.map(|((_, held), count)| {
+    let in_domain = holders.get(domain).into_iter().flatten();
+    let signed = in_domain.map(|(held, count)| {
         let count = *count as i64;
         if held == model { count } else { -count }
     });
     signed.sum()
 }
 
-/// Returns the members that can form a group of `model` soonest within one fabric domain, or `None`
-/// if no domain has enough free upstreams with weights from `slowest_allowed` or a faster source.
-///
-/// Among domains that can form the group equally soon, the one with the largest surplus of holders
-/// of this model over holders of other models (see [`HolderCounts`]) is selected: the upstreams
-/// that remain in a domain after losses can form groups again only if they hold the same model.
-pub(crate) fn select_members(
-    free: &FreeByDomain<'_>,
+/// Members of a group that one domain can form, with what it is compared by.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Candidate {
+    /// Surplus of holders of the model in the domain, see [`holder_surplus`].
+    surplus: i64,
+    pub(crate) selection: MemberSelection,
+}
+
+/// Returns the members that can form a group of `model` soonest within a domain with these free upstreams,
+/// or `None` if there are not enough with weights from `slowest_allowed` or a faster source.
+pub(crate) fn candidate(
+    domain: &FabricDomainId,
+    upstreams: &[&Upstream],
     holders: &HolderCounts,
     last_models: &BTreeMap<VmId, DeploymentId>,
     model: &ModelSpec,
     slowest_allowed: WeightsLocation,
-) -> Option<MemberSelection> {
-    let select_in_domain = |(domain, upstreams): (&FabricDomainId, &Vec<&Upstream>)| {
-        let mut ranked: Vec<(WeightsLocation, &VmId)> = upstreams
-            .iter()
-            .map(|upstream| {
-                let last = last_models.get(&upstream.id);
-                (weights_location(upstream, last, &model.name), &upstream.id)
-            })
-            .filter(|(weights_location, _)| *weights_location <= slowest_allowed)
-            .collect();
-        ranked.sort();
-        ranked.truncate(model.size);
-        let slowest = ranked.last()?.0;
-        let selection = MemberSelection {
-            model: model.name.clone(),
-            members: ranked.into_iter().map(|(_, id)| id.clone()).collect(),
-            slowest_weights_location: slowest,
-        };
-        (selection.members.len() == model.size).then(|| {
-            (
-                slowest,
-                -holder_surplus(holders, domain, &model.name),
-                selection,
-            )
+) -> Option<Candidate> {
+    let mut ranked: Vec<(WeightsLocation, &VmId)> = upstreams
+        .iter()
+        .map(|upstream| {
+            let last = last_models.get(&upstream.id);
+            (weights_location(upstream, last, &model.name), &upstream.id)
         })
+        .filter(|(weights_location, _)| *weights_location <= slowest_allowed)
+        .collect();
+    if ranked.len() < model.size {
+        return None;
+    }
+    ranked.sort();
+    ranked.truncate(model.size);
+    let selection = MemberSelection {
+        model: model.name.clone(),
+        slowest_weights_location: ranked.last()?.0,
+        members: ranked.into_iter().map(|(_, id)| id.clone()).collect(),
     };
-    let (_, _, selection) = free
-        .iter()
-        .filter_map(select_in_domain)
-        .min_by_key(|(slowest, negated_surplus, _)| (*slowest, *negated_surplus))?;
-    Some(selection)
+    Some(Candidate {
+        surplus: holder_surplus(holders, domain, &model.name),
+        selection,
+    })
+}
+
+/// Returns the members that can form a group soonest, out of the candidates of all domains.
+///
+/// Among domains that can form the group equally soon, the one with the largest surplus of holders
+/// of this model over holders of other models (see [`HolderCounts`]) is selected: the upstreams
+/// that remain in a domain after losses can form groups again only if they hold the same model.
+pub(crate) fn soonest<'a>(
+    candidates: impl Iterator<Item = &'a Candidate>,
+) -> Option<&'a MemberSelection> {
+    let order = |candidate: &&Candidate| {
+        let slowest = candidate.selection.slowest_weights_location;
+        (slowest, -candidate.surplus)
+    };
+    let soonest = candidates.min_by_key(order)?;
+    Some(&soonest.selection)
 }
--- a/crates/regroup/src/planner/new_groups.rs
+++ b/crates/regroup/src/planner/new_groups.rs
@@ -12,8 +12,8 @@
     demand::{model_needs, models_below_target},
     formation::Formation,
     member_selection::{
-        FreeByDomain, HolderCounts, MemberSelection, WeightsLocation, holder_surplus,
-        select_members, weights_location,
+        Candidate, FreeByDomain, HolderCounts, MemberSelection, WeightsLocation, candidate,
+        holder_surplus, soonest, weights_location,
     },
     planner::{Planner, PlannerInput, addresses::shared_addresses},
     staging::{FreeHost, MemberCounts, select_stagings},
@@ -81,29 +81,37 @@
         let mut arrangement = arrange(&stocks, &needs, |domain, model| {
             holder_surplus(&holder_counts, domain, model)
         });
+        let (mut free, mut holder_counts) = (free, holder_counts);
+        // Of each domain and model, computed again only after a group was formed in the domain: a large
+        // fleet forms hundreds of groups in one step.
+        let mut candidates: BTreeMap<(FabricDomainId, DeploymentId), Option<Candidate>> =
+            BTreeMap::new();
         loop {
-            let free = self.free_by_domain(upstreams, &assigned);
-            let holder_counts = self.holder_counts(upstreams, &assigned);
-            let selection = models_below_target(input.engine, &needs)
-                .into_iter()
-                .find_map(|model| {
-                    let is_arranged = |domain: &FabricDomainId| {
-                        let count = arrangement.get(&(domain.clone(), model.name.clone()));
-                        count.is_some_and(|count| *count > 0)
-                    };
-                    let free = free.iter().filter(|(domain, _)| is_arranged(domain));
-                    select_members(
-                        &free
-                            .map(|(id, upstreams)| (id.clone(), upstreams.clone()))
-                            .collect(),
-                        &holder_counts,
-                        &self.last_models,
-                        model,
-                        slowest_allowed,
-                    )
+            let below_target = models_below_target(input.engine, &needs);
+            for model in &below_target {
+                for (domain, upstreams) in &free {
+                    let key = (domain.clone(), model.name.clone());
+                    let is_arranged = arrangement.get(&key).is_some_and(|count| *count > 0);
+                    if is_arranged && !candidates.contains_key(&key) {
+                        let candidate = candidate(
+                            domain,
+                            upstreams,
+                            &holder_counts,
+                            &self.last_models,
+                            model,
+                            slowest_allowed,
+                        );
+                        candidates.insert(key, candidate);
+                    }
+                }
+            }
+            let selection = below_target.iter().find_map(|model| {
+                let of_model = candidates.iter().filter_map(|((_, name), candidate)| {
+                    candidate.as_ref().filter(|_| *name == model.name)
                 });
+                soonest(of_model).cloned()
+            });
             let Some(selection) = selection else {
-                let below_target = models_below_target(input.engine, &needs);
                 orders.extend(self.stage_weights(
                     &free,
                     upstreams,
@@ -116,10 +124,26 @@
             };
             assigned.extend(selection.members.iter().cloned());
             let domain = upstreams[&selection.members[0]].domain.clone();
-            if let Some(count) =
-                domain.and_then(|domain| arrangement.get_mut(&(domain, selection.model.clone())))
-            {
-                *count -= 1;
+            if let Some(domain) = domain {
+                if let Some(count) = arrangement.get_mut(&(domain.clone(), selection.model.clone()))
+                {
+                    *count -= 1;
+                }
+                candidates.retain(|(other, _), _| *other != domain);
+                if let Some(left) = free.get_mut(&domain) {
+                    left.retain(|upstream| !selection.members.contains(&upstream.id));
+                }
+                let in_domain = holder_counts.entry(domain).or_default();
+                for member in &selection.members {
+                    if let Some(count) = upstreams[member]
+                        .staged
+                        .first()
+                        .and_then(|staged| in_domain.get_mut(staged))
+                    {
+                        *count -= 1;
+                    }
+                }
+                *in_domain.entry(selection.model.clone()).or_default() += selection.members.len();
             }
             *group_counts.entry(selection.model.clone()).or_default() += 1;
             needs = self.model_needs(&group_counts, input);
@@ -231,8 +255,10 @@
         members: &[VmId],
         upstreams: &BTreeMap<VmId, Upstream>,
     ) -> Vec<MemberBasis> {
-        let shared = shared_addresses(upstreams.values());
         let members = members.iter().filter_map(|id| upstreams.get(id));
+        let addresses: BTreeSet<_> = members.clone().map(|member| member.address).collect();
+        let others = upstreams.values();
+        let shared = shared_addresses(others.filter(|other| addresses.contains(&other.address)));
         let basis = |member: &Upstream| MemberBasis {
             id: member.id.clone(),
             source: if self.reported_states.contains_key(&member.id) {
@@ -284,9 +310,8 @@
             let held = last.filter(|_| assigned.contains(&upstream.id));
             let held = held.or(upstream.staged.first());
             if let (Some(domain), Some(model)) = (&upstream.domain, held) {
-                *holder_counts
-                    .entry((domain.clone(), model.clone()))
-                    .or_default() += 1;
+                let in_domain = holder_counts.entry(domain.clone()).or_default();
+                *in_domain.entry(model.clone()).or_default() += 1;
             }
         }
         holder_counts
--- a/crates/regroup/tests/tests.rs
+++ b/crates/regroup/tests/tests.rs
@@ -5,6 +5,7 @@
 mod engines;
 mod failure_detector;
 mod formation;
+mod growth;
 mod lags;
 mod random;
 mod repair;
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -1,6 +1,9 @@
 //! Runs a planner against simulated engines in steps of simulated time.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
 
 use jacinthpoint_fleet::{
     Engine, GroupState, Membership, ModelSpec, OrderAnswer, Upstream, groups_of,
@@ -89,6 +92,8 @@
     /// Called for each order. Returns the delay in milliseconds if the order is to be carried out
     /// late and not answered.
     pub order_delay: Box<dyn FnMut() -> Option<u64>>,
+    /// Time of the longest planning step so far.
+    pub longest_plan: Duration,
 }
 
 impl World {
@@ -111,6 +116,7 @@
             published: VecDeque::new(),
             shown_at: BTreeMap::new(),
             order_delay: Box::new(|| None),
+            longest_plan: Duration::ZERO,
         }
     }
 
@@ -217,7 +223,9 @@
             has_traffic: self.has_traffic,
             demand: &self.demand,
         };
+        let began = Instant::now();
         let actions = self.planner.plan(input, self.now);
+        self.longest_plan = self.longest_plan.max(began.elapsed());
         self.decisions.extend(self.planner.take_decisions());
         let fencing_token = self.planner.fencing_token();
         for action in actions {
