Evacuations of data centres as a decision of its own

Operators write one object for each evacuated data centre into the store. The type applies lists and changes of these objects and says which data centres take no new requests, and when an evacuation ended. An evacuation that a restored store lacks is held for a time.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
         CallerLimits, ConfigVersion, Engine, FleetConfig, ModelSpec, Organisation, RequestKind,
         Route, RouteMatch, Service, WeightedService,
     },
+    evacuation::{EvacuationChange, Evacuations, RESTORED_EVACUATION_HOLD_MS},
     group::{Group, groups_of},
     history::{Continuity, HistoryPosition, StoreEra},
     order::{Order, OrderAction, OrderAnswer},
@@ -23,6 +24,7 @@
 };
 
 mod config;
+mod evacuation;
 mod group;
 mod history;
 mod order;
