Evacuated data centres get no new requests

Cause: operators write objects of the kind `evacuations` into the store, and no gateway read them.

Change: gateways whose settings have `[evacuations] apply_ms` watch the kind by the same relays as the others, and are ready only once they have read it. Upstreams in an evacuated data centre, and groups with a member there, leave the directory of targets, so no attempt selects them, of whatever kind. Streams that run there go on. A forwarded request states how new the view of evacuations is. Events and metrics tell the begin and end.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use jacinthpoint_fleet::{FleetConfig, Upstream, groups_of};
+use jacinthpoint_fleet::{Evacuations, FleetConfig, Upstream, groups_of};
 use jacinthpoint_types::{DeploymentId, GroupId, ServiceId, VmId};
 
 /// Identity of a target in one incarnation, as text: `GROUP/EPOCH` for a replica group, or
@@ -60,15 +60,20 @@
 impl Directory {
     /// Indexes `upstreams` for a gateway in `data_centre`. The upstreams in `unlisted` are no
     /// longer in the list of upstreams; a group with such members still serves as long as its
-    /// leader is listed.
+    /// leader is listed. Upstreams in an evacuated data centre are left out, and so are groups with a
+    /// member there.
     pub fn new(
         config: &FleetConfig,
         upstreams: &BTreeMap<VmId, Upstream>,
         unlisted: &BTreeMap<VmId, Upstream>,
+        evacuations: &Evacuations,
         data_centre: &str,
     ) -> Directory {
         let mut directory = Directory::default();
-        for upstream in upstreams.values().filter(|upstream| upstream.is_ready()) {
+        let takes_requests = |upstream: &&Upstream| {
+            upstream.is_ready() && !evacuations.is_evacuated(&upstream.data_centre)
+        };
+        for upstream in upstreams.values().filter(takes_requests) {
             let service = config.services.get(&upstream.service);
             if service.is_none_or(|service| service.engine.is_some()) {
                 continue;
@@ -89,7 +94,11 @@
                 let (Some(model), Some(leader)) = (model, leader) else {
                     continue;
                 };
-                if !group.is_serving(model.size) {
+                let is_evacuated = |id: &VmId| {
+                    let member = upstreams.get(id).or_else(|| unlisted.get(id));
+                    member.is_some_and(|member| evacuations.is_evacuated(&member.data_centre))
+                };
+                if !group.is_serving(model.size) || group.members.values().any(is_evacuated) {
                     continue;
                 }
                 let key = format!("{}/{}", group.id, group.epoch);
--- a/crates/dispatch/tests/support.rs
+++ b/crates/dispatch/tests/support.rs
@@ -4,8 +4,8 @@
 
 use jacinthpoint_dispatch::{Directory, Selection, Target};
 use jacinthpoint_fleet::{
-    CallerLimits, ConfigVersion, Engine, FleetConfig, GroupState, Membership, ModelSpec, Service,
-    Upstream, UpstreamState,
+    CallerLimits, ConfigVersion, Engine, Evacuations, FleetConfig, GroupState, Membership,
+    ModelSpec, Service, Upstream, UpstreamState,
 };
 use jacinthpoint_types::{TimeMs, VmId};
 
@@ -79,9 +79,15 @@
         .map(upstream)
         .map(|upstream| (upstream.id.clone(), upstream))
         .collect();
-    Directory::new(&config, &upstreams, &BTreeMap::new(), "dc")
-        .groups(&service, &model)
-        .to_vec()
+    Directory::new(
+        &config,
+        &upstreams,
+        &BTreeMap::new(),
+        &Evacuations::default(),
+        "dc",
+    )
+    .groups(&service, &model)
+    .to_vec()
 }
 
 /// Returns the selection for the first attempt of a request at any of `targets`.
--- a/crates/fleet/src/evacuation.rs
+++ b/crates/fleet/src/evacuation.rs
@@ -88,6 +88,16 @@
         self.apply_list(listed, now)
     }
 
+    /// Puts the evacuations of a list in force that could not be read to its end. Others stay.
+    pub fn apply_unfinished_list(
+        &mut self,
+        listed: &BTreeSet<DataCentreId>,
+    ) -> Vec<EvacuationChange> {
+        self.has_list = true;
+        let began = listed.iter().filter_map(|id| self.begin(id.clone()));
+        began.collect()
+    }
+
     /// Puts an evacuation in force, and returns whether this changed anything.
     pub fn begin(&mut self, data_centre: DataCentreId) -> Option<EvacuationChange> {
         self.held_until.remove(&data_centre);
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     config::{ConfigVersion, FleetConfig},
+    evacuation::Evacuations,
     upstream::Upstream,
 };
 
@@ -79,6 +80,10 @@
     ended: BTreeMap<VmId, Vec<u64>>,
     /// Whether a list of upstreams has been read.
     has_upstream_list: bool,
+    /// Data centres whose upstreams get no new requests.
+    pub evacuations: Evacuations,
+    /// Whether the view is complete only once a list of evacuations has been read.
+    needs_evacuations: bool,
 }
 
 impl FleetView {
@@ -94,9 +99,16 @@
             .map_or(ConfigVersion(0), |config| config.version)
     }
 
-    /// Returns whether both a configuration and a list of upstreams have been read.
+    /// Returns whether a configuration, a list of upstreams and, if this deployment has evacuations, a
+    /// list of these have been read.
     pub fn is_complete(&self) -> bool {
-        self.config.is_some() && self.has_upstream_list
+        let has_evacuations = !self.needs_evacuations || self.evacuations.has_list();
+        self.config.is_some() && self.has_upstream_list && has_evacuations
+    }
+
+    /// Records that this deployment has evacuations, so that the view is not complete without them.
+    pub fn expect_evacuations(&mut self) {
+        self.needs_evacuations = true;
     }
 
     /// Returns the listed upstreams, and those kept after an outage, by name.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -115,6 +115,8 @@
     RequestUnread = 756,
     /// A list of the store could not go on to its end. What was read of it is used.
     ListUnfinished = 760,
+    /// The evacuation of a data centre began or ended.
+    EvacuationChanged = 761,
 }
 
 impl EventCode {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -24,7 +24,7 @@
     settings::{GatewaySettings, parse_settings},
     state::{Gateway, Phase},
     store::{CallCounts, call_counts},
-    watch::{expire_entries, watch_config, watch_suspicions, watch_upstreams},
+    watch::{expire_entries, watch_config, watch_evacuations, watch_suspicions, watch_upstreams},
 };
 
 /// Time between two checks for open connections while the gateway stops.
@@ -132,6 +132,7 @@
     let lease = Rc::new(Lease::default());
     spawn_local(watch_config(gateway.clone()));
     spawn_local(watch_upstreams(gateway.clone()));
+    spawn_local(watch_evacuations(gateway.clone()));
     spawn_local(watch_suspicions(gateway.clone()));
     spawn_local(maintain_quarantine(gateway.clone()));
     spawn_local(maintain_reach(gateway.clone()));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,8 @@
     key("repeats", "ratio", Absent::Default("0.1")),
     number("repeats", "slack", "10", 0..=1_000_000),
     number("repeats", "window_ms", "10000", 100..=MAX_MS),
+    // Time in which an evacuation of a data centre must be in force; 0: the deployment has none.
+    number("evacuations", "apply_ms", "0", 0..=MAX_MS),
     key("logs", "level", Absent::Default("info")),
 ];
 
@@ -68,6 +70,9 @@
     pub announce_ms: u64,
     /// Limit of the retries that all gateways together may send to each service.
     pub repeats: FleetRetryBudgetSettings,
+    /// Time in which an evacuation of a data centre must be in force; 0 if the deployment has no
+    /// evacuations, which are then not read.
+    pub evacuation_apply_ms: u64,
     /// Level of the log: `error`, `warn`, `info`, `debug` or `trace`.
     pub log_level: String,
 }
@@ -114,6 +119,7 @@
     let ratio: Option<f64> = reader.value("repeats", "ratio");
     let slack: Option<u64> = reader.value("repeats", "slack");
     let window_ms = reader.value("repeats", "window_ms");
+    let evacuation_apply_ms = reader.value("evacuations", "apply_ms");
     let log_level = reader.value("logs", "level");
     Some(GatewaySettings {
         name: name?,
@@ -137,6 +143,7 @@
             slack: slack? as f64,
             window_ms: window_ms?,
         },
+        evacuation_apply_ms: evacuation_apply_ms?,
         log_level: log_level?,
     })
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -264,7 +264,13 @@
         };
         let settings = self.settings();
         let data_centre = settings.data_centre.as_str();
-        let directory = Directory::new(config, view.upstreams(), view.unlisted(), data_centre);
+        let directory = Directory::new(
+            config,
+            view.upstreams(),
+            view.unlisted(),
+            &view.evacuations,
+            data_centre,
+        );
         self.log_group_changes(&directory);
         let mut loads = self.loads.borrow_mut();
         loads.retain(directory.targets());
--- a/crates/gateway/src/view_positions.rs
+++ b/crates/gateway/src/view_positions.rs
@@ -1,8 +1,8 @@
 //! How far this gateway knows the store's history, and how far another one says that it does.
 //!
 //! A gateway decides for another one only with a view that is at least as new. A view is as new if it has the
-//! newest change that decides anything at the other gateway: a configuration, the removal of an upstream, or
-//! that an upstream drains. Entries that are written again without that would make each gateway older than
+//! newest change that decides anything at the other gateway: a configuration, an evacuation, the removal of an
+//! upstream, or that an upstream drains. Entries that are written again without that would make each gateway older than
 //! each other one at nearly all times.
 
 use std::{collections::BTreeMap, fmt};
@@ -11,8 +11,12 @@
 use jacinthpoint_fleet::{ConfigVersion, Continuity, HistoryPosition, StoreEra};
 use tokio::sync::watch;
 
-/// Kinds of which a view states the position.
-const KINDS: [&str; 2] = [paths::CONFIG_KIND, paths::UPSTREAM_KIND];
+/// Kinds of which a view states the position, if this gateway reads them.
+const KINDS: [&str; 3] = [
+    paths::CONFIG_KIND,
+    paths::UPSTREAM_KIND,
+    paths::EVACUATION_KIND,
+];
 
 /// What is known of the history of one kind.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,7 +1,7 @@
 //! Keeps the view of the fleet up to date by watches on the platform's store or on a relay.
 //!
-//! The configuration, the entries of upstreams, the records of suspected parts of prompts and the
-//! registrations of gateways are four kinds of objects. One task per kind reads the list, then watches for changes from the
+//! The configuration, the entries of upstreams, evacuations of data centres, the records of suspected
+//! parts of prompts and the registrations of gateways are five kinds of objects. One task per kind reads the list, then watches for changes from the
 //! list's revision on. A gateway that is not a reader of the store watches another gateway, the
 //! relay, and uses the next relay or the store itself if that one fails.
 
@@ -20,15 +20,20 @@
     quarantine, roster,
     state::Gateway,
     store::{Availability, StoreClient, StoreError},
-    watch::entries::{apply_config, apply_entry, apply_list, apply_unfinished_list, is_decisive},
+    watch::{
+        entries::{apply_config, apply_entry, apply_list, apply_unfinished_list, is_decisive},
+        evacuations::{apply_evacuation, apply_evacuations, release_evacuations},
+    },
 };
 
 mod entries;
+mod evacuations;
 
 /// All kinds that gateways read for each other.
-pub(crate) const KINDS: [&str; 4] = [
+pub(crate) const KINDS: [&str; 5] = [
     paths::CONFIG_KIND,
     paths::UPSTREAM_KIND,
+    paths::EVACUATION_KIND,
     quarantine::KIND,
     roster::KIND,
 ];
@@ -146,6 +151,40 @@
     run(&gateway, &feed).await;
 }
 
+/// Returns the waits of the watch on evacuations, which have to be in force within `apply_ms`.
+///
+/// A change that a stalled connection holds back is known after a wait on the store, or on a relay after
+/// the maximum age of what it serves, and after the timeout for the answer and a list from elsewhere. The
+/// waits leave more than half of the time for these.
+fn evacuation_waits(apply_ms: u64) -> Waits {
+    let store_ms = (apply_ms * 3 / 10).clamp(WAITS.store_ms / 2, SUSPICIONS_WAITS.store_ms);
+    Waits {
+        store_ms,
+        relay_ms: store_ms / 2,
+        max_relayed_age_ms: store_ms + (WAITS.max_relayed_age_ms - WAITS.store_ms),
+    }
+}
+
+/// Watches the evacuations of data centres for ever, if the deployment has any.
+pub(crate) async fn watch_evacuations(gateway: Rc<Gateway>) {
+    let apply_ms = gateway.settings().evacuation_apply_ms;
+    if apply_ms == 0 {
+        return;
+    }
+    gateway.view.borrow_mut().expect_evacuations();
+    let feed = Feed {
+        kind: paths::EVACUATION_KIND,
+        waits: evacuation_waits(apply_ms),
+        first_list: Freshness::Newest,
+        min_backoff_ms: 0,
+        on_list: |gateway, list, interruption| {
+            apply_evacuations(gateway, &list, true, interruption);
+        },
+        on_change: |gateway, object, is_removed, _| apply_evacuation(gateway, object, is_removed),
+    };
+    run(&gateway, &feed).await;
+}
+
 /// Watches the records of suspected parts of prompts for ever.
 pub(crate) async fn watch_suspicions(gateway: Rc<Gateway>) {
     let feed = Feed {
@@ -183,8 +222,8 @@
 }
 
 /// Runs for ever: removes upstreams whose entries were not written again in time after an outage of
-/// the store, and group members that have been unlisted for too long; and puts entries in force that
-/// were not written again after a restore of the store.
+/// the store, and group members that have been unlisted for too long; puts entries in force that were
+/// not written again after a restore of the store, and ends evacuations that were not.
 pub(crate) async fn expire_entries(gateway: Rc<Gateway>) {
     loop {
         sleep_ms(EXPIRY_INTERVAL_MS).await;
@@ -194,6 +233,7 @@
         gateway.on_view_change(change);
         let change = gateway.view.borrow_mut().release_held(now);
         gateway.on_view_change(change);
+        release_evacuations(&gateway, now);
         let expired = gateway.view.borrow_mut().remove_after_expiry_grace(now);
         for id in &expired {
             let why = "its entry was not written again after an outage";
@@ -434,6 +474,8 @@
         (feed.on_list)(gateway, list, interruption);
     } else if feed.kind == paths::UPSTREAM_KIND {
         apply_unfinished_list(gateway, &list, interruption);
+    } else if feed.kind == paths::EVACUATION_KIND {
+        apply_evacuations(gateway, &list, false, interruption);
     } else {
         let objects = list.objects.iter().map(|object| (object, false));
         apply_changes(gateway, feed, objects, is_after_outage);
