Owner moves capacity out of evacuated data centres

Groups in an evacuated data centre are kept whole, but do not count as capacity, are not converted, and none are formed there. The other data centres form or convert groups for what is missing.

--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -123,6 +123,7 @@
             unlisted: &unlisted,
             engine,
             has_traffic: gateway.has_traffic.get(),
+            evacuations: &view.evacuations,
             demand: &demand,
         };
         let due = planner.plan(input, now);
--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -7,7 +7,7 @@
 };
 
 use jacinthpoint_fleet::{
-    Engine, Group, Membership, Order, OrderAction, OrderAnswer, Upstream, groups_of,
+    Engine, Evacuations, Group, Membership, Order, OrderAction, OrderAnswer, Upstream, groups_of,
 };
 use jacinthpoint_types::{Deadline, DeploymentId, GroupId, TimeMs, VmId};
 
@@ -59,6 +59,9 @@
     /// Whether callers have sent requests. The platform makes loads of weights ten times faster
     /// until the first request, so the planner does not limit them then.
     pub has_traffic: bool,
+    /// Data centres whose upstreams get no new requests. Groups there are kept whole, but do not count
+    /// as capacity, and none are formed there.
+    pub evacuations: &'a Evacuations,
     /// Observed demand. A model without an entry has no known demand.
     pub demand: &'a Demand,
 }
@@ -353,7 +356,7 @@
         let is_list_complete =
             input.has_traffic || now.since_ms(self.peak_reached_at) >= LIST_COMPLETE_AFTER_MS;
         if is_list_complete {
-            let group_counts = self.group_counts(&groups, input.engine);
+            let group_counts = self.group_counts(&groups, &upstreams, input);
             let needs = self.model_needs(&group_counts, input);
             orders.extend(self.convert(&groups, &upstreams, &needs, input, now));
             orders.extend(self.form_groups(&upstreams, assigned, group_counts, input, now));
--- a/crates/regroup/src/planner/conversion.rs
+++ b/crates/regroup/src/planner/conversion.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     arrangement::{ModelNeed, cost},
-    planner::{Planner, PlannerInput},
+    planner::{Planner, PlannerInput, new_groups::is_evacuated},
 };
 
 /// Fraction by which a conversion must lower the cost of the arrangement. Less may be due to a
@@ -136,7 +136,10 @@
             let (Some(from), Some(domain)) = (from, domain) else {
                 continue;
             };
-            if !group.is_serving(needs[from].size) {
+            // A group in an evacuated data centre does not count as capacity of either model.
+            let mut members = group.members.values();
+            let gets_requests = !members.any(|id| is_evacuated(upstreams.get(id), input));
+            if !group.is_serving(needs[from].size) || !gets_requests {
                 continue;
             }
             for (to, need) in needs.iter().enumerate().filter(|(to, _)| *to != from) {
--- a/crates/regroup/src/planner/new_groups.rs
+++ b/crates/regroup/src/planner/new_groups.rs
@@ -32,12 +32,16 @@
 const IDLE_AFTER_MS: u64 = 1_500;
 
 impl Planner {
-    /// Returns the number of groups that serve or are being formed, by model.
+    /// Returns the number of groups that serve or are being formed, by model, outside of evacuated data
+    /// centres.
     pub(super) fn group_counts(
         &self,
         groups: &BTreeMap<(GroupId, u64), Group>,
-        engine: &Engine,
+        upstreams: &BTreeMap<VmId, Upstream>,
+        input: PlannerInput<'_>,
     ) -> BTreeMap<DeploymentId, usize> {
+        let engine = input.engine;
+        let is_evacuated = |id: &VmId| is_evacuated(upstreams.get(id), input);
         let mut counts: BTreeMap<DeploymentId, usize> = BTreeMap::new();
         for group in groups.values() {
             let Some(model) = group.model_spec(engine) else {
@@ -45,11 +49,14 @@
             };
             let has_dead_member = group.members.values().any(|id| self.is_gone(id));
             let is_forming = self.formations.contains_key(&group.id);
-            if group.is_serving(model.size) && !has_dead_member && !is_forming {
+            let is_counted = !is_forming && !group.members.values().any(is_evacuated);
+            if group.is_serving(model.size) && !has_dead_member && is_counted {
                 *counts.entry(model.name.clone()).or_default() += 1;
             }
         }
-        for formation in self.formations.values() {
+        let formations = self.formations.values();
+        for formation in formations.filter(|formation| !formation.members.iter().any(is_evacuated))
+        {
             *counts.entry(formation.model.clone()).or_default() += 1;
         }
         counts
@@ -73,7 +80,7 @@
         } else {
             WeightsLocation::Remote
         };
-        let free = self.free_by_domain(upstreams, &assigned);
+        let free = self.free_by_domain(upstreams, &assigned, input);
         self.record_free(&free, now);
         let holder_counts = self.holder_counts(upstreams, &assigned);
         let stocks = self.stocks(&free, input.engine, slowest_allowed);
@@ -82,7 +89,7 @@
             holder_surplus(&holder_counts, domain, model)
         });
         loop {
-            let free = self.free_by_domain(upstreams, &assigned);
+            let free = self.free_by_domain(upstreams, &assigned, input);
             let holder_counts = self.holder_counts(upstreams, &assigned);
             let selection = models_below_target(input.engine, &needs)
                 .into_iter()
@@ -246,13 +253,14 @@
         members.map(basis).collect()
     }
 
-    /// Returns the live upstreams that take new work, are not assigned to a group and confirmed that.
-    /// Those with an address that another live upstream has are left out, since only one of them can
+    /// Returns the live upstreams that take new work, are not assigned to a group and confirmed that,
+    /// outside of evacuated data centres. Those with an address that another live upstream has are left out, since only one of them can
     /// exist.
     fn free_by_domain<'a>(
         &self,
         upstreams: &'a BTreeMap<VmId, Upstream>,
         assigned: &BTreeSet<VmId>,
+        input: PlannerInput<'_>,
     ) -> FreeByDomain<'a> {
         let present = upstreams
             .values()
@@ -261,6 +269,7 @@
         let mut free = FreeByDomain::new();
         for upstream in present {
             let is_free = upstream.is_ready()
+                && !is_evacuated(Some(upstream), input)
                 && !assigned.contains(&upstream.id)
                 && self.confirmed.contains(&upstream.id)
                 && !shared.contains(&upstream.address);
@@ -345,3 +354,8 @@
         orders
     }
 }
+
+/// Returns whether an upstream is in an evacuated data centre.
+pub(super) fn is_evacuated(upstream: Option<&Upstream>, input: PlannerInput<'_>) -> bool {
+    upstream.is_some_and(|upstream| input.evacuations.is_evacuated(&upstream.data_centre))
+}
--- a/crates/regroup/tests/engines.rs
+++ b/crates/regroup/tests/engines.rs
@@ -76,7 +76,10 @@
             started_unix_ms: 1,
             service: "models".parse().expect("a valid name"),
             address: SocketAddr::from(([127, 0, 0, 1], port)),
-            data_centre: "dc".parse().expect("a valid name"),
+            data_centre: domain
+                .replace("domain", "dc")
+                .parse()
+                .expect("a valid name"),
             state: UpstreamState::Ready,
             slots: 26,
             domain: Some(domain.parse().expect("a valid name")),
--- a/crates/regroup/tests/formation.rs
+++ b/crates/regroup/tests/formation.rs
@@ -196,3 +196,73 @@
     assert!(world.serving_group_count(LARGE) > world.serving_group_count(SMALL));
     world.assert_no_violation();
 }
+
+/// Returns a fleet of three domains, each in a data centre of its own, that serves.
+fn fleet_of_three_data_centres() -> World {
+    let mut world = World::with_domains_of(&[12; 3]);
+    world.set_models(&[(LARGE, 4, 0.5), (SMALL, 2, 0.5)]);
+    world.run_ms(45_000);
+    world.has_traffic = true;
+    world
+}
+
+/// A data centre is evacuated, and takes requests again later. Its groups stay open, so that they serve
+/// at once after the end.
+#[test]
+fn groups_in_an_evacuated_data_centre_stay_whole() {
+    let mut world = fleet_of_three_data_centres();
+    let before = world.serving_group_counts();
+    let evacuated = "dc-0".parse().expect("a valid name");
+    world.evacuations.begin(evacuated);
+    world.run_ms(60_000);
+    assert_eq!(world.serving_group_counts(), before);
+    world.assert_no_violation();
+}
+
+/// A group loses a member in a data centre that is evacuated. It is formed again only after the end, while
+/// one that loses a member elsewhere is formed at once.
+#[test]
+fn no_group_is_formed_in_an_evacuated_data_centre() {
+    for is_evacuated in [true, false] {
+        let mut world = fleet_of_three_data_centres();
+        let members = world.members_of_group(SMALL);
+        let data_centre = world.engines.by_id[&members[0]].entry.data_centre.clone();
+        if is_evacuated {
+            world.evacuations.begin(data_centre.clone());
+        }
+        let before = world.serving_group_count(SMALL);
+        world.engines.restart(&members[1]);
+        world.planner.on_group_stalled(&members);
+        world.run_ms(30_000);
+        let expected = before - usize::from(is_evacuated);
+        assert_eq!(world.serving_group_count(SMALL), expected, "{is_evacuated}");
+        world.evacuations.end(data_centre, world.now);
+        world.run_ms(30_000);
+        assert_eq!(world.serving_group_count(SMALL), before, "{is_evacuated}");
+        world.assert_no_violation();
+    }
+}
+
+/// All groups of a model are in a data centre that is evacuated, and callers go on to ask for it. A group of
+/// the other model elsewhere is converted.
+#[test]
+fn groups_elsewhere_are_converted_for_callers_of_an_evacuated_data_centre() {
+    let mut world = World::with_domains_of(&[8; 3]);
+    world.set_models(&[(LARGE, 4, 0.34), (SMALL, 4, 0.66)]);
+    world.run_ms(45_000);
+    world.has_traffic = true;
+    for (model, work) in [(LARGE, 1.0), (SMALL, 1.0)] {
+        let model = model.parse().expect("a valid name");
+        world.demand.insert(model, work);
+    }
+    let first = world.members_of_group(LARGE);
+    let second = world.members_of_other_group(LARGE, &first);
+    let data_centre = |id| world.engines.by_id[id].entry.data_centre.clone();
+    assert_eq!(data_centre(&first[0]), data_centre(&second[0]));
+    assert_eq!(world.serving_group_count(LARGE), 2);
+    let evacuated = data_centre(&first[0]);
+    world.evacuations.begin(evacuated);
+    world.run_until(60_000, |world| world.serving_group_count(LARGE) == 3);
+    assert_eq!(world.serving_group_count(SMALL), 3);
+    world.assert_no_violation();
+}
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use jacinthpoint_fleet::{
-    Engine, GroupState, Membership, ModelSpec, OrderAnswer, Upstream, groups_of,
+    Engine, Evacuations, GroupState, Membership, ModelSpec, OrderAnswer, Upstream, groups_of,
 };
 use jacinthpoint_regroup::{Action, Decision, Demand, Planner, PlannerInput, Report};
 use jacinthpoint_types::{DeploymentId, TimeMs, VmId};
@@ -67,6 +67,8 @@
     pub spec: Engine,
     pub demand: Demand,
     pub has_traffic: bool,
+    /// Engines of the domain `domain-N` are in the data centre `dc-N`.
+    pub evacuations: Evacuations,
     /// Entries that the list showed at the last step.
     listed: BTreeMap<VmId, Upstream>,
     /// Group members that are no longer listed.
@@ -101,6 +103,7 @@
             spec: engine_spec(),
             demand: Demand::new(),
             has_traffic: false,
+            evacuations: Evacuations::default(),
             listed: BTreeMap::new(),
             unlisted: BTreeMap::new(),
             successors: BTreeMap::new(),
@@ -215,6 +218,7 @@
             unlisted: &self.unlisted,
             engine: &spec,
             has_traffic: self.has_traffic,
+            evacuations: &self.evacuations,
             demand: &self.demand,
         };
         let actions = self.planner.plan(input, self.now);
