Requests of different priority for one model: the less urgent leave room

Cause: a gateway refuses a request as too late by the objective of its own route, so the more urgent one, whose objective is shorter, was refused first. No decision read the priority. Retry-After was drawn around a constant.

Change: for services whose routes or organisations have different priorities, a request is sent only where the more urgent ones still come in time. Without room it waits at the gateway, by urgency, then lateness, then deadline, if room is expected within a third of its time, or is refused at once. A share of each urgency, in proportion to what is served of all, goes without regard to others, so that nothing starves. Retry-After follows the pace at which waiting requests are sent and the callers that return before. Other services are decided as before.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
     statement::{AnsweringLife, UpstreamStatements},
     suspect::{ParseSuspectError, RequestContent, SuspectId},
     upstream_limit::{LimitAnswer, LimitReport, MAX_LIMIT_REPORTS, StatementAges, UpstreamLimits},
+    urgency::{Reserve, RoomClaim, RoomLine, RoomLines, RoomTerms, Urgency, UrgencyWork},
 };
 
 mod budget;
@@ -39,3 +40,4 @@
 mod statement;
 mod suspect;
 mod upstream_limit;
+mod urgency;
--- a/crates/dispatch/src/load/choice.rs
+++ b/crates/dispatch/src/load/choice.rs
@@ -10,10 +10,11 @@
 
 use crate::{
     directory::{Target, TargetKey},
-    load::LoadTracker,
+    load::{LoadTracker, soonest::WaitLimits},
     prediction::PromptDemand,
     stall::StallPolicy,
     upstream_limit::UpstreamLimits,
+    urgency::Reserve,
 };
 
 /// Factor by which a target in another data centre counts as more loaded, because traffic to it
@@ -41,6 +42,8 @@
     Limited,
     /// No usable target with room is predicted to send the first event in time.
     TooLate,
+    /// All targets that would send the first event in time are kept for more urgent requests.
+    Reserved,
 }
 
 /// Candidate targets for one attempt of a request, and the conditions on them.
@@ -57,6 +60,8 @@
     pub prompt: Option<PromptDemand<'a>>,
     /// Whether the request is refused if no group is predicted to send its first event in time.
     pub is_wait_limited: bool,
+    /// What the request leaves to more urgent ones, if it has a prompt of known length.
+    pub reserve: Option<Reserve>,
     /// Limit after which a group without events is considered stalled and is not chosen; `None` for
     /// plain services, whose targets are not checked for stalls.
     pub stall_policy: Option<StallPolicy>,
@@ -98,6 +103,7 @@
             queue_share,
             prompt,
             is_wait_limited,
+            reserve,
             stall_policy,
             limits,
         } = *selection;
@@ -136,12 +142,17 @@
             _ if !self.peers.is_fresh(now) => {
                 self.lowest_cost(&with_room, self.usual_gap_ms(targets), rng)
             }
-            Some(prompt) => self.soonest(&with_room, prompt, is_wait_limited, now, rng),
-            None => random_by_room(&with_room, queue_share, rng),
+            Some(prompt) if !with_room.is_empty() => {
+                let limits = WaitLimits {
+                    is_wait_limited,
+                    reserve,
+                };
+                Some(self.soonest(&with_room, prompt, limits, now, rng)?)
+            }
+            _ => random_by_room(&with_room, queue_share, rng),
         };
         match chosen {
             Some(target) => Ok(target.clone()),
-            None if !with_room.is_empty() => Err(Refusal::TooLate),
             None if has_limited => Err(Refusal::Limited),
             None if has_usable => Err(Refusal::NoRoom),
             None if has_paused => Err(Refusal::Paused),
--- a/crates/dispatch/src/load/soonest.rs
+++ b/crates/dispatch/src/load/soonest.rs
@@ -7,8 +7,12 @@
 
 use crate::{
     directory::{Target, TargetKey},
-    load::{LoadTracker, choice::FAR_COST_FACTOR},
+    load::{
+        LoadTracker,
+        choice::{FAR_COST_FACTOR, Refusal},
+    },
     prediction::PromptDemand,
+    urgency::Reserve,
 };
 
 /// Weight of the share of slots in use against the predicted time until the first event, in usual
@@ -28,28 +32,75 @@
 /// Age at which a measured overhead counts half.
 const OVERHEAD_HALF_LIFE_MS: f64 = 2_000.0;
 
+/// Limits on the wait at a target.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct WaitLimits {
+    /// Whether the first event must be predicted to come within the request's objective.
+    pub(super) is_wait_limited: bool,
+    /// What the request leaves to more urgent ones.
+    pub(super) reserve: Option<Reserve>,
+}
+
+impl Reserve {
+    /// Returns whether the reserve would be kept at a group with `unread_tokens` and `requests` if it got
+    /// the request, too. A prompt counts up to the usual length: a longer one is read in the time of a
+    /// few usual ones, and would otherwise find room far less often. A group with a free slot and nothing
+    /// to read takes any.
+    fn is_kept(
+        &self,
+        prompt: &PromptDemand<'_>,
+        overhead_ms: f64,
+        (unread_tokens, requests): (f64, f64),
+    ) -> bool {
+        let engine = prompt.engine;
+        if unread_tokens <= 0.0 && requests < f64::from(engine.slots) {
+            return true;
+        }
+        let own_tokens = f64::from(prompt.prompt_tokens).min(engine.mean_prompt_tokens);
+        let wait_ms = prompt.wait_ms(unread_tokens + own_tokens, requests + 1.0);
+        wait_ms <= max_wait_ms(self.objective_ms, overhead_ms) * self.usable_share
+    }
+}
+
+/// Returns the longest wait at a target with which a request meets this objective.
+fn max_wait_ms(objective_ms: u64, overhead_ms: f64) -> f64 {
+    let objective_ms = objective_ms as f64;
+    (objective_ms - overhead_ms).max(objective_ms * MIN_WAIT_SHARE)
+}
+
 impl LoadTracker {
     /// Returns a random target, weighted by the predicted time until the first event, out of
     /// `targets` with the number of requests at each. Targets that would read so much in one pass that
-    /// the streams they run are paused for too long are avoided. If `is_wait_limited` is set, returns
-    /// `None` if all targets would send the first event after its objective.
+    /// the streams they run are paused for too long are avoided.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no target is within the limits, see [`WaitLimits`].
     pub(super) fn soonest<'a>(
         &self,
         targets: &[(f64, &'a Arc<Target>)],
         prompt: &PromptDemand<'_>,
-        is_wait_limited: bool,
+        limits: WaitLimits,
         now: TimeMs,
         rng: &mut impl Rng,
-    ) -> Option<&'a Arc<Target>> {
+    ) -> Result<&'a Arc<Target>, Refusal> {
         let usual_overhead_ms = self.usual_overhead_ms(targets, prompt);
-        let objective_ms = prompt.first_event_objective_ms as f64;
-        let cost_ms = |(requests, target): &(f64, &Arc<Target>)| {
+        let mut is_reserved = false;
+        let mut cost_ms = |(requests, target): &(f64, &Arc<Target>)| {
             let unread_tokens = self.unread_tokens(&target.key, now);
             let wait_ms = prompt.wait_ms(unread_tokens, *requests);
             let overhead_ms = self.overhead_ms(&target.key, usual_overhead_ms, now);
             let pass_fill = prompt.pass_fill(unread_tokens, *requests);
-            let max_wait_ms = (objective_ms - overhead_ms).max(objective_ms * MIN_WAIT_SHARE);
-            if is_wait_limited && wait_ms > max_wait_ms {
+            let max_wait_ms = max_wait_ms(prompt.first_event_objective_ms, overhead_ms);
+            if limits.is_wait_limited && wait_ms > max_wait_ms {
+                return None;
+            }
+            let state = (unread_tokens, *requests);
+            if limits
+                .reserve
+                .is_some_and(|reserve| !reserve.is_kept(prompt, overhead_ms, state))
+            {
+                is_reserved = true;
                 return None;
             }
             let busy = requests / f64::from(target.slots);
@@ -66,11 +117,15 @@
             .iter()
             .filter_map(|entry| Some((cost_ms(entry)?, entry.1)))
             .collect();
-        let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
+        let least = costs.iter().map(|(cost, _)| *cost);
+        let least = least.min_by(f64::total_cmp).ok_or(match is_reserved {
+            true => Refusal::Reserved,
+            false => Refusal::TooLate,
+        })?;
         let scale_ms = (prompt.usual_reading_ms() * CHOICE_SPREAD).max(1.0);
         let weight = |(cost, _): &(f64, &Arc<Target>)| (-(cost - least) / scale_ms).exp();
         let chosen = costs.choose_weighted(rng, weight).ok().or(costs.first());
-        chosen.map(|(_, target)| *target)
+        chosen.map(|(_, target)| *target).ok_or(Refusal::TooLate)
     }
 
     /// Returns the mean overhead (see [`LoadTracker::on_first_event`]) of the targets for which it is
--- a/crates/dispatch/tests/passes.rs
+++ b/crates/dispatch/tests/passes.rs
@@ -15,13 +15,13 @@
 use crate::support::{engine, groups, now};
 
 /// Time between two exchanges of one gateway.
-const EXCHANGE_MS: u64 = 25;
+pub const EXCHANGE_MS: u64 = 25;
 /// Time to the first event and between two events within which a request is on time.
 const FIRST_EVENT_MS: u64 = 400;
 const GAP_MS: u64 = 250;
 /// Time between the end of reading a prompt and the end of the pass after which a caller gets the
 /// first event.
-const DELAY_MS: f64 = 90.0;
+pub const DELAY_MS: f64 = 90.0;
 
 /// A load on groups of one model.
 pub struct Load {
@@ -46,22 +46,22 @@
     pub long_gaps: f64,
 }
 
-struct Request {
-    gateway: usize,
+pub struct Request {
+    pub gateway: usize,
     prompt_tokens: u32,
     unread: f64,
     events_left: u32,
-    sent_ms: f64,
+    pub sent_ms: f64,
     predicted_wait_ms: f64,
-    first_event_ms: Option<f64>,
+    pub first_event_ms: Option<f64>,
     last_event_ms: f64,
     longest_gap_ms: f64,
 }
 
 #[derive(Default)]
-struct Group {
+pub struct Group {
     /// Requests in the order of arrival; the first `slots` of them run.
-    requests: Vec<Request>,
+    pub requests: Vec<Request>,
     /// End of the step in progress, and the number of steps of the pass that have begun.
     step_ends_ms: f64,
     step: u32,
@@ -143,13 +143,14 @@
         queue_share: 0.35,
         prompt: load.uses_prompts.then_some(demand),
         is_wait_limited: true,
+        reserve: None,
         stall_policy: None,
         limits: None,
     }
 }
 
 /// Records that a gateway sends a request with this number of events, and returns it.
-fn send(
+pub fn send(
     tracker: &mut LoadTracker,
     target: &Target,
     demand: PromptDemand<'_>,
@@ -173,7 +174,7 @@
 }
 
 /// Runs the steps of a group that begin until `ms`, and returns the requests that ended.
-fn advance(
+pub fn advance(
     group: &mut Group,
     target: &Target,
     engine: &Engine,
--- a/crates/dispatch/tests/support.rs
+++ b/crates/dispatch/tests/support.rs
@@ -92,6 +92,7 @@
         queue_share: 0.35,
         prompt: None,
         is_wait_limited: false,
+        reserve: None,
         stall_policy: None,
         limits: None,
     }
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -1,5 +1,5 @@
 //! Tests of the choice of a target, load exchange, stall detection, retry budget, limits of
-//! upstreams, causes of crashes, quarantine, reach of upstreams, and durations.
+//! upstreams, causes of crashes, quarantine, reach of upstreams, durations, and urgency.
 
 mod budget;
 mod crash_notice;
@@ -16,3 +16,4 @@
 mod statement;
 mod support;
 mod upstream_limits;
+mod urgency;
--- /dev/null
+++ b/crates/dispatch/tests/urgency.rs
@@ -0,0 +1,426 @@
+//! Tests of the order of requests of different urgency while room is short: gateways that decide by
+//! what each has seen, before groups that read prompts in passes.
+
+use std::sync::Arc;
+
+use jacinthpoint_dispatch::{
+    LoadAggregator, LoadTracker, PromptDemand, RoomClaim, RoomLine, Selection, Target, Urgency,
+};
+use jacinthpoint_fleet::Engine;
+use jacinthpoint_types::{Deadline, TimeMs};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::{
+    passes::{DELAY_MS, EXCHANGE_MS, Group, advance, send},
+    support::{engine, groups, now},
+};
+
+const TIMEOUT_MS: u64 = 6_000;
+const SECONDS: u64 = 24;
+/// Second after which all bursts are over and what waited has been served.
+const AFTER_S: u64 = 18;
+
+/// Requests of one urgency.
+#[derive(Clone, Copy)]
+struct Class {
+    urgency: u8,
+    /// Requests per second of the fleet, and during a burst.
+    rate_per_s: f64,
+    burst_rate_per_s: f64,
+    /// Seconds of the burst.
+    burst: (u64, u64),
+    prompts: (u32, u32),
+    objective_ms: u64,
+}
+
+/// A steady class whose requests want their first event soon.
+const URGENT: Class = Class {
+    urgency: 0,
+    rate_per_s: 30.0,
+    burst_rate_per_s: 30.0,
+    burst: (0, 0),
+    prompts: (300, 2_000),
+    objective_ms: 400,
+};
+/// A class that can wait twice as long, and bursts.
+const PATIENT: Class = Class {
+    urgency: 2,
+    rate_per_s: 10.0,
+    burst_rate_per_s: 60.0,
+    burst: (4, 16),
+    prompts: (300, 4_000),
+    objective_ms: 800,
+};
+
+struct Load {
+    classes: Vec<Class>,
+    groups: usize,
+    gateways: usize,
+    uses_urgency: bool,
+}
+
+/// What became of the requests of one class, or of a part of them.
+#[derive(Debug, Clone, Copy, Default)]
+struct Outcome {
+    asked: f64,
+    sent: f64,
+    on_time: f64,
+    /// Refused after their return, or with no time left for one.
+    refused_again: f64,
+    /// Of the largest tenth of the prompts.
+    large_asked: f64,
+    large_sent: f64,
+    /// Asked and sent after the burst.
+    after_asked: f64,
+    after_sent: f64,
+}
+
+impl Outcome {
+    fn sent_share(&self) -> f64 {
+        self.sent / self.asked.max(1.0)
+    }
+
+    fn on_time_share(&self) -> f64 {
+        self.on_time / self.asked.max(1.0)
+    }
+}
+
+struct Call {
+    class: usize,
+    gateway: usize,
+    prompt_tokens: u32,
+    /// Time of the first attempt, from which lateness counts.
+    asked: TimeMs,
+    deadline: Deadline,
+    due: TimeMs,
+    attempts: u32,
+    claim: Option<RoomClaim>,
+}
+
+fn demand<'a>(engine: &'a Engine, class: &Class, prompt_tokens: u32) -> PromptDemand<'a> {
+    PromptDemand {
+        engine,
+        model: &engine.models[0],
+        prompt_tokens,
+        first_event_objective_ms: class.objective_ms,
+        gap_objective_ms: 300,
+    }
+}
+
+/// Chooses a target as a gateway does; returns `None` if the call waits or is refused.
+fn choose(
+    load: &Load,
+    call: &mut Call,
+    (tracker, line): (&LoadTracker, &mut RoomLine),
+    targets: &[Arc<Target>],
+    mut prompt: PromptDemand<'_>,
+    at: TimeMs,
+    rng: &mut SmallRng,
+) -> Result<Arc<Target>, bool> {
+    let urgency = Urgency(load.classes[call.class].urgency);
+    let mut selection = Selection {
+        is_wait_limited: true,
+        prompt: Some(prompt),
+        ..crate::support::selection(targets)
+    };
+    if !load.uses_urgency {
+        return tracker.choose(&selection, at, rng).map_err(|_| false);
+    }
+    let deadline = call.deadline;
+    let claim = call
+        .claim
+        .get_or_insert_with(|| RoomClaim::new(line, urgency, &prompt, deadline, at, rng));
+    let chosen = match claim.terms(line, &prompt, at) {
+        Some(terms) => {
+            prompt.first_event_objective_ms = terms.objective_ms;
+            selection.prompt = Some(prompt);
+            selection.is_wait_limited = terms.is_wait_limited;
+            selection.reserve = terms.reserve;
+            tracker.choose(&selection, at, rng)
+        }
+        None => Err(jacinthpoint_dispatch::Refusal::Reserved),
+    };
+    match chosen {
+        Ok(target) => {
+            claim.on_sent(line, at);
+            Ok(target)
+        }
+        Err(refusal) => {
+            let waits = claim.waits(line, refusal, at);
+            if !waits {
+                claim.on_left(line, at);
+            }
+            Err(waits)
+        }
+    }
+}
+
+/// Simulates the load and returns what became of each class.
+fn simulate(load: &Load, seed: u64) -> Vec<Outcome> {
+    let engine = engine();
+    let targets = groups(load.groups);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let new_gateway = |_| (LoadTracker::default(), RoomLine::default());
+    let (mut trackers, mut lines): (Vec<_>, Vec<_>) = (0..load.gateways).map(new_gateway).unzip();
+    let mut hub = LoadAggregator::default();
+    let mut simulated: Vec<Group> = (0..load.groups).map(|_| Group::default()).collect();
+    let mut outcomes = vec![Outcome::default(); load.classes.len()];
+    let mut calls: Vec<Call> = Vec::new();
+    // Class, objective and time asked of each request at a group, by its time and gateway.
+    let mut sent: Vec<(f64, usize, usize, TimeMs)> = Vec::new();
+    for ms in 0..SECONDS * 1_000 {
+        let at = now().plus_ms(ms);
+        for (gateway, tracker) in trackers.iter_mut().enumerate() {
+            if ms % EXCHANGE_MS == gateway as u64 * 7 % EXCHANGE_MS {
+                hub.on_report(gateway, tracker.target_reports(at), at);
+                tracker.on_peer_loads(&hub.load_of_others(&gateway, at), at);
+            }
+        }
+        for (index, class) in load.classes.iter().enumerate() {
+            let is_burst = (class.burst.0..class.burst.1).contains(&(ms / 1_000));
+            let rate_per_s = match is_burst {
+                true => class.burst_rate_per_s,
+                false => class.rate_per_s,
+            };
+            if rng.random_bool(rate_per_s / 1_000.0) {
+                calls.push(Call {
+                    class: index,
+                    gateway: rng.random_range(0..load.gateways),
+                    prompt_tokens: rng.random_range(class.prompts.0..class.prompts.1),
+                    asked: at,
+                    deadline: Deadline::after_ms(at, TIMEOUT_MS),
+                    due: at,
+                    attempts: 1,
+                    claim: None,
+                });
+            }
+        }
+        let (due, later): (Vec<Call>, Vec<Call>) = calls.into_iter().partition(|c| c.due <= at);
+        calls = later;
+        for mut call in due {
+            let class = load.classes[call.class];
+            let (low, high) = class.prompts;
+            let is_large = call.prompt_tokens > high - (high - low) / 10;
+            let is_after = call.asked.0 > now().0 + AFTER_S * 1_000;
+            let outcome = &mut outcomes[call.class];
+            let gateway = call.gateway;
+            let prompt = demand(&engine, &class, call.prompt_tokens);
+            let of_gateway = (&trackers[gateway], &mut lines[gateway]);
+            let chosen = choose(load, &mut call, of_gateway, &targets, prompt, at, &mut rng);
+            let is_first = call.attempts == 1;
+            if let Ok(target) = &chosen {
+                let is_chosen = |other: &Arc<Target>| other.key == target.key;
+                let index = targets.iter().position(is_chosen).expect("a given target");
+                let events = rng.random_range(4..30);
+                let tracker = &mut trackers[gateway];
+                let request = send(tracker, target, prompt, (gateway, events), at);
+                sent.push((request.sent_ms, gateway, call.class, call.asked));
+                simulated[index].requests.push(request);
+            }
+            let is_ended = match chosen {
+                Ok(_) => true,
+                Err(true) => {
+                    let claim = call.claim.as_ref().expect("only a claim waits");
+                    call.due = claim.check_at(at, &mut rng);
+                    false
+                }
+                Err(false) if is_first => {
+                    let return_ms = match &call.claim {
+                        Some(claim) => claim.return_ms(&mut lines[gateway], at, &mut rng),
+                        None => rng.random_range(400..=800),
+                    };
+                    call = Call {
+                        gateway: rng.random_range(0..load.gateways),
+                        due: at.plus_ms(return_ms),
+                        attempts: 2,
+                        claim: None,
+                        ..call
+                    };
+                    false
+                }
+                Err(false) => {
+                    outcome.refused_again += 1.0;
+                    true
+                }
+            };
+            if is_ended {
+                let is_sent = f64::from(u8::from(chosen.is_ok()));
+                outcome.asked += 1.0;
+                outcome.sent += is_sent;
+                outcome.large_asked += f64::from(u8::from(is_large));
+                outcome.large_sent += is_sent * f64::from(u8::from(is_large));
+                outcome.after_asked += f64::from(u8::from(is_after));
+                outcome.after_sent += is_sent * f64::from(u8::from(is_after));
+            } else {
+                calls.push(call);
+            }
+        }
+        for (group, target) in simulated.iter_mut().zip(&targets) {
+            for request in advance(group, target, &engine, ms as f64, &mut trackers) {
+                let is_it = |(sent_ms, gateway, ..): &(f64, usize, usize, TimeMs)| {
+                    *sent_ms == request.sent_ms && *gateway == request.gateway
+                };
+                let index = sent.iter().position(is_it).expect("it was sent");
+                let (.., class, asked) = sent.swap_remove(index);
+                let first_ms = request.first_event_ms.unwrap_or(f64::MAX);
+                let first_ms = first_ms - (asked.0 - now().0) as f64 + DELAY_MS;
+                let is_on_time = first_ms <= load.classes[class].objective_ms as f64;
+                outcomes[class].on_time += f64::from(u8::from(is_on_time));
+            }
+        }
+    }
+    outcomes
+}
+
+/// Returns the outcomes without and with regard to urgency.
+fn both(classes: &[Class], groups: usize, gateways: usize) -> [Vec<Outcome>; 2] {
+    [false, true].map(|uses_urgency| {
+        let load = Load {
+            classes: classes.to_vec(),
+            groups,
+            gateways,
+            uses_urgency,
+        };
+        simulate(&load, 1)
+    })
+}
+
+/// Checks that nothing starves: each class, and the largest tenth of its prompts, is served at least a
+/// quarter as often as all, and again as before once room is back.
+fn check_floors(outcomes: &[Outcome]) {
+    let total = |value: fn(&Outcome) -> f64| outcomes.iter().map(value).sum::<f64>();
+    let share = total(|outcome| outcome.sent) / total(|outcome| outcome.asked);
+    for outcome in outcomes {
+        let large = outcome.large_sent / outcome.large_asked.max(1.0);
+        assert!(outcome.sent_share() >= 0.25 * share, "{outcomes:?}");
+        assert!(large >= 0.5 * outcome.sent_share(), "{outcomes:?}");
+        assert!(
+            outcome.after_sent >= 0.9 * outcome.after_asked,
+            "not served again after the burst: {outcomes:?}"
+        );
+    }
+}
+
+/// Checks that the first class, the more urgent one, is served before the other, and better than without
+/// regard to urgency.
+fn check_order(before: &[Outcome], with: &[Outcome]) {
+    let is_ordered = |value: fn(&Outcome) -> f64| {
+        value(&with[0]) >= value(&with[1]) && value(&with[0]) > value(&before[0])
+    };
+    assert!(
+        is_ordered(Outcome::sent_share) && is_ordered(Outcome::on_time_share),
+        "without {before:?}, with {with:?}"
+    );
+}
+
+/// Checks that the first class gains by its urgency, and that nothing starves.
+macro_rules! urgency_test {
+    ($(#[$doc:meta])* $name:ident, $classes:expr, $groups:expr, $gateways:expr) => {
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let [before, with] = both(&$classes, $groups, $gateways);
+            check_order(&before, &with);
+            check_floors(&with);
+        }
+    };
+}
+
+urgency_test!(
+    /// A burst of the least urgent class beside a steady urgent one.
+    burst_of_the_least_urgent_beside_a_steady_urgent_one,
+    [URGENT, PATIENT],
+    4,
+    6
+);
+
+urgency_test!(
+    /// Two classes burst one after the other.
+    two_classes_burst_one_after_the_other,
+    [
+        Class {
+            burst_rate_per_s: 60.0,
+            burst: (10, 16),
+            ..URGENT
+        },
+        Class {
+            burst: (4, 10),
+            ..PATIENT
+        }
+    ],
+    4,
+    6
+);
+
+urgency_test!(
+    /// A few large prompts among many small ones while room is short.
+    large_prompts_among_small_ones_while_room_is_short,
+    [
+        Class {
+            rate_per_s: 40.0,
+            burst_rate_per_s: 40.0,
+            prompts: (200, 600),
+            ..URGENT
+        },
+        Class {
+            burst_rate_per_s: 40.0,
+            prompts: (1_000, 6_000),
+            ..PATIENT
+        }
+    ],
+    4,
+    6
+);
+
+urgency_test!(
+    /// One organisation is more urgent than the others, which send the same requests.
+    one_organisation_is_more_urgent_than_the_others,
+    [
+        URGENT,
+        Class {
+            urgency: 1,
+            rate_per_s: 20.0,
+            burst_rate_per_s: 60.0,
+            burst: (4, 16),
+            ..URGENT
+        }
+    ],
+    4,
+    6
+);
+
+urgency_test!(
+    /// Sixty gateways, each of which sees an urgent request every two seconds.
+    many_gateways_that_each_see_little,
+    [URGENT, PATIENT],
+    4,
+    60
+);
+
+/// With one urgency and room for all, nothing is refused and nobody waits.
+#[test]
+fn all_are_sent_at_once_while_there_is_room() {
+    let [before, with] = both(&[URGENT], 4, 6);
+    assert!(
+        with[0].on_time_share() >= before[0].on_time_share() - 0.01,
+        "without {before:?}, with {with:?}"
+    );
+}
+
+/// A fleet that is asked for twice what it can do, for twelve seconds: fewer callers come back to be
+/// refused again.
+#[test]
+fn returns_during_an_overload_are_refused_again_less_often() {
+    let class = Class {
+        rate_per_s: 20.0,
+        burst_rate_per_s: 90.0,
+        burst: (4, 16),
+        ..URGENT
+    };
+    let [before, with] = both(&[class, PATIENT], 4, 6);
+    let again = |outcomes: &[Outcome]| outcomes.iter().map(|o| o.refused_again).sum::<f64>();
+    assert!(
+        again(&with) < again(&before),
+        "without {before:?}, with {with:?}"
+    );
+}
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -1,7 +1,7 @@
 //! The configuration of the fleet: routes, services, organisations, and limits on what callers
 //! send.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use jacinthpoint_types::{DeploymentId, ServiceId};
 
@@ -34,6 +34,8 @@
     organisations_by_key: BTreeMap<String, Organisation>,
     /// Whether any organisations are configured. If so, requests of non-public routes need a key.
     pub has_organisations: bool,
+    /// Services whose requests have different priorities, by their routes or organisations.
+    prioritised_services: BTreeSet<ServiceId>,
     /// Limits on what callers send.
     pub limits: CallerLimits,
 }
@@ -266,6 +268,7 @@
         organisations: Vec<(Organisation, Vec<String>)>,
         limits: CallerLimits,
     ) -> FleetConfig {
+        let prioritised_services = prioritised_services(&routes, &organisations);
         let mut routes_by_host: BTreeMap<String, Vec<Route>> = BTreeMap::new();
         for route in routes {
             let host = route.host.to_ascii_lowercase();
@@ -287,6 +290,7 @@
             services: services.into_iter().map(|s| (s.id.clone(), s)).collect(),
             organisations_by_key,
             has_organisations,
+            prioritised_services,
             limits,
         }
     }
@@ -319,6 +323,11 @@
         RouteMatch::Found(route, organisation)
     }
 
+    /// Returns whether the requests for a service have different priorities.
+    pub fn has_priorities(&self, service: &ServiceId) -> bool {
+        self.prioritised_services.contains(service)
+    }
+
     /// Returns the services that have model engines, with their parameters.
     pub fn engines(&self) -> impl Iterator<Item = (&ServiceId, &Engine)> {
         self.services
@@ -326,3 +335,27 @@
             .filter_map(|(id, service)| Some((id, service.engine.as_ref()?)))
     }
 }
+
+/// Returns the services whose requests have different priorities: those of their routes, or those of
+/// organisations, which go before the routes'.
+fn prioritised_services(
+    routes: &[Route],
+    organisations: &[(Organisation, Vec<String>)],
+) -> BTreeSet<ServiceId> {
+    let of_organisations = organisations
+        .iter()
+        .filter_map(|(organisation, _)| organisation.priority);
+    let of_organisations: BTreeSet<u8> = of_organisations.collect();
+    let mut by_service: BTreeMap<&ServiceId, BTreeSet<u8>> = BTreeMap::new();
+    for route in routes {
+        for target in &route.targets {
+            let priorities = by_service.entry(&target.service);
+            let priorities = priorities.or_insert_with(|| of_organisations.clone());
+            priorities.insert(route.priority);
+        }
+    }
+    let differing = by_service
+        .into_iter()
+        .filter(|(_, priorities)| priorities.len() > 1);
+    differing.map(|(service, _)| service.clone()).collect()
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -39,6 +39,7 @@
 mod refusal;
 mod request;
 mod retry;
+mod room;
 mod stated;
 mod stream;
 mod whole_body;
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -120,6 +120,13 @@
         })
     }
 
+    /// Returns the priority of the organisation, or else of the route; 0 is the highest.
+    pub(crate) fn priority(&self) -> u8 {
+        let organisation = self.organisation.as_ref();
+        let of_organisation = organisation.and_then(|organisation| organisation.priority);
+        of_organisation.unwrap_or(self.route.priority)
+    }
+
     /// Returns the organisation's name for logs and metrics, or "none".
     pub(crate) fn organisation_name(&self) -> &str {
         self.organisation
--- a/crates/gateway/src/call/request.rs
+++ b/crates/gateway/src/call/request.rs
@@ -117,12 +117,11 @@
         insert(&mut fields, headers::ORGANISATION, &organisation.name);
     }
     if context.engine().is_some() {
-        let organisation_priority = context
-            .organisation
-            .as_ref()
-            .and_then(|organisation| organisation.priority);
-        let priority = organisation_priority.unwrap_or(context.route.priority);
-        insert(&mut fields, headers::URGENCY, &priority.to_string());
+        insert(
+            &mut fields,
+            headers::URGENCY,
+            &context.priority().to_string(),
+        );
     }
     fields
 }
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -24,6 +24,7 @@
         outcome::{log_given_up, pass_on, record_failure, record_not_run},
         refusal::{quarantine_reason, refuse, refuse_quarantined},
         request::shared_headers,
+        room::RoomRequest,
         stream,
     },
     events::log_event,
@@ -77,6 +78,8 @@
     refused_beside: u32,
     /// Time before which no further one is made.
     next_beside_at: TimeMs,
+    /// Place of the request among those of other urgency; `None` if there are none.
+    room: Option<RoomRequest>,
 }
 
 /// Reason why a request gets no further attempt.
@@ -202,13 +205,23 @@
         let is_unused = |target: &Arc<Target>| history.unused_targets.contains(&target.key);
         candidates.to_mut().retain(is_unused);
     }
+    // A request that may have run is late already, and refusing it would be worse.
+    let is_first_run = history.all_runs() == 0;
+    let mut prompt = context.prompt_demand();
+    let (mut is_wait_limited, mut reserve) = (is_first_run, None);
+    if let (true, Some(room), Some(prompt)) = (is_first_run, &history.room, &mut prompt) {
+        let terms = room.terms(prompt);
+        let terms = terms.ok_or(Refusal::Reserved)?;
+        prompt.first_event_objective_ms = terms.objective_ms;
+        (is_wait_limited, reserve) = (terms.is_wait_limited, terms.reserve);
+    }
     let selection = Selection {
         targets: &candidates,
         tried: &history.tried_targets,
         queue_share,
-        prompt: context.prompt_demand(),
-        // A request that may have run is late already, and refusing it would be worse.
-        is_wait_limited: history.all_runs() == 0,
+        prompt,
+        is_wait_limited,
+        reserve,
         stall_policy: context.stall_policy(),
         limits: Some(&limits),
     };
@@ -274,16 +287,24 @@
             // A request that is forwarded counts for the retry budget where its attempts are made.
             if !std::mem::replace(&mut is_counted, true) {
                 context.with_budget(|budget| budget.on_request(&settings.repeats, gateway.now()));
+                history.room = RoomRequest::new(&context);
             }
             let target = match choose_next_target(&context, &history) {
                 Ok(target) => target,
                 Err(reason) => {
                     if let StopReason::NothingSelected(refusal) = reason {
+                        if let Some(check_at) = wait_for_room(&context, &mut history, refusal) {
+                            gateway.clock.sleep_until(check_at).await;
+                            continue;
+                        }
                         log_refusal(&context, &history, refusal);
                     }
                     return finish(&context, history, &reason);
                 }
             };
+            if let Some(room) = &mut history.room {
+                room.on_sent(&context);
+            }
             history.on_started(&target);
             open.push(Attempt::start(&context, &outgoing, target, None));
             continue;
@@ -419,6 +440,18 @@
     Ok(target)
 }
 
+/// Returns when to choose a target again, if the request has not been sent and waits for room.
+fn wait_for_room(
+    context: &Context,
+    history: &mut AttemptHistory,
+    refusal: Refusal,
+) -> Option<TimeMs> {
+    if !history.is_unsent() {
+        return None;
+    }
+    history.room.as_mut()?.wait(context, refusal)
+}
+
 /// Returns the time until the first upstream of the request's service and model that wants no requests
 /// takes them again; 0 if one has taken them meanwhile.
 fn earliest_pause_end_ms(context: &Context) -> u64 {
@@ -484,6 +517,11 @@
             "no upstream would send the first event in time",
             Some(EXPECTED_SLOT_WAIT_MS),
         ),
+        StopReason::NothingSelected(Refusal::Reserved) => (
+            ResultCode::NoCapacity,
+            "the room is kept for more urgent requests, or others wait for it",
+            Some(EXPECTED_SLOT_WAIT_MS),
+        ),
         StopReason::RetryBudgetExhausted => (
             ResultCode::UpstreamRefused,
             "the retry budget is used up",
@@ -506,6 +544,12 @@
         ),
     };
     // The time is random, so that callers that are refused together do not retry together.
-    let retry_after = expected_ms.map(|ms| retry_after_ms(ms, &mut *gateway.rng.borrow_mut()));
+    let retry_after = match (reason, &history.room) {
+        (
+            StopReason::NothingSelected(Refusal::NoRoom | Refusal::TooLate | Refusal::Reserved),
+            Some(room),
+        ) => Some(room.return_ms(context)),
+        _ => expected_ms.map(|ms| retry_after_ms(ms, &mut *gateway.rng.borrow_mut())),
+    };
     refuse(gateway, &context.request_id, code, why, retry_after)
 }
--- /dev/null
+++ b/crates/gateway/src/call/room.rs
@@ -0,0 +1,117 @@
+//! Place of a request among those of other urgency that want the same model.
+//!
+//! Acts on services whose requests have different priorities. `dispatch::RoomClaim` decides; this module
+//! asks it for one request, and gives up the request's place when it ends.
+
+use std::{cell::RefCell, rc::Rc};
+
+use jacinthpoint_dispatch::{
+    PromptDemand, Refusal, RoomClaim, RoomLine, RoomLines, RoomTerms, Urgency,
+};
+use jacinthpoint_types::{DeploymentId, ServiceId, TimeMs};
+
+use crate::{call::context::Context, clock::Clock, events::log_event};
+
+/// A request that is not sent yet.
+#[derive(Debug)]
+pub(super) struct RoomRequest {
+    lines: Rc<RefCell<RoomLines>>,
+    clock: Clock,
+    service: ServiceId,
+    model: DeploymentId,
+    claim: RoomClaim,
+}
+
+impl Drop for RoomRequest {
+    fn drop(&mut self) {
+        let now = self.clock.now();
+        self.with_line(|claim, line| claim.on_left(line, now));
+    }
+}
+
+impl RoomRequest {
+    /// Records the request; returns `None` if all requests for its service have one priority, or the
+    /// length of its prompt or its model is not known.
+    pub(super) fn new(context: &Context) -> Option<RoomRequest> {
+        let gateway = &context.gateway;
+        let prompt = context.prompt_demand()?;
+        if !context.snapshot.config.has_priorities(&context.service) {
+            return None;
+        }
+        let (service, model) = (context.service.clone(), prompt.model.name.clone());
+        let claim = RoomClaim::new(
+            gateway.room.borrow_mut().line(&service, &model),
+            Urgency(context.priority()),
+            &prompt,
+            context.deadline,
+            context.started,
+            &mut *gateway.rng.borrow_mut(),
+        );
+        Some(RoomRequest {
+            lines: gateway.room.clone(),
+            clock: gateway.clock,
+            service,
+            model,
+            claim,
+        })
+    }
+
+    fn with_line<R>(&mut self, work: impl FnOnce(&mut RoomClaim, &mut RoomLine) -> R) -> R {
+        let mut lines = self.lines.borrow_mut();
+        work(&mut self.claim, lines.line(&self.service, &self.model))
+    }
+
+    /// Returns what the choice of a target must keep to now; `None` if others that wait go first.
+    pub(super) fn terms(&self, prompt: &PromptDemand<'_>) -> Option<RoomTerms> {
+        let mut lines = self.lines.borrow_mut();
+        let line = lines.line(&self.service, &self.model);
+        self.claim.terms(line, prompt, self.clock.now())
+    }
+
+    /// Returns when to choose again, if the request waits or goes on waiting; `None` if it is refused.
+    pub(super) fn wait(&mut self, context: &Context, refusal: Refusal) -> Option<TimeMs> {
+        let now = self.clock.now();
+        let was_waiting = self.claim.waited_ms(now).is_some();
+        let waits = self.with_line(|claim, line| claim.waits(line, refusal, now));
+        if !was_waiting || !waits {
+            let outcome = if waits { "waits" } else { "refused" };
+            self.log(context, outcome, Some(refusal));
+        }
+        let mut rng = context.gateway.rng.borrow_mut();
+        waits.then(|| self.claim.check_at(now, &mut *rng))
+    }
+
+    /// Records that the request is sent, and ends its wait.
+    pub(super) fn on_sent(&mut self, context: &Context) {
+        let now = self.clock.now();
+        if self.claim.waited_ms(now).is_some() {
+            self.log(context, "sent", None);
+        }
+        self.with_line(|claim, line| claim.on_sent(line, now));
+    }
+
+    /// Returns the time after which the caller of the refused request should return, in milliseconds.
+    pub(super) fn return_ms(&self, context: &Context) -> u64 {
+        let mut lines = self.lines.borrow_mut();
+        let line = lines.line(&self.service, &self.model);
+        let mut rng = context.gateway.rng.borrow_mut();
+        self.claim.return_ms(line, self.clock.now(), &mut *rng)
+    }
+
+    /// Logs and counts what is decided on a request for which there was no room at once.
+    fn log(&mut self, context: &Context, outcome: &'static str, refusal: Option<Refusal>) {
+        let now = self.clock.now();
+        let (reserve, waiting) = self.with_line(|claim, line| {
+            let (urgency, is_late) = (claim.urgency(), claim.is_late(now));
+            (line.work.reserve(urgency, is_late, now), line.len())
+        });
+        let claim = &self.claim;
+        context.gateway.metrics.count("room_waits", outcome);
+        log_event!(info, RoomDecided, request = context.request_id, urgency = %claim.urgency(),
+            outcome, why = refusal.map(<&str>::from), is_late = claim.is_late(now), waiting,
+            waited_ms = claim.waited_ms(now), is_exempt = claim.is_exempt(),
+            reserved_for_ms = reserve.map(|reserve| reserve.objective_ms),
+            usable_share = reserve.map(|reserve| reserve.usable_share),
+            "there was no room for a request at once");
+    }
+}
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -232,6 +232,7 @@
             f64::from(u8::from(!gateway.reach.borrow().is_cut())),
         ),
         ("requests_open", gateway.open_requests.get() as f64),
+        ("requests_waiting", gateway.room.borrow().waiting() as f64),
         ("connections_open", gateway.open_connections.get() as f64),
         ("store_reads", calls_where(false)),
         ("store_writes", calls_where(true)),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -115,6 +115,9 @@
     RequestUnread = 756,
     /// A list of the store could not go on to its end. What was read of it is used.
     ListUnfinished = 760,
+    /// A request waits for room, is sent after a wait, or is refused because more urgent ones need the
+    /// room or it would be late.
+    RoomDecided = 764,
 }
 
 impl EventCode {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,7 +12,7 @@
 
 use jacinthpoint_dispatch::{
     CrashNotices, Directory, FleetRetryBudget, LoadTracker, Quarantine, RequestDurations,
-    SlackShare, Target, TargetKey, UpstreamLimits, UpstreamReach,
+    RoomLines, SlackShare, Target, TargetKey, UpstreamLimits, UpstreamReach,
 };
 use jacinthpoint_fleet::{CallerLimits, FleetConfig, FleetView, ViewChange};
 use jacinthpoint_types::{ServiceId, TimeMs, VmId};
@@ -108,6 +108,8 @@
     pub(crate) cut_peers: ExcludedPeers,
     /// Retry budgets by service.
     pub(crate) budgets: RefCell<BTreeMap<ServiceId, FleetRetryBudget>>,
+    /// Work and waiting requests by model, for services whose requests have different priorities.
+    pub(crate) room: Rc<RefCell<RoomLines>>,
     /// Recent durations of requests, by route.
     pub(crate) durations: RefCell<RequestDurations>,
     /// Time from which requests without an answer are answered as failed; `None` before a stop.
@@ -172,6 +174,7 @@
             reach: RefCell::default(),
             cut_peers: ExcludedPeers::default(),
             budgets: RefCell::default(),
+            room: Rc::default(),
             durations: RefCell::default(),
             ends_at: Cell::new(None),
             pool: Rc::default(),
