--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the choice of a target, load exchange, stall detection, retry budget, limits of
-//! upstreams, learnt capacities, causes of crashes, quarantine, reach of upstreams, and durations.
+//! upstreams, learnt capacities, causes of crashes, quarantine, reach of upstreams, durations, and
+//! urgency.
 
 mod budget;
 mod capacity;
@@ -17,3 +18,4 @@
 mod statement;
 mod support;
 mod upstream_limits;
+mod urgency;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -117,6 +117,9 @@
     ListUnfinished = 760,
     /// The evacuation of a data centre began or ended.
     EvacuationChanged = 761,
+    /// A request waits for room, is sent after a wait, or is refused because more urgent ones need the
+    /// room or it would be late.
+    RoomDecided = 764,
     /// An upstream takes fewer requests well than was known.
     CapacityLowered = 780,
 }
