Limits of cold upstreams, in sum over all gateways

A service may configure for how long its upstreams are cold after a start, and how many requests a second a cold one takes from all gateways. Entries and answers state the time that remains.

Each gateway now decides which upstreams are cold and until when (dispatch::WarmUps). Cold engines lead a group only if all its members are cold.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,10 @@
     statement::{AnsweringLife, UpstreamStatements},
     suspect::{ParseSuspectError, RequestContent, SuspectId},
     upstream_limit::{LimitAnswer, LimitReport, MAX_LIMIT_REPORTS, StatementAges, UpstreamLimits},
+    warm_up::{
+        MAX_WARM_UP_REPORTS, WarmUpAnswer, WarmUpBasis, WarmUpIssuer, WarmUpLimits, WarmUpReport,
+        WarmUps,
+    },
 };
 
 mod budget;
@@ -39,3 +43,4 @@
 mod statement;
 mod suspect;
 mod upstream_limit;
+mod warm_up;
--- a/crates/dispatch/src/load/choice.rs
+++ b/crates/dispatch/src/load/choice.rs
@@ -14,6 +14,7 @@
     prediction::PromptDemand,
     stall::StallPolicy,
     upstream_limit::UpstreamLimits,
+    warm_up::WarmUpLimits,
 };
 
 /// Factor by which a target in another data centre counts as more loaded, because traffic to it
@@ -37,7 +38,7 @@
     Paused,
     /// All usable targets shed load, or have no free slot and a full queue.
     NoRoom,
-    /// All usable targets with room have a limit, and this gateway has no permit.
+    /// All usable targets with room have a limit or are cold, and this gateway has no permit.
     Limited,
     /// No usable target with room is predicted to send the first event in time.
     TooLate,
@@ -62,6 +63,8 @@
     pub stall_policy: Option<StallPolicy>,
     /// Limits of the targets' upstreams; `None` if there are none.
     pub limits: Option<&'a UpstreamLimits>,
+    /// Limits on requests to those of them that are cold; `None` if there are none.
+    pub warm_ups: Option<&'a WarmUpLimits>,
 }
 
 impl LoadTracker {
@@ -100,6 +103,7 @@
             is_wait_limited,
             stall_policy,
             limits,
+            warm_ups,
         } = *selection;
         let keys: Vec<TargetKey> = targets.iter().map(|target| target.key.clone()).collect();
         let usable = self.ejector.usable(&keys, now);
@@ -108,8 +112,12 @@
                 && !self.is_suspended_or_stalled(&target.key, stall_policy, now)
                 && usable.contains(&target.key)
         };
-        let may_send =
-            |target: &Target| limits.is_none_or(|limits| limits.may_send(&target.upstream, now));
+        let may_send = |target: &Target| {
+            let upstream = &target.upstream;
+            // Not `&&`: a permit is asked for wherever one is missing.
+            limits.is_none_or(|limits| limits.may_send(upstream, now))
+                & warm_ups.is_none_or(|warm_ups| warm_ups.may_send(upstream, now))
+        };
         let takes_requests =
             |target: &Target| self.statements.takes_requests(&target.upstream, now);
         let (mut has_usable, mut has_limited, mut has_paused) = (false, false, false);
--- a/crates/dispatch/src/permit_issuer.rs
+++ b/crates/dispatch/src/permit_issuer.rs
@@ -43,6 +43,8 @@
     /// Time of its last report, or since when this gateway knows of it.
     last_at: TimeMs,
     has_reported: bool,
+    /// Time of the first report since the last gap of [`REPORTING_MS`].
+    reporting_since: TimeMs,
 }
 
 /// Limits and permits at the hub, for gateways with the identity `K`.
@@ -69,6 +71,7 @@
             self.gateways.entry(gateway).or_insert(Contact {
                 last_at: now,
                 has_reported: false,
+                reporting_since: now,
             });
         }
     }
@@ -76,12 +79,17 @@
     /// Records a gateway's report and returns the newest statement on each reported upstream, with
     /// the permits that the gateway gets.
     pub fn on_report(&mut self, from: K, reports: &[LimitReport], now: TimeMs) -> Vec<LimitAnswer> {
+        let before = self
+            .gateways
+            .get(&from)
+            .filter(|contact| contact.has_reported && now.since_ms(contact.last_at) < REPORTING_MS);
         let contact = Contact {
             last_at: now,
             has_reported: true,
+            reporting_since: before.map_or(now, |contact| contact.reporting_since),
         };
         self.gateways.insert(from, contact);
-        let share = self.share(now);
+        let share = self.share(|_| true, now);
         self.answers(reports, share, now)
     }
 
@@ -119,13 +127,22 @@
         });
     }
 
-    /// Returns the fraction of the fleet's gateways that report to this hub.
-    fn share(&self, now: TimeMs) -> f64 {
+    /// Returns the fraction of the fleet's gateways that have reported to this hub for so long that
+    /// no other hub counts them any more.
+    pub fn settled_share(&self, now: TimeMs) -> f64 {
+        let is_settled = |contact: &Contact| now.since_ms(contact.reporting_since) >= REPORTING_MS;
+        self.share(is_settled, now)
+    }
+
+    /// Returns the fraction of the fleet's gateways that report to this hub and for which `counts`
+    /// returns true.
+    fn share(&self, counts: impl Fn(&Contact) -> bool, now: TimeMs) -> f64 {
         let is_within = |contact: &&Contact, ms: u64| now.since_ms(contact.last_at) < ms;
         let reporting = self
             .gateways
             .values()
             .filter(|contact| contact.has_reported && is_within(contact, REPORTING_MS))
+            .filter(|contact| counts(contact))
             .count();
         let present = self
             .gateways
--- a/crates/dispatch/tests/passes.rs
+++ b/crates/dispatch/tests/passes.rs
@@ -145,6 +145,7 @@
         is_wait_limited: true,
         stall_policy: None,
         limits: None,
+        warm_ups: None,
     }
 }
 
--- a/crates/dispatch/tests/support.rs
+++ b/crates/dispatch/tests/support.rs
@@ -52,6 +52,7 @@
             health_path: "/health".to_owned(),
             max_connections: 100,
             engine: Some(engine()),
+            warm_up: None,
         }],
         Vec::new(),
         CallerLimits::default(),
@@ -73,6 +74,7 @@
             rank: 0,
             state: GroupState::Open,
         }),
+        warm_up_left_ms: Some(0),
         is_listed: true,
     };
     let upstreams: BTreeMap<VmId, Upstream> = (0..count)
@@ -94,5 +96,6 @@
         is_wait_limited: false,
         stall_policy: None,
         limits: None,
+        warm_ups: None,
     }
 }
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -16,3 +16,4 @@
 mod statement;
 mod support;
 mod upstream_limits;
+mod warm_up;
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use jacinthpoint_types::{DeploymentId, ServiceId};
+use jacinthpoint_types::{DeploymentId, PerSecond, ServiceId};
 
 /// Version of a configuration, assigned by the users' platform. Newer configurations have higher
 /// versions.
@@ -217,6 +217,17 @@
     pub max_connections: u32,
     /// Parameters of the model engines; `None` if the service has no engines.
     pub engine: Option<Engine>,
+    /// Limit on requests to upstreams that started a short time ago; `None` if there is none.
+    pub warm_up: Option<WarmUp>,
+}
+
+/// Time after its start in which an upstream is cold, and the requests that it takes until then.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmUp {
+    /// Longest time for which an upstream is cold.
+    pub duration_ms: u64,
+    /// Requests a second that a cold upstream takes from all gateways together.
+    pub max_per_s: PerSecond,
 }
 
 /// Limits on what callers send.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,7 +8,7 @@
 pub use crate::{
     config::{
         CallerLimits, ConfigVersion, Engine, FleetConfig, ModelSpec, Organisation, RequestKind,
-        Route, RouteMatch, Service, WeightedService,
+        Route, RouteMatch, Service, WarmUp, WeightedService,
     },
     group::{Group, groups_of},
     history::{Continuity, HistoryPosition, StoreEra},
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -71,6 +71,9 @@
     pub model: Option<DeploymentId>,
     /// Membership in a replica group, if any.
     pub membership: Option<Membership>,
+    /// Time for which the upstream stays cold, as published when the entry was written; 0 if it is
+    /// warm, `None` if not published. `jacinthpoint_dispatch::WarmUps` has the deadlines.
+    pub warm_up_left_ms: Option<u64>,
     /// Whether the upstream's entry is in the store's list, or is kept after an outage as if it
     /// were. An upstream that is cut off from the store continues to serve, although its entry
     /// expires.
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -35,6 +35,7 @@
         staged: Vec::new(),
         model: None,
         membership: None,
+        warm_up_left_ms: Some(0),
         is_listed: true,
     }
 }
--- a/crates/gateway/src/call/answer.rs
+++ b/crates/gateway/src/call/answer.rs
@@ -8,7 +8,9 @@
     body::{Body, Incoming},
     header,
 };
-use jacinthpoint_adapter::{decode_limit, decode_load, decode_pause_ms, headers};
+use jacinthpoint_adapter::{
+    decode_limit, decode_load, decode_pause_ms, decode_warm_up_left_ms, headers,
+};
 use jacinthpoint_types::{PerSecond, VmId};
 
 /// Media type of a stream of events.
@@ -141,6 +143,15 @@
     pause_ms
 }
 
+/// Returns the time for which the upstream stays cold, in milliseconds, if the answer states it.
+pub(super) fn stated_warm_up_left_ms(
+    response: &Response<Incoming>,
+    kind: &AnswerKind,
+) -> Option<u64> {
+    let value = text(response.headers(), headers::WARM_UP_LEFT).filter(|_| is_own(response, kind));
+    decode_warm_up_left_ms(value?)
+}
+
 /// Returns whether an answer is to this request and of the upstream that it was sent to.
 fn is_own(response: &Response<Incoming>, kind: &AnswerKind) -> bool {
     !matches!(kind, AnswerKind::Unusable(_)) && response.status().as_u16() != 421
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -24,7 +24,7 @@
     call::{
         answer::{
             AnswerKind, classify, is_event_stream, reported_load, stated_limit, stated_pause_ms,
-            states_leaving,
+            stated_warm_up_left_ms, states_leaving,
         },
         context::{Context, Origin},
         outcome::{Awaited, BreakPoint, log_stall, record_suspected_crash},
@@ -68,6 +68,9 @@
         let (gateway, key) = (&context.gateway, &target.key);
         let now = gateway.now();
         gateway.limits.borrow_mut().on_sent(&target.upstream, now);
+        let mut warm_ups = gateway.warm_ups.limits.borrow_mut();
+        warm_ups.on_sent(&target.upstream, now);
+        drop(warm_ups);
         let mut loads = gateway.loads.borrow_mut();
         let predicted_wait_ms = context.prompt_demand().map_or(0.0, |prompt| {
             prompt.wait_ms(loads.unread_tokens(key, now), loads.load(key, now))
@@ -330,6 +333,13 @@
     if let Some(limit) = stated_limit(&response, &kind) {
         record_statement(context, target, Statement::Limit(limit), sent_at);
     }
+    if let (Some(left_ms), Some(warm_up)) =
+        (stated_warm_up_left_ms(&response, &kind), context.warm_up())
+    {
+        let (metrics, now) = (&gateway.metrics, gateway.now());
+        let warm_ups = &gateway.warm_ups;
+        warm_ups.on_answer(&target.upstream, left_ms, &warm_up, metrics, now);
+    }
     if states_leaving(&response, &kind) {
         record_statement(context, target, Statement::Leaving, sent_at);
     }
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -5,7 +5,7 @@
 use jacinthpoint_dispatch::{
     FleetRetryBudget, PromptDemand, RequestContent, StallPolicy, SuspectId,
 };
-use jacinthpoint_fleet::{Engine, Organisation, RequestKind, Route};
+use jacinthpoint_fleet::{Engine, Organisation, RequestKind, Route, WarmUp};
 use jacinthpoint_types::{Deadline, DeploymentId, ServiceId, TimeMs};
 
 use crate::{
@@ -98,6 +98,12 @@
         service.engine.as_ref()
     }
 
+    /// Returns the limit on requests to cold upstreams of the request's service, if there is one.
+    pub(crate) fn warm_up(&self) -> Option<WarmUp> {
+        let service = self.snapshot.config.services.get(&self.service)?;
+        service.warm_up
+    }
+
     /// Returns the policy by which attempts of this request count as stalled; `None` without an
     /// engine or a known model.
     pub(crate) fn stall_policy(&self) -> Option<StallPolicy> {
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -196,6 +196,7 @@
     };
     let mut rng = gateway.rng.borrow_mut();
     let (loads, limits) = (gateway.loads.borrow(), gateway.limits.borrow());
+    let warm_ups = gateway.warm_ups.limits.borrow();
     let now = gateway.now();
     let mut candidates = Cow::Borrowed(targets(context, &snapshot.directory));
     if !history.may_try_others(context) {
@@ -211,6 +212,7 @@
         is_wait_limited: history.all_runs() == 0,
         stall_policy: context.stall_policy(),
         limits: Some(&limits),
+        warm_ups: Some(&warm_ups),
     };
     loads.choose(&selection, now, &mut *rng)
 }
@@ -476,7 +478,7 @@
         ),
         StopReason::NothingSelected(Refusal::Limited) => (
             ResultCode::NoCapacity,
-            "all upstreams get as many requests as the limits that they name allow",
+            "all upstreams get as many requests as their limits allow",
             Some(EXPECTED_SLOT_WAIT_MS),
         ),
         StopReason::NothingSelected(Refusal::TooLate) => (
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use jacinthpoint_dispatch::{LimitAnswer, LimitReport, TargetReport};
+use jacinthpoint_dispatch::{LimitAnswer, LimitReport, TargetReport, WarmUpAnswer, WarmUpReport};
 use jacinthpoint_types::VmId;
 use serde::{Deserialize, Serialize};
 
@@ -50,6 +50,18 @@
     LimitAnswer(Vec<LimitAnswer>),
     /// Message of the exchange of loads.
     Cell(CellMessage),
+    /// Message of the exchange of permits for cold upstreams.
+    WarmUp(WarmUpMessage),
+}
+
+/// A message between a gateway and the hub that issues permits for cold upstreams.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum WarmUpMessage {
+    /// The reports that are due, sent to the hub.
+    Report(Vec<WarmUpReport>),
+    /// The hub's answer, or a part of it. The hub also sends what it knows without being asked, to
+    /// each gateway that synchronises limits.
+    Answer(Vec<WarmUpAnswer>),
 }
 
 /// A message between a member and the hub of its cell, or between a hub and the root.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -115,6 +115,8 @@
     RequestUnread = 756,
     /// A list of the store could not go on to its end. What was read of it is used.
     ListUnfinished = 760,
+    /// An upstream is cold, and gets requests at a limited rate.
+    UpstreamCold = 765,
 }
 
 impl EventCode {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,4 +53,5 @@
 mod state;
 mod store;
 mod view_positions;
+mod warm_ups;
 mod watch;
--- a/crates/gateway/src/limit_exchange.rs
+++ b/crates/gateway/src/limit_exchange.rs
@@ -11,13 +11,14 @@
 };
 
 use jacinthpoint_dispatch::{
-    LIMIT_SYNC_MS, LimitAnswer, LimitReport, MAX_LIMIT_REPORTS, PermitIssuer,
+    LIMIT_SYNC_MS, LimitAnswer, LimitReport, MAX_LIMIT_REPORTS, MAX_WARM_UP_REPORTS, PermitIssuer,
+    WarmUpAnswer, WarmUpReport,
 };
 use jacinthpoint_types::TimeMs;
 
 use crate::{
     clock::sleep_ms,
-    datagram::{Datagram, send_to},
+    datagram::{Datagram, WarmUpMessage, send_to},
     events::log_event,
     state::Gateway,
 };
@@ -43,6 +44,7 @@
         .issuer
         .borrow_mut()
         .on_known(ranking.iter().copied(), now);
+    exchange_warm_ups(gateway, hub, now);
     let reports = due_reports(gateway, now);
     let is_sync = now.since_ms(state.synced_at.get()) >= LIMIT_SYNC_MS;
     if is_sync {
@@ -60,6 +62,55 @@
     }
 }
 
+/// Sends the due reports on cold upstreams to `hub`, or applies this gateway's own answer.
+fn exchange_warm_ups(gateway: &Gateway, hub: SocketAddr, now: TimeMs) {
+    let is_counted = now >= gateway.counted_by.get();
+    let reports = gateway.warm_ups.due_reports(is_counted, now);
+    if Some(hub) == gateway.settings().peers {
+        let mut answers = warm_up_answers_to(gateway, &reports, now);
+        answers.extend(gateway.warm_ups.cold_at_hub(now));
+        gateway.warm_ups.apply(&answers, &gateway.metrics, now);
+    } else if !reports.is_empty() {
+        let message = WarmUpMessage::Report(reports);
+        send_to(gateway, &Datagram::WarmUp(message), hub);
+    }
+}
+
+/// Returns this gateway's answers, as the hub, to a report on cold upstreams.
+fn warm_up_answers_to(
+    gateway: &Gateway,
+    reports: &[WarmUpReport],
+    now: TimeMs,
+) -> Vec<WarmUpAnswer> {
+    let issuer = gateway.limit_exchange.issuer.borrow();
+    let share = issuer.settled_share(now);
+    gateway.warm_ups.answers_to(reports, share, now)
+}
+
+/// Handles a message of another gateway on cold upstreams. Answers of others than the hub are dropped.
+pub(crate) fn handle_warm_up(gateway: &Gateway, from: SocketAddr, message: &WarmUpMessage) {
+    let now = gateway.now();
+    match message {
+        WarmUpMessage::Report(reports) => {
+            let answers = warm_up_answers_to(gateway, reports, now);
+            send_warm_ups(gateway, &answers, from);
+        }
+        WarmUpMessage::Answer(answers) => {
+            if gateway.load_exchange.permit_issuer.get() == Some(from) {
+                gateway.warm_ups.apply(answers, &gateway.metrics, now);
+            }
+        }
+    }
+}
+
+/// Sends answers on cold upstreams in as many datagrams as they need.
+fn send_warm_ups(gateway: &Gateway, answers: &[WarmUpAnswer], to: SocketAddr) {
+    for part in answers.chunks(MAX_WARM_UP_REPORTS) {
+        let message = WarmUpMessage::Answer(part.to_vec());
+        send_to(gateway, &Datagram::WarmUp(message), to);
+    }
+}
+
 /// Returns the reports that are due. They ask for no permit until all other gateways count this one.
 fn due_reports(gateway: &Gateway, now: TimeMs) -> Vec<LimitReport> {
     let is_counted = now >= gateway.counted_by.get();
@@ -76,6 +127,10 @@
     for part in answers_to(gateway, from, reports, is_sync).chunks(MAX_LIMIT_REPORTS) {
         send_to(gateway, &Datagram::LimitAnswer(part.to_vec()), from);
     }
+    if is_sync {
+        let cold = gateway.warm_ups.cold_at_hub(gateway.now());
+        send_warm_ups(gateway, &cold, from);
+    }
 }
 
 /// Returns this gateway's answers, as the hub, to a report of `from`.
@@ -128,5 +183,9 @@
         let answers = issuer.on_report_alone(&reports, share, now);
         drop(issuer);
         apply(&gateway, &answers, now);
+        let is_counted = now >= gateway.counted_by.get();
+        let reports = gateway.warm_ups.due_reports(is_counted, now);
+        let answers = gateway.warm_ups.answers_to(&reports, share, now);
+        gateway.warm_ups.apply(&answers, &gateway.metrics, now);
     }
 }
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -5,10 +5,10 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, header};
+use hyper::{HeaderMap, Method, Request, header};
 use jacinthpoint_adapter::{
-    EngineReport, decode_report, encode_order, headers, is_fencing_token_refusal, order_answer,
-    paths,
+    EngineReport, decode_report, decode_warm_up_left_ms, encode_order, headers,
+    is_fencing_token_refusal, order_answer, paths,
 };
 use jacinthpoint_dispatch::{Directory, TargetKey, WorkMeter};
 use jacinthpoint_fleet::{Engine, ModelSpec, Order, OrderAnswer, Upstream};
@@ -118,9 +118,11 @@
         let groups = |model: &ModelSpec| snapshot.directory.groups(service, &model.name);
         meter.measure(engine, groups, &gateway.loads.borrow(), now);
         let demand = meter.work(now);
+        let cold = gateway.warm_ups.cold(upstreams.keys(), now);
         let input = PlannerInput {
             upstreams: &upstreams,
             unlisted: &unlisted,
+            cold: &cold,
             engine,
             has_traffic: gateway.has_traffic.get(),
             demand: &demand,
@@ -366,6 +368,26 @@
         self.update_planner(|planner| planner.on_answer(&order, answer, now));
     }
 
+    /// Records the time for which an upstream stays cold, if its answer states it.
+    fn record_warm_up(&self, id: &VmId, fields: &HeaderMap) {
+        let gateway = &self.gateway;
+        let value = fields.get(headers::WARM_UP_LEFT);
+        let left_ms = value
+            .and_then(|value| value.to_str().ok())
+            .and_then(decode_warm_up_left_ms);
+        let view = gateway.view.borrow();
+        let service = view
+            .config()
+            .and_then(|config| config.services.get(&self.service));
+        let warm_up = service.and_then(|service| service.warm_up);
+        if let (Some(left_ms), Some(warm_up)) = (left_ms, warm_up) {
+            let (metrics, now) = (&gateway.metrics, gateway.now());
+            gateway
+                .warm_ups
+                .on_answer(id, left_ms, &warm_up, metrics, now);
+        }
+    }
+
     /// Sends a request to an upstream and returns the status and body of the answer; `None` if there
     /// is none within `timeout_ms`.
     async fn call(
@@ -396,6 +418,9 @@
             let request = request.body(Full::new(body)).ok()?;
             let response = connection.send(request).await.ok()?;
             let status = response.status().as_u16();
+            if status != 421 {
+                self.record_warm_up(id, response.headers());
+            }
             let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
             let body = body.collect().await.ok()?.to_bytes();
             Some((status, body, connection))
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -46,5 +46,6 @@
         Datagram::LimitAnswer(answers) => limit_exchange::handle_answer(gateway, from, &answers),
         Datagram::AggregatedLoad(loads) => load_reports::handle_aggregate(gateway, from, &loads),
         Datagram::Cell(message) => load_reports::handle_cell(gateway, from, message),
+        Datagram::WarmUp(message) => limit_exchange::handle_warm_up(gateway, from, &message),
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
     SlackShare, Target, TargetKey, UpstreamLimits, UpstreamReach,
 };
 use jacinthpoint_fleet::{CallerLimits, FleetConfig, FleetView, ViewChange};
-use jacinthpoint_types::{ServiceId, TimeMs, VmId};
+use jacinthpoint_types::{DataCentreId, ServiceId, TimeMs, VmId};
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::{net::UdpSocket, sync::watch};
 
@@ -23,7 +23,7 @@
     buffered::AnswerBuffers, clock::Clock, events::log_event, excluded_peers::ExcludedPeers,
     limit_exchange::LimitExchange, load_exchange::LoadExchange, metrics::Metrics, pauses::Pauses,
     pool::Pool, refused_entries::RefusedEntries, relay::Relay, roster::Roster,
-    settings::GatewaySettings, view_positions::ViewPositions,
+    settings::GatewaySettings, view_positions::ViewPositions, warm_ups::WarmUpExchange,
 };
 
 /// A time that no gateway reaches, from which a window can still be added.
@@ -136,6 +136,8 @@
     pub(crate) peers_socket: RefCell<Option<Rc<UdpSocket>>>,
     pub(crate) load_exchange: LoadExchange,
     pub(crate) limit_exchange: LimitExchange,
+    /// Cold upstreams and the limits on requests to them.
+    pub(crate) warm_ups: WarmUpExchange,
     /// Set once the gateway has received a request.
     pub(crate) has_traffic: Cell<bool>,
     pub(crate) fault_reports: RefCell<FaultReports>,
@@ -188,6 +190,7 @@
             peers_socket: RefCell::default(),
             load_exchange: LoadExchange::default(),
             limit_exchange: LimitExchange::default(),
+            warm_ups: WarmUpExchange::default(),
             has_traffic: Cell::new(false),
             fault_reports: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
@@ -276,6 +279,15 @@
             loads.statements.limit(is_known);
         }
         drop(loads);
+        let evacuation_ended_at = |_: &DataCentreId| None;
+        self.warm_ups.on_view(
+            config,
+            view.upstreams(),
+            &directory,
+            evacuation_ended_at,
+            &self.metrics,
+            self.now(),
+        );
         let listed: BTreeSet<_> = directory
             .targets()
             .map(|target| target.key.clone())
--- a/crates/regroup/src/member_selection.rs
+++ b/crates/regroup/src/member_selection.rs
@@ -1,6 +1,6 @@
 //! Selects the members of a new group.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use jacinthpoint_fleet::{ModelSpec, Upstream};
 use jacinthpoint_types::{DeploymentId, FabricDomainId, VmId};
@@ -42,6 +42,17 @@
     pub(crate) slowest_weights_location: WeightsLocation,
 }
 
+impl MemberSelection {
+    /// Makes the first member that is not cold the leader, if there is one. The leader takes the
+    /// requests of the group, and a cold one takes few.
+    pub(crate) fn with_warm_leader(mut self, cold: &BTreeSet<VmId>) -> MemberSelection {
+        if let Some(warm) = self.members.iter().position(|id| !cold.contains(id)) {
+            self.members.swap(0, warm);
+        }
+        self
+    }
+}
+
 /// Upstreams without a group that can join one, by fabric domain.
 pub(crate) type FreeByDomain<'a> = BTreeMap<FabricDomainId, Vec<&'a Upstream>>;
 
--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -54,6 +54,9 @@
     pub upstreams: &'a BTreeMap<VmId, Upstream>,
     /// Group members that are no longer listed and may still serve.
     pub unlisted: &'a BTreeMap<VmId, Upstream>,
+    /// Upstreams that take few requests for a time after their start. They lead a group only if all
+    /// of its members are cold.
+    pub cold: &'a BTreeSet<VmId>,
     /// Models that the service's engines may serve, and the speed and limits of the engines.
     pub engine: &'a Engine,
     /// Whether callers have sent requests. The platform makes loads of weights ten times faster
--- a/crates/regroup/src/planner/new_groups.rs
+++ b/crates/regroup/src/planner/new_groups.rs
@@ -114,6 +114,7 @@
                 ));
                 return orders;
             };
+            let selection = selection.with_warm_leader(input.cold);
             assigned.extend(selection.members.iter().cloned());
             let domain = upstreams[&selection.members[0]].domain.clone();
             if let Some(count) =
--- a/crates/regroup/tests/engines.rs
+++ b/crates/regroup/tests/engines.rs
@@ -86,6 +86,7 @@
                 .collect(),
             model: None,
             membership: None,
+            warm_up_left_ms: Some(0),
             is_listed: true,
         };
         let engine = SimulatedEngine {
--- a/crates/regroup/tests/formation.rs
+++ b/crates/regroup/tests/formation.rs
@@ -45,6 +45,23 @@
         world.run_ms(50);
     }
 
+    // A data centre is back: half of the engines are cold when groups form. The leader takes the
+    // requests of its group.
+    cold_engines_lead_no_groups_with_warm_members: |world| {
+        let is_even = |id: &&jacinthpoint_types::VmId| id.as_str().ends_with(['0', '2', '4', '6']);
+        world.cold = world.engines.by_id.keys().filter(is_even).cloned().collect();
+        world.run_ms(25_000);
+        assert_eq!((world.serving_group_count(LARGE), world.serving_group_count(SMALL)), (8, 8));
+        let engines = &world.engines.by_id;
+        let membership = |id: &jacinthpoint_types::VmId| engines[id].entry.membership.as_ref();
+        let warm = world.engines.by_id.keys().filter(|id| !world.cold.contains(*id));
+        let warm_groups: Vec<_> = warm.filter_map(membership).map(|m| &m.group).collect();
+        let leads_warm_members = |id: &&jacinthpoint_types::VmId| {
+            membership(id).is_some_and(|m| m.rank == 0 && warm_groups.contains(&&m.group))
+        };
+        assert_eq!(world.cold.iter().find(leads_warm_members), None);
+    }
+
     free_engines_load_weights_in_advance: |world| {
         world.run_ms(45_000);
         let has_no_staged_weights =
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -1,6 +1,6 @@
 //! Runs a planner against simulated engines in steps of simulated time.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use jacinthpoint_fleet::{
     Engine, GroupState, Membership, ModelSpec, OrderAnswer, Upstream, groups_of,
@@ -71,6 +71,8 @@
     listed: BTreeMap<VmId, Upstream>,
     /// Group members that are no longer listed.
     unlisted: BTreeMap<VmId, Upstream>,
+    /// Upstreams that are cold.
+    pub cold: BTreeSet<VmId>,
     /// Engines that listen at the address of a dead engine, by the name of the dead one.
     pub successors: BTreeMap<VmId, VmId>,
     /// Age of the state that engines report when they are probed.
@@ -103,6 +105,7 @@
             has_traffic: false,
             listed: BTreeMap::new(),
             unlisted: BTreeMap::new(),
+            cold: BTreeSet::new(),
             successors: BTreeMap::new(),
             report_lag_ms: 0,
             reportable: VecDeque::new(),
@@ -213,6 +216,7 @@
         let input = PlannerInput {
             upstreams: &listed,
             unlisted: &self.unlisted,
+            cold: &self.cold,
             engine: &spec,
             has_traffic: self.has_traffic,
             demand: &self.demand,
--- a/tests/gateway/fleet_limits.rs
+++ b/tests/gateway/fleet_limits.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use jacinthpoint_adapter::paths;
 use jacinthpoint_platform_standins::StoreFault;
 
 use crate::gateway::{
@@ -194,6 +195,51 @@
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
 
+/// Guards against requests to a cold upstream at the rate of a warm one, also by a gateway that starts
+/// meanwhile.
+#[test]
+fn cold_upstream_gets_no_more_than_its_service_allows() {
+    const WINDOW: Duration = Duration::from_secs(1);
+    let (gateways, per_s) = (3, 4.0);
+    let mut site = Site::start(gateways);
+    site.platform.engines.set_stream(5, 20);
+    let store = site.platform.store.clone();
+    let content = |kind: &str, name: &str| store.get_content(kind, name).expect("it is stored");
+    let mut config = content(paths::CONFIG_KIND, paths::CONFIG_NAME);
+    config["version"] = 1_000.into();
+    for service in config["services"].as_array_mut().expect("it is a list") {
+        service["warmup_s"] = 60.into();
+        service["cold_per_s"] = per_s.into();
+    }
+    store.put(paths::CONFIG_KIND, paths::CONFIG_NAME, config);
+    let leader = site.platform.engines.open_groups()[0][0].clone();
+    let mut entry = content(paths::UPSTREAM_KIND, &leader);
+    entry["cold_left_ms"] = 60_000.into();
+    store.put(paths::UPSTREAM_KIND, &leader, entry);
+    for gateway in 0..gateways {
+        site.wait_until("the gateway knows that it is cold", 10_000, |site| {
+            site.metrics(gateway).contains("cold_upstreams")
+        });
+    }
+    let addresses: Vec<_> = (0..gateways).map(|index| site.gateway(index)).collect();
+    let time = Duration::from_secs(4);
+    let callers = thread::spawn(move || send_steadily(&addresses, time, Duration::from_millis(20)));
+    thread::sleep(time / 2);
+    site.restart(1);
+    callers.join().expect("it does not panic");
+    let runs = site.platform.runs.all();
+    let (cold, warm): (Vec<_>, Vec<_>) = runs.iter().partition(|run| run.upstream == leader);
+    let arrivals: Vec<Instant> = cold.iter().map(|run| run.at).collect();
+    assert!(!arrivals.is_empty(), "the cold upstream got no request");
+    // A third of what the other three groups get is beyond the limit.
+    let max = 1.5 * per_s + LIMIT_SLACK;
+    assert!(warm.len() as f64 / 3.0 > time.as_secs_f64() * max);
+    for begin in &arrivals {
+        let count = count_in_window(&arrivals, *begin, WINDOW);
+        assert!(count <= max, "{count} requests in a second, {max} allowed");
+    }
+}
+
 /// Guards against limits that hold only while the same gateways run: a frozen or restarted one, which
 /// may be the issuer of permits, must not let the others exceed any of several limits.
 #[test]
