--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,10 @@
     suspect::{ParseSuspectError, RequestContent, SuspectId},
     upstream_limit::{LimitAnswer, LimitReport, MAX_LIMIT_REPORTS, StatementAges, UpstreamLimits},
     urgency::{Reserve, RoomClaim, RoomLine, RoomLines, RoomTerms, Urgency, UrgencyWork},
+    warm_up::{
+        MAX_WARM_UP_REPORTS, WarmUpAnswer, WarmUpBasis, WarmUpIssuer, WarmUpLimits, WarmUpReport,
+        WarmUps,
+    },
 };
 
 mod budget;
@@ -43,3 +47,4 @@
 mod suspect;
 mod upstream_limit;
 mod urgency;
+mod warm_up;
--- a/crates/dispatch/tests/passes.rs
+++ b/crates/dispatch/tests/passes.rs
@@ -146,6 +146,7 @@
         reserve: None,
         stall_policy: None,
         limits: None,
+        warm_ups: None,
     }
 }
 
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -19,3 +19,4 @@
 mod support;
 mod upstream_limits;
 mod urgency;
+mod warm_up;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,7 +8,7 @@
 pub use crate::{
     config::{
         CallerLimits, ConfigVersion, Engine, FleetConfig, ModelSpec, Organisation, RequestKind,
-        Route, RouteMatch, Service, WeightedService,
+        Route, RouteMatch, Service, WarmUp, WeightedService,
     },
     evacuation::{EvacuationChange, Evacuations, RESTORED_EVACUATION_HOLD_MS},
     group::{Group, groups_of},
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -120,6 +120,8 @@
     /// A request waits for room, is sent after a wait, or is refused because more urgent ones need the
     /// room or it would be late.
     RoomDecided = 764,
+    /// An upstream is cold, and gets requests at a limited rate.
+    UpstreamCold = 765,
     /// An upstream takes fewer requests well than was known.
     CapacityLowered = 780,
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -47,5 +47,6 @@
         Datagram::AggregatedLoad(loads) => load_reports::handle_aggregate(gateway, from, &loads),
         Datagram::Cell(message) => load_reports::handle_cell(gateway, from, message),
         Datagram::Capacity(message) => capacity_exchange::handle(gateway, from, message),
+        Datagram::WarmUp(message) => limit_exchange::handle_warm_up(gateway, from, &message),
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
     RoomLines, SlackShare, Target, TargetKey, UpstreamLimits, UpstreamReach,
 };
 use jacinthpoint_fleet::{CallerLimits, FleetConfig, FleetView, ViewChange};
-use jacinthpoint_types::{ServiceId, TimeMs, VmId};
+use jacinthpoint_types::{DataCentreId, ServiceId, TimeMs, VmId};
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::{net::UdpSocket, sync::watch};
 
@@ -24,6 +24,7 @@
     excluded_peers::ExcludedPeers, limit_exchange::LimitExchange, load_exchange::LoadExchange,
     metrics::Metrics, pauses::Pauses, pool::Pool, refused_entries::RefusedEntries, relay::Relay,
     roster::Roster, settings::GatewaySettings, view_positions::ViewPositions,
+    warm_ups::WarmUpExchange,
 };
 
 /// A time that no gateway reaches, from which a window can still be added.
@@ -139,6 +140,8 @@
     pub(crate) load_exchange: LoadExchange,
     pub(crate) limit_exchange: LimitExchange,
     pub(crate) capacity_exchange: CapacityExchange,
+    /// Cold upstreams and the limits on requests to them.
+    pub(crate) warm_ups: WarmUpExchange,
     /// Set once the gateway has received a request.
     pub(crate) has_traffic: Cell<bool>,
     pub(crate) fault_reports: RefCell<FaultReports>,
@@ -195,6 +198,7 @@
             load_exchange: LoadExchange::default(),
             limit_exchange: LimitExchange::default(),
             capacity_exchange: CapacityExchange::default(),
+            warm_ups: WarmUpExchange::default(),
             has_traffic: Cell::new(false),
             fault_reports: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
@@ -294,6 +298,15 @@
             loads.statements.limit(is_known);
         }
         drop(loads);
+        let evacuation_ended_at = |_: &DataCentreId| None;
+        self.warm_ups.on_view(
+            config,
+            view.upstreams(),
+            &directory,
+            evacuation_ended_at,
+            &self.metrics,
+            self.now(),
+        );
         let listed: BTreeSet<_> = directory
             .targets()
             .map(|target| target.key.clone())
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -1,7 +1,7 @@
 //! Runs a planner against simulated engines in steps of simulated time.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -76,6 +76,8 @@
     listed: BTreeMap<VmId, Upstream>,
     /// Group members that are no longer listed.
     unlisted: BTreeMap<VmId, Upstream>,
+    /// Upstreams that are cold.
+    pub cold: BTreeSet<VmId>,
     /// Engines that listen at the address of a dead engine, by the name of the dead one.
     pub successors: BTreeMap<VmId, VmId>,
     /// Age of the state that engines report when they are probed.
@@ -111,6 +113,7 @@
             evacuations: Evacuations::default(),
             listed: BTreeMap::new(),
             unlisted: BTreeMap::new(),
+            cold: BTreeSet::new(),
             successors: BTreeMap::new(),
             report_lag_ms: 0,
             reportable: VecDeque::new(),
@@ -222,6 +225,7 @@
         let input = PlannerInput {
             upstreams: &listed,
             unlisted: &self.unlisted,
+            cold: &self.cold,
             engine: &spec,
             has_traffic: self.has_traffic,
             evacuations: &self.evacuations,
