Small groups are given up for a large one that callers miss

Cause: groups were formed from free upstreams only, a conversion took one group and was skipped while any group was being formed, and refused requests were not in the measure of work. Under a steady loss of members the model of large groups died off: what a lost group of eight left was one upstream short for the time of a load. Staged weights of a serving member were not seen, either, while an older report of it was in use.

Change: the work of a model includes refused requests, which go through the exchange of loads as one more target report (no new message). In each domain with groups of a model, the hosts of one smaller group load its weights in reserve while they serve. The fewest groups of a domain that complete a group of the short model are closed together, those with weights and with the fewest requests first, and their upstreams are kept for it. Free upstreams that a short model can use do not join groups of a model that has enough. Events 728 and 729, metric `conversions`, docs/design/demand.md.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -35,6 +35,7 @@
 mod prediction;
 mod quarantine;
 mod reach;
+mod refused_work;
 mod stall;
 mod statement;
 mod suspect;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -14,12 +14,13 @@
 };
 
 use jacinthpoint_routing::{Ejector, estimated_load};
-use jacinthpoint_types::{Deadline, TimeMs};
+use jacinthpoint_types::{Deadline, DeploymentId, ServiceId, TimeMs};
 use rand::Rng;
 
 use crate::{
     directory::{Target, TargetKey},
     peer_load::{PeerLoad, TargetDigest, TargetReport},
+    refused_work::{self, RefusedWork},
     stall::StallPolicy,
     statement::UpstreamStatements,
 };
@@ -78,6 +79,7 @@
     loads: BTreeMap<TargetKey, Load>,
     peers: PeerLoad,
     ejector: Ejector<TargetKey>,
+    refused: RefusedWork,
     /// What upstreams stated of themselves.
     pub statements: UpstreamStatements,
 }
@@ -209,8 +211,36 @@
             let is_recent = |ms: u32| u64::from(ms) < EVENT_REPORTED_MS;
             report.in_flight > 0 || report.heard_ms.is_some_and(is_recent)
         };
-        let reports = self.loads.iter().map(report);
-        reports.filter(is_relevant).collect()
+        let reports = self.loads.iter().map(report).filter(is_relevant);
+        // Those of models come first, since the exchange leaves out reports beyond a limit.
+        self.refused
+            .reports(now)
+            .into_iter()
+            .chain(reports)
+            .collect()
+    }
+
+    /// Records that this gateway refused a request for lack of room. It would have run for `run_ms`,
+    /// and its caller may return in `retry_after_ms`.
+    pub fn on_refused(
+        &mut self,
+        service: &ServiceId,
+        model: &DeploymentId,
+        run_ms: f64,
+        retry_after_ms: u64,
+        now: TimeMs,
+    ) {
+        self.refused.retain_recent(now);
+        self.refused
+            .on_refused(service, model, run_ms, retry_after_ms, now);
+    }
+
+    /// Returns the number of requests of a model that would run if no gateway had refused any.
+    pub fn refused(&self, service: &ServiceId, model: &DeploymentId, now: TimeMs) -> f64 {
+        let digest = refused_work::digest(service, model);
+        let at_peers = self.peers.by_digest(digest, now);
+        self.refused.running(service, model, now)
+            + at_peers.as_ref().map_or(0.0, RefusedWork::running_at_peers)
     }
 
     /// Returns when a stream from a target last had an event, at this gateway or any other.
--- a/crates/dispatch/src/peer_load.rs
+++ b/crates/dispatch/src/peer_load.rs
@@ -45,11 +45,17 @@
 )]
 pub struct TargetDigest(u32);
 
+impl TargetDigest {
+    /// Computes the 32-bit FNV-1a hash of a key.
+    pub(crate) fn of(key: &str) -> TargetDigest {
+        let mix = |hash: u32, byte: &u8| (hash ^ u32::from(*byte)).wrapping_mul(0x0100_0193);
+        TargetDigest(key.as_bytes().iter().fold(0x811c_9dc5, mix))
+    }
+}
+
 impl From<&TargetKey> for TargetDigest {
-    /// Computes the 32-bit FNV-1a hash of the key.
     fn from(key: &TargetKey) -> TargetDigest {
-        let mix = |hash: u32, byte: &u8| (hash ^ u32::from(*byte)).wrapping_mul(0x0100_0193);
-        TargetDigest(key.as_str().as_bytes().iter().fold(0x811c_9dc5, mix))
+        TargetDigest::of(key.as_str())
     }
 }
 
@@ -270,6 +276,12 @@
         })
     }
 
+    /// Returns what the hub sent for a digest, if it is still valid.
+    pub(crate) fn by_digest(&self, digest: TargetDigest, now: TimeMs) -> Option<TargetReport> {
+        let (report, at) = self.reports.get(&digest)?;
+        (now.since_ms(*at) < ANSWER_VALID_MS).then_some(*report)
+    }
+
     /// Returns the report on a target as it is at `now`, if it is still valid.
     fn report(&self, key: &TargetKey, now: TimeMs) -> Option<TargetReport> {
         let (report, age_ms) = self.answer(key, now)?;
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod crash_notice;
+mod demand;
 mod durations;
 mod growth;
 mod late_reports;
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -507,5 +507,26 @@
     };
     // The time is random, so that callers that are refused together do not retry together.
     let retry_after = expected_ms.map(|ms| retry_after_ms(ms, &mut *gateway.rng.borrow_mut()));
+    if let (StopReason::NothingSelected(refusal), Some(retry_after_ms)) = (reason, retry_after) {
+        record_refused(context, *refusal, retry_after_ms);
+    }
     refuse(gateway, &context.request_id, code, why, retry_after)
 }
+
+/// Counts a refusal for lack of room as work that the request's model lacks.
+fn record_refused(context: &Context, refusal: Refusal, retry_after_ms: u64) {
+    let lacks_room = match refusal {
+        Refusal::NoTarget | Refusal::NoRoom | Refusal::TooLate => true,
+        Refusal::Paused | Refusal::Limited => false,
+    };
+    let Some((engine, name)) = context.engine().zip(context.model.as_ref()) else {
+        return;
+    };
+    if let Some(model) = engine.model(name.as_str()).filter(|_| lacks_room) {
+        let slots = f64::from(engine.slots.max(1));
+        let run_ms = slots * 1_000.0 / engine.group_rate_per_s(model).max(f64::EPSILON);
+        let now = context.gateway.now();
+        let mut loads = context.gateway.loads.borrow_mut();
+        loads.on_refused(&context.service, name, run_ms, retry_after_ms, now);
+    }
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -57,6 +57,11 @@
     /// The owner ended the formation of a group. The event says whether the group opened, or why it
     /// did not.
     FormationEnded = 727,
+    /// The owner closed groups so that their upstreams form groups of another model, of which callers
+    /// miss some. The event has the numbers of groups that decided it.
+    ConversionStarted = 728,
+    /// The upstreams of closed groups form groups of the other model, or are released.
+    ConversionEnded = 729,
     /// A request was sent to an upstream.
     RequestSent = 730,
     /// An attempt failed or was refused, or could not be made.
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -1,7 +1,9 @@
 //! Executes the planner's actions, which form and repair replica groups of upstreams, while this
 //! gateway holds the lease.
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -10,7 +12,7 @@
     EngineReport, decode_report, encode_order, headers, is_fencing_token_refusal, order_answer,
     paths,
 };
-use jacinthpoint_dispatch::{Directory, TargetKey, WorkMeter};
+use jacinthpoint_dispatch::{Directory, Target, TargetKey, WorkMeter};
 use jacinthpoint_fleet::{Engine, ModelSpec, Order, OrderAnswer, Upstream};
 use jacinthpoint_regroup::{Action, Decision, Planner, PlannerInput, Report};
 use jacinthpoint_types::{ServiceId, TimeMs, VmId};
@@ -116,14 +118,16 @@
         }
         let meter = planners.work.entry(service.clone()).or_default();
         let groups = |model: &ModelSpec| snapshot.directory.groups(service, &model.name);
-        meter.measure(engine, groups, &gateway.loads.borrow(), now);
+        meter.measure(service, engine, groups, &gateway.loads.borrow(), now);
         let demand = meter.work(now);
+        let running = running_requests(gateway, &snapshot.directory, service, engine, now);
         let input = PlannerInput {
             upstreams: &upstreams,
             unlisted: &unlisted,
             engine,
             has_traffic: gateway.has_traffic.get(),
             demand: &demand,
+            running: &running,
         };
         let due = planner.plan(input, now);
         for decision in planner.take_decisions() {
@@ -154,9 +158,48 @@
             log_event!(info, FormationEnded, fence = token, %group, %outcome,
                 "the formation of a group ended");
         }
+        Decision::ConversionStarted {
+            domain,
+            model,
+            groups,
+            running,
+            needs,
+        } => {
+            let groups: Vec<String> = groups.iter().map(ToString::to_string).collect();
+            let needs: Vec<String> = needs.iter().map(ToString::to_string).collect();
+            log_event!(info, ConversionStarted, fence = token, %domain, %model, ?groups, running, ?needs,
+                "groups are closed so that their upstreams serve another model");
+        }
+        Decision::ConversionEnded {
+            domain,
+            model,
+            outcome,
+        } => {
+            gateway.metrics.count("conversions", outcome.into());
+            log_event!(info, ConversionEnded, fence = token, %domain, %model, %outcome,
+                "the conversion of groups ended");
+        }
     }
 }
 
+/// Returns the number of requests that the groups of a service run, by leader.
+fn running_requests(
+    gateway: &Gateway,
+    directory: &Directory,
+    service: &ServiceId,
+    engine: &Engine,
+    now: TimeMs,
+) -> BTreeMap<VmId, u32> {
+    let loads = gateway.loads.borrow();
+    let models = engine.models.iter();
+    let targets = models.flat_map(|model| directory.groups(service, &model.name));
+    let running = |target: &Arc<Target>| {
+        let running = loads.load(&target.key, now).round() as u32;
+        (target.upstream.clone(), running)
+    };
+    targets.map(running).collect()
+}
+
 /// Returns the upstreams of one service.
 fn upstreams_of(
     upstreams: &BTreeMap<VmId, Upstream>,
--- a/crates/regroup/src/decision.rs
+++ b/crates/regroup/src/decision.rs
@@ -6,10 +6,10 @@
 use std::fmt;
 
 use jacinthpoint_fleet::Membership;
-use jacinthpoint_types::{DeploymentId, GroupId, VmId};
+use jacinthpoint_types::{DeploymentId, FabricDomainId, GroupId, VmId};
 
 /// A decision that the orders do not show.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
     /// The formation of a group began.
     FormationStarted {
@@ -27,6 +27,57 @@
         /// Whether the group opened, or why it did not.
         outcome: FormationOutcome,
     },
+    /// Groups are closed so that their upstreams form groups of another model.
+    ConversionStarted {
+        /// Fabric domain of the groups.
+        domain: FabricDomainId,
+        /// Model that has too few groups for what callers ask of it.
+        model: DeploymentId,
+        /// The groups that are given up.
+        groups: Vec<GroupId>,
+        /// Requests that these groups run, which are finished first.
+        running: u32,
+        /// Needed and serving groups of each model when the decision was made.
+        needs: Vec<GroupNeed>,
+    },
+    /// The upstreams of closed groups form groups of the other model, or are released.
+    ConversionEnded {
+        /// Fabric domain of the groups.
+        domain: FabricDomainId,
+        /// Model that has too few groups.
+        model: DeploymentId,
+        /// Whether its groups are formed now, or why not.
+        outcome: ConversionOutcome,
+    },
+}
+
+/// Number of groups that a model needs for what callers ask of it, and that it has.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GroupNeed {
+    /// The model.
+    pub model: DeploymentId,
+    /// Number of groups that it needs.
+    pub needed: f64,
+    /// Number of groups that serve or are being formed.
+    pub existing: usize,
+}
+
+impl fmt::Display for GroupNeed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {} of {:.1}", self.model, self.existing, self.needed)
+    }
+}
+
+/// How a conversion ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ConversionOutcome {
+    /// The groups of the other model are being formed.
+    Forming,
+    /// So many members were lost that those left are too few for a group.
+    MemberLost,
+    /// The closed groups did not release their members in time.
+    TimedOut,
 }
 
 /// The state by which an upstream counted as free when it was selected as a member.
--- a/crates/regroup/src/demand.rs
+++ b/crates/regroup/src/demand.rs
@@ -4,7 +4,7 @@
 //! member, its other members become free, and they replace members that other groups of their
 //! fabric domain lose later.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use jacinthpoint_fleet::{Engine, ModelSpec};
 use jacinthpoint_types::DeploymentId;
@@ -13,6 +13,10 @@
 
 /// Fraction of the work that a fully busy group does up to which a group answers in time.
 const TARGET_UTILISATION: f64 = 0.65;
+/// Factor by which the work of a group of one model must exceed that of a group of another one
+/// before upstreams go from the second to the first. A conversion and its reverse are both worth it
+/// only if the demand moves by the square of it in between.
+const MIN_WORK_RATIO: f64 = 1.15;
 
 /// Work that callers ask of each model, in the number of groups that it would keep fully busy.
 pub type Demand = BTreeMap<DeploymentId, f64>;
@@ -58,3 +62,33 @@
     let spec = |need: &&ModelNeed| engine.model(need.model.as_str());
     below.iter().filter_map(spec).collect()
 }
+
+/// Returns whether a model with this need and number of groups is so much shorter of groups than
+/// another one that it should get upstreams of it.
+pub(crate) fn is_shorter(need: f64, groups: usize, other_need: f64, other_groups: usize) -> bool {
+    let ratio = |need: f64, groups: usize| need / (groups as f64).max(0.5);
+    ratio(need, groups) >= MIN_WORK_RATIO * ratio(other_need, other_groups)
+}
+
+/// Returns the models for which upstreams that can serve `model` are kept: by the observed demand,
+/// these have too few groups and are shorter of them than `model`, which has enough.
+pub(crate) fn models_to_keep_for(
+    model: &DeploymentId,
+    needs: &[ModelNeed],
+    demand: &Demand,
+) -> BTreeSet<DeploymentId> {
+    let Some(own) = needs.iter().find(|need| need.model == *model) else {
+        return BTreeSet::new();
+    };
+    if demand.is_empty() || own.need > own.existing as f64 {
+        return BTreeSet::new();
+    }
+    let is_missed = |need: &&ModelNeed| {
+        need.model != *model
+            && need.need > need.existing as f64
+            && need.existing < need.target
+            && is_shorter(need.need, need.existing, own.need, own.existing)
+    };
+    let missed = needs.iter().filter(is_missed);
+    missed.map(|need| need.model.clone()).collect()
+}
--- a/crates/regroup/src/lib.rs
+++ b/crates/regroup/src/lib.rs
@@ -15,7 +15,9 @@
 //! never replaces a group that its successor formed. This crate does no I/O.
 
 pub use crate::{
-    decision::{Decision, FormationOutcome, MemberBasis, StateSource},
+    decision::{
+        ConversionOutcome, Decision, FormationOutcome, GroupNeed, MemberBasis, StateSource,
+    },
     demand::Demand,
     failure_detector::FailureDetector,
     planner::{Action, Planner, PlannerInput, Report},
--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -16,7 +16,7 @@
     demand::Demand,
     failure_detector::FailureDetector,
     formation::{Formation, Progress},
-    planner::{conversion::Conversion, ordered_state::OrderedState},
+    planner::{conversion::Conversions, ordered_state::OrderedState},
 };
 
 mod addresses;
@@ -26,6 +26,7 @@
 mod new_groups;
 mod ordered_state;
 mod reported_state;
+mod reserve;
 
 /// Maximum age of the state in a report on its arrival.
 const MAX_REPORT_AGE_MS: u64 = 1_000;
@@ -61,6 +62,8 @@
     pub has_traffic: bool,
     /// Observed demand. A model without an entry has no known demand.
     pub demand: &'a Demand,
+    /// Number of requests that groups run, by leader.
+    pub running: &'a BTreeMap<VmId, u32>,
 }
 
 /// An upstream's answer to a probe.
@@ -101,6 +104,8 @@
     /// Membership in the list entry when the report arrived. If the entry shows another one later,
     /// the entry is newer than this report.
     entry_membership: Option<Membership>,
+    /// Staged weights in the list entry when the report arrived.
+    entry_staged: Vec<DeploymentId>,
     /// When the report arrived.
     received_at: TimeMs,
 }
@@ -158,7 +163,7 @@
     /// Groups whose leader answered the order to leave itself. Such a group can never be opened
     /// again, so its other members need not leave it before they join another one.
     leaderless: BTreeSet<(GroupId, u64)>,
-    conversion: Conversion,
+    conversions: Conversions,
     /// Since when each free upstream has been free.
     free_since: BTreeMap<VmId, TimeMs>,
     /// Members that answered an order to leave their group, and members at whose address another
@@ -201,7 +206,7 @@
             open_pending_until: BTreeMap::new(),
             leaders: BTreeMap::new(),
             leaderless: BTreeSet::new(),
-            conversion: Conversion::default(),
+            conversions: Conversions::default(),
             free_since: BTreeMap::new(),
             leave_answered: BTreeSet::new(),
             displaced: BTreeMap::new(),
@@ -263,6 +268,7 @@
                 membership: report.membership,
                 staged: report.staged,
                 entry_membership: entry.membership.clone(),
+                entry_staged: entry.staged.clone(),
                 received_at: now,
             };
             self.reported_states.insert(id.clone(), reported);
@@ -357,6 +363,7 @@
             let needs = self.model_needs(&group_counts, input);
             orders.extend(self.convert(&groups, &upstreams, &needs, input, now));
             orders.extend(self.form_groups(&upstreams, assigned, group_counts, input, now));
+            orders.extend(self.load_reserve(&groups, &upstreams, &needs, input, now));
         }
         self.record_open_orders(&orders, input.engine, now);
         let address = |id: &VmId| upstreams.get(id).map(|upstream| upstream.address);
--- a/crates/regroup/src/planner/new_groups.rs
+++ b/crates/regroup/src/planner/new_groups.rs
@@ -9,7 +9,7 @@
 use crate::{
     arrangement::{DomainStock, ModelNeed, arrange},
     decision::{Decision, MemberBasis, StateSource},
-    demand::{model_needs, models_below_target},
+    demand::{model_needs, models_below_target, models_to_keep_for},
     formation::Formation,
     member_selection::{
         FreeByDomain, HolderCounts, MemberSelection, WeightsLocation, holder_surplus,
@@ -75,9 +75,19 @@
         };
         let free = self.free_by_domain(upstreams, &assigned);
         self.record_free(&free, now);
+        orders.extend(self.form_converted(
+            &free,
+            upstreams,
+            &mut assigned,
+            &mut group_counts,
+            input,
+            now,
+        ));
+        let free = self.free_by_domain(upstreams, &assigned);
         let holder_counts = self.holder_counts(upstreams, &assigned);
-        let stocks = self.stocks(&free, input.engine, slowest_allowed);
         let mut needs = self.model_needs(&group_counts, input);
+        let kept = self.kept_for_others(&free, &needs, input);
+        let stocks = self.stocks(&free, input.engine, slowest_allowed, &kept);
         let mut arrangement = arrange(&stocks, &needs, |domain, model| {
             holder_surplus(&holder_counts, domain, model)
         });
@@ -91,11 +101,18 @@
                         let count = arrangement.get(&(domain.clone(), model.name.clone()));
                         count.is_some_and(|count| *count > 0)
                     };
-                    let free = free.iter().filter(|(domain, _)| is_arranged(domain));
+                    let arranged = free.iter().filter(|(domain, _)| is_arranged(domain));
+                    let mut usable: FreeByDomain<'_> = arranged
+                        .map(|(id, upstreams)| (id.clone(), upstreams.clone()))
+                        .collect();
+                    let is_kept = |upstream: &Upstream| {
+                        kept.contains(&(upstream.id.clone(), model.name.clone()))
+                    };
+                    for upstreams in usable.values_mut() {
+                        upstreams.retain(|upstream| !is_kept(upstream));
+                    }
                     select_members(
-                        &free
-                            .map(|(id, upstreams)| (id.clone(), upstreams.clone()))
-                            .collect(),
+                        &usable,
                         &holder_counts,
                         &self.last_models,
                         model,
@@ -129,6 +146,70 @@
         }
     }
 
+    /// Returns the free upstreams that are kept for models that callers miss, each with a model that
+    /// it could serve instead.
+    fn kept_for_others(
+        &self,
+        free: &FreeByDomain<'_>,
+        needs: &[ModelNeed],
+        input: PlannerInput<'_>,
+    ) -> BTreeSet<(VmId, DeploymentId)> {
+        let mut kept = BTreeSet::new();
+        for need in needs {
+            let missed = models_to_keep_for(&need.model, needs, input.demand);
+            for upstream in free.values().flatten().filter(|_| !missed.is_empty()) {
+                let joinable = self.joinable_models(upstream, input.engine);
+                if joinable.iter().any(|model| missed.contains(model)) {
+                    kept.insert((upstream.id.clone(), need.model.clone()));
+                }
+            }
+        }
+        kept
+    }
+
+    /// Forms the groups of the conversion in progress once enough upstreams are free for one, and
+    /// keeps these upstreams from other groups until then. Returns the orders to join.
+    fn form_converted(
+        &mut self,
+        free: &FreeByDomain<'_>,
+        upstreams: &BTreeMap<VmId, Upstream>,
+        assigned: &mut BTreeSet<VmId>,
+        group_counts: &mut BTreeMap<DeploymentId, usize>,
+        input: PlannerInput<'_>,
+        now: TimeMs,
+    ) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let Some(kept) = self.kept_for_conversion(free, upstreams, input.engine, now) else {
+            return orders;
+        };
+        let Some(model) = input.engine.model(kept.model.as_str()) else {
+            return orders;
+        };
+        if !kept.is_ready {
+            assigned.extend(kept.hosts);
+            return orders;
+        }
+        let mut left: Vec<&Upstream> = kept
+            .hosts
+            .iter()
+            .filter_map(|id| upstreams.get(id))
+            .collect();
+        let no_holders = HolderCounts::new();
+        while let Some(selection) = select_members(
+            &FreeByDomain::from([(kept.domain.clone(), left.clone())]),
+            &no_holders,
+            &self.last_models,
+            model,
+            WeightsLocation::Staged,
+        ) {
+            left.retain(|upstream| !selection.members.contains(&upstream.id));
+            assigned.extend(selection.members.iter().cloned());
+            *group_counts.entry(selection.model.clone()).or_default() += 1;
+            orders.extend(self.start_formation(selection, model, upstreams, now));
+        }
+        orders
+    }
+
     /// Returns what each model has and should have.
     pub(super) fn model_needs(
         &self,
@@ -168,17 +249,19 @@
     }
 
     /// Counts the free upstreams of each domain, and those that can join a group of each model with
-    /// weights from `slowest_allowed` or a faster source.
+    /// weights from `slowest_allowed` or a faster source and are not kept for another one.
     fn stocks(
         &self,
         free: &FreeByDomain<'_>,
         engine: &Engine,
         slowest_allowed: WeightsLocation,
+        kept: &BTreeSet<(VmId, DeploymentId)>,
     ) -> BTreeMap<FabricDomainId, DomainStock> {
         let usable = |upstreams: &[&Upstream], model: &ModelSpec| {
             let can_join = |upstream: &&&Upstream| {
                 let last = self.last_models.get(&upstream.id);
                 weights_location(upstream, last, &model.name) <= slowest_allowed
+                    && !kept.contains(&(upstream.id.clone(), model.name.clone()))
             };
             upstreams.iter().filter(can_join).count()
         };
--- a/crates/regroup/src/planner/reported_state.rs
+++ b/crates/regroup/src/planner/reported_state.rs
@@ -57,7 +57,10 @@
             if let Some(reported) = self.reported_states.get(id) {
                 if reported.entry_membership == upstream.membership {
                     upstream.membership.clone_from(&reported.membership);
-                    upstream.staged.clone_from(&reported.staged);
+                    // A load that ends changes the entry, but not the membership in it.
+                    if reported.entry_staged == upstream.staged {
+                        upstream.staged.clone_from(&reported.staged);
+                    }
                 } else {
                     self.reported_states.remove(id);
                 }
--- a/crates/regroup/tests/repair.rs
+++ b/crates/regroup/tests/repair.rs
@@ -256,7 +256,7 @@
         world.run_until(REPAIR_MS, |world| world.is_in_open_group(&successor));
         let started = world.decisions.iter().filter_map(|decision| match decision {
             Decision::FormationStarted { members, .. } => Some(members),
-            Decision::FormationEnded { .. } => None,
+            _ => None,
         });
         let bases: Vec<_> = started.flatten().filter(|basis| basis.id == successor).collect();
         assert_eq!(bases.len(), 1);
--- a/crates/regroup/tests/tests.rs
+++ b/crates/regroup/tests/tests.rs
@@ -2,6 +2,7 @@
 //! counts as a violation.
 
 mod arrangement;
+mod conversion;
 mod engines;
 mod failure_detector;
 mod formation;
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -66,6 +66,8 @@
     /// Settings of the engines.
     pub spec: Engine,
     pub demand: Demand,
+    /// Number of requests that groups run, by leader.
+    pub running: BTreeMap<VmId, u32>,
     pub has_traffic: bool,
     /// Entries that the list showed at the last step.
     listed: BTreeMap<VmId, Upstream>,
@@ -100,6 +102,7 @@
             decisions: Vec::new(),
             spec: engine_spec(),
             demand: Demand::new(),
+            running: BTreeMap::new(),
             has_traffic: false,
             listed: BTreeMap::new(),
             unlisted: BTreeMap::new(),
@@ -216,6 +219,7 @@
             engine: &spec,
             has_traffic: self.has_traffic,
             demand: &self.demand,
+            running: &self.running,
         };
         let actions = self.planner.plan(input, self.now);
         self.decisions.extend(self.planner.take_decisions());
