--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -42,6 +42,7 @@
 mod prediction;
 mod quarantine;
 mod reach;
+mod refused_work;
 mod stall;
 mod statement;
 mod suspect;
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod capacity;
 mod crash_notice;
+mod demand;
 mod durations;
 mod growth;
 mod late_reports;
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -69,6 +69,8 @@
     /// Settings of the engines.
     pub spec: Engine,
     pub demand: Demand,
+    /// Number of requests that groups run, by leader.
+    pub running: BTreeMap<VmId, u32>,
     pub has_traffic: bool,
     /// Engines of the domain `domain-N` are in the data centre `dc-N`.
     pub evacuations: Evacuations,
@@ -109,6 +111,7 @@
             decisions: Vec::new(),
             spec: engine_spec(),
             demand: Demand::new(),
+            running: BTreeMap::new(),
             has_traffic: false,
             evacuations: Evacuations::default(),
             listed: BTreeMap::new(),
@@ -230,6 +233,7 @@
             has_traffic: self.has_traffic,
             evacuations: &self.evacuations,
             demand: &self.demand,
+            running: &self.running,
         };
         let began = Instant::now();
         let actions = self.planner.plan(input, self.now);
