--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -298,7 +298,8 @@
             loads.statements.limit(is_known);
         }
         drop(loads);
-        let evacuation_ended_at = |_: &DataCentreId| None;
+        let evacuation_ended_at =
+            |data_centre: &DataCentreId| view.evacuations.ended_at(data_centre);
         self.warm_ups.on_view(
             config,
             view.upstreams(),
