Cold upstreams are logged once, and a configuration may add the limit

A time in an entry that was read before the configuration was dropped, so the upstream counted as warm.

--- a/crates/dispatch/src/warm_up.rs
+++ b/crates/dispatch/src/warm_up.rs
@@ -63,7 +63,7 @@
     /// Records the entry of an upstream whose service has this `warm_up`, whether or not the entry
     /// changed. `evacuation_ended_at` is when the last evacuation of its data centre ended.
     ///
-    /// Returns the reason if the upstream is cold, and for longer than was known.
+    /// Returns the reason if the upstream is cold and was not known to be.
     pub fn on_entry(
         &mut self,
         upstream: &Upstream,
@@ -106,11 +106,12 @@
             is_listed: true,
         };
         self.known.insert(id.clone(), known);
-        later.map(|(basis, _)| basis)
+        let basis = later.map(|(basis, _)| basis);
+        basis.filter(|_| known_until.has_passed(now))
     }
 
     /// Records the time that remains according to an answer of a known upstream. Returns the reason
-    /// if the upstream is cold, and for longer than was known.
+    /// if the upstream is cold and was not known to be.
     pub fn on_answer(
         &mut self,
         upstream: &VmId,
@@ -120,9 +121,9 @@
     ) -> Option<WarmUpBasis> {
         let until = Deadline::after_ms(now, left_ms.min(warm_up.duration_ms));
         let known = self.known.get_mut(upstream)?;
-        let is_later = until > known.until && !until.has_passed(now);
+        let is_new = known.until.has_passed(now) && !until.has_passed(now);
         known.until = known.until.max(until);
-        is_later.then_some(WarmUpBasis::Answer)
+        is_new.then_some(WarmUpBasis::Answer)
     }
 
     /// Returns the end of an upstream's warm-up; `None` if it is warm.
--- a/crates/gateway/src/warm_ups.rs
+++ b/crates/gateway/src/warm_ups.rs
@@ -12,7 +12,7 @@
     Directory, WarmUpAnswer, WarmUpBasis, WarmUpIssuer, WarmUpLimits, WarmUpReport, WarmUps,
 };
 use jacinthpoint_fleet::{FleetConfig, Upstream, WarmUp};
-use jacinthpoint_types::{DataCentreId, TimeMs, VmId};
+use jacinthpoint_types::{DataCentreId, Deadline, TimeMs, VmId};
 
 use crate::{events::log_event, metrics::Metrics};
 
@@ -84,9 +84,9 @@
         };
         if let Some(basis) = basis {
             log_cold(metrics, upstream, basis, Some(until), now);
-            let mut limits = self.limits.borrow_mut();
-            limits.on_cold(upstream, warm_up.max_per_s, until, now);
         }
+        let mut limits = self.limits.borrow_mut();
+        limits.on_cold(upstream, warm_up.max_per_s, until, now);
     }
 
     /// Returns which of these upstreams are cold.
@@ -132,12 +132,12 @@
     }
 }
 
-/// Logs and counts that an upstream is cold for longer than was known.
+/// Logs and counts that an upstream is cold.
 fn log_cold(
     metrics: &Metrics,
     upstream: &VmId,
     basis: WarmUpBasis,
-    until: Option<jacinthpoint_types::Deadline>,
+    until: Option<Deadline>,
     now: TimeMs,
 ) {
     metrics.count("cold_upstreams", basis.into());
--- a/crates/gateway/src/watch/entries.rs
+++ b/crates/gateway/src/watch/entries.rs
@@ -7,7 +7,7 @@
     DecodeError, List, StoredObject, decode_config, decode_upstream, paths, refused_models,
     refused_warm_ups,
 };
-use jacinthpoint_fleet::{Upstream, ViewChange};
+use jacinthpoint_fleet::ViewChange;
 
 use crate::{
     events::log_event,
@@ -54,7 +54,7 @@
 
 fn apply_entries(gateway: &Gateway, list: &List, is_whole: bool, interruption: Interruption) {
     let entries = list.objects.iter().filter_map(|object| {
-        decode_entry(gateway, object)
+        decode_upstream(&object.name, &object.content)
             .map_err(|error| log_refused_upstream(gateway, object, &error))
             .ok()
     });
@@ -102,7 +102,7 @@
     if is_removed {
         return apply_removal(gateway, object, is_after_outage);
     }
-    match decode_entry(gateway, object) {
+    match decode_upstream(&object.name, &object.content) {
         Ok(entry) => {
             let id = entry.id.clone();
             let state = entry.state;
@@ -123,20 +123,6 @@
     }
 }
 
-/// Decodes the entry of an upstream. Where the configuration has no use for the time for which it stays
-/// cold, it counts as warm, since a view in which only that time changes is the same.
-fn decode_entry(gateway: &Gateway, object: &StoredObject) -> Result<Upstream, DecodeError> {
-    let mut entry = decode_upstream(&object.name, &object.content)?;
-    let view = gateway.view.borrow();
-    if let Some(config) = view.config() {
-        let service = config.services.get(&entry.service);
-        if service.is_none_or(|service| service.warm_up.is_none()) {
-            entry.warm_up_left_ms = entry.warm_up_left_ms.map(|_| 0);
-        }
-    }
-    Ok(entry)
-}
-
 /// Removes an upstream whose entry was removed. After an outage of the store, only starts the time
 /// in which the upstream can write its entry again.
 fn apply_removal(gateway: &Gateway, object: &StoredObject, is_after_outage: bool) -> ViewChange {
