--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -21,6 +21,8 @@
     key("listen", "metrics", Absent::Nothing),
     key("store", "address", Absent::Refused),
     number("limits", "descriptors", "1024", 300..=10_000_000),
+    // The platform kills a process that uses more.
+    number("limits", "memory_mb", "160", 16..=10_000_000),
     // What the VM can carry; 0 stands for no limit. Gateways on larger VMs serve the others.
     key("limits", "core_share", Absent::Default("1")),
     key("limits", "link_mbps", Absent::Default("1000")),
@@ -59,6 +61,8 @@
     pub store: SocketAddr,
     /// Number of file descriptors that the process may have open.
     pub descriptors: usize,
+    /// Memory that the process may use.
+    pub memory_mb: usize,
     /// What the VM can carry.
     pub capacity: VmCapacity,
     /// Time between the signal to stop and the kill by the platform.
@@ -107,6 +111,7 @@
     let metrics = reader.value("listen", "metrics");
     let store = reader.value("store", "address");
     let descriptors = reader.value("limits", "descriptors");
+    let memory_mb = reader.value("limits", "memory_mb");
     let core_share: Option<f64> = reader.value("limits", "core_share");
     let link_mbps: Option<f64> = reader.value("limits", "link_mbps");
     let grace_ms = reader.value("stop", "grace_ms");
@@ -125,6 +130,7 @@
         metrics,
         store: store?,
         descriptors: descriptors?,
+        memory_mb: memory_mb?,
         // Values that are no positive numbers become 0, which `check` refuses.
         capacity: VmCapacity {
             core_permille: thousandths(core_share?),
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -78,6 +78,8 @@
     callers: SocketAddr,
     readiness: SocketAddr,
     metrics: SocketAddr,
+    #[allow(dead_code, reason = "used by the crowds only")]
+    peers: SocketAddr,
     /// Path of the settings file.
     settings_path: String,
 }
@@ -290,6 +292,7 @@
                 callers,
                 readiness,
                 metrics,
+                peers,
                 settings_path,
             });
             site.restart(index);
@@ -362,6 +365,24 @@
         self.gateways[index].callers
     }
 
+    /// Returns the address at which a gateway answers readiness checks.
+    #[allow(dead_code, reason = "used by the crowds only")]
+    pub fn readiness_address(&self, index: usize) -> SocketAddr {
+        self.gateways[index].readiness
+    }
+
+    /// Returns the address at which a gateway serves its metrics.
+    #[allow(dead_code, reason = "used by the crowds only")]
+    pub fn metrics_address(&self, index: usize) -> SocketAddr {
+        self.gateways[index].metrics
+    }
+
+    /// Returns the address at which a gateway accepts other gateways.
+    #[allow(dead_code, reason = "used by the crowds only")]
+    pub fn peers_address(&self, index: usize) -> SocketAddr {
+        self.gateways[index].peers
+    }
+
     /// Starts a gateway; kills its process first if one is running.
     pub fn restart(&mut self, index: usize) {
         let gateway = &mut self.gateways[index];
@@ -406,6 +427,13 @@
         process.expect("the gateway runs").peak_memory_kb()
     }
 
+    /// Returns the number of descriptors that a running gateway has open.
+    #[allow(dead_code, reason = "used by the crowds only")]
+    pub fn open_descriptors(&self, index: usize) -> usize {
+        let process = self.gateways[index].process.as_ref();
+        process.expect("the gateway runs").open_descriptors()
+    }
+
     /// Waits until a gateway process has ended; returns whether it ended within the timeout.
     /// Returns `true` at once if the gateway has been killed.
     pub fn wait_for_end(&mut self, index: usize, timeout_ms: u64) -> bool {
--- a/tests/util/process.rs
+++ b/tests/util/process.rs
@@ -109,6 +109,13 @@
         value.parse().expect("the peak memory is a number")
     }
 
+    /// Returns the number of descriptors that the process has open.
+    #[allow(dead_code, reason = "used by the crowds only")]
+    pub fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).expect("the process runs").count()
+    }
+
     /// Its process id.
     pub fn id(&self) -> u32 {
         self.child.id()
