One budget of a gateway for requests and answers, by the memory of its VM

Cause: bodies, heads and places were bounded for each connection only; a part of a body kept the whole buffer it was read into; the listeners for readiness, metrics and other gateways had no bound on connections and took heads of 400 KB; a refused request kept its place for ten seconds.

Change: requests and answers share a quarter of `limits.memory_mb`. When it is short, requests that have stopped, then the longest, are refused as not run; while all places are taken, a new connection takes the place of one that progresses least. Bodies are copied out of the buffers they were read into. Answers keep at most the 40 MiB of before.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -10,22 +10,23 @@
 use std::{
     collections::BTreeMap,
     future::poll_fn,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     task::{Context, Poll, Waker},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 
-/// Maximum length of all buffered answers together.
-const MAX_BUFFERED_BYTES: usize = 40 * 1_024 * 1_024;
-/// Length of the bytes that wait for callers from which reading pauses. The rest of [`MAX_BUFFERED_BYTES`] is
-/// left to unfinished answers.
-const MAX_WAITING_BYTES: usize = 20 * 1_024 * 1_024;
+/// Maximum length of all buffered answers together, unless the process's memory sets another one.
+const DEFAULT_MAX_BYTES: usize = 40 * 1_024 * 1_024;
 /// Length up to which an unfinished answer is short. Short ones are neither given up nor paused.
 const SHORT_BYTES: usize = 32 * 1_024;
-/// Maximum number of long answers that are read at a time. With the longest event each, they fit.
-const MAX_LONG_ANSWERS: usize = 20;
+/// Part of the maximum that each long answer that is read at a time may take. With the longest event each, they
+/// fit.
+const LONG_ANSWER_BYTES: usize = 2 * 1_024 * 1_024;
 /// Time without a byte after which a long answer is given up for others that wait.
 const MAX_IDLE: Duration = Duration::from_secs(1);
 /// Time between two answers that are given up so. After a pause of the process, all seem idle.
@@ -48,8 +49,12 @@
     grown_at: Instant,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
+    /// Maximum length of all buffered answers together.
+    max_bytes: usize,
+    /// Length of the requests that share the maximum.
+    request_bytes: Arc<AtomicUsize>,
     last_id: u64,
     unfinished: BTreeMap<u64, UnfinishedState>,
     /// Length of all unfinished answers that are not given up.
@@ -71,15 +76,32 @@
         self.last_id
     }
 
+    /// Returns the length of the bytes that wait for callers from which reading pauses. The rest of the maximum is
+    /// left to unfinished answers.
+    fn max_waiting_bytes(&self) -> usize {
+        self.max_bytes / 2
+    }
+
+    /// Returns the maximum number of long answers that are read at a time.
+    fn max_long_answers(&self) -> usize {
+        (self.max_bytes / LONG_ANSWER_BYTES).max(1)
+    }
+
+    /// Returns the maximum length of unfinished answers. A quarter of the maximum is always left to them.
+    fn max_unfinished_bytes(&self) -> usize {
+        let for_callers = self.waiting_bytes.min(self.max_waiting_bytes());
+        let for_requests = self.request_bytes.load(Ordering::Relaxed);
+        self.max_bytes - for_callers - for_requests.min(self.max_bytes / 4)
+    }
+
     /// Returns whether so many bytes wait that reading pauses.
     fn is_reading_paused(&self) -> bool {
-        self.waiting_bytes >= MAX_WAITING_BYTES
+        self.waiting_bytes >= self.max_waiting_bytes()
     }
 
     /// Gives up the longest unfinished answers until the others fit.
     fn limit_unfinished(&mut self) {
-        let reserved_bytes = self.waiting_bytes.min(MAX_WAITING_BYTES);
-        while self.unfinished_bytes > MAX_BUFFERED_BYTES - reserved_bytes {
+        while self.unfinished_bytes > self.max_unfinished_bytes() {
             let open = self.unfinished.iter_mut();
             let open = open.filter(|(_, answer)| !answer.is_given_up && answer.bytes > SHORT_BYTES);
             let Some((id, _)) = open.max_by_key(|(_, answer)| answer.bytes) else {
@@ -105,7 +127,7 @@
     /// Gives up a long answer that does not arrive if the number of long ones is at its maximum.
     fn limit_idle(&mut self, now: Instant) {
         let is_due = |at: Instant| now.duration_since(at) >= GIVE_UP_INTERVAL;
-        if self.long_answers < MAX_LONG_ANSWERS
+        if self.long_answers < self.max_long_answers()
             || self.is_reading_paused()
             || !self.given_up_at.is_none_or(is_due)
         {
@@ -162,12 +184,55 @@
 }
 
 /// The count of a process.
-#[derive(Debug, Clone, Default)]
-pub struct AnswerBuffers(Arc<Mutex<State>>);
+#[derive(Debug, Clone)]
+pub struct AnswerBuffers {
+    state: Arc<Mutex<State>>,
+    request_bytes: Arc<AtomicUsize>,
+}
+
+impl Default for AnswerBuffers {
+    fn default() -> AnswerBuffers {
+        AnswerBuffers::new(DEFAULT_MAX_BYTES)
+    }
+}
 
 impl AnswerBuffers {
+    /// Returns a count of answers that may take this much together.
+    #[must_use]
+    pub fn new(max_bytes: usize) -> AnswerBuffers {
+        let request_bytes = Arc::<AtomicUsize>::default();
+        let state = State {
+            max_bytes,
+            request_bytes: request_bytes.clone(),
+            last_id: 0,
+            unfinished: BTreeMap::new(),
+            unfinished_bytes: 0,
+            long_answers: 0,
+            given_up_at: None,
+            waiting: BTreeMap::new(),
+            waiting_bytes: 0,
+            wakers: BTreeMap::new(),
+        };
+        AnswerBuffers {
+            state: Arc::new(Mutex::new(state)),
+            request_bytes,
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the length of all buffered answers.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let state = self.lock();
+        state.unfinished_bytes + state.waiting_bytes
+    }
+
+    /// Sets the length of the requests that share the maximum.
+    pub fn set_request_bytes(&self, bytes: usize) {
+        self.request_bytes.store(bytes, Ordering::Relaxed);
     }
 
     /// Begins to count an answer that is read.
@@ -236,6 +301,7 @@
         let mut guard = self.buffers.lock();
         let state = &mut *guard;
         state.limit_idle(Instant::now());
+        let max_long_answers = state.max_long_answers();
         let answer = match state.unfinished.get_mut(&self.id) {
             Some(answer) if !answer.is_given_up => answer,
             _ => return Poll::Ready(Err(NoSpace)),
@@ -243,7 +309,7 @@
         if answer.bytes <= SHORT_BYTES {
             return Poll::Ready(Ok(()));
         }
-        if !answer.is_long && state.long_answers < MAX_LONG_ANSWERS {
+        if !answer.is_long && state.long_answers < max_long_answers {
             answer.is_long = true;
             answer.grown_at = Instant::now();
             state.long_answers += 1;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -25,6 +25,7 @@
         refusal::{refuse, refuse_quarantined},
         retry::run,
     },
+    memory::Activity,
     panics::{Panicked, catch_panic},
     state::{Gateway, Phase, Snapshot},
 };
@@ -138,15 +139,25 @@
     let gateway = context.gateway.clone();
     let max_bytes = context.snapshot.config.limits.max_body_bytes;
     let deadline = gateway.clock.instant(context.deadline.0);
-    let body = tokio::time::timeout_at(deadline, request::read_body(body, max_bytes)).await;
+    let account = context.account();
+    let body = request::read_body(body, max_bytes, account, gateway.clock);
+    let body = tokio::time::timeout_at(deadline, body).await;
     let (code, why) = match body {
         Ok(Ok(body)) => {
-            if let Origin::Caller(caller) = &context.origin {
-                caller.on_body_read();
+            match &context.origin {
+                Origin::Caller(caller) => caller.on_body_read(),
+                Origin::Gateway(_, account) => {
+                    account.set_activity(Activity::Working, gateway.now());
+                }
             }
             context.content.digest = Some(request::digest(&context, &head, &body));
             return run(Rc::new(context), head, body).await;
         }
+        Ok(Err(code @ ResultCode::NoCapacity)) => {
+            let why = "too little memory or too few places are left for the request";
+            let retry = retry_after_ms(SURPLUS_RETRY_AFTER_MS, &mut *gateway.rng.borrow_mut());
+            return refuse(&gateway, &context.request_id, code, why, Some(retry));
+        }
         Ok(Err(code)) => (code, "the request body is too large or could not be read"),
         Err(_) => (
             ResultCode::RequestTimeout,
--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -379,7 +379,7 @@
         statement,
     };
     stated::record(gateway, &context.request_id, &stated, sent_at);
-    if let Origin::Gateway(for_other) = &context.origin {
+    if let Origin::Gateway(for_other, _) = &context.origin {
         for_other.add(stated);
     }
 }
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -12,6 +12,7 @@
     call::stated::StatedForOther,
     edge::CallerConnection,
     events::log_event,
+    memory::Account,
     state::{Gateway, Snapshot},
 };
 
@@ -42,7 +43,8 @@
     /// A caller, on this connection.
     Caller(Rc<CallerConnection>),
     /// Another gateway, which forwards it, and gets to know what upstreams state.
-    Gateway(Rc<StatedForOther>),
+    /// What the request holds is counted beside what its connection does.
+    Gateway(Rc<StatedForOther>, Rc<Account>),
 }
 
 impl Origin {
@@ -51,7 +53,7 @@
         match self {
             Origin::Caller(caller) => caller.wait_for_leaving().await,
             // The connection of the other gateway ends, and the request with it.
-            Origin::Gateway(_) => std::future::pending().await,
+            Origin::Gateway(..) => std::future::pending().await,
         }
     }
 }
@@ -127,6 +129,14 @@
             .map_or("none", |organisation| organisation.name.as_str())
     }
 
+    /// Returns the count of what the request holds.
+    pub(crate) fn account(&self) -> &Account {
+        match &self.origin {
+            Origin::Caller(caller) => &caller.account,
+            Origin::Gateway(_, account) => account,
+        }
+    }
+
     /// Returns whether this gateway reaches no upstream and may forward the request.
     pub(crate) fn is_to_forward(&self) -> bool {
         matches!(self.origin, Origin::Caller(_)) && self.gateway.reach.borrow().is_cut()
--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -34,6 +34,7 @@
     },
     connection::{Connection, RequestBody},
     events::log_event,
+    memory::{Activity, Listener},
     state::Gateway,
     view_positions::StatedView,
 };
@@ -85,7 +86,9 @@
     request.headers_mut().remove(FORWARDED_BY);
     request.headers_mut().remove(VIEW);
     let stated = Rc::<StatedForOther>::default();
-    let origin = Origin::Gateway(stated.clone());
+    let memory = &gateway.memory;
+    let account = memory.open(Listener::Forwarded, Activity::Receiving, gateway.now());
+    let origin = Origin::Gateway(stated.clone(), Rc::new(account));
     let mut response = answer(gateway.clone(), request, origin).await;
     // An upstream may send the header, too, but has run the request.
     let fields = response.headers_mut();
@@ -266,7 +269,7 @@
     mut body: Incoming,
 ) -> AnswerBody {
     let gateway = context.gateway.clone();
-    let (parts, passed) = channel(&gateway.answer_buffers);
+    let (parts, passed) = channel(gateway.memory.answers());
     let request_id = context.request_id.clone();
     let deadline_with_slack = context.deadline.0.plus_ms(DEADLINE_SLACK_MS);
     tokio::task::spawn_local(async move {
--- a/crates/gateway/src/call/open_stream.rs
+++ b/crates/gateway/src/call/open_stream.rs
@@ -103,7 +103,7 @@
             is_framed,
             may_end_without_event,
             splitter: EventSplitter::new(must_follow),
-            unfinished: context.gateway.answer_buffers.begin_answer(),
+            unfinished: context.gateway.memory.answers().begin_answer(),
             is_paused: false,
             pieces: 0,
             progress_at: now,
--- a/crates/gateway/src/call/request.rs
+++ b/crates/gateway/src/call/request.rs
@@ -1,6 +1,6 @@
 //! Builds the request that is sent to an upstream from the caller's request.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Request,
@@ -12,10 +12,7 @@
 use jacinthpoint_dispatch::Target;
 use jacinthpoint_types::{RequestDigest, ResultCode};
 
-use crate::{call::context::Context, connection::RequestBody};
-
-/// Length below which parts of a body are joined, since a short one kept by itself takes many times its length.
-const SHORT_PART_BYTES: usize = 1_024;
+use crate::{call::context::Context, clock::Clock, connection::RequestBody, memory::Account};
 
 /// Hop-by-hop headers, which apply to one connection only.
 const HOP_BY_HOP: [HeaderName; 8] = [
@@ -54,32 +51,54 @@
     }
 }
 
-/// Reads a caller's whole body.
+/// Reads a caller's whole body, which `account` counts beside what it has already.
 ///
-/// Fails with `TooLarge` above `max_bytes` and with `BadRequest` if the body cannot be read.
-pub(super) async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, ResultCode> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
+/// Fails with `TooLarge` above `max_bytes`, with `BadRequest` if the body cannot be read, and with `NoCapacity` if
+/// too little memory is left for it.
+pub(super) async fn read_body(
+    mut body: Incoming,
+    max_bytes: usize,
+    account: &Account,
+    clock: Clock,
+) -> Result<Bytes, ResultCode> {
+    let stated_bytes = body.size_hint().exact();
+    let stated_bytes = stated_bytes.and_then(|bytes| usize::try_from(bytes).ok());
+    if stated_bytes.is_some_and(|bytes| bytes > max_bytes) {
+        return Err(ResultCode::TooLarge);
     }
-    let (mut parts, mut short, mut length) = (Vec::new(), BytesMut::new(), 0);
-    while let Some(frame) = body.frame().await {
+    let head_bytes = account.bytes();
+    // The parts are copied, since each keeps the buffer that it was read into.
+    let mut whole: Vec<u8> = Vec::new();
+    while !body.is_end_stream() {
+        let frame = tokio::select! {
+            biased;
+            () = account.revoked() => return Err(ResultCode::NoCapacity),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else {
+            break;
+        };
         // Trailers are dropped.
         let Ok(part) = frame.map_err(|_| ResultCode::BadRequest)?.into_data() else {
             continue;
         };
-        if part.len() > max_bytes - length {
+        if part.len() > max_bytes - whole.len() {
             return Err(ResultCode::TooLarge);
         }
-        length += part.len();
-        if part.len() < SHORT_PART_BYTES {
-            short.extend_from_slice(&part);
-        } else {
-            parts.push(std::mem::take(&mut short).freeze());
-            parts.push(part);
+        let needed_bytes = whole.len() + part.len();
+        if needed_bytes > whole.capacity() {
+            let doubled_bytes = needed_bytes.max(2 * whole.capacity());
+            let capacity = doubled_bytes.min(stated_bytes.unwrap_or(max_bytes));
+            let held = account.set_bytes(head_bytes + capacity, clock.now());
+            held.map_err(|_| ResultCode::NoCapacity)?;
+            whole.reserve_exact(capacity - whole.len());
         }
+        whole.extend_from_slice(&part);
+    }
+    if account.is_revoked() {
+        return Err(ResultCode::NoCapacity);
     }
-    parts.push(short.freeze());
-    Ok(parts.concat().into())
+    Ok(whole.into())
 }
 
 /// Returns the digest by which a request is known when the same caller sends it again. Of the headers it
--- a/crates/gateway/src/call/stream.rs
+++ b/crates/gateway/src/call/stream.rs
@@ -155,7 +155,7 @@
     index: usize,
     others: Vec<Attempt>,
 ) -> Response<AnswerBody> {
-    let (parts, body) = channel(&context.gateway.answer_buffers);
+    let (parts, body) = channel(context.gateway.memory.answers());
     let (head_sender, head) = oneshot::channel();
     let last_id = outgoing.headers.get(headers::LAST_EVENT_ID);
     let mut forwarder = StreamForwarder {
@@ -299,7 +299,7 @@
         let sending = self.parts.send(bytes);
         let is_sent = match &self.context.origin {
             Origin::Caller(_) => sending.await,
-            Origin::Gateway(_) => {
+            Origin::Gateway(..) => {
                 let gateway = &self.context.gateway;
                 let idle_ms = gateway.caller_limits.borrow().idle_timeout_ms;
                 let idle_until = gateway.now().plus_ms(idle_ms);
--- a/crates/gateway/src/call/whole_body.rs
+++ b/crates/gateway/src/call/whole_body.rs
@@ -37,7 +37,7 @@
 ///
 /// Fails if the body breaks off or is too long, or if it is given up for the sake of others.
 pub(super) async fn read(gateway: &Gateway, mut body: Incoming) -> Result<Bytes, BodyError> {
-    let unfinished = gateway.answer_buffers.begin_answer();
+    let unfinished = gateway.memory.answers().begin_answer();
     let mut whole = BytesMut::new();
     loop {
         let frame = poll_fn(|task| {
@@ -61,5 +61,5 @@
     drop(unfinished);
     // Copied, since the buffer may be twice as long.
     let whole = Bytes::copy_from_slice(&whole);
-    Ok(gateway.answer_buffers.begin_queue().count(whole))
+    Ok(gateway.memory.answers().begin_queue().count(whole))
 }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -1,12 +1,9 @@
 //! Accepts connections of callers, of the load balancer's readiness checks, and of metrics readers.
 
-use std::{cell::Cell, convert::Infallible, io, net::SocketAddr, rc::Rc};
+use std::{cell::Cell, future, io, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
-use hyper::{
-    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
-};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Request, Response, StatusCode, body::Incoming};
 use jacinthpoint_adapter::paths;
 use jacinthpoint_listener::{HANDSHAKE_MS, ignore_attempts};
 use tokio::net::{TcpListener, TcpStream};
@@ -15,15 +12,20 @@
     body::{AnswerBody, full_body},
     clock::sleep_ms,
     events::log_event,
+    memory::Listener,
     metrics::Metrics,
     state::{Gateway, OpenConnectionGuard, Phase},
     store::{CallType, call_counts},
 };
 
-pub(crate) use crate::edge::caller::CallerConnection;
+pub(crate) use crate::edge::{
+    caller::CallerConnection,
+    guarded::{open_account, serve_guarded},
+};
 
 mod caller;
 mod caller_io;
+mod guarded;
 
 /// Number of file descriptors that are reserved for listeners, the store, files and
 /// [`SURPLUS_CONNECTIONS`]. The rest is divided equally between callers and upstreams.
@@ -32,6 +34,13 @@
 const ACCEPT_PAUSE_MS: u64 = 20;
 /// Number of connections above the limit whose requests are refused.
 const SURPLUS_CONNECTIONS: usize = 32;
+/// Number of connections of readiness checks, and of readers of metrics. A load balancer and a few readers have one
+/// each.
+const MAX_TEXT_CONNECTIONS: usize = 16;
+/// Maximum size of the head of their requests.
+const MAX_TEXT_HEAD_BYTES: usize = 16 * 1_024;
+/// Time between two log events on connections above the limit.
+const SURPLUS_LOG_INTERVAL_MS: u64 = 1_000;
 
 /// Accepts connections of callers until the gateway ends them all.
 ///
@@ -49,7 +58,10 @@
         let accepted = tokio::select! {
             biased;
             _ = ending.as_mut() => break,
-            () = sleep_ms(ACCEPT_PAUSE_MS), if is_full => continue,
+            () = sleep_ms(ACCEPT_PAUSE_MS), if is_full => {
+                gateway.memory.revoke_slow(Listener::Callers, gateway.now());
+                continue;
+            }
             accepted = listener.accept(), if !is_full => accepted,
         };
         match accepted {
@@ -110,15 +122,20 @@
 fn begin_serving(gateway: &Rc<Gateway>, stream: TcpStream, max_connections: usize) {
     let open = gateway.open_connections.get();
     let guard = OpenConnectionGuard::new(gateway);
-    let is_surplus = open >= max_connections;
+    let now = gateway.now();
+    let is_surplus = open >= max_connections && !gateway.memory.revoke_slow(Listener::Callers, now);
     if is_surplus {
         gateway.metrics.count("connections_refused", "too-many");
-        log_event!(
-            warn,
-            AcceptFailed,
-            open,
-            "the requests of a caller's new connection are refused, because the maximum number is open"
-        );
+        let logged_at = &gateway.surplus_logged_at;
+        if now.since_ms(logged_at.get()) >= SURPLUS_LOG_INTERVAL_MS {
+            logged_at.set(now);
+            log_event!(
+                warn,
+                AcceptFailed,
+                open,
+                "the requests of a caller's new connection are refused, because the maximum number is open"
+            );
+        }
     }
     let gateway = gateway.clone();
     tokio::task::spawn_local(async move {
@@ -130,6 +147,8 @@
 /// Answers all requests on `listener` for ever with the status and text that `respond` returns for
 /// the path.
 async fn serve_text(
+    gateway: Rc<Gateway>,
+    kind: Listener,
     listener: TcpListener,
     respond: impl Fn(&str) -> (StatusCode, String) + 'static,
 ) {
@@ -144,19 +163,21 @@
                 continue;
             }
         };
-        let respond = respond.clone();
+        // A new one is preferred: a check sends its request with the connection and is answered at once.
+        let Some(account) = open_account(&gateway, kind, MAX_TEXT_CONNECTIONS, true) else {
+            continue;
+        };
+        let (gateway, respond) = (gateway.clone(), respond.clone());
         tokio::task::spawn_local(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
+            let respond = |request: Request<Incoming>| {
                 let (status, text) = respond(request.uri().path());
                 let mut response: Response<AnswerBody> =
                     Response::new(full_body(Bytes::from(text)));
                 *response.status_mut() = status;
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let result = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+                future::ready(response)
+            };
+            let result =
+                serve_guarded(&gateway, stream, account, MAX_TEXT_HEAD_BYTES, respond).await;
             if let Err(error) = result {
                 tracing::debug!(%error, "a connection to the readiness or metrics address failed");
             }
@@ -167,6 +188,7 @@
 /// Answers the load balancer's readiness checks, and logs each change of the answer.
 pub(crate) async fn serve_readiness(gateway: Rc<Gateway>, listener: TcpListener) {
     let was_ready = Cell::new(false);
+    let of_listener = gateway.clone();
     let respond = move |path: &str| {
         if path != paths::READY {
             return (StatusCode::NOT_FOUND, String::new());
@@ -183,7 +205,7 @@
         };
         (status, String::new())
     };
-    serve_text(listener, respond).await;
+    serve_text(of_listener, Listener::Readiness, listener, respond).await;
 }
 
 /// Serves the metrics as text at `address`. If it cannot be bound, logs this and returns: a gateway
@@ -196,8 +218,9 @@
             return;
         }
     };
+    let of_listener = gateway.clone();
     let respond = move |_: &str| (StatusCode::OK, render(&gateway.metrics, &gateway));
-    serve_text(listener, respond).await;
+    serve_text(of_listener, Listener::Metrics, listener, respond).await;
 }
 
 /// Returns all metrics as text, with gauges of the gateway's current state.
@@ -233,6 +256,12 @@
         ),
         ("requests_open", gateway.open_requests.get() as f64),
         ("connections_open", gateway.open_connections.get() as f64),
+        (
+            "connections_revoked",
+            gateway.memory.revocations().values().sum::<u64>() as f64,
+        ),
+        ("request_bytes", gateway.memory.request_bytes() as f64),
+        ("answer_bytes", gateway.memory.answers().bytes() as f64),
         ("store_reads", calls_where(false)),
         ("store_writes", calls_where(true)),
     ])
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -37,6 +37,7 @@
     edge::caller_io::CallerIo,
     events::log_event,
     framing::ReadBound,
+    memory::{Account, Activity, Listener, head_memory},
     state::{Gateway, Phase},
 };
 
@@ -64,6 +65,8 @@
 const LINGER_IDLE_MS: u64 = 1_000;
 /// The same during a stop, which should not take longer for callers that leave their connection open.
 const LINGER_IDLE_AT_STOP_MS: u64 = 200;
+/// Time in which a revoked connection must have refused its request, if it has one, and ended.
+const REVOKED_MS: u64 = 500;
 /// Time between two checks of a connection that is due to end but has not ended.
 const RECHECK_INTERVAL_MS: u64 = 50;
 /// Time in which the body of a refused request must arrive for its connection to be kept.
@@ -126,6 +129,10 @@
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
     gateway: Rc<Gateway>,
+    /// What the connection holds.
+    pub(crate) account: Account,
+    /// Length of the head that is being read.
+    head_bytes: Cell<usize>,
     accepted_at: TimeMs,
     /// Whether the maximum number of connections was open before, so that requests are refused.
     pub(crate) is_surplus: bool,
@@ -181,6 +188,8 @@
     fn new(gateway: Rc<Gateway>, is_surplus: bool) -> CallerConnection {
         let now = gateway.now();
         CallerConnection {
+            account: gateway.memory.open(Listener::Callers, Activity::Idle, now),
+            head_bytes: Cell::new(0),
             gateway,
             accepted_at: now,
             is_surplus,
@@ -255,6 +264,7 @@
     /// Records that the body of the current request was read to its end.
     pub(crate) fn on_body_read(&self) {
         self.is_body_read.set(true);
+        (self.account).set_activity(Activity::Working, self.gateway.now());
     }
 
     /// Returns which bytes the HTTP library may get with its next read.
@@ -270,9 +280,18 @@
     pub(super) fn on_read(&self, bytes: usize) {
         let now = self.gateway.now();
         self.progress_at.set(now);
+        if self.stage.get() == Stage::Idle {
+            self.stage.set(Stage::Head(now));
+            self.account.set_activity(Activity::Receiving, now);
+        }
+        self.account.on_received(bytes, now);
         match (self.stage.get(), self.unread_body_bytes.get()) {
-            (Stage::Idle, _) => self.stage.set(Stage::Head(now)),
-            (Stage::Head(_), _) => {}
+            (Stage::Idle | Stage::Head(_), _) => {
+                let head_bytes = self.head_bytes.get() + bytes;
+                self.head_bytes.set(head_bytes);
+                // The HTTP library's buffer grows by doubling. If the connection is revoked, its task ends it.
+                let _ = self.account.set_bytes(2 * head_bytes, now);
+            }
             (Stage::Request, Some(unread @ 1..)) => {
                 let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
                 self.unread_body_bytes
@@ -292,6 +311,10 @@
         self.written_bytes
             .set(self.written_bytes.get().saturating_add(bytes));
         self.is_write_blocked.set(false);
+        self.account.on_sent(now);
+        if self.account.activity() == Activity::Sending {
+            self.account.set_activity(self.activity(), now);
+        }
         if self.ended_at.get().is_some() {
             let first_at = self.first_write_after_end_at.get().unwrap_or(now);
             self.first_write_after_end_at.set(Some(first_at));
@@ -304,6 +327,30 @@
     /// Records that the caller does not read what is written.
     pub(super) fn on_write_blocked(&self) {
         self.is_write_blocked.set(true);
+        if matches!(self.account.activity(), Activity::Idle | Activity::Working) {
+            (self.account).set_activity(Activity::Sending, self.gateway.now());
+        }
+    }
+
+    /// Returns what the connection does while its caller reads.
+    fn activity(&self) -> Activity {
+        match self.stage.get() {
+            Stage::Idle => Activity::Idle,
+            Stage::Head(_) => Activity::Receiving,
+            Stage::Request if self.is_body_read.get() => Activity::Working,
+            Stage::Request => Activity::Receiving,
+        }
+    }
+
+    /// Returns whether the connection ends by itself after it was revoked: it is idle, or has a request that waits
+    /// for the rest of its body and is refused.
+    fn ends_when_revoked(&self) -> bool {
+        let is_ending = match self.stage.get() {
+            Stage::Idle => true,
+            Stage::Head(_) => false,
+            Stage::Request => !self.has_answer_begun.get(),
+        };
+        is_ending && !self.is_write_blocked.get()
     }
 
     /// Records what ends the connection, unless something else has before.
@@ -405,6 +452,7 @@
             return None;
         }
         match self.stage.get() {
+            Stage::Idle if self.account.is_revoked() => Some(self.progress_at.get()),
             Stage::Idle if self.phase() >= Phase::EndingIdle || self.is_surplus => {
                 Some(match self.requests.get() {
                     0 => self.accepted_at.plus_ms(FIRST_REQUEST_WAIT_MS),
@@ -431,6 +479,7 @@
     pub(super) fn linger_idle_ms(&self) -> u64 {
         match self.phase() {
             phase if phase >= Phase::EndingIdle => LINGER_IDLE_AT_STOP_MS,
+            _ if self.account.is_revoked() => LINGER_IDLE_AT_STOP_MS,
             _ if !self.is_body_read.get() => LINGER_MS,
             _ => LINGER_IDLE_MS,
         }
@@ -489,6 +538,11 @@
         self.has_unframed_streams
             .set(request.version() < Version::HTTP_11);
         self.has_read_ahead.set(false);
+        let now = self.gateway.now();
+        let head_bytes = head_memory(self.head_bytes.take(), request.headers().len());
+        self.account.set_activity(self.activity(), now);
+        // If the connection is revoked, its body is not read.
+        let _ = self.account.set_bytes(head_bytes, now);
         self.has_answer_begun.set(false);
         self.is_answer_chunked.set(false);
         RequestGuard {
@@ -522,6 +576,7 @@
             || self.phase() >= closing_from
             || self.is_surplus
             || !self.is_body_read.get()
+            || self.account.is_revoked()
         {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
@@ -602,6 +657,12 @@
         } else {
             Stage::Idle
         });
+        // Nothing was read since the head.
+        let _ = self.account.set_bytes(0, now);
+        self.account.set_activity(self.activity(), now);
+        if self.is_write_blocked.get() {
+            self.on_write_blocked();
+        }
     }
 }
 
@@ -696,6 +757,7 @@
         );
     let mut phase = gateway.phase.subscribe();
     let mut limits = gateway.caller_limits.subscribe();
+    let mut revoked_until = None;
     let result = loop {
         let polled = std::future::poll_fn(|context| {
             let result = Pin::new(&mut http).poll(context);
@@ -711,18 +773,24 @@
             () = connection.recheck.notified() => {}
             _ = phase.changed() => {}
             _ = limits.changed() => {}
-            () = gateway.clock.sleep_until(check_at) => {}
+            () = connection.account.revoked(), if revoked_until.is_none() => {
+                let wait_ms = if connection.ends_when_revoked() { REVOKED_MS } else { 0 };
+                revoked_until = Some(gateway.now().plus_ms(wait_ms));
+            }
+            () = gateway.clock.sleep_until(revoked_until.unwrap_or(check_at)) => {}
         }
-        if connection.is_cut_unmarked() {
+        let is_over = revoked_until.is_some_and(|until| gateway.now() >= until);
+        if connection.is_cut_unmarked() || is_over {
             break None;
         }
     };
     connection.log_rest();
     let why = match &result {
         Some(result) => end_reason(&connection, result),
+        None if connection.account.is_revoked() => "revoked",
         None => "cut",
     };
-    let is_to_reset = why == "cut" && connection.has_unframed_streams.get();
+    let is_to_reset = result.is_none() && connection.has_unframed_streams.get();
     gateway.metrics.count("connections_ended", why);
     log_event!(
         debug,
@@ -738,7 +806,12 @@
         io.reset();
         return;
     }
-    let until = gateway.now().plus_ms(LINGER_MS);
+    let linger_ms = match connection.account.is_revoked() {
+        true => LINGER_IDLE_AT_STOP_MS,
+        false => LINGER_MS,
+    };
+    let until = gateway.now().plus_ms(linger_ms);
+    (connection.account).set_activity(Activity::Ended, gateway.now());
     io.linger(until, gateway.clock).await;
 }
 
--- a/crates/gateway/src/edge/caller_io.rs
+++ b/crates/gateway/src/edge/caller_io.rs
@@ -33,6 +33,10 @@
 /// Size of the buffer into which bytes are read that nobody uses.
 const DISCARD_BYTES: usize = 8 * 1_024;
 
+/// Maximum number of bytes that the HTTP library gets with one read. Its buffer of a connection grows while reads
+/// fill the 8 KiB with which it begins.
+const MAX_READ_BYTES: usize = 8 * 1_024 - 1;
+
 /// Start of the size of a chunk. A size may have leading zeros, so this is no part of the body, whatever
 /// chunk follows.
 const CHUNK_SIZE_START: &[u8] = b"0";
@@ -70,6 +74,7 @@
             return;
         }
         let mut discarded = [0; DISCARD_BYTES];
+        let was_revoked = self.connection.account.is_revoked();
         let mut is_first = self.held.is_empty();
         if !is_first {
             self.connection.on_bytes_after_end(&self.held);
@@ -86,6 +91,7 @@
                     }
                 }
                 () = clock.sleep_until(idle_until.min(until)) => return,
+                () = self.connection.account.revoked(), if !was_revoked => return,
             }
         }
     }
@@ -99,6 +105,7 @@
 
     /// Returns how many of these bytes, which are next, the HTTP library gets with this read, and records them.
     fn pass(&mut self, next: &[u8]) -> usize {
+        let next = &next[..next.len().min(MAX_READ_BYTES)];
         let end = match self.connection.read_bound() {
             ReadBound::Head => self.head_end.find(next),
             ReadBound::Body(bytes) => usize::try_from(bytes).ok(),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -113,6 +113,9 @@
     AnswerUnfinished = 755,
     /// A request arrived after the end of its connection and was not read.
     RequestUnread = 756,
+    /// Connections ended, and requests were refused, since others needed their memory or places. The event says
+    /// how many since the one before.
+    ConnectionsRevoked = 757,
     /// A list of the store could not go on to its end. What was read of it is used.
     ListUnfinished = 760,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod limit_exchange;
 mod load_exchange;
 mod load_reports;
+pub mod memory;
 mod metrics;
 mod owner;
 pub mod panics;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,17 +12,12 @@
 use std::{
     cell::{OnceCell, RefCell},
     collections::{BTreeMap, BTreeSet, VecDeque},
-    convert::Infallible,
     rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
-use hyper::{
-    Request, Response, StatusCode, body::Incoming, header::HeaderValue, server::conn::http1,
-    service::service_fn,
-};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue};
 use jacinthpoint_adapter::{
     StoredObject, encode_events, encode_list, headers,
     paths::{ObjectsCall, parse_objects_call},
@@ -39,8 +34,9 @@
     call,
     clock::sleep_ms,
     connection::set_peer_options,
-    edge::accept_last,
+    edge::{accept_last, open_account, serve_guarded},
     events::log_event,
+    memory::Listener,
     state::{Gateway, OpenConnectionGuard, Phase},
     watch,
 };
@@ -53,6 +49,11 @@
 pub(crate) const MAX_LIST_HOLD_MS: u64 = 600;
 /// Time between two checks of whether the objects for a waiting watch are too old.
 const AGE_CHECK_INTERVAL_MS: u64 = 275;
+/// Part of the descriptors that connections of other gateways may take. They are counted beside those of callers
+/// and upstreams, of which few are open on a gateway that serves many others.
+const PEERS_DIVISOR: usize = 4;
+/// Maximum size of the head of their requests: the largest head of a caller, and what the other gateway adds.
+const MAX_HEAD_BYTES: usize = 68 * 1_024;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
@@ -353,28 +354,30 @@
 /// It counts as open from its first forwarded request on, whose gateway closes it after the answer.
 /// Connections with other calls do not count: these are reads, which the calling gateway repeats elsewhere.
 fn begin_serving(gateway: &Rc<Gateway>, stream: TcpStream) {
+    let max_connections = gateway.settings().descriptors / PEERS_DIVISOR;
+    let account = open_account(gateway, Listener::Peers, max_connections, false);
+    let Some(account) = account else {
+        return;
+    };
     let gateway = gateway.clone();
     tokio::task::spawn_local(async move {
         set_peer_options(&stream);
         let guard = OnceCell::new();
-        let service = service_fn(|request: Request<Incoming>| {
+        let respond = |request: Request<Incoming>| {
             let gateway = gateway.clone();
             let is_forwarded = request.headers().contains_key(call::FORWARDED_BY);
             if is_forwarded {
                 guard.get_or_init(|| OpenConnectionGuard::new(&gateway));
             }
             async move {
-                Ok::<_, Infallible>(if is_forwarded {
+                if is_forwarded {
                     call::answer_forwarded(gateway, request).await
                 } else {
                     answer(&gateway, request).await
-                })
+                }
             }
-        });
-        let result = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
+        };
+        let result = serve_guarded(&gateway, stream, account, MAX_HEAD_BYTES, respond).await;
         if let Err(error) = result {
             tracing::debug!(%error, "a connection of another gateway ended");
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts a gateway's tasks and stops them after a signal.
 
-use std::{io, panic, path::PathBuf, rc::Rc};
+use std::{collections::BTreeMap, io, panic, path::PathBuf, rc::Rc};
 
 use jacinthpoint_settings::SettingsError;
 use tokio::{
@@ -43,6 +43,8 @@
 const EXIT_PAUSE_MS: u64 = 1;
 /// Time between two checks for expired idle connections and for dropped log lines.
 const MAINTENANCE_INTERVAL_MS: u64 = 1_000;
+/// Time between two log events on revoked connections.
+const REVOCATIONS_LOG_INTERVAL_MS: u64 = 1_000;
 /// Time between two log events on the calls to the store.
 const CALLS_LOG_INTERVAL_MS: u64 = 5_000;
 
@@ -154,6 +156,7 @@
     }
     spawn_local(log_drops_and_close_idle(gateway.clone(), dropped_lines));
     spawn_local(log_store_calls());
+    spawn_local(log_revocations(gateway.clone()));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -255,6 +258,29 @@
     }
 }
 
+/// Logs the numbers of revoked connections and requests for ever, whenever there were any.
+async fn log_revocations(gateway: Rc<Gateway>) {
+    let mut logged = BTreeMap::new();
+    loop {
+        sleep_ms(REVOCATIONS_LOG_INTERVAL_MS).await;
+        let counts = gateway.memory.revocations();
+        for ((listener, activity), count) in &counts {
+            let before: u64 = logged
+                .get(&(*listener, *activity))
+                .copied()
+                .unwrap_or_default();
+            if *count > before {
+                log_event!(warn, ConnectionsRevoked, %listener, %activity, revoked = count - before,
+                    request_bytes = gateway.memory.request_bytes(),
+                    answer_bytes = gateway.memory.answers().bytes(),
+                    open = gateway.open_connections.get(),
+                    "connections were ended, or their requests refused, for others");
+            }
+        }
+        logged = counts;
+    }
+}
+
 /// Stops the gateway as planned, and returns the number of requests that were cut.
 ///
 /// The gateway reports itself as not ready at once, and refuses requests that would not end in time.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,10 +20,10 @@
 use tokio::{net::UdpSocket, sync::watch};
 
 use crate::{
-    buffered::AnswerBuffers, clock::Clock, events::log_event, excluded_peers::ExcludedPeers,
-    limit_exchange::LimitExchange, load_exchange::LoadExchange, metrics::Metrics, pauses::Pauses,
-    pool::Pool, refused_entries::RefusedEntries, relay::Relay, roster::Roster,
-    settings::GatewaySettings, view_positions::ViewPositions,
+    clock::Clock, events::log_event, excluded_peers::ExcludedPeers, limit_exchange::LimitExchange,
+    load_exchange::LoadExchange, memory::Memory, metrics::Metrics, pauses::Pauses, pool::Pool,
+    refused_entries::RefusedEntries, relay::Relay, roster::Roster, settings::GatewaySettings,
+    view_positions::ViewPositions,
 };
 
 /// A time that no gateway reaches, from which a window can still be added.
@@ -144,12 +144,14 @@
     pub(crate) caller_limits: watch::Sender<CallerLimits>,
     pub(crate) open_requests: Cell<usize>,
     pub(crate) open_connections: Cell<usize>,
+    /// Time of the last log event on a connection above the limit.
+    pub(crate) surplus_logged_at: Cell<TimeMs>,
     /// Number of open listeners, for callers and for other gateways.
     pub(crate) open_listeners: Cell<usize>,
     /// Number of requests that the planned stop has cut.
     pub(crate) cut_requests: Cell<usize>,
-    /// Count of the answers that are buffered.
-    pub(crate) answer_buffers: AnswerBuffers,
+    /// Count of what connections, requests and answers hold.
+    pub(crate) memory: Memory,
 }
 
 impl Gateway {
@@ -157,6 +159,7 @@
     pub(crate) fn new(settings: GatewaySettings) -> Gateway {
         let clock = Clock::new();
         let roster = Roster::new(settings.name.as_str());
+        let memory = Memory::new(settings.memory_mb);
         Gateway {
             started_at: clock.now(),
             pauses: Pauses::new(clock.now()),
@@ -194,9 +197,10 @@
             caller_limits: watch::Sender::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
+            surplus_logged_at: Cell::default(),
             open_listeners: Cell::new(0),
             cut_requests: Cell::new(0),
-            answer_buffers: AnswerBuffers::default(),
+            memory,
         }
     }
 
