Requests to a node share a bounded memory

Cause: a node took bodies of 4 MiB on each of its connections, also at the operators' listener, where a head had ten seconds for each of 256 places.

The operators' listener takes bodies of 16 KiB and gives a head two seconds.

--- a/crates/core/commands/demo/site.rs
+++ b/crates/core/commands/demo/site.rs
@@ -92,6 +92,7 @@
             seeds: Vec::new(),
             default_deadline_ms: 30_000,
             max_connections: 200,
+            request_memory_mb: 32,
             read_deadline_ms: 10_000,
             drain_announce_ms: 0,
             drain_deadline_ms: 10_000,
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -5,12 +5,14 @@
 //! caller has disconnected. See `docs/design/caller-listener.md`.
 
 pub(crate) use crate::http::{
+    body_memory::BodyMemory,
     head::HttpRequest,
     listener::{ListenerLimits, serve},
     request::RequestError,
     response::Responder,
 };
 
+mod body_memory;
 mod head;
 mod listener;
 mod overflow;
--- a/crates/node/src/http/head.rs
+++ b/crates/node/src/http/head.rs
@@ -6,12 +6,10 @@
 
 use jacinthpoint_types::ResultCode;
 
-use crate::http::request::RequestError;
+use crate::http::{body_memory::HeldMemory, request::RequestError};
 
 /// Largest number of headers.
 const MAX_HEADERS: usize = 64;
-/// Largest body, in bytes.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 /// Methods that callers may use. The answer to another method, such as HEAD, may need different
 /// framing.
 const METHODS: [&str; 5] = ["GET", "POST", "PUT", "PATCH", "DELETE"];
@@ -37,6 +35,8 @@
     pub(crate) target: String,
     headers: Vec<(String, String)>,
     pub(crate) body: Vec<u8>,
+    /// Room for the body.
+    pub(crate) held: Option<HeldMemory>,
     /// Whether the caller allows further requests on the connection.
     pub(crate) keep_alive: bool,
     pub(crate) is_http_1_1: bool,
@@ -75,12 +75,15 @@
     RequestError::Refused(ResultCode::BadRequest, message)
 }
 
-/// Parses the head at the start of `buffer`. Returns `None` if the head is not complete yet.
+/// Parses the head at the start of `buffer`, whose body may have `max_body_bytes`. Returns `None` if the head is not complete yet.
 ///
 /// # Errors
 ///
 /// Refuses a malformed or ambiguous head, an unsupported method, and a body that is too large.
-pub(crate) fn parse_head(buffer: &[u8]) -> Result<Option<Head>, RequestError> {
+pub(crate) fn parse_head(
+    buffer: &[u8],
+    max_body_bytes: usize,
+) -> Result<Option<Head>, RequestError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut headers);
     let length = match parsed.parse(buffer) {
@@ -105,10 +108,11 @@
         target: parsed.path.unwrap_or_default().to_owned(),
         headers: fields,
         body: Vec::new(),
+        held: None,
         keep_alive: parsed.version == Some(1),
         is_http_1_1: parsed.version == Some(1),
     };
-    validate_head(request, length).map(Some)
+    validate_head(request, length, max_body_bytes).map(Some)
 }
 
 /// Refuses lines that end without a carriage return: `httparse` accepts them, other servers do not.
@@ -126,7 +130,11 @@
 }
 
 /// Validates a parsed head of `length` bytes.
-fn validate_head(mut request: HttpRequest, length: usize) -> Result<Head, RequestError> {
+fn validate_head(
+    mut request: HttpRequest,
+    length: usize,
+    max_body_bytes: usize,
+) -> Result<Head, RequestError> {
     check_request_line(&request)?;
     check_single_headers(&request)?;
     if request.header("transfer-encoding").is_some() {
@@ -136,7 +144,7 @@
     let body_bytes = request
         .header("content-length")
         .map_or(Ok(0), parse_length)?;
-    if body_bytes > MAX_BODY_BYTES {
+    if body_bytes > max_body_bytes {
         let message = "the body is too large";
         return Err(RequestError::Refused(ResultCode::TooLarge, message));
     }
--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -17,6 +17,7 @@
     drain::{Drain, OpenConnection},
     events::log_event,
     http::{
+        body_memory::BodyMemory,
         head::HttpRequest,
         overflow,
         request::{RequestError, RequestReader, read_uninterrupted},
@@ -57,12 +58,16 @@
 }
 
 /// Limits of the listener.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct ListenerLimits {
     /// Largest number of open connections; further ones are refused.
     pub(crate) max_connections: usize,
     /// Time limit for the whole head after its first byte, and again for the whole body after it.
     pub(crate) read_deadline_ms: u64,
+    /// Largest body.
+    pub(crate) max_body_bytes: usize,
+    /// Memory of all requests together.
+    pub(crate) memory: Arc<BodyMemory>,
 }
 
 /// Accepts connections until a planned stop closes the listener, and returns once those above the limit
@@ -85,7 +90,7 @@
     SockRef::from(&listener).set_read_timeout(Some(poll))?;
     let (overflow, overflow_thread) = spawn_overflow(&handler)?;
     let begin = |stream| {
-        begin_connection(stream, limits, drain, &handler, &overflow);
+        begin_connection(stream, &limits, drain, &handler, &overflow);
     };
     let mut close_at: Option<Instant> = None;
     loop {
@@ -133,7 +138,7 @@
 /// an answer.
 fn begin_connection<H>(
     stream: TcpStream,
-    limits: ListenerLimits,
+    limits: &ListenerLimits,
     drain: &Arc<Drain>,
     handler: &Arc<H>,
     overflow: &Sender<TcpStream>,
@@ -172,7 +177,7 @@
 /// Serves a connection on a new thread; returns it if none can be started.
 fn spawn_connection<H>(
     stream: TcpStream,
-    limits: ListenerLimits,
+    limits: &ListenerLimits,
     open: OpenConnection,
     drain: Arc<Drain>,
     handler: &Arc<H>,
@@ -180,7 +185,7 @@
 where
     H: Fn(Result<&HttpRequest, RequestError>, &mut Responder<'_>) + Send + Sync + 'static,
 {
-    let handler = handler.clone();
+    let (handler, limits) = (handler.clone(), limits.clone());
     let stream = Arc::new(stream);
     let thread_stream = stream.clone();
     let run = move || {
@@ -222,7 +227,12 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let mut reader = RequestReader::new(stream, limits.read_deadline_ms);
+    let mut reader = RequestReader::new(
+        stream,
+        limits.read_deadline_ms,
+        limits.max_body_bytes,
+        limits.memory,
+    );
     let first_byte_until = Instant::now() + Duration::from_millis(FIRST_BYTE_MS);
     let mut keep_waiting: Box<dyn Fn() -> bool> = Box::new(|| Instant::now() < first_byte_until);
     let mut linger_idle_ms = LINGER_IDLE_MS;
--- a/crates/node/src/http/request.rs
+++ b/crates/node/src/http/request.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, Read, Write},
     net::TcpStream,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -10,7 +11,10 @@
 
 use crate::{
     events::log_event,
-    http::head::{Head, HttpRequest, parse_head},
+    http::{
+        body_memory::{BodyMemory, HeldMemory},
+        head::{Head, HttpRequest, parse_head},
+    },
 };
 
 /// Largest head, in bytes.
@@ -34,15 +38,24 @@
 pub(crate) struct RequestReader<'a> {
     stream: &'a TcpStream,
     read_deadline_ms: u64,
+    max_body_bytes: usize,
+    memory: Arc<BodyMemory>,
     /// Bytes received and not yet returned as part of a request.
     buffer: Vec<u8>,
 }
 
 impl<'a> RequestReader<'a> {
-    pub(crate) fn new(stream: &'a TcpStream, read_deadline_ms: u64) -> RequestReader<'a> {
+    pub(crate) fn new(
+        stream: &'a TcpStream,
+        read_deadline_ms: u64,
+        max_body_bytes: usize,
+        memory: Arc<BodyMemory>,
+    ) -> RequestReader<'a> {
         RequestReader {
             stream,
             read_deadline_ms,
+            max_body_bytes,
+            memory,
             buffer: Vec::new(),
         }
     }
@@ -80,19 +93,33 @@
                 .map_err(|error| broken(&error))?;
         }
         let deadline = self.deadline();
-        while self.buffer.len() < head.length + head.body_bytes {
+        let mut held = HeldMemory::new(&self.memory);
+        let request_bytes = head.length + head.body_bytes;
+        while self.buffer.len() < request_bytes {
+            if self.buffer.capacity() - self.buffer.len() < READ_BYTES {
+                // A read may bring the beginning of the next request, too.
+                let capacity = (2 * self.buffer.capacity()).min(request_bytes + READ_BYTES);
+                if !held.grow_to(capacity) {
+                    let message = "too little memory is left for the request";
+                    return Err(RequestError::Refused(ResultCode::NoCapacity, message));
+                }
+                self.buffer
+                    .reserve_exact(capacity.saturating_sub(self.buffer.len()));
+            }
             self.fill(deadline)?;
         }
         let rest = self.buffer.split_off(head.length + head.body_bytes);
         let mut request = head.request;
-        request.body = std::mem::replace(&mut self.buffer, rest).split_off(head.length);
+        request.body = std::mem::replace(&mut self.buffer, rest);
+        request.body.drain(..head.length);
+        request.held = Some(held);
         Ok(request)
     }
 
     fn read_head(&mut self) -> Result<Head, RequestError> {
         let deadline = self.deadline();
         loop {
-            if let Some(head) = parse_head(&self.buffer)? {
+            if let Some(head) = parse_head(&self.buffer, self.max_body_bytes)? {
                 return Ok(head);
             }
             if self.buffer.len() >= MAX_HEAD_BYTES {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,7 +15,7 @@
     control::{config, limits, members, messages, permits, planning, probing},
     drain::{Drain, OpenRequest},
     events::log_event,
-    http::{HttpRequest, ListenerLimits, RequestError, Responder, serve},
+    http::{BodyMemory, HttpRequest, ListenerLimits, RequestError, Responder, serve},
     ledger,
     metrics::Metrics,
     operator,
@@ -27,6 +27,8 @@
 /// Capacity of each queue of addresses from which newer data is to be fetched. Further addresses
 /// are dropped, because a fetch is pending anyway.
 const MAX_QUEUED_FETCHES: usize = 8;
+/// Largest body of a caller's request.
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
 /// Number of threads that read and write the records of requests with an idempotency key on the
 /// platform.
@@ -64,6 +66,8 @@
         let limits = ListenerLimits {
             max_connections: settings.max_connections,
             read_deadline_ms: settings.read_deadline_ms,
+            max_body_bytes: MAX_BODY_BYTES,
+            memory: BodyMemory::new(settings.request_memory_mb * 1024 * 1024),
         };
         let node = Node {
             callers: settings.listen_callers,
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -6,15 +6,16 @@
 
 use crate::{
     drain::Drain,
-    http::{HttpRequest, ListenerLimits, RequestError, Responder, serve},
+    http::{BodyMemory, HttpRequest, ListenerLimits, RequestError, Responder, serve},
     shared::Shared,
 };
 
-/// Limits of the operators' listener. A few tools ask each node at a time.
-const LIMITS: ListenerLimits = ListenerLimits {
-    max_connections: 256,
-    read_deadline_ms: 10_000,
-};
+/// Maximum number of connections of operators. A few tools ask each node at a time.
+const MAX_CONNECTIONS: usize = 256;
+/// Time for a whole head, and again for a whole body.
+const READ_DEADLINE_MS: u64 = 2_000;
+/// Largest body. No call has one.
+const MAX_BODY_BYTES: usize = 16 * 1024;
 /// Largest number of live peers listed by `/status`.
 const MAX_SHOWN_PEERS: usize = 500;
 
@@ -43,7 +44,13 @@
         // A failed write means that the operator has disconnected.
         let _ = responder.write_whole(status, &headers, body.as_bytes());
     };
-    serve(listener, LIMITS, listening, Arc::new(handler))
+    let limits = ListenerLimits {
+        max_connections: MAX_CONNECTIONS,
+        read_deadline_ms: READ_DEADLINE_MS,
+        max_body_bytes: MAX_BODY_BYTES,
+        memory: BodyMemory::new(MAX_CONNECTIONS * MAX_BODY_BYTES),
+    };
+    serve(listener, limits, listening, Arc::new(handler))
 }
 
 fn answer(shared: &Shared, request: &HttpRequest) -> (u16, String) {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -43,6 +43,8 @@
     pub default_deadline_ms: u64,
     /// Maximum number of open connections from callers.
     pub max_connections: usize,
+    /// Memory of all requests of callers together.
+    pub request_memory_mb: usize,
     /// Time within which a caller must send the whole head of a request, and then again the whole
     /// body.
     pub read_deadline_ms: u64,
@@ -99,6 +101,7 @@
     let seeds = reader.list("peers", "seeds");
     let default_deadline_ms = reader.value("limits", "default_deadline_ms");
     let max_connections = reader.value("limits", "max_connections");
+    let request_memory_mb = reader.value("limits", "request_memory_mb");
     let read_deadline_ms = reader.value("limits", "read_deadline_ms");
     let drain_announce_ms = reader.value("limits", "drain_announce_ms");
     let drain_deadline_ms = reader.value("limits", "drain_deadline_ms");
@@ -117,6 +120,7 @@
         seeds,
         default_deadline_ms: default_deadline_ms?,
         max_connections: max_connections?,
+        request_memory_mb: request_memory_mb?,
         read_deadline_ms: read_deadline_ms?,
         drain_announce_ms: drain_announce_ms?,
         drain_deadline_ms: drain_deadline_ms?,
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -29,6 +29,8 @@
         MIN_DEADLINE_MS..=MAX_MS,
     ),
     number("limits", "max_connections", "2000", 1..=1_000_000),
+    // One body of the largest length fits.
+    number("limits", "request_memory_mb", "32", 8..=1_000_000),
     number(
         "limits",
         "read_deadline_ms",
