Learnt capacities move requests and refuse none; the root hears of all targets

Cause, found in review: if all capacities were learnt to be low, all weights were zero and every gateway chose the same upstream; the slowness of a group shortened the wait at which requests are refused, against the design, and was compared with means of any age; of more than 50 targets the root heard only of some.

Change: beyond all capacities the places in queues count, in proportion to the capacity; slowness only orders targets; means count by their age; reports and answers go in as many datagrams as they need.

--- a/crates/dispatch/src/capacity.rs
+++ b/crates/dispatch/src/capacity.rs
@@ -12,7 +12,7 @@
 //! parameters predict. A group that is slower than the others of its model reads prompts more
 //! slowly, too.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use jacinthpoint_types::TimeMs;
 
@@ -149,17 +149,21 @@
         counts
             .or_insert_with(|| AnswerCounts::new(digest))
             .add(sample);
-        let capacity = self.by_target.entry(key.clone()).or_default();
-        capacity.on_answer(sample, now)
+        self.capacity_mut(key).on_answer(sample, now)
     }
 
-    /// Returns the answers since the last call, for the other gateways, at most `max_targets` targets.
-    /// Those with late answers come first.
-    pub fn take_counts(&mut self, max_targets: usize) -> Vec<AnswerCounts> {
-        let mut counts: Vec<_> = std::mem::take(&mut self.counts).into_values().collect();
-        counts.sort_by_key(|counts| std::cmp::Reverse(counts.late));
-        counts.truncate(max_targets);
-        counts
+    /// Returns what is known of a target. Copies the key only if it is new: this is called for each
+    /// event of a stream.
+    fn capacity_mut(&mut self, key: &TargetKey) -> &mut Capacity {
+        if !self.by_target.contains_key(key) {
+            self.by_target.insert(key.clone(), Capacity::default());
+        }
+        self.by_target.get_mut(key).expect("it was just added")
+    }
+
+    /// Returns the answers since the last call, for the other gateways.
+    pub fn take_counts(&mut self) -> Vec<AnswerCounts> {
+        std::mem::take(&mut self.counts).into_values().collect()
     }
 
     /// Records capacities that all gateways together learnt.
@@ -183,9 +187,12 @@
         }
         let sample =
             (gap_ms / predicted_ms).clamp(*SLOWNESS_SAMPLE.start(), *SLOWNESS_SAMPLE.end());
-        let capacity = self.by_target.entry(key.clone()).or_default();
-        let mean = capacity.slowness.map_or(sample, |(mean, _)| mean);
-        capacity.slowness = Some((mean + SLOWNESS_WEIGHT * (sample - mean), now));
+        let capacity = self.capacity_mut(key);
+        // What was measured long ago counts for less, so the newest sample counts for more.
+        let (mean, weight) = capacity.slowness.map_or((sample, 1.0), |(mean, at)| {
+            (mean, 1.0 - (1.0 - SLOWNESS_WEIGHT) * weight_of(at, now))
+        });
+        capacity.slowness = Some((mean + weight * (sample - mean), now));
     }
 
     /// Returns the number of requests that a target with `slots` takes well, at most `slots`.
@@ -200,11 +207,19 @@
         shared.map_or(own, |(shared, _)| own.min(*shared))
     }
 
-    /// Returns the mean slowness of those of `keys` for which it is known; `None` if there is none.
-    pub fn usual_slowness<'a>(&self, keys: impl Iterator<Item = &'a TargetKey>) -> Option<f64> {
-        let known = keys.filter_map(|key| Some(self.by_target.get(key)?.slowness?.0));
-        let (sum, count) = known.fold((0.0, 0), |(sum, count), one| (sum + one, count + 1));
-        (count > 0).then(|| sum / f64::from(count))
+    /// Returns the mean slowness of those of `keys` for which it is known, weighted by its age; `None`
+    /// if there is none.
+    pub fn usual_slowness<'a>(
+        &self,
+        keys: impl Iterator<Item = &'a TargetKey>,
+        now: TimeMs,
+    ) -> Option<f64> {
+        let known = keys.filter_map(|key| self.by_target.get(key)?.slowness);
+        let weighted = known.map(|(mean, at)| (mean, weight_of(at, now)));
+        let (sum, weights) = weighted.fold((0.0, 0.0), |(sum, weights), (mean, weight)| {
+            (sum + mean * weight, weights + weight)
+        });
+        (weights > f64::EPSILON).then(|| sum / weights)
     }
 
     /// Returns how many times as long as usual a target takes for its work, by the age of what is
@@ -216,17 +231,21 @@
         })
     }
 
-    /// Returns the number of targets whose capacity is below their slots.
-    pub fn limited(&self) -> usize {
-        let mut limited = 0;
-        for capacity in self.by_target.values() {
-            limited += usize::from(capacity.requests.is_some());
-        }
-        limited
+    /// Returns the number of targets whose capacity was lowered within the last half-life and has not
+    /// reached their slots since.
+    pub fn limited(&self, now: TimeMs) -> usize {
+        let is_recent = |capacity: &&Capacity| {
+            let confirmed_at = capacity.requests.map(|(_, at)| at);
+            confirmed_at.is_some_and(|at| weight_of(at, now) > 0.5)
+        };
+        self.by_target.values().filter(is_recent).count()
     }
 
     /// Drops the targets for which `is_kept` returns false.
     pub fn retain(&mut self, is_kept: impl Fn(&TargetKey) -> bool) {
         self.by_target.retain(|key, _| is_kept(key));
+        let by_target = &self.by_target;
+        let kept: BTreeSet<TargetDigest> = by_target.keys().map(TargetDigest::from).collect();
+        self.counts.retain(|target, _| kept.contains(target));
     }
 }
--- a/crates/dispatch/src/load/choice.rs
+++ b/crates/dispatch/src/load/choice.rs
@@ -208,17 +208,17 @@
         };
         let has_free = targets.iter().any(|entry| free(entry) > 0.0);
         let room = |entry: &(f64, &Arc<Target>)| {
-            let queue = if has_free {
-                0.0
+            let (requests, target) = entry;
+            let slots = f64::from(target.slots);
+            // Places count for less at a target that takes fewer requests well than it has slots.
+            let room = if has_free {
+                free(entry)
             } else {
-                f64::from(entry.1.slots) * queue_share
+                let capacity = self.capacities.requests(&target.key, target.slots, now);
+                (slots * (1.0 + queue_share) - requests) * capacity / slots
             };
-            let distance_factor = if entry.1.is_near {
-                1.0
-            } else {
-                FAR_COST_FACTOR
-            };
-            (free(entry) + queue).clamp(0.0, MAX_ROOM) / distance_factor
+            let distance_factor = if target.is_near { 1.0 } else { FAR_COST_FACTOR };
+            room.clamp(0.0, MAX_ROOM) / distance_factor
         };
         // The weighted choice fails if there is no target, or if rounding makes all weights zero; any
         // target will do then.
--- a/crates/dispatch/src/load/soonest.rs
+++ b/crates/dispatch/src/load/soonest.rs
@@ -86,14 +86,14 @@
     ) -> Result<&'a Arc<Target>, Refusal> {
         let usual_overhead_ms = self.usual_overhead_ms(targets, prompt);
         let keys = targets.iter().map(|(_, target)| &target.key);
-        let usual_slowness = self.capacities.usual_slowness(keys);
+        let usual_slowness = self.capacities.usual_slowness(keys, now);
         let mut is_reserved = false;
         let mut cost_ms = |(requests, target): &(f64, &Arc<Target>)| {
             let unread_tokens = self.unread_tokens(&target.key, now);
             let slowness = usual_slowness.map_or(1.0, |usual| {
                 self.capacities.slowness(&target.key, usual, now)
             });
-            let wait_ms = prompt.wait_ms(unread_tokens, *requests) * slowness;
+            let wait_ms = prompt.wait_ms(unread_tokens, *requests);
             let overhead_ms = self.overhead_ms(&target.key, usual_overhead_ms, now);
             let pass_fill = prompt.pass_fill(unread_tokens, *requests);
             let max_wait_ms = max_wait_ms(prompt.first_event_objective_ms, overhead_ms);
@@ -111,7 +111,8 @@
             let busy = requests / self.capacities.requests(&target.key, target.slots, now);
             let long_pass_ms =
                 (pass_fill - LONG_PASS_FILL).max(0.0) * prompt.gap_objective_ms as f64;
-            let cost_ms = wait_ms
+            // What was learnt only moves requests: the limits above decide by the engine's parameters.
+            let cost_ms = wait_ms * slowness
                 + overhead_ms
                 + busy * prompt.usual_reading_ms() * slowness * BUSY_WEIGHT
                 + long_pass_ms;
--- a/crates/dispatch/tests/capacity.rs
+++ b/crates/dispatch/tests/capacity.rs
@@ -113,7 +113,7 @@
             }
             let is_due = ms % CAPACITY_EXCHANGE_MS == gateway as u64 * 50;
             if learning == Learning::Shared && is_due {
-                root.on_report(&tracker.capacities.take_counts(50), at);
+                root.on_report(&tracker.capacities.take_counts(), at);
                 tracker.capacities.on_shared(&root.limited(at), at);
             }
         }
@@ -296,3 +296,41 @@
     assert!(learnt >= 1.0, "an upstream is never given up: {learnt}");
     assert!(learnt < 3.0 && later > 5.5, "{learnt}, later {later}");
 }
+
+/// All targets were learnt to take little, and a burst uses more than that: the requests are spread as the
+/// places are, and do not all go to one target.
+#[test]
+fn burst_beyond_all_capacities_is_spread() {
+    let targets = targets(4);
+    let mut tracker = LoadTracker::default();
+    tracker.capacities.set_enabled(true);
+    for index in 0..40 {
+        let at = now().plus_ms(index * 10);
+        for target in &targets {
+            let sample = AnswerSample {
+                requests: 2.0,
+                slots: SLOTS,
+                is_late: true,
+                began_at: at,
+            };
+            tracker.capacities.on_answer(&target.key, sample, at);
+        }
+    }
+    let at = now().plus_ms(400);
+    let report = |target: &Arc<Target>| TargetReport {
+        target: TargetDigest::from(&target.key),
+        in_flight: 5,
+        unread_tokens: 0,
+        heard_ms: Some(20),
+        waited_ms: Some(20),
+    };
+    let reports: Vec<TargetReport> = targets.iter().map(report).collect();
+    tracker.on_peer_loads(&reports, at);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut chosen = [0_u32; 4];
+    for _ in 0..400 {
+        let target = tracker.choose(&selection(&targets), at, &mut rng);
+        chosen[position(&targets, &target.expect("the queues have room"))] += 1;
+    }
+    assert!(chosen.iter().all(|count| *count < 200), "{chosen:?}");
+}
--- a/crates/gateway/src/capacity_exchange.rs
+++ b/crates/gateway/src/capacity_exchange.rs
@@ -41,11 +41,7 @@
         return;
     }
     state.reported_at.set(now);
-    let counts = gateway
-        .loads
-        .borrow_mut()
-        .capacities
-        .take_counts(MAX_TARGETS);
+    let counts = gateway.loads.borrow_mut().capacities.take_counts();
     if Some(root) == gateway.settings().peers {
         let mut learnt = state.learnt.borrow_mut();
         learnt.on_report(&counts, now);
@@ -54,8 +50,14 @@
         drop(learnt);
         apply(gateway, &shared, now);
     } else {
-        let message = CapacityMessage::Report(counts);
-        send_to(gateway, &Datagram::Capacity(message), root);
+        // Without a report, the root would not answer, so an empty one is sent too.
+        for part in counts
+            .chunks(MAX_TARGETS)
+            .chain(counts.is_empty().then_some(&[][..]))
+        {
+            let message = CapacityMessage::Report(part.to_vec());
+            send_to(gateway, &Datagram::Capacity(message), root);
+        }
     }
 }
 
@@ -63,13 +65,15 @@
 pub(crate) fn handle(gateway: &Gateway, from: SocketAddr, message: CapacityMessage) {
     let now = gateway.now();
     match message {
+        CapacityMessage::Report(_) if !gateway.loads.borrow().capacities.is_enabled() => {}
         CapacityMessage::Report(counts) => {
             let mut learnt = gateway.capacity_exchange.learnt.borrow_mut();
             learnt.on_report(&counts, now);
-            let mut shared = learnt.limited(now);
-            shared.truncate(MAX_TARGETS);
-            let message = CapacityMessage::Shared(shared);
-            send_to(gateway, &Datagram::Capacity(message), from);
+            learnt.drop_old(now);
+            for part in learnt.limited(now).chunks(MAX_TARGETS) {
+                let message = CapacityMessage::Shared(part.to_vec());
+                send_to(gateway, &Datagram::Capacity(message), from);
+            }
         }
         CapacityMessage::Shared(shared) => {
             if gateway.load_exchange.permit_issuer.get() == Some(from) {
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -256,7 +256,7 @@
         ),
         (
             "limited_capacities",
-            gateway.loads.borrow().capacities.limited() as f64,
+            gateway.loads.borrow().capacities.limited(gateway.now()) as f64,
         ),
         ("requests_open", gateway.open_requests.get() as f64),
         ("requests_waiting", gateway.room.borrow().waiting() as f64),
