--- a/crates/dispatch/tests/support.rs
+++ b/crates/dispatch/tests/support.rs
@@ -42,6 +42,12 @@
 
 /// Returns `count` groups that serve the same model and have one member each.
 pub fn groups(count: usize) -> Vec<Arc<Target>> {
+    groups_in(&vec!["dc"; count], &Evacuations::default())
+}
+
+/// Returns groups that serve the same model and have one member each, in these data centres.
+pub fn groups_in(data_centres: &[&str], evacuations: &Evacuations) -> Vec<Arc<Target>> {
+    let count = data_centres.len();
     let service: jacinthpoint_types::ServiceId = "engines".parse().expect("valid service name");
     let model: jacinthpoint_types::DeploymentId = "model".parse().expect("valid model name");
     let config = FleetConfig::new(
@@ -61,7 +67,7 @@
         started_unix_ms: 1,
         service: service.clone(),
         address: "127.0.0.1:1".parse().expect("valid address"),
-        data_centre: "dc".parse().expect("valid data centre name"),
+        data_centre: data_centres[index].parse().expect("valid name"),
         state: UpstreamState::Ready,
         slots: 26,
         domain: Some("domain".parse().expect("valid domain name")),
@@ -79,15 +85,9 @@
         .map(upstream)
         .map(|upstream| (upstream.id.clone(), upstream))
         .collect();
-    Directory::new(
-        &config,
-        &upstreams,
-        &BTreeMap::new(),
-        &Evacuations::default(),
-        "dc",
-    )
-    .groups(&service, &model)
-    .to_vec()
+    Directory::new(&config, &upstreams, &BTreeMap::new(), evacuations, "dc")
+        .groups(&service, &model)
+        .to_vec()
 }
 
 /// Returns the selection for the first attempt of a request at any of `targets`.
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -1,9 +1,10 @@
 //! Tests of the choice of a target, load exchange, stall detection, retry budget, limits of
-//! upstreams, causes of crashes, quarantine, reach of upstreams, and durations.
+//! upstreams, causes of crashes, quarantine, reach of upstreams, evacuations, and durations.
 
 mod budget;
 mod crash_notice;
 mod durations;
+mod evacuation;
 mod growth;
 mod late_reports;
 mod load_cells;
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -231,6 +231,10 @@
             "upstreams_reachable",
             f64::from(u8::from(!gateway.reach.borrow().is_cut())),
         ),
+        (
+            "data_centres_evacuated",
+            view.evacuations.evacuated().len() as f64,
+        ),
         ("requests_open", gateway.open_requests.get() as f64),
         ("connections_open", gateway.open_connections.get() as f64),
         ("store_reads", calls_where(false)),
--- a/crates/gateway/src/watch/evacuations.rs
+++ b/crates/gateway/src/watch/evacuations.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use jacinthpoint_adapter::{List, StoredObject, paths};
+use jacinthpoint_adapter::{List, StoredObject, decode_evacuation, paths};
 use jacinthpoint_fleet::{EvacuationChange, ViewChange};
 use jacinthpoint_types::{DataCentreId, TimeMs};
 
@@ -15,10 +15,9 @@
 /// Returns the data centre that an object is named after. What the object contains does not matter: one
 /// that cannot be read requests the evacuation, too. Logs a name that no data centre can have.
 fn data_centre(gateway: &Gateway, object: &StoredObject) -> Option<DataCentreId> {
-    let data_centre = object.name.parse();
-    data_centre
+    decode_evacuation(&object.name)
         .inspect_err(|error| {
-            let (kind, why) = (paths::EVACUATION_KIND, format!("{error}"));
+            let (kind, why) = (paths::EVACUATION_KIND, error.to_string());
             log_refused(gateway, kind, &object.name, object.revision, &why);
         })
         .ok()
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -24,6 +24,7 @@
 mod crashing_requests;
 mod earlier_builds;
 mod endless_answers;
+mod evacuations;
 mod faulty_answers;
 mod fleet_limits;
 mod frozen_processes;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -161,6 +161,11 @@
         )
     }
 
+    /// Like [`Site::start`], with this size and more lines in the settings file of each gateway.
+    pub fn start_of_size(size: SiteSize, more_settings: &str) -> Site {
+        Site::start_with(size, None, StoreAccess::Direct, more_settings)
+    }
+
     /// Like [`Site::start`], with a fault proxy between the gateways and the store and engines. On
     /// the proxy, gateways are named by [`gateway_name`], the store [`STORE`], and engines by their
     /// id.
