Requests stay in the homes of their route and organisation

Cause: `allowed_regions` of routes and organisations was read nowhere.

Change: an attempt selects only targets whose data centre is in a home, and a request is forwarded only to gateways in one; where route and organisation have homes, both bind. Regions of data centres come from the settings. Configurations without homes are served as before.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -2,10 +2,10 @@
 //!
 //! It is built from one snapshot of the fleet and rebuilt whenever the snapshot changes.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{borrow::Cow, collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use jacinthpoint_fleet::{Evacuations, FleetConfig, Upstream, groups_of};
-use jacinthpoint_types::{DeploymentId, GroupId, ServiceId, VmId};
+use jacinthpoint_fleet::{Evacuations, FleetConfig, Homes, Regions, Upstream, groups_of};
+use jacinthpoint_types::{DataCentreId, DeploymentId, GroupId, ServiceId, VmId};
 
 /// Identity of a target in one incarnation, as text: `GROUP/EPOCH` for a replica group, or
 /// `UPSTREAM/START` for a plain upstream, with its start time as Unix time in ms.
@@ -31,6 +31,8 @@
     pub started_unix_ms: u64,
     /// Address on which that upstream listens.
     pub address: SocketAddr,
+    /// Data centre of that upstream.
+    pub data_centre: DataCentreId,
     /// Set if the target is in the gateway's data centre.
     pub is_near: bool,
     /// Number of requests that the target runs at once.
@@ -139,6 +141,19 @@
     }
 }
 
+/// Returns the targets in the regions that `homes` allows.
+pub fn targets_at_home<'a>(
+    targets: &'a [Arc<Target>],
+    homes: &Homes,
+    regions: &Regions,
+) -> Cow<'a, [Arc<Target>]> {
+    if !homes.is_restricted() {
+        return Cow::Borrowed(targets);
+    }
+    let is_at_home = |target: &&Arc<Target>| homes.allow(regions.of(target.data_centre.as_str()));
+    targets.iter().filter(is_at_home).cloned().collect()
+}
+
 fn target(
     upstream: &Upstream,
     key: &str,
@@ -151,6 +166,7 @@
         upstream: upstream.id.clone(),
         started_unix_ms: upstream.started_unix_ms,
         address: upstream.address,
+        data_centre: upstream.data_centre.clone(),
         is_near: upstream.data_centre.as_str() == data_centre,
         slots: slots.max(1),
         group,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,7 +8,7 @@
     budget::{FleetRetryBudget, FleetRetryBudgetSettings, RetryUsage, SlackShare},
     crash_notice::CrashNotices,
     demand::WorkMeter,
-    directory::{Directory, Target, TargetGroup, TargetKey},
+    directory::{Directory, Target, TargetGroup, TargetKey, targets_at_home},
     durations::RequestDurations,
     load::{LoadTracker, Refusal, Selection, retry_after_ms},
     load_cell::{LoadCell, cell_count, cell_interval_ms, member_interval_ms},
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -4,8 +4,8 @@
 
 use std::collections::BTreeSet;
 
-use jacinthpoint_dispatch::{LoadTracker, Refusal};
-use jacinthpoint_fleet::Evacuations;
+use jacinthpoint_dispatch::{LoadTracker, Refusal, targets_at_home};
+use jacinthpoint_fleet::{DataCentreRegion, Evacuations, Homes, Region, Regions};
 use jacinthpoint_types::TimeMs;
 use rand::{SeedableRng, rngs::SmallRng};
 
@@ -56,3 +56,24 @@
 fn nothing_is_chosen_if_all_are_evacuated() {
     assert_eq!(used(&["a", "b", "c"]), Err(Refusal::NoTarget));
 }
+
+/// Load: callers whose data may not leave a region. A data centre whose region is unknown gets none of them.
+#[test]
+fn requests_stay_in_their_homes() {
+    let regions = ["a:north", "b:south"].map(|text| text.parse::<DataCentreRegion>());
+    let regions: Regions = regions
+        .map(|entry| entry.expect("valid"))
+        .into_iter()
+        .collect();
+    let targets = groups_in(&DATA_CENTRES, &Evacuations::default());
+    let names = |homes: &Homes| -> Vec<String> {
+        let targets = targets_at_home(&targets, homes, &regions);
+        let names = targets.iter().map(|target| target.upstream.to_string());
+        names.collect()
+    };
+    assert_eq!(names(&Homes::default()).len(), targets.len());
+    assert_eq!(
+        names(&Homes::new([Region::from("south")])),
+        ["i-002", "i-003"]
+    );
+}
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -5,6 +5,8 @@
 
 use jacinthpoint_types::{DeploymentId, ServiceId};
 
+use crate::home::Homes;
+
 /// Version of a configuration, assigned by the users' platform. Newer configurations have higher
 /// versions.
 #[derive(
@@ -45,6 +47,8 @@
     pub name: String,
     /// Priority of its requests, 0 to 9; 0 is the highest. `None` if the route's priority applies.
     pub priority: Option<u8>,
+    /// Regions in which its requests may be served.
+    pub homes: Homes,
 }
 
 /// Whether a request of a route may run more than once, and whether its answer is a stream.
@@ -99,6 +103,8 @@
     pub max_attempts: u32,
     /// Whether requests are accepted without an API key.
     pub is_public: bool,
+    /// Regions in which the requests may be served.
+    pub homes: Homes,
 }
 
 impl Route {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
     evacuation::{EvacuationChange, Evacuations, RESTORED_EVACUATION_HOLD_MS},
     group::{Group, groups_of},
     history::{Continuity, HistoryPosition, StoreEra},
+    home::{DataCentreRegion, Homes, ParseRegionError, Region, Regions},
     order::{Order, OrderAction, OrderAnswer},
     roles::{
         RegisteredGateway, StoreReading, VmCapacity, assign_load_hubs, assign_store_reading,
@@ -27,6 +28,7 @@
 mod evacuation;
 mod group;
 mod history;
+mod home;
 mod order;
 mod roles;
 mod source;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -286,6 +286,10 @@
     let Some(service) = service else {
         return refused(ResultCode::NoCapacity, "the route has no targets");
     };
+    let homes = match &organisation {
+        Some(organisation) => route.homes.both(&organisation.homes),
+        None => route.homes.clone(),
+    };
     let started = gateway.now();
     let caller_timeout_ms =
         text(head, headers::DEADLINE_MS).and_then(|text| text.trim().parse().ok());
@@ -301,6 +305,7 @@
         request_id,
         route,
         organisation,
+        homes,
         service,
         model,
         prompt_tokens: prompt_tokens.unwrap_or(0),
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -5,7 +5,7 @@
 use jacinthpoint_dispatch::{
     FleetRetryBudget, PromptDemand, RequestContent, StallPolicy, SuspectId,
 };
-use jacinthpoint_fleet::{Engine, Organisation, RequestKind, Route};
+use jacinthpoint_fleet::{Engine, Homes, Organisation, RequestKind, Route};
 use jacinthpoint_types::{Deadline, DeploymentId, ServiceId, TimeMs};
 
 use crate::{
@@ -67,6 +67,8 @@
     pub(crate) request_id: String,
     pub(crate) route: Route,
     pub(crate) organisation: Option<Organisation>,
+    /// Regions in which the request may be served, by its route and its organisation.
+    pub(crate) homes: Homes,
     pub(crate) service: ServiceId,
     pub(crate) model: Option<DeploymentId>,
     /// Length of the prompt in tokens; 0 if the caller gave none.
--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -132,8 +132,11 @@
     outgoing: &OutgoingRequest,
 ) -> Option<Response<AnswerBody>> {
     let gateway = &context.gateway;
-    let own = gateway.settings().name.to_string();
-    let mut others = gateway.roster.takers_of_forwarded(&own);
+    let settings = gateway.settings();
+    let own = settings.name.to_string();
+    let mut others = gateway
+        .roster
+        .takers_of_forwarded(&own, &context.homes, &settings.regions);
     others.retain(|address| !gateway.cut_peers.is_excluded(address, gateway.now()));
     others.shuffle(&mut *gateway.rng.borrow_mut());
     for address in others.into_iter().take(MAX_GATEWAYS) {
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use hyper::{Response, http::request::Parts};
 use jacinthpoint_dispatch::{
-    Directory, Refusal, Selection, SuspectId, Target, TargetKey, retry_after_ms,
+    Directory, Refusal, Selection, SuspectId, Target, TargetKey, retry_after_ms, targets_at_home,
 };
 use jacinthpoint_types::{ResultCode, TimeMs};
 
@@ -197,7 +197,7 @@
     let mut rng = gateway.rng.borrow_mut();
     let (loads, limits) = (gateway.loads.borrow(), gateway.limits.borrow());
     let now = gateway.now();
-    let mut candidates = Cow::Borrowed(targets(context, &snapshot.directory));
+    let mut candidates = targets(context, &snapshot.directory);
     if !history.may_try_others(context) {
         let is_unused = |target: &Arc<Target>| history.unused_targets.contains(&target.key);
         candidates.to_mut().retain(is_unused);
@@ -236,13 +236,14 @@
         version = %snapshot.config.version, "no upstream can be selected for the request");
 }
 
-/// Returns the targets that serve the service and model of a request.
-fn targets<'a>(context: &Context, directory: &'a Directory) -> &'a [Arc<Target>] {
-    match (context.engine(), &context.model) {
+/// Returns the targets that serve the service and model of a request, in its homes.
+fn targets<'a>(context: &Context, directory: &'a Directory) -> Cow<'a, [Arc<Target>]> {
+    let targets = match (context.engine(), &context.model) {
         (Some(_), Some(model)) => directory.groups(&context.service, model),
         (Some(_), None) => &[],
         (None, _) => directory.plain(&context.service),
-    }
+    };
+    targets_at_home(targets, &context.homes, &context.gateway.settings().regions)
 }
 
 /// Makes attempts until one is answered or none may follow, and returns the response.
@@ -427,8 +428,10 @@
         .snapshot()
         .unwrap_or_else(|| context.snapshot.clone());
     let (loads, now) = (gateway.loads.borrow(), gateway.now());
-    let targets = targets(context, &snapshot.directory).iter();
-    let pauses = targets.filter_map(|target| loads.statements.pause_ms(&target.upstream, now));
+    let targets = targets(context, &snapshot.directory);
+    let pauses = targets
+        .iter()
+        .filter_map(|target| loads.statements.pause_ms(&target.upstream, now));
     pauses.min().unwrap_or(0)
 }
 
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -29,8 +29,8 @@
 use jacinthpoint_adapter::{List, StoredObject, paths::Freshness};
 use jacinthpoint_dispatch::cell_count;
 use jacinthpoint_fleet::{
-    RegisteredGateway, StoreReading, VmCapacity, assign_load_hubs, assign_store_reading,
-    is_lease_candidate, role_order, takeover_ms,
+    Homes, Regions, RegisteredGateway, StoreReading, VmCapacity, assign_load_hubs,
+    assign_store_reading, is_lease_candidate, role_order, takeover_ms,
 };
 use jacinthpoint_types::TimeMs;
 use serde_json::{Value, json};
@@ -195,12 +195,22 @@
         others.filter_map(|(_, gateway)| gateway.address).collect()
     }
 
-    /// Returns the addresses of all gateways except `own` that say that they take forwarded requests.
-    pub(crate) fn takers_of_forwarded(&self, own: &str) -> Vec<SocketAddr> {
+    /// Returns the addresses of all gateways except `own` that say that they take forwarded requests, in the
+    /// regions that `homes` allows.
+    pub(crate) fn takers_of_forwarded(
+        &self,
+        own: &str,
+        homes: &Homes,
+        regions: &Regions,
+    ) -> Vec<SocketAddr> {
         let all = self.all.borrow();
         let takers = all
             .iter()
-            .filter(|(name, gateway)| name.as_str() != own && gateway.takes_forwarded);
+            .filter(|(name, gateway)| name.as_str() != own && gateway.takes_forwarded)
+            .filter(|(_, gateway)| {
+                let data_centre = gateway.data_centre.as_deref();
+                homes.allow(data_centre.and_then(|data_centre| regions.of(data_centre)))
+            });
         takers.filter_map(|(_, gateway)| gateway.address).collect()
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use jacinthpoint_dispatch::FleetRetryBudgetSettings;
-use jacinthpoint_fleet::VmCapacity;
+use jacinthpoint_fleet::{Regions, VmCapacity};
 use jacinthpoint_settings::{Absent, Reader, SettingsError, SettingsKey, key, number};
 use jacinthpoint_types::{DataCentreId, NodeId};
 
@@ -14,6 +14,9 @@
 pub const KEYS: &[SettingsKey] = &[
     key("node", "name", Absent::Refused),
     key("node", "data_centre", Absent::Refused),
+    // Regions of the data centres, each as DATA_CENTRE:REGION. Requests that may not leave a region are
+    // sent only to data centres that are named here.
+    key("node", "regions", Absent::Nothing),
     key("node", "first_start", Absent::Default("false")),
     key("listen", "callers", Absent::Refused),
     key("listen", "readiness", Absent::Refused),
@@ -46,6 +49,8 @@
     pub name: NodeId,
     /// Data centre of the gateway.
     pub data_centre: DataCentreId,
+    /// Regions of the data centres.
+    pub regions: Regions,
     /// Whether the whole fleet starts for the first time.
     pub is_first_start: bool,
     /// Address for callers.
@@ -105,6 +110,7 @@
 fn read(reader: &mut Reader<'_>) -> Option<GatewaySettings> {
     let name = reader.value("node", "name");
     let data_centre = reader.value("node", "data_centre");
+    let regions = reader.list("node", "regions").into_iter().collect();
     let is_first_start = reader.value("node", "first_start");
     let callers = reader.value("listen", "callers");
     let readiness = reader.value("listen", "readiness");
@@ -124,6 +130,7 @@
     Some(GatewaySettings {
         name: name?,
         data_centre: data_centre?,
+        regions,
         is_first_start: is_first_start?,
         callers: callers?,
         readiness: readiness?,
