--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -1,12 +1,13 @@
 //! Tests of the choice of a target, load exchange, stall detection, retry budget, limits of
-//! upstreams, learnt capacities, causes of crashes, quarantine, reach of upstreams, durations, and
-//! urgency.
+//! upstreams, learnt capacities, causes of crashes, quarantine, reach of upstreams, evacuations,
+//! durations, and urgency.
 
 mod budget;
 mod capacity;
 mod crash_notice;
 mod demand;
 mod durations;
+mod evacuation;
 mod growth;
 mod late_reports;
 mod load_cells;
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -258,6 +258,10 @@
             "limited_capacities",
             gateway.loads.borrow().capacities.limited(gateway.now()) as f64,
         ),
+        (
+            "data_centres_evacuated",
+            view.evacuations.evacuated().len() as f64,
+        ),
         ("requests_open", gateway.open_requests.get() as f64),
         ("requests_waiting", gateway.room.borrow().waiting() as f64),
         ("connections_open", gateway.open_connections.get() as f64),
