Streams between gateways keep their place, and ended connections theirs until their answer is read

Cause: a connection on which a forwarded stream ran counted as idle between two events, so a crowd could take its place; one that had ended gave its place at once, before its caller had read the answer.

Change: such a stream counts as working, and an ended connection yields after 0.2 s. While requests hold less than what is always left to them, the budget takes no lock.

--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -657,7 +657,7 @@
         } else {
             Stage::Idle
         });
-        // Nothing was read since the head.
+        // Fewer bytes are always held.
         let _ = self.account.set_bytes(0, now);
         self.account.set_activity(self.activity(), now);
         if self.is_write_blocked.get() {
--- a/crates/gateway/src/edge/guarded.rs
+++ b/crates/gateway/src/edge/guarded.rs
@@ -8,7 +8,12 @@
     task::{Context, Poll},
 };
 
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request, Response,
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -142,9 +147,12 @@
         let account = account.clone();
         async move {
             let response = response.await;
-            // Nothing was read since the head.
+            // Fewer bytes are always held.
             let _ = account.set_bytes(0, clock.now());
-            account.set_activity(Activity::Idle, clock.now());
+            // A stream runs on, on a connection that ends with it.
+            if response.body().size_hint().exact().is_some() {
+                account.set_activity(Activity::Idle, clock.now());
+            }
             Ok::<_, Infallible>(response)
         }
     });
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -3,7 +3,8 @@
 //! All listeners count what their connections hold in one budget, which the answers of upstreams share
 //! ([`crate::buffered`]). When it is short, or all places of a listener are taken, the connections that hold most
 //! and progress least are revoked: those that wait for bytes of a request, for a request, or for a caller that
-//! does not read. A request that was sent on is never revoked while it runs. Time is passed in.
+//! does not read. A request that was sent on is never revoked while it runs and its caller
+//! reads. Time is passed in.
 
 use std::{
     cell::{Cell, RefCell},
@@ -31,6 +32,8 @@
 const RATE_WINDOW_MS: u64 = 2_000;
 /// Rate below which a request counts as slow.
 const MIN_BYTES_PER_S: u64 = 1_024;
+/// Time after which a connection that has ended may be closed for others. By then, its caller has read its answer.
+const ENDED_MS: u64 = 200;
 /// Time after which a caller that reads nothing of its answer may be cut off for others.
 const UNREAD_MS: u64 = 3_000;
 /// Memory that a field of a request's head takes beside its text.
@@ -110,7 +113,7 @@
     fn yields_place(&self, now: TimeMs) -> bool {
         let idle_ms = now.since_ms(self.progress_at.get());
         match self.activity.get() {
-            Activity::Ended => true,
+            Activity::Ended => now.since_ms(self.began_at.get()) >= ENDED_MS,
             Activity::Receiving => self.is_slow(now),
             Activity::Idle => idle_ms >= STALLED_MS,
             Activity::Sending => idle_ms >= UNREAD_MS,
@@ -315,6 +318,10 @@
         if bytes <= before {
             return Ok(());
         }
+        // This much is always left to requests.
+        if memory.0.bytes.get() <= memory.0.max_bytes / 4 {
+            return Ok(());
+        }
         memory.limit(now);
         let is_over = memory.0.bytes.get() > memory.max_request_bytes();
         if self.is_revoked() || is_over && bytes > SHORT_BYTES {
