Urgency: only requests that can be on time wait, and rank follows routes

Organisations that all have a priority hid the priorities of the routes, and a few requests of one more urgent organisation kept half of the bearable wait from all others.

Change: a request waits only while it can be on time and is expected to be sent by then; others are refused at once. Of equal priority, the route's decides. Kept free is twice the more urgent share of the work.

--- a/crates/dispatch/src/urgency.rs
+++ b/crates/dispatch/src/urgency.rs
@@ -28,25 +28,22 @@
 /// Smallest share of the wait that others can bear which stays usable, so that a request waits for
 /// room rather than for an idle target.
 const MIN_USABLE_SHARE: f64 = 0.25;
-/// Largest such share. Loads are out of date, and requests that go first arrive unevenly.
-const MAX_USABLE_SHARE: f64 = 0.5;
-/// Weight of earlier requests in the share that is sent, for each further one.
-const SHARE_DECAY: f64 = 0.95;
-
-/// Rank of a request among those that want the same targets; 0 is the most urgent.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    derive_more::Display,
-    derive_more::FromStr,
-)]
-pub struct Urgency(pub u8);
+/// Part of that wait that is kept free, as a multiple of the more urgent share of the work: loads are out of
+/// date, and the more urgent requests arrive unevenly.
+const KEPT_RATIO: f64 = 2.0;
+/// Time between two requests that are sent, before any was.
+const ASSUMED_SPACING_MS: f64 = 1_000.0;
+
+/// Rank of a request among those that want the same targets; the least is the most urgent. Requests of
+/// equal priority are ranked by their routes, also if the priority is that of their organisations.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
+#[display("{priority}.{route_priority}")]
+pub struct Urgency {
+    /// Priority of the organisation, or else of the route; 0 is the highest.
+    pub priority: u8,
+    /// Priority of the route.
+    pub route_priority: u8,
+}
 
 /// Part of the targets' time that a request leaves to those that go before it.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -57,83 +54,99 @@
     pub usable_share: f64,
 }
 
+/// A sum whose parts count half after each half-life.
+#[derive(Debug, Clone, Copy, Default)]
+struct Decayed {
+    sum: f64,
+    added_at: TimeMs,
+}
+
+impl Decayed {
+    fn at(&self, now: TimeMs) -> f64 {
+        self.sum * 0.5_f64.powf(now.since_ms(self.added_at) as f64 / WORK_HALF_LIFE_MS)
+    }
+
+    fn add(&mut self, part: f64, now: TimeMs) {
+        self.sum = self.at(now) + part;
+        self.added_at = now;
+    }
+}
+
 /// Recent requests of one urgency.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 struct RecentWork {
-    /// Prompt tokens, decayed.
-    tokens: f64,
+    /// Prompt tokens.
+    tokens: Decayed,
     /// Objective for the first event of the latest request.
     objective_ms: u64,
-    seen_at: TimeMs,
+}
+
+impl RecentWork {
+    fn is_recent(&self, now: TimeMs) -> bool {
+        now.since_ms(self.tokens.added_at) < SEEN_MS
+    }
 }
 
 /// Recent work of all urgencies that use the same targets.
 #[derive(Debug, Default)]
 pub struct UrgencyWork {
     recent: BTreeMap<Urgency, RecentWork>,
-    /// Requests, and those of them that were sent; both decayed with each request.
-    asked: f64,
-    sent: f64,
+    /// Requests, and those of them that were sent.
+    asked: Decayed,
+    sent: Decayed,
 }
 
 impl UrgencyWork {
     /// Records a request with the length of its prompt and its objective for the first event.
     pub fn on_request(&mut self, urgency: Urgency, tokens: u32, objective_ms: u64, now: TimeMs) {
-        self.asked = self.asked * SHARE_DECAY + 1.0;
-        self.sent *= SHARE_DECAY;
-        let decayed = self.recent.get(&urgency).map_or(0.0, |work| {
-            work.tokens * 0.5_f64.powf(now.since_ms(work.seen_at) as f64 / WORK_HALF_LIFE_MS)
-        });
-        let work = RecentWork {
-            tokens: decayed + f64::from(tokens.max(1)),
-            objective_ms,
-            seen_at: now,
-        };
-        self.recent.insert(urgency, work);
+        self.asked.add(1.0, now);
+        let work = self.recent.entry(urgency).or_default();
+        work.tokens.add(f64::from(tokens.max(1)), now);
+        work.objective_ms = objective_ms;
     }
 
-    /// Returns what a request leaves to the more urgent ones, and if it is late already, also to those
-    /// of the same urgency that are not; `None` if there were none lately.
-    pub fn reserve(&self, urgency: Urgency, is_late: bool, now: TimeMs) -> Option<Reserve> {
-        let current = |work: &RecentWork| now.since_ms(work.seen_at) < SEEN_MS;
-        let tokens = |work: &RecentWork| {
-            work.tokens * 0.5_f64.powf(now.since_ms(work.seen_at) as f64 / WORK_HALF_LIFE_MS)
-        };
-        let (mut all_tokens, mut first_tokens) = (0.0, 0.0);
-        let mut objective_ms = None;
-        for (other, work) in self.recent.iter().filter(|(_, work)| current(work)) {
-            all_tokens += tokens(work);
-            if *other < urgency || (is_late && *other == urgency) {
-                first_tokens += tokens(work);
-                let shortest_ms = objective_ms.unwrap_or(u64::MAX).min(work.objective_ms);
-                objective_ms = Some(shortest_ms);
-            }
-        }
-        let share = first_tokens / all_tokens.max(f64::EPSILON);
-        objective_ms.map(|objective_ms| Reserve {
+    /// Returns what a request leaves to the more urgent ones; `None` if there were none lately.
+    pub fn reserve(&self, urgency: Urgency, now: TimeMs) -> Option<Reserve> {
+        let recent = self.recent.values().filter(|work| work.is_recent(now));
+        let all_tokens: f64 = recent.map(|work| work.tokens.at(now)).sum();
+        let urgent = || self.more_urgent(urgency, now);
+        let urgent_tokens: f64 = urgent().map(|work| work.tokens.at(now)).sum();
+        let objective_ms = urgent().map(|work| work.objective_ms).min()?;
+        let kept_share = KEPT_RATIO * urgent_tokens / all_tokens.max(f64::EPSILON);
+        Some(Reserve {
             objective_ms,
-            usable_share: (MAX_USABLE_SHARE * (1.0 - share)).max(MIN_USABLE_SHARE),
+            usable_share: (1.0 - kept_share).max(MIN_USABLE_SHARE),
         })
     }
 
+    /// Returns the recent work that is more urgent.
+    fn more_urgent(&self, urgency: Urgency, now: TimeMs) -> impl Iterator<Item = &RecentWork> {
+        let more_urgent = self.recent.range(..urgency).map(|(_, work)| work);
+        more_urgent.filter(move |work| work.is_recent(now))
+    }
+
     /// Records that a request is sent to a target.
-    pub fn on_sent(&mut self) {
-        self.sent += 1.0;
+    pub fn on_sent(&mut self, now: TimeMs) {
+        self.sent.add(1.0, now);
     }
 
     /// Returns the share of recent requests that were sent.
-    pub fn sent_share(&self) -> f64 {
+    pub fn sent_share(&self, now: TimeMs) -> f64 {
         // Requests that just arrived are not sent yet.
-        ((self.sent + 1.0) / self.asked.max(1.0)).min(1.0)
+        ((self.sent.at(now) + 1.0) / (self.asked.at(now) + 1.0)).min(1.0)
+    }
+
+    /// Returns the mean time between two recent requests that were sent, in milliseconds.
+    pub fn sent_spacing_ms(&self, now: TimeMs) -> f64 {
+        let window_ms = WORK_HALF_LIFE_MS / std::f64::consts::LN_2;
+        window_ms / (self.sent.at(now) + window_ms / ASSUMED_SPACING_MS)
     }
 
     /// Returns the longest objective of more urgent requests, in milliseconds; 0 if there were none
     /// lately.
     pub fn longest_objective_ms(&self, urgency: Urgency, now: TimeMs) -> u64 {
-        let recent = self.recent.iter();
-        let ahead = recent
-            .filter(|(other, work)| **other < urgency && now.since_ms(work.seen_at) < SEEN_MS);
-        ahead.map(|(_, work)| work.objective_ms).max().unwrap_or(0)
+        let objectives = self.more_urgent(urgency, now).map(|work| work.objective_ms);
+        objectives.max().unwrap_or(0)
     }
 }
 
--- a/crates/dispatch/src/urgency/claim.rs
+++ b/crates/dispatch/src/urgency/claim.rs
@@ -17,8 +17,6 @@
 /// Shortest time between two choices of a target for a waiting request: loads change at each exchange
 /// with the other gateways.
 const MIN_RECHECK_MS: u64 = 25;
-/// Longest such time.
-const MAX_RECHECK_MS: u64 = 250;
 /// Part of the time that a request has waited after which a target is chosen again, as a divisor. All
 /// gateways see room at once, and would fill it at once.
 const RECHECK_DIVISOR: u64 = 4;
@@ -28,8 +26,6 @@
 pub struct RoomTerms {
     /// Objective for the first event, from now, in milliseconds.
     pub objective_ms: u64,
-    /// Whether the objective must be met.
-    pub is_wait_limited: bool,
     /// What is left to requests that go first.
     pub reserve: Option<Reserve>,
 }
@@ -63,7 +59,7 @@
             .on_request(urgency, prompt.prompt_tokens, objective_ms, now);
         // Of the most urgent requests none needs it.
         let is_exempt = line.work.longest_objective_ms(urgency, now) > 0
-            && rng.random_bool(FLOOR_SHARE * line.work.sent_share());
+            && rng.random_bool(FLOOR_SHARE * line.work.sent_share(now));
         RoomClaim {
             urgency,
             started: now,
@@ -102,68 +98,56 @@
         prompt: &PromptDemand<'_>,
         now: TimeMs,
     ) -> Option<RoomTerms> {
-        let (urgency, is_late) = (self.urgency, self.is_late(now));
+        let urgency = self.urgency;
         let objective_ms = prompt.first_event_objective_ms;
         if self.is_exempt {
             let longest_ms = line.work.longest_objective_ms(urgency, now);
             return Some(RoomTerms {
                 objective_ms: objective_ms.max(longest_ms),
-                is_wait_limited: true,
                 reserve: None,
             });
         }
         let is_next = match self.place {
-            Some((key, _)) => line.is_first(key, now),
-            None => !line.goes_behind(urgency, is_late, now),
+            Some((key, _)) => line.is_first(key),
+            None => !line.goes_behind(urgency),
         };
         is_next.then(|| RoomTerms {
             objective_ms: objective_ms.saturating_sub(now.since_ms(self.started)),
-            is_wait_limited: !is_late,
-            reserve: line.work.reserve(urgency, is_late, now),
+            reserve: line.work.reserve(urgency, now),
         })
     }
 
     /// Records that no target can be chosen, and returns whether the request waits, or goes on waiting.
     pub fn waits(&mut self, line: &mut RoomLine, refusal: Refusal, now: TimeMs) -> bool {
-        match refusal {
-            // The objective is too near for every target, and comes nearer.
-            Refusal::TooLate => self.late_at = self.late_at.min(now),
-            Refusal::NoRoom | Refusal::Reserved => {}
-            // Nobody knows when there will be room.
-            Refusal::NoTarget | Refusal::Paused | Refusal::Limited => return false,
+        // In the other cases the objective is too near already, or nobody knows when there will be room.
+        if refusal != Refusal::Reserved {
+            return false;
         }
-        match self.place {
-            Some((key, _)) => {
-                line.on_late(key, self.late_at);
-                line.stays(key, now)
-            }
-            None => {
-                let key = line.join(self.urgency, self.late_at, self.deadline, now);
-                self.place = key.map(|key| (key, now));
-                self.place.is_some()
-            }
+        if self.place.is_some() {
+            return !self.is_late(now);
         }
+        let key = line.join(self.urgency, self.late_at, now);
+        self.place = key.map(|key| (key, now));
+        self.place.is_some()
     }
 
     /// Returns when a target is chosen again for a waiting request.
     pub fn check_at(&self, now: TimeMs, rng: &mut impl Rng) -> TimeMs {
         let waited_ms = self.waited_ms(now).unwrap_or(0);
-        let longest_ms = (MIN_RECHECK_MS + waited_ms / RECHECK_DIVISOR).min(MAX_RECHECK_MS);
+        let longest_ms = MIN_RECHECK_MS + waited_ms / RECHECK_DIVISOR;
         now.plus_ms(rng.random_range(MIN_RECHECK_MS..=longest_ms))
     }
 
     /// Records that the request is sent.
     pub fn on_sent(&mut self, line: &mut RoomLine, now: TimeMs) {
-        line.work.on_sent();
-        if let Some((key, _)) = self.place.take() {
-            line.on_sent(key, now);
-        }
+        line.work.on_sent(now);
+        self.on_left(line);
     }
 
     /// Records that the request is refused, or that its caller left.
-    pub fn on_left(&mut self, line: &mut RoomLine, now: TimeMs) {
+    pub fn on_left(&mut self, line: &mut RoomLine) {
         if let Some((key, _)) = self.place.take() {
-            line.on_left(key, now);
+            line.leave(key);
         }
     }
 
--- a/crates/dispatch/tests/urgency.rs
+++ b/crates/dispatch/tests/urgency.rs
@@ -117,7 +117,11 @@
     at: TimeMs,
     rng: &mut SmallRng,
 ) -> Result<Arc<Target>, bool> {
-    let urgency = Urgency(load.classes[call.class].urgency);
+    let priority = load.classes[call.class].urgency;
+    let urgency = Urgency {
+        priority,
+        route_priority: priority,
+    };
     let mut selection = Selection {
         is_wait_limited: true,
         prompt: Some(prompt),
@@ -134,7 +138,6 @@
         Some(terms) => {
             prompt.first_event_objective_ms = terms.objective_ms;
             selection.prompt = Some(prompt);
-            selection.is_wait_limited = terms.is_wait_limited;
             selection.reserve = terms.reserve;
             tracker.choose(&selection, at, rng)
         }
@@ -148,7 +151,7 @@
         Err(refusal) => {
             let waits = claim.waits(line, refusal, at);
             if !waits {
-                claim.on_left(line, at);
+                claim.on_left(line);
             }
             Err(waits)
         }
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -336,22 +336,26 @@
     }
 }
 
-/// Returns the services whose requests have different priorities: those of their routes, or those of
-/// organisations, which go before the routes'.
+/// Returns the services whose requests have different priorities. An organisation's priority goes before
+/// the route's, which decides between requests for which the former is equal.
 fn prioritised_services(
     routes: &[Route],
     organisations: &[(Organisation, Vec<String>)],
 ) -> BTreeSet<ServiceId> {
-    let of_organisations = organisations
-        .iter()
-        .filter_map(|(organisation, _)| organisation.priority);
-    let of_organisations: BTreeSet<u8> = of_organisations.collect();
-    let mut by_service: BTreeMap<&ServiceId, BTreeSet<u8>> = BTreeMap::new();
+    let of_organisations = organisations.iter();
+    let of_organisations: BTreeSet<Option<u8>> = of_organisations
+        .map(|(organisation, _)| organisation.priority)
+        .collect();
+    let mut by_service: BTreeMap<&ServiceId, BTreeSet<(u8, u8)>> = BTreeMap::new();
     for route in routes {
+        let without = (route.is_public || of_organisations.is_empty()).then_some(None);
+        let callers = of_organisations.iter().copied().chain(without);
+        let priorities =
+            callers.map(|priority| (priority.unwrap_or(route.priority), route.priority));
+        let priorities: BTreeSet<(u8, u8)> = priorities.collect();
         for target in &route.targets {
-            let priorities = by_service.entry(&target.service);
-            let priorities = priorities.or_insert_with(|| of_organisations.clone());
-            priorities.insert(route.priority);
+            let known = by_service.entry(&target.service).or_default();
+            known.extend(priorities.iter().copied());
         }
     }
     let differing = by_service
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -208,19 +208,19 @@
     // A request that may have run is late already, and refusing it would be worse.
     let is_first_run = history.all_runs() == 0;
     let mut prompt = context.prompt_demand();
-    let (mut is_wait_limited, mut reserve) = (is_first_run, None);
+    let mut reserve = None;
     if let (true, Some(room), Some(prompt)) = (is_first_run, &history.room, &mut prompt) {
         let terms = room.terms(prompt);
         let terms = terms.ok_or(Refusal::Reserved)?;
         prompt.first_event_objective_ms = terms.objective_ms;
-        (is_wait_limited, reserve) = (terms.is_wait_limited, terms.reserve);
+        reserve = terms.reserve;
     }
     let selection = Selection {
         targets: &candidates,
         tried: &history.tried_targets,
         queue_share,
         prompt,
-        is_wait_limited,
+        is_wait_limited: is_first_run,
         reserve,
         stall_policy: context.stall_policy(),
         limits: Some(&limits),
--- a/crates/gateway/src/call/room.rs
+++ b/crates/gateway/src/call/room.rs
@@ -24,8 +24,7 @@
 
 impl Drop for RoomRequest {
     fn drop(&mut self) {
-        let now = self.clock.now();
-        self.with_line(|claim, line| claim.on_left(line, now));
+        self.with_line(RoomClaim::on_left);
     }
 }
 
@@ -41,7 +40,10 @@
         let (service, model) = (context.service.clone(), prompt.model.name.clone());
         let claim = RoomClaim::new(
             gateway.room.borrow_mut().line(&service, &model),
-            Urgency(context.priority()),
+            Urgency {
+                priority: context.priority(),
+                route_priority: context.route.priority,
+            },
             &prompt,
             context.deadline,
             context.started,
@@ -101,10 +103,8 @@
     /// Logs and counts what is decided on a request for which there was no room at once.
     fn log(&mut self, context: &Context, outcome: &'static str, refusal: Option<Refusal>) {
         let now = self.clock.now();
-        let (reserve, waiting) = self.with_line(|claim, line| {
-            let (urgency, is_late) = (claim.urgency(), claim.is_late(now));
-            (line.work.reserve(urgency, is_late, now), line.len())
-        });
+        let (reserve, waiting) =
+            self.with_line(|claim, line| (line.work.reserve(claim.urgency(), now), line.len()));
         let claim = &self.claim;
         context.gateway.metrics.count("room_waits", outcome);
         log_event!(info, RoomDecided, request = context.request_id, urgency = %claim.urgency(),
