--- a/crates/fleet/tests/priorities.rs
+++ b/crates/fleet/tests/priorities.rs
@@ -1,7 +1,8 @@
 //! Tests of which services have requests of different priorities.
 
 use jacinthpoint_fleet::{
-    CallerLimits, ConfigVersion, FleetConfig, Organisation, RequestKind, Route, WeightedService,
+    CallerLimits, ConfigVersion, FleetConfig, Homes, Organisation, RequestKind, Route,
+    WeightedService,
 };
 use jacinthpoint_types::ServiceId;
 
@@ -27,6 +28,7 @@
         }],
         max_attempts: 2,
         is_public,
+        homes: Homes::default(),
     }
 }
 
@@ -36,6 +38,7 @@
         let organisation = Organisation {
             name: format!("organisation-{index}"),
             priority: *priority,
+            homes: Homes::default(),
         };
         (organisation, vec![format!("key-{index}")])
     };
