--- a/crates/dispatch/src/urgency.rs
+++ b/crates/dispatch/src/urgency.rs
@@ -7,7 +7,7 @@
 //! or is refused at once.
 //!
 //! A gateway judges by what it has seen itself: the recent work of each urgency on a model, and how
-//! fast its own waiting requests were sent.
+//! many requests came and were sent.
 
 use std::collections::BTreeMap;
 
--- a/crates/dispatch/tests/urgency.rs
+++ b/crates/dispatch/tests/urgency.rs
@@ -427,3 +427,31 @@
         "without {before:?}, with {with:?}"
     );
 }
+
+/// Callers that are refused together: the more urgent return first, all one after the other, and none
+/// later than in a third of the time that it has left.
+#[test]
+fn refused_callers_return_by_urgency_within_a_third_of_their_time() {
+    let engine = engine();
+    let mut line = RoomLine::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let deadline = Deadline::after_ms(now(), TIMEOUT_MS);
+    let mut return_ms = |class: &Class| {
+        let urgency = Urgency {
+            priority: class.urgency,
+            route_priority: class.urgency,
+        };
+        let prompt = demand(&engine, class, 1_000);
+        let mut claim = RoomClaim::new(&mut line, urgency, &prompt, deadline, now(), &mut rng);
+        // One of two was sent.
+        claim.on_sent(&mut line, now());
+        let claim = RoomClaim::new(&mut line, urgency, &prompt, deadline, now(), &mut rng);
+        claim.return_ms(&mut line, now(), &mut rng)
+    };
+    let mut sum = |class: &Class| (0..20).map(|_| return_ms(class)).sum::<u64>();
+    let (patient_ms, urgent_ms) = (sum(&PATIENT), sum(&URGENT));
+    assert!(
+        urgent_ms < patient_ms && patient_ms <= 20 * TIMEOUT_MS / 3,
+        "urgent {urgent_ms}, patient {patient_ms}"
+    );
+}
