Cold upstreams: split fleets, removed limits and heartbeats that change nothing

Cause, found in review: after 30 s of a split fleet each part's hub took its part for the whole fleet, so a cold upstream got the limit once from each; a limit that the configuration takes back stayed until the warm-up's end; and each entry of a cold upstream, which tells another rest of the time, made every gateway build its directory anew, also without any limit.

Change: the share for these permits counts gateways for ten minutes; limits end with the configuration's; a view without a limit does not change.

Measured: tests of each that fail without the change (share, view).

--- a/crates/dispatch/src/permit_issuer.rs
+++ b/crates/dispatch/src/permit_issuer.rs
@@ -18,6 +18,9 @@
 pub const LIMIT_SYNC_MS: u64 = 250;
 /// Time after which a gateway that does not report to this hub is considered gone.
 const GONE_MS: u64 = 30_000;
+/// The same for limits that hold in whichever part of a split fleet a gateway is: the longest time for
+/// which one upstream is limited. A gateway that is really gone costs its share for as long.
+const SPLIT_GONE_MS: u64 = 600_000;
 /// Time for which unused permits are saved up.
 const SAVED_MS: u64 = 250;
 /// Lowest rate of permits. The end of a limit shows only in answers, so a few requests are sent
@@ -89,7 +92,7 @@
             reporting_since: before.map_or(now, |contact| contact.reporting_since),
         };
         self.gateways.insert(from, contact);
-        let share = self.share(|_| true, now);
+        let share = self.share(|_| true, GONE_MS, now);
         self.answers(reports, share, now)
     }
 
@@ -131,12 +134,12 @@
     /// no other hub counts them any more.
     pub fn settled_share(&self, now: TimeMs) -> f64 {
         let is_settled = |contact: &Contact| now.since_ms(contact.reporting_since) >= REPORTING_MS;
-        self.share(is_settled, now)
+        self.share(is_settled, SPLIT_GONE_MS, now)
     }
 
     /// Returns the fraction of the fleet's gateways that report to this hub and for which `counts`
-    /// returns true.
-    fn share(&self, counts: impl Fn(&Contact) -> bool, now: TimeMs) -> f64 {
+    /// returns true. A gateway is of the fleet until it has not reported for `gone_ms`.
+    fn share(&self, counts: impl Fn(&Contact) -> bool, gone_ms: u64, now: TimeMs) -> f64 {
         let is_within = |contact: &&Contact, ms: u64| now.since_ms(contact.last_at) < ms;
         let reporting = self
             .gateways
@@ -147,7 +150,7 @@
         let present = self
             .gateways
             .values()
-            .filter(|contact| is_within(contact, GONE_MS))
+            .filter(|contact| is_within(contact, gone_ms))
             .count();
         reporting as f64 / present.max(1) as f64
     }
--- a/crates/dispatch/src/warm_up/limit.rs
+++ b/crates/dispatch/src/warm_up/limit.rs
@@ -152,6 +152,12 @@
         learnt
     }
 
+    /// Drops the limits of upstreams for which `is_limited` returns false: their service limits no
+    /// requests any more.
+    pub fn retain(&mut self, is_limited: impl Fn(&VmId) -> bool) {
+        self.cold.retain(|upstream, _| is_limited(upstream));
+    }
+
     /// Returns whether an upstream is cold.
     pub fn is_cold(&self, upstream: &VmId, now: TimeMs) -> bool {
         let cold = self.cold.get(upstream);
--- a/crates/dispatch/tests/warm_up.rs
+++ b/crates/dispatch/tests/warm_up.rs
@@ -598,3 +598,20 @@
     limits.on_sent(&id(0), now);
     assert!(!limits.may_send(&id(0), now));
 }
+
+/// A fleet that is split in two for a minute: each half has a hub, and both reach the upstreams. Neither hub
+/// may take its half for the whole fleet.
+#[test]
+fn hub_of_half_a_fleet_counts_the_other_half_for_long() {
+    let mut contacts = PermitIssuer::default();
+    let begin = TimeMs(1_000_000);
+    contacts.on_known(0..4_usize, begin);
+    for ms in (0..60_000).step_by(200) {
+        let now = begin.plus_ms(ms);
+        for gateway in 0..2 {
+            contacts.on_report(gateway, &[], now);
+        }
+        let share = contacts.settled_share(now);
+        assert!(share <= 0.5, "a share of {share} after {ms} ms");
+    }
+}
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -294,6 +294,10 @@
         if known == Some(&entry) {
             return ViewChange::Same;
         }
+        if self.differs_in_ignored(known, &entry) {
+            self.upstreams.insert(entry.id.clone(), entry);
+            return ViewChange::Same;
+        }
         let known_started = known.map(|known| known.started_unix_ms);
         if let Some(ended) = known_started.filter(|known| *known != entry.started_unix_ms) {
             self.record_end(&entry.id, ended);
@@ -302,6 +306,22 @@
         ViewChange::Changed
     }
 
+    /// Returns whether an entry differs from the known one only in the rest of its warm-up, and its service
+    /// limits no requests then. Each entry of a cold upstream tells another rest.
+    fn differs_in_ignored(&self, known: Option<&Upstream>, entry: &Upstream) -> bool {
+        let config = self.config.as_ref();
+        let service = config.and_then(|config| config.services.get(&entry.service));
+        service.is_some_and(|service| service.warm_up.is_none())
+            && known.is_some_and(|known| {
+                let warm_up_left_ms = entry.warm_up_left_ms;
+                *entry
+                    == Upstream {
+                        warm_up_left_ms,
+                        ..known.clone()
+                    }
+            })
+    }
+
     /// Removes an upstream whose entry was removed from the store. A group member that may serve
     /// without an entry is kept as unlisted.
     pub fn remove_upstream(&mut self, id: &VmId, now: TimeMs) -> ViewChange {
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -4,9 +4,9 @@
 
 use jacinthpoint_fleet::{
     CallerLimits, ConfigVersion, EXPIRY_GRACE_MS, FleetConfig, FleetView, GroupState, Membership,
-    REMOVED_HOLD_MS, UNLISTED_MS, Upstream, UpstreamState, ViewChange,
+    REMOVED_HOLD_MS, Service, UNLISTED_MS, Upstream, UpstreamState, ViewChange, WarmUp,
 };
-use jacinthpoint_types::{TimeMs, VmId};
+use jacinthpoint_types::{PerSecond, TimeMs, VmId};
 
 /// Time after an outage at which the grace period has passed.
 const AFTER_GRACE_MS: u64 = 2_000;
@@ -310,3 +310,46 @@
         assert_eq!(view.remove_after_expiry_grace(TimeMs(20_000 + AFTER_GRACE_MS)), vec![id("b")]);
     }
 }
+
+/// A cold upstream writes another rest of its warm-up with each heartbeat. A service that limits nothing then
+/// needs no new view for it.
+#[test]
+fn rest_of_a_warm_up_changes_no_view_of_a_service_without_a_limit() {
+    let service = Service {
+        id: "service".parse().expect("valid name"),
+        health_path: "/health".to_owned(),
+        max_connections: 10,
+        engine: None,
+        warm_up: None,
+    };
+    let warming = |left_ms| Upstream {
+        warm_up_left_ms: Some(left_ms),
+        ..upstream("a")
+    };
+    let mut view = FleetView::default();
+    let limits = CallerLimits::default();
+    let with_service = |version, service| {
+        let services = vec![service];
+        FleetConfig::new(
+            ConfigVersion(version),
+            Vec::new(),
+            services,
+            Vec::new(),
+            limits,
+        )
+    };
+    view.apply_config(with_service(1, service.clone()));
+    assert_eq!(view.apply_upstream(warming(3_000)), ViewChange::Changed);
+    assert_eq!(view.apply_upstream(warming(1_800)), ViewChange::Same);
+    let left_ms = |view: &FleetView| view.upstreams().values().next().map(|a| a.warm_up_left_ms);
+    assert_eq!(left_ms(&view), Some(Some(1_800)), "the newest one is kept");
+    let limited = Service {
+        warm_up: Some(WarmUp {
+            duration_ms: 3_000,
+            max_per_s: PerSecond(17.0),
+        }),
+        ..service
+    };
+    view.apply_config(with_service(2, limited));
+    assert_eq!(view.apply_upstream(warming(600)), ViewChange::Changed);
+}
--- a/crates/gateway/src/warm_ups.rs
+++ b/crates/gateway/src/warm_ups.rs
@@ -57,6 +57,12 @@
             }
         }
         let mut limits = self.limits.borrow_mut();
+        // An upstream that is not listed may be one that another gateway told of.
+        limits.retain(|id| {
+            upstreams
+                .get(id)
+                .is_none_or(|known| warm_up(known).is_some())
+        });
         for target in directory.targets() {
             let upstream = upstreams.get(&target.upstream);
             if let (Some(until), Some(warm_up)) = (
