A crowd cuts no half-sent stream quietly, and revives no request of a caller that left

Connections that waited in the queue of a full listener were accepted sooner than before, with requests of callers that had left meanwhile, which were sent on. The listeners beside that for callers let the HTTP library's buffer grow to 68 KB a connection.

Change: the reset covers aborted and revoked answers. An end of bytes that a connection has as it is accepted counts as old as its wait in the queue. Reads there are limited to 8 KiB, as at the callers' listener.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -6,6 +6,7 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use jacinthpoint_adapter::paths;
 use jacinthpoint_listener::{HANDSHAKE_MS, ignore_attempts};
+use jacinthpoint_types::TimeMs;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
@@ -42,6 +43,34 @@
 /// Time between two log events on connections above the limit.
 const SURPLUS_LOG_INTERVAL_MS: u64 = 1_000;
 
+/// Time in which the queue of a listener is empty once connections are accepted again.
+const QUEUE_EMPTY_MS: u64 = 100;
+
+/// Since when connections have waited in the queue of the callers' listener.
+#[derive(Debug, Default)]
+struct ListenerQueue {
+    full_since: TimeMs,
+    last_full_at: TimeMs,
+}
+
+impl ListenerQueue {
+    /// Records that no connection is accepted now.
+    fn on_full(&mut self, now: TimeMs) {
+        if now.since_ms(self.last_full_at) > QUEUE_EMPTY_MS {
+            self.full_since = now;
+        }
+        self.last_full_at = now;
+    }
+
+    /// Returns for how long a connection that is accepted now may have waited.
+    fn wait_ms(&self, now: TimeMs) -> u64 {
+        match now.since_ms(self.last_full_at) {
+            ..=QUEUE_EMPTY_MS => now.since_ms(self.full_since),
+            _ => 0,
+        }
+    }
+}
+
 /// Accepts connections of callers until the gateway ends them all.
 ///
 /// Above the limit that follows from the number of descriptors, requests are refused, and well above it
@@ -53,8 +82,12 @@
     let mut phase = gateway.phase.subscribe();
     let ending = phase.wait_for(|phase| *phase >= Phase::Ending);
     let mut ending = std::pin::pin!(ending);
+    let mut queue = ListenerQueue::default();
     loop {
         let is_full = gateway.open_connections.get() >= max_connections + SURPLUS_CONNECTIONS;
+        if is_full {
+            queue.on_full(gateway.now());
+        }
         let accepted = tokio::select! {
             biased;
             _ = ending.as_mut() => break,
@@ -65,7 +98,10 @@
             accepted = listener.accept(), if !is_full => accepted,
         };
         match accepted {
-            Ok((stream, _)) => begin_serving(&gateway, stream, max_connections),
+            Ok((stream, _)) => {
+                let queued_ms = queue.wait_ms(gateway.now());
+                begin_serving(&gateway, stream, max_connections, queued_ms);
+            }
             Err(error) => {
                 log_event!(warn, AcceptFailed, %error, "a connection could not be accepted");
                 sleep_ms(ACCEPT_PAUSE_MS).await;
@@ -73,7 +109,8 @@
         }
     }
     for stream in accept_last(listener).await {
-        begin_serving(&gateway, stream, max_connections);
+        let queued_ms = queue.wait_ms(gateway.now());
+        begin_serving(&gateway, stream, max_connections, queued_ms);
     }
     gateway.open_listeners.set(gateway.open_listeners.get() - 1);
 }
@@ -119,7 +156,7 @@
 }
 
 /// Serves a new connection in a task of its own.
-fn begin_serving(gateway: &Rc<Gateway>, stream: TcpStream, max_connections: usize) {
+fn begin_serving(gateway: &Rc<Gateway>, stream: TcpStream, max_connections: usize, queued_ms: u64) {
     let open = gateway.open_connections.get();
     let guard = OpenConnectionGuard::new(gateway);
     let now = gateway.now();
@@ -140,7 +177,7 @@
     let gateway = gateway.clone();
     tokio::task::spawn_local(async move {
         let _guard = guard;
-        caller::serve_caller(&gateway, stream, is_surplus).await;
+        caller::serve_caller(&gateway, stream, is_surplus, queued_ms).await;
     });
 }
 
--- a/crates/gateway/src/edge/caller.rs
+++ b/crates/gateway/src/edge/caller.rs
@@ -67,6 +67,8 @@
 const LINGER_IDLE_AT_STOP_MS: u64 = 200;
 /// Time in which a revoked connection must have refused its request, if it has one, and ended.
 const REVOKED_MS: u64 = 500;
+/// Time after a connection was accepted in which an end of the caller's bytes may have arrived before.
+const ACCEPTED_LATELY_MS: u64 = 100;
 /// Time between two checks of a connection that is due to end but has not ended.
 const RECHECK_INTERVAL_MS: u64 = 50;
 /// Time in which the body of a refused request must arrive for its connection to be kept.
@@ -134,6 +136,8 @@
     /// Length of the head that is being read.
     head_bytes: Cell<usize>,
     accepted_at: TimeMs,
+    /// Time for which it may have waited to be accepted.
+    queued_ms: u64,
     /// Whether the maximum number of connections was open before, so that requests are refused.
     pub(crate) is_surplus: bool,
     requests: Cell<u64>,
@@ -185,12 +189,13 @@
 }
 
 impl CallerConnection {
-    fn new(gateway: Rc<Gateway>, is_surplus: bool) -> CallerConnection {
+    fn new(gateway: Rc<Gateway>, is_surplus: bool, queued_ms: u64) -> CallerConnection {
         let now = gateway.now();
         CallerConnection {
             account: gateway.memory.open(Listener::Callers, Activity::Idle, now),
             head_bytes: Cell::new(0),
             gateway,
+            queued_ms,
             accepted_at: now,
             is_surplus,
             requests: Cell::new(0),
@@ -363,8 +368,11 @@
     pub(super) fn on_end_of_bytes(&self) {
         if self.ended_at.get().is_none() {
             let now = self.gateway.now();
-            // It may have arrived while the process did not run.
-            let age_ms = self.gateway.pauses.possible_age_ms(now);
+            // It may have arrived while the process did not run, or the connection was not accepted.
+            let mut age_ms = self.gateway.pauses.possible_age_ms(now);
+            if now.since_ms(self.accepted_at) < ACCEPTED_LATELY_MS {
+                age_ms = age_ms.max(self.queued_ms);
+            }
             self.ended_at
                 .set(Some(TimeMs(now.0.saturating_sub(age_ms))));
         }
@@ -732,11 +740,21 @@
     }
 }
 
-/// Serves one caller's connection until it ends. `is_surplus` says that its requests are refused.
-pub(super) async fn serve_caller(gateway: &Rc<Gateway>, stream: TcpStream, is_surplus: bool) {
+/// Serves one caller's connection until it ends. `is_surplus` says that its requests are refused, and `queued_ms`
+/// for how long it may have waited in the listener's queue.
+pub(super) async fn serve_caller(
+    gateway: &Rc<Gateway>,
+    stream: TcpStream,
+    is_surplus: bool,
+    queued_ms: u64,
+) {
     set_caller_options(&stream);
     limit_unsent_bytes(&stream);
-    let connection = Rc::new(CallerConnection::new(gateway.clone(), is_surplus));
+    let connection = Rc::new(CallerConnection::new(
+        gateway.clone(),
+        is_surplus,
+        queued_ms,
+    ));
     let head_bytes = connection
         .limits()
         .max_header_bytes
@@ -790,7 +808,8 @@
         None if connection.account.is_revoked() => "revoked",
         None => "cut",
     };
-    let is_to_reset = result.is_none() && connection.has_unframed_streams.get();
+    let is_cut = matches!(why, "cut" | "revoked");
+    let is_to_reset = is_cut && connection.has_unframed_streams.get();
     gateway.metrics.count("connections_ended", why);
     log_event!(
         debug,
--- a/crates/gateway/src/edge/caller_io.rs
+++ b/crates/gateway/src/edge/caller_io.rs
@@ -35,7 +35,7 @@
 
 /// Maximum number of bytes that the HTTP library gets with one read. Its buffer of a connection grows while reads
 /// fill the 8 KiB with which it begins.
-const MAX_READ_BYTES: usize = 8 * 1_024 - 1;
+pub(super) const MAX_READ_BYTES: usize = 8 * 1_024 - 1;
 
 /// Start of the size of a chunk. A size may have leading zeros, so this is no part of the body, whatever
 /// chunk follows.
--- a/crates/gateway/src/edge/guarded.rs
+++ b/crates/gateway/src/edge/guarded.rs
@@ -3,6 +3,7 @@
 use std::{
     convert::Infallible,
     io,
+    mem::MaybeUninit,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -23,6 +24,7 @@
 use crate::{
     body::AnswerBody,
     clock::Clock,
+    edge::caller_io::MAX_READ_BYTES,
     memory::{Account, Activity, Listener},
     state::Gateway,
 };
@@ -40,9 +42,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let read = buffer.filled().len() - before;
+        let mut bytes = [MaybeUninit::uninit(); MAX_READ_BYTES];
+        let max_bytes = buffer.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::uninit(&mut bytes[..max_bytes]);
+        let polled = Pin::new(&mut self.stream).poll_read(context, &mut part);
+        buffer.put_slice(part.filled());
+        let read = part.filled().len();
         if read > 0 {
             let now = self.clock.now();
             if self.account.activity() == Activity::Idle {
