A gateway's watches end after 5 s, and a check among many connections is read

Cause, found in review: a stranger at the peers' listener could hold each place with a watch without end; a check that waits in the readiness listener's queue among a crowd could be ended before its request was read.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -200,6 +200,9 @@
                 continue;
             }
         };
+        // Lets the connections before read their requests: a check that waits among many others is not
+        // ended by the next of them.
+        tokio::task::yield_now().await;
         // A new one is preferred: a check sends its request with the connection and is answered at once.
         let Some(account) = open_account(&gateway, kind, MAX_TEXT_CONNECTIONS, true) else {
             continue;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -47,6 +47,8 @@
 /// list yet, and a call for the list if what it has is too old. Gateways that start together, or lost
 /// the same changes, all ask their relays before these have read anything.
 pub(crate) const MAX_LIST_HOLD_MS: u64 = 600;
+/// Longest wait of a watch. Gateways ask for less; anybody else must not hold a place for longer.
+const MAX_WATCH_MS: u64 = 5_000;
 /// Time between two checks of whether the objects for a waiting watch are too old.
 const AGE_CHECK_INTERVAL_MS: u64 = 275;
 /// Part of the descriptors that connections of other gateways may take. They are counted beside those of callers
@@ -301,7 +303,7 @@
 async fn answer_call(gateway: &Gateway, call: &ObjectsCall) -> RelayAnswer {
     let wait_ms = match call {
         ObjectsCall::List(_) => MAX_LIST_HOLD_MS,
-        ObjectsCall::Watch(_, _, wait_ms) => *wait_ms,
+        ObjectsCall::Watch(_, _, wait_ms) => (*wait_ms).min(MAX_WATCH_MS),
     };
     let until = gateway.now().plus_ms(wait_ms);
     loop {
