--- a/crates/regroup/src/planner/reserve.rs
+++ b/crates/regroup/src/planner/reserve.rs
@@ -28,12 +28,8 @@
         input: PlannerInput<'_>,
         now: TimeMs,
     ) -> Vec<Order> {
-        let may_load = match input.has_traffic {
-            true => !input.demand.is_empty(),
-            // Loads would slow down those of members that join.
-            false => self.formations.is_empty(),
-        };
-        if !may_load {
+        let is_unknown = input.has_traffic && input.demand.is_empty();
+        if is_unknown || !self.formations.is_empty() {
             return Vec::new();
         }
         let is_short_after_loss = |need: &ModelNeed| {
