Demand is followed and capacities are learnt where the deployment has varied upstreams

Cause, found in review: both acted on every deployment. A conversion moved its loads from host to host with the running requests, went on in a data centre that is evacuated, and might close groups by a check of half a second ago; the reserve looked at all groups in each step.

Change: settings groups.follow_demand and upstreams.learn_capacity, auto by the platform's features; hosts that are loading the weights come first; conversions end with an evacuation and check what they close; the reserve is checked twice a second.

Measured: tests of each pass; they were not run without the change.

--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -111,6 +111,9 @@
     /// Records that this request was refused for lack of room, or answered late: work that its model
     /// lacks. It counts for at most `max_ms`.
     pub(super) fn record_unmet(&self, max_ms: u64) {
+        if !self.gateway.settings().follows_demand {
+            return;
+        }
         let engine_and_model = self.engine().zip(self.model.as_ref());
         if let Some((engine, name)) = engine_and_model
             && let Some(model) = engine.model(name.as_str())
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -129,6 +129,7 @@
             engine,
             has_traffic: gateway.has_traffic.get(),
             evacuations: &view.evacuations,
+            follows_demand: gateway.settings().follows_demand,
             demand: &demand,
             running: &running,
         };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use jacinthpoint_adapter::has_varied_upstreams;
 use jacinthpoint_dispatch::FleetRetryBudgetSettings;
 use jacinthpoint_fleet::{Regions, VmCapacity};
 use jacinthpoint_settings::{Absent, Reader, SettingsError, SettingsKey, key, number};
@@ -39,13 +40,38 @@
     key("repeats", "ratio", Absent::Default("0.1")),
     number("repeats", "slack", "10", 0..=1_000_000),
     number("repeats", "window_ms", "10000", 100..=MAX_MS),
+    // Whether upstreams go to the models that callers miss.
+    key("groups", "follow_demand", Absent::Default("auto")),
     // Time in which an evacuation of a data centre must be in force; 0: the deployment has none.
     number("evacuations", "apply_ms", "0", 0..=MAX_MS),
     // Whether the gateway learns how many requests each upstream takes well.
-    key("upstreams", "learn_capacity", Absent::Default("false")),
+    key("upstreams", "learn_capacity", Absent::Default("auto")),
+    // Parts of the platform's contract that are in force, by which `auto` is decided.
+    key("platform", "features", Absent::Nothing),
     key("logs", "level", Absent::Default("info")),
 ];
 
+/// Value of a setting that the features of the platform decide unless it is set.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumString)]
+#[strum(serialize_all = "lowercase")]
+enum Switch {
+    Auto,
+    #[strum(serialize = "true")]
+    On,
+    #[strum(serialize = "false")]
+    Off,
+}
+
+impl Switch {
+    fn is_on(self, automatic: bool) -> bool {
+        match self {
+            Switch::Auto => automatic,
+            Switch::On => true,
+            Switch::Off => false,
+        }
+    }
+}
+
 /// Settings of a gateway that passed all checks.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -81,6 +107,9 @@
     pub announce_ms: u64,
     /// Limit of the retries that all gateways together may send to each service.
     pub repeats: FleetRetryBudgetSettings,
+    /// Whether upstreams go to the models that callers miss: requests that are refused or late count as
+    /// work, and weights are loaded in reserve.
+    pub follows_demand: bool,
     /// Time in which an evacuation of a data centre must be in force; 0 if the deployment has no
     /// evacuations, which are then not read.
     pub evacuation_apply_ms: u64,
@@ -135,8 +164,11 @@
     let ratio: Option<f64> = reader.value("repeats", "ratio");
     let slack: Option<u64> = reader.value("repeats", "slack");
     let window_ms = reader.value("repeats", "window_ms");
+    let features: Option<String> = reader.value("platform", "features");
+    let has_varied_upstreams = features.is_some_and(|text| has_varied_upstreams(&text));
+    let follows_demand: Option<Switch> = reader.value("groups", "follow_demand");
     let evacuation_apply_ms = reader.value("evacuations", "apply_ms");
-    let learns_capacity = reader.value("upstreams", "learn_capacity");
+    let learns_capacity: Option<Switch> = reader.value("upstreams", "learn_capacity");
     let log_level = reader.value("logs", "level");
     Some(GatewaySettings {
         name: name?,
@@ -162,8 +194,9 @@
             slack: slack? as f64,
             window_ms: window_ms?,
         },
+        follows_demand: follows_demand?.is_on(has_varied_upstreams),
         evacuation_apply_ms: evacuation_apply_ms?,
-        learns_capacity: learns_capacity?,
+        learns_capacity: learns_capacity?.is_on(has_varied_upstreams),
         log_level: log_level?,
     })
 }
--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -66,6 +66,9 @@
     /// Data centres whose upstreams get no new requests. Groups there are kept whole, but do not count
     /// as capacity, and none are formed there.
     pub evacuations: &'a Evacuations,
+    /// Whether upstreams go to the models that callers miss beyond what is free: weights are loaded in
+    /// reserve, and free upstreams are kept for these models.
+    pub follows_demand: bool,
     /// Observed demand. A model without an entry has no known demand.
     pub demand: &'a Demand,
     /// Number of requests that groups run, by leader.
@@ -170,6 +173,7 @@
     /// again, so its other members need not leave it before they join another one.
     leaderless: BTreeSet<(GroupId, u64)>,
     conversions: Conversions,
+    reserve_checked_at: TimeMs,
     /// Since when each free upstream has been free.
     free_since: BTreeMap<VmId, TimeMs>,
     /// Members that answered an order to leave their group, and members at whose address another
@@ -213,6 +217,7 @@
             leaders: BTreeMap::new(),
             leaderless: BTreeSet::new(),
             conversions: Conversions::default(),
+            reserve_checked_at: TimeMs(0),
             free_since: BTreeMap::new(),
             leave_answered: BTreeSet::new(),
             displaced: BTreeMap::new(),
--- a/crates/regroup/src/planner/conversion.rs
+++ b/crates/regroup/src/planner/conversion.rs
@@ -272,7 +272,18 @@
         let need = &needs[to];
         let size = need.size.max(1);
         let lacks = |member: &&Upstream| !member.staged.contains(&need.model);
-        let lacking_count = |spare: &Spare<'_>| spare.members.iter().copied().filter(lacks).count();
+        let is_loading = |member: &&Upstream| {
+            let load = self.loading.get(&member.id);
+            load.is_some_and(|(model, _)| *model == need.model)
+        };
+        // Groups whose hosts are loading the weights come before others that lack them: a choice that
+        // moved with the running requests would load them on one host after another.
+        let lacking_count = |spare: &Spare<'_>| {
+            let members = spare.members.iter().copied();
+            let lacking: Vec<&Upstream> = members.filter(lacks).collect();
+            let to_load = lacking.iter().filter(|member| !is_loading(member)).count();
+            (to_load, lacking.len())
+        };
         let mut order: Vec<&Spare<'_>> = spares.iter().filter(|spare| spare.model != to).collect();
         order.sort_by_key(|spare| (lacking_count(spare), spare.running, spare.key.clone()));
         let mut after = counts.to_vec();
@@ -284,7 +295,9 @@
                 break;
             }
             let from = spare.model;
-            let left = after[from].checked_sub(1)?;
+            let Some(left) = after[from].checked_sub(1) else {
+                continue;
+            };
             // Upstreams that wait idle for the rest of a group are worth it by themselves.
             if has_remainder || is_shorter(need.need, counts[to], needs[from].need, left) {
                 after[from] = left;
@@ -384,6 +397,15 @@
             let upstream = upstreams.get(id);
             upstream.is_some_and(|upstream| upstream.staged.contains(&considered.model))
         };
+        // The choice may be older than an evacuation or the loss of a group.
+        let may_close = |key: &GroupKey| {
+            groups.get(key).is_some_and(|group| {
+                let mut members = group.members.values();
+                let model = group.model_spec(input.engine);
+                model.is_some_and(|model| group.is_serving(model.size))
+                    && !members.any(|id| is_evacuated(upstreams.get(id), input))
+            })
+        };
         let is_due = |considered: &Considered| {
             let sustained_ms = match considered.has_remainder {
                 true => SUSTAINED_MS,
@@ -391,7 +413,7 @@
             };
             now.since_ms(considered.chosen_at) >= sustained_ms
                 && considered.lacking.iter().all(|id| holds(considered, id))
-                && considered.groups.iter().all(|key| groups.contains_key(key))
+                && considered.groups.iter().all(may_close)
         };
         let Some(position) = self.conversions.considered.iter().position(is_due) else {
             return Vec::new();
@@ -436,9 +458,10 @@
         &mut self,
         free: &FreeByDomain<'_>,
         upstreams: &BTreeMap<VmId, Upstream>,
-        engine: &Engine,
+        input: PlannerInput<'_>,
         now: TimeMs,
     ) -> Option<Kept> {
+        let engine = input.engine;
         let closing = self.conversions.closing.as_ref()?;
         let model = engine.model(closing.model.as_str());
         let in_domain = free.get(&closing.domain);
@@ -452,6 +475,7 @@
             let upstream = upstreams.get(*id);
             !hosts.contains(*id)
                 && !self.is_gone(id)
+                && !is_evacuated(upstream, input)
                 && upstream.is_some_and(|upstream| {
                     upstream.is_ready() && upstream.staged.contains(&closing.model)
                 })
--- a/crates/regroup/src/planner/new_groups.rs
+++ b/crates/regroup/src/planner/new_groups.rs
@@ -185,6 +185,9 @@
         input: PlannerInput<'_>,
     ) -> BTreeSet<(VmId, DeploymentId)> {
         let mut kept = BTreeSet::new();
+        if !input.follows_demand {
+            return kept;
+        }
         for need in needs {
             let missed = models_to_keep_for(&need.model, needs, input.demand);
             for upstream in free.values().flatten().filter(|_| !missed.is_empty()) {
@@ -209,7 +212,7 @@
         now: TimeMs,
     ) -> Vec<Order> {
         let mut orders = Vec::new();
-        let Some(kept) = self.kept_for_conversion(free, upstreams, input.engine, now) else {
+        let Some(kept) = self.kept_for_conversion(free, upstreams, input, now) else {
             return orders;
         };
         let Some(model) = input.engine.model(kept.model.as_str()) else {
--- a/crates/regroup/src/planner/reserve.rs
+++ b/crates/regroup/src/planner/reserve.rs
@@ -16,6 +16,9 @@
     planner::{Planner, PlannerInput},
 };
 
+/// Time between two checks of what lacks a reserve. A check looks at all groups.
+const CHECK_INTERVAL_MS: u64 = 500;
+
 impl Planner {
     /// Returns the orders to load weights in reserve: in each domain with groups of a model, on the
     /// hosts of one smaller group of another model. Once callers send requests, this is done only for
@@ -29,9 +32,11 @@
         now: TimeMs,
     ) -> Vec<Order> {
         let is_unknown = input.has_traffic && input.demand.is_empty();
-        if is_unknown || !self.formations.is_empty() {
+        let is_early = now.since_ms(self.reserve_checked_at) < CHECK_INTERVAL_MS;
+        if !input.follows_demand || is_unknown || is_early || !self.formations.is_empty() {
             return Vec::new();
         }
+        self.reserve_checked_at = now;
         let is_short_after_loss = |need: &ModelNeed| {
             !input.has_traffic || need.need > need.existing.saturating_sub(1) as f64
         };
--- a/crates/regroup/tests/conversion.rs
+++ b/crates/regroup/tests/conversion.rs
@@ -205,3 +205,52 @@
     );
     world.assert_no_violation();
 }
+
+/// Steady demand for the large model, while the requests of each group change all the time. The groups that
+/// are given up are chosen once: weights are not loaded on one host after another.
+#[test]
+fn running_requests_that_change_move_no_loads() {
+    let mut world = serving();
+    let holders = |world: &World| {
+        let engines = world.engines.by_id.values();
+        let holds = |id: &&str| *id == LARGE;
+        let staged = engines.filter(|engine| {
+            let mut staged = engine.entry.staged.iter();
+            staged.any(|model| holds(&model.as_str()))
+        });
+        staged.count()
+    };
+    let before = holders(&world);
+    set_demand(&mut world, 8.0, 10.0);
+    let ids: Vec<VmId> = world.engines.by_id.keys().cloned().collect();
+    for step in 0..(LOAD_MS / 500) {
+        for (index, id) in ids.iter().enumerate() {
+            let running = (index as u64 * 7 + step * 13) % 19;
+            world.running.insert(id.clone(), running as u32);
+        }
+        world.run_ms(500);
+    }
+    let loaded = holders(&world) - before;
+    // Four domains load at a time, each for one group.
+    assert!(loaded <= 4 * 8, "{loaded} hosts loaded the weights");
+}
+
+/// The data centre of the groups that are being given up is evacuated. The conversion ends, and another one
+/// may begin.
+#[test]
+fn evacuation_ends_the_conversion_there() {
+    let mut world = serving();
+    set_demand(&mut world, 8.0, 10.0);
+    world.run_until(LOAD_MS + CONVERT_MS, |world| conversion_count(world) > 0);
+    let domain = world.decisions.iter().find_map(|decision| match decision {
+        Decision::ConversionStarted { domain, .. } => Some(domain.clone()),
+        _ => None,
+    });
+    let domain = domain.expect("a conversion began").to_string();
+    let data_centre = domain.replace("domain", "dc");
+    let data_centre = data_centre.parse().expect("a valid name");
+    world.evacuations.begin(data_centre);
+    world.run_ms(200);
+    let is_end = |decision: &Decision| matches!(decision, Decision::ConversionEnded { .. });
+    assert!(world.decisions.iter().any(is_end));
+}
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -232,6 +232,7 @@
             engine: &spec,
             has_traffic: self.has_traffic,
             evacuations: &self.evacuations,
+            follows_demand: true,
             demand: &self.demand,
             running: &self.running,
         };
