--- a/crates/gateway/src/call/room.rs
+++ b/crates/gateway/src/call/room.rs
@@ -29,12 +29,13 @@
 }
 
 impl RoomRequest {
-    /// Records the request; returns `None` if all requests for its service have one priority, or the
-    /// length of its prompt or its model is not known.
+    /// Records the request; returns `None` if all requests for its service have one priority, this
+    /// gateway's settings don't ask for it, or the length of its prompt or its model is not known.
     pub(super) fn new(context: &Context) -> Option<RoomRequest> {
         let gateway = &context.gateway;
         let prompt = context.prompt_demand()?;
-        if !context.snapshot.config.has_priorities(&context.service) {
+        let has_priorities = context.snapshot.config.has_priorities(&context.service);
+        if !has_priorities || !gateway.settings().reserves_room {
             return None;
         }
         let (service, model) = (context.service.clone(), prompt.model.name.clone());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,8 @@
     key("repeats", "ratio", Absent::Default("0.1")),
     number("repeats", "slack", "10", 0..=1_000_000),
     number("repeats", "window_ms", "10000", 100..=MAX_MS),
+    // Whether less urgent requests leave room for more urgent ones.
+    key("priorities", "reserve_room", Absent::Default("auto")),
     // Whether upstreams go to the models that callers miss.
     key("groups", "follow_demand", Absent::Default("auto")),
     // Time in which an evacuation of a data centre must be in force; 0: the deployment has none.
@@ -107,6 +109,8 @@
     pub announce_ms: u64,
     /// Limit of the retries that all gateways together may send to each service.
     pub repeats: FleetRetryBudgetSettings,
+    /// Whether requests leave room for more urgent ones of their service and model.
+    pub reserves_room: bool,
     /// Whether upstreams go to the models that callers miss: requests that are refused or late count as
     /// work, and weights are loaded in reserve.
     pub follows_demand: bool,
@@ -166,6 +170,7 @@
     let window_ms = reader.value("repeats", "window_ms");
     let features: Option<String> = reader.value("platform", "features");
     let has_varied_upstreams = features.is_some_and(|text| has_varied_upstreams(&text));
+    let reserves_room: Option<Switch> = reader.value("priorities", "reserve_room");
     let follows_demand: Option<Switch> = reader.value("groups", "follow_demand");
     let evacuation_apply_ms = reader.value("evacuations", "apply_ms");
     let learns_capacity: Option<Switch> = reader.value("upstreams", "learn_capacity");
@@ -194,6 +199,7 @@
             slack: slack? as f64,
             window_ms: window_ms?,
         },
+        reserves_room: reserves_room?.is_on(has_varied_upstreams),
         follows_demand: follows_demand?.is_on(has_varied_upstreams),
         evacuation_apply_ms: evacuation_apply_ms?,
         learns_capacity: learns_capacity?.is_on(has_varied_upstreams),
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -86,17 +86,17 @@
             #[test]
             fn $name() {
                 let settings = parse_settings(&(MINIMAL.to_owned() + $more)).expect("valid settings");
-                assert_eq!((settings.learns_capacity, settings.follows_demand), $is_on);
+                assert_eq!((settings.learns_capacity, settings.follows_demand, settings.reserves_room), $is_on);
             }
         )+
     };
 }
 
 switched! {
-    learning_is_off_without_features: "" => (false, false);
-    learning_is_off_with_other_features: "[platform]\nfeatures = base,drain,gangs\n" => (false, false);
-    learning_is_on_where_upstreams_differ: "[platform]\nfeatures = base,pool,gangs\n" => (true, true);
+    learning_is_off_without_features: "" => (false, false, false);
+    learning_is_off_with_other_features: "[platform]\nfeatures = base,drain,gangs\n" => (false, false, false);
+    learning_is_on_where_upstreams_differ: "[platform]\nfeatures = base,pool,gangs\n" => (true, true, true);
     explicit_values_go_before_features:
         "[platform]\nfeatures = pool\n[upstreams]\nlearn_capacity = false\n[groups]\nfollow_demand = true\n"
-        => (false, true);
+        => (false, true, true);
 }
