A request that is forwarded keeps no place among those that wait

Cause: a waiting request whose gateway became cut from all upstreams kept its place in the line while another gateway served it, so that those behind it were refused. Change: it gives up its place before it is forwarded. Not covered by a test: the step is in the gateway's loop of attempts.

--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -282,6 +282,8 @@
                 if let Some(suspect) = context.quarantined() {
                     return refuse_quarantined(&context, suspect);
                 }
+                // Its place would hold up those that wait here.
+                history.room = None;
                 return match forward(&context, &outgoing).await {
                     Some(response) => response,
                     None => finish(&context, history, &StopReason::Unreachable),
