A request that an upstream returned waits for room like a new one

Cause: the terms applied to it, so it met a line of others, but only a request that was never sent could wait. It was refused at once. Change: a request that has not run waits, whether or not upstreams returned it; their number is limited as before. The test of the line's part follows with the tests of the line.

--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -445,13 +445,14 @@
     Ok(target)
 }
 
-/// Returns when to choose a target again, if the request has not been sent and waits for room.
+/// Returns when to choose a target again, if the request has not run and waits for room. An upstream that
+/// refused it left it as new as it was.
 fn wait_for_room(
     context: &Context,
     history: &mut AttemptHistory,
     refusal: Refusal,
 ) -> Option<TimeMs> {
-    if !history.is_unsent() {
+    if history.all_runs() > 0 {
         return None;
     }
     history.room.as_mut()?.wait(context, refusal)
