A line of waiting requests empties soon once room is back

Cause: each waiting request slept for up to a quarter of its wait, though only the first may go and nobody is told when it went. Meanwhile new requests were refused while targets were free. The sleep could also pass the time from which the request is late, so that it was refused late. Change: those that are not first check every 25 to 50 ms; the first one keeps the growing time, as all gateways see the same room. No check is later than the time of the refusal.

--- a/crates/dispatch/src/urgency/claim.rs
+++ b/crates/dispatch/src/urgency/claim.rs
@@ -17,8 +17,10 @@
 /// Shortest time between two choices of a target for a waiting request: loads change at each exchange
 /// with the other gateways.
 const MIN_RECHECK_MS: u64 = 25;
-/// Part of the time that a request has waited after which a target is chosen again, as a divisor. All
-/// gateways see room at once, and would fill it at once.
+/// Longest time after which a request sees whether it has become the first of its line.
+const MAX_NOT_FIRST_MS: u64 = 50;
+/// Part of the time that the first request of a line has waited after which a target is chosen again, as a
+/// divisor. All gateways see room at once, and would fill it at once.
 const RECHECK_DIVISOR: u64 = 4;
 
 /// What the choice of a target must keep to.
@@ -131,11 +133,18 @@
         self.place.is_some()
     }
 
-    /// Returns when a target is chosen again for a waiting request.
-    pub fn check_at(&self, now: TimeMs, rng: &mut impl Rng) -> TimeMs {
-        let waited_ms = self.waited_ms(now).unwrap_or(0);
-        let longest_ms = MIN_RECHECK_MS + waited_ms / RECHECK_DIVISOR;
-        now.plus_ms(rng.random_range(MIN_RECHECK_MS..=longest_ms))
+    /// Returns when a target is chosen again for a waiting request, which is not after the time from which it
+    /// is refused as late.
+    pub fn check_at(&self, line: &RoomLine, now: TimeMs, rng: &mut impl Rng) -> TimeMs {
+        let longest_ms = match self.place {
+            Some((key, since)) if line.is_first(key) => {
+                MIN_RECHECK_MS + now.since_ms(since) / RECHECK_DIVISOR
+            }
+            // Nobody tells it when the requests before it have gone, and the check costs no choice.
+            _ => MAX_NOT_FIRST_MS,
+        };
+        let check_at = now.plus_ms(rng.random_range(MIN_RECHECK_MS..=longest_ms));
+        check_at.min(self.late_at)
     }
 
     /// Records that the request is sent.
--- a/crates/dispatch/tests/urgency.rs
+++ b/crates/dispatch/tests/urgency.rs
@@ -224,7 +224,7 @@
                 Ok(_) => true,
                 Err(true) => {
                     let claim = call.claim.as_ref().expect("only a claim waits");
-                    call.due = claim.check_at(at, &mut rng);
+                    call.due = claim.check_at(&lines[gateway], at, &mut rng);
                     false
                 }
                 Err(false) if is_first => {
--- a/crates/gateway/src/call/room.rs
+++ b/crates/gateway/src/call/room.rs
@@ -80,7 +80,7 @@
             self.log(context, outcome, Some(refusal));
         }
         let mut rng = context.gateway.rng.borrow_mut();
-        waits.then(|| self.claim.check_at(now, &mut *rng))
+        waits.then(|| self.with_line(|claim, line| claim.check_at(line, now, &mut *rng)))
     }
 
     /// Records that the request is sent, and ends its wait.
