Returns of refused callers spread further, and unused lines are dropped

Cause: after 64 returns no more were remembered, so all that were refused then drew from one range. A refused request counted itself among those that wait. The line of a model was kept for the life of the gateway. Change: 256 returns are kept, and beyond that the least urgent is forgotten first, of these the nearest: the nearest of all would be a more urgent one, which others must wait for. A refused request gives up its place before its return is drawn. Tests of these, and of the line's checks and returned requests, which run without a network.

--- a/crates/dispatch/src/urgency.rs
+++ b/crates/dispatch/src/urgency.rs
@@ -125,6 +125,11 @@
         more_urgent.filter(move |work| work.is_recent(now))
     }
 
+    /// Returns whether there was a request lately.
+    fn is_recent(&self, now: TimeMs) -> bool {
+        now.since_ms(self.asked.added_at) < SEEN_MS
+    }
+
     /// Records that a request is sent to a target.
     pub fn on_sent(&mut self, now: TimeMs) {
         self.sent.add(1.0, now);
@@ -157,12 +162,31 @@
 }
 
 impl RoomLines {
-    /// Returns the line of the requests for a model of a service.
-    pub fn line(&mut self, service: &ServiceId, model: &DeploymentId) -> &mut RoomLine {
+    /// Returns the line of the requests for a model of a service. A new line takes the place of those that
+    /// were not asked for lately.
+    pub fn line(
+        &mut self,
+        service: &ServiceId,
+        model: &DeploymentId,
+        now: TimeMs,
+    ) -> &mut RoomLine {
         let key = (service.clone(), model.clone());
+        if !self.lines.contains_key(&key) {
+            self.lines.retain(|_, line| line.is_in_use(now));
+        }
         self.lines.entry(key).or_default()
     }
 
+    /// Returns the number of lines that are kept.
+    pub fn len(&self) -> usize {
+        self.lines.len()
+    }
+
+    /// Returns whether no line is kept.
+    pub fn is_empty(&self) -> bool {
+        self.lines.is_empty()
+    }
+
     /// Returns the number of requests that wait.
     pub fn waiting(&self) -> usize {
         self.lines.values().map(RoomLine::len).sum()
--- a/crates/dispatch/src/urgency/claim.rs
+++ b/crates/dispatch/src/urgency/claim.rs
@@ -160,8 +160,10 @@
         }
     }
 
-    /// Returns the time after which the caller of the refused request should return, in milliseconds.
-    pub fn return_ms(&self, line: &mut RoomLine, now: TimeMs, rng: &mut impl Rng) -> u64 {
+    /// Gives up the place of a refused request, and returns the time after which its caller should return, in
+    /// milliseconds.
+    pub fn return_ms(&mut self, line: &mut RoomLine, now: TimeMs, rng: &mut impl Rng) -> u64 {
+        self.on_left(line);
         line.return_ms(self.urgency, self.deadline, now, rng)
     }
 }
--- a/crates/dispatch/src/urgency/line.rs
+++ b/crates/dispatch/src/urgency/line.rs
@@ -1,6 +1,8 @@
 //! Requests that wait at one gateway for room at the targets of a model, and the order in which
 //! refused callers return.
 
+use std::cmp::Reverse;
+
 use jacinthpoint_types::{Deadline, TimeMs};
 use rand::Rng;
 use slotmap::SlotMap;
@@ -10,7 +12,7 @@
 /// Most requests that wait in a line; their bodies are in the gateway's memory.
 const MAX_WAITING: usize = 16;
 /// Most returns of refused callers that are remembered.
-const MAX_RETURNS: usize = 64;
+const MAX_RETURNS: usize = 256;
 /// Part of the remaining time that a refused caller is sent away for, as a divisor. Callers wait no
 /// longer than that, and what is left is enough for another attempt.
 const RETURN_DIVISOR: u64 = 3;
@@ -106,9 +108,21 @@
         let longest_ms = deadline.remaining_ms(now) / RETURN_DIVISOR;
         let limit_ms = (expected_ms as u64).max(MIN_RETURN_MS).min(longest_ms);
         let return_ms = rng.random_range(limit_ms / 2..=limit_ms);
-        if self.returns.len() < MAX_RETURNS {
-            self.returns.push((now.plus_ms(return_ms), urgency));
+        if self.returns.len() >= MAX_RETURNS {
+            // The least urgent is ahead of the fewest, and of those the nearest for the shortest time.
+            let returns = self.returns.iter().enumerate();
+            let dropped = returns.max_by_key(|(_, (at, urgency))| (*urgency, Reverse(*at)));
+            if let Some((dropped, _)) = dropped {
+                self.returns.swap_remove(dropped);
+            }
         }
+        self.returns.push((now.plus_ms(return_ms), urgency));
         return_ms
     }
+
+    /// Returns whether anything in the line still bears on a decision.
+    pub(super) fn is_in_use(&self, now: TimeMs) -> bool {
+        let is_return_due = self.returns.iter().any(|(at, _)| *at > now);
+        !self.is_empty() || is_return_due || self.work.is_recent(now)
+    }
 }
--- a/crates/dispatch/tests/urgency.rs
+++ b/crates/dispatch/tests/urgency.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use jacinthpoint_dispatch::{
-    LoadAggregator, LoadTracker, PromptDemand, RoomClaim, RoomLine, Selection, Target, Urgency,
+    LoadAggregator, LoadTracker, PromptDemand, Refusal, RoomClaim, RoomLine, RoomLines, Selection,
+    Target, Urgency,
 };
 use jacinthpoint_fleet::Engine;
 use jacinthpoint_types::{Deadline, TimeMs};
@@ -141,7 +142,7 @@
             selection.reserve = terms.reserve;
             tracker.choose(&selection, at, rng)
         }
-        None => Err(jacinthpoint_dispatch::Refusal::Reserved),
+        None => Err(Refusal::Reserved),
     };
     match chosen {
         Ok(target) => {
@@ -228,7 +229,7 @@
                     false
                 }
                 Err(false) if is_first => {
-                    let return_ms = match &call.claim {
+                    let return_ms = match &mut call.claim {
                         Some(claim) => claim.return_ms(&mut lines[gateway], at, &mut rng),
                         None => rng.random_range(400..=800),
                     };
@@ -445,7 +446,7 @@
         let mut claim = RoomClaim::new(&mut line, urgency, &prompt, deadline, now(), &mut rng);
         // One of two was sent.
         claim.on_sent(&mut line, now());
-        let claim = RoomClaim::new(&mut line, urgency, &prompt, deadline, now(), &mut rng);
+        let mut claim = RoomClaim::new(&mut line, urgency, &prompt, deadline, now(), &mut rng);
         claim.return_ms(&mut line, now(), &mut rng)
     };
     let mut sum = |class: &Class| (0..20).map(|_| return_ms(class)).sum::<u64>();
@@ -455,3 +456,143 @@
         "urgent {urgent_ms}, patient {patient_ms}"
     );
 }
+
+/// A class whose requests wait for up to two seconds.
+const WAITING: Class = Class {
+    objective_ms: 4_000,
+    ..PATIENT
+};
+/// Time for which the requests of [`line_with_waiters`] wait at most.
+const LONGEST_WAIT_MS: u64 = WAITING.objective_ms / 2;
+
+/// Returns a request of a class that arrives now.
+fn new_claim(line: &mut RoomLine, class: &Class, at: TimeMs, rng: &mut SmallRng) -> RoomClaim {
+    let urgency = Urgency {
+        priority: class.urgency,
+        route_priority: class.urgency,
+    };
+    let engine = engine();
+    let prompt = demand(&engine, class, 1_000);
+    let deadline = Deadline::after_ms(at, 100 * TIMEOUT_MS);
+    RoomClaim::new(line, urgency, &prompt, deadline, at, rng)
+}
+
+/// Lets so many requests wait in a line, after as many were sent as let them expect room.
+fn wait_in(line: &mut RoomLine, count: usize, rng: &mut SmallRng) -> Vec<RoomClaim> {
+    for _ in 0..100 {
+        new_claim(line, &WAITING, now(), rng).on_sent(line, now());
+    }
+    let mut claims: Vec<_> = (0..count)
+        .map(|_| new_claim(line, &WAITING, now(), rng))
+        .collect();
+    for claim in &mut claims {
+        assert!(claim.waits(line, Refusal::Reserved, now()));
+    }
+    claims
+}
+
+/// Eight requests wait, and room for all is back after more than a second: they are sent one soon after the
+/// other, instead of each after a time that grew with its wait.
+#[test]
+fn line_empties_soon_once_room_is_back() {
+    const ROOM_MS: u64 = 1_200;
+    let mut line = RoomLine::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let claims = wait_in(&mut line, 8, &mut rng).into_iter();
+    let mut waiting: Vec<_> = claims.map(|claim| (now(), claim)).collect();
+    let engine = engine();
+    let prompt = demand(&engine, &WAITING, 1_000);
+    let mut sent_ms = Vec::new();
+    for ms in 0..LONGEST_WAIT_MS {
+        let at = now().plus_ms(ms);
+        waiting.retain_mut(|(due, claim)| {
+            if *due > at {
+                return true;
+            }
+            if claim.terms(&line, &prompt, at).is_some() && ms >= ROOM_MS {
+                claim.on_sent(&mut line, at);
+                sent_ms.push(ms);
+                return false;
+            }
+            *due = claim.check_at(&line, at, &mut rng);
+            true
+        });
+    }
+    assert!(waiting.is_empty() && line.is_empty(), "{sent_ms:?}");
+    let is_soon = sent_ms.windows(2).all(|pair| pair[1] - pair[0] <= 50);
+    assert!(is_soon, "{sent_ms:?}");
+}
+
+/// A request that finds no room is refused as soon as it is late, so that its caller can try elsewhere.
+#[test]
+fn waiting_request_is_refused_once_it_is_late() {
+    for seed in 0..50 {
+        let mut line = RoomLine::default();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut claim = wait_in(&mut line, 1, &mut rng).remove(0);
+        let mut at = now();
+        while claim.waits(&mut line, Refusal::Reserved, at) {
+            at = claim.check_at(&line, at, &mut rng);
+        }
+        assert_eq!(at, now().plus_ms(LONGEST_WAIT_MS), "seed {seed}");
+    }
+}
+
+/// A request that an upstream did not run waits for room like a new one, and is refused once it is late.
+#[test]
+fn request_that_was_returned_waits_again() {
+    let mut line = RoomLine::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut claim = wait_in(&mut line, 2, &mut rng).remove(0);
+    claim.on_sent(&mut line, now());
+    assert_eq!(line.len(), 1);
+    let engine = engine();
+    let prompt = demand(&engine, &WAITING, 1_000);
+    assert_eq!(claim.terms(&line, &prompt, now()), None);
+    assert!(claim.waits(&mut line, Refusal::Reserved, now()));
+    assert_eq!(line.len(), 2);
+    let late = now().plus_ms(LONGEST_WAIT_MS);
+    assert!(!claim.waits(&mut line, Refusal::Reserved, late));
+    claim.on_left(&mut line);
+    assert!(!claim.waits(&mut line, Refusal::Reserved, late));
+}
+
+/// A refused request does not wait any more when the time of its return is drawn, and many refusals
+/// of less urgent ones hide none of the more urgent ones.
+#[test]
+fn returns_spread_when_many_are_refused() {
+    let mut line = RoomLine::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut claim = wait_in(&mut line, 1, &mut rng).remove(0);
+    claim.return_ms(&mut line, now(), &mut rng);
+    assert!(line.is_empty());
+    for _ in 0..1_000 {
+        new_claim(&mut line, &WAITING, now(), &mut rng).return_ms(&mut line, now(), &mut rng);
+    }
+    let mut return_ms =
+        || new_claim(&mut line, &URGENT, now(), &mut rng).return_ms(&mut line, now(), &mut rng);
+    let first_ms: u64 = (0..20).map(|_| return_ms()).sum();
+    let next_ms: u64 = (0..80).map(|_| return_ms()).skip(60).sum();
+    assert!(next_ms > 2 * first_ms, "{first_ms}, then {next_ms}");
+}
+
+/// Lines of models that nobody asks for any more are dropped, but not while a request waits there.
+#[test]
+fn unused_lines_are_dropped() {
+    let mut lines = RoomLines::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let service = "engines".parse().expect("valid service name");
+    let model = |name: &str| name.parse().expect("valid model name");
+    let claims = wait_in(
+        lines.line(&service, &model("waited-for"), now()),
+        1,
+        &mut rng,
+    );
+    for index in 0..100 {
+        let at = now().plus_ms(index * 60_000);
+        let line = lines.line(&service, &model(&format!("model-{index}")), at);
+        new_claim(line, &WAITING, at, &mut rng).on_sent(line, at);
+        assert!(lines.len() <= 2, "{} lines", lines.len());
+    }
+    assert_eq!(lines.waiting(), claims.len());
+}
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -475,7 +475,11 @@
 
 /// Returns the response to a request that gets no further attempt: the last server error of an
 /// upstream, or a refusal by the gateway.
-fn finish(context: &Context, history: AttemptHistory, reason: &StopReason) -> Response<AnswerBody> {
+fn finish(
+    context: &Context,
+    mut history: AttemptHistory,
+    reason: &StopReason,
+) -> Response<AnswerBody> {
     if let Some(answer) = history.last_answer {
         return pass_on(context, answer);
     }
@@ -552,7 +556,7 @@
         ),
     };
     // The time is random, so that callers that are refused together do not retry together.
-    let retry_after = match (reason, &history.room) {
+    let retry_after = match (reason, &mut history.room) {
         (
             StopReason::NothingSelected(Refusal::NoRoom | Refusal::TooLate | Refusal::Reserved),
             Some(room),
--- a/crates/gateway/src/call/room.rs
+++ b/crates/gateway/src/call/room.rs
@@ -39,7 +39,10 @@
         }
         let (service, model) = (context.service.clone(), prompt.model.name.clone());
         let claim = RoomClaim::new(
-            gateway.room.borrow_mut().line(&service, &model),
+            gateway
+                .room
+                .borrow_mut()
+                .line(&service, &model, context.started),
             Urgency {
                 priority: context.priority(),
                 route_priority: context.route.priority,
@@ -60,14 +63,16 @@
 
     fn with_line<R>(&mut self, work: impl FnOnce(&mut RoomClaim, &mut RoomLine) -> R) -> R {
         let mut lines = self.lines.borrow_mut();
-        work(&mut self.claim, lines.line(&self.service, &self.model))
+        let line = lines.line(&self.service, &self.model, self.clock.now());
+        work(&mut self.claim, line)
     }
 
     /// Returns what the choice of a target must keep to now; `None` if others that wait go first.
     pub(super) fn terms(&self, prompt: &PromptDemand<'_>) -> Option<RoomTerms> {
         let mut lines = self.lines.borrow_mut();
-        let line = lines.line(&self.service, &self.model);
-        self.claim.terms(line, prompt, self.clock.now())
+        let now = self.clock.now();
+        let line = lines.line(&self.service, &self.model, now);
+        self.claim.terms(line, prompt, now)
     }
 
     /// Returns when to choose again, if the request waits or goes on waiting; `None` if it is refused.
@@ -92,12 +97,12 @@
         self.with_line(|claim, line| claim.on_sent(line, now));
     }
 
-    /// Returns the time after which the caller of the refused request should return, in milliseconds.
-    pub(super) fn return_ms(&self, context: &Context) -> u64 {
-        let mut lines = self.lines.borrow_mut();
-        let line = lines.line(&self.service, &self.model);
+    /// Gives up the place of the refused request, and returns the time after which its caller should return, in
+    /// milliseconds.
+    pub(super) fn return_ms(&mut self, context: &Context) -> u64 {
+        let now = self.clock.now();
         let mut rng = context.gateway.rng.borrow_mut();
-        self.claim.return_ms(line, self.clock.now(), &mut *rng)
+        self.with_line(|claim, line| claim.return_ms(line, now, &mut *rng))
     }
 
     /// Logs and counts what is decided on a request for which there was no room at once.
