A test of requests that wait for room and whose callers reset their connections

One gateway and four occupied groups; after a more urgent request twelve others find no room, and some of them wait. Their callers reset the connections, and the requests end within 1.5 s, while they would wait for up to 4 s.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -51,6 +51,7 @@
 mod store_view;
 mod unreachable_upstreams;
 mod unusual_callers;
+mod waits_for_room;
 
 /// Time within which a written configuration must be in force on every gateway.
 const CONFIG_APPLY_MS: u64 = 2_000;
