--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -282,6 +282,8 @@
                 if let Some(suspect) = context.quarantined() {
                     return refuse_quarantined(&context, suspect);
                 }
+                // Its place would hold up those that wait here.
+                history.room = None;
                 return match forward(&context, &outgoing).await {
                     Some(response) => response,
                     None => finish(&context, history, &StopReason::Unreachable),
@@ -443,13 +445,14 @@
     Ok(target)
 }
 
-/// Returns when to choose a target again, if the request has not been sent and waits for room.
+/// Returns when to choose a target again, if the request has not run and waits for room. An upstream that
+/// refused it left it as new as it was.
 fn wait_for_room(
     context: &Context,
     history: &mut AttemptHistory,
     refusal: Refusal,
 ) -> Option<TimeMs> {
-    if !history.is_unsent() {
+    if history.all_runs() > 0 {
         return None;
     }
     history.room.as_mut()?.wait(context, refusal)
@@ -472,7 +475,11 @@
 
 /// Returns the response to a request that gets no further attempt: the last server error of an
 /// upstream, or a refusal by the gateway.
-fn finish(context: &Context, history: AttemptHistory, reason: &StopReason) -> Response<AnswerBody> {
+fn finish(
+    context: &Context,
+    mut history: AttemptHistory,
+    reason: &StopReason,
+) -> Response<AnswerBody> {
     if let Some(answer) = history.last_answer {
         return pass_on(context, answer);
     }
@@ -549,7 +556,7 @@
         ),
     };
     // The time is random, so that callers that are refused together do not retry together.
-    let retry_after = match (reason, &history.room) {
+    let retry_after = match (reason, &mut history.room) {
         (
             StopReason::NothingSelected(Refusal::NoRoom | Refusal::TooLate | Refusal::Reserved),
             Some(room),
