--- a/tests/gateway/waits_for_room.rs
+++ b/tests/gateway/waits_for_room.rs
@@ -43,9 +43,26 @@
     site.wait_until(&line, NOTICED_MS, |site| site.metrics(0).contains(&line));
 }
 
-/// Guards against requests that wait on after their callers have left, and hold up others.
-#[test]
-fn wait_ends_when_the_caller_resets_its_connection() {
+/// Defines tests in which the callers of waiting requests leave: name, whether they reset their connections.
+macro_rules! callers_leave {
+    ($($name:ident: $is_reset:literal,)+) => {
+        $(
+            #[test]
+            fn $name() {
+                check_wait_ends($is_reset);
+            }
+        )+
+    };
+}
+
+// Guards against requests that wait on after their callers have left, and hold up others.
+callers_leave! {
+    wait_ends_when_the_caller_resets_its_connection: true,
+    wait_ends_when_the_caller_closes_its_connection: false,
+}
+
+/// Checks that waiting requests end soon after their callers have left.
+fn check_wait_ends(is_reset: bool) {
     let site = Site::start(1);
     let engines = &site.platform.engines;
     engines.set_stream(1, FIRST_EVENT_MS);
@@ -75,7 +92,7 @@
             .contains("room_waits_total{label=\"waits\"}")
     });
     for mut caller in leaving {
-        if let Some(stream) = caller.connect() {
+        if is_reset && let Some(stream) = caller.connect() {
             let reset = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
             reset.expect("it can be set");
         }
