A command that explains where a request would go now, and why

`jacinthpoint explain` asks a gateway, beside its metrics, for the route, the organisation and each upstream: the share of such requests that it would get, or why it gets none. Nothing is sent, recorded or asked for.

The choice itself is unchanged but for a function that both use.

--- a/crates/core/args.rs
+++ b/crates/core/args.rs
@@ -46,6 +46,9 @@
     /// Prints the status of nodes.
     #[options(help = "show each node's revision and load")]
     Status(StatusArgs),
+    /// Explains where a request would go.
+    #[options(help = "show where a gateway would send a request now, and why, without sending it")]
+    Explain(ExplainArgs),
     /// Begins the planned stop of nodes.
     #[options(help = "begin the planned stop of nodes")]
     Drain(DrainArgs),
@@ -162,6 +165,32 @@
     pub revision: Option<u64>,
 }
 
+/// Options of `explain`.
+#[derive(Debug, Options)]
+pub struct ExplainArgs {
+    /// Print the help text and exit.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Address at which the gateway serves its metrics.
+    #[options(free, required, help = "address of a gateway's metrics")]
+    pub gateway: Option<SocketAddr>,
+    /// Host of the request.
+    #[options(help = "host of the request", required, no_short)]
+    pub host: String,
+    /// Path of the request.
+    #[options(help = "path of the request", required, no_short)]
+    pub path: String,
+    /// API key of the request.
+    #[options(help = "API key of the request", no_short)]
+    pub key: Option<String>,
+    /// Model that the request asks for.
+    #[options(help = "model that the request asks for", no_short)]
+    pub model: Option<String>,
+    /// Length of the prompt in tokens.
+    #[options(help = "length of the prompt in tokens", no_short)]
+    pub prompt_tokens: Option<u32>,
+}
+
 /// Options of `drain`.
 #[derive(Debug, Options)]
 pub struct DrainArgs {
--- a/crates/core/commands.rs
+++ b/crates/core/commands.rs
@@ -8,6 +8,7 @@
 mod demo;
 mod diff;
 mod drain;
+mod explain;
 mod gateway;
 mod get;
 mod node;
@@ -23,6 +24,7 @@
         Command::Get(args) => get::run(&args),
         Command::Diff(args) => diff::run(&args),
         Command::Status(args) => status::run(&args),
+        Command::Explain(args) => explain::run(&args),
         Command::Drain(args) => drain::run(&args),
         #[cfg(feature = "demo")]
         Command::Demo(_) => demo::run(),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,7 +11,7 @@
     demand::WorkMeter,
     directory::{Directory, Target, TargetGroup, TargetKey, targets_at_home},
     durations::RequestDurations,
-    load::{LoadTracker, Refusal, Selection, retry_after_ms},
+    load::{LoadTracker, Refusal, Selection, Standing, TargetExplanation, retry_after_ms},
     load_cell::{LoadCell, cell_count, cell_interval_ms, member_interval_ms},
     peer_load::{LoadAggregator, PeerLoad, TargetDigest, TargetReport},
     permit_issuer::{LIMIT_SYNC_MS, PermitIssuer},
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -26,9 +26,13 @@
     unmet_work::{self, UnmetWork},
 };
 
-pub use crate::load::choice::{Refusal, Selection};
+pub use crate::load::{
+    choice::{Refusal, Selection},
+    explain::{Standing, TargetExplanation},
+};
 
 mod choice;
+mod explain;
 mod soonest;
 
 /// Weight of the newest gap in the moving average of the time between two events of a stream.
--- a/crates/dispatch/src/load/choice.rs
+++ b/crates/dispatch/src/load/choice.rs
@@ -134,14 +134,11 @@
                 continue;
             }
             has_usable = true;
-            let load = self.loads.get(&target.key).copied().unwrap_or_default();
-            let requests = self.load(&target.key, now);
-            let is_shedding = load.shed_until.is_some_and(|until| !until.has_passed(now));
-            if is_shedding || requests >= f64::from(target.slots) * (1.0 + queue_share) {
+            if !self.has_room(target, queue_share, now) {
                 continue;
             }
             if may_send(target) {
-                with_room.push((requests, target));
+                with_room.push((self.load(&target.key, now), target));
             } else {
                 has_limited = true;
             }
@@ -168,6 +165,14 @@
         }
     }
 
+    /// Returns whether a target does not shed load, and has a free slot or a place in its queue.
+    pub(super) fn has_room(&self, target: &Target, queue_share: f64, now: TimeMs) -> bool {
+        let shed_until = self.loads.get(&target.key).and_then(|load| load.shed_until);
+        let is_shedding = shed_until.is_some_and(|until| !until.has_passed(now));
+        let places = f64::from(target.slots) * (1.0 + queue_share);
+        !is_shedding && self.load(&target.key, now) < places
+    }
+
     /// Returns the target with the lowest cost: its requests per slot times its mean time between
     /// two events, times [`FAR_COST_FACTOR`] in another data centre. The loads are uncertain
     /// without the reports of the other gateways, so random jitter is added and targets that are
--- a/crates/dispatch/tests/tests.rs
+++ b/crates/dispatch/tests/tests.rs
@@ -8,6 +8,7 @@
 mod demand;
 mod durations;
 mod evacuation;
+mod explain;
 mod growth;
 mod late_reports;
 mod load_cells;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -17,6 +17,7 @@
 pub(crate) use crate::call::{
     context::Origin,
     forward::{FORWARDED_BY, answer_forwarded},
+    retry::first_queue_share,
 };
 use crate::{
     body::AnswerBody,
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -185,6 +185,15 @@
     }
 }
 
+/// Returns the maximum number of requests queued at an upstream for a first attempt, as a fraction of its slots.
+pub(crate) fn first_queue_share(has_engine: bool) -> f64 {
+    if has_engine {
+        ENGINE_QUEUE_SHARE
+    } else {
+        PLAIN_QUEUE_SHARE
+    }
+}
+
 /// Selects the target of the next attempt, excluding the targets of earlier ones.
 pub(super) fn choose(context: &Context, history: &AttemptHistory) -> Result<Arc<Target>, Refusal> {
     let gateway = &context.gateway;
@@ -194,8 +203,7 @@
         .unwrap_or_else(|| context.snapshot.clone());
     let queue_share = match context.engine() {
         Some(_) if history.all_runs() > 0 => RETRY_QUEUE_SHARE,
-        Some(_) => ENGINE_QUEUE_SHARE,
-        None => PLAIN_QUEUE_SHARE,
+        engine => first_queue_share(engine.is_some()),
     };
     let mut rng = gateway.rng.borrow_mut();
     let (loads, limits) = (gateway.loads.borrow(), gateway.limits.borrow());
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -13,6 +13,7 @@
     body::{AnswerBody, full_body},
     clock::sleep_ms,
     events::log_event,
+    explain,
     memory::Listener,
     metrics::Metrics,
     state::{Gateway, OpenConnectionGuard, Phase},
@@ -182,12 +183,12 @@
 }
 
 /// Answers all requests on `listener` for ever with the status and text that `respond` returns for
-/// the path.
+/// the path and query.
 async fn serve_text(
     gateway: Rc<Gateway>,
     kind: Listener,
     listener: TcpListener,
-    respond: impl Fn(&str) -> (StatusCode, String) + 'static,
+    respond: impl Fn(&str, &str) -> (StatusCode, String) + 'static,
 ) {
     let respond = Rc::new(respond);
     loop {
@@ -210,7 +211,8 @@
         let (gateway, respond) = (gateway.clone(), respond.clone());
         tokio::task::spawn_local(async move {
             let respond = |request: Request<Incoming>| {
-                let (status, text) = respond(request.uri().path());
+                let uri = request.uri();
+                let (status, text) = respond(uri.path(), uri.query().unwrap_or_default());
                 let mut response: Response<AnswerBody> =
                     Response::new(full_body(Bytes::from(text)));
                 *response.status_mut() = status;
@@ -229,7 +231,7 @@
 pub(crate) async fn serve_readiness(gateway: Rc<Gateway>, listener: TcpListener) {
     let was_ready = Cell::new(false);
     let of_listener = gateway.clone();
-    let respond = move |path: &str| {
+    let respond = move |path: &str, _: &str| {
         if path != paths::READY {
             return (StatusCode::NOT_FOUND, String::new());
         }
@@ -248,7 +250,7 @@
     serve_text(of_listener, Listener::Readiness, listener, respond).await;
 }
 
-/// Serves the metrics as text at `address`. If it cannot be bound, logs this and returns: a gateway
+/// Serves the metrics as text at `address`, and explanations of choices. If it cannot be bound, logs this and returns: a gateway
 /// without metrics still serves callers.
 pub(crate) async fn serve_metrics(gateway: Rc<Gateway>, address: SocketAddr) {
     let listener = match TcpListener::bind(address).await {
@@ -259,7 +261,10 @@
         }
     };
     let of_listener = gateway.clone();
-    let respond = move |_: &str| (StatusCode::OK, render(&gateway.metrics, &gateway));
+    let respond = move |path: &str, query: &str| match path {
+        explain::PATH => explain::explain(&gateway, query),
+        _ => (StatusCode::OK, render(&gateway.metrics, &gateway)),
+    };
     serve_text(of_listener, Listener::Metrics, listener, respond).await;
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod edge;
 mod events;
 mod excluded_peers;
+mod explain;
 pub mod framing;
 mod lease;
 mod limit_exchange;
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -82,6 +82,7 @@
     help_of_check: ["check", "--help"] => 0, "folders";
     help_of_diff: ["diff", "--help"] => 0, "--platform";
     help_of_drain: ["drain", "--help"] => 0, "operators' addresses";
+    help_of_explain: ["explain", "--help"] => 0, "--prompt-tokens";
     help_of_get: ["get", "--help"] => 0, "--platform";
     help_of_node: ["node", "--help"] => 0, "--json-logs";
     help_of_status: ["status", "--help"] => 0, "--revision";
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -25,6 +25,7 @@
 mod earlier_builds;
 mod endless_answers;
 mod evacuations;
+mod explain;
 mod faulty_answers;
 mod fleet_limits;
 mod frozen_processes;
