--- a/tests/gateway/waits_for_room.rs
+++ b/tests/gateway/waits_for_room.rs
@@ -63,7 +63,7 @@
 
 /// Checks that waiting requests end soon after their callers have left.
 fn check_wait_ends(is_reset: bool) {
-    let site = Site::start(1);
+    let site = Site::start_with_settings(1, "[priorities]\nreserve_room = true\n");
     let engines = &site.platform.engines;
     engines.set_stream(1, FIRST_EVENT_MS);
     let route = |name: &str, objective_ms: u64, priority: u8| {
