review: case 8, a crowd of sound callers takes a gateway over its memory

Cause: a quarter of the memory is given to the bytes of requests and answers, and the rest is not bounded: an open request takes about 75 kB beside its bytes, and the number of open requests follows from the descriptors alone.

--- a/review/harness-2/src/caller.rs
+++ b/review/harness-2/src/caller.rs
@@ -30,7 +30,7 @@
 }
 
 /// Returns whether an answer is whole, by its length or its last chunk.
-fn is_whole(text: &str) -> bool {
+pub fn is_whole(text: &str) -> bool {
     let Some((head, body)) = text.split_once("\r\n\r\n") else {
         return false;
     };
--- a/review/harness-2/src/gateway.rs
+++ b/review/harness-2/src/gateway.rs
@@ -27,12 +27,30 @@
     }
 }
 
+/// What a machine may use, as the site files give it.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    pub descriptors: u32,
+    pub memory_mb: u64,
+    pub core_share: f64,
+    pub link_mbps: f64,
+}
+
+/// The machines of the small sites.
+pub const USUAL: Limits = Limits {
+    descriptors: 4_200,
+    memory_mb: 260,
+    core_share: 0.25,
+    link_mbps: 1_000.0,
+};
+
 /// A machine of class `front`: its name and address, and its gateway, if that runs.
 pub struct Machine {
     pub name: String,
     pub ip: Ipv4Addr,
     settings: PathBuf,
     store: SocketAddr,
+    limits: Limits,
     process: Option<Child>,
 }
 
@@ -68,6 +86,7 @@
             ip,
             settings: folder.0.join(format!("{name}.ini")),
             store,
+            limits: USUAL,
             process: None,
         };
         machine.write_settings(is_first_start)?;
@@ -79,11 +98,17 @@
         let Machine {
             name, ip, store, ..
         } = self;
+        let Limits {
+            descriptors,
+            memory_mb,
+            core_share,
+            link_mbps,
+        } = self.limits;
         let text = format!(
             "[node]\nname = {name}\ndata_centre = z1\nregions = z1:r1\nfirst_start = {is_first_start}\n\
              [listen]\ncallers = {ip}:{CALLERS_PORT}\nreadiness = {ip}:{READINESS_PORT}\n\
              peers = {ip}:{PEERS_PORT}\nmetrics = {ip}:{METRICS_PORT}\n[store]\naddress = {store}\n\
-             [limits]\ndescriptors = 4200\nmemory_mb = 260\ncore_share = 0.25\nlink_mbps = 1000.0\n\
+             [limits]\ndescriptors = {descriptors}\nmemory_mb = {memory_mb}\ncore_share = {core_share}\nlink_mbps = {link_mbps}\n\
              [stop]\ngrace_ms = 8000\n[platform]\nfeatures = base,drain,config,cost,retry,recover,\
              engine,stream,tenants,platform,gangs\n[repeats]\nratio = 0.2\nslack = 130\n\
              window_ms = 10000\n"
@@ -104,6 +129,21 @@
         Ok(())
     }
 
+    /// Gives the machine other limits, with which its gateway starts.
+    pub fn set_limits(&mut self, limits: Limits, is_first_start: bool) -> Result<(), String> {
+        self.limits = limits;
+        self.write_settings(is_first_start)
+    }
+
+    /// Returns the memory that the gateway uses, in kilobytes; 0 if it does not run.
+    pub fn memory_kb(&self) -> u64 {
+        let id = self.process.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        number.unwrap_or(0)
+    }
+
     /// Kills the gateway.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.process.take() {
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -10,6 +10,7 @@
 
 mod caller;
 mod crashed_domain;
+mod crowd;
 mod gateway;
 mod many_fields;
 mod record;
@@ -37,6 +38,7 @@
     let result = match case.as_str() {
         "crashed-domain" => crashed_domain::run(&program, has_trouble, &mut record),
         "replaced-machines" => replaced_machines::run(&program, has_trouble, &mut record),
+        "crowd" => crowd::run(&program, has_trouble, &mut record),
         "many-fields" => many_fields::run(&program, has_trouble, &mut record),
         _ => Err(format!("there is no case {case}")),
     };
