--- a/review/harness-2/src/crashed_domain.rs
+++ b/review/harness-2/src/crashed_domain.rs
@@ -32,7 +32,7 @@
 /// Part that all prompts share: the system prompt of the application.
 const SHARED_PART: &str = "5c1e07a2";
 /// Time between two requests of all callers together.
-const INTERVAL: Duration = Duration::from_millis(20);
+const INTERVAL: Duration = Duration::from_millis(10);
 /// One request in this many is for the plain service.
 const PLAIN_EVERY: usize = 5;
 /// Time for which requests are counted before the crash.
