Gateway: a reset within an upload is no end of an answer

Callers got part of an answer as a whole 200: an upstream answers an upload at once, without length or chunks, sends part of the body and resets the connection while the upload is still being written.

Cause: a socket reports the error of a reset once. If a write of the upload comes first, it takes the error, and MeteredStream hid it so that the answer of a peer that does not read the whole request can be read. The next read then found the end of the stream, which is the end of a body that has no other mark. All answers that a gateway reads come through MeteredStream: those to callers, streams and their resumptions, and those of other gateways and the store.

Change: the error that a write took is returned where the stream ends, after all bytes that arrived. EPIPE is left out: the peer had ended its side before the reset, so the end is its own, and an answer that was closed properly is whole.

Tests: faulty_answers::early, with an upstream of their own, uploads of 8 MB, and a gateway that is stopped while the upstream answers, so that it finds the answer and the reset at once.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -74,7 +74,9 @@
 /// not acknowledged in time.
 ///
 /// A failed write is not reported, because the HTTP library would not read on: a peer may answer before it
-/// has read the whole request, and close. What follows in the stream decides, an answer or its end.
+/// has read the whole request, and close. What follows in the stream decides: an answer, its end, or the error
+/// of the write. A socket reports an error only once, so that after the write a read finds an end that the peer
+/// has not sent.
 struct MeteredStream {
     stream: TcpStream,
     /// Number of bytes that may still be read.
@@ -85,6 +87,9 @@
     has_send_limit: bool,
     /// Whether a write has failed. Further bytes are dropped.
     has_write_failed: Rc<Cell<bool>>,
+    /// Error that a write took from the socket, and that the end of the stream stands for; `None` if the peer
+    /// has ended its side.
+    end_error: Option<io::ErrorKind>,
 }
 
 impl MeteredStream {
@@ -109,6 +114,9 @@
             Err(error) => {
                 tracing::debug!(%error, "a write failed; the connection is read to its end");
                 self.has_write_failed.set(true);
+                // EPIPE: the peer had ended its side before it reset the connection.
+                let kind = error.kind();
+                self.end_error = (kind != io::ErrorKind::BrokenPipe).then_some(kind);
                 length
             }
         }
@@ -129,6 +137,9 @@
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
         ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
         let count = part.filled().len();
+        if let Some(kind) = self.end_error.filter(|_| count == 0) {
+            return Poll::Ready(Err(kind.into()));
+        }
         buffer.advance(count);
         self.unanswered_bytes = 0;
         let rest = self.allowance_bytes.get().saturating_sub(count);
@@ -222,6 +233,7 @@
             unanswered_bytes: 0,
             has_send_limit: true,
             has_write_failed: has_write_failed.clone(),
+            end_error: None,
         };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
--- a/tests/gateway/faulty_answers.rs
+++ b/tests/gateway/faulty_answers.rs
@@ -11,6 +11,7 @@
     site::Site,
 };
 
+mod early;
 mod heads;
 pub(super) mod streams;
 
