Tests of answers with malformed heads, from upstreams and other gateways

Statuses 000 and 099, of two or four digits or with a letter; names with a blank, tab, control byte, NUL or carriage return, or one of these before the colon, also in the headers of the framing; refusals with such a head. The body is a whole answer, which a reader that skips the head takes for the upstream's.

All of them pass without a change of the gateway: a request that may run once gets 502 and runs once, a repeatable one goes on to another upstream, and a head that names a refusal is none.

The test of forwarded requests has more answers, and a name that fits them.

--- a/tests/gateway/faulty_answers/heads.rs
+++ b/tests/gateway/faulty_answers/heads.rs
@@ -1,4 +1,4 @@
-//! Answers whose head is cut.
+//! Answers whose head is cut or malformed.
 
 use std::{
     io::{Read, Write},
@@ -99,6 +99,75 @@
         head[..head.len() - 2].replace('\r', ""),
 }
 
+/// Returns the answer to a request whose head begins like this. Its body is a whole answer, which a reader that skips
+/// the head takes for the upstream's.
+fn malformed(request: &PlainRequest, status: &str, line: &str) -> String {
+    let body = answer(request);
+    let head = head(request, status);
+    format!(
+        "{head}{line}content-type: text/event-stream\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Defines tests in which upstreams send a malformed head: name, status, a line of the head.
+macro_rules! malformed_head {
+    ($($name:ident: $status:literal, $line:literal;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let site = scripted_site(|request| match request.attempt_id.as_str() {
+                    "/resumed/" if request.earlier_runs == 0 => broken_stream(request),
+                    "/resumed/" if request.earlier_runs == 2 => rest_of_stream(request),
+                    "/again/" if request.earlier_runs == 1 => Reply::sends(answer(request)),
+                    _ => Reply::sends(malformed(request, $status, $line)),
+                });
+                // The first two come first, since a target that fails often is ejected.
+                let ends = ["/resumed/", "/again/", "/once/", "/events/"].map(|path| {
+                    let request = Request { path, body: path, ..Request::once(path) };
+                    let answer = request.send(site.gateway(0));
+                    let is_whole = [events(1..=4), PlainService::BODY.to_owned()].contains(&answer.text());
+                    (path, answer.status, answer.end, is_whole, site.platform.runs.of(path).len())
+                });
+                let expected = [
+                    ("/resumed/", 200, End::Whole, true, 3),
+                    ("/again/", 200, End::Whole, true, 2),
+                    ("/once/", 502, End::Whole, false, 1),
+                    ("/events/", 502, End::Whole, false, 1),
+                ];
+                assert_eq!(ends, expected);
+            }
+        )+
+    };
+}
+
+// Guards against broken answers that look whole: an answer with a malformed head is passed on, or its body is taken
+// for an answer.
+malformed_head! {
+    status_000_is_no_answer: "000 OK", "";
+    status_099_is_no_answer: "099 OK", "";
+    status_of_two_digits_is_no_answer: "20 OK", "";
+    status_of_four_digits_is_no_answer: "2000 OK", "";
+    status_with_a_letter_is_no_answer: "2x0 OK", "";
+    name_with_a_blank_is_no_answer: "200 OK", "x fault: 1\r\n";
+    name_with_a_tab_is_no_answer: "200 OK", "x\tfault: 1\r\n";
+    name_with_a_control_byte_is_no_answer: "200 OK", "x\u{1}fault: 1\r\n";
+    name_with_a_nul_is_no_answer: "200 OK", "x\0fault: 1\r\n";
+    name_with_a_delete_byte_is_no_answer: "200 OK", "x\u{7f}fault: 1\r\n";
+    name_with_a_carriage_return_is_no_answer: "200 OK", "x\rfault: 1\r\n";
+    blank_before_the_colon_is_no_answer: "200 OK", "x-fault : 1\r\n";
+    tab_before_the_colon_is_no_answer: "200 OK", "x-fault\t: 1\r\n";
+    control_byte_before_the_colon_is_no_answer: "200 OK", "x-fault\u{1}: 1\r\n";
+    blank_before_the_name_is_no_answer: "200 OK", " x-fault: 1\r\n";
+    empty_name_is_no_answer: "200 OK", ": 1\r\n";
+    line_without_a_colon_is_no_answer: "200 OK", "x-fault\r\n";
+    coding_with_a_blank_before_the_colon_is_no_answer: "200 OK", "transfer-encoding : chunked\r\n";
+    coding_with_a_control_byte_is_no_answer: "200 OK", "transfer\u{1}encoding: chunked\r\n";
+    length_with_a_blank_before_the_colon_is_no_answer: "200 OK", "content-length : 4\r\n";
+    refusal_with_a_blank_in_a_name_is_no_refusal: "503 Busy", "jacinthpoint-not-executed: 1\r\nx fault: 1\r\n";
+    refusal_with_status_000_is_no_refusal: "000 Busy", "jacinthpoint-not-executed: 1\r\n";
+}
+
 /// Starts a gateway that answers each forwarded request with the next of these answers and closes the
 /// connection.
 fn start_faulty_gateway(answers: &'static [&'static str]) -> SocketAddr {
@@ -124,10 +193,10 @@
     address
 }
 
-/// Guards against broken answers that look whole: an answer of another gateway that is cut in its head, or that has
-/// neither length nor chunks and may be cut, is passed on as whole.
+/// Guards against broken answers that look whole: an answer of another gateway whose head is cut or malformed, or that
+/// has neither length nor chunks and may be cut, is passed on as whole.
 #[test]
-fn forwarded_request_whose_answer_is_cut_gets_no_success() {
+fn forwarded_request_whose_answer_is_broken_gets_no_success() {
     const ANSWERS: &[&str] = &[
         "HTTP/1.1 200",
         "HTTP/1.1 200 OK\r\n",
@@ -139,6 +208,13 @@
         "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\ntransfer-encoding: chunked\r\n",
         "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\n\r\nthe who",
         "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\ncontent-length: 40\r\n\r\nthe who",
+        "HTTP/1.1 000 OK\r\ngateway-forwarded-answer: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 099 OK\r\ngateway-forwarded-answer: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\nx fault: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\nx\u{1}fault: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\nx-fault : 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 503 Busy\r\ngateway-not-taken: 1\r\nx fault: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 000 Busy\r\ngateway-not-taken: 1\r\ncontent-length: 0\r\n\r\n",
     ];
     let (mut site, partitioned) = partitioned_site();
     let others: Vec<usize> = (0..3).filter(|index| *index != partitioned).collect();
