Node: a status below 100, or 101, is no interim answer of a service

Callers got a body that was not the service's: the head of an answer with status 000 or 099 was skipped, and its body was read as the next head. A body that looks like a refusal made the node say that the call did not run.

Cause: each status below 200 counted as interim (1xx). 101 (Switching Protocols), which no request asks for, was skipped, too, although what follows it is not HTTP.

Change: such an answer is malformed: the call may have run.

--- a/crates/upstream/src/service/exchange.rs
+++ b/crates/upstream/src/service/exchange.rs
@@ -191,7 +191,9 @@
     fn next_final_head(&mut self) -> io::Result<Option<(Head, usize)>> {
         loop {
             match parse_head(&self.received)? {
-                Some((head, length)) if head.status < 200 => drop(self.received.drain(..length)),
+                Some((head, length)) if is_interim(head.status) => {
+                    self.received.drain(..length);
+                }
                 head => return Ok(head),
             }
         }
@@ -263,6 +265,11 @@
     }
 }
 
+/// Returns whether the final answer is still to come.
+fn is_interim(status: u16) -> bool {
+    (100..200).contains(&status)
+}
+
 /// Parses the head at the start of `received`, and returns it with its length; `None` if it is not
 /// complete yet.
 fn parse_head(received: &[u8]) -> io::Result<Option<(Head, usize)>> {
@@ -273,13 +280,18 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(invalid("the head of the answer is malformed")),
     };
+    let status = parsed.code.unwrap_or_default();
+    // What follows 101 (Switching Protocols), which no request asks for, is not HTTP.
+    if status < 100 || status == 101 {
+        return Err(invalid("the status of the answer is invalid"));
+    }
     let values = |name: &'static str| {
         let headers = parsed.headers.iter();
         let named = headers.filter(move |header| header.name.eq_ignore_ascii_case(name));
         named.map(|header| std::str::from_utf8(header.value).unwrap_or_default().trim())
     };
     let head = Head {
-        status: parsed.code.unwrap_or_default(),
+        status,
         content_type: values("content-type").next().map(str::to_owned),
         framing: framing(values("transfer-encoding"), values("content-length"))?,
     };
--- a/crates/upstream/tests/service.rs
+++ b/crates/upstream/tests/service.rs
@@ -113,6 +113,21 @@
     call_answered_with_length_and_chunks_may_have_run: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n4\r\nsent\r\n0\r\n\r\n";
     call_answered_with_interim_answer_alone_may_have_run: "HTTP/1.1 100 Continue\r\n\r\n";
     call_answered_without_http_may_have_run: "SSH-2.0-server\r\n";
+    call_answered_with_status_000_may_have_run: "HTTP/1.1 000 OK\r\ncontent-length: 42\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_status_099_may_have_run: "HTTP/1.1 099 OK\r\ncontent-length: 42\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_another_protocol_may_have_run: "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_status_of_two_digits_may_have_run: "HTTP/1.1 20 OK\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_blank_in_a_name_may_have_run: "HTTP/1.1 200 OK\r\nx fault: 1\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_tab_in_a_name_may_have_run: "HTTP/1.1 200 OK\r\nx\tfault: 1\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_control_byte_in_a_name_may_have_run: "HTTP/1.1 200 OK\r\nx\u{1}fault: 1\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_nul_in_a_name_may_have_run: "HTTP/1.1 200 OK\r\nx\0fault: 1\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_blank_before_a_colon_may_have_run: "HTTP/1.1 200 OK\r\nx-fault : 1\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_tab_before_a_colon_may_have_run: "HTTP/1.1 200 OK\r\nx-fault\t: 1\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_control_byte_before_a_colon_may_have_run: "HTTP/1.1 200 OK\r\nx-fault\u{1}: 1\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_blank_before_a_name_may_have_run: "HTTP/1.1 200 OK\r\nx-fault: 1\r\n x-folded: 1\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_blank_before_the_colon_of_a_coding_may_have_run: "HTTP/1.1 200 OK\r\ntransfer-encoding : chunked\r\n\r\n4\r\nsent\r\n0\r\n\r\n";
+    call_answered_with_status_000_before_a_refusal_may_have_run: "HTTP/1.1 000 OK\r\ncontent-length: 43\r\n\r\nHTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n";
+    refusal_with_blank_in_a_name_may_have_run: "HTTP/1.1 503 Busy\r\nx fault: 1\r\ncontent-length: 0\r\n\r\n";
 }
 
 /// Body that fits no socket buffer.
@@ -130,7 +145,13 @@
     stream.write_all(answer).expect("the answer is sent");
 }
 
-/// Answers to a request whose body the service does not read.
+/// Reads some of a request, and closes the socket. Its unread bytes reset the connection.
+fn reset(mut stream: TcpStream) {
+    let mut part = vec![0; 256 * 1024];
+    stream.read_exact(&mut part).expect("a part of the body");
+}
+
+/// Answers to a request whose body the service does not read whole.
 macro_rules! early_answer {
     ($($name:ident: $answer:literal, $end:expr => $check:expr;)*) => {
         $(
@@ -162,4 +183,16 @@
         => |answer| matches!(answer, Ok(ServiceAnswer { status: 200, .. }));
     end_before_the_body_of_a_service_that_closes: "", drop
         => |answer| matches!(answer, Err(StartError::NoAnswer { .. }));
+    part_of_a_body_before_the_reset: "HTTP/1.1 200 OK\r\ncontent-length: 40\r\n\r\nsent", reset
+        => |answer| matches!(answer, Err(StartError::NoAnswer { .. }));
+    part_of_the_chunks_before_the_reset: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nsent\r\n", reset
+        => |answer| matches!(answer, Err(StartError::NoAnswer { .. }));
+    unframed_body_before_the_reset: "HTTP/1.1 200 OK\r\n\r\nsent", reset
+        => |answer| matches!(answer, Err(StartError::NoAnswer { .. }));
+    part_of_a_refusal_before_the_reset: "HTTP/1.1 503 Busy\r\ncontent-length: 40\r\n\r\nbusy", reset
+        => |answer| matches!(answer, Err(StartError::NoAnswer { .. }));
+    answer_before_the_reset: "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nsent", reset
+        => |answer| matches!(answer, Ok(ServiceAnswer { status: 200, body, .. }) if body == b"sent");
+    answer_in_chunks_before_the_reset: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nsent\r\n0\r\n\r\n", reset
+        => |answer| matches!(answer, Ok(ServiceAnswer { status: 200, body, .. }) if body == b"sent");
 }
