Node: an engine's answer with a malformed head is no answer

Callers got an answer of an engine whose head held a name with a blank, a tab or a control byte, or with one of these before its colon, and a 503 with such a head was passed on as "not run".

Cause: attohttpc leaves out the lines of a head that it cannot read, or trims their names: "transfer-encoding : chunked" was obeyed. The node does not learn of it. It also gave up an answer that lies unread when a prompt cannot be written whole, so that a refusal became an unknown outcome, and a whole stream was lost.

Change: the strict client of plain services, which reads heads with httparse, is now that of engines, too: streams, resumptions, health checks, orders and cancellations. It is moved to upstream::exchange, reads bodies piece by piece, and takes a time limit for the whole exchange or for each part. Interim answers and trailers are limited in sum, since a limit for each part alone does not end them. A refused connection is still the only one that counts as not sent, and redirections, which no engine of ours sends, are no longer followed.

--- a/crates/upstream/src/bounded.rs
+++ b/crates/upstream/src/bounded.rs
@@ -7,6 +7,8 @@
 
 use serde::de::DeserializeOwned;
 
+use crate::exchange::AnswerBody;
+
 /// Maximum length of the body of an answer.
 const MAX_BODY_BYTES: u64 = 1_024 * 1_024;
 /// Length of an error's text from which it is not read on.
@@ -19,22 +21,13 @@
 /// # Errors
 ///
 /// Fails if the body is too long, breaks off or is not of the type.
-pub(crate) fn read_json<T: DeserializeOwned>(answer: attohttpc::Response) -> io::Result<T> {
-    let (_, _, body) = answer.split();
-    let mut bytes = Vec::new();
-    body.take(MAX_BODY_BYTES + 1).read_to_end(&mut bytes)?;
-    if bytes.len() as u64 > MAX_BODY_BYTES {
-        return Err(io::Error::new(
-            io::ErrorKind::InvalidData,
-            "the answer is too long",
-        ));
-    }
+pub(crate) fn read_json<T: DeserializeOwned>(mut body: AnswerBody) -> io::Result<T> {
+    let bytes = body.read_whole(MAX_BODY_BYTES)?;
     Ok(serde_json::from_slice(&bytes)?)
 }
 
 /// Reads the start of an error's text, as far as it arrives soon; empty if it cannot be read.
-pub(crate) fn read_error_text(answer: attohttpc::Response) -> String {
-    let (_, _, mut body) = answer.split();
+pub(crate) fn read_error_text(mut body: AnswerBody) -> String {
     let until = Instant::now() + Duration::from_millis(MAX_ERROR_MS);
     let mut text = Vec::new();
     let mut buffer = [0; 1_024];
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -1,11 +1,19 @@
 //! Control calls to an engine: reading its state, sending orders and cancelling attempts.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use jacinthpoint_types::{Assignment, AttemptId, Epoch, GroupId, VmId};
 use serde::{Deserialize, Serialize};
 
-use crate::{bounded::read_json, error::UpstreamError};
+use crate::{
+    bounded::read_json,
+    error::UpstreamError,
+    exchange::{self, Answer, ExchangeError, Request, TimeLimit},
+};
 
 /// Holds the state that an engine reports of itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -84,13 +92,9 @@
 /// Fails if the engine does not answer within `timeout_ms`, answers with an error status, or
 /// answers with something that is not an [`EngineState`].
 pub fn state(address: SocketAddr, timeout_ms: u64) -> Result<EngineState, UpstreamError> {
-    let timeout = Duration::from_millis(timeout_ms);
-    let answer = attohttpc::get(format!("http://{address}/state"))
-        .connect_timeout(timeout)
-        .timeout(timeout)
-        .send()?
-        .error_for_status()?;
-    Ok(read_json(answer)?)
+    let answer = call(address, "GET", "/state", &[], timeout_ms)?;
+    check_success(&answer)?;
+    Ok(read_json(answer.body)?)
 }
 
 /// Sends an order to an engine.
@@ -105,19 +109,15 @@
     order: &Order,
     timeout_ms: u64,
 ) -> Result<OrderReply, UpstreamError> {
-    let timeout = Duration::from_millis(timeout_ms);
-    let answer = attohttpc::post(format!("http://{address}/orders"))
-        .connect_timeout(timeout)
-        .timeout(timeout)
-        .json(order)?
-        .send()?;
-    if answer.status().as_u16() == 409 {
-        let body: FencedBody = read_json(answer)?;
+    let body = serde_json::to_vec(order).map_err(io::Error::from)?;
+    let answer = call(address, "POST", "/orders", &body, timeout_ms)?;
+    if answer.status == 409 {
+        let body: FencedBody = read_json(answer.body)?;
         return Ok(OrderReply::Fenced {
             highest: body.highest,
         });
     }
-    answer.error_for_status()?;
+    check_success(&answer)?;
     Ok(OrderReply::Accepted)
 }
 
@@ -132,10 +132,35 @@
     attempt: AttemptId,
     timeout_ms: u64,
 ) -> Result<(), UpstreamError> {
-    let timeout = Duration::from_millis(timeout_ms);
-    attohttpc::delete(format!("http://{address}/streams/{attempt}"))
-        .connect_timeout(timeout)
-        .timeout(timeout)
-        .send()?;
+    let path = format!("/streams/{attempt}");
+    call(address, "DELETE", &path, &[], timeout_ms)?;
     Ok(())
 }
+
+/// Sends a control call with a JSON body, if it has one, and returns the answer.
+fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &[u8],
+    timeout_ms: u64,
+) -> Result<Answer, ExchangeError> {
+    let timeout = Duration::from_millis(timeout_ms);
+    let limit = TimeLimit::Until(Instant::now() + timeout);
+    let request = Request {
+        method,
+        path,
+        fields: &[("content-type", "application/json".to_owned())],
+        body,
+    };
+    exchange::send(address, &request, timeout, limit)
+}
+
+fn check_success(answer: &Answer) -> Result<(), UpstreamError> {
+    if answer.is_success() {
+        return Ok(());
+    }
+    Err(UpstreamError {
+        message: format!("the engine answered with status {}", answer.status),
+    })
+}
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -1,5 +1,9 @@
 //! Errors of upstream calls, distinguished by what the upstream may have done.
 
+use std::io::ErrorKind;
+
+use crate::exchange::ExchangeError;
+
 /// Error of a request that did not start, or is not known to have started.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub enum StartError {
@@ -63,8 +67,8 @@
     pub message: String,
 }
 
-impl From<attohttpc::Error> for UpstreamError {
-    fn from(error: attohttpc::Error) -> UpstreamError {
+impl From<ExchangeError> for UpstreamError {
+    fn from(error: ExchangeError) -> UpstreamError {
         UpstreamError {
             message: error.to_string(),
         }
@@ -79,14 +83,19 @@
     }
 }
 
-/// Classifies an error of the HTTP client by whether bytes may have been sent.
+/// Classifies an error by whether the request may have run.
 ///
-/// Only a refused connection proves that none were. A timeout may have expired while connecting or
-/// while waiting for the answer, and the client library does not report which.
-pub(crate) fn classify_start_error(error: &attohttpc::Error) -> StartError {
+/// Of the failed connections, only a refused one counts as a request that was not sent: it shows that nothing
+/// listens at the address.
+pub(crate) fn classify_start_error(error: &ExchangeError) -> StartError {
     let message = error.to_string();
-    match error.kind() {
-        attohttpc::ErrorKind::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
+    match error {
+        ExchangeError::NotSent(io)
+            if matches!(
+                io.kind(),
+                ErrorKind::ConnectionRefused | ErrorKind::InvalidInput
+            ) =>
+        {
             StartError::NotSent { message }
         }
         _ => StartError::NoAnswer { message },
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -14,6 +14,7 @@
 mod bounded;
 mod engine;
 mod error;
+mod exchange;
 mod service;
 mod sse;
 mod stream;
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -10,10 +10,11 @@
 use crate::{
     ATTEMPT_HEADER, REQUEST_HEADER,
     error::StartError,
-    service::exchange::{connect, exchange},
+    exchange::{self, ExchangeError, Request, TimeLimit},
 };
 
-mod exchange;
+/// Largest body of an answer that is passed on to the caller.
+const MAX_BODY_BYTES: u64 = 8 * 1024 * 1024;
 
 /// Holds one call to a plain service.
 #[derive(Debug, Clone)]
@@ -58,63 +59,44 @@
     answer_timeout_ms: u64,
 ) -> Result<ServiceAnswer, StartError> {
     let deadline = Instant::now() + Duration::from_millis(answer_timeout_ms);
-    let not_sent = |message: String| StartError::NotSent { message };
-    let proxy = proxy_of(address);
-    let head = request_head(address, proxy.is_some(), call);
-    let head = head.ok_or_else(|| not_sent("malformed call".to_owned()))?;
+    let request = Request {
+        method: call.method,
+        path: call.path,
+        fields: &[
+            (REQUEST_HEADER, call.request.to_string()),
+            (ATTEMPT_HEADER, call.attempt.to_string()),
+            ("content-type", call.content_type.to_owned()),
+        ],
+        body: call.body,
+    };
     let connect_timeout = Duration::from_millis(connect_timeout_ms.min(answer_timeout_ms));
-    let connection = connect(proxy.unwrap_or(address), connect_timeout)
-        .map_err(|error| not_sent(error.to_string()))?;
-    let answer =
-        exchange(connection, &head, call.body, deadline).map_err(|error| StartError::NoAnswer {
-            message: error.to_string(),
+    let limit = TimeLimit::Until(deadline);
+    let no_answer = |message: String| StartError::NoAnswer { message };
+    let mut answer =
+        exchange::send(address, &request, connect_timeout, limit).map_err(|error| match error {
+            ExchangeError::NotSent(error) => StartError::NotSent {
+                message: error.to_string(),
+            },
+            ExchangeError::NoAnswer(error) => no_answer(error.to_string()),
         })?;
+    if !answer.body.is_framed() {
+        return Err(no_answer(
+            "the answer has neither length nor chunks".to_owned(),
+        ));
+    }
+    let body = answer.body.read_whole(MAX_BODY_BYTES);
+    let body = body.map_err(|error| no_answer(error.to_string()))?;
     if answer.status == 503 {
-        let message = String::from_utf8_lossy(&answer.body).into_owned();
+        let message = String::from_utf8_lossy(&body).into_owned();
         return Err(StartError::Refused {
             status: 503,
             message,
         });
     }
-    Ok(answer)
-}
-
-/// Returns the address of the HTTP proxy that the environment names for this address, as for all other
-/// calls of a node.
-fn proxy_of(address: SocketAddr) -> Option<SocketAddr> {
-    let url = format!("http://{address}/").parse().ok()?;
-    let settings = attohttpc::ProxySettings::from_env();
-    let proxy = settings.for_url(&url)?;
-    let mut addresses = proxy.socket_addrs(|| None).ok()?.into_iter();
-    addresses.next()
-}
-
-/// Returns the head of a request, to a proxy with the whole URL; `None` if a part of the call would add
-/// lines to it.
-fn request_head(
-    address: SocketAddr,
-    is_through_proxy: bool,
-    call: &ServiceCall<'_>,
-) -> Option<String> {
-    let is_token =
-        |text: &str| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic());
-    let is_value = |text: &str| !text.chars().any(char::is_control);
-    if !is_token(call.method) || !is_token(call.path) || !is_value(call.content_type) {
-        return None;
-    }
-    let origin = if is_through_proxy {
-        format!("http://{address}")
-    } else {
-        String::new()
-    };
-    Some(format!(
-        "{} {origin}{} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n{REQUEST_HEADER}: {}\r\n\
-         {ATTEMPT_HEADER}: {}\r\ncontent-type: {}\r\ncontent-length: {}\r\n\r\n",
-        call.method,
-        call.path,
-        call.request,
-        call.attempt,
-        call.content_type,
-        call.body.len()
-    ))
+    Ok(ServiceAnswer {
+        status: answer.status,
+        content_type: (answer.content_type)
+            .unwrap_or_else(|| "application/octet-stream".to_owned()),
+        body,
+    })
 }
--- a/crates/upstream/src/stream.rs
+++ b/crates/upstream/src/stream.rs
@@ -14,6 +14,7 @@
     ATTEMPT_HEADER, EPOCH_HEADER, GROUP_HEADER, PRIORITY_HEADER, REQUEST_HEADER,
     bounded::read_error_text,
     error::{StartError, StreamError, classify_start_error},
+    exchange::{self, Answer, AnswerBody, Request, TimeLimit},
     sse::{self, Line},
 };
 
@@ -79,7 +80,7 @@
     next_offset: u64,
     /// True once the token with a finish reason was read; only the end marker may follow.
     is_last_token_read: bool,
-    reader: BufReader<attohttpc::ResponseReader>,
+    reader: BufReader<AnswerBody>,
 }
 
 /// Starts an attempt. `stall_timeout_ms` limits the wait for the response and for each read of the
@@ -95,20 +96,23 @@
     stall_timeout_ms: u64,
 ) -> Result<TokenStream, StartError> {
     let first_offset = request.body["continue_from"].as_array().map_or(0, Vec::len) as u64;
-    let answer = attohttpc::post(format!("http://{address}{}", request.path))
-        .connect_timeout(Duration::from_millis(connect_timeout_ms))
-        .read_timeout(Duration::from_millis(stall_timeout_ms))
-        .header(REQUEST_HEADER, request.request.to_string())
-        .header(ATTEMPT_HEADER, request.attempt.to_string())
-        .header(GROUP_HEADER, request.group.as_str())
-        .header(EPOCH_HEADER, request.epoch.to_string())
-        .header(PRIORITY_HEADER, request.priority.to_string())
-        .json(request.body)
-        .map_err(|error| StartError::NotSent {
-            message: error.to_string(),
-        })?
-        .send()
-        .map_err(|error| classify_start_error(&error))?;
+    let body = serde_json::to_vec(request.body).map_err(|error| StartError::NotSent {
+        message: error.to_string(),
+    })?;
+    let sent = Request {
+        method: "POST",
+        path: request.path,
+        fields: &[
+            (REQUEST_HEADER, request.request.to_string()),
+            (ATTEMPT_HEADER, request.attempt.to_string()),
+            (GROUP_HEADER, request.group.to_string()),
+            (EPOCH_HEADER, request.epoch.to_string()),
+            (PRIORITY_HEADER, request.priority.to_string()),
+            ("content-type", "application/json".to_owned()),
+        ],
+        body: &body,
+    };
+    let answer = send(address, &sent, connect_timeout_ms, stall_timeout_ms)?;
     TokenStream::open(answer, request.attempt, first_offset)
 }
 
@@ -125,25 +129,38 @@
     connect_timeout_ms: u64,
     stall_timeout_ms: u64,
 ) -> Result<TokenStream, StartError> {
-    let answer = attohttpc::get(format!(
-        "http://{address}/streams/{attempt}?offset={offset}"
-    ))
-    .connect_timeout(Duration::from_millis(connect_timeout_ms))
-    .read_timeout(Duration::from_millis(stall_timeout_ms))
-    .send()
-    .map_err(|error| classify_start_error(&error))?;
+    let request = Request {
+        method: "GET",
+        path: &format!("/streams/{attempt}?offset={offset}"),
+        fields: &[],
+        body: &[],
+    };
+    let answer = send(address, &request, connect_timeout_ms, stall_timeout_ms)?;
     TokenStream::open(answer, attempt, offset)
 }
 
+/// Sends a request and returns the answer. `stall_timeout_ms` limits the time for each part of both.
+fn send(
+    address: SocketAddr,
+    request: &Request<'_>,
+    connect_timeout_ms: u64,
+    stall_timeout_ms: u64,
+) -> Result<Answer, StartError> {
+    let connect_timeout = Duration::from_millis(connect_timeout_ms);
+    let limit = TimeLimit::EachPartMs(stall_timeout_ms);
+    exchange::send(address, request, connect_timeout, limit)
+        .map_err(|error| classify_start_error(&error))
+}
+
 impl TokenStream {
     fn open(
-        answer: attohttpc::Response,
+        answer: Answer,
         attempt: AttemptId,
         next_offset: u64,
     ) -> Result<TokenStream, StartError> {
-        let status = answer.status().as_u16();
+        let status = answer.status;
         if !answer.is_success() {
-            let message = read_error_text(answer);
+            let message = read_error_text(answer.body);
             // Of the 5xx statuses, only 503 means that the engine did not run the request.
             return Err(match status {
                 400..=499 | 503 => StartError::Refused { status, message },
@@ -152,12 +169,11 @@
                 },
             });
         }
-        let (_, _, reader) = answer.split();
         Ok(TokenStream {
             attempt,
             next_offset,
             is_last_token_read: false,
-            reader: BufReader::new(reader),
+            reader: BufReader::new(answer.body),
         })
     }
 
--- a/crates/upstream/tests/stream.rs
+++ b/crates/upstream/tests/stream.rs
@@ -16,6 +16,8 @@
 
 const TIMEOUT_MS: u64 = 2_000;
 const TOKENS: u64 = 6;
+/// Length of the status line of a success.
+const STATUS_LINE_BYTES: usize = "HTTP/1.1 200 OK\r\n".len();
 
 /// Fault of an engine in its stream; the number is the event at which it occurs.
 #[derive(Debug, Clone)]
@@ -95,9 +97,14 @@
 
 /// Returns the whole answer, from its status line on.
 fn answer(attempt: AttemptId, fault: &Fault) -> Vec<u8> {
-    let mut answer = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
-        transfer-encoding: chunked\r\n\r\n"
-        .to_vec();
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+        transfer-encoding: chunked\r\n\r\n";
+    answer_with_head(head, attempt, fault)
+}
+
+/// Returns the whole answer with this head, which must be that of an answer in chunks.
+fn answer_with_head(head: &str, attempt: AttemptId, fault: &Fault) -> Vec<u8> {
+    let mut answer = head.as_bytes().to_vec();
     let head_bytes = answer.len();
     for (index, event) in events(attempt, fault).into_iter().enumerate() {
         let size = match *fault {
@@ -133,8 +140,16 @@
 }
 
 fn open(address: SocketAddr, attempt: AttemptId) -> Result<TokenStream, StartError> {
+    open_with_prompt(address, attempt, "p")
+}
+
+fn open_with_prompt(
+    address: SocketAddr,
+    attempt: AttemptId,
+    prompt: &str,
+) -> Result<TokenStream, StartError> {
     let group: GroupId = "group-1".parse().expect("a valid name");
-    let body = json!({ "prompt": "p", "stream": true });
+    let body = json!({ "prompt": prompt, "stream": true });
     let request = StartRequest {
         request: RequestId::new(),
         attempt,
@@ -150,8 +165,11 @@
 /// Returns the tokens read, and whether the stream reported the end of the answer or an error.
 fn read(fault: &Fault) -> (Vec<String>, Result<(), StreamError>) {
     let attempt = AttemptId::new();
-    let mut stream = open(start_engine(answer(attempt, fault)), attempt)
-        .expect("the engine sends a response head");
+    let stream = open(start_engine(answer(attempt, fault)), attempt);
+    read_tokens(stream.expect("the engine sends a response head"))
+}
+
+fn read_tokens(mut stream: TokenStream) -> (Vec<String>, Result<(), StreamError>) {
     let mut tokens = Vec::new();
     loop {
         match stream.next_event() {
@@ -230,6 +248,99 @@
     bad_gateway_with_status_502_may_have_run: 502 => false;
 }
 
+macro_rules! malformed_head {
+    ($($name:ident: $status:literal, $line:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let attempt = AttemptId::new();
+                for framing in ["transfer-encoding: chunked\r\n", "transfer-encoding : chunked\r\n"] {
+                    let head = format!("HTTP/1.1 {}\r\n{}{framing}\r\n", $status, $line);
+                    let answer = answer_with_head(&head, attempt, &Fault::None);
+                    let error = open(start_engine(answer), attempt).expect_err("no answer");
+                    assert!(!error.is_not_run(), "{error}");
+                }
+            }
+        )*
+    };
+}
+
+malformed_head! {
+    stream_with_status_000_may_have_run: "000 OK", "";
+    stream_with_status_099_may_have_run: "099 OK", "";
+    stream_with_blank_in_a_name_may_have_run: "200 OK", "x fault: 1\r\n";
+    stream_with_tab_in_a_name_may_have_run: "200 OK", "x\tfault: 1\r\n";
+    stream_with_control_byte_in_a_name_may_have_run: "200 OK", "x\u{1}fault: 1\r\n";
+    stream_with_nul_in_a_name_may_have_run: "200 OK", "x\0fault: 1\r\n";
+    stream_with_blank_before_a_colon_may_have_run: "200 OK", "x-fault : 1\r\n";
+    stream_with_tab_before_a_colon_may_have_run: "200 OK", "x-fault\t: 1\r\n";
+    stream_with_control_byte_before_a_colon_may_have_run: "200 OK", "x-fault\u{1}: 1\r\n";
+    stream_with_blank_before_a_name_may_have_run: "200 OK", " x-fault: 1\r\n";
+    refusal_with_blank_in_a_name_may_have_run: "503 Busy", "x fault: 1\r\n";
+    refusal_with_status_000_may_have_run: "000 Busy", "";
+}
+
+/// Prompt that fits no socket buffer.
+const LONG_PROMPT_BYTES: usize = 16 * 1024 * 1024;
+
+/// Starts an engine that answers within a request and closes the socket, whose unread bytes reset the connection.
+fn start_early_engine(answer: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept()?;
+        stream.read_exact(&mut vec![0; 256 * 1024])?;
+        stream.write_all(&answer)
+    });
+    address
+}
+
+/// Defines tests of answers to a prompt that the engine does not read whole: name, status, body after the head,
+/// check of the result.
+macro_rules! early_answer {
+    ($($name:ident: $status:literal, $body:expr => $check:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let attempt = AttemptId::new();
+                let mut answer = format!("HTTP/1.1 {}\r\n", $status).into_bytes();
+                let body: fn(AttemptId) -> Vec<u8> = $body;
+                answer.extend(body(attempt));
+                let address = start_early_engine(answer);
+                let prompt = "p".repeat(LONG_PROMPT_BYTES);
+                let opened = open_with_prompt(address, attempt, &prompt);
+                let result = opened.map(|stream| read_tokens(stream));
+                let check: fn(&Result<(Vec<String>, Result<(), StreamError>), StartError>) -> bool = $check;
+                assert!(check(&result), "{result:?}");
+            }
+        )*
+    };
+}
+
+/// Returns the part of an answer with this framing after its status line, with the first two of its events.
+fn cut_stream(attempt: AttemptId, framing: &str) -> Vec<u8> {
+    let events = [event(attempt, 0), event(attempt, 1)].concat();
+    [framing.as_bytes(), b"\r\n", &events].concat()
+}
+
+early_answer! {
+    refusal_before_the_whole_prompt_did_not_run: "503 Busy",
+        |_| b"content-length: 4\r\n\r\nbusy".to_vec()
+        => |result| matches!(result, Err(StartError::Refused { status: 503, .. }));
+    refusal_with_blank_in_a_name_before_the_whole_prompt_may_have_run: "503 Busy",
+        |_| b"x fault: 1\r\ncontent-length: 4\r\n\r\nbusy".to_vec()
+        => |result| matches!(result, Err(StartError::NoAnswer { .. }));
+    unframed_stream_that_is_reset_is_broken: "200 OK",
+        |attempt| cut_stream(attempt, "")
+        => |result| matches!(result, Ok((tokens, Err(StreamError::Broken { .. }))) if tokens.len() == 2);
+    stream_with_a_length_that_is_reset_is_broken: "200 OK",
+        |attempt| cut_stream(attempt, "content-length: 9999\r\n")
+        => |result| matches!(result, Ok((tokens, Err(StreamError::Broken { .. }))) if tokens.len() == 2);
+    whole_stream_before_the_whole_prompt_is_whole: "200 OK",
+        |attempt| answer(attempt, &Fault::None)[STATUS_LINE_BYTES..].to_vec()
+        => |result| matches!(result, Ok((tokens, Ok(()))) if *tokens == expected_tokens());
+}
+
 #[test]
 fn connection_closed_without_an_answer_may_have_run() {
     let error = open(start_engine(Vec::new()), AttemptId::new()).expect_err("no answer");
