Statuses from 600 on are no answers

A gateway and a node passed on statuses such as 600 and 999, and a gateway believed what such a head stated: with Jacinthpoint-Not-Executed, a request that an upstream had run was answered 503.

RFC 9110 (section 15) calls these statuses invalid and asks clients to treat them as a server error. Weighed: passing them on, since a service's status goes to its caller unchanged. But many client libraries refuse them as well, a repeatable request was not tried elsewhere, as it is after a broken answer, and a server that sends them is in trouble.

Change: Connection::send, through which a gateway reads all answers (upstreams, other gateways, the store, health checks, orders), fails for them, and its errors have a type of their own: not sent, no head, invalid status. An invalid status is not taken for a crash of the upstream. A node refuses them where it reads a head.

Measured (arm64, debug): before, 4 of 35 gateway tests of heads failed (600, 999, a refusal and a forwarded request with 600), and 2 of 50 of services; status 600 of an engine was an unknown outcome before, too. Now 77 of 77 tests of faulty_answers pass, and all tests of crates/upstream.

--- a/crates/gateway/src/call/attempt.rs
+++ b/crates/gateway/src/call/attempt.rs
@@ -32,7 +32,7 @@
         stated::{self, Stated, Statement},
         whole_body::{self, BodyError},
     },
-    connection::Connection,
+    connection::{Connection, SendError},
     datagram::Alarm,
     events::log_event,
     pool::Checkout,
@@ -310,17 +310,14 @@
     };
     let response = match response {
         Ok(response) => response,
-        Err(mut error) => {
-            return match error.take_message() {
-                // hyper returns the message only if no byte of it was sent.
-                Some(_) => AttemptOutcome::NotSent("the connection was closed".to_owned()),
-                None => {
-                    let elapsed_ms = gateway.now().since_ms(sent_at);
-                    let broke_at = BreakPoint::without_head(is_new, elapsed_ms);
-                    record_suspected_crash(context, target, broke_at, sent_at);
-                    AttemptOutcome::Unknown(error.error().to_string())
-                }
-            };
+        Err(error @ SendError::NotSent) => return AttemptOutcome::NotSent(error.to_string()),
+        Err(error) => {
+            if let SendError::NoHead(_) = error {
+                let elapsed_ms = gateway.now().since_ms(sent_at);
+                let broke_at = BreakPoint::without_head(is_new, elapsed_ms);
+                record_suspected_crash(context, target, broke_at, sent_at);
+            }
+            return AttemptOutcome::Unknown(error.to_string());
         }
     };
     if let Some(requests) = reported_load(response.headers()) {
--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -32,7 +32,7 @@
         stream::DEADLINE_SLACK_MS,
         whole_body,
     },
-    connection::{Connection, RequestBody},
+    connection::{Connection, RequestBody, SendError},
     events::log_event,
     memory::{Activity, Listener},
     state::Gateway,
@@ -195,13 +195,8 @@
     let sent_at = gateway.now();
     let response = match tokio::time::timeout_at(deadline, connection.send(request)).await {
         Ok(Ok(response)) => response,
-        Ok(Err(mut error)) => {
-            return match error.take_message() {
-                // hyper returns the message only if no byte of it was sent.
-                Some(_) => Offer::NotTaken("the connection was closed".to_owned()),
-                None => Offer::Unknown(error.error().to_string()),
-            };
-        }
+        Ok(Err(error @ SendError::NotSent)) => return Offer::NotTaken(error.to_string()),
+        Ok(Err(error)) => return Offer::Unknown(error.to_string()),
         Err(_) => return Offer::DeadlinePassed,
     };
     if let Some(why) = response.headers().get(&NOT_TAKEN) {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -15,10 +15,7 @@
 use hyper::{
     Request, Response,
     body::Incoming,
-    client::conn::{
-        TrySendError,
-        http1::{self, SendRequest},
-    },
+    client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -70,6 +67,20 @@
     Http(hyper::Error),
 }
 
+/// Error of a request without an answer.
+#[derive(Debug, derive_more::Display)]
+pub(crate) enum SendError {
+    /// The connection was closed before a byte of the request was sent.
+    #[display("the connection was closed")]
+    NotSent,
+    /// The connection failed, or the head of the answer is malformed. The peer may have run the request.
+    #[display("{_0}")]
+    NoHead(hyper::Error),
+    /// The answer has a status that HTTP does not know: 600 or above. The peer may have run the request.
+    #[display("the status {_0} of the answer is invalid")]
+    InvalidStatus(u16),
+}
+
 /// Stream that fails once more bytes were read than allowed, and while the bytes of short requests are
 /// not acknowledged in time.
 ///
@@ -254,16 +265,22 @@
     }
 
     /// Sends a request and waits for the head of the answer, within [`MAX_BYTES_BEFORE_HEAD`].
-    ///
-    /// The error holds the request if no byte of it was sent.
     pub(crate) async fn send(
         &mut self,
         request: Request<RequestBody>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
+    ) -> Result<Response<Incoming>, SendError> {
         self.allowance_bytes.set(MAX_BYTES_BEFORE_HEAD);
-        let response = self.sender.try_send_request(request).await?;
+        let response = self.sender.try_send_request(request).await;
+        // The library returns the request only if no byte of it was sent.
+        let response = response.map_err(|mut error| match error.take_message() {
+            Some(_) => SendError::NotSent,
+            None => SendError::NoHead(error.into_error()),
+        })?;
         self.allowance_bytes.set(usize::MAX);
-        Ok(response)
+        match response.status().as_u16() {
+            status @ 600.. => Err(SendError::InvalidStatus(status)),
+            _ => Ok(response),
+        }
     }
 
     /// Returns whether a request can be sent now.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -20,7 +20,11 @@
 use serde_json::Value;
 use tokio::time::timeout;
 
-use crate::{connection::Connection, events::log_event, relay::MAX_LIST_HOLD_MS};
+use crate::{
+    connection::{Connection, SendError},
+    events::log_event,
+    relay::MAX_LIST_HOLD_MS,
+};
 
 /// Time for connecting to the store, which is a few milliseconds away.
 const CONNECT_TIMEOUT_MS: u64 = 500;
@@ -409,9 +413,9 @@
         let request = request
             .body(Full::new(body))
             .map_err(|error| StoreError::NotReached(error.to_string()))?;
-        let failed = |error: hyper::Error| StoreError::NoAnswer(error.to_string());
+        let failed = |error: SendError| StoreError::NoAnswer(error.to_string());
         let response = match timeout(ms(timeout_ms), connection.send(request)).await {
-            Ok(response) => response.map_err(|error| failed(error.into_error()))?,
+            Ok(response) => response.map_err(failed)?,
             Err(_) => return Err(timed_out()),
         };
         let status = response.status().as_u16();
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -95,7 +95,7 @@
 /// An answer whose head has been read.
 #[derive(Debug)]
 pub(crate) struct Answer {
-    /// HTTP status, from 200 on.
+    /// HTTP status, from 200 to 599.
     pub(crate) status: u16,
     pub(crate) content_type: Option<String>,
     pub(crate) body: AnswerBody,
@@ -478,7 +478,7 @@
     };
     let status = parsed.code.unwrap_or_default();
     // What follows 101 (Switching Protocols), which no request asks for, is not HTTP.
-    if status < 100 || status == 101 {
+    if !(100..600).contains(&status) || status == 101 {
         return Err(invalid("the status of the answer is invalid"));
     }
     let values = |name: &'static str| {
--- a/crates/upstream/tests/service.rs
+++ b/crates/upstream/tests/service.rs
@@ -115,6 +115,8 @@
     call_answered_without_http_may_have_run: "SSH-2.0-server\r\n";
     call_answered_with_status_000_may_have_run: "HTTP/1.1 000 OK\r\ncontent-length: 42\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nsent";
     call_answered_with_status_099_may_have_run: "HTTP/1.1 099 OK\r\ncontent-length: 42\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_status_600_may_have_run: "HTTP/1.1 600 OK\r\ncontent-length: 4\r\n\r\nsent";
+    call_answered_with_status_999_may_have_run: "HTTP/1.1 999 OK\r\ncontent-length: 4\r\n\r\nsent";
     call_answered_with_another_protocol_may_have_run: "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nsent";
     call_answered_with_status_of_two_digits_may_have_run: "HTTP/1.1 20 OK\r\ncontent-length: 4\r\n\r\nsent";
     call_answered_with_blank_in_a_name_may_have_run: "HTTP/1.1 200 OK\r\nx fault: 1\r\ncontent-length: 4\r\n\r\nsent";
--- a/crates/upstream/tests/stream.rs
+++ b/crates/upstream/tests/stream.rs
@@ -268,6 +268,7 @@
 malformed_head! {
     stream_with_status_000_may_have_run: "000 OK", "";
     stream_with_status_099_may_have_run: "099 OK", "";
+    stream_with_status_600_may_have_run: "600 OK", "";
     stream_with_blank_in_a_name_may_have_run: "200 OK", "x fault: 1\r\n";
     stream_with_tab_in_a_name_may_have_run: "200 OK", "x\tfault: 1\r\n";
     stream_with_control_byte_in_a_name_may_have_run: "200 OK", "x\u{1}fault: 1\r\n";
--- a/tests/gateway/faulty_answers/heads.rs
+++ b/tests/gateway/faulty_answers/heads.rs
@@ -146,6 +146,8 @@
 malformed_head! {
     status_000_is_no_answer: "000 OK", "";
     status_099_is_no_answer: "099 OK", "";
+    status_600_is_no_answer: "600 OK", "";
+    status_999_is_no_answer: "999 OK", "";
     status_of_two_digits_is_no_answer: "20 OK", "";
     status_of_four_digits_is_no_answer: "2000 OK", "";
     status_with_a_letter_is_no_answer: "2x0 OK", "";
@@ -166,6 +168,7 @@
     length_with_a_blank_before_the_colon_is_no_answer: "200 OK", "content-length : 4\r\n";
     refusal_with_a_blank_in_a_name_is_no_refusal: "503 Busy", "jacinthpoint-not-executed: 1\r\nx fault: 1\r\n";
     refusal_with_status_000_is_no_refusal: "000 Busy", "jacinthpoint-not-executed: 1\r\n";
+    refusal_with_status_600_is_no_refusal: "600 Busy", "jacinthpoint-not-executed: 1\r\n";
 }
 
 /// Starts a gateway that answers each forwarded request with the next of these answers and closes the
@@ -210,11 +213,13 @@
         "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\ncontent-length: 40\r\n\r\nthe who",
         "HTTP/1.1 000 OK\r\ngateway-forwarded-answer: 1\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 099 OK\r\ngateway-forwarded-answer: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 600 OK\r\ngateway-forwarded-answer: 1\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\nx fault: 1\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\nx\u{1}fault: 1\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\ngateway-forwarded-answer: 1\r\nx-fault : 1\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 503 Busy\r\ngateway-not-taken: 1\r\nx fault: 1\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 000 Busy\r\ngateway-not-taken: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 600 Busy\r\ngateway-not-taken: 1\r\ncontent-length: 0\r\n\r\n",
     ];
     let (mut site, partitioned) = partitioned_site();
     let others: Vec<usize> = (0..3).filter(|index| *index != partitioned).collect();
