--- a/tests/gateway/faulty_answers/early.rs
+++ b/tests/gateway/faulty_answers/early.rs
@@ -1,5 +1,4 @@
-//! Answers to uploads that upstreams send before they have read the whole request, and whose connections they
-//! reset.
+//! Answers to uploads that upstreams send before they have read the whole request.
 //!
 //! The gateway is stopped while an upstream answers, so that it finds the answer and the reset at the same moment,
 //! and its next write fails between two reads.
@@ -48,6 +47,10 @@
     Reset,
     /// Ends its sending side, and resets the connection when that has arrived.
     CloseThenReset,
+    /// Ends its sending side, and reads the rest of the upload.
+    CloseAndReadOn,
+    /// Reads the rest of the upload.
+    ReadOn,
 }
 
 /// What an upstream sends before it has read the request.
@@ -206,9 +209,12 @@
             };
             arrivals.send(arrival).expect("the test waits");
             is_stopped.recv().expect("the test waits");
-            let result = answer_early(connection, &answer);
+            let rest = answer_early(connection, &answer);
             has_answered.send(()).expect("the test waits");
-            result
+            if let Some(mut connection) = rest? {
+                std::io::copy(&mut connection, &mut std::io::sink())?;
+            }
+            Ok(())
         }
         UploadReply::Late(text) => {
             let mut left = upload.body_bytes;
@@ -225,20 +231,31 @@
     }
 }
 
-/// Sends an answer and resets the connection, whose peer has not read anything of it yet.
-fn answer_early(mut connection: TcpStream, answer: &EarlyAnswer) -> std::io::Result<()> {
+/// Sends an answer and ends the connection as the answer says. Returns the connection if the upstream reads on.
+fn answer_early(
+    mut connection: TcpStream,
+    answer: &EarlyAnswer,
+) -> std::io::Result<Option<TcpStream>> {
     if answer.reads_on {
         connection.read_exact(&mut vec![0; READ_BYTES])?;
     }
     connection.write_all(answer.text.as_bytes())?;
-    if answer.end == ConnectionEnd::CloseThenReset {
-        connection.shutdown(Shutdown::Write)?;
-        pause_ms(SETTLING_MS);
+    match answer.end {
+        ConnectionEnd::ReadOn => return Ok(Some(connection)),
+        ConnectionEnd::CloseAndReadOn => {
+            connection.shutdown(Shutdown::Write)?;
+            return Ok(Some(connection));
+        }
+        ConnectionEnd::CloseThenReset => {
+            connection.shutdown(Shutdown::Write)?;
+            pause_ms(SETTLING_MS);
+        }
+        ConnectionEnd::Reset => {}
     }
     SockRef::from(&connection).set_linger(Some(Duration::ZERO))?;
     drop(connection);
     pause_ms(SETTLING_MS);
-    Ok(())
+    Ok(None)
 }
 
 /// How the end of a body is marked.
@@ -377,9 +394,9 @@
     events(1..=2_000)
 }
 
-/// Defines tests of uploads that are answered whole and then reset: name, framing of the answer, end of the
+/// Defines tests of uploads that are answered whole before they were read: name, framing of the answer, end of the
 /// connection.
-macro_rules! whole_before_the_reset {
+macro_rules! whole_before_the_upload {
     ($($name:ident: $framing:literal, $end:expr;)+) => {
         $(
             #[test]
@@ -402,10 +419,13 @@
 }
 
 // Guards against whole answers that are lost because the rest of the upload could not be written.
-whole_before_the_reset! {
+whole_before_the_upload! {
     unframed_answer_that_is_closed_before_the_reset_is_whole: "unframed", ConnectionEnd::CloseThenReset;
     answer_with_a_length_that_arrives_before_the_reset_is_whole: "length", ConnectionEnd::Reset;
     answer_in_chunks_that_arrives_before_the_reset_is_whole: "chunks", ConnectionEnd::Reset;
+    unframed_answer_of_an_upstream_that_reads_on_is_whole: "unframed", ConnectionEnd::CloseAndReadOn;
+    answer_with_a_length_of_an_upstream_that_reads_on_is_whole: "length", ConnectionEnd::ReadOn;
+    answer_in_chunks_of_an_upstream_that_reads_on_is_whole: "chunks", ConnectionEnd::ReadOn;
 }
 
 /// Guards against broken answers that look whole: a gateway that a request was forwarded to resets its connection
