--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -98,8 +98,8 @@
     has_send_limit: bool,
     /// Whether a write has failed. Further bytes are dropped.
     has_write_failed: Rc<Cell<bool>>,
-    /// Error that a write took from the socket, and that the end of the stream stands for; `None` if the peer
-    /// has ended its side.
+    /// Error that a failed write took from the socket, and that the end of the stream stands for; `None` if the
+    /// peer had ended its side before.
     end_error: Option<io::ErrorKind>,
 }
 
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -147,10 +147,11 @@
 ) -> Result<Answer, ExchangeError> {
     let timeout = Duration::from_millis(timeout_ms);
     let limit = TimeLimit::Until(Instant::now() + timeout);
+    let content_type = [("content-type", "application/json".to_owned())];
     let request = Request {
         method,
         path,
-        fields: &[("content-type", "application/json".to_owned())],
+        fields: if body.is_empty() { &[] } else { &content_type },
         body,
     };
     exchange::send(address, &request, timeout, limit)
--- a/crates/upstream/tests/endless_answers.rs
+++ b/crates/upstream/tests/endless_answers.rs
@@ -8,7 +8,7 @@
 };
 
 use jacinthpoint_types::{AttemptId, Epoch, GroupId, Priority, RequestId};
-use jacinthpoint_upstream::{StartRequest, resume, start, state};
+use jacinthpoint_upstream::{StartError, StartRequest, TokenStream, resume, start, state};
 use serde_json::json;
 
 const TIMEOUT_MS: u64 = 2_000;
@@ -22,13 +22,18 @@
 
 /// Starts an engine that answers with this status and a long body, and then keeps the connection open.
 fn start_engine(status: &'static str) -> SocketAddr {
+    start_engine_of(format!("HTTP/1.1 {status}\r\n\r\n\""), "x")
+}
+
+/// Starts an engine that sends `first` and then `part` again and again, and then keeps the connection open.
+fn start_engine_of(first: String, part: &str) -> SocketAddr {
+    let part = part.repeat(PART_BYTES / part.len()).into_bytes();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("a bound port");
     thread::spawn(move || {
         let (mut stream, _) = listener.accept()?;
         let _ = stream.read(&mut [0; 4_096])?;
-        stream.write_all(format!("HTTP/1.1 {status}\r\n\r\n\"").as_bytes())?;
-        let part = vec![b'x'; PART_BYTES];
+        stream.write_all(first.as_bytes())?;
         for _ in 0..ANSWER_PARTS {
             stream.write_all(&part)?;
         }
@@ -48,6 +53,10 @@
 }
 
 fn start_at(address: SocketAddr) -> bool {
+    open(address).is_err()
+}
+
+fn open(address: SocketAddr) -> Result<TokenStream, StartError> {
     let group: GroupId = "group".parse().expect("a valid id");
     let request = StartRequest {
         request: RequestId::new(),
@@ -58,7 +67,7 @@
         path: "/v1/completions",
         body: &json!({}),
     };
-    start(address, &request, TIMEOUT_MS, TIMEOUT_MS).is_err()
+    start(address, &request, TIMEOUT_MS, TIMEOUT_MS)
 }
 
 /// Defines tests of a call that gets an answer without end: name, status, call that returns whether it failed.
@@ -86,3 +95,23 @@
     endless_refusal_to_resume_is_given_up("404 Absent"): |address|
         resume(address, AttemptId::new(), 0, TIMEOUT_MS, TIMEOUT_MS).is_err(),
 }
+
+/// Guards against nodes that wait for ever, because parts of an answer that are skipped arrive without end.
+#[test]
+fn endless_interim_answers_are_given_up() {
+    let began = Instant::now();
+    let address = start_engine_of(String::new(), "HTTP/1.1 100 Continue\r\n\r\n");
+    assert!(start_at(address));
+    assert!(began.elapsed() < MAX_CALL, "{:?}", began.elapsed());
+}
+
+/// As above, for the trailers of a stream.
+#[test]
+fn endless_trailers_are_given_up() {
+    let began = Instant::now();
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+    let address = start_engine_of(head.to_owned(), "x-filler: 0123456789\r\n");
+    let mut stream = open(address).expect("the head arrives");
+    assert!(stream.next_event().is_err());
+    assert!(began.elapsed() < MAX_CALL, "{:?}", began.elapsed());
+}
