Tests of answers of the store with a malformed head

Each answer to a gateway is replaced by one that removes an upstream, with status 000 or 600, or a blank or control byte in or after a name. Requests to the upstream are still served; with a sound head they are refused, so the test can fail. The proxy of the store's endless answers takes the answer that it sends.

--- a/tests/gateway/endless_answers.rs
+++ b/tests/gateway/endless_answers.rs
@@ -240,17 +240,18 @@
     assert_eq!(answer.text().len(), 300_008);
 }
 
-/// Copies bytes until either side ends. Once `is_endless` is set, sends an answer without end instead of the next
-/// bytes.
-fn copy(mut from: TcpStream, mut to: TcpStream, is_endless: &AtomicBool) {
+/// What a proxy sends instead of an answer of the store.
+pub(super) type FalseAnswer = fn(&mut TcpStream) -> std::io::Result<()>;
+
+/// Copies bytes until either side ends. While `is_faulty` is set, sends a false answer instead of the next bytes, and
+/// closes the connection.
+fn copy(mut from: TcpStream, mut to: TcpStream, is_faulty: &AtomicBool, answer: FalseAnswer) {
     let mut buffer = vec![0; 64 * 1_024];
     while let Ok(count) = from.read(&mut buffer) {
-        if is_endless.load(Ordering::Relaxed) {
-            let mut sent = to.write_all(b"HTTP/1.1 200 OK\r\n\r\n[");
-            let part = filler(1_024 * 1_024);
-            while sent.is_ok() {
-                sent = to.write_all(part.as_bytes());
-            }
+        if is_faulty.load(Ordering::Relaxed) {
+            // The gateway may have closed the connection.
+            let _ = answer(&mut to);
+            break;
         }
         if count == 0 || to.write_all(&buffer[..count]).is_err() {
             break;
@@ -260,11 +261,24 @@
     let _ = to.shutdown(Shutdown::Both);
 }
 
-/// Starts a proxy of the store that answers each call without end once `is_endless` is set.
-fn start_store_proxy(store: SocketAddr, is_endless: &Arc<AtomicBool>) -> SocketAddr {
+/// Sends an answer without end.
+fn send_without_end(gateway: &mut TcpStream) -> std::io::Result<()> {
+    gateway.write_all(b"HTTP/1.1 200 OK\r\n\r\n[")?;
+    let part = filler(1_024 * 1_024);
+    loop {
+        gateway.write_all(part.as_bytes())?;
+    }
+}
+
+/// Starts a proxy of the store that gives this answer to each call while `is_faulty` is set.
+pub(super) fn start_store_proxy(
+    store: SocketAddr,
+    is_faulty: &Arc<AtomicBool>,
+    answer: FalseAnswer,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
     let address = listener.local_addr().expect("it is bound");
-    let is_endless = is_endless.clone();
+    let is_faulty = is_faulty.clone();
     thread::spawn(move || {
         while let Ok((gateway, _)) = listener.accept() {
             let store = TcpStream::connect(store).expect("the store listens");
@@ -272,9 +286,9 @@
             let (Ok(to_gateway), Ok(to_store)) = clones else {
                 continue;
             };
-            let is_endless = is_endless.clone();
-            thread::spawn(move || copy(gateway, to_store, &AtomicBool::new(false)));
-            thread::spawn(move || copy(store, to_gateway, &is_endless));
+            let is_faulty = is_faulty.clone();
+            thread::spawn(move || copy(gateway, to_store, &AtomicBool::new(false), answer));
+            thread::spawn(move || copy(store, to_gateway, &is_faulty, answer));
         }
     });
     address
@@ -284,7 +298,8 @@
 #[test]
 fn endless_answers_of_the_store_fit_the_memory() {
     let is_endless = Arc::new(AtomicBool::new(false));
-    let site = Site::start_behind_store_proxy(1, &|store| start_store_proxy(store, &is_endless));
+    let start = |store| start_store_proxy(store, &is_endless, send_without_end);
+    let site = Site::start_behind_store_proxy(1, &start);
     is_endless.store(true, Ordering::Relaxed);
     for index in 0..4 {
         pause_ms(2_000);
--- a/tests/gateway/faulty_answers.rs
+++ b/tests/gateway/faulty_answers.rs
@@ -13,6 +13,7 @@
 
 mod early;
 mod heads;
+mod store;
 pub(super) mod streams;
 
 /// Time in which gateways learn of a registration.
