--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -49,9 +49,9 @@
 /// # Errors
 ///
 /// Fails with [`StartError::Refused`] on status 503, which means that the service refused the call
-/// before running it; every other status is an answer. An answer that is too large or incomplete, or
-/// whose end is marked by neither a length nor chunks, is [`StartError::NoAnswer`], because the service
-/// may have run the call.
+/// before running it; every other status from 200 to 599 is an answer. An answer that is malformed, too large
+/// or incomplete, or whose end is marked by neither a length nor chunks, is [`StartError::NoAnswer`],
+/// because the service may have run the call.
 pub fn call_service(
     address: SocketAddr,
     call: &ServiceCall<'_>,
