--- a/crates/dispatch/tests/warm_up.rs
+++ b/crates/dispatch/tests/warm_up.rs
@@ -425,6 +425,25 @@
     limit_of_a_large_fleet: 60, 10.0;
 }
 
+/// Defines tests of the limit in a large fleet under these events.
+macro_rules! limit_holds_under {
+    ($($name:ident: [$($event:expr),*];)*) => {
+        $(#[test]
+        fn $name() {
+            assert!(holds_under(60, 10.0, &[$($event),*]));
+        })*
+    };
+}
+
+limit_holds_under! {
+    limit_under_other_hubs_moved_callers_a_cut_off_gateway_and_loss: [
+        Event::Hub { of: 0, hub: 3 },
+        Event::Move { to: 1 },
+        Event::CutOff { gateway: 37 },
+        Event::Loss
+    ];
+}
+
 /// Shows that the check of the simulated fleet finds requests beyond the limit.
 #[test]
 fn requests_without_permits_are_found() {
