--- a/review/harness-3/src/lib.rs
+++ b/review/harness-3/src/lib.rs
@@ -18,6 +18,7 @@
 use serde_json::Value;
 
 pub mod engines;
+pub mod plain;
 
 /// Exit status of a script whose case could not run.
 pub const NOT_RUN: i32 = 2;
