Review: a late order to join lets one server into two open groups

Cause: the planner opens a group that is ready and whole although a member of it is in another formation, after the formation of that group had failed.

--- a/review/harness-3/src/bin/late-ready.rs
+++ b/review/harness-3/src/bin/late-ready.rs
@@ -22,10 +22,11 @@
 const DRAIN_MS: u64 = 2_000;
 /// Time between the write whose answer is lost and the report that the server drains. The store is stable again.
 const STABLE_MS: u64 = 3_200;
-/// Time after which that write is executed.
-const LATE_MS: u64 = 5_800;
-/// Time after which the server exits.
-const EXIT_MS: u64 = 6_500;
+/// Time from which that write is executed, after the next heartbeat of the server. The pages say 1 to 6 s.
+const LATE_MS: u64 = 4_700;
+/// Time from then until the server exits.
+const EXIT_MS: u64 = 1_000;
+const GATEWAYS: usize = 6;
 
 fn main() {
     let record = Record::default();
@@ -42,21 +43,21 @@
         json!([{ "name": "customer-1", "api_keys": ["key-1"], "priority": 1 }]),
         RequestLimits::default(),
     );
-    let mut gateways = Gateways::prepare(&["zone-a"; 3], &[store.address; 3]);
-    (0..3).for_each(|index| gateways.start(index));
-    for index in 0..3 {
+    let mut gateways = Gateways::prepare(&["zone-a"; GATEWAYS], &[store.address; GATEWAYS]);
+    (0..GATEWAYS).for_each(|index| gateways.start(index));
+    for index in 0..GATEWAYS {
         wait_until("the gateways are ready", 15_000, || gateways.is_ready(index));
     }
     let is_busy = Arc::new(AtomicBool::new(true));
     let sent = Arc::new(AtomicU64::new(0));
     let failed = Arc::new(Mutex::new(Vec::new()));
-    let callers: Vec<_> = (0..9)
+    let callers: Vec<_> = (0..2 * GATEWAYS)
         .map(|caller| {
-            let address = gateways.addresses[caller % 3].callers;
+            let address = gateways.addresses[caller % GATEWAYS].callers;
             let (is_busy, sent, record, failed) = (is_busy.clone(), sent.clone(), record.clone(), failed.clone());
             thread::spawn(move || {
                 while is_busy.load(Ordering::Relaxed) {
-                    let id = format!("m{}-{:06}", caller % 3, sent.fetch_add(1, Ordering::Relaxed));
+                    let id = format!("m{}-{:06}", caller % GATEWAYS, sent.fetch_add(1, Ordering::Relaxed));
                     let request = format!(
                         "POST /once/1 HTTP/1.1\r\nHost: model.example\r\nJacinthpoint-Attempt-Id: {id}\r\n\
                          Jacinthpoint-Deadline-Ms: 2500\r\nApi-Key: key-1\r\nContent-Length: 2\r\n\
@@ -67,7 +68,7 @@
                     if status(&answer) != Some(200) {
                         lock(&failed).push(id);
                     }
-                    sleep_ms(100);
+                    sleep_ms(250);
                 }
             })
         })
@@ -83,11 +84,14 @@
     let acknowledged = Instant::now();
     record.say("s-0 reports that it drains, and the store accepts that");
     until(LATE_MS);
+    while leaving.since_beat_ms() > 50 {
+        sleep_ms(10);
+    }
     if has_trouble() {
         store.put(KIND, "s-0", ready);
         record.say(format!("the store executes the write that s-0 sent {} ms ago (ready)", began.elapsed().as_millis()));
     }
-    until(EXIT_MS);
+    sleep_ms(EXIT_MS);
     leaving.leave();
     record.say("s-0 exits and is removed from the list");
     sleep_ms(1_500);
--- a/review/harness-3/src/engines.rs
+++ b/review/harness-3/src/engines.rs
@@ -14,7 +14,7 @@
 use jacinthpoint_platform_standins::{EngineSpec, Engines, Platform, RequestLimits};
 use serde_json::{Value, json};
 
-use crate::{Counts, Gateways, Record, exchange, lock, read_message, sleep_ms, status, tunnel, wait_until};
+use crate::{Counts, Gateways, Message, Record, exchange, lock, read_message, sleep_ms, status, tunnel, wait_until};
 
 /// Kind of the entries in the store.
 pub const KIND: &str = "servers";
@@ -31,6 +31,11 @@
     /// Engine whose next report is preceded by a copy of the one before it.
     pub repeats: Mutex<Option<String>>,
     pub reports: Counts,
+    /// Returns for how long an order is held back that gets no answer; `None` for the others. Gets the engine's id and
+    /// the order.
+    pub holds: Mutex<Option<Box<dyn FnMut(&str, &Value) -> Option<u64> + Send>>>,
+    /// All orders and those that got no answer.
+    pub orders: Counts,
     pub broken: AtomicBool,
 }
 
@@ -52,7 +57,26 @@
         Some((head, state))
     }
 
-    fn serve(&self, id: &str, mut stream: TcpStream, engine: SocketAddr) {
+    /// Carries out an order later that got no answer.
+    fn carry_out_late(self: &Arc<Self>, id: &str, order: Message, engine: SocketAddr, ms: u64) {
+        self.record.say(format!("order to {id}: {} -> no answer; it is carried out {ms} ms later", order.json()));
+        let (fronts, id) = (self.clone(), id.to_owned());
+        thread::spawn(move || {
+            sleep_ms(ms);
+            let Ok(mut upstream) = TcpStream::connect(engine) else { return };
+            let before = fronts.group(&id);
+            let head = before["name"].as_str().and_then(|group| fronts.head_state(group));
+            if upstream.write_all(&order.bytes).is_err() {
+                return;
+            }
+            let Some(answer) = read_message(&mut upstream) else { return };
+            let order = order.json();
+            fronts.record.say(format!("late order at {id}: {order} -> {}", answer.status()));
+            fronts.on_order(&id, &order, answer.status(), &before, head);
+        });
+    }
+
+    fn serve(self: &Arc<Self>, id: &str, mut stream: TcpStream, engine: SocketAddr) {
         let mut first = [0; 16];
         let Ok(count) = stream.peek(&mut first) else { return };
         let Ok(mut upstream) = TcpStream::connect(engine) else { return };
@@ -67,6 +91,17 @@
         while let Some(request) = read_message(&mut stream) {
             let is_order = request.line().contains("/order");
             let order = request.json();
+            if is_order {
+                self.orders.answers.fetch_add(1, Ordering::Relaxed);
+                let held = lock(&self.holds).as_mut().and_then(|holds| holds(id, &order));
+                if let Some(ms) = held {
+                    self.orders.changed.fetch_add(1, Ordering::Relaxed);
+                    self.carry_out_late(id, request, engine, ms);
+                    // The gateway gives up the wait and ends the connection.
+                    let _ = read_message(&mut stream);
+                    return;
+                }
+            }
             let (before, head) = match is_order && order["op"] == "join" {
                 true => {
                     let before = self.group(id);
@@ -138,6 +173,8 @@
             lists: Mutex::default(),
             repeats: Mutex::default(),
             reports: Counts::default(),
+            holds: Mutex::default(),
+            orders: Counts::default(),
             broken: AtomicBool::new(false),
         })
     }
--- a/review/harness-3/src/plain.rs
+++ b/review/harness-3/src/plain.rs
@@ -60,6 +60,8 @@
     store: Store,
     record: Record,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+    /// Time of the last heartbeat.
+    beat_at: Mutex<Instant>,
 }
 
 fn unix_ms() -> u64 {
@@ -84,12 +86,14 @@
             store: store.clone(),
             record: record.clone(),
             arrivals: arrivals.clone(),
+            beat_at: Mutex::new(Instant::now()),
         });
         server.publish();
         let beating = server.clone();
         thread::spawn(move || {
             loop {
                 sleep_ms(HEARTBEAT_MS);
+                *lock(&beating.beat_at) = Instant::now();
                 if beating.mode() != Mode::Ended {
                     beating.publish();
                 }
@@ -126,12 +130,17 @@
         }
     }
 
-    /// Writes that the server is draining.
+    /// Begins to leave: the server says so in its entry and in all its answers.
     pub fn drain(&self) {
         *lock(&self.state) = "draining";
         self.publish();
     }
 
+    /// Returns the time since the last heartbeat, in milliseconds.
+    pub fn since_beat_ms(&self) -> u64 {
+        lock(&self.beat_at).elapsed().as_millis() as u64
+    }
+
     /// Ends the server, which removes its entry.
     pub fn leave(&self) {
         self.is_listed.store(false, Ordering::Relaxed);
@@ -180,8 +189,9 @@
                 return;
             }
             self.record.say(format!("{id} reached {} and was answered {status}", self.id));
+            let leaving = if *lock(&self.state) == "draining" { "Server-Leaving: 1\r\n" } else { "" };
             let answer = format!(
-                "HTTP/1.1 {status} X\r\nJacinthpoint-Attempt-Id: {id}\r\n{fields}Content-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status} X\r\nJacinthpoint-Attempt-Id: {id}\r\n{fields}{leaving}Content-Length: {}\r\n\r\n{body}",
                 body.len()
             );
             sleep_ms(LINK_MS);
