Review: an order of a dead owner joins a member of a group that its successor opened

Cause: a new owner opens a group by one order to its head, so that the other members do not learn its fencing token and take late orders of the former owner.

The stand-ins are formatted.

--- a/review/harness-3/src/bin/late-entry.rs
+++ b/review/harness-3/src/bin/late-entry.rs
@@ -4,8 +4,9 @@
 use std::process::exit;
 
 use review_harness_3::{
-    Gateways, Record, has_trouble, sleep_ms,
+    Gateways, Record,
     engines::{Callers, Fronts, KIND, Requests, Site, finish},
+    has_trouble, sleep_ms,
 };
 
 fn main() {
@@ -27,27 +28,39 @@
         exit(2);
     };
     let addresses = (0..3).filter(|index| *index != first);
-    let addresses: Vec<_> = addresses.map(|index| gateways.addresses[index].callers).collect();
+    let addresses: Vec<_> = addresses
+        .map(|index| gateways.addresses[index].callers)
+        .collect();
     let requests = Requests::default();
     let callers = Callers::start(1, 1_500, &addresses, &requests, &record);
     sleep_ms(1_000);
     // What the write of each engine holds that is sent just before the group is formed.
-    let before: Vec<_> = (0..3).filter_map(|index| {
-        let id = format!("i-{index}");
-        store.get_content(KIND, &id).map(|entry| (id, entry))
-    }).chain(site.later.iter().cloned()).collect();
+    let before: Vec<_> = (0..3)
+        .filter_map(|index| {
+            let id = format!("i-{index}");
+            store.get_content(KIND, &id).map(|entry| (id, entry))
+        })
+        .chain(site.later.iter().cloned())
+        .collect();
     let sent_at = std::time::Instant::now();
     let newest = site.add_engines(&record);
     sleep_ms(300);
     gateways.signal(first, "TERM");
     record.say(format!("front-{first} is stopped as planned"));
-    review_harness_3::wait_until("another gateway holds the lease", 5_000, || owner().is_some_and(|now| now != first));
+    review_harness_3::wait_until("another gateway holds the lease", 5_000, || {
+        owner().is_some_and(|now| now != first)
+    });
     record.say(format!("front-{} holds the lease", owner().unwrap_or(9)));
     sleep_ms(2_500);
     let head = newest[0].clone();
-    if has_trouble() && let Some((id, entry)) = before.iter().find(|(id, _)| *id == head) {
+    if has_trouble()
+        && let Some((id, entry)) = before.iter().find(|(id, _)| *id == head)
+    {
         let age_ms = sent_at.elapsed().as_millis();
-        record.say(format!("the store executes a write of {id}'s entry that was sent {age_ms} ms ago (group {})", entry["group"]));
+        record.say(format!(
+            "the store executes a write of {id}'s entry that was sent {age_ms} ms ago (group {})",
+            entry["group"]
+        ));
         let newer = store.get_content(KIND, id);
         store.put(KIND, id, entry.clone());
         sleep_ms(1_000);
--- a/review/harness-3/src/bin/late-join.rs
+++ b/review/harness-3/src/bin/late-join.rs
@@ -3,8 +3,9 @@
 use std::process::exit;
 
 use review_harness_3::{
-    Gateways, Record, has_trouble, lock, sleep_ms,
+    Gateways, Record,
     engines::{Callers, Fronts, Requests, Site, finish},
+    has_trouble, lock, sleep_ms,
 };
 
 /// Time after which the first of these orders is carried out, and that of the others. The pages say 2 to 12 s.
@@ -23,7 +24,11 @@
     (0..3).for_each(|index| gateways.start(index));
     site.wait(&gateways);
     record.say(format!("open: {:?}", site.groups()));
-    let addresses: Vec<_> = gateways.addresses.iter().map(|gateway| gateway.callers).collect();
+    let addresses: Vec<_> = gateways
+        .addresses
+        .iter()
+        .map(|gateway| gateway.callers)
+        .collect();
     let requests = Requests::default();
     let callers = Callers::start(3, 200, &addresses, &requests, &record);
     sleep_ms(2_000);
@@ -34,8 +39,13 @@
         let mut held_of_second = 0;
         let mut was_leave_held = false;
         let hold = move |id: &str, order: &serde_json::Value| {
-            let is_of_first = groups.first().is_some_and(|first| order["group"] == first.as_str());
-            if order["op"] == "leave" && is_of_first && !std::mem::replace(&mut was_leave_held, true) {
+            let is_of_first = groups
+                .first()
+                .is_some_and(|first| order["group"] == first.as_str());
+            if order["op"] == "leave"
+                && is_of_first
+                && !std::mem::replace(&mut was_leave_held, true)
+            {
                 return Some(OTHERS_LATE_MS);
             }
             if order["op"] != "join" {
@@ -57,7 +67,11 @@
                 _ => return None,
             }
             held += 1;
-            Some(if held == 1 { FIRST_LATE_MS } else { OTHERS_LATE_MS })
+            Some(if held == 1 {
+                FIRST_LATE_MS
+            } else {
+                OTHERS_LATE_MS
+            })
         };
         *lock(&fronts.holds) = Some(Box::new(hold));
     }
--- a/review/harness-3/src/bin/late-ready.rs
+++ b/review/harness-3/src/bin/late-ready.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use jacinthpoint_platform_standins::{Platform, PlainService, RequestLimits};
+use jacinthpoint_platform_standins::{PlainService, Platform, RequestLimits};
 use review_harness_3::{
     Gateways, Record, exchange, has_trouble, lock,
     plain::{KIND, Server},
@@ -32,9 +32,13 @@
     let record = Record::default();
     let platform = Platform::start(Vec::new());
     let store = platform.store.clone();
-    PlainService::IDS.iter().for_each(|id| store.remove(KIND, id));
+    PlainService::IDS
+        .iter()
+        .for_each(|id| store.remove(KIND, id));
     let arrivals = Arc::<Mutex<Vec<_>>>::default();
-    let servers: Vec<_> = (0..3).map(|index| Server::start(&format!("s-{index}"), &store, &record, &arrivals)).collect();
+    let servers: Vec<_> = (0..3)
+        .map(|index| Server::start(&format!("s-{index}"), &store, &record, &arrivals))
+        .collect();
     let route = json!({ "name": "once", "host": "model.example", "path_prefix": "/once/", "kind": "non_idempotent",
         "timeout_ms": 1_200, "slo_ms": 150, "priority": 2, "service": "plain", "attempts": 1, "public": false });
     store.put_config(
@@ -46,7 +50,9 @@
     let mut gateways = Gateways::prepare(&["zone-a"; GATEWAYS], &[store.address; GATEWAYS]);
     (0..GATEWAYS).for_each(|index| gateways.start(index));
     for index in 0..GATEWAYS {
-        wait_until("the gateways are ready", 15_000, || gateways.is_ready(index));
+        wait_until("the gateways are ready", 15_000, || {
+            gateways.is_ready(index)
+        });
     }
     let is_busy = Arc::new(AtomicBool::new(true));
     let sent = Arc::new(AtomicU64::new(0));
@@ -89,7 +95,10 @@
     }
     if has_trouble() {
         store.put(KIND, "s-0", ready);
-        record.say(format!("the store executes the write that s-0 sent {} ms ago (ready)", began.elapsed().as_millis()));
+        record.say(format!(
+            "the store executes the write that s-0 sent {} ms ago (ready)",
+            began.elapsed().as_millis()
+        ));
     }
     sleep_ms(EXIT_MS);
     leaving.leave();
@@ -99,13 +108,27 @@
     callers.into_iter().for_each(|caller| drop(caller.join()));
     let bound = acknowledged + Duration::from_millis(DRAIN_MS);
     let arrivals = lock(&arrivals).clone();
-    let late: Vec<_> = arrivals.iter().filter(|a| a.server == "s-0" && a.status != 421 && a.at > bound).collect();
+    let late: Vec<_> = arrivals
+        .iter()
+        .filter(|a| a.server == "s-0" && a.status != 421 && a.at > bound)
+        .collect();
     let cut = late.iter().filter(|arrival| arrival.status == 0).count();
     record.say(format!("{} requests reached s-0 later than {DRAIN_MS} ms after that; {cut} of them were cut by its exit", late.len()));
-    record.say(format!("requests that were not answered 200: {:?}", lock(&failed)));
+    record.say(format!(
+        "requests that were not answered 200: {:?}",
+        lock(&failed)
+    ));
     let is_broken = !late.is_empty();
-    record.say(if is_broken { "the rule was broken" } else { "the rule held" });
-    record.write(&std::env::args().nth(1).unwrap_or_else(|| "record.txt".to_owned()));
+    record.say(if is_broken {
+        "the rule was broken"
+    } else {
+        "the rule held"
+    });
+    record.write(
+        &std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| "record.txt".to_owned()),
+    );
     drop(gateways);
     exit(i32::from(is_broken));
 }
--- a/review/harness-3/src/bin/late-report.rs
+++ b/review/harness-3/src/bin/late-report.rs
@@ -3,8 +3,9 @@
 use std::process::exit;
 
 use review_harness_3::{
-    Gateways, Record, has_trouble, lock, sleep_ms,
+    Gateways, Record,
     engines::{Callers, Fronts, Requests, Site, finish},
+    has_trouble, lock, sleep_ms,
 };
 
 fn main() {
@@ -16,7 +17,11 @@
     (0..3).for_each(|index| gateways.start(index));
     site.wait(&gateways);
     record.say(format!("open: {:?}", site.groups()));
-    let addresses: Vec<_> = gateways.addresses.iter().map(|gateway| gateway.callers).collect();
+    let addresses: Vec<_> = gateways
+        .addresses
+        .iter()
+        .map(|gateway| gateway.callers)
+        .collect();
     let requests = Requests::default();
     let busy = Callers::start(8, 0, &addresses, &requests, &record);
     sleep_ms(2_500);
@@ -25,7 +30,7 @@
     busy.stop();
     record.say("the callers pause");
     if has_trouble() {
-        *lock(&fronts.repeats) = newest.first().cloned();
+        *lock(&fronts.repeats) = newest.into_iter().take(1).collect();
     }
     sleep_ms(4_000);
     record.say(format!("open: {:?}", site.groups()));
@@ -33,6 +38,8 @@
     sleep_ms(3_000);
     busy.stop();
     let (answers, changed) = fronts.reports.get();
-    record.say(format!("{answers} reports, of which {changed} came with a copy of the one before"));
+    record.say(format!(
+        "{answers} reports, of which {changed} came with a copy of the one before"
+    ));
     exit(finish(&site, &fronts, gateways));
 }
--- a/review/harness-3/src/engines.rs
+++ b/review/harness-3/src/engines.rs
@@ -14,7 +14,10 @@
 use jacinthpoint_platform_standins::{EngineSpec, Engines, Platform, RequestLimits};
 use serde_json::{Value, json};
 
-use crate::{Counts, Gateways, Message, Record, exchange, lock, read_message, sleep_ms, status, tunnel, wait_until};
+use crate::{
+    Counts, Gateways, Message, Record, exchange, lock, read_message, sleep_ms, status, tunnel,
+    wait_until,
+};
 
 /// Kind of the entries in the store.
 pub const KIND: &str = "servers";
@@ -28,8 +31,8 @@
     pub engines: Mutex<BTreeMap<String, SocketAddr>>,
     /// Members of each group by name, as ordered.
     pub lists: Mutex<BTreeMap<String, Vec<String>>>,
-    /// Engine whose next report is preceded by a copy of the one before it.
-    pub repeats: Mutex<Option<String>>,
+    /// Engines, one of which writes a copy of a report from before it joined its group ahead of its next one.
+    pub repeats: Mutex<Vec<String>>,
     pub reports: Counts,
     /// Returns for how long an order is held back that gets no answer; `None` for the others. Gets the engine's id and
     /// the order.
@@ -44,7 +47,9 @@
     pub fn group(&self, id: &str) -> Value {
         let address = lock(&self.engines).get(id).copied();
         let request = b"GET /report HTTP/1.1\r\nHost: engine\r\nConnection: close\r\n\r\n";
-        let answer = address.and_then(|address| exchange(address, request, 1_000)).unwrap_or_default();
+        let answer = address
+            .and_then(|address| exchange(address, request, 1_000))
+            .unwrap_or_default();
         let answer = read_message(&mut answer.as_slice());
         answer.map_or(Value::Null, |answer| answer.json()["group"].clone())
     }
@@ -53,33 +58,50 @@
     fn head_state(&self, group: &str) -> Option<(String, String)> {
         let head = lock(&self.lists).get(group)?.first()?.clone();
         let of_head = self.group(&head);
-        let state = (of_head["name"] == group).then(|| of_head["state"].as_str().unwrap_or("").to_owned())?;
+        let state = (of_head["name"] == group)
+            .then(|| of_head["state"].as_str().unwrap_or("").to_owned())?;
         Some((head, state))
     }
 
     /// Carries out an order later that got no answer.
     fn carry_out_late(self: &Arc<Self>, id: &str, order: Message, engine: SocketAddr, ms: u64) {
-        self.record.say(format!("order to {id}: {} -> no answer; it is carried out {ms} ms later", order.json()));
+        self.record.say(format!(
+            "order to {id}: {} -> no answer; it is carried out {ms} ms later",
+            order.json()
+        ));
         let (fronts, id) = (self.clone(), id.to_owned());
         thread::spawn(move || {
             sleep_ms(ms);
-            let Ok(mut upstream) = TcpStream::connect(engine) else { return };
+            let Ok(mut upstream) = TcpStream::connect(engine) else {
+                return;
+            };
             let before = fronts.group(&id);
-            let head = before["name"].as_str().and_then(|group| fronts.head_state(group));
+            let head = before["name"]
+                .as_str()
+                .and_then(|group| fronts.head_state(group));
             if upstream.write_all(&order.bytes).is_err() {
                 return;
             }
-            let Some(answer) = read_message(&mut upstream) else { return };
+            let Some(answer) = read_message(&mut upstream) else {
+                return;
+            };
             let order = order.json();
-            fronts.record.say(format!("late order at {id}: {order} -> {}", answer.status()));
+            fronts.record.say(format!(
+                "late order at {id}: {order} -> {}",
+                answer.status()
+            ));
             fronts.on_order(&id, &order, answer.status(), &before, head);
         });
     }
 
     fn serve(self: &Arc<Self>, id: &str, mut stream: TcpStream, engine: SocketAddr) {
         let mut first = [0; 16];
-        let Ok(count) = stream.peek(&mut first) else { return };
-        let Ok(mut upstream) = TcpStream::connect(engine) else { return };
+        let Ok(count) = stream.peek(&mut first) else {
+            return;
+        };
+        let Ok(mut upstream) = TcpStream::connect(engine) else {
+            return;
+        };
         let _ = stream.set_nodelay(true);
         let _ = upstream.set_nodelay(true);
         let first = String::from_utf8_lossy(&first[..count]).into_owned();
@@ -93,7 +115,9 @@
             let order = request.json();
             if is_order {
                 self.orders.answers.fetch_add(1, Ordering::Relaxed);
-                let held = lock(&self.holds).as_mut().and_then(|holds| holds(id, &order));
+                let held = lock(&self.holds)
+                    .as_mut()
+                    .and_then(|holds| holds(id, &order));
                 if let Some(ms) = held {
                     self.orders.changed.fetch_add(1, Ordering::Relaxed);
                     self.carry_out_late(id, request, engine, ms);
@@ -105,7 +129,9 @@
             let (before, head) = match is_order && order["op"] == "join" {
                 true => {
                     let before = self.group(id);
-                    let head = before["name"].as_str().and_then(|group| self.head_state(group));
+                    let head = before["name"]
+                        .as_str()
+                        .and_then(|group| self.head_state(group));
                     (before, head)
                 }
                 false => (Value::Null, None),
@@ -113,16 +139,21 @@
             if upstream.write_all(&request.bytes).is_err() {
                 return;
             }
-            let Some(answer) = read_message(&mut upstream) else { return };
+            let Some(answer) = read_message(&mut upstream) else {
+                return;
+            };
             if is_order {
                 let what = format!("order to {id}: {order} -> {}", answer.status());
                 self.record.say(what);
                 self.on_order(id, &order, answer.status(), &before, head);
             } else {
                 self.reports.answers.fetch_add(1, Ordering::Relaxed);
-                let is_late = previous.is_some() && lock(&self.repeats).as_deref() == Some(id);
+                let is_old = previous.is_some()
+                    && previous_group.is_null()
+                    && !answer.json()["group"].is_null();
+                let is_late = is_old && lock(&self.repeats).iter().any(|engine| engine == id);
                 if is_late {
-                    *lock(&self.repeats) = None;
+                    lock(&self.repeats).clear();
                     self.reports.changed.fetch_add(1, Ordering::Relaxed);
                     let shown = answer.json()["group"].clone();
                     self.record.say(format!(
@@ -144,16 +175,29 @@
     }
 
     /// Keeps the list of an accepted join, and checks that the head of the engine's group serves no more.
-    fn on_order(&self, id: &str, order: &Value, status: u16, before: &Value, head: Option<(String, String)>) {
+    fn on_order(
+        &self,
+        id: &str,
+        order: &Value,
+        status: u16,
+        before: &Value,
+        head: Option<(String, String)>,
+    ) {
         if order["op"] != "join" || !matches!(status, 200 | 202) {
             return;
         }
         let group = order["group"].as_str().unwrap_or_default().to_owned();
         let members = order["members"].as_array().cloned().unwrap_or_default();
-        let members = members.iter().filter_map(Value::as_str).map(str::to_owned).collect();
+        let members = members
+            .iter()
+            .filter_map(Value::as_str)
+            .map(str::to_owned)
+            .collect();
         lock(&self.lists).insert(group.clone(), members);
         let is_other = before["name"].as_str().is_some_and(|name| name != group);
-        if let Some((head, state)) = head.filter(|(_, state)| is_other && (state == "open" || state == "closing")) {
+        if let Some((head, state)) =
+            head.filter(|(_, state)| is_other && (state == "open" || state == "closing"))
+        {
             self.broken.store(true, Ordering::Relaxed);
             self.record.say(format!(
                 "BROKEN: {id} took a join of {group}, while the head {head} of its group {} was {state}",
@@ -163,7 +207,6 @@
     }
 }
 
-
 impl Fronts {
     /// Returns the state before the start.
     pub fn new(record: &Record) -> Arc<Fronts> {
@@ -186,7 +229,6 @@
         "sticky": true, "resumable": true, "gap_target_ms": 300 })
 }
 
-
 /// A site with one fabric domain: the platform's stand-ins, with a front for each engine.
 pub struct Site {
     pub platform: Platform,
@@ -237,9 +279,13 @@
     /// Waits until the gateways are ready and a group is open.
     pub fn wait(&self, gateways: &Gateways) {
         for index in 0..gateways.addresses.len() {
-            wait_until("the gateways are ready", 15_000, || gateways.is_ready(index));
+            wait_until("the gateways are ready", 15_000, || {
+                gateways.is_ready(index)
+            });
         }
-        wait_until("the first group is open", 15_000, || !self.groups().is_empty());
+        wait_until("the first group is open", 15_000, || {
+            !self.groups().is_empty()
+        });
     }
 
     /// Returns the members of each open group.
@@ -247,14 +293,23 @@
         self.platform.engines.open_groups()
     }
 
-    /// Adds the engines that were not listed, and returns the members of the group that opens then.
-    pub fn add_engines(&self, record: &Record) -> Vec<String> {
-        let known = self.groups().concat();
+    /// Adds the engines that were not listed.
+    pub fn list_later(&self, record: &Record) {
         for (id, entry) in &self.later {
             self.platform.store.put(KIND, id, entry.clone());
         }
         record.say("two empty engines are added");
-        let newest = || self.groups().into_iter().find(|members| !known.contains(&members[0]));
+    }
+
+    /// Adds the engines that were not listed, and returns the members of the group that opens then.
+    pub fn add_engines(&self, record: &Record) -> Vec<String> {
+        let known = self.groups().concat();
+        self.list_later(record);
+        let newest = || {
+            self.groups()
+                .into_iter()
+                .find(|members| !known.contains(&members[0]))
+        };
         wait_until("another group is open", 15_000, || newest().is_some());
         record.say(format!("open: {:?}", self.groups()));
         newest().unwrap_or_default()
@@ -307,13 +362,18 @@
                 }
             })
         });
-        Callers { threads: threads.collect(), is_busy }
+        Callers {
+            threads: threads.collect(),
+            is_busy,
+        }
     }
 
     /// Waits until all callers have their last answer.
     pub fn stop(self) {
         self.is_busy.store(false, Ordering::Relaxed);
-        self.threads.into_iter().for_each(|thread| drop(thread.join()));
+        self.threads
+            .into_iter()
+            .for_each(|thread| drop(thread.join()));
     }
 }
 
@@ -321,11 +381,22 @@
 pub fn finish(site: &Site, fronts: &Fronts, gateways: Gateways) -> i32 {
     let record = &fronts.record;
     for run in site.platform.runs.all() {
-        record.say(format!("{} had run request {}", run.upstream, run.attempt_id));
+        record.say(format!(
+            "{} had run request {}",
+            run.upstream, run.attempt_id
+        ));
     }
     let is_broken = fronts.broken.load(Ordering::Relaxed);
-    record.say(if is_broken { "the rule was broken" } else { "the rule held" });
-    record.write(&std::env::args().nth(1).unwrap_or_else(|| "record.txt".to_owned()));
+    record.say(if is_broken {
+        "the rule was broken"
+    } else {
+        "the rule held"
+    });
+    record.write(
+        &std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| "record.txt".to_owned()),
+    );
     if let Some(folder) = std::env::var_os("KEEP") {
         gateways.keep_logs(std::path::Path::new(&folder));
     }
--- a/review/harness-3/src/lib.rs
+++ b/review/harness-3/src/lib.rs
@@ -123,7 +123,12 @@
             );
             fs::write(gateways.settings(index), settings).expect("the settings are written");
             gateways.processes.push(None);
-            gateways.addresses.push(Addresses { callers, readiness, peers, metrics });
+            gateways.addresses.push(Addresses {
+                callers,
+                readiness,
+                peers,
+                metrics,
+            });
         }
         gateways
     }
@@ -139,7 +144,10 @@
 
     /// Starts a gateway by the command of the deploy file.
     pub fn start(&mut self, index: usize) {
-        let log = fs::OpenOptions::new().create(true).append(true).open(self.log(index));
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.log(index));
         let child = Command::new("target/release/jacinthpoint")
             .arg("gateway")
             .env("JACINTHPOINT_CONFIG", self.settings(index))
@@ -156,7 +164,10 @@
     /// Sends a signal, such as `STOP`, to a gateway.
     pub fn signal(&self, index: usize, name: &str) {
         if let Some(child) = &self.processes[index] {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg(format!("-{name}"))
+                .arg(child.id().to_string())
+                .status();
         }
     }
 
@@ -172,7 +183,11 @@
     pub fn start_again(&mut self, index: usize) {
         let path = self.settings(index);
         let settings = fs::read_to_string(&path).expect("settings");
-        fs::write(&path, settings.replace("first_start = true", "first_start = false")).expect("written");
+        fs::write(
+            &path,
+            settings.replace("first_start = true", "first_start = false"),
+        )
+        .expect("written");
         self.start(index);
     }
 
@@ -195,7 +210,10 @@
 impl Drop for Gateways {
     fn drop(&mut self) {
         for child in self.processes.iter_mut().flatten() {
-            let _ = Command::new("kill").arg("-CONT").arg(child.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg("-CONT")
+                .arg(child.id().to_string())
+                .status();
             let _ = child.kill();
             let _ = child.wait();
         }
@@ -286,8 +304,14 @@
         bytes.push(byte[0]);
     }
     let head = String::from_utf8_lossy(&bytes).into_owned();
-    let mut message = Message { head, body: Vec::new(), bytes };
-    let length = message.field("content-length").and_then(|text| text.parse().ok());
+    let mut message = Message {
+        head,
+        body: Vec::new(),
+        bytes,
+    };
+    let length = message
+        .field("content-length")
+        .and_then(|text| text.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     stream.read_exact(&mut body).ok()?;
     message.bytes.extend_from_slice(&body);
--- a/review/harness-3/src/plain.rs
+++ b/review/harness-3/src/plain.rs
@@ -71,7 +71,12 @@
 
 impl Server {
     /// Starts a server and writes its first entry.
-    pub fn start(id: &str, store: &Store, record: &Record, arrivals: &Arc<Mutex<Vec<Arrival>>>) -> Arc<Server> {
+    pub fn start(
+        id: &str,
+        store: &Store,
+        record: &Record,
+        arrivals: &Arc<Mutex<Vec<Arrival>>>,
+    ) -> Arc<Server> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let server = Arc::new(Server {
             id: id.to_owned(),
@@ -168,9 +173,14 @@
             if mode == Mode::Ended {
                 return;
             }
-            let id = request.field("jacinthpoint-attempt-id").unwrap_or_default().to_owned();
+            let id = request
+                .field("jacinthpoint-attempt-id")
+                .unwrap_or_default()
+                .to_owned();
             let at = Instant::now();
-            let is_other = request.field("jacinthpoint-target-instance").is_some_and(|named| named != self.id);
+            let is_other = request
+                .field("jacinthpoint-target-instance")
+                .is_some_and(|named| named != self.id);
             let is_full = self.running.load(Ordering::Relaxed) >= 5 * SLOTS;
             let (status, fields, body) = match () {
                 () if is_other => (421, "Jacinthpoint-Not-Executed: 1\r\n".to_owned(), ""),
@@ -179,17 +189,40 @@
                     let waiting = self.running.fetch_add(1, Ordering::Relaxed) / SLOTS;
                     sleep_ms(WORK_MS * (1 + waiting));
                     self.running.fetch_sub(1, Ordering::Relaxed);
-                    (200, format!("Jacinthpoint-Server-Seal: seal.{}\r\n", self.id), "the answer")
+                    (
+                        200,
+                        format!("Jacinthpoint-Server-Seal: seal.{}\r\n", self.id),
+                        "the answer",
+                    )
                 }
             };
-            let status = if self.mode() == Mode::Ended { 0 } else { status };
-            lock(&self.arrivals).push(Arrival { id: id.clone(), server: self.id.clone(), at, status });
+            let status = if self.mode() == Mode::Ended {
+                0
+            } else {
+                status
+            };
+            lock(&self.arrivals).push(Arrival {
+                id: id.clone(),
+                server: self.id.clone(),
+                at,
+                status,
+            });
             if status == 0 {
-                self.record.say(format!("{id} reached {}, which ended while it ran", self.id));
+                self.record.say(format!(
+                    "{id} reached {}, which ended while it ran",
+                    self.id
+                ));
                 return;
             }
-            self.record.say(format!("{id} reached {} and was answered {status}", self.id));
-            let leaving = if *lock(&self.state) == "draining" { "Server-Leaving: 1\r\n" } else { "" };
+            self.record.say(format!(
+                "{id} reached {} and was answered {status}",
+                self.id
+            ));
+            let leaving = if *lock(&self.state) == "draining" {
+                "Server-Leaving: 1\r\n"
+            } else {
+                ""
+            };
             let answer = format!(
                 "HTTP/1.1 {status} X\r\nJacinthpoint-Attempt-Id: {id}\r\n{fields}{leaving}Content-Length: {}\r\n\r\n{body}",
                 body.len()
