--- a/review/harness-3/src/engines.rs
+++ b/review/harness-3/src/engines.rs
@@ -229,7 +229,7 @@
         "sticky": true, "resumable": true, "gap_target_ms": 300 })
 }
 
-/// A site with one fabric domain: the platform's stand-ins, with a front for each engine.
+/// A site: the platform's stand-ins, with a front for each engine.
 pub struct Site {
     pub platform: Platform,
     /// Entries of the engines that are not listed yet.
@@ -237,11 +237,13 @@
 }
 
 impl Site {
-    /// Starts `engines` engines, of which the first `first` are listed.
-    pub fn start(fronts: &Arc<Fronts>, engines: usize, first: usize) -> Site {
-        let specs = (0..engines).map(|index| EngineSpec {
+    /// Starts `engines` engines in one fabric domain, of which the first `first` are listed, and `others` in another
+    /// domain, which are not.
+    pub fn start(fronts: &Arc<Fronts>, engines: usize, first: usize, others: usize) -> Site {
+        let all = engines + others;
+        let specs = (0..all).map(|index| EngineSpec {
             id: format!("i-{index}"),
-            domain: "domain-0".to_owned(),
+            domain: format!("domain-{}", usize::from(index >= engines)),
             data_centre: "zone-a".to_owned(),
         });
         let shared = fronts.clone();
@@ -260,7 +262,7 @@
         };
         let platform = Platform::start_behind(specs.collect(), front);
         let store = platform.store.clone();
-        let later = (first..engines).map(|index| {
+        let later = (first..all).map(|index| {
             let id = format!("i-{index}");
             let entry = store.get_content(KIND, &id).expect("it is registered");
             store.remove(KIND, &id);
@@ -298,7 +300,7 @@
         for (id, entry) in &self.later {
             self.platform.store.put(KIND, id, entry.clone());
         }
-        record.say("two empty engines are added");
+        record.say(format!("{} empty engines are added", self.later.len()));
     }
 
     /// Adds the engines that were not listed, and returns the members of the group that opens then.
