--- a/review/harness-3/src/engines.rs
+++ b/review/harness-3/src/engines.rs
@@ -24,6 +24,10 @@
 /// Members of a group.
 pub const SIZE: usize = 2;
 
+/// Returns for how many milliseconds an order is held back that gets no answer; `None` for the others. Gets the
+/// engine's id and the order.
+pub type Hold = Box<dyn FnMut(&str, &Value) -> Option<u64> + Send>;
+
 /// State that the fronts of all engines share.
 pub struct Fronts {
     pub record: Record,
@@ -34,9 +38,8 @@
     /// Engines, one of which writes a copy of a report from before it joined its group ahead of its next one.
     pub repeats: Mutex<Vec<String>>,
     pub reports: Counts,
-    /// Returns for how long an order is held back that gets no answer; `None` for the others. Gets the engine's id and
-    /// the order.
-    pub holds: Mutex<Option<Box<dyn FnMut(&str, &Value) -> Option<u64> + Send>>>,
+    /// Which orders get no answer.
+    pub holds: Mutex<Option<Hold>>,
     /// All orders and those that got no answer.
     pub orders: Counts,
     pub broken: AtomicBool,
