A late write of an entry does not make a draining upstream ready again

Cause: the view took the entry with the latest revision for the newest one. A revision tells when the store executed a write; one that got no answer may be executed seconds later, over newer ones.

Change: the number that upstreams give their entries (`seq`) is read. An entry with a lower number than one that the same incarnation wrote is not used, in watches, lists and restored stores; one of an incarnation that another one followed is held until the next heartbeat decides. Event 718 shows it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,8 +20,11 @@
         is_lease_candidate, role_order, takeover_ms,
     },
     source::{MAX_RELAYED_AGE_MS, SourceTracker, StoreUnavailability},
-    upstream::{GroupState, Membership, Upstream, UpstreamState},
-    view::{EXPIRY_GRACE_MS, FleetView, MIN_OUTAGE_MS, REMOVED_HOLD_MS, UNLISTED_MS, ViewChange},
+    upstream::{EntryNumber, GroupState, Membership, Upstream, UpstreamState, WrittenEntry},
+    view::{
+        EXPIRY_GRACE_MS, FleetView, MIN_OUTAGE_MS, OutdatedEntry, REMOVED_HOLD_MS, UNLISTED_MS,
+        ViewChange,
+    },
 };
 
 mod config;
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -80,6 +80,33 @@
     pub is_listed: bool,
 }
 
+/// Number that an upstream gave one version of its entry. It counts the writes of one incarnation, so it
+/// compares only entries with the same start time.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, derive_more::Display, derive_more::FromStr,
+)]
+pub struct EntryNumber(pub u64);
+
+/// An entry of an upstream as it was read, which may be older than one that was read before: a write of which
+/// the upstream got no answer may be executed seconds later.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WrittenEntry {
+    /// What the upstream published.
+    pub upstream: Upstream,
+    /// The entry's number, if it has one.
+    pub number: Option<EntryNumber>,
+}
+
+impl From<Upstream> for WrittenEntry {
+    /// Returns an entry without a number.
+    fn from(upstream: Upstream) -> WrittenEntry {
+        WrittenEntry {
+            upstream,
+            number: None,
+        }
+    }
+}
+
 impl Upstream {
     /// Returns whether new requests may be sent to the upstream: it is not draining, and is listed.
     pub fn is_ready(&self) -> bool {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -11,6 +11,11 @@
 //! those in the view, until the upstreams write theirs again, within about 2 s. Until then, the view
 //! keeps what it knows, unless an entry is of an incarnation that started later, as far as that can be
 //! told.
+//!
+//! A write of an entry may be executed seconds after newer ones, in any source and at any time. Upstreams
+//! number their writes, so an entry with a lower number than one that the same incarnation wrote is not used.
+//! Numbers of two incarnations do not compare: an entry of one that another one followed is held, since the
+//! upstream writes its entry again within the hold if the later incarnation lives.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -22,7 +27,7 @@
 use crate::{
     config::{ConfigVersion, FleetConfig},
     evacuation::Evacuations,
-    upstream::Upstream,
+    upstream::{EntryNumber, Upstream, WrittenEntry},
 };
 
 /// Time after an outage of the store for which missing entries are kept. Upstreams write expired
@@ -58,6 +63,31 @@
     Older,
 }
 
+/// Age of an entry that was read, compared with what is known of its upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EntryAge {
+    /// Nothing shows that it is older.
+    Newest,
+    /// The same incarnation wrote a newer one.
+    Older,
+    /// Another incarnation followed the one that wrote it.
+    OfEarlierIncarnation,
+}
+
+/// An entry that was read and is not used, because a newer one is known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OutdatedEntry {
+    /// The upstream.
+    pub id: VmId,
+    /// Start time of the incarnation that wrote the entry, in Unix milliseconds; 0 if not published.
+    pub started_unix_ms: u64,
+    /// Number of the entry.
+    pub number: EntryNumber,
+    /// Highest number that this incarnation is known to have written; `None` if another incarnation
+    /// followed it.
+    pub newest: Option<EntryNumber>,
+}
+
 /// The configuration in force and the known upstreams, including those kept although their entries
 /// are missing from the store.
 #[derive(Debug, Default)]
@@ -70,9 +100,14 @@
     unlisted: BTreeMap<VmId, Upstream>,
     /// Time at which each unlisted member is dropped.
     unlisted_until: BTreeMap<VmId, Deadline>,
-    /// Entries of a restored store that are not used yet, because they may be older than what was
-    /// known before, each with the time from which it is.
-    held: BTreeMap<VmId, (Upstream, Deadline)>,
+    /// Entries that are not used yet, because they may be older than what was known before, each with
+    /// the time from which it is.
+    held: BTreeMap<VmId, (WrittenEntry, Deadline)>,
+    /// Start time of the newest incarnation of each upstream that numbers its entries, and the highest
+    /// number that it wrote.
+    newest_numbers: BTreeMap<VmId, (u64, EntryNumber)>,
+    /// Entries that were not used since the last call of [`FleetView::take_outdated`].
+    outdated: Vec<OutdatedEntry>,
     /// Start time and time of removal of the upstreams that were removed.
     removed: BTreeMap<VmId, (u64, TimeMs)>,
     /// Start times of earlier incarnations that this view had, the newest last, at most
@@ -137,15 +172,17 @@
     /// Replaces all upstreams by the whole list, except that upstreams missing from it are kept
     /// until the end of their grace period. A list that `is_after_outage` starts this period, of
     /// [`EXPIRY_GRACE_MS`], for missing upstreams that have none. Other missing group members that
-    /// may serve without an entry are kept as unlisted.
-    pub fn apply_list(
+    /// may serve without an entry are kept as unlisted. An entry that is older than the known one counts
+    /// as the known one.
+    pub fn apply_list<E: Into<WrittenEntry>>(
         &mut self,
-        list: Vec<Upstream>,
+        list: Vec<E>,
         is_after_outage: bool,
         now: TimeMs,
     ) -> ViewChange {
+        let list = list.into_iter().map(Into::into).collect();
         let listed: BTreeMap<VmId, Upstream> = self
-            .replace_held(list)
+            .replace_held(list, now)
             .map(|entry| (entry.id.clone(), entry))
             .collect();
         let mut next = listed.clone();
@@ -191,35 +228,122 @@
     /// copy. Entries that may be older than those in the view are used only after
     /// [`EXPIRY_GRACE_MS`], those of removed upstreams after [`REMOVED_HOLD_MS`], unless they are
     /// written again before.
-    pub fn apply_restored_list(&mut self, list: Vec<Upstream>, now: TimeMs) -> ViewChange {
+    pub fn apply_restored_list<E: Into<WrittenEntry>>(
+        &mut self,
+        list: Vec<E>,
+        now: TimeMs,
+    ) -> ViewChange {
         self.held.clear();
-        for listed in &list {
+        let list: Vec<WrittenEntry> = list.into_iter().map(Into::into).collect();
+        for entry in &list {
+            let listed = &entry.upstream;
             let hold_ms = match self.upstreams.get(&listed.id) {
                 Some(known) if self.may_be_older(listed, known) => EXPIRY_GRACE_MS,
                 None if self.was_removed(listed, now) => REMOVED_HOLD_MS,
                 _ => continue,
             };
             let until = Deadline::after_ms(now, hold_ms);
-            self.held.insert(listed.id.clone(), (listed.clone(), until));
+            self.held.insert(listed.id.clone(), (entry.clone(), until));
         }
         self.apply_list(list, true, now)
     }
 
-    /// Replaces each entry of a list that is held by what is known of its upstream, if anything. An
-    /// entry that differs from the held one was written again.
-    fn replace_held(&mut self, list: Vec<Upstream>) -> impl Iterator<Item = Upstream> {
-        let is_held = |entry: &Upstream| {
-            let held = self.held.get(&entry.id);
-            held.is_some_and(|(held, _)| held == entry)
+    /// Replaces each entry of a list that is held or older than a known one by what is known of its
+    /// upstream, if anything. An entry that differs from the held one was written again. Holds the entries
+    /// of earlier incarnations.
+    fn replace_held(
+        &mut self,
+        list: Vec<WrittenEntry>,
+        now: TimeMs,
+    ) -> impl Iterator<Item = Upstream> {
+        let listed: BTreeSet<VmId> = list.iter().map(|entry| entry.upstream.id.clone()).collect();
+        let mut used: Vec<Upstream> = Vec::new();
+        let mut replaced: Vec<VmId> = Vec::new();
+        for entry in list {
+            let id = entry.upstream.id.clone();
+            let is_held = self.held.get(&id).is_some_and(|(held, _)| *held == entry);
+            if is_held || !self.admit(&entry, now) {
+                replaced.push(id);
+            } else {
+                self.held.remove(&id);
+                used.push(entry.upstream);
+            }
+        }
+        self.held.retain(|id, _| listed.contains(id));
+        let known = replaced.iter().filter_map(|id| self.upstreams.get(id));
+        used.extend(known.cloned());
+        used.into_iter()
+    }
+
+    /// Returns whether an entry may be used now, and records its number. One that may not be is either held
+    /// or dropped.
+    fn admit(&mut self, entry: &WrittenEntry, now: TimeMs) -> bool {
+        let age = self.age(entry);
+        let id = &entry.upstream.id;
+        let is_held = self.held.get(id).is_some_and(|(held, _)| held == entry);
+        if age == EntryAge::OfEarlierIncarnation && !is_held {
+            let until = Deadline::after_ms(now, EXPIRY_GRACE_MS);
+            self.held.insert(id.clone(), (entry.clone(), until));
+        }
+        match (age, entry.number) {
+            (EntryAge::Newest, _) => self.record_number(entry),
+            (_, Some(number)) => self.record_outdated(&entry.upstream, number, age),
+            // Only entries with numbers are older.
+            (_, None) => {}
+        }
+        age == EntryAge::Newest
+    }
+
+    /// Compares an entry with what is known of its upstream, by the entry's number.
+    fn age(&self, entry: &WrittenEntry) -> EntryAge {
+        let upstream = &entry.upstream;
+        let Some(number) = entry.number else {
+            return EntryAge::Newest;
         };
-        let (held, mut list): (Vec<_>, Vec<_>) = list.into_iter().partition(is_held);
-        self.held
-            .retain(|id, _| held.iter().any(|entry| entry.id == *id));
-        let known = held
-            .iter()
-            .filter_map(|entry| self.upstreams.get(&entry.id));
-        list.extend(known.cloned());
-        list.into_iter()
+        if let Some(newest) = self.newest_number(upstream) {
+            return match number < newest {
+                true => EntryAge::Older,
+                false => EntryAge::Newest,
+            };
+        }
+        let known = self.upstreams.get(&upstream.id);
+        let is_followed =
+            known.is_some_and(|known| known.started_unix_ms != upstream.started_unix_ms);
+        let ended = self.ended.get(&upstream.id);
+        let has_ended = ended.is_some_and(|ended| ended.contains(&upstream.started_unix_ms));
+        match is_followed && has_ended {
+            true => EntryAge::OfEarlierIncarnation,
+            false => EntryAge::Newest,
+        }
+    }
+
+    /// Returns the highest number that the incarnation of an entry is known to have written.
+    fn newest_number(&self, upstream: &Upstream) -> Option<EntryNumber> {
+        let (started_unix_ms, newest) = self.newest_numbers.get(&upstream.id)?;
+        (*started_unix_ms == upstream.started_unix_ms).then_some(*newest)
+    }
+
+    fn record_number(&mut self, entry: &WrittenEntry) {
+        let upstream = &entry.upstream;
+        if let Some(number) = entry.number {
+            let newest = (upstream.started_unix_ms, number);
+            self.newest_numbers.insert(upstream.id.clone(), newest);
+        }
+    }
+
+    fn record_outdated(&mut self, upstream: &Upstream, number: EntryNumber, age: EntryAge) {
+        let newest = self.newest_number(upstream);
+        self.outdated.push(OutdatedEntry {
+            id: upstream.id.clone(),
+            started_unix_ms: upstream.started_unix_ms,
+            number,
+            newest: newest.filter(|_| age == EntryAge::Older),
+        });
+    }
+
+    /// Returns the entries that were not used since the last call, because newer ones are known.
+    pub fn take_outdated(&mut self) -> Vec<OutdatedEntry> {
+        std::mem::take(&mut self.outdated)
     }
 
     /// Returns whether an entry may be of an upstream that was removed, or of an incarnation before.
@@ -265,25 +389,38 @@
         }
     }
 
-    /// Puts the held entries of a restored store in force that were not written again in time.
+    /// Puts the held entries in force that were not written again in time.
     pub fn release_held(&mut self, now: TimeMs) -> ViewChange {
-        let is_due = |_: &VmId, (_, until): &mut (Upstream, Deadline)| until.has_passed(now);
+        let is_due = |_: &VmId, (_, until): &mut (WrittenEntry, Deadline)| until.has_passed(now);
         let due: Vec<_> = self.held.extract_if(.., is_due).collect();
         let mut change = ViewChange::Same;
         for (id, (entry, _)) in due {
             // An upstream that drains does not become ready again in the same incarnation.
             let is_draining = self.upstreams.get(&id).is_some_and(|known| {
-                known.is_draining() && known.started_unix_ms == entry.started_unix_ms
+                known.is_draining() && known.started_unix_ms == entry.upstream.started_unix_ms
             });
-            if !is_draining && self.apply_upstream(entry) == ViewChange::Changed {
+            if is_draining || self.age(&entry) == EntryAge::Older {
+                continue;
+            }
+            self.record_number(&entry);
+            if self.put(entry.upstream) == ViewChange::Changed {
                 change = ViewChange::Changed;
             }
         }
         change
     }
 
-    /// Adds or replaces one upstream.
-    pub fn apply_upstream(&mut self, entry: Upstream) -> ViewChange {
+    /// Adds or replaces one upstream, unless the entry is older than the known one. One of an earlier
+    /// incarnation is held for [`EXPIRY_GRACE_MS`].
+    pub fn apply_upstream(&mut self, entry: impl Into<WrittenEntry>, now: TimeMs) -> ViewChange {
+        let entry = entry.into();
+        if !self.admit(&entry, now) {
+            return ViewChange::Older;
+        }
+        self.put(entry.upstream)
+    }
+
+    fn put(&mut self, entry: Upstream) -> ViewChange {
         self.grace_until.remove(&entry.id);
         self.held.remove(&entry.id);
         // A new entry with the address of an unlisted member means that the member's process no
@@ -345,8 +482,9 @@
         self.removed.insert(known.id.clone(), removal);
         self.record_end(&known.id, known.started_unix_ms);
         let (upstreams, removed) = (&self.upstreams, &self.removed);
-        self.ended
-            .retain(|id, _| upstreams.contains_key(id) || removed.contains_key(id));
+        let is_remembered = |id: &VmId| upstreams.contains_key(id) || removed.contains_key(id);
+        self.ended.retain(|id, _| is_remembered(id));
+        self.newest_numbers.retain(|id, _| is_remembered(id));
     }
 
     /// Removes an upstream whose entry cannot be decoded, and does not keep it as unlisted: such an
--- a/crates/fleet/tests/evacuation.rs
+++ b/crates/fleet/tests/evacuation.rs
@@ -6,7 +6,7 @@
 
 use jacinthpoint_fleet::{
     ConfigVersion, EvacuationChange, Evacuations, FleetConfig, FleetView,
-    RESTORED_EVACUATION_HOLD_MS,
+    RESTORED_EVACUATION_HOLD_MS, Upstream,
 };
 use jacinthpoint_types::{DataCentreId, TimeMs};
 
@@ -99,7 +99,7 @@
     let version = ConfigVersion(1);
     let config = FleetConfig::new(version, vec![], vec![], vec![], Default::default());
     view.apply_config(config);
-    view.apply_list(vec![], false, BEGAN);
+    view.apply_list(Vec::<Upstream>::new(), false, BEGAN);
     assert!(view.is_complete());
     view.expect_evacuations();
     assert!(!view.is_complete());
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -39,6 +39,8 @@
     HistoryLost = 716,
     /// The gateway reports its loads to another hub than before, or its cell's to another root.
     HubChanged = 717,
+    /// An entry of an upstream is older than the one that is known, and is not used.
+    EntryOutdated = 718,
     /// This gateway acquired the lease and sends orders from now on.
     OwnershipGained = 720,
     /// This gateway gave up the lease and sends no more orders.
--- a/crates/gateway/src/watch/entries.rs
+++ b/crates/gateway/src/watch/entries.rs
@@ -7,7 +7,7 @@
     DecodeError, List, StoredObject, decode_config, decode_upstream, paths, refused_models,
     refused_warm_ups,
 };
-use jacinthpoint_fleet::ViewChange;
+use jacinthpoint_fleet::{ViewChange, WrittenEntry};
 
 use crate::{
     events::log_event,
@@ -66,7 +66,7 @@
         entries.extend(
             known
                 .filter(|known| !listed.contains(known.id.as_str()))
-                .cloned(),
+                .map(|known| WrittenEntry::from(known.clone())),
         );
     }
     let now = gateway.now();
@@ -78,6 +78,7 @@
         Interruption::Restore => view.apply_restored_list(entries, now),
     };
     drop(view);
+    log_outdated(gateway, list.position.revision);
     let count_after = gateway.view.borrow().upstreams().len();
     log_event!(
         info,
@@ -104,10 +105,12 @@
     }
     match decode_upstream(&object.name, &object.content) {
         Ok(entry) => {
-            let id = entry.id.clone();
-            let state = entry.state;
-            let membership = entry.membership.clone();
-            let change = gateway.view.borrow_mut().apply_upstream(entry);
+            let id = entry.upstream.id.clone();
+            let state = entry.upstream.state;
+            let membership = entry.upstream.membership.clone();
+            let now = gateway.now();
+            let change = gateway.view.borrow_mut().apply_upstream(entry, now);
+            log_outdated(gateway, object.revision);
             if change == ViewChange::Changed {
                 let group = membership.as_ref().map(|m| m.group.to_string());
                 let group_state = membership.as_ref().map(|m| m.state.to_string());
@@ -123,6 +126,19 @@
     }
 }
 
+/// Logs and counts the entries that were just read and are not used, because newer ones are known.
+fn log_outdated(gateway: &Gateway, revision: u64) {
+    let outdated = gateway.view.borrow_mut().take_outdated();
+    for entry in outdated {
+        gateway
+            .metrics
+            .count("entries_outdated", paths::UPSTREAM_KIND);
+        log_event!(warn, EntryOutdated, upstream = %entry.id, revision, number = entry.number.0,
+            newest = entry.newest.map(|newest| newest.0), started_unix_ms = entry.started_unix_ms,
+            "an entry of an upstream is older than the one that is known and is not used");
+    }
+}
+
 /// Removes an upstream whose entry was removed. After an outage of the store, only starts the time
 /// in which the upstream can write its entry again.
 fn apply_removal(gateway: &Gateway, object: &StoredObject, is_after_outage: bool) -> ViewChange {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -32,6 +32,7 @@
 mod joining_upstreams;
 mod kept_caller;
 mod kept_connections;
+mod late_entries;
 mod link_cuts;
 mod mixed_builds;
 mod odd_entries;
