What is in quarantine is tried, so that an answer can end it

Cause: all prompts of the application share a part, which was at each of the crashes. A quarantine ends by an answer on the part, and its own refusals prevent that answer, so only its time ended it.

Change: single requests are sent as trials, one at a time in the fleet: the number of trials is in the record, and the gateway whose conditional write raises it may send one. Pauses grow; a part that never had an answer is not tried within a minute. A trial needs a target that is not known to be down.

A test of a common part that becomes crashing beside frozen gateways fails, also without trials, and is known red.

--- a/crates/dispatch/src/crash_notice.rs
+++ b/crates/dispatch/src/crash_notice.rs
@@ -49,6 +49,14 @@
         true
     }
 
+    /// Returns whether this incarnation of an upstream is known to be down.
+    pub fn is_down(&self, upstream: &VmId, started_unix_ms: u64, now: TimeMs) -> bool {
+        let notice = self.0.get(upstream);
+        notice.is_some_and(|notice| {
+            notice.started_unix_ms == started_unix_ms && !notice.valid_until.has_passed(now)
+        })
+    }
+
     /// Records that an upstream answered a request: if that was sent after a crash was noticed, the upstream is up
     /// again.
     pub fn on_answer(&mut self, upstream: &VmId, sent_at: TimeMs) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,7 +16,9 @@
     peer_load::{LoadAggregator, PeerLoad, TargetDigest, TargetReport},
     permit_issuer::{LIMIT_SYNC_MS, PermitIssuer},
     prediction::PromptDemand,
-    quarantine::{CrashId, Quarantine, QuarantineChange, RecordWrite, SuspectRecord, Suspicion},
+    quarantine::{
+        Admission, CrashId, Quarantine, QuarantineChange, RecordWrite, SuspectRecord, Suspicion,
+    },
     reach::UpstreamReach,
     stall::{StallPolicy, StallState},
     statement::{AnsweringLife, UpstreamStatements},
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -11,13 +11,17 @@
 //! apart in two ways. What an upstream writes an answer on is harmless, which removes what is recorded
 //! of it. And a crash has one cause: once a request or a part is in quarantine, the crashes that it was
 //! at count for no other.
+//!
+//! What is in quarantine is tried again by single requests, so that an answer can end it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use jacinthpoint_types::{PromptPartId, RequestDigest, TimeMs, VmId};
 use serde::{Deserialize, Serialize};
 
-use crate::{RequestContent, SuspectId};
+use crate::{RequestContent, SuspectId, quarantine::trials::Trials};
+
+mod trials;
 
 /// Number of crashes, each without another explanation, after which a suspect is put in quarantine.
 const MIN_CRASHES: usize = 3;
@@ -74,6 +78,9 @@
     pub position: usize,
     /// The parts of the prompt that other prompts may have, too, without the suspected one.
     pub beside: Vec<PromptPartId>,
+    /// Whether the gateway had an answer on the suspected part shortly before.
+    #[serde(default)]
+    pub was_answered: bool,
 }
 
 /// What the store has of one suspect.
@@ -81,6 +88,9 @@
 pub struct SuspectRecord {
     /// The suspicions, in the order in which they were added.
     pub suspicions: Vec<Suspicion>,
+    /// Number of trials since the quarantine began.
+    #[serde(default)]
+    pub trials: u32,
 }
 
 /// Change of a record that is to be written to the store.
@@ -90,10 +100,24 @@
     Create(SuspectRecord),
     /// Replaces the record if it still has this revision.
     Replace(u64, SuspectRecord),
+    /// Counts a trial in the record if it still has this revision. The gateway may then send one request,
+    /// see [`Quarantine::on_trial_counted`].
+    CountTrial(u64, SuspectRecord),
     /// Removes the record if it still has this revision.
     Remove(u64),
 }
 
+/// Whether a request may be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admission {
+    /// Nothing of it is in quarantine that it does not try.
+    Free,
+    /// It is the trial of these suspects. It must not be sent again.
+    Trial(Vec<SuspectId>),
+    /// This suspect is in quarantine.
+    Refused(SuspectId),
+}
+
 /// A suspect that was put in quarantine or released from it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuarantineChange {
@@ -119,6 +143,7 @@
     /// Time since which the suspect fulfils the conditions of a quarantine.
     fulfilled_since: Option<TimeMs>,
     quarantined_at: Option<TimeMs>,
+    trials: Trials,
 }
 
 impl Suspect {
@@ -149,21 +174,35 @@
     }
 }
 
+/// Last sign that a part is harmless.
+#[derive(Debug, Clone, Copy)]
+struct Answered {
+    at: TimeMs,
+    /// Whether it was used up by a crash or by a record.
+    is_used: bool,
+}
+
+impl Answered {
+    fn is_valid(self, now: TimeMs) -> bool {
+        now.since_ms(self.at) < ANSWER_VALID_MS
+    }
+}
+
 /// Requests and parts under suspicion and in quarantine, as one gateway knows them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: BTreeMap<SuspectId, Suspect>,
-    /// Time of the last sign that a part is harmless, unless it was used up. Requests are too many to
-    /// remember those without a record.
-    answered_at: BTreeMap<PromptPartId, TimeMs>,
+    /// Last sign that each part is harmless. Requests are too many to remember those without a record.
+    answered: BTreeMap<PromptPartId, Answered>,
 }
 
 impl Quarantine {
     /// Records that an upstream crashed while a request with this content had no answer there.
     pub fn on_crash(&mut self, content: &RequestContent, crash: &CrashId, now: TimeMs) {
         let (shared, prompt) = content.split_prompt();
-        let suspicion = |position: usize| Suspicion {
+        let suspicion = |position: usize, was_answered: bool| Suspicion {
             crash: crash.clone(),
+            was_answered,
             prompt,
             digest: content.digest,
             position,
@@ -176,16 +215,29 @@
         for (position, part) in shared.iter().enumerate() {
             // A part that was harmless may crash upstreams from now on, so each sign is used up by one
             // crash.
-            let answered_at = self.answered_at.remove(part);
-            if answered_at.is_none_or(|at| now.since_ms(at) >= ANSWER_VALID_MS) {
-                self.suspect(SuspectId::Part(*part), suspicion(position), now);
+            let is_known_harmless = self.use_answer(*part, now);
+            if !is_known_harmless {
+                let answered = self.answered.get(part);
+                let was_answered = answered.is_some_and(|answered| answered.is_valid(now));
+                let suspicion = suspicion(position, was_answered);
+                self.suspect(SuspectId::Part(*part), suspicion, now);
             }
         }
         if let Some(digest) = content.digest {
-            self.suspect(SuspectId::Request(digest), suspicion(shared.len()), now);
+            let suspicion = suspicion(shared.len(), false);
+            self.suspect(SuspectId::Request(digest), suspicion, now);
         }
     }
 
+    /// Uses the sign that a part is harmless up; returns whether there was one that counts.
+    fn use_answer(&mut self, part: PromptPartId, now: TimeMs) -> bool {
+        let Some(answered) = self.answered.get_mut(&part) else {
+            return false;
+        };
+        let was_used = std::mem::replace(&mut answered.is_used, true);
+        !was_used && answered.is_valid(now)
+    }
+
     /// Adds a suspicion, unless it is known or there are too many suspects of this kind.
     fn suspect(&mut self, id: SuspectId, suspicion: Suspicion, now: TimeMs) {
         if !self.suspects.contains_key(&id) {
@@ -204,12 +256,12 @@
     /// Records that an upstream writes an answer to a request with this content.
     pub fn on_answer(&mut self, content: &RequestContent, now: TimeMs) {
         for part in content.split_prompt().0 {
-            if self.answered_at.len() >= MAX_ANSWERED_PARTS {
-                self.answered_at
-                    .retain(|_, at| now.since_ms(*at) < ANSWER_VALID_MS);
+            if self.answered.len() >= MAX_ANSWERED_PARTS {
+                self.answered.retain(|_, answered| answered.is_valid(now));
             }
-            if self.answered_at.len() < MAX_ANSWERED_PARTS {
-                self.answered_at.insert(*part, now);
+            if self.answered.len() < MAX_ANSWERED_PARTS || self.answered.contains_key(part) {
+                let is_used = false;
+                self.answered.insert(*part, Answered { at: now, is_used });
             }
         }
         for id in content.suspects() {
@@ -227,6 +279,7 @@
             return;
         }
         suspect.revision = Some(revision);
+        suspect.trials.on_count(record.trials, now);
         let known = std::mem::take(&mut suspect.stored);
         let stored = record.suspicions.into_iter().take(MAX_SUSPICIONS);
         suspect.stored = stored
@@ -240,8 +293,8 @@
         let stored = &suspect.stored;
         let is_stored = |pending: &Suspicion| stored.iter().any(|(known, _)| known == pending);
         suspect.pending.retain(|(pending, _)| !is_stored(pending));
-        let answered_at = id.part().and_then(|part| self.answered_at.remove(&part));
-        if answered_at.is_some_and(|at| now.since_ms(at) < ANSWER_VALID_MS) {
+        let is_harmless = id.part().is_some_and(|part| self.use_answer(part, now));
+        if let Some(suspect) = self.suspects.get_mut(&id).filter(|_| is_harmless) {
             suspect.is_cleared = true;
         }
     }
@@ -249,13 +302,14 @@
     /// Applies the removal of a suspect's record: it was found harmless, or its time is over.
     pub fn on_removed(&mut self, id: SuspectId) {
         // What this gateway knew before was the reason, or is as old.
-        if let Some(part) = id.part() {
-            self.answered_at.remove(&part);
+        if let Some(answered) = id.part().and_then(|part| self.answered.get_mut(&part)) {
+            answered.is_used = true;
         }
         if let Some(suspect) = self.suspects.get_mut(&id) {
             suspect.revision = None;
             suspect.stored.clear();
             suspect.is_cleared = false;
+            suspect.trials = Trials::default();
         }
     }
 
@@ -304,6 +358,49 @@
         content.suspects().find(is_quarantined)
     }
 
+    /// Returns whether a request may be sent for the first time, which tries the suspects in `tried` already.
+    /// `is_servable` says whether an upstream would take it; then a trial may become due.
+    pub fn admit(
+        &mut self,
+        content: &RequestContent,
+        tried: &[SuspectId],
+        is_servable: bool,
+        now: TimeMs,
+    ) -> Admission {
+        let is_quarantined = |id: &SuspectId| {
+            let suspect = self.suspects.get(id);
+            suspect.is_some_and(|suspect| suspect.quarantined_at.is_some())
+        };
+        let in_quarantine = content.suspects().filter(is_quarantined);
+        let in_quarantine: Vec<SuspectId> =
+            in_quarantine.filter(|id| !tried.contains(id)).collect();
+        let Some(first) = in_quarantine.first().copied() else {
+            return Admission::Free;
+        };
+        let is_granted = |id: &SuspectId| self.suspects[id].trials.is_granted(now);
+        let is_trial = in_quarantine.iter().all(is_granted);
+        for id in &in_quarantine {
+            if let Some(suspect) = self.suspects.get_mut(id) {
+                match is_trial {
+                    true => suspect.trials.on_sent(),
+                    false if is_servable => suspect.trials.on_wanted(now),
+                    false => {}
+                }
+            }
+        }
+        match is_trial {
+            true => Admission::Trial(in_quarantine),
+            false => Admission::Refused(first),
+        }
+    }
+
+    /// Lets this gateway send the trial that it counted in the record of a suspect.
+    pub fn on_trial_counted(&mut self, id: SuspectId, now: TimeMs) {
+        if let Some(suspect) = self.suspects.get_mut(&id) {
+            suspect.trials.grant(now);
+        }
+    }
+
     /// Returns the number of suspects in quarantine.
     pub fn len(&self) -> usize {
         let parts = self.suspects.values();
@@ -351,6 +448,7 @@
             if is_quarantined != suspect.quarantined_at.is_some() {
                 let crashes = suspect.crashes(now).into_iter().cloned().collect();
                 suspect.quarantined_at = is_quarantined.then_some(now);
+                suspect.trials.on_quarantine(now);
                 changes.push(QuarantineChange {
                     suspect: *id,
                     is_quarantined,
@@ -486,19 +584,34 @@
             Some(revision) if self.is_cleared || (may_expire && is_over) => {
                 Some(RecordWrite::Remove(revision))
             }
-            _ if self.pending.is_empty() || is_delayed => None,
-            revision => {
-                let all = self.stored.iter().chain(&self.pending);
-                let mut suspicions: Vec<_> = all.map(|(suspicion, _)| suspicion.clone()).collect();
-                limit(&mut suspicions);
-                self.pending
-                    .retain(|(pending, _)| suspicions.contains(pending));
-                let record = SuspectRecord { suspicions };
-                Some(match revision {
-                    Some(revision) => RecordWrite::Replace(revision, record),
-                    None => RecordWrite::Create(record),
-                })
+            Some(revision) if self.is_trial_due(now) => {
+                let record = SuspectRecord {
+                    trials: self.trials.count() + 1,
+                    ..self.next_record()
+                };
+                Some(RecordWrite::CountTrial(revision, record))
             }
+            _ if self.pending.is_empty() || is_delayed => None,
+            Some(revision) => Some(RecordWrite::Replace(revision, self.next_record())),
+            None => Some(RecordWrite::Create(self.next_record())),
+        }
+    }
+
+    fn is_trial_due(&self, now: TimeMs) -> bool {
+        let was_answered = self.valid(now).any(|suspicion| suspicion.was_answered);
+        self.quarantined_at.is_some() && self.trials.is_due(was_answered, now)
+    }
+
+    /// Returns the record with the suspicions that are not in it yet.
+    fn next_record(&mut self) -> SuspectRecord {
+        let all = self.stored.iter().chain(&self.pending);
+        let mut suspicions: Vec<_> = all.map(|(suspicion, _)| suspicion.clone()).collect();
+        limit(&mut suspicions);
+        self.pending
+            .retain(|(pending, _)| suspicions.contains(pending));
+        SuspectRecord {
+            suspicions,
+            trials: self.trials.count(),
         }
     }
 }
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use jacinthpoint_dispatch::{
-    CrashId, Quarantine, RecordWrite, RequestContent, SuspectId, SuspectRecord, Suspicion,
+    Admission, CrashId, Quarantine, RecordWrite, RequestContent, SuspectId, SuspectRecord,
+    Suspicion,
 };
 use jacinthpoint_types::{PromptPartId, PromptParts, RequestDigest, TimeMs};
 use quickcheck::{Arbitrary, Gen};
@@ -265,9 +266,11 @@
         digest: None,
         position: 0,
         beside: Vec::new(),
+        was_answered: false,
     };
     SuspectRecord {
         suspicions: (0..3).map(suspicion).collect(),
+        trials: 0,
     }
 }
 
@@ -355,6 +358,120 @@
     assert_eq!(quarantine.len(), 1);
 }
 
+/// Returns what a gateway with these parts in quarantine decides on a request at `now`, and what it writes.
+fn admit(
+    quarantine: &mut Quarantine,
+    content: &RequestContent,
+    now: u64,
+) -> (Admission, Vec<(SuspectId, RecordWrite)>) {
+    let admission = quarantine.admit(content, &[], true, TimeMs(now));
+    (admission, quarantine.due_writes(false, TimeMs(now)))
+}
+
+/// Returns a record like [`record`], of a part that was answered shortly before.
+fn answered_record(trials: u32) -> SuspectRecord {
+    let mut record = record();
+    record
+        .suspicions
+        .iter_mut()
+        .for_each(|suspicion| suspicion.was_answered = true);
+    SuspectRecord { trials, ..record }
+}
+
+/// Returns a gateway that has had the part with this record in quarantine since 10,000 ms.
+fn with_quarantined(record: SuspectRecord) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    let list = vec![(part_suspect(CRASHING), record, 7)];
+    quarantine.on_list(list, false, TimeMs(10_000));
+    quarantine.update(TimeMs(10_000));
+    assert_eq!(quarantine.len(), 1);
+    quarantine
+}
+
+const REFUSED: Admission = Admission::Refused(SuspectId::Part(PromptPartId(CRASHING)));
+
+/// Guards against an application that is refused for an hour after all its upstreams crashed at once.
+#[test]
+fn answered_trial_ends_the_quarantine() {
+    let mut quarantine = with_quarantined(answered_record(0));
+    let request = prompt(&[CRASHING], 10);
+    assert_eq!(
+        admit(&mut quarantine, &request, 12_900),
+        (REFUSED, Vec::new())
+    );
+    let (admission, due) = admit(&mut quarantine, &request, 13_000);
+    assert_eq!(admission, REFUSED);
+    let counted = RecordWrite::CountTrial(7, answered_record(1));
+    assert_eq!(due, [(part_suspect(CRASHING), counted)]);
+    quarantine.on_record(
+        part_suspect(CRASHING),
+        answered_record(1),
+        8,
+        TimeMs(13_010),
+    );
+    quarantine.on_trial_counted(part_suspect(CRASHING), TimeMs(13_010));
+    let trial = Admission::Trial(vec![part_suspect(CRASHING)]);
+    let (admission, due) = admit(&mut quarantine, &request, 13_100);
+    assert_eq!((admission, due), (trial, Vec::new()));
+    assert_eq!(
+        admit(&mut quarantine, &request, 13_110),
+        (REFUSED, Vec::new())
+    );
+    quarantine.on_answer(&request, TimeMs(13_500));
+    quarantine.update(TimeMs(13_500));
+    assert!(quarantine.is_empty());
+    let due = quarantine.due_writes(false, TimeMs(13_500));
+    assert_eq!(due, [(part_suspect(CRASHING), RecordWrite::Remove(8))]);
+}
+
+/// Guards against each gateway sending a trial of its own: only the one that counted it may.
+#[test]
+fn trial_of_another_gateway_puts_off_the_next_one() {
+    let mut quarantine = with_quarantined(answered_record(0));
+    let request = prompt(&[CRASHING], 10);
+    quarantine.on_record(
+        part_suspect(CRASHING),
+        answered_record(1),
+        8,
+        TimeMs(13_010),
+    );
+    for now in [13_020, 20_000, 25_000] {
+        assert_eq!(admit(&mut quarantine, &request, now), (REFUSED, Vec::new()));
+    }
+    let (_, due) = admit(&mut quarantine, &request, 25_010);
+    let counted = RecordWrite::CountTrial(8, answered_record(2));
+    assert_eq!(due, [(part_suspect(CRASHING), counted)]);
+}
+
+/// Guards against trials of a part that nobody ever had an answer on, each of which crashes an upstream.
+#[test]
+fn part_that_was_never_answered_is_tried_only_after_a_minute() {
+    let mut quarantine = with_quarantined(record());
+    let request = prompt(&[CRASHING], 10);
+    for now in [13_000, 40_000, 69_900] {
+        assert_eq!(admit(&mut quarantine, &request, now), (REFUSED, Vec::new()));
+    }
+    let (_, due) = admit(&mut quarantine, &request, 70_000);
+    assert_eq!(due.len(), 1);
+}
+
+/// Guards against a trial that is counted and never sent, since no upstream takes the request.
+#[test]
+fn request_that_no_upstream_would_take_makes_no_trial_due() {
+    let mut quarantine = with_quarantined(answered_record(0));
+    let admission = quarantine.admit(&prompt(&[CRASHING], 10), &[], false, TimeMs(20_000));
+    assert_eq!(admission, REFUSED);
+    assert!(quarantine.due_writes(false, TimeMs(20_000)).is_empty());
+}
+
+/// Guards against trials of requests that a suspected part without a quarantine is in.
+#[test]
+fn request_without_anything_in_quarantine_is_free() {
+    let mut quarantine = with_quarantined(record());
+    let admission = quarantine.admit(&prompt(&[FIRST], 10), &[], true, TimeMs(20_000));
+    assert_eq!(admission, Admission::Free);
+}
+
 /// Time after the counted crashes from which the crashing requests count.
 const STABLE_MS: u64 = 3_000;
 const MAX_ARRIVALS: usize = 3;
@@ -363,6 +480,8 @@
 /// Time from which requests with the crashing part come.
 const CRASHING_FROM_MS: u64 = 3_000;
 const UPSTREAMS: usize = 24;
+/// Part of all prompts of an application.
+const COMMON: u128 = 0xc0;
 /// Number of first parts of harmless prompts.
 const FIRST_PARTS: u128 = 40;
 /// Time for which an upstream reads a prompt at most, then writes until the second event.
@@ -419,23 +538,31 @@
     Request,
     /// One request that comes again and names no parts.
     PlainRequest,
+    /// A part that was in all prompts before, and in harmless answers.
+    CommonPart,
+    /// Nothing; all prompts share a part.
+    Nothing,
 }
 
 impl Cause {
     /// Returns the number of crashes after which arrivals count.
     fn counted_crashes(self) -> usize {
         match self {
-            Cause::Part => 5,
+            Cause::Part | Cause::CommonPart | Cause::Nothing => 5,
             Cause::Request | Cause::PlainRequest => 3,
         }
     }
 }
 
 /// Returns whether a request crashes upstreams.
-fn is_crashing(content: &RequestContent) -> bool {
+fn is_crashing(content: &RequestContent, cause: Cause, now: u64) -> bool {
     let parts = content.parts.as_ref();
-    content.digest == Some(RequestDigest(CRASHING))
-        || parts.is_some_and(|parts| parts.shared.contains(&part(CRASHING)))
+    let has_part = |id| parts.is_some_and(|parts| parts.shared.contains(&part(id)));
+    match cause {
+        Cause::CommonPart => now >= CRASHING_FROM_MS && has_part(COMMON),
+        Cause::Nothing => false,
+        _ => content.digest == Some(RequestDigest(CRASHING)) || has_part(CRASHING),
+    }
 }
 
 /// One gateway.
@@ -551,18 +678,25 @@
 
     /// Sends a request unless its prompt is in quarantine at the gateway.
     fn send(&mut self, node: usize, content: RequestContent, attempts: u32, now: u64) {
-        let gateway = &self.nodes[node];
-        let is_frozen = now < gateway.frozen_until;
-        if is_frozen || gateway.quarantine.quarantined(&content).is_some() {
-            return;
-        }
         let up: Vec<usize> = (0..UPSTREAMS)
             .filter(|upstream| self.started[*upstream] <= now)
             .collect();
+        let gateway = &mut self.nodes[node];
+        let quarantine = &mut gateway.quarantine;
+        let is_refused = match attempts {
+            0 => {
+                let admission = quarantine.admit(&content, &[], !up.is_empty(), TimeMs(now));
+                matches!(admission, Admission::Refused(_))
+            }
+            _ => quarantine.quarantined(&content).is_some(),
+        };
+        if now < gateway.frozen_until || is_refused {
+            return;
+        }
         let Some(upstream) = up.choose(&mut self.rng).copied() else {
             return;
         };
-        if is_crashing(&content) && now >= gateway.calm_since + STABLE_MS {
+        if is_crashing(&content, self.cause, now) && now >= gateway.calm_since + STABLE_MS {
             self.arrivals.push(now);
         }
         self.attempts.push(Attempt {
@@ -615,14 +749,14 @@
     fn serve(&mut self, now: u64) {
         while let Some(index) = self.attempts.iter().position(|attempt| {
             now >= attempt.writes_at
-                + if is_crashing(&attempt.content) {
+                + if is_crashing(&attempt.content, self.cause, now) {
                     0
                 } else {
                     WRITE_MS
                 }
         }) {
             let upstream = self.attempts[index].upstream;
-            if is_crashing(&self.attempts[index].content) {
+            if is_crashing(&self.attempts[index].content, self.cause, now) {
                 self.crash(upstream, now);
                 self.crashes.push(now);
             } else {
@@ -643,11 +777,10 @@
         let current = self.store.get(&id).cloned();
         let next = match (&current, write) {
             (None, RecordWrite::Create(record)) => Some(record),
-            (Some((_, revision)), RecordWrite::Replace(expected, record))
-                if *revision == expected =>
-            {
-                Some(record)
-            }
+            (
+                Some((_, revision)),
+                RecordWrite::Replace(expected, record) | RecordWrite::CountTrial(expected, record),
+            ) if *revision == expected => Some(record),
             (Some((_, revision)), RecordWrite::Remove(expected)) if *revision == expected => {
                 self.store.remove(&id);
                 self.changes.push((now, id, None));
@@ -695,12 +828,22 @@
             node.quarantine.update(TimeMs(now));
             if now.is_multiple_of(50) {
                 for (id, write) in node.quarantine.due_writes(index == 0, TimeMs(now)) {
+                    let counts_trial = match &write {
+                        RecordWrite::CountTrial(expected, _) => {
+                            let current = self.store.get(&id);
+                            current.is_some_and(|(_, revision)| revision == expected)
+                        }
+                        _ => false,
+                    };
                     let answer = self.write(id, write, now);
                     let quarantine = &mut self.nodes[index].quarantine;
                     match answer {
                         _ if now < self.lost_until => {}
                         Some((record, revision)) => {
                             quarantine.on_record(id, record, revision, TimeMs(now));
+                            if counts_trial {
+                                quarantine.on_trial_counted(id, TimeMs(now));
+                            }
                         }
                         None => quarantine.on_removed(id),
                     }
@@ -725,6 +868,8 @@
                 (true, Cause::Part) => prompt(&[0x100, CRASHING], self.last_part),
                 (true, Cause::Request) => prompt(&[0x100], CRASHING),
                 (true, Cause::PlainRequest) => plain(CRASHING),
+                (true, Cause::CommonPart | Cause::Nothing) => continue,
+                (false, Cause::CommonPart | Cause::Nothing) => prompt(&[COMMON], self.last_part),
                 (false, Cause::PlainRequest) => plain(first),
                 (false, _) => prompt(&[first], self.last_part),
             };
@@ -763,6 +908,7 @@
         return Err(format!("{arrivals} requests that crash upstreams"));
     }
     let harmless = (0..FIRST_PARTS).map(|index| 0x100 + index);
+    let harmless = harmless.chain((cause == Cause::Nothing).then_some(COMMON));
     let refused: BTreeSet<u128> = harmless
         .filter(|id| {
             let contents = [prompt(&[*id], 0), plain(*id)];
@@ -825,7 +971,45 @@
     crashing_part_is_kept_away_while_gateways_come_go_freeze_and_learn_late: Cause::Part,
     /// Guards against rule BUDGET in such fleets, and against a refused part of a crashing request.
     crashing_request_is_kept_away_while_gateways_come_go_freeze_and_learn_late: Cause::Request,
+    /// Guards against a quarantine that answers from before the part became crashing end, read late by a gateway
+    /// that was frozen.
+    common_part_that_becomes_crashing_is_kept_away_while_gateways_come_go_freeze_and_learn_late:
+        Cause::CommonPart,
     /// Guards against rule BUDGET in such fleets, and against harmless requests that stay refused.
     crashing_plain_request_is_kept_away_while_gateways_come_go_freeze_and_learn_late:
         Cause::PlainRequest,
 }
+
+/// Load: all prompts of an application begin with the same part, and all its upstreams crash at the same moment. Guards
+/// against an application that stays refused although its upstreams are back.
+#[test]
+fn application_is_served_again_after_all_its_upstreams_crashed() {
+    for (gateways, seed) in [(2, 1), (2, 2), (6, 3), (6, 4), (60, 5)] {
+        let mut fleet = Fleet::new(gateways, Cause::Nothing, 1.0, seed);
+        let mut was_quarantined = false;
+        let mut now = 0;
+        while now < END_MS {
+            if now == CRASHING_FROM_MS {
+                (0..UPSTREAMS).for_each(|upstream| fleet.crash(upstream, now));
+            }
+            fleet.step(now);
+            let mut nodes = fleet.nodes.iter();
+            was_quarantined |= nodes.any(|node| !node.quarantine.is_empty());
+            now += STEP_MS;
+        }
+        let nodes = fleet.nodes.iter();
+        let refusing = nodes.filter(|node| !node.quarantine.is_empty()).count();
+        assert!(was_quarantined, "{gateways} gateways, seed {seed}");
+        assert_eq!(refusing, 0, "{gateways} gateways, seed {seed}");
+    }
+}
+
+/// Load: all prompts of an application begin with the same part, which crashes upstreams from a moment on. Guards
+/// against trials that crash one upstream after the other.
+#[test]
+fn trials_of_a_common_part_that_became_crashing_are_few() {
+    for (gateways, seed) in [(2, 1), (2, 2), (6, 3), (6, 4), (60, 5), (60, 6)] {
+        let result = play(gateways, Cause::CommonPart, 1.0, seed, &[]);
+        assert_eq!(result, Ok(()), "{gateways} gateways, seed {seed}");
+    }
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,6 +1,9 @@
 //! Handles one caller's request, from reading its head to the end of the response.
 
-use std::{cell::Cell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
@@ -216,7 +219,7 @@
     if let Origin::Caller(caller) = origin {
         caller.on_deadline_known(context.deadline);
     }
-    if let Some(suspect) = context.quarantined() {
+    if let Some(suspect) = context.refused_suspect() {
         return Err(refuse_quarantined(&context, suspect).into());
     }
     if outlasts_stop(&context) {
@@ -326,6 +329,7 @@
             parts,
             digest: None,
         },
+        tried: RefCell::default(),
         started,
         origin: origin.clone(),
         is_sent: Rc::new(Cell::new(false)),
--- a/crates/gateway/src/call/context.rs
+++ b/crates/gateway/src/call/context.rs
@@ -1,9 +1,13 @@
 //! Data of one request that all its attempts share, determined from its head.
 
-use std::{cell::Cell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
 
 use jacinthpoint_dispatch::{
-    FleetRetryBudget, PromptDemand, RequestContent, StallPolicy, SuspectId,
+    Admission, FleetRetryBudget, PromptDemand, RequestContent, StallPolicy, SuspectId, Target,
 };
 use jacinthpoint_fleet::{Engine, Homes, Organisation, RequestKind, Route, WarmUp};
 use jacinthpoint_types::{Deadline, DeploymentId, ServiceId, TimeMs};
@@ -77,6 +81,8 @@
     pub(crate) prompt_tokens: u32,
     /// What tells whether the request is in quarantine.
     pub(crate) content: RequestContent,
+    /// What is in quarantine and is tried by this request.
+    pub(crate) tried: RefCell<Vec<SuspectId>>,
     pub(crate) started: TimeMs,
     pub(crate) origin: Origin,
     /// Whether a byte of the request may have been sent to an upstream or another gateway.
@@ -199,6 +205,42 @@
         matches!(&self.origin, Origin::Caller(caller) if caller.has_left())
     }
 
+    /// Returns what of the request is in quarantine, if anything is and it is not sent as a trial of that. To be
+    /// asked before the request is sent for the first time.
+    pub(crate) fn refused_suspect(&self) -> Option<SuspectId> {
+        let gateway = &self.gateway;
+        let mut tried = self.tried.borrow_mut();
+        let mut quarantine = gateway.quarantine.borrow_mut();
+        let is_servable = self.has_target();
+        match quarantine.admit(&self.content, &tried, is_servable, gateway.now()) {
+            Admission::Free => None,
+            Admission::Refused(suspect) => Some(suspect),
+            Admission::Trial(suspects) => {
+                gateway.metrics.count("quarantines", "tried");
+                let names: Vec<_> = suspects.iter().map(ToString::to_string).collect();
+                log_event!(warn, QuarantineTried, request = self.request_id, suspects = ?names,
+                    "a request in quarantine is sent, to find out whether it still crashes upstreams");
+                tried.extend(suspects);
+                None
+            }
+        }
+    }
+
+    /// Returns whether there is an upstream or group that serves requests of this kind and is not known to be
+    /// down.
+    fn has_target(&self) -> bool {
+        let directory = &self.snapshot.directory;
+        let targets = match &self.model {
+            Some(model) if self.engine().is_some() => directory.groups(&self.service, model),
+            _ => directory.plain(&self.service),
+        };
+        let notices = self.gateway.crash_notices.borrow();
+        let now = self.gateway.now();
+        let is_down =
+            |target: &Arc<Target>| notices.is_down(&target.upstream, target.started_unix_ms, now);
+        !targets.iter().all(is_down)
+    }
+
     /// Returns what of the request is in quarantine, if anything is.
     pub(crate) fn quarantined(&self) -> Option<SuspectId> {
         self.gateway.quarantine.borrow().quarantined(&self.content)
--- a/crates/gateway/src/call/retry.rs
+++ b/crates/gateway/src/call/retry.rs
@@ -436,7 +436,12 @@
     if context.has_caller_left() {
         return Err(StopReason::CallerLeft);
     }
-    if let Some(suspect) = context.quarantined() {
+    // A trial is not sent again.
+    let suspect = match history.is_unsent() {
+        true => context.refused_suspect(),
+        false => context.quarantined(),
+    };
+    if let Some(suspect) = suspect {
         return Err(StopReason::Quarantined(suspect));
     }
     if !history.may_run_again(context)
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -123,6 +123,8 @@
     /// Connections ended, and requests were refused, since others needed their memory or places. The event says
     /// how many since the one before.
     ConnectionsRevoked = 757,
+    /// A request in quarantine was sent, to find out whether it still crashes upstreams.
+    QuarantineTried = 758,
     /// A list of the store could not go on to its end. What was read of it is used.
     ListUnfinished = 760,
     /// The evacuation of a data centre began or ended.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -122,7 +122,7 @@
     let name = suspect.to_string();
     let result = match &write {
         RecordWrite::Create(record) => store.create(KIND, &name, &json!(record)).await,
-        RecordWrite::Replace(revision, record) => {
+        RecordWrite::Replace(revision, record) | RecordWrite::CountTrial(revision, record) => {
             store.replace(KIND, &name, *revision, &json!(record)).await
         }
         RecordWrite::Remove(revision) => match store.remove(KIND, &name, *revision).await {
@@ -134,7 +134,13 @@
         },
     };
     match result {
-        Ok(object) => apply_record(gateway, &object, false),
+        Ok(object) => {
+            apply_record(gateway, &object, false);
+            if matches!(write, RecordWrite::CountTrial(..)) {
+                let mut quarantine = gateway.quarantine.borrow_mut();
+                quarantine.on_trial_counted(suspect, gateway.now());
+            }
+        }
         // Another gateway wrote meanwhile. The next pass adds to its record.
         Err(StoreError::Conflict(Some(current))) => apply_record(gateway, &current, false),
         Err(StoreError::Refused(404)) => gateway.quarantine.borrow_mut().on_removed(suspect),
--- a/tests/gateway/crashing_prompts.rs
+++ b/tests/gateway/crashing_prompts.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use jacinthpoint_platform_standins::EngineFault;
 use serde_json::{Value, json};
 
 use crate::gateway::{
@@ -153,3 +154,58 @@
         assert_eq!(answer.status, 200, "gateway {index}");
     }
 }
+
+/// Time for which all engines are down, and within which their application is served again once its groups are open.
+const DOWN: Duration = Duration::from_secs(2);
+const SERVED_AGAIN: Duration = Duration::from_secs(9);
+
+/// Sends requests whose prompts share a part to all gateways in turn for `time`. Returns the statuses of the
+/// answers, in the order of the requests.
+fn send_common(site: &Site, gateways: usize, first_id: usize, time: Duration) -> Vec<u16> {
+    let began = Instant::now();
+    let mut callers = Vec::new();
+    for id in first_id.. {
+        if began.elapsed() >= time {
+            break;
+        }
+        let address = site.gateway(id % gateways);
+        callers.push(thread::spawn(move || {
+            request(id, false).send(address).status
+        }));
+        thread::sleep(HARMLESS_INTERVAL / 2);
+    }
+    let answers = callers.into_iter();
+    answers
+        .map(|caller| caller.join().expect("a caller does not panic"))
+        .collect()
+}
+
+/// Guards against an application that is refused for an hour after all its engines crashed at once, since all its
+/// prompts share a part that nobody tries again.
+#[test]
+fn application_is_served_again_after_all_its_engines_crashed() {
+    let gateways = 2;
+    let site = Site::start(gateways);
+    let engines = &site.platform.engines;
+    let groups = engines.open_groups().len();
+    let before = send_common(&site, gateways, 0, Duration::from_secs(3));
+    assert!(before.iter().all(|status| *status == 200), "{before:?}");
+    let all = engines.ids();
+    thread::scope(|scope| {
+        scope.spawn(|| send_common(&site, gateways, 10_000, DOWN));
+        thread::sleep(Duration::from_millis(300));
+        for id in &all {
+            engines.set_fault(id, EngineFault::Dead);
+        }
+    });
+    for id in &all {
+        engines.set_fault(id, EngineFault::None);
+    }
+    site.wait_until("all groups are open again", 20_000, |site| {
+        site.platform.engines.open_groups().len() == groups
+    });
+    send_common(&site, gateways, 20_000, SERVED_AGAIN);
+    let after = send_common(&site, gateways, 30_000, Duration::from_secs(1));
+    let served = after.iter().filter(|status| **status == 200).count();
+    assert!(2 * served >= after.len(), "{after:?}");
+}
