A group opens only if no order on its way can take a member away

Cause: a group that was ready and whole was opened without a look at formations of the same owner with one of its members; an unanswered order to join was forgotten with its formation.

Change: the planner keeps the highest epoch that it ordered each upstream to join, answered or not. A group with a lower one is given up, or formed again under a higher epoch if it was never ordered to open.

--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -22,6 +22,7 @@
 mod addresses;
 mod confirmation;
 mod conversion;
+mod late_orders;
 mod maintenance;
 mod new_groups;
 mod ordered_state;
@@ -139,6 +140,10 @@
     confirmed: BTreeSet<VmId>,
     /// Memberships in groups that this planner ordered to open.
     ordered_states: BTreeMap<VmId, OrderedState>,
+    /// The highest epoch of an order to join that this planner sent to each upstream, answered or not.
+    ordered_epochs: BTreeMap<VmId, u64>,
+    /// Groups that this planner ordered to open.
+    ordered_to_open: BTreeSet<(GroupId, u64)>,
     /// Model of the last group that each upstream's current incarnation was in or was ordered to
     /// join. A member of a group that is being formed has the group's model, also after a restart.
     last_models: BTreeMap<VmId, DeploymentId>,
@@ -204,6 +209,8 @@
             entry_changed_at: BTreeMap::new(),
             confirmed: BTreeSet::new(),
             ordered_states: BTreeMap::new(),
+            ordered_epochs: BTreeMap::new(),
+            ordered_to_open: BTreeSet::new(),
             last_models: BTreeMap::new(),
             incarnations: BTreeMap::new(),
             order_sent_at: BTreeMap::new(),
@@ -359,6 +366,8 @@
             .retain(|key| groups.contains_key(key));
         self.leaders.retain(|key, _| groups.contains_key(key));
         self.leaderless.retain(|key| groups.contains_key(key));
+        self.ordered_to_open
+            .retain(|key| groups.contains_key(key) || self.formations.contains_key(&key.0));
         self.leave_answered
             .retain(|(_, key)| groups.contains_key(key));
         self.open_pending_until
@@ -377,6 +386,7 @@
             orders.extend(self.load_reserve(&groups, &upstreams, &needs, input, now));
         }
         self.record_open_orders(&orders, input.engine, now);
+        self.record_orders(&orders);
         let address = |id: &VmId| upstreams.get(id).map(|upstream| upstream.address);
         let orders = orders.into_iter().filter_map(|order| {
             let address = address(&order.target)?;
--- /dev/null
+++ b/crates/regroup/src/planner/late_orders.rs
@@ -0,0 +1,97 @@
+//! Keeps what may still be carried out of the orders that were sent, and decides which groups may open.
+//!
+//! An order without an answer may be carried out seconds later, after newer ones, also under the next owner. A
+//! member of an open group must not take such an order to join another group. It refuses one with a lower epoch than
+//! it has seen. So a group opens only if this planner ordered no member to join a group with a higher epoch, answered
+//! or not.
+
+use std::collections::BTreeMap;
+
+use jacinthpoint_fleet::{Engine, Group, Order, OrderAction, Upstream};
+use jacinthpoint_types::{TimeMs, VmId};
+
+use crate::{
+    member_selection::{MemberSelection, WeightsLocation},
+    planner::{Planner, new_groups::EPOCHS_PER_FENCING_TOKEN},
+};
+
+/// What is to be done with a group that is ready and whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OpenDecision {
+    /// No order that is on its way can take a member away: the group is opened.
+    Open,
+    /// An order that is on its way may take a member away. The group was never ordered to open, and is formed again
+    /// under a higher epoch.
+    FormAgain,
+    /// A member is ordered into another group: the group is given up.
+    Superseded,
+}
+
+impl Planner {
+    /// Decides on a group that this planner is not forming, and whose members are all ready.
+    pub(super) fn decide_open(&self, group: &Group) -> OpenDecision {
+        let members = group.members.values();
+        let is_own = group.epoch / EPOCHS_PER_FENCING_TOKEN == self.fencing_token;
+        let forming = self.forming_members();
+        let is_ordered_away = |id: &VmId| {
+            let ordered = self.ordered_epochs.get(id);
+            ordered.is_some_and(|epoch| *epoch > group.epoch)
+        };
+        if members.clone().any(|id| forming.contains(id)) {
+            OpenDecision::Superseded
+        } else if members.clone().any(is_ordered_away) {
+            let key = (group.id.clone(), group.epoch);
+            match is_own && !self.ordered_to_open.contains(&key) {
+                true => OpenDecision::FormAgain,
+                // The leader may be about to open the group, so it must not be ordered into another one.
+                false => OpenDecision::Superseded,
+            }
+        } else {
+            OpenDecision::Open
+        }
+    }
+
+    /// Records orders that are about to be sent.
+    ///
+    /// The epochs of orders to join stay in force when the upstream starts again under its name, since an order on
+    /// its way then reaches the new incarnation.
+    pub(super) fn record_orders(&mut self, orders: &[Order]) {
+        for order in orders {
+            match &order.action {
+                OrderAction::Join { epoch, .. } => {
+                    let ordered = self.ordered_epochs.entry(order.target.clone()).or_default();
+                    *ordered = (*ordered).max(*epoch);
+                }
+                OrderAction::Open { group, epoch } => {
+                    self.ordered_to_open.insert((group.clone(), *epoch));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Forgets what concerns upstreams that are gone.
+    pub(super) fn retain_order_records(&mut self, upstreams: &BTreeMap<VmId, Upstream>) {
+        self.ordered_epochs
+            .retain(|id, _| upstreams.contains_key(id));
+    }
+
+    /// Starts to form a group again with the same members. Returns the orders to join.
+    pub(super) fn form_again(
+        &mut self,
+        group: &Group,
+        upstreams: &BTreeMap<VmId, Upstream>,
+        engine: &Engine,
+        now: TimeMs,
+    ) -> Vec<Order> {
+        let Some(model) = group.model_spec(engine) else {
+            return Vec::new();
+        };
+        let selection = MemberSelection {
+            model: model.name.clone(),
+            members: group.members.values().cloned().collect(),
+            slowest_weights_location: WeightsLocation::Resident,
+        };
+        self.start_formation(selection, model, upstreams, now)
+    }
+}
--- a/crates/regroup/src/planner/maintenance.rs
+++ b/crates/regroup/src/planner/maintenance.rs
@@ -10,7 +10,7 @@
 use jacinthpoint_fleet::{Engine, Group, GroupState, Order, OrderAction, Upstream};
 use jacinthpoint_types::{Deadline, GroupId, TimeMs, VmId};
 
-use crate::planner::Planner;
+use crate::planner::{Planner, late_orders::OpenDecision};
 
 /// Time after which an order to open, close or leave a group is retried.
 const RETRY_MS: u64 = 700;
@@ -74,9 +74,15 @@
             GroupState::Open => (true, self.close(group, has_dead_member, now)),
             GroupState::Closing if has_dead_member => (true, self.close(group, true, now)),
             GroupState::Closing => (true, Vec::new()),
-            // An earlier owner formed the group and ended before it opened it. `is_whole` also
-            // requires that every member holds the model.
-            GroupState::Ready if may_serve && group.is_whole(size) => (true, self.open(group, now)),
+            // An earlier owner formed the group and ended before it opened it, or a late order to join made it whole.
+            // `is_whole` also requires that every member holds the model.
+            GroupState::Ready
+                if may_serve
+                    && group.is_whole(size)
+                    && let Some(orders) = self.open_if_safe(group, upstreams, engine, now) =>
+            {
+                (true, orders)
+            }
             // An order to open the group was sent and may still take effect. The order to close
             // undoes it.
             GroupState::Ready if self.may_still_open(&key, now) => {
@@ -106,6 +112,22 @@
         }
     }
 
+    /// Returns the orders that are due to open a group that is ready and whole, or to make it safe to open. Returns
+    /// `None` if it is to be given up.
+    fn open_if_safe(
+        &mut self,
+        group: &Group,
+        upstreams: &BTreeMap<VmId, Upstream>,
+        engine: &Engine,
+        now: TimeMs,
+    ) -> Option<Vec<Order>> {
+        match self.decide_open(group) {
+            OpenDecision::Open => Some(self.open(group, now)),
+            OpenDecision::FormAgain => Some(self.form_again(group, upstreams, engine, now)),
+            OpenDecision::Superseded => None,
+        }
+    }
+
     /// Closes permanently a group whose leader is considered dead or is missing. Returns whether a
     /// live member has yet to answer its order to leave, and the orders to leave that are due. The
     /// leader may still serve without being listed, but not once the other members have left.
--- a/crates/regroup/src/planner/new_groups.rs
+++ b/crates/regroup/src/planner/new_groups.rs
@@ -21,7 +21,7 @@
 
 /// Number of groups that one owner can form. Epochs grow by this number from one fencing token to
 /// the next.
-const EPOCHS_PER_FENCING_TOKEN: u64 = 10_000;
+pub(super) const EPOCHS_PER_FENCING_TOKEN: u64 = 10_000;
 /// Fraction of the limit on load starts per second that staging uses. The rest is a margin
 /// for members that load weights when they join, for example in groups whose formation began before
 /// callers sent requests.
@@ -314,7 +314,7 @@
     }
 
     /// Starts to form a group under a new epoch. Returns the orders to join.
-    fn start_formation(
+    pub(super) fn start_formation(
         &mut self,
         selection: MemberSelection,
         model: &ModelSpec,
--- a/crates/regroup/src/planner/reported_state.rs
+++ b/crates/regroup/src/planner/reported_state.rs
@@ -39,6 +39,7 @@
         });
         self.update_confirmed(&upstreams);
         self.retain_ordered(&upstreams);
+        self.retain_order_records(&upstreams);
         self.incarnations.retain(|id, _| upstreams.contains_key(id));
         for (id, upstream) in &mut upstreams {
             self.detector
--- a/crates/regroup/tests/random.rs
+++ b/crates/regroup/tests/random.rs
@@ -87,7 +87,7 @@
     world.engines.close_ms = 600;
     world.report_lag_ms = 300;
     let mut rng = SmallRng::seed_from_u64(seed);
-    world.order_delay = Box::new(move || {
+    world.order_delay = Box::new(move |_| {
         rng.random_bool(late_share)
             .then(|| rng.random_range(2_000..12_000))
     });
--- a/crates/regroup/tests/repair.rs
+++ b/crates/regroup/tests/repair.rs
@@ -227,12 +227,12 @@
         }
         world.engines.kill(&members[2]);
         report_stall(&mut world, &members);
-        world.order_delay = Box::new(|| Some(50));
+        world.order_delay = Box::new(|_| Some(50));
         let old_group = world.engines.by_id[&spares[0]].entry.membership.clone();
         world.run_until(REPAIR_MS, |world| {
             world.engines.by_id[&spares[0]].entry.membership != old_group
         });
-        world.order_delay = Box::new(|| None);
+        world.order_delay = Box::new(|_| None);
         // With this one, the spares could form one more group.
         world.engines.restart(&dead[0]);
         world.run_until(REPAIR_MS, |world| world.is_in_open_group(&spares[0]));
--- a/crates/regroup/tests/tests.rs
+++ b/crates/regroup/tests/tests.rs
@@ -8,6 +8,7 @@
 mod formation;
 mod growth;
 mod lags;
+mod late_orders;
 mod random;
 mod repair;
 mod world;
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -6,7 +6,7 @@
 };
 
 use jacinthpoint_fleet::{
-    Engine, Evacuations, GroupState, Membership, ModelSpec, OrderAnswer, Upstream, groups_of,
+    Engine, Evacuations, GroupState, Membership, ModelSpec, Order, OrderAnswer, Upstream, groups_of,
 };
 use jacinthpoint_regroup::{Action, Decision, Demand, Planner, PlannerInput, Report};
 use jacinthpoint_types::{DeploymentId, TimeMs, VmId};
@@ -59,6 +59,9 @@
     }
 }
 
+/// Returns the delay of an order in milliseconds if it is to be carried out late and not answered.
+pub type OrderDelay = Box<dyn FnMut(&Order) -> Option<u64>>;
+
 /// A planner, the engines that it sends orders to, and the list of upstreams that it reads.
 pub struct World {
     pub now: TimeMs,
@@ -97,7 +100,7 @@
     shown_at: BTreeMap<VmId, TimeMs>,
     /// Called for each order. Returns the delay in milliseconds if the order is to be carried out
     /// late and not answered.
-    pub order_delay: Box<dyn FnMut() -> Option<u64>>,
+    pub order_delay: OrderDelay,
     /// Time of the longest planning step so far.
     pub longest_plan: Duration,
 }
@@ -124,7 +127,7 @@
             publish_lag_ms: BTreeMap::new(),
             published: VecDeque::new(),
             shown_at: BTreeMap::new(),
-            order_delay: Box::new(|| None),
+            order_delay: Box::new(|_| None),
             longest_plan: Duration::ZERO,
         }
     }
@@ -246,7 +249,7 @@
                 Action::Order(order, address) => {
                     let listener = self.engines.at_address(address);
                     let is_other = listener.is_some_and(|id| *id != order.target);
-                    let answer = match (self.order_delay)() {
+                    let answer = match (self.order_delay)(&order) {
                         _ if is_other => OrderAnswer::WrongUpstream,
                         Some(after_ms) => {
                             let at = self.now.plus_ms(after_ms);
