A new owner opens a group only once its members know the new fencing token

Cause: a fencing token protects only upstreams that have seen it, and the successor sent one order, to the head.

Change: the members that have not carried out an order of this owner are ordered once more into the group that they are in, which changes nothing but the token they know. The group opens once all have.

--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -144,6 +144,9 @@
     ordered_epochs: BTreeMap<VmId, u64>,
     /// Groups that this planner ordered to open.
     ordered_to_open: BTreeSet<(GroupId, u64)>,
+    /// Upstreams whose current incarnations have carried out an order of this planner, so that they refuse orders
+    /// with a lower fencing token.
+    fenced: BTreeSet<VmId>,
     /// Model of the last group that each upstream's current incarnation was in or was ordered to
     /// join. A member of a group that is being formed has the group's model, also after a restart.
     last_models: BTreeMap<VmId, DeploymentId>,
@@ -211,6 +214,7 @@
             ordered_states: BTreeMap::new(),
             ordered_epochs: BTreeMap::new(),
             ordered_to_open: BTreeSet::new(),
+            fenced: BTreeSet::new(),
             last_models: BTreeMap::new(),
             incarnations: BTreeMap::new(),
             order_sent_at: BTreeMap::new(),
@@ -316,6 +320,7 @@
                 self.record_others_displaced(&order.target);
             }
         }
+        self.record_fenced(order, answer);
         self.on_ordered_answer(order, answer);
         if let OrderAction::Leave { group, epoch } = &order.action {
             let key = (group.clone(), *epoch);
--- a/crates/regroup/src/planner/maintenance.rs
+++ b/crates/regroup/src/planner/maintenance.rs
@@ -123,6 +123,7 @@
     ) -> Option<Vec<Order>> {
         match self.decide_open(group) {
             OpenDecision::Open => Some(self.open(group, now)),
+            OpenDecision::Fence => Some(self.fence_members(group, now)),
             OpenDecision::FormAgain => Some(self.form_again(group, upstreams, engine, now)),
             OpenDecision::Superseded => None,
         }
@@ -185,7 +186,12 @@
     }
 
     /// Returns whether an order of this kind to this upstream is due, and if so records it as sent.
-    fn record_if_due(&mut self, id: &VmId, order_kind: &'static str, now: TimeMs) -> bool {
+    pub(super) fn record_if_due(
+        &mut self,
+        id: &VmId,
+        order_kind: &'static str,
+        now: TimeMs,
+    ) -> bool {
         let key = (id.clone(), order_kind);
         let sent_at = self.order_sent_at.get(&key);
         let is_due = sent_at.is_none_or(|sent_at| now.since_ms(*sent_at) >= RETRY_MS);
--- a/crates/regroup/src/planner/reported_state.rs
+++ b/crates/regroup/src/planner/reported_state.rs
@@ -51,6 +51,7 @@
             {
                 self.reported_states.remove(id);
                 self.ordered_states.remove(id);
+                self.fenced.remove(id);
                 self.confirmed.remove(id);
                 self.last_models.remove(id);
                 self.loading.remove(id);
--- a/crates/regroup/tests/late_orders.rs
+++ b/crates/regroup/tests/late_orders.rs
@@ -113,4 +113,19 @@
         assert!(judged > 40, "the target was ordered into two groups in {judged} cases only");
         assert_eq!(violations, Vec::<String>::new());
     }
+
+    // Guards against a new owner that opens a group of the former one, whose last order still takes a member away.
+    member_with_an_order_of_the_former_owner_is_in_no_group_that_opens: {
+        for first_ms in (FORMATION_MS..FORMATION_MS + 3_000).step_by(200) {
+            for take_over_ms in [7_000, 7_500, 8_000, 9_000, 10_000] {
+                let (mut world, _) = world_with_held_orders(first_ms, usize::MAX);
+                world.run_ms(take_over_ms);
+                world.take_over();
+                world.order_delay = Box::new(|_| None);
+                world.run_ms(30_000);
+                world.assert_no_violation();
+                assert_eq!(world.serving_group_count(SMALL), 2, "{first_ms} ms, {take_over_ms} ms");
+            }
+        }
+    }
 }
