A report that is older than the orders that its upstream has begun is not used

Cause: probes use a kept connection and reports have no id, so the owner took the one that came last for the newest one.

Change: the number of begun orders in a report (`seq`) is read. The planner keeps the lowest number that an upstream can have reached, and does not use a report with a lower one; event 719. If all reports are lower for three seconds, they are believed.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -41,6 +41,8 @@
     HubChanged = 717,
     /// An entry of an upstream is older than the one that is known, and is not used.
     EntryOutdated = 718,
+    /// A report of an upstream is older than an order that it has begun, and is not used.
+    ReportOutdated = 719,
     /// This gateway acquired the lease and sends orders from now on.
     OwnershipGained = 720,
     /// This gateway gave up the lease and sends no more orders.
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -162,6 +162,11 @@
             log_event!(info, FormationEnded, fence = token, %group, %outcome,
                 "the formation of a group ended");
         }
+        Decision::ReportOutdated { id } => {
+            gateway.metrics.count("reports_outdated", "probe");
+            log_event!(warn, ReportOutdated, fence = token, upstream = %id,
+                "a report is older than an order that its upstream has begun, and is not used");
+        }
         Decision::ConversionStarted {
             domain,
             model,
@@ -267,7 +272,7 @@
 /// taken for that to the next call on the connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ConnectionUse {
-    /// One of earlier calls of this kind, if there is any. An earlier report is only older than the present one.
+    /// One of earlier calls of this kind, if there is any. An earlier report is told by its number of orders.
     Kept,
     /// A connection for this call alone.
     Own,
@@ -334,6 +339,7 @@
             started_unix_ms: report.started_unix_ms,
             membership: report.membership,
             staged: report.staged,
+            orders: report.orders,
         });
         let now = self.gateway.now();
         let is_dead =
--- a/crates/regroup/src/decision.rs
+++ b/crates/regroup/src/decision.rs
@@ -27,6 +27,11 @@
         /// Whether the group opened, or why it did not.
         outcome: FormationOutcome,
     },
+    /// A report is older than an order that its upstream has begun, and is not used.
+    ReportOutdated {
+        /// The upstream.
+        id: VmId,
+    },
     /// Groups are closed so that their upstreams form groups of another model.
     ConversionStarted {
         /// Fabric domain of the groups.
--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -16,7 +16,7 @@
     demand::Demand,
     failure_detector::FailureDetector,
     formation::{Formation, Progress},
-    planner::{conversion::Conversions, ordered_state::OrderedState},
+    planner::{conversion::Conversions, order_counts::OrderCounts, ordered_state::OrderedState},
 };
 
 mod addresses;
@@ -25,6 +25,7 @@
 mod late_orders;
 mod maintenance;
 mod new_groups;
+mod order_counts;
 mod ordered_state;
 mod reported_state;
 mod reserve;
@@ -85,6 +86,8 @@
     pub membership: Option<Membership>,
     /// Models whose weights are on the upstream's host.
     pub staged: Vec<DeploymentId>,
+    /// Number of orders that this incarnation has begun; `None` if it gives none.
+    pub orders: Option<u64>,
 }
 
 impl Report {
@@ -147,6 +150,8 @@
     /// Upstreams whose current incarnations have carried out an order of this planner, so that they refuse orders
     /// with a lower fencing token.
     fenced: BTreeSet<VmId>,
+    /// Numbers of orders that the current incarnations have begun.
+    order_counts: OrderCounts,
     /// Model of the last group that each upstream's current incarnation was in or was ordered to
     /// join. A member of a group that is being formed has the group's model, also after a restart.
     last_models: BTreeMap<VmId, DeploymentId>,
@@ -215,6 +220,7 @@
             ordered_epochs: BTreeMap::new(),
             ordered_to_open: BTreeSet::new(),
             fenced: BTreeSet::new(),
+            order_counts: OrderCounts::default(),
             last_models: BTreeMap::new(),
             incarnations: BTreeMap::new(),
             order_sent_at: BTreeMap::new(),
@@ -283,6 +289,13 @@
             return self.detector.on_failed_probe(id);
         };
         self.detector.on_alive(id, now);
+        if self.order_counts.on_report(id, report.orders, now) {
+            // The next report is asked for soon.
+            self.detector.on_suspicion(id);
+            let id = id.clone();
+            self.decisions.push(Decision::ReportOutdated { id });
+            return false;
+        }
         if let Some(entry) = entry
             && !self.is_report_older(&report, entry, now)
         {
@@ -321,6 +334,7 @@
             }
         }
         self.record_fenced(order, answer);
+        self.order_counts.on_answer(order, answer);
         self.on_ordered_answer(order, answer);
         if let OrderAction::Leave { group, epoch } = &order.action {
             let key = (group.clone(), *epoch);
--- a/crates/regroup/src/planner/late_orders.rs
+++ b/crates/regroup/src/planner/late_orders.rs
@@ -65,6 +65,7 @@
     /// its way then reaches the new incarnation.
     pub(super) fn record_orders(&mut self, orders: &[Order]) {
         for order in orders {
+            self.order_counts.on_sent(order);
             match &order.action {
                 OrderAction::Join { epoch, .. } => {
                     let ordered = self.ordered_epochs.entry(order.target.clone()).or_default();
@@ -90,6 +91,7 @@
         self.ordered_epochs
             .retain(|id, _| upstreams.contains_key(id));
         self.fenced.retain(|id| upstreams.contains_key(id));
+        self.order_counts.retain(|id| upstreams.contains_key(id));
     }
 
     /// Returns the orders that are due for the members of a group that may not know the fencing token: to join the
--- a/crates/regroup/src/planner/reported_state.rs
+++ b/crates/regroup/src/planner/reported_state.rs
@@ -52,6 +52,7 @@
                 self.reported_states.remove(id);
                 self.ordered_states.remove(id);
                 self.fenced.remove(id);
+                self.order_counts.remove(id);
                 self.confirmed.remove(id);
                 self.last_models.remove(id);
                 self.loading.remove(id);
--- a/crates/regroup/tests/engines.rs
+++ b/crates/regroup/tests/engines.rs
@@ -51,6 +51,8 @@
     members: Vec<VmId>,
     highest_epoch: u64,
     highest_fencing_token: u64,
+    /// Number of orders that began something since the start.
+    pub orders: u64,
 }
 
 /// All simulated engines and the violations that they recorded.
@@ -105,6 +107,7 @@
             members: Vec::new(),
             highest_epoch: 0,
             highest_fencing_token: 0,
+            orders: 0,
         };
         self.by_id.insert(id, engine);
     }
@@ -163,6 +166,7 @@
         engine.last_model = None;
         engine.highest_epoch = 0;
         engine.highest_fencing_token = 0;
+        engine.orders = 0;
     }
 
     /// Ends an engine's process and starts another one at its address, under a new name, which is earlier
@@ -312,7 +316,9 @@
                 })
             }
             OrderAction::Stage { model } => {
-                self.engine(id).loading = Some((model.clone(), now.plus_ms(LOAD_MS)));
+                let engine = self.engine(id);
+                engine.loading = Some((model.clone(), now.plus_ms(LOAD_MS)));
+                engine.orders += 1;
                 OrderAnswer::Begun
             }
         }
@@ -332,6 +338,7 @@
             return OrderAnswer::Unfit;
         }
         change(engine);
+        engine.orders += 1;
         OrderAnswer::Begun
     }
 
@@ -344,7 +351,10 @@
         match state {
             Some(GroupState::Open) => OrderAnswer::Done,
             Some(GroupState::Ready) => {
-                engine.open_at.get_or_insert(now.plus_ms(OPEN_MS));
+                if engine.open_at.is_none() {
+                    engine.open_at = Some(now.plus_ms(OPEN_MS));
+                    engine.orders += 1;
+                }
                 OrderAnswer::Begun
             }
             _ => OrderAnswer::Unfit,
@@ -408,6 +418,7 @@
             .expect("the member list names the engine");
         let engine = self.engine(id);
         engine.highest_epoch = epoch;
+        engine.orders += 1;
         engine.members = members.to_vec();
         engine.last_model = Some(model.clone());
         engine.entry.model = Some(model.clone());
--- a/crates/regroup/tests/late_orders.rs
+++ b/crates/regroup/tests/late_orders.rs
@@ -1,9 +1,10 @@
-//! Orders that get no answer and are carried out seconds later, after newer ones and under the next owner. In no case
-//! may a member of a group that takes requests join another one.
+//! Orders that get no answer and are carried out seconds later, after newer ones and under the next owner, and reports
+//! that arrive once more. In no case may a member of a group that takes requests join another one.
 
 use std::{cell::RefCell, rc::Rc};
 
 use jacinthpoint_fleet::{Order, OrderAction};
+use jacinthpoint_regroup::{Decision, Report};
 use jacinthpoint_types::VmId;
 
 use crate::world::{SMALL, World, vm};
@@ -128,4 +129,45 @@
             }
         }
     }
+
+    // Guards against the leader of an open group that counts as free, since a report from before it joined is written
+    // once more where the present one is expected.
+    copy_of_an_old_report_takes_no_leader_out_of_its_group: {
+        let (mut world, _) = world_with_held_orders(0, 0);
+        world.order_delay = Box::new(|_| None);
+        let first = world.members_of_group(SMALL);
+        world.run_until(10_000, |world| world.serving_group_count(SMALL) == 2);
+        let members = world.members_of_other_group(SMALL, &first);
+        world.run_ms(5_000);
+        let entry = world.engines.listed()[&members[0]].clone();
+        let old = Report {
+            started_unix_ms: entry.started_unix_ms,
+            membership: None,
+            staged: entry.staged.clone(),
+            orders: Some(0),
+        };
+        let now = world.now;
+        world.planner.on_probe_end(&members[0], Some(old), Some(&entry), now);
+        world.run_ms(5_000);
+        world.assert_no_violation();
+        assert!(world.is_open(&members));
+        let outdated = Decision::ReportOutdated { id: members[0].clone() };
+        assert!(world.decisions.contains(&outdated));
+    }
+
+    // Guards against reports that are never believed again, since the number of orders in them is not understood.
+    reports_are_believed_after_some_seconds_whatever_their_numbers: {
+        let (mut world, _) = world_with_held_orders(0, 0);
+        world.order_delay = Box::new(|_| None);
+        world.run_until(10_000, |world| world.serving_group_count(SMALL) == 2);
+        for engine in world.engines.by_id.values_mut() {
+            engine.orders = 0;
+        }
+        let members = world.members_of_group(SMALL);
+        world.engines.kill(&members[0]);
+        world.planner.on_group_stalled(&members);
+        world.run_ms(15_000);
+        assert_eq!(world.serving_group_count(SMALL), 2);
+        world.assert_no_violation();
+    }
 }
--- a/crates/regroup/tests/world.rs
+++ b/crates/regroup/tests/world.rs
@@ -322,6 +322,7 @@
             started_unix_ms: engine.entry.started_unix_ms,
             membership: engine.entry.membership.clone(),
             staged: engine.entry.staged.clone(),
+            orders: Some(engine.orders),
         };
         let reports = live
             .map(|(id, engine)| (id.clone(), report(engine)))
