--- a/tests/gateway/late_entries.rs
+++ b/tests/gateway/late_entries.rs
@@ -1,10 +1,15 @@
 //! A write of an upstream's entry got no answer and is executed seconds later, over a newer one. The upstream
 //! writes its entry again at its next heartbeat.
 
-use jacinthpoint_platform_standins::PlainService;
+use jacinthpoint_platform_standins::{EngineFault, PlainService};
 use serde_json::{Value, json};
 
-use crate::gateway::{DRAIN_MS, caller::Request, pause_ms, site::Site};
+use crate::gateway::{
+    DRAIN_MS,
+    caller::Request,
+    pause_ms,
+    site::{Site, gateway_name},
+};
 
 /// One gateway reads the store, the others read from it.
 const GATEWAYS: usize = 3;
@@ -69,4 +74,41 @@
         store.put("servers", PlainService::ID, plain_entry(&site, "ready", 9));
         check_no_request_runs(&site);
     }
+
+    // Guards against the leader of an open group that counts as free, also for an owner that did not form the group.
+    open_group_stays_after_a_late_write_of_its_leader: |site| {
+        let store = &site.platform.store;
+        let owner = || {
+            let lease = store.get_content("leases", "groups")?;
+            lease["holder"].as_str().map(str::to_owned)
+        };
+        let first = owner();
+        let index = (0..GATEWAYS).find(|index| Some(gateway_name(*index)) == first);
+        site.signal(index.expect("a gateway has the lease"), "TERM");
+        site.wait_until("another gateway has the lease", 5_000, |_| {
+            owner().is_some_and(|now| Some(now) != first)
+        });
+        let engines = &site.platform.engines;
+        let groups = engines.open_groups();
+        // The other member of its group is free then.
+        let lost = groups[0][0].as_str();
+        engines.set_fault(lost, EngineFault::Dead);
+        store.remove("servers", lost);
+        // The new owner asks all upstreams for their reports.
+        pause_ms(3_000);
+        let groups = engines.open_groups();
+        let leader = groups[0][0].as_str();
+        let newest = store.get_content("servers", leader).expect("it is registered");
+        let mut late = newest.clone();
+        late["group"] = Value::Null;
+        late["models"] = json!([]);
+        late["seq"] = json!(1);
+        let (orders, _) = engines.orders();
+        store.put("servers", leader, late);
+        pause_ms(HEARTBEAT_MS);
+        store.put("servers", leader, newest);
+        pause_ms(HEARTBEAT_MS);
+        assert_eq!(engines.orders().0, orders, "no order is sent");
+        assert_eq!(engines.open_groups(), groups);
+    }
 }
