--- a/crates/gateway/src/call/forward.rs
+++ b/crates/gateway/src/call/forward.rs
@@ -269,10 +269,12 @@
     let gateway = context.gateway.clone();
     let (parts, passed) = channel(gateway.memory.answers());
     let request_id = context.request_id.clone();
+    let started = context.started;
     let deadline_with_slack = context.deadline.0.plus_ms(DEADLINE_SLACK_MS);
     tokio::task::spawn_local(async move {
         // Open until the stream ends.
         let _connection = connection;
+        let mut received_at = gateway.now();
         let why = loop {
             let frame = tokio::select! {
                 // What has arrived is passed on before the deadline counts.
@@ -283,8 +285,14 @@
                     break "deadline-passed".to_owned();
                 }
             };
+            received_at = gateway.now();
             let part = match frame {
-                None => return parts.finish(),
+                None => {
+                    log_event!(info, RequestForwarded, request = request_id, to = %address,
+                        elapsed_ms = received_at.since_ms(started),
+                        "a stream of another gateway ended whole");
+                    return parts.finish();
+                }
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(bytes) => bytes,
                     Err(_) => continue,
@@ -296,7 +304,9 @@
             }
         };
         gateway.metrics.count("requests_forwarded", "broken");
+        let now = gateway.now();
         log_event!(warn, RequestFailed, request = request_id, to = %address, why,
+            elapsed_ms = now.since_ms(started), silent_ms = now.since_ms(received_at),
             "a stream of another gateway failed before its end");
     });
     passed
--- a/tests/gateway/frozen_processes.rs
+++ b/tests/gateway/frozen_processes.rs
@@ -75,6 +75,34 @@
     wait_for_close(&site, frozen);
 }
 
+/// Guards against streams without an end at their deadline, which one of several gateways had when it froze, and against
+/// those of the others going on. Begun are so many that each gateway has some.
+#[test]
+fn streams_that_several_gateways_have_end_at_their_deadline_when_one_freezes() {
+    const STREAMS: usize = 32;
+    const GATEWAYS: usize = 3;
+    let (site, partitioned) = partitioned_site_of(GATEWAYS);
+    site.platform.engines.set_stream(100, 200);
+    let begun = begun_answers(&site, partitioned);
+    let callers = (0..STREAMS).map(|number| {
+        let id: &'static str = format!("frozen-{number}").leak();
+        send(site.gateway(partitioned), Request::stream(id))
+    });
+    let callers: Vec<_> = callers.collect();
+    site.wait_until("the streams have begun", DEADLINE_MS, |site| {
+        begun_answers(site, partitioned) >= begun + STREAMS as u64
+    });
+    let frozen = (0..GATEWAYS).find(|index| *index != partitioned && !site.is_owner(*index));
+    let frozen = frozen.expect("a gateway is neither partitioned nor the owner");
+    let address = peers_address(&site, frozen);
+    assert!(open_connections_to_address(address) > 0, "it has streams");
+    site.signal(frozen, "STOP");
+    for answer in join_all(callers) {
+        assert_eq!((answer.status, answer.end), (200, End::Broken));
+    }
+    wait_for_close(&site, frozen);
+}
+
 /// Guards against a request that has no answer at its deadline: the gateway that it is forwarded to is frozen.
 #[test]
 fn request_to_a_frozen_gateway_is_answered_at_its_deadline() {
