Reports that lag behind an order of the last second are no fault

Reports are some hundred milliseconds old, so each one that crosses an order has a lower number. Within a second of an order they are not used, and the next probe comes when it is due.

--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -16,7 +16,11 @@
     demand::Demand,
     failure_detector::FailureDetector,
     formation::{Formation, Progress},
-    planner::{conversion::Conversions, order_counts::OrderCounts, ordered_state::OrderedState},
+    planner::{
+        conversion::Conversions,
+        order_counts::{OrderCounts, ReportAge},
+        ordered_state::OrderedState,
+    },
 };
 
 mod addresses;
@@ -289,12 +293,16 @@
             return self.detector.on_failed_probe(id);
         };
         self.detector.on_alive(id, now);
-        if self.order_counts.on_report(id, report.orders, now) {
-            // The next report is asked for soon.
-            self.detector.on_suspicion(id);
-            let id = id.clone();
-            self.decisions.push(Decision::ReportOutdated { id });
-            return false;
+        match self.order_counts.on_report(id, report.orders, now) {
+            ReportAge::Newest => {}
+            ReportAge::Lagging => return false,
+            ReportAge::Outdated => {
+                // The next report is asked for soon.
+                self.detector.on_suspicion(id);
+                let id = id.clone();
+                self.decisions.push(Decision::ReportOutdated { id });
+                return false;
+            }
         }
         if let Some(entry) = entry
             && !self.is_report_older(&report, entry, now)
@@ -334,7 +342,7 @@
             }
         }
         self.record_fenced(order, answer);
-        self.order_counts.on_answer(order, answer);
+        self.order_counts.on_answer(order, answer, now);
         self.on_ordered_answer(order, answer);
         if let OrderAction::Leave { group, epoch } = &order.action {
             let key = (group.clone(), *epoch);
--- a/crates/regroup/src/planner/order_counts.rs
+++ b/crates/regroup/src/planner/order_counts.rs
@@ -9,6 +9,8 @@
 use jacinthpoint_fleet::{Order, OrderAction, OrderAnswer};
 use jacinthpoint_types::{TimeMs, VmId};
 
+use crate::planner::MAX_REPORT_AGE_MS;
+
 /// Time for which all reports of an upstream have to be older before they are believed: then its number is not
 /// understood.
 const DISBELIEF_MS: u64 = 3_000;
@@ -18,6 +20,8 @@
 struct Counted {
     /// Lowest number that the upstream can have reached; `None` until its first report.
     at_least: Option<u64>,
+    /// When this number became known.
+    raised_at: TimeMs,
     /// Orders that were sent and not answered yet, each with the number at that time.
     sent: Vec<(OrderAction, u64)>,
     /// Kind and epoch of the orders that are counted in `at_least`. An order that is sent again may be answered as
@@ -27,6 +31,27 @@
     older_since: Option<TimeMs>,
 }
 
+/// Age of a report, by its number of orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ReportAge {
+    /// Nothing shows that it is older than an order that the upstream has begun.
+    Newest,
+    /// It is older than one of the last second. Each report is some hundred milliseconds old when it arrives.
+    Lagging,
+    /// It is older than one of before.
+    Outdated,
+}
+
+impl Counted {
+    /// Raises the lowest number that the upstream can have reached.
+    fn raise(&mut self, number: u64, now: TimeMs) {
+        if self.at_least.is_none_or(|at_least| at_least < number) {
+            self.at_least = Some(number);
+            self.raised_at = now;
+        }
+    }
+}
+
 /// Numbers of orders that upstreams have begun, as far as one planner knows them.
 #[derive(Debug, Default)]
 pub(super) struct OrderCounts(BTreeMap<VmId, Counted>);
@@ -42,7 +67,7 @@
     }
 
     /// Records the answer to an order.
-    pub(super) fn on_answer(&mut self, order: &Order, answer: OrderAnswer) {
+    pub(super) fn on_answer(&mut self, order: &Order, answer: OrderAnswer, now: TimeMs) {
         let Some(counted) = self.0.get_mut(&order.target) else {
             return;
         };
@@ -60,31 +85,31 @@
             OrderAction::Stage { .. } => return,
         };
         if answer == OrderAnswer::Begun && counted.begun.insert(((&action).into(), epoch)) {
-            counted.at_least = counted.at_least.max(Some(at_sending + 1));
+            counted.raise(at_sending + 1, now);
         }
     }
 
-    /// Records the number in a report, if it has one. Returns whether the report is older than an order that the
-    /// upstream has begun.
-    pub(super) fn on_report(&mut self, id: &VmId, number: Option<u64>, now: TimeMs) -> bool {
+    /// Records the number in a report, if it has one, and returns the report's age.
+    pub(super) fn on_report(&mut self, id: &VmId, number: Option<u64>, now: TimeMs) -> ReportAge {
         let Some(number) = number else {
-            return false;
+            return ReportAge::Newest;
         };
         let counted = self.0.entry(id.clone()).or_default();
         if counted.at_least.is_none_or(|at_least| number >= at_least) {
-            counted.at_least = Some(number);
+            counted.raise(number, now);
             counted.older_since = None;
-            return false;
+            return ReportAge::Newest;
         }
         let since = *counted.older_since.get_or_insert(now);
         if now.since_ms(since) >= DISBELIEF_MS {
-            *counted = Counted {
-                at_least: Some(number),
-                ..Counted::default()
-            };
-            return false;
+            *counted = Counted::default();
+            counted.raise(number, now);
+            return ReportAge::Newest;
+        }
+        match now.since_ms(counted.raised_at) < MAX_REPORT_AGE_MS {
+            true => ReportAge::Lagging,
+            false => ReportAge::Outdated,
         }
-        true
     }
 
     /// Forgets an upstream, because it started again.
