A report with too low a number of orders is no sign of life

Where upstreams give no start time, one that starts again under another name answers at the address of the former one.

Such a report counts as a failed probe now. A single copy of an old report does no harm, since two failures in a row are needed.

--- a/crates/regroup/src/planner.rs
+++ b/crates/regroup/src/planner.rs
@@ -292,17 +292,16 @@
         let Some(report) = report.filter(matches) else {
             return self.detector.on_failed_probe(id);
         };
+        let age = self.order_counts.on_report(id, report.orders, now);
+        if age == ReportAge::Outdated {
+            // A copy, or another process at the address that gives no start time. The next report decides.
+            self.decisions
+                .push(Decision::ReportOutdated { id: id.clone() });
+            return self.detector.on_failed_probe(id);
+        }
         self.detector.on_alive(id, now);
-        match self.order_counts.on_report(id, report.orders, now) {
-            ReportAge::Newest => {}
-            ReportAge::Lagging => return false,
-            ReportAge::Outdated => {
-                // The next report is asked for soon.
-                self.detector.on_suspicion(id);
-                let id = id.clone();
-                self.decisions.push(Decision::ReportOutdated { id });
-                return false;
-            }
+        if age == ReportAge::Lagging {
+            return false;
         }
         if let Some(entry) = entry
             && !self.is_report_older(&report, entry, now)
--- a/crates/regroup/tests/late_orders.rs
+++ b/crates/regroup/tests/late_orders.rs
@@ -170,4 +170,27 @@
         assert_eq!(world.serving_group_count(SMALL), 2);
         world.assert_no_violation();
     }
+
+    // Guards against a group that waits for a member that has ended, since another engine answers at its address
+    // and neither gives its start time.
+    report_of_a_successor_at_the_address_does_not_keep_a_member_alive: {
+        let (mut world, _) = world_with_held_orders(0, 0);
+        world.order_delay = Box::new(|_| None);
+        for engine in world.engines.by_id.values_mut() {
+            engine.entry.started_unix_ms = 0;
+        }
+        let first = world.members_of_group(SMALL);
+        world.run_until(10_000, |world| world.serving_group_count(SMALL) == 2);
+        world.run_ms(3_000);
+        let members = world.members_of_other_group(SMALL, &first);
+        // Its entry stays listed.
+        let successor = world.engines.replace_at_address(&members[1]);
+        world.engines.engine(&successor).is_listed = false;
+        world.successors.insert(members[1].clone(), successor);
+        world.planner.on_group_stalled(&members);
+        let is_closed = |world: &World| !world.is_open(&members);
+        let closed_ms = world.run_until(20_000, is_closed);
+        assert!(closed_ms <= 2_000, "closed after {closed_ms} ms");
+        world.assert_no_violation();
+    }
 }
