An order to join is not forgotten while its upstream is unlisted

Found by reading: the highest epoch that was ordered was dropped as soon as the upstream was missing from the list. An entry that expires and comes back within the delay of an order let the owner open a group whose member that order takes away.

The epochs are kept as long as the planner. The new test had violations before and has none; the regroup tests pass (73).

--- a/crates/regroup/src/planner/late_orders.rs
+++ b/crates/regroup/src/planner/late_orders.rs
@@ -86,10 +86,9 @@
         }
     }
 
-    /// Forgets what concerns upstreams that are gone.
+    /// Forgets what concerns upstreams that are gone. Orders to join stay known: the entry of an upstream may expire
+    /// while such an order is on its way, and come back.
     pub(super) fn retain_order_records(&mut self, upstreams: &BTreeMap<VmId, Upstream>) {
-        self.ordered_epochs
-            .retain(|id, _| upstreams.contains_key(id));
         self.fenced.retain(|id| upstreams.contains_key(id));
         self.order_counts.retain(|id| upstreams.contains_key(id));
     }
--- a/crates/regroup/tests/late_orders.rs
+++ b/crates/regroup/tests/late_orders.rs
@@ -193,4 +193,21 @@
         assert!(closed_ms <= 2_000, "closed after {closed_ms} ms");
         world.assert_no_violation();
     }
+
+    // Guards against an order to join that is forgotten while the entry of its upstream has expired.
+    order_to_an_upstream_that_was_unlisted_for_a_time_is_not_forgotten: {
+        let mut violations = Vec::new();
+        for first_ms in (FORMATION_MS..FORMATION_MS + 3_000).step_by(200) {
+            let (mut world, held) = world_with_held_orders(first_ms, usize::MAX);
+            // The target has been ordered into its second group.
+            world.run_ms(FORMATION_MS + 300);
+            let target = held.borrow().target.clone().expect("orders were sent");
+            world.engines.engine(&target).is_listed = false;
+            world.run_ms(300);
+            world.engines.engine(&target).is_listed = true;
+            world.run_ms(30_000);
+            violations.extend(world.engines.violations.iter().cloned());
+        }
+        assert_eq!(violations, Vec::<String>::new());
+    }
 }
